--- /dev/null
+++ b/internal/base/clock/clock.go
@@ -0,0 +1,187 @@
+// Package clock is the timer service of an instance. All parts take the time
+// and their periodic work from it, so that tests drive time themselves.
+//
+// # Usage
+//
+//	timers := clock.NewSystem()
+//	ticks := timers.Subscribe(time.Second)
+//	defer ticks.Stop()
+//	for range ticks.C {
+//		renew()
+//	}
+//
+// Tests use NewDriven and move the time with Advance:
+//
+//	timers, driver := clock.NewDriven(time.Unix(0, 0))
+//	driver.Advance(3 * time.Second)
+package clock
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Service tells the time and delivers ticks. Its times carry the monotonic
+// clock reading when it runs on the system's clock.
+type Service struct {
+	now       func() time.Time
+	subscribe func(delay, period time.Duration) *Subscription
+}
+
+// Subscription delivers ticks on C until Stop. A tick that finds the previous
+// one unread is dropped, as with time.Ticker.
+type Subscription struct {
+	C    <-chan time.Time
+	stop func()
+}
+
+// Stop ends the subscription. It does not close C.
+func (s *Subscription) Stop() { s.stop() }
+
+// NewSystem returns the service that runs on the system's clock.
+func NewSystem() *Service {
+	return &Service{now: time.Now, subscribe: subscribeSystem}
+}
+
+func subscribeSystem(delay, period time.Duration) *Subscription {
+	if period > 0 {
+		ticker := time.NewTicker(period)
+		return &Subscription{C: ticker.C, stop: ticker.Stop}
+	}
+	timer := time.NewTimer(delay)
+	return &Subscription{C: timer.C, stop: func() { timer.Stop() }}
+}
+
+// Now returns the current time.
+func (s *Service) Now() time.Time { return s.now() }
+
+// Since returns the time elapsed since t.
+func (s *Service) Since(t time.Time) time.Duration { return s.now().Sub(t) }
+
+// Subscribe delivers a tick each period. The period must be positive.
+func (s *Service) Subscribe(period time.Duration) *Subscription {
+	if period <= 0 {
+		panic("clock: period must be positive")
+	}
+	return s.subscribe(period, period)
+}
+
+// After delivers one tick when delay has passed.
+func (s *Service) After(delay time.Duration) *Subscription {
+	return s.subscribe(max(delay, 0), 0)
+}
+
+// Sleep waits until delay has passed or ctx ends, and returns ctx's error in
+// the latter case.
+func (s *Service) Sleep(ctx context.Context, delay time.Duration) error {
+	timer := s.After(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// WithTimeout returns a context that is cancelled with cause
+// context.DeadlineExceeded once limit has passed on this service's clock.
+func (s *Service) WithTimeout(parent context.Context, limit time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(parent)
+	timer := s.After(limit)
+	go func() {
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+			cancel(context.DeadlineExceeded)
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, func() { cancel(context.Canceled) }
+}
+
+// Driver moves the time of a driven service.
+type Driver struct {
+	mu      sync.Mutex
+	now     time.Time
+	waiters map[*waiter]struct{}
+}
+
+type waiter struct {
+	due    time.Time
+	period time.Duration
+	ticks  chan time.Time
+}
+
+// NewDriven returns a service whose time starts at start and moves only when
+// the driver is advanced.
+func NewDriven(start time.Time) (*Service, *Driver) {
+	d := &Driver{now: start, waiters: map[*waiter]struct{}{}}
+	return &Service{now: d.current, subscribe: d.subscribe}, d
+}
+
+func (d *Driver) current() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.now
+}
+
+func (d *Driver) subscribe(delay, period time.Duration) *Subscription {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	w := &waiter{due: d.now.Add(delay), period: period, ticks: make(chan time.Time, 1)}
+	if delay <= 0 {
+		w.ticks <- d.now
+	} else {
+		d.waiters[w] = struct{}{}
+	}
+	return &Subscription{C: w.ticks, stop: func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		delete(d.waiters, w)
+	}}
+}
+
+// Advance moves the time by step and delivers the ticks that fall due, in the
+// order of their due times.
+func (d *Driver) Advance(step time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	end := d.now.Add(step)
+	for {
+		w := d.nextDue(end)
+		if w == nil {
+			break
+		}
+		d.now = w.due
+		select {
+		case w.ticks <- w.due:
+		default:
+		}
+		if w.period > 0 {
+			w.due = w.due.Add(w.period)
+		} else {
+			delete(d.waiters, w)
+		}
+	}
+	d.now = end
+}
+
+func (d *Driver) nextDue(end time.Time) *waiter {
+	var next *waiter
+	for w := range d.waiters {
+		if !w.due.After(end) && (next == nil || w.due.Before(next.due)) {
+			next = w
+		}
+	}
+	return next
+}
+
+// Waiting returns the number of subscriptions that wait for a tick. Tests use
+// it to learn that a goroutine has reached its wait.
+func (d *Driver) Waiting() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.waiters)
+}
--- /dev/null
+++ b/internal/base/logs/logs.go
@@ -0,0 +1,57 @@
+// Package logs sets up the JSON log lines of a process. Field names are stable:
+// operators search for them.
+//
+// # Usage
+//
+//	log := logs.New(os.Stderr, "info", "i-1", "zone-a")
+//	log.WithField(logs.Account, "acme").Info("request refused")
+//
+// Keys and their digests never go into a log line; use the key's id.
+package logs
+
+import (
+	"io"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+)
+
+// The field names of log lines.
+const (
+	Instance = "instance"
+	Zone     = "zone"
+	Account  = "account"
+	KeyID    = "key_id"
+	Endpoint = "endpoint"
+	Request  = "request"
+	Trainer  = "trainer"
+	Step     = "step"
+	Window   = "window"
+	Code     = "code"
+	Peer     = "peer"
+	Sequence = "sequence"
+	Fence    = "fence"
+	Model    = "model"
+	Cause    = "cause"
+)
+
+// New returns a logger that writes JSON lines with the instance and zone.
+// Level is one of logrus's level names.
+func New(out io.Writer, level, instance, zone string) (*logrus.Entry, error) {
+	parsed, err := logrus.ParseLevel(level)
+	if err != nil {
+		return nil, eris.Wrapf(err, "log level %q", level)
+	}
+	logger := logrus.New()
+	logger.SetOutput(out)
+	logger.SetLevel(parsed)
+	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
+	return logger.WithFields(logrus.Fields{Instance: instance, Zone: zone}), nil
+}
+
+// Discard returns a logger that writes nothing, for tests.
+func Discard() *logrus.Entry {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return logrus.NewEntry(logger)
+}
--- /dev/null
+++ b/internal/base/setting/check.go
@@ -0,0 +1,72 @@
+package setting
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/rotisserie/eris"
+)
+
+var checker = newChecker()
+
+func newChecker() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(f reflect.StructField) string {
+		return strings.SplitN(f.Tag.Get("json"), ",", 2)[0]
+	})
+	return v
+}
+
+// Check validates the fields of a struct by their validate tags and returns
+// one error that names each offending field, its value and the allowed range.
+func Check(value any) error {
+	err := checker.Struct(value)
+	if err == nil {
+		return nil
+	}
+	failures, ok := err.(validator.ValidationErrors)
+	if !ok {
+		return eris.Wrap(err, "check")
+	}
+	lines := make([]string, 0, len(failures))
+	for _, f := range failures {
+		lines = append(lines, describe(f))
+	}
+	return eris.New(strings.Join(lines, "; "))
+}
+
+func describe(f validator.FieldError) string {
+	_, path, _ := strings.Cut(f.Namespace(), ".")
+	return fmt.Sprintf("field %q has value %v, must be %s", path, f.Value(), allowed(f))
+}
+
+func allowed(f validator.FieldError) string {
+	unit := ""
+	if f.Kind() == reflect.String {
+		unit = " characters long"
+	}
+	switch f.Tag() {
+	case "required":
+		return "present and not empty"
+	case "min", "gte":
+		return "at least " + f.Param() + unit
+	case "max", "lte":
+		return "at most " + f.Param() + unit
+	case "gt":
+		return "greater than " + f.Param()
+	case "oneof":
+		return "one of " + strings.ReplaceAll(f.Param(), " ", ", ")
+	case "hostname_port", "tcp_addr":
+		return "an address of the form IP:PORT"
+	case "ip":
+		return "an IP address"
+	case "hexadecimal":
+		return "hexadecimal digits"
+	case "len":
+		return "exactly " + f.Param() + unit
+	default:
+		return strings.TrimSpace(f.Tag() + " " + f.Param())
+	}
+}
--- /dev/null
+++ b/internal/peer/fleet/fleet.go
@@ -0,0 +1,82 @@
+// Package fleet carries calls between the instances of one fleet: an HTTP
+// client that proves membership and a guard for the twirp servers.
+//
+// # Usage
+//
+//	client := fleet.NewClient(settings, timers)
+//	peer := feed.NewControlProtobufClient(fleet.URL(instance.Peer), client)
+//	http.Serve(listener, fleet.Guard(settings.Secret, meters, router))
+package fleet
+
+import (
+	"crypto/subtle"
+	"errors"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/code"
+	"github.com/wigeonpin/wigeonpin/internal/base/codec"
+	"github.com/wigeonpin/wigeonpin/internal/base/meter"
+	"github.com/wigeonpin/wigeonpin/internal/base/setting"
+)
+
+// HeaderInstance names the calling instance.
+const HeaderInstance = "Wigeonpin-Instance"
+
+const (
+	dialTimeout       = time.Second
+	keepAlivePeriod   = 5 * time.Second
+	idleConnsPerPeer  = 8
+	idleTimeout       = 20 * time.Second
+	answerHeaderLimit = 10 * time.Minute
+)
+
+// NewClient returns the client for calls to other instances. Calls must carry
+// a context with a deadline.
+func NewClient(settings setting.Settings) *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
+	transport := &http.Transport{
+		DialContext:           dialer.DialContext,
+		MaxIdleConnsPerHost:   idleConnsPerPeer,
+		IdleConnTimeout:       idleTimeout,
+		ResponseHeaderTimeout: answerHeaderLimit,
+		DisableCompression:    true,
+	}
+	return &http.Client{Transport: &signer{next: transport, secret: settings.Secret, self: settings.ID}}
+}
+
+type signer struct {
+	next   http.RoundTripper
+	secret string
+	self   string
+}
+
+// RoundTrip adds the fleet's secret and the caller's id.
+func (s *signer) RoundTrip(r *http.Request) (*http.Response, error) {
+	signed := r.Clone(r.Context())
+	signed.Header.Set("Authorization", "Bearer "+s.secret)
+	signed.Header.Set(HeaderInstance, s.self)
+	return s.next.RoundTrip(signed)
+}
+
+// Guard lets only calls with the fleet's secret through and counts the others.
+func Guard(secret string, meters *meter.Set, next http.Handler) http.Handler {
+	refused := meters.Counter("peer_refused")
+	want := []byte("Bearer " + secret)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), want) != 1 {
+			refused.Add("secret", 1)
+			codec.WriteError(w, code.New(code.PeerRefused, "the fleet's secret is missing or wrong").WithRun(code.NotRun))
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// URL returns the base URL of an instance's peer address.
+func URL(address string) string { return "http://" + address }
+
+// Refused reports whether err proves that nothing listens at the address.
+func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
