--- a/internal/base/setting/check.go
+++ b/internal/base/setting/check.go
@@ -39,9 +39,15 @@
 
 func describe(f validator.FieldError) string {
 	_, path, _ := strings.Cut(f.Namespace(), ".")
+	if confidential[f.Field()] {
+		return fmt.Sprintf("field %q has a value that is not shown, must be %s", path, allowed(f))
+	}
 	return fmt.Sprintf("field %q has value %v, must be %s", path, f.Value(), allowed(f))
 }
 
+// confidential names the fields whose values must not reach an error or a log.
+var confidential = map[string]bool{"secret": true, "operator_digest": true, "digest": true}
+
 func allowed(f validator.FieldError) string {
 	unit := ""
 	if f.Kind() == reflect.String {
--- /dev/null
+++ b/internal/control/table/table_test.go
@@ -0,0 +1,60 @@
+package table
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/code"
+)
+
+// Guards against invalid rows that take effect, rows that refer to nothing,
+// and views that do not follow the rows.
+func TestTable(t *testing.T) {
+	datadriven.RunTest(t, "testdata/rows", func(t *testing.T, d *datadriven.TestData) string {
+		current := New()
+		var b strings.Builder
+		for i, line := range strings.Split(d.Input, "\n") {
+			row := Row{}
+			if err := json.Unmarshal([]byte(line), &row); err != nil {
+				t.Fatal(err)
+			}
+			row.Revision = uint64(i + 1)
+			next, err := current.With(row)
+			if err != nil {
+				fmt.Fprintln(&b, code.Of(err))
+				continue
+			}
+			current = next
+		}
+		fmt.Fprintf(&b, "sequence %d\n", current.Sequence())
+		for _, r := range current.Rows() {
+			fmt.Fprintf(&b, "%s/%s revision %d deleted %v\n", r.Table, r.Name, r.Revision, r.Deleted)
+		}
+		reloaded := Load(current.Sequence(), current.Rows())
+		if fmt.Sprint(reloaded.accounts, reloaded.keys, reloaded.zones) != fmt.Sprint(current.accounts, current.keys, current.zones) {
+			t.Fatal("a table loaded from its rows differs")
+		}
+		return b.String()
+	})
+}
+
+// Guards against a change that shows in a table that was published earlier.
+func TestWithLeavesTheOldTable(t *testing.T) {
+	first, err := New().With(Row{Table: Accounts, Name: "acme", Revision: 1, Value: json.RawMessage(`{"weight":1}`)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, err := first.With(Row{Table: Accounts, Name: "acme", Revision: 2, Value: json.RawMessage(`{"weight":5}`)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	old, _ := first.Account("acme")
+	current, _ := second.Account("acme")
+	if old.Weight != 1 || current.Weight != 5 || len(second.RowsAfter(1)) != 1 {
+		t.Fatalf("weights %v and %v", old.Weight, current.Weight)
+	}
+}
