--- a/internal/peer/fleet/fleet.go
+++ b/internal/peer/fleet/fleet.go
@@ -3,12 +3,13 @@
 //
 // # Usage
 //
-//	client := fleet.NewClient(settings, timers)
+//	client := fleet.NewClient(settings, meters)
 //	peer := feed.NewControlProtobufClient(fleet.URL(instance.Peer), client)
-//	http.Serve(listener, fleet.Guard(settings.Secret, meters, router))
+//	http.Serve(fleet.Count(listener, meters), fleet.Guard(settings.Secret, meters, router))
 package fleet
 
 import (
+	"context"
 	"crypto/subtle"
 	"errors"
 	"net"
@@ -35,10 +36,17 @@
 
 // NewClient returns the client for calls to other instances. Calls must carry
 // a context with a deadline.
-func NewClient(settings setting.Settings) *http.Client {
+func NewClient(settings setting.Settings, meters *meter.Set) *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
+	traffic := meters.Counter("peer_bytes")
 	transport := &http.Transport{
-		DialContext:           dialer.DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &countedConn{Conn: conn, traffic: traffic}, nil
+		},
 		MaxIdleConnsPerHost:   idleConnsPerPeer,
 		IdleConnTimeout:       idleTimeout,
 		ResponseHeaderTimeout: answerHeaderLimit,
@@ -75,6 +83,45 @@
 	})
 }
 
+// Count counts the bytes of the accepted connections, both ways, in the metric
+// peer_bytes, as the client does for its own connections.
+func Count(listener net.Listener, meters *meter.Set) net.Listener {
+	return &countedListener{Listener: listener, traffic: meters.Counter("peer_bytes")}
+}
+
+type countedListener struct {
+	net.Listener
+	traffic *meter.Counter
+}
+
+// Accept returns the next connection with its bytes counted.
+func (l *countedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: conn, traffic: l.traffic}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	traffic *meter.Counter
+}
+
+// Read counts the received bytes.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.traffic.Add("received", int64(n))
+	return n, err
+}
+
+// Write counts the sent bytes.
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.traffic.Add("sent", int64(n))
+	return n, err
+}
+
 // URL returns the base URL of an instance's peer address.
 func URL(address string) string { return "http://" + address }
 
