Add the control plane: object client, config, directory, bulletin, lease, operator API and CLI

The table's Load no longer copies its maps for each row, which made reading a table quadratic, and Apply takes over rows that were accepted elsewhere.

--- /dev/null
+++ b/cmd/wigeonpin/main.go
@@ -0,0 +1,78 @@
+// Command wigeonpin is a rollout service for reinforcement learning, and the
+// tool with which operators configure it. Run "wigeonpin --help" for its
+// commands.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+)
+
+type commands struct {
+	Check   *checkCommand   `arg:"subcommand:check" help:"check a settings file and show the result with all defaults"`
+	Version *versionCommand `arg:"subcommand:version" help:"show the version of this program"`
+	Account *accountCommand `arg:"subcommand:account" help:"add, change or remove client accounts"`
+	Key     *keyCommand     `arg:"subcommand:key" help:"make and withdraw keys of client accounts"`
+	Trainer *trainerCommand `arg:"subcommand:trainer" help:"add, change or remove trainers"`
+	Route   *routeCommand   `arg:"subcommand:route" help:"add, change or remove routes to plain services"`
+	Model   *modelCommand   `arg:"subcommand:model" help:"add, change or remove models and plain services"`
+	Zone    *zoneCommand    `arg:"subcommand:zone" help:"take an availability zone out of service or put it back"`
+	Row     *rowCommand     `arg:"subcommand:row" help:"show or edit any row of the table as JSON"`
+	Status  *statusCommand  `arg:"subcommand:status" help:"show the state of an instance"`
+}
+
+// Description is shown at the top of the help.
+func (commands) Description() string {
+	return "wigeonpin serves rollouts for reinforcement learning, and this program also configures it."
+}
+
+// Epilogue is shown at the end of the help.
+func (commands) Epilogue() string {
+	return `The commands that read or change the table talk to the operator address of any
+instance. They take it from --operator or WIGEONPIN_OPERATOR, and the operator
+key from the variable WIGEONPIN_OPERATOR_KEY, so that it does not show in the
+process list. Examples:
+
+  export WIGEONPIN_OPERATOR=127.0.0.1:7003 WIGEONPIN_OPERATOR_KEY=...
+  wigeonpin account set acme --weight 2
+  wigeonpin key add acme
+  wigeonpin zone out zone-a`
+}
+
+// command is one parsed subcommand.
+type command interface {
+	run(ctx context.Context) error
+}
+
+func main() {
+	var args commands
+	parser, err := arg.NewParser(arg.Config{Program: "wigeonpin"}, &args)
+	if err != nil {
+		fail(err)
+	}
+	parser.MustParse(os.Args[1:])
+	chosen, ok := parser.Subcommand().(command)
+	if !ok {
+		parser.WriteHelp(os.Stderr)
+		os.Exit(2)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := chosen.run(ctx); err != nil {
+		fail(err)
+	}
+}
+
+func fail(err error) {
+	fmt.Fprintln(os.Stderr, "wigeonpin:", err)
+	if errors.Is(err, errConflict) {
+		os.Exit(3)
+	}
+	os.Exit(1)
+}
--- /dev/null
+++ b/internal/control/bulletin/bulletin.go
@@ -0,0 +1,279 @@
+// Package bulletin delivers rare events to all instances. An event has a topic,
+// a key, a payload and a time to live; it is passed along the control trees and
+// between the relays of the zones, and repeated until each neighbour has it.
+//
+// # Usage
+//
+//	board := bulletin.New(settings, timers, bulletin.Seams{
+//		Neighbours: directory.Neighbours, Report: directory.Report, Peers: client,
+//	}, log)
+//	board.Subscribe("suspect", func(key string, payload []byte) { ... })
+//	go board.Run(ctx)
+//	board.Post("suspect", digest, payload, 10*time.Minute)
+//
+// An event is delivered to the subscribers of each instance, the poster's own
+// included, once while it lives. Events of one topic and key are not ordered.
+package bulletin
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/oklog/ulid/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/base/setting"
+	"github.com/wigeonpin/wigeonpin/internal/control/member"
+	"github.com/wigeonpin/wigeonpin/internal/peer/fleet"
+)
+
+const (
+	// compareTicks is the number of exchange periods after which digests are
+	// compared with all neighbours, which finds instances that lost events.
+	compareTicks = 10
+	// shareEvents bounds one message.
+	shareEvents = 256
+	// heldEvents bounds the memory; events are rare, so reaching it means a fault.
+	heldEvents = 65536
+	// payloadBytes bounds one event.
+	payloadBytes = 16 << 10
+)
+
+// Seams are the functions that a board needs from its surroundings.
+type Seams struct {
+	// Neighbours returns the instances to pass events to.
+	Neighbours func() []member.Instance
+	// Report takes the outcome of a call.
+	Report func(id string, alive, refused bool)
+	// Peers is the client for calls to other instances.
+	Peers *http.Client
+}
+
+// Board holds the live events of one instance.
+type Board struct {
+	self   string
+	period time.Duration
+	timers *clock.Service
+	seams  Seams
+	log    *logrus.Entry
+	wake   chan struct{}
+
+	// mu guards the fields below. No call is made while it is held.
+	mu          sync.Mutex
+	events      map[string]event
+	digest      uint64
+	subscribers map[string][]func(key string, payload []byte)
+	// held tells which events each neighbour has acknowledged.
+	held map[string]map[string]bool
+}
+
+type event struct {
+	topic, key string
+	payload    []byte
+	expires    time.Time
+}
+
+// New returns an empty board.
+func New(settings setting.Settings, timers *clock.Service, seams Seams, log *logrus.Entry) *Board {
+	return &Board{
+		self: settings.ID, period: setting.Milliseconds(settings.ExchangeMS),
+		timers: timers, seams: seams, log: log, wake: make(chan struct{}, 1),
+		events: map[string]event{}, held: map[string]map[string]bool{},
+		subscribers: map[string][]func(string, []byte){},
+	}
+}
+
+// Subscribe calls receive for each event of a topic, live ones included. The
+// function must not block and must not call the board.
+func (b *Board) Subscribe(topic string, receive func(key string, payload []byte)) {
+	b.mu.Lock()
+	b.subscribers[topic] = append(b.subscribers[topic], receive)
+	var live []event
+	for _, e := range b.events {
+		if e.topic == topic {
+			live = append(live, e)
+		}
+	}
+	b.mu.Unlock()
+	for _, e := range live {
+		receive(e.key, e.payload)
+	}
+}
+
+// Post delivers an event to all instances that can be reached while it lives.
+func (b *Board) Post(topic, key string, payload []byte, ttl time.Duration) {
+	if len(payload) > payloadBytes {
+		b.log.WithField("topic", topic).WithField("bytes", len(payload)).Error("event is too large and was dropped")
+		return
+	}
+	b.accept(ulid.Make().String(), event{topic, key, payload, b.timers.Now().Add(ttl)}, "")
+	b.signal()
+}
+
+func (b *Board) signal() {
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+}
+
+// accept stores an event and delivers it, unless it is known. From is the
+// neighbour that sent it.
+func (b *Board) accept(id string, e event, from string) bool {
+	b.mu.Lock()
+	_, known := b.events[id]
+	if from != "" {
+		b.markHeld(from, id)
+	}
+	if known || !e.expires.After(b.timers.Now()) || len(b.events) >= heldEvents {
+		b.mu.Unlock()
+		return false
+	}
+	b.events[id] = e
+	b.digest ^= xxhash.Sum64String(id)
+	receivers := b.subscribers[e.topic]
+	b.mu.Unlock()
+	for _, receive := range receivers {
+		receive(e.key, e.payload)
+	}
+	return true
+}
+
+// markHeld records that a neighbour has an event. mu is held.
+func (b *Board) markHeld(neighbour, id string) {
+	if b.held[neighbour] == nil {
+		b.held[neighbour] = map[string]bool{}
+	}
+	b.held[neighbour][id] = true
+}
+
+// Server returns the handler for calls of other instances, to be mounted at
+// NoticesPathPrefix.
+func (b *Board) Server() http.Handler { return NewNoticesServer(&server{board: b}) }
+
+type server struct{ board *Board }
+
+// Share takes over events and passes new ones on.
+func (s *server) Share(_ context.Context, in *NoticeShare) (*NoticeAck, error) {
+	b := s.board
+	fresh := false
+	for _, e := range in.Events {
+		expires := b.timers.Now().Add(time.Duration(e.LeftMs) * time.Millisecond)
+		fresh = b.accept(e.Id, event{e.Topic, e.Key, e.Payload, expires}, in.Instance) || fresh
+	}
+	if fresh {
+		b.signal()
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return &NoticeAck{Digest: b.digest}, nil
+}
+
+// Run passes events on until ctx ends.
+func (b *Board) Run(ctx context.Context) error {
+	ticks := b.timers.Subscribe(b.period)
+	defer ticks.Stop()
+	for turn := 0; ; {
+		compare := false
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-b.wake:
+		case <-ticks.C:
+			turn++
+			compare = turn%compareTicks == 0
+		}
+		b.spread(ctx, compare)
+	}
+}
+
+// spread sends each neighbour the events that it is not known to hold. With
+// compare set it also calls neighbours that lack none, to compare digests.
+func (b *Board) spread(ctx context.Context, compare bool) {
+	b.expire()
+	neighbours := b.seams.Neighbours()
+	b.forget(neighbours)
+	var group sync.WaitGroup
+	for _, i := range neighbours {
+		events := b.lacking(i.ID)
+		if len(events) == 0 && !compare {
+			continue
+		}
+		group.Go(func() { b.send(ctx, i, events) })
+	}
+	group.Wait()
+}
+
+func (b *Board) expire() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.timers.Now()
+	for id, e := range b.events {
+		if e.expires.After(now) {
+			continue
+		}
+		delete(b.events, id)
+		b.digest ^= xxhash.Sum64String(id)
+		for _, ids := range b.held {
+			delete(ids, id)
+		}
+	}
+}
+
+// forget drops what is known of instances that are no neighbours any more.
+func (b *Board) forget(neighbours []member.Instance) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	current := map[string]bool{}
+	for _, i := range neighbours {
+		current[i.ID] = true
+	}
+	for id := range b.held {
+		if !current[id] {
+			delete(b.held, id)
+		}
+	}
+}
+
+func (b *Board) lacking(neighbour string) []*Notice {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []*Notice
+	for id, e := range b.events {
+		if len(out) == shareEvents {
+			break
+		}
+		if !b.held[neighbour][id] {
+			left := e.expires.Sub(b.timers.Now()).Milliseconds()
+			out = append(out, &Notice{Id: id, Topic: e.topic, Key: e.key, Payload: e.payload, LeftMs: left})
+		}
+	}
+	return out
+}
+
+func (b *Board) send(ctx context.Context, neighbour member.Instance, events []*Notice) {
+	ctx, cancel := b.timers.WithTimeout(ctx, b.period)
+	defer cancel()
+	client := NewNoticesProtobufClient(fleet.URL(neighbour.Peer), b.seams.Peers)
+	ack, err := client.Share(ctx, &NoticeShare{Instance: b.self, Events: events})
+	b.seams.Report(neighbour.ID, err == nil, err != nil && fleet.Refused(err))
+	if err != nil {
+		b.log.WithField(logs.Peer, neighbour.ID).WithError(err).Debug("events not delivered; they are sent again")
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, e := range events {
+		b.markHeld(neighbour.ID, e.Id)
+	}
+	// A different digest means that one of the two lacks events. Sending all of
+	// them again repairs the neighbour; its own comparison repairs this instance.
+	if len(events) == 0 && ack.Digest != b.digest {
+		delete(b.held, neighbour.ID)
+	}
+}
--- /dev/null
+++ b/internal/control/lease/lease.go
@@ -0,0 +1,270 @@
+// Package lease lets one instance at a time hold a role, by an object with a
+// fencing token at the platform, and gives it connections on which nothing
+// leaves after the lease has ended.
+//
+// # Usage
+//
+//	manager := lease.New(settings, timers, lease.Seams{Get: store.Get, Put: store.Put}, log)
+//	held := manager.Hold(ctx, "orders-zone-a")
+//	if fence, ok := held.Held(); ok {
+//		send(held.Client(), order{Fence: fence})
+//	}
+//
+// # Safety
+//
+// The holder counts its term from before it sent the renewal. A successor waits
+// until it has seen the object unchanged for the term and the drain bound. The
+// drain bound is the TCP_USER_TIMEOUT of the holder's connections: data that
+// was written just before the end of the term is delivered within it or not at
+// all. Receivers that check fencing tokens refuse an earlier holder altogether.
+// For the others one window remains: a pause of the process between the check
+// before a write and the system call, longer than the rest of the term plus the
+// drain bound.
+package lease
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/base/setting"
+	"github.com/wigeonpin/wigeonpin/internal/peer/objects"
+)
+
+const (
+	kind = "lease"
+	// renewals is the number of renewals in a term. Two may fail before the
+	// lease ends.
+	renewals = 3
+)
+
+// Seams are the functions that a manager needs from its surroundings.
+type Seams struct {
+	Get func(ctx context.Context, kind, name string) (objects.Object, bool, error)
+	Put func(ctx context.Context, kind, name string, revision uint64, value []byte) (objects.Object, error)
+	// Eligible tells whether this instance should campaign for a lease. It keeps
+	// the number of instances that read a lease object small; nil admits all.
+	Eligible func(name string) bool
+}
+
+// Manager campaigns for leases on behalf of one instance.
+type Manager struct {
+	self   string
+	term   time.Duration
+	drain  time.Duration
+	timers *clock.Service
+	seams  Seams
+	log    *logrus.Entry
+	tasks  sync.WaitGroup
+}
+
+// New returns a manager for the instance of the settings.
+func New(settings setting.Settings, timers *clock.Service, seams Seams, log *logrus.Entry) *Manager {
+	return &Manager{
+		self: settings.ID, timers: timers, seams: seams, log: log,
+		term:  setting.Milliseconds(settings.LeaseMS),
+		drain: setting.Milliseconds(settings.LeaseDrainMS),
+	}
+}
+
+// record is the value of a lease object.
+type record struct {
+	Holder string `json:"holder"`
+	Fence  uint64 `json:"fence"`
+	TermMS int64  `json:"term_ms"`
+}
+
+// holding is what the holder knows. Its end is counted from before the renewal
+// was sent.
+type holding struct {
+	fence uint64
+	until time.Time
+}
+
+// Lease is one role that this instance campaigns for or holds.
+type Lease struct {
+	manager *Manager
+	name    string
+	holding atomic.Pointer[holding]
+	client  *http.Client
+	// checked runs between the check of the lease and the write. Tests use it to
+	// pause the holder there.
+	checked func()
+
+	// The fields below belong to the campaign's goroutine. seen is the latest
+	// object and since the time from which it has been seen unchanged.
+	seen  objects.Object
+	value record
+	found bool
+	since time.Time
+	// tried is the latest token that this process wrote, whether it saw the
+	// answer or not.
+	tried uint64
+}
+
+// Hold campaigns for the lease until ctx ends, then gives it up.
+func (m *Manager) Hold(ctx context.Context, name string) *Lease {
+	l := m.lease(name)
+	m.tasks.Go(func() { l.campaign(ctx) })
+	return l
+}
+
+func (m *Manager) lease(name string) *Lease {
+	l := &Lease{manager: m, name: name, checked: func() {}}
+	l.holding.Store(&holding{})
+	l.client = l.newClient()
+	return l
+}
+
+// Wait returns once all campaigns have ended.
+func (m *Manager) Wait() { m.tasks.Wait() }
+
+// Held returns the fencing token while the lease is held.
+func (l *Lease) Held() (fence uint64, ok bool) {
+	h := l.holding.Load()
+	return h.fence, l.manager.timers.Now().Before(h.until)
+}
+
+// Client returns the client for orders under the lease. Each request opens a
+// connection of its own, which fails once the lease has ended.
+func (l *Lease) Client() *http.Client { return l.client }
+
+func (l *Lease) campaign(ctx context.Context) {
+	ticks := l.manager.timers.Subscribe(l.manager.term / renewals)
+	defer ticks.Stop()
+	for {
+		if err := l.step(ctx); err != nil && ctx.Err() == nil {
+			l.manager.log.WithField("lease", l.name).WithError(err).Debug("lease object is not available")
+		}
+		select {
+		case <-ctx.Done():
+			l.release()
+			return
+		case <-ticks.C:
+		}
+	}
+}
+
+// step renews the lease, takes it, or watches its holder.
+func (l *Lease) step(ctx context.Context) error {
+	m := l.manager
+	// A holder renews without reading first, on the revision of its last write.
+	if _, ok := l.Held(); ok && l.found && l.value.Holder == m.self {
+		return l.write(ctx, l.value.Fence)
+	}
+	if m.seams.Eligible != nil && !m.seams.Eligible(l.name) {
+		l.found, l.since = false, time.Time{}
+		return nil
+	}
+	o, _, err := m.seams.Get(ctx, kind, l.name)
+	if err != nil {
+		return err
+	}
+	now := m.timers.Now()
+	l.observe(o, now)
+	if l.own() {
+		return l.write(ctx, l.value.Fence)
+	}
+	if now.Sub(l.since) < l.patience() {
+		return nil
+	}
+	return l.write(ctx, l.value.Fence+1)
+}
+
+// observe records an object that was read at a time.
+func (l *Lease) observe(o objects.Object, now time.Time) {
+	if l.found && o.Revision == l.seen.Revision {
+		return
+	}
+	l.seen, l.found, l.since, l.value = o, true, now, record{}
+	if len(o.Value) > 0 && json.Unmarshal(o.Value, &l.value) != nil {
+		l.manager.log.WithField("lease", l.name).Warn("lease object cannot be decoded")
+	}
+}
+
+// own reports whether the object is this process's latest write. An earlier
+// process with the same instance id does not count: it may still be running.
+func (l *Lease) own() bool {
+	return l.tried > 0 && l.value.Holder == l.manager.self && l.value.Fence == l.tried
+}
+
+// patience returns how long the object must stay unchanged before this
+// instance may take the lease. It uses the holder's own term, which may differ
+// from this instance's.
+func (l *Lease) patience() time.Duration {
+	if l.seen.Revision == 0 {
+		return 0
+	}
+	return setting.Milliseconds(l.value.TermMS) + l.manager.drain
+}
+
+// write renews or takes the lease. After a lost answer the lease is not
+// extended: the next step finds the outcome.
+func (l *Lease) write(ctx context.Context, fence uint64) error {
+	m := l.manager
+	next := record{Holder: m.self, Fence: fence, TermMS: m.term.Milliseconds()}
+	value, err := json.Marshal(next)
+	if err != nil {
+		return err
+	}
+	l.tried = fence
+	sent := m.timers.Now()
+	o, err := m.seams.Put(ctx, kind, l.name, l.seen.Revision, value)
+	if current, lost := objects.Conflict(err); lost {
+		if l.conflicted(current); l.own() {
+			// An earlier write took effect although its answer was lost.
+			sent = m.timers.Now()
+			o, err = m.seams.Put(ctx, kind, l.name, l.seen.Revision, value)
+		}
+		if _, lost := objects.Conflict(err); lost {
+			return nil
+		}
+	}
+	if err != nil {
+		return err
+	}
+	l.seen, l.found, l.since, l.value = o, true, m.timers.Now(), next
+	if held := l.holding.Swap(&holding{fence: fence, until: sent.Add(m.term)}); held.fence != fence {
+		m.log.WithField("lease", l.name).WithField(logs.Fence, fence).Info("lease taken")
+	}
+	return nil
+}
+
+// conflicted takes over the object that a refused write returned, and ends the
+// holding if another instance holds the lease.
+func (l *Lease) conflicted(current objects.Object) {
+	l.observe(current, l.manager.timers.Now())
+	if l.own() {
+		return
+	}
+	if _, ok := l.Held(); ok {
+		l.manager.log.WithField("lease", l.name).WithField("holder", l.value.Holder).Warn("lease lost")
+	}
+	l.holding.Store(&holding{})
+}
+
+// release ends the holding and tells the successor that it need not wait for
+// the term, only for the drain bound.
+func (l *Lease) release() {
+	m := l.manager
+	held := l.holding.Swap(&holding{})
+	if !m.timers.Now().Before(held.until) {
+		return
+	}
+	value, err := json.Marshal(record{Fence: held.fence})
+	if err != nil {
+		return
+	}
+	ctx, cancel := m.timers.WithTimeout(context.Background(), m.drain)
+	defer cancel()
+	if _, err := m.seams.Put(ctx, kind, l.name, l.seen.Revision, value); err != nil {
+		m.log.WithField("lease", l.name).WithError(err).Debug("lease could not be given up; it expires")
+	}
+}
--- /dev/null
+++ b/internal/control/member/directory.go
@@ -0,0 +1,372 @@
+package member
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/base/setting"
+)
+
+const (
+	// probesPerTick bounds the calls to instances that stopped answering.
+	probesPerTick = 4
+	// silencePeriods is the number of exchange periods after which an instance
+	// that does not answer counts as silent (2 s with the default period).
+	silencePeriods = 2
+)
+
+// Roll is the platform's instance list and the time at which it was asked for,
+// on the local clock.
+type Roll struct {
+	Instances []Instance
+	Digest    uint64
+	At        time.Time
+}
+
+// Seams are the functions that a directory needs from its surroundings.
+type Seams struct {
+	// Fetch asks the platform for the instance list.
+	Fetch func(ctx context.Context) ([]Instance, error)
+	// Ping calls an instance that stopped answering.
+	Ping func(ctx context.Context, instance Instance) error
+	// Refused reports whether an error proves that nothing listens.
+	Refused func(err error) bool
+}
+
+// Directory knows the instances: the platform's list, passed on by the relays,
+// and which of them answer.
+type Directory struct {
+	self   Instance
+	period time.Duration
+	timers *clock.Service
+	seams  Seams
+	log    *logrus.Entry
+
+	// mu guards the fields below. No call is made while it is held.
+	mu      sync.Mutex
+	roll    Roll
+	failing map[string]failure
+	current atomic.Pointer[published]
+}
+
+// failure is the state of an instance whose last call failed.
+type failure struct {
+	since   time.Time
+	refused bool
+}
+
+type published struct {
+	live    *View
+	listed  *View
+	changed chan struct{}
+}
+
+// NewDirectory returns a directory that knows only this instance.
+func NewDirectory(settings setting.Settings, timers *clock.Service, seams Seams, log *logrus.Entry) *Directory {
+	d := &Directory{
+		self:   Instance{ID: settings.ID, Zone: settings.Zone, Peer: settings.Peer, State: StateLive},
+		period: setting.Milliseconds(settings.ExchangeMS),
+		timers: timers, seams: seams, log: log, failing: map[string]failure{},
+	}
+	d.current.Store(&published{live: NewView([]Instance{d.self}), listed: NewView(nil), changed: make(chan struct{})})
+	return d
+}
+
+// View returns the live instances: those that the platform lists as live and
+// that answer, and this one.
+func (d *Directory) View() *View { return d.current.Load().live }
+
+// Listed returns the instances in the platform's list, whether they answer or
+// not. This instance is missing until the platform lists it.
+func (d *Directory) Listed() *View { return d.current.Load().listed }
+
+// Changed returns a channel that is closed when either view changes.
+func (d *Directory) Changed() <-chan struct{} { return d.current.Load().changed }
+
+// Roll returns the latest list.
+func (d *Directory) Roll() Roll {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.roll
+}
+
+// Digest returns a digest of a list, independent of its order.
+func Digest(list []Instance) uint64 {
+	sorted := NewView(list).Instances()
+	// Encoding a slice of plain structs cannot fail.
+	raw, _ := json.Marshal(sorted)
+	return xxhash.Sum64(raw)
+}
+
+// Learn takes over a list that was asked for at the given local time, unless a
+// later one is known.
+func (d *Directory) Learn(list []Instance, at time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !at.After(d.roll.At) {
+		return
+	}
+	digest := Digest(list)
+	same := digest == d.roll.Digest
+	if !same {
+		d.roll.Instances = slices.Clone(list)
+	}
+	d.roll.Digest, d.roll.At = digest, at
+	if !same {
+		d.publish()
+	}
+}
+
+// Report records the outcome of a call to an instance. Refused means that
+// nothing listens at its address, which proves that the process is gone.
+func (d *Directory) Report(id string, alive, refused bool) {
+	if id == "" || id == d.self.ID {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	held, failing := d.failing[id]
+	switch {
+	case alive && failing:
+		delete(d.failing, id)
+	case alive:
+		return
+	case !failing:
+		d.failing[id] = failure{since: d.timers.Now(), refused: refused}
+	case refused != held.refused:
+		d.failing[id] = failure{since: held.since, refused: refused}
+	}
+	d.publish()
+}
+
+// Silent returns how long calls to an instance have failed without a success;
+// 0 means that it answers, as far as is known. Refused is set when its address
+// refused the last call.
+func (d *Directory) Silent(id string) (silence time.Duration, refused bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f, failing := d.failing[id]
+	if !failing {
+		return 0, false
+	}
+	return max(d.timers.Since(f.since), 1), f.refused
+}
+
+// Down reports whether an instance counts as gone: it refused the last call or
+// has been silent for two exchange periods.
+func (d *Directory) Down(id string) bool {
+	silence, refused := d.Silent(id)
+	return refused || silence >= silencePeriods*d.period
+}
+
+// publish recomputes the views; mu is held.
+func (d *Directory) publish() {
+	listed := NewView(d.roll.Instances)
+	live := []Instance{d.self}
+	for _, i := range d.roll.Instances {
+		f, failing := d.failing[i.ID]
+		down := failing && (f.refused || d.timers.Since(f.since) >= silencePeriods*d.period)
+		if i.ID != d.self.ID && i.State == StateLive && !down {
+			live = append(live, i)
+		}
+	}
+	old := d.current.Load()
+	next := &published{live: NewView(live), listed: listed, changed: old.changed}
+	if old.live.Equal(next.live) && old.listed.Equal(next.listed) {
+		return
+	}
+	next.changed = make(chan struct{})
+	d.current.Store(next)
+	close(old.changed)
+}
+
+// Position returns this instance's position in the control tree of its zone
+// among the listed instances that answer, or -1 when it is not listed.
+func (d *Directory) Position() int {
+	return slices.Index(d.Order(), d.self.ID)
+}
+
+// Order returns the zone's control tree in order, without the instances that
+// are down. The first two are the relays.
+func (d *Directory) Order() []string {
+	tree := d.Listed().Tree(d.self.Zone)
+	return slices.DeleteFunc(tree, d.Down)
+}
+
+// Relay reports whether this instance is a relay. Without any list an instance
+// acts as one, since nobody else could tell it the list.
+func (d *Directory) Relay() bool {
+	at := d.Position()
+	return at == 0 || at == 1 || len(d.Listed().IDs()) == 0
+}
+
+// Parents returns the instances to exchange with, in order of preference: the
+// ancestors in the tree, then the other relays of the zone.
+func (d *Directory) Parents() []Instance {
+	listed := d.Listed()
+	order := d.Order()
+	at := slices.Index(order, d.self.ID)
+	var ids []string
+	for i := at; i > 0; {
+		i = Parent(i)
+		ids = append(ids, order[i])
+	}
+	for i := 0; i < min(2, len(order)); i++ {
+		if i != at && !slices.Contains(ids, order[i]) {
+			ids = append(ids, order[i])
+		}
+	}
+	if at == 0 {
+		ids = nil
+	}
+	return pick(listed, ids)
+}
+
+// Children returns the children of this instance in the tree.
+func (d *Directory) Children() []Instance {
+	order := d.Order()
+	return pick(d.Listed(), ChildrenOf(order, slices.Index(order, d.self.ID)))
+}
+
+// ChildrenOf returns the children of position at in a tree's order.
+func ChildrenOf(order []string, at int) []string {
+	if at < 0 {
+		return nil
+	}
+	from := min(TreeFanout*at+1, len(order))
+	return order[from:min(from+TreeFanout, len(order))]
+}
+
+// Abroad returns one relay of each other availability zone, the first that is
+// not down. A second relay starts with the second one, which spreads the calls.
+func (d *Directory) Abroad() []Instance {
+	listed := d.Listed()
+	var out []Instance
+	for _, zone := range listed.Zones() {
+		if zone == d.self.Zone {
+			continue
+		}
+		order := slices.DeleteFunc(listed.Tree(zone), d.Down)
+		if len(order) == 0 {
+			continue
+		}
+		at := 0
+		if d.Position() == 1 && len(order) > 1 {
+			at = 1
+		}
+		out = append(out, pick(listed, order[at:at+1])...)
+	}
+	return out
+}
+
+// Neighbours returns all instances that this one shares an edge of the control
+// tree with, the relays of other zones included when it is a relay itself.
+func (d *Directory) Neighbours() []Instance {
+	out := d.Children()
+	if parents := d.Parents(); len(parents) > 0 {
+		out = append(out, parents[0])
+	}
+	if d.Relay() {
+		out = append(out, d.Abroad()...)
+	}
+	return out
+}
+
+func pick(v *View, ids []string) []Instance {
+	out := make([]Instance, 0, len(ids))
+	for _, id := range ids {
+		if i, ok := v.Instance(id); ok {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// Run fetches the list while this instance is a relay, and calls instances
+// that stopped answering until they answer again. It returns when ctx ends.
+func (d *Directory) Run(ctx context.Context) error {
+	ticks := d.timers.Subscribe(d.period)
+	defer ticks.Stop()
+	for turn := 0; ; turn++ {
+		d.Step(ctx, turn)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticks.C:
+		}
+	}
+}
+
+// Step does the work of one exchange period.
+func (d *Directory) Step(ctx context.Context, turn int) {
+	// An instance that the relays do not reach asks for the list itself.
+	stale := d.timers.Since(d.Roll().At) > 5*d.period
+	if d.Relay() || stale {
+		d.fetch(ctx)
+	}
+	d.probe(ctx, turn)
+	d.mu.Lock()
+	d.publish()
+	d.mu.Unlock()
+}
+
+func (d *Directory) fetch(ctx context.Context) {
+	if d.seams.Fetch == nil {
+		return
+	}
+	at := d.timers.Now()
+	list, err := d.seams.Fetch(ctx)
+	if err != nil {
+		d.log.WithError(err).Debug("instance list is not available")
+		return
+	}
+	d.Learn(list, at)
+}
+
+// probe calls some of the failing instances and forgets those that the
+// platform no longer lists.
+func (d *Directory) probe(ctx context.Context, turn int) {
+	listed := d.Listed()
+	d.mu.Lock()
+	var ids []string
+	for id := range d.failing {
+		if _, ok := listed.Instance(id); !ok {
+			delete(d.failing, id)
+			continue
+		}
+		ids = append(ids, id)
+	}
+	d.mu.Unlock()
+	slices.Sort(ids)
+	if len(ids) > probesPerTick {
+		at := turn * probesPerTick % len(ids)
+		ids = append(ids[at:], ids[:at]...)[:probesPerTick]
+	}
+	var group sync.WaitGroup
+	for _, i := range pick(listed, ids) {
+		if d.seams.Ping == nil {
+			break
+		}
+		group.Go(func() { d.ping(ctx, i) })
+	}
+	group.Wait()
+}
+
+func (d *Directory) ping(ctx context.Context, instance Instance) {
+	ctx, cancel := d.timers.WithTimeout(ctx, d.period)
+	defer cancel()
+	err := d.seams.Ping(ctx, instance)
+	d.Report(instance.ID, err == nil, err != nil && d.seams.Refused != nil && d.seams.Refused(err))
+	if err != nil {
+		d.log.WithField(logs.Peer, instance.ID).WithError(err).Debug("instance does not answer")
+	}
+}
--- a/internal/control/table/table.go
+++ b/internal/control/table/table.go
@@ -124,10 +124,35 @@
 	next := *t
 	next.rows = with(t.rows, rowKey(row.Table, row.Name), row, false)
 	next.sequence = max(t.sequence, row.Revision)
-	next.apply(row)
+	next.apply(row, true)
 	return &next, nil
 }
 
+// smallUpdate is the number of rows up to which Apply copies the maps once a
+// row, which is cheaper than decoding the whole table again.
+const smallUpdate = 16
+
+// Apply returns the table after rows that were accepted elsewhere, up to the
+// given sequence. Rows older than the ones it holds are passed over, and
+// nothing is validated: accepted rows may come from a newer release.
+func (t *Table) Apply(sequence uint64, rows []Row) *Table {
+	if len(rows) > smallUpdate {
+		return Load(max(sequence, t.sequence), append(t.Rows(), rows...))
+	}
+	next := *t
+	for _, r := range rows {
+		key := rowKey(r.Table, r.Name)
+		if held, ok := next.rows[key]; ok && held.Revision >= r.Revision {
+			continue
+		}
+		next.rows = with(next.rows, key, r, false)
+		next.apply(r, true)
+		next.sequence = max(next.sequence, r.Revision)
+	}
+	next.sequence = max(next.sequence, sequence)
+	return &next
+}
+
 // Load returns the table that consists of rows, at the given sequence. Rows
 // that this release cannot read are kept but have no typed view.
 func Load(sequence uint64, rows []Row) *Table {
@@ -136,8 +161,12 @@
 		trainers: map[string]Trainer{}, routes: map[string]Route{}, models: map[string]Model{}, zones: map[string]Zone{},
 	}
 	for _, r := range rows {
-		t.rows[rowKey(r.Table, r.Name)] = r
-		t.apply(r)
+		key := rowKey(r.Table, r.Name)
+		if held, ok := t.rows[key]; ok && held.Revision > r.Revision {
+			continue
+		}
+		t.rows[key] = r
+		t.apply(r, false)
 		t.sequence = max(t.sequence, r.Revision)
 	}
 	t.sequence = max(t.sequence, sequence)
@@ -152,21 +181,29 @@
 	if next == nil {
 		next = map[string]V{}
 	}
+	set(next, key, value, remove)
+	return next
+}
+
+func set[V any](next map[string]V, key string, value V, remove bool) {
 	if remove {
 		delete(next, key)
 	} else {
 		next[key] = value
 	}
-	return next
 }
 
-// view decodes a row over its defaults and stores it in a copy of m.
-func view[V any](m map[string]V, row Row, defaults V, named func(V) V) map[string]V {
+// view decodes a row over its defaults and stores it in m or in a copy of m.
+func view[V any](m map[string]V, row Row, shared bool, defaults V, named func(V) V) map[string]V {
 	value := defaults
 	if !row.Deleted && codec.Decode(row.Value, &value) != nil {
 		return m
 	}
-	return with(m, row.Name, named(value), row.Deleted)
+	if shared {
+		return with(m, row.Name, named(value), row.Deleted)
+	}
+	set(m, row.Name, named(value), row.Deleted)
+	return m
 }
 
 var (
@@ -175,20 +212,22 @@
 	defaultZone    = Zone{State: "in"}
 )
 
-func (t *Table) apply(row Row) {
+// apply brings the typed view of a row up to date. Maps that another table
+// shares are copied.
+func (t *Table) apply(row Row, shared bool) {
 	switch row.Table {
 	case Accounts:
-		t.accounts = view(t.accounts, row, defaultAccount, func(a Account) Account { a.Name = row.Name; return a })
+		t.accounts = view(t.accounts, row, shared, defaultAccount, func(a Account) Account { a.Name = row.Name; return a })
 	case Keys:
-		t.keys = view(t.keys, row, Key{}, func(k Key) Key { k.ID = row.Name; return k })
+		t.keys = view(t.keys, row, shared, Key{}, func(k Key) Key { k.ID = row.Name; return k })
 	case Trainers:
-		t.trainers = view(t.trainers, row, Trainer{}, func(r Trainer) Trainer { r.Name = row.Name; return r })
+		t.trainers = view(t.trainers, row, shared, Trainer{}, func(r Trainer) Trainer { r.Name = row.Name; return r })
 	case Routes:
-		t.routes = view(t.routes, row, Route{}, func(r Route) Route { r.Name = row.Name; return r })
+		t.routes = view(t.routes, row, shared, Route{}, func(r Route) Route { r.Name = row.Name; return r })
 	case Models:
-		t.models = view(t.models, row, defaultModel, func(m Model) Model { m.Name = row.Name; return m })
+		t.models = view(t.models, row, shared, defaultModel, func(m Model) Model { m.Name = row.Name; return m })
 	case Zones:
-		t.zones = view(t.zones, row, defaultZone, func(z Zone) Zone { z.Name = row.Name; return z })
+		t.zones = view(t.zones, row, shared, defaultZone, func(z Zone) Zone { z.Name = row.Name; return z })
 	}
 }
 
@@ -308,3 +347,7 @@
 
 // ZoneOut reports whether operators have taken the availability zone out.
 func (t *Table) ZoneOut(name string) bool { return t.zones[name].State == "out" }
+
+// RowAny returns a row, tombstones included. A row that never existed has
+// revision 0.
+func (t *Table) RowAny(tableName, name string) Row { return t.rows[rowKey(tableName, name)] }
