--- /dev/null
+++ b/cmd/standin/platform.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/codec"
+	"github.com/wigeonpin/wigeonpin/internal/standin/host"
+	"github.com/wigeonpin/wigeonpin/internal/standin/platform"
+)
+
+type platformCommand struct {
+	Listen     string  `arg:"--listen,required" help:"address of the interfaces and switches"`
+	Control    string  `arg:"--control" help:"second address of the switches"`
+	Pool       string  `arg:"--pool" help:"JSON file with the endpoint processes"`
+	LagMS      int     `arg:"--lag-ms" default:"2000" help:"lag of the instance list"`
+	Reads      float64 `arg:"--reads" default:"2000" help:"reads per second, 0 is no limit"`
+	Writes     float64 `arg:"--writes" default:"400" help:"writes per second, 0 is no limit"`
+	StartMS    int     `arg:"--start-ms" default:"2000" help:"time from an order until the endpoint is live"`
+	LeaveMS    int     `arg:"--leave-ms" default:"10000" help:"time from leaving until the endpoint is off"`
+	CheckFence bool    `arg:"--check-fence" help:"refuse orders and reports with an older fencing token"`
+}
+
+func (c *platformCommand) run(ctx context.Context) error {
+	options := platform.Options{
+		Lag: milliseconds(c.LagMS), Reads: c.Reads, Writes: c.Writes,
+		Start: milliseconds(c.StartMS), Leave: milliseconds(c.LeaveMS), CheckFence: c.CheckFence,
+	}
+	if c.Pool != "" {
+		raw, err := os.ReadFile(c.Pool)
+		if err != nil {
+			return eris.Wrap(err, "pool")
+		}
+		if err := codec.Decode(raw, &options.Pool); err != nil {
+			return eris.Wrapf(err, "pool %s", c.Pool)
+		}
+	}
+	p := platform.New(options)
+	go p.Run(ctx)
+	return host.New(host.Options{Name: "platform", Listen: c.Listen, Control: c.Control, Handler: p.Handler()}).Run(ctx)
+}
+
+func milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
--- /dev/null
+++ b/internal/standin/engine/cache.go
@@ -0,0 +1,105 @@
+package engine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/code"
+	"github.com/wigeonpin/wigeonpin/internal/base/codec"
+)
+
+// BlockBytes is the size of a prefix block. The cache knows a prompt's first
+// block, its first two, and so on, as far as they are whole.
+const BlockBytes = 64
+
+const keptEvents = 10_000
+
+type event struct {
+	N      uint64 `json:"n"`
+	Prefix string `json:"prefix"`
+	Stored bool   `json:"stored"`
+}
+
+type timedEvent struct {
+	event
+	at time.Time
+}
+
+// cache holds the most recently used prefix blocks and tells what changed.
+type cache struct {
+	options Options
+	blocks  *simplelru.LRU[string, struct{}]
+	random  *rand.Rand
+	events  []timedEvent
+	n       uint64
+}
+
+func newCache(options Options) *cache {
+	c := &cache{options: options, random: rand.New(rand.NewPCG(options.Seed, 1))}
+	c.blocks, _ = simplelru.NewLRU(max(options.CacheBlocks, 1), func(prefix string, _ struct{}) { c.tell(prefix, false) })
+	return c
+}
+
+// Prefixes returns the names of the prompt's whole prefix blocks, shortest
+// first: the xxhash of the prompt's first BlockBytes, 2 BlockBytes, ... bytes.
+func Prefixes(prompt string) []string {
+	names := make([]string, 0, len(prompt)/BlockBytes)
+	var digest xxhash.Digest
+	digest.Reset()
+	for at := BlockBytes; at <= len(prompt); at += BlockBytes {
+		_, _ = digest.WriteString(prompt[at-BlockBytes : at])
+		names = append(names, fmt.Sprintf("%016x", digest.Sum64()))
+	}
+	return names
+}
+
+// use returns the number of prompt bytes found in the cache and stores the
+// prompt's blocks.
+func (c *cache) use(prompt string) int {
+	found := 0
+	for i, name := range Prefixes(prompt) {
+		if c.blocks.Contains(name) && found == i*BlockBytes {
+			found += BlockBytes
+		} else if !c.blocks.Contains(name) {
+			c.tell(name, true)
+		}
+		c.blocks.Add(name, struct{}{})
+	}
+	return found
+}
+
+func (c *cache) clear() { c.blocks.Purge() }
+
+func (c *cache) tell(prefix string, stored bool) {
+	c.n++
+	if c.options.EventGap > 0 && c.random.IntN(c.options.EventGap) == 0 {
+		return
+	}
+	c.events = append(c.events, timedEvent{event{c.n, prefix, stored}, time.Now()})
+	if len(c.events) > keptEvents {
+		c.events = c.events[1:]
+	}
+}
+
+func (e *Engine) events(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil && r.URL.Query().Get("after") != "" {
+		codec.WriteError(w, code.New(code.BadRequest, "query \"after\" must be a number"))
+		return
+	}
+	e.mu.Lock()
+	found := []event{}
+	for _, v := range e.cache.events {
+		if v.N > after && time.Since(v.at) >= e.options.EventLag {
+			found = append(found, v.event)
+		}
+	}
+	e.mu.Unlock()
+	codec.Write(w, http.StatusOK, map[string][]event{"events": found})
+}
--- /dev/null
+++ b/internal/standin/platform/fault.go
@@ -0,0 +1,73 @@
+package platform
+
+import (
+	"bytes"
+	"net/http"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/codec"
+	"github.com/wigeonpin/wigeonpin/internal/standin/host"
+)
+
+// faulty wraps a handler with the platform's faults: an outage, slowness, the
+// rate limit and answers that are lost after the call took effect.
+func (p *Platform) faulty(part string, handle http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		write := r.Method != http.MethodGet
+		limit, delay := p.count(part, r.Method, write)
+		if p.outage[part].On() {
+			codec.Write(w, http.StatusServiceUnavailable, map[string]string{"message": "the platform is down"})
+			return
+		}
+		if !limit.Allow() {
+			host.Retry(w, "rate limit of the platform")
+			return
+		}
+		if p.slow[part].On() && !sleep(r, delay) {
+			return
+		}
+		if write && p.lose.Take() {
+			handle(&discard{header: http.Header{}}, r)
+			host.Reset(r)
+		}
+		handle(w, r)
+	}
+}
+
+func (p *Platform) count(part, method string, write bool) (*rate.Limiter, time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls[part+" "+method]++
+	if write {
+		return p.writes, p.delay
+	}
+	return p.reads, p.delay
+}
+
+func sleep(r *http.Request, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+// discard is an answer that never reaches the caller.
+type discard struct {
+	header http.Header
+	body   bytes.Buffer
+}
+
+// Header returns headers that nobody sees.
+func (d *discard) Header() http.Header { return d.header }
+
+// Write takes the body.
+func (d *discard) Write(b []byte) (int, error) { return d.body.Write(b) }
+
+// WriteHeader ignores the status.
+func (d *discard) WriteHeader(int) {}
--- /dev/null
+++ b/internal/standin/platform/orders.go
@@ -0,0 +1,142 @@
+package platform
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/code"
+	"github.com/wigeonpin/wigeonpin/internal/base/codec"
+	"github.com/wigeonpin/wigeonpin/internal/standin/host"
+)
+
+type orderBody struct {
+	Fence  uint64       `json:"fence"`
+	Holder string       `json:"holder"`
+	Models []orderModel `json:"models"`
+}
+
+type orderModel struct {
+	Model    string `json:"model"`
+	Standard int    `json:"standard"`
+	Cheap    int    `json:"cheap"`
+}
+
+// loggedOrder is an order as it came, with whether it was carried out.
+type loggedOrder struct {
+	AtMS     int64  `json:"at_ms"`
+	Zone     string `json:"zone"`
+	Accepted bool   `json:"accepted"`
+	orderBody
+}
+
+func (p *Platform) listEndpoints(w http.ResponseWriter, r *http.Request) {
+	after, err := number(r, "after")
+	if err != nil {
+		codec.WriteError(w, err)
+		return
+	}
+	wait, err := waitOf(r)
+	if err != nil {
+		codec.WriteError(w, err)
+		return
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		found, changed := p.pool.list(after)
+		if len(found.Endpoints) > 0 || wait <= 0 {
+			codec.Write(w, http.StatusOK, found)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			codec.Write(w, http.StatusOK, found)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (p *Platform) putOrder(w http.ResponseWriter, r *http.Request) {
+	order, err := codec.Read[orderBody](r, host.BodyLimit)
+	if err != nil {
+		codec.WriteError(w, err)
+		return
+	}
+	if order.Holder == "" {
+		codec.WriteError(w, code.New(code.BadRequest, "an order needs a holder"))
+		return
+	}
+	if !p.pool.order(mux.Vars(r)["zone"], order, p.fenceCheck.On()) {
+		codec.WriteError(w, code.New(code.LeaseLost, "fence %d is older than that of an earlier order", order.Fence))
+		return
+	}
+	codec.Write(w, http.StatusOK, struct{}{})
+}
+
+func (s *pool) orderLog() any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return map[string][]loggedOrder{"orders": s.orders[:len(s.orders):len(s.orders)]}
+}
+
+// order logs an order and brings the zone's endpoints to the wanted numbers.
+// Models that the order does not name are wanted 0 times.
+func (s *pool) order(zone string, o orderBody, checkFence bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	accepted := !checkFence || o.Fence >= s.fences[zone]
+	s.fences[zone] = max(s.fences[zone], o.Fence)
+	if len(s.orders) < keptOrders {
+		s.orders = append(s.orders, loggedOrder{time.Now().UnixMilli(), zone, accepted, o})
+	}
+	if !accepted {
+		return false
+	}
+	type key struct{ model, class string }
+	wanted := map[key]int{}
+	for _, m := range o.Models {
+		wanted[key{m.Model, "standard"}] = m.Standard
+		wanted[key{m.Model, "cheap"}] = m.Cheap
+	}
+	groups := map[key][]*machine{}
+	for _, m := range s.machines {
+		if m.Zone == zone {
+			groups[key{m.Model, m.Class}] = append(groups[key{m.Model, m.Class}], m)
+		}
+	}
+	for k, machines := range groups {
+		s.bring(machines, wanted[k])
+	}
+	return true
+}
+
+// bring starts or stops endpoints of one zone, model and class. What is still
+// starting is stopped first, then the last ones in order of their ids.
+func (s *pool) bring(machines []*machine, wanted int) {
+	now := time.Now()
+	on := 0
+	for _, m := range machines {
+		if m.state == stateStarting || m.state == stateLive {
+			on++
+		}
+	}
+	for _, m := range machines {
+		if on < wanted && m.state == stateGone && now.After(m.held) {
+			s.enter(m, stateStarting, now.Add(s.start))
+			on++
+		}
+	}
+	for _, state := range []string{stateStarting, stateLive} {
+		for i := len(machines) - 1; i >= 0 && on > wanted; i-- {
+			if m := machines[i]; m.state == state {
+				s.enter(m, stateLeaving, now.Add(s.leave))
+				on--
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/platform/pool.go
@@ -0,0 +1,251 @@
+package platform
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Machine is one endpoint process of the pool. It runs all the time; the
+// platform turns it on and off by POST /fake/power.
+type Machine struct {
+	ID      string `json:"id"`
+	Zone    string `json:"zone"`
+	Address string `json:"address"`
+	// Control is where /fake/power answers; it is the address when empty.
+	Control string  `json:"control,omitempty"`
+	Kind    string  `json:"kind"`
+	Model   string  `json:"model"`
+	Class   string  `json:"class"`
+	Price   float64 `json:"price_per_hour"`
+	// On says whether the endpoint runs from the start.
+	On bool `json:"on"`
+	// ColdMS is how long the endpoint is cold after a start by an order.
+	ColdMS int64 `json:"cold_ms"`
+}
+
+// The states of an endpoint.
+const (
+	stateStarting = "starting"
+	stateLive     = "live"
+	stateLeaving  = "leaving"
+	stateGone     = "gone"
+)
+
+const (
+	poolPeriod   = 50 * time.Millisecond
+	powerTimeout = 2 * time.Second
+	// keptOrders bounds the order log.
+	keptOrders = 100_000
+)
+
+// endpoint is one line of the endpoint list.
+type endpoint struct {
+	ID       string  `json:"id"`
+	Zone     string  `json:"zone"`
+	Address  string  `json:"address"`
+	Kind     string  `json:"kind"`
+	Model    string  `json:"model"`
+	Class    string  `json:"class"`
+	State    string  `json:"state"`
+	Price    float64 `json:"price_per_hour"`
+	Revision uint64  `json:"revision"`
+}
+
+type endpointList struct {
+	Revision  uint64     `json:"revision"`
+	Endpoints []endpoint `json:"endpoints"`
+}
+
+type machine struct {
+	Machine
+	state    string
+	revision uint64
+	// due is when the present state ends; zero for states that stay.
+	due time.Time
+	// since is the start of the time that is not yet in paid.
+	since time.Time
+	paid  time.Duration
+	held  time.Time
+}
+
+type reclaimBody struct {
+	Zone  string `json:"zone"`
+	Class string `json:"class"`
+	// MS is the notice.
+	MS int64 `json:"ms"`
+	// HoldMS is how long the endpoints cannot be ordered again.
+	HoldMS int64 `json:"hold_ms"`
+	// Count limits the number of endpoints; 0 is all.
+	Count int `json:"count"`
+}
+
+// pool holds the endpoints and carries out orders.
+type pool struct {
+	start, leave time.Duration
+	client       *http.Client
+
+	mu       sync.Mutex
+	revision uint64
+	machines []*machine
+	changed  chan struct{}
+	fences   map[string]uint64
+	orders   []loggedOrder
+}
+
+func newPool(options Options) *pool {
+	s := &pool{
+		start: options.Start, leave: options.Leave, changed: make(chan struct{}), fences: map[string]uint64{},
+		client: &http.Client{Timeout: powerTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
+	}
+	for _, m := range options.Pool {
+		s.machines = append(s.machines, &machine{Machine: m, state: stateGone})
+	}
+	slices.SortFunc(s.machines, func(a, b *machine) int { return cmp.Compare(a.ID, b.ID) })
+	return s
+}
+
+// run turns on what runs from the start and then moves endpoints through
+// their states as they fall due.
+func (s *pool) run(ctx context.Context) {
+	s.mu.Lock()
+	for _, m := range s.machines {
+		if m.On {
+			s.enter(m, stateLive, time.Time{})
+			s.power(m, true, 0)
+		} else {
+			s.power(m, false, 0)
+		}
+	}
+	s.mu.Unlock()
+	ticker := time.NewTicker(poolPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			s.step(time.Now())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *pool) step(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range s.machines {
+		if m.due.IsZero() || now.Before(m.due) {
+			continue
+		}
+		switch m.state {
+		case stateStarting:
+			s.power(m, true, m.ColdMS)
+			s.enter(m, stateLive, time.Time{})
+		case stateLeaving:
+			s.power(m, false, 0)
+			s.enter(m, stateGone, time.Time{})
+		}
+	}
+}
+
+// enter moves an endpoint to a state; the caller holds the lock.
+func (s *pool) enter(m *machine, state string, due time.Time) {
+	now := time.Now()
+	if m.state != stateGone {
+		m.paid += now.Sub(m.since)
+	}
+	m.since, m.state, m.due = now, state, due
+	s.revision++
+	m.revision = s.revision
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+type powerBody struct {
+	On     bool  `json:"on"`
+	ColdMS int64 `json:"cold_ms"`
+}
+
+// power tells the endpoint's process to start or stop, without waiting.
+func (s *pool) power(m *machine, on bool, coldMS int64) {
+	url := "http://" + cmp.Or(m.Control, m.Address) + "/fake/power"
+	body, _ := json.Marshal(powerBody{On: on, ColdMS: coldMS})
+	go func() {
+		resp, err := s.client.Post(url, "application/json", bytes.NewReader(body))
+		if err != nil {
+			fmt.Printf("platform: power of %s: %s\n", m.ID, err)
+			return
+		}
+		_ = resp.Body.Close()
+	}()
+}
+
+func (s *pool) reclaim(b reclaimBody) any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	var taken []string
+	for _, m := range s.machines {
+		if (b.Zone != "" && m.Zone != b.Zone) || m.Class != b.Class || (b.Count > 0 && len(taken) == b.Count) {
+			continue
+		}
+		m.held = now.Add(time.Duration(b.MS+b.HoldMS) * time.Millisecond)
+		if m.state == stateGone {
+			continue
+		}
+		s.enter(m, stateLeaving, now.Add(time.Duration(b.MS)*time.Millisecond))
+		taken = append(taken, m.ID)
+	}
+	return map[string][]string{"reclaimed": taken}
+}
+
+// list returns the endpoints changed after a revision. Those that are gone are
+// shown only to callers that may know them.
+func (s *pool) list(after uint64) (endpointList, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := endpointList{Revision: s.revision, Endpoints: []endpoint{}}
+	for _, m := range s.machines {
+		if m.revision <= after || (after == 0 && m.state == stateGone) {
+			continue
+		}
+		found.Endpoints = append(found.Endpoints, endpoint{
+			ID: m.ID, Zone: m.Zone, Address: m.Address, Kind: m.Kind, Model: m.Model, Class: m.Class,
+			State: m.state, Price: m.Price, Revision: m.revision,
+		})
+	}
+	slices.SortFunc(found.Endpoints, func(a, b endpoint) int { return cmp.Compare(a.Revision, b.Revision) })
+	return found, s.changed
+}
+
+type spending struct {
+	Total   float64            `json:"total"`
+	Class   map[string]float64 `json:"class"`
+	Model   map[string]float64 `json:"model"`
+	Seconds map[string]float64 `json:"seconds"`
+}
+
+// spend returns the price of the time that endpoints were on.
+func (s *pool) spend() spending {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sum := spending{Class: map[string]float64{}, Model: map[string]float64{}, Seconds: map[string]float64{}}
+	for _, m := range s.machines {
+		d := m.paid
+		if m.state != stateGone {
+			d += time.Since(m.since)
+		}
+		price := m.Price * d.Hours()
+		sum.Total += price
+		sum.Class[m.Class] += price
+		sum.Model[m.Model] += price
+		sum.Seconds[m.Class] += d.Seconds()
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/standin/platform/store.go
@@ -0,0 +1,202 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"time"
+)
+
+// object is one object of the store. A deleted one stays as a tombstone.
+type object struct {
+	Kind     string          `json:"kind"`
+	Name     string          `json:"name"`
+	Revision uint64          `json:"revision"`
+	Value    json.RawMessage `json:"value,omitempty"`
+	Deleted  bool            `json:"deleted,omitempty"`
+}
+
+type objectList struct {
+	Revision uint64   `json:"revision"`
+	Objects  []object `json:"objects"`
+}
+
+// undoBytes bounds the older values kept for rollback.
+const undoBytes = 64 << 20
+
+// undo is the state of an object before a write.
+type undo struct {
+	revision uint64
+	before   object
+	existed  bool
+}
+
+// store is a revisioned object store with conditional updates.
+type store struct {
+	mu       sync.Mutex
+	revision uint64
+	kinds    map[string]map[string]object
+	changed  map[string]chan struct{}
+	undos    []undo
+	undoSize int
+	// older is the state that reads are served from during a rollback.
+	older *store
+}
+
+func newStore() *store {
+	return &store{kinds: map[string]map[string]object{}, changed: map[string]chan struct{}{}}
+}
+
+func (s *store) get(kind, name string) (object, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.reads().kinds[kind][name]
+	return o, ok && !o.Deleted
+}
+
+// reads returns the store that reads see; the caller holds the lock.
+func (s *store) reads() *store {
+	if s.older != nil {
+		return s.older
+	}
+	return s
+}
+
+// update writes or deletes an object if its revision is expected; 0 expects
+// that there is none. It returns the written or the current object.
+func (s *store) update(kind, name string, expected uint64, value json.RawMessage, remove bool) (object, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current, existed := s.kinds[kind][name]
+	revision := current.Revision
+	if current.Deleted {
+		revision = 0
+	}
+	if !existed {
+		current = object{Kind: kind, Name: name, Deleted: true}
+	}
+	if revision != expected || (remove && revision == 0) {
+		return current, false
+	}
+	s.revision++
+	next := object{Kind: kind, Name: name, Revision: s.revision, Value: value, Deleted: remove}
+	s.remember(undo{revision: s.revision, before: current, existed: existed})
+	if s.kinds[kind] == nil {
+		s.kinds[kind] = map[string]object{}
+	}
+	s.kinds[kind][name] = next
+	s.wake(kind)
+	return next, true
+}
+
+func (s *store) remember(u undo) {
+	s.undos = append(s.undos, u)
+	s.undoSize += len(u.before.Value)
+	for s.undoSize > undoBytes {
+		s.undoSize -= len(s.undos[0].before.Value)
+		s.undos = s.undos[1:]
+	}
+}
+
+func (s *store) wake(kind string) {
+	if c, ok := s.changed[kind]; ok {
+		close(c)
+		delete(s.changed, kind)
+	}
+}
+
+func (s *store) wakeAll() {
+	for kind := range s.changed {
+		s.wake(kind)
+	}
+}
+
+func (s *store) list(kind string, after uint64) (objectList, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	from := s.reads()
+	found := objectList{Revision: from.revision, Objects: []object{}}
+	for _, o := range from.kinds[kind] {
+		if o.Revision > after {
+			found.Objects = append(found.Objects, o)
+		}
+	}
+	slices.SortFunc(found.Objects, func(a, b object) int { return int(int64(a.Revision) - int64(b.Revision)) })
+	if s.changed[kind] == nil {
+		s.changed[kind] = make(chan struct{})
+	}
+	return found, s.changed[kind]
+}
+
+// watch lists the objects changed after a revision and waits while there are none.
+func (s *store) watch(ctx context.Context, kind string, after uint64, wait time.Duration) objectList {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		found, changed := s.list(kind, after)
+		if len(found.Objects) > 0 || wait <= 0 {
+			return found
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return found
+		case <-ctx.Done():
+			return found
+		}
+	}
+}
+
+// at returns the store as it was at a revision, as far back as is known.
+func (s *store) at(revision uint64) *store {
+	old := newStore()
+	for kind, objects := range s.kinds {
+		old.kinds[kind] = make(map[string]object, len(objects))
+		for name, o := range objects {
+			old.kinds[kind][name] = o
+		}
+	}
+	old.revision = s.revision
+	for _, u := range slices.Backward(s.undos) {
+		if u.revision <= revision {
+			break
+		}
+		if u.existed {
+			old.kinds[u.before.Kind][u.before.Name] = u.before
+		} else {
+			delete(old.kinds[u.before.Kind], u.before.Name)
+		}
+		old.revision = u.revision - 1
+	}
+	return old
+}
+
+// rollback serves reads from the state at revision until resume is called, or
+// with restore replaces the store's content and counter by that state.
+func (s *store) rollback(revision uint64, restore bool) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.at(revision)
+	if restore {
+		s.kinds, s.revision, s.older = old.kinds, old.revision, nil
+		s.undos = slices.DeleteFunc(s.undos, func(u undo) bool { return u.revision > old.revision })
+	} else {
+		s.older = old
+	}
+	s.wakeAll()
+	return old.revision
+}
+
+func (s *store) resume() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.older = nil
+	s.wakeAll()
+}
+
+func (s *store) current() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
