--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -17,6 +17,8 @@
 	Service     *serviceCommand     `arg:"subcommand:service" help:"plain service"`
 	Weightstore *weightstoreCommand `arg:"subcommand:weightstore" help:"weight store"`
 	Scorer      *scorerCommand      `arg:"subcommand:scorer" help:"scoring service"`
+	Trainer     *trainerCommand     `arg:"subcommand:trainer" help:"trainer that pulls steps and checks samples"`
+	Cut         *cutCommand         `arg:"subcommand:cut" help:"TCP relay that drops, delays or holds"`
 }
 
 type command interface {
--- /dev/null
+++ b/internal/standin/trainer/summary.go
@@ -0,0 +1,115 @@
+package trainer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/codec"
+)
+
+// Summary is what a run found.
+type Summary struct {
+	Trainer string `json:"trainer"`
+	Steps   int    `json:"steps"`
+	Pulls   int    `json:"pulls"`
+	Samples int    `json:"samples"`
+	Tokens  int64  `json:"tokens"`
+	// Versions counts samples by their oldest weight version.
+	Versions map[int]int `json:"versions"`
+	// Ages counts samples by their age in versions.
+	Ages      map[int]int `json:"ages"`
+	MeanAge   float64     `json:"mean_age"`
+	MaxAge    int         `json:"max_age"`
+	Announced []int       `json:"announced"`
+	IdleMS    int64       `json:"idle_ms"`
+	RunMS     int64       `json:"run_ms"`
+	// IdleShare is the idle time as a share of the run's time.
+	IdleShare float64 `json:"idle_share"`
+	// StepMS holds the time from the first pull of each step to its last.
+	StepMS []int64 `json:"step_ms"`
+	// Errors counts failed calls by result code, status or kind.
+	Errors map[string]int `json:"errors"`
+
+	Twice      int `json:"twice"`
+	Missing    int `json:"missing"`
+	Wrong      int `json:"wrong"`
+	Unlabelled int `json:"unlabelled"`
+	TooOld     int `json:"too_old"`
+}
+
+func newSummary(name string) Summary {
+	return Summary{Trainer: name, Versions: map[int]int{}, Ages: map[int]int{}, Errors: map[string]int{}, StepMS: []int64{}}
+}
+
+// Faults returns the number of samples that broke a rule.
+func (s Summary) Faults() int { return s.Twice + s.Missing + s.Wrong + s.Unlabelled + s.TooOld }
+
+// Summary returns a copy of the present summary.
+func (t *Trainer) Summary() Summary {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.summary
+	s.Versions, s.Ages, s.Errors = maps.Clone(s.Versions), maps.Clone(s.Ages), maps.Clone(s.Errors)
+	s.StepMS, s.Announced = slices.Clone(s.StepMS), slices.Clone(s.Announced)
+	sum, count := 0, 0
+	for age, n := range s.Ages {
+		sum, count = sum+age*n, count+n
+		s.MaxAge = max(s.MaxAge, age)
+	}
+	if count > 0 {
+		s.MeanAge = float64(sum) / float64(count)
+	}
+	if s.RunMS > 0 {
+		s.IdleShare = float64(s.IdleMS) / float64(s.RunMS)
+	}
+	return s
+}
+
+func (t *Trainer) count(add func(*Summary)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	add(&t.summary)
+}
+
+func (t *Trainer) failed(err error) {
+	t.count(func(s *Summary) { s.Errors[kindOf(err)]++ })
+}
+
+// kindOf names an error by its result code, else by its status.
+func kindOf(err error) string {
+	var status *codec.StatusError
+	if !errors.As(err, &status) {
+		return "connection"
+	}
+	var body struct {
+		Name string `json:"name"`
+	}
+	if json.Unmarshal(status.Body, &body) == nil && body.Name != "" {
+		return body.Name
+	}
+	return strconv.Itoa(status.Status)
+}
+
+func pauseOf(err error) time.Duration {
+	var status *codec.StatusError
+	if errors.As(err, &status) && status.RetryAfter > 0 {
+		return min(status.RetryAfter, longestPause)
+	}
+	return retryPause
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/standin/trainer/trainer.go
@@ -0,0 +1,369 @@
+// Package trainer stands in for a trainer: it pulls steps with its bitmap,
+// announces new weight versions, uses several instances in turn and checks
+// every sample that it gets.
+//
+// # Usage
+//
+//	t := trainer.New(trainer.Options{Addresses: addresses, Trainer: "t1", Key: key, Steps: 10})
+//	summary, err := t.Run(ctx)
+//	if summary.Faults() > 0 {
+//		return errors.New("wrong samples")
+//	}
+//
+// Bit i of the bitmap, in byte i/8 with the value 1<<(i%8), says that group i
+// of the step is here.
+package trainer
+
+import (
+	"bytes"
+	"context"
+	"encoding/base64"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/codec"
+	"github.com/wigeonpin/wigeonpin/internal/standin/engine"
+)
+
+// Options describe a trainer's run.
+type Options struct {
+	// Addresses are the instances' addresses for callers, used in turn.
+	Addresses []string
+	Trainer   string
+	Key       string
+	// Weights is the address of the weight store; empty puts no weights.
+	Weights string
+	// Steps and Limit end the run, whichever comes first; 0 is no bound.
+	Steps int
+	Limit time.Duration
+	// Groups of GroupSize samples make a step.
+	Groups, GroupSize int
+	// Tokens is the usual length of a sample; one group in Tail is 6 times as
+	// long.
+	Tokens, Tail int
+	// Train is the time that training on one step takes.
+	Train time.Duration
+	// Ahead is the number of steps pulled while an earlier one is trained on.
+	Ahead int
+	// Version is the first weight version; a new one is announced after
+	// every Change steps, 0 announces none.
+	Version, Change int
+	// MaxAge is the bound in the trainer's row.
+	MaxAge int
+	// Wait is how long a pull may wait, Deadline the time for a whole step.
+	Wait, Deadline time.Duration
+	Seed           uint64
+}
+
+const (
+	retryPause = 200 * time.Millisecond
+	// emptyPause keeps a trainer from pulling in a tight loop.
+	emptyPause = 20 * time.Millisecond
+	putTimeout = 5 * time.Second
+	// spareTime is what a pull may take beyond its own wait.
+	spareTime  = 10 * time.Second
+	tailFactor = 6
+	// longestPause bounds how long a trainer follows a retry-after time.
+	longestPause = 5 * time.Second
+)
+
+// Trainer is a running stand-in.
+type Trainer struct {
+	options Options
+	client  *http.Client
+
+	mu      sync.Mutex
+	version int
+	next    int
+	seen    map[string]bool
+	summary Summary
+}
+
+// New returns a trainer that has pulled nothing.
+func New(options Options) *Trainer {
+	return &Trainer{
+		options: options, version: options.Version, seen: map[string]bool{},
+		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: 20 * time.Second}},
+		summary: newSummary(options.Trainer),
+	}
+}
+
+// Run pulls and trains until the run's end and returns the summary.
+func (t *Trainer) Run(ctx context.Context) (Summary, error) {
+	began := time.Now()
+	// The limit ends the opening of steps; those that are open are finished, so
+	// that everything that was generated is also received.
+	opening, stop := context.WithCancel(ctx)
+	defer stop()
+	if t.options.Limit > 0 {
+		opening, stop = context.WithTimeout(ctx, t.options.Limit)
+		defer stop()
+	}
+	if err := t.announce(ctx, t.options.Version); err != nil {
+		return t.Summary(), err
+	}
+	// Each ticket allows one step to be pulled.
+	tickets := make(chan struct{}, t.options.Ahead+1)
+	for range t.options.Ahead + 1 {
+		tickets <- struct{}{}
+	}
+	steps := make(chan struct{}, t.options.Ahead+1)
+	go t.pullSteps(ctx, opening, tickets, steps)
+	err := t.trainSteps(ctx, tickets, steps)
+	t.mu.Lock()
+	t.summary.RunMS = time.Since(began).Milliseconds()
+	t.mu.Unlock()
+	return t.Summary(), err
+}
+
+func (t *Trainer) pullSteps(ctx, opening context.Context, tickets, steps chan struct{}) {
+	defer close(steps)
+	for step := 1; t.options.Steps == 0 || step <= t.options.Steps; step++ {
+		select {
+		case <-tickets:
+		case <-opening.Done():
+			return
+		}
+		if opening.Err() != nil || !t.pullStep(ctx, step) {
+			return
+		}
+		steps <- struct{}{}
+	}
+}
+
+// trainSteps consumes steps; the time spent waiting for one is idle time.
+func (t *Trainer) trainSteps(ctx context.Context, tickets, steps chan struct{}) error {
+	for done := 1; ; done++ {
+		waited := time.Now()
+		_, more := <-steps
+		t.mu.Lock()
+		t.summary.IdleMS += time.Since(waited).Milliseconds()
+		t.mu.Unlock()
+		if !more {
+			return nil
+		}
+		if !pause(ctx, t.options.Train) {
+			return nil
+		}
+		t.mu.Lock()
+		t.summary.Steps++
+		version := t.version
+		t.mu.Unlock()
+		if t.options.Change > 0 && done%t.options.Change == 0 {
+			if err := t.announce(ctx, version+1); err != nil && ctx.Err() == nil {
+				return err
+			}
+		}
+		tickets <- struct{}{}
+	}
+}
+
+type versionBody struct {
+	Version int `json:"version"`
+}
+
+// announce puts the weights and tells an instance about the version, until
+// one accepts it.
+func (t *Trainer) announce(ctx context.Context, version int) error {
+	if t.options.Weights != "" {
+		url := fmt.Sprintf("http://%s/v1/weights/%s/%d", t.options.Weights, t.options.Trainer, version)
+		if err := t.put(ctx, url, func() error {
+			_, err := codec.Exchange(ctx, t.client, http.MethodPut, url, nil, bytes.NewReader([]byte("weights")))
+			return err
+		}); err != nil {
+			return err
+		}
+	}
+	if err := t.put(ctx, "version", func() error {
+		bounded, stop := context.WithTimeout(ctx, putTimeout)
+		defer stop()
+		url := fmt.Sprintf("http://%s/v1/trainers/%s/version", t.address(), t.options.Trainer)
+		_, err := codec.Call[struct{}](bounded, t.client, http.MethodPut, url, t.header(), versionBody{version})
+		return err
+	}); err != nil {
+		return err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.version = version
+	t.summary.Announced = append(t.summary.Announced, version)
+	return nil
+}
+
+func (t *Trainer) put(ctx context.Context, name string, call func() error) error {
+	for {
+		err := call()
+		if err == nil {
+			return nil
+		}
+		t.failed(err)
+		if !pause(ctx, pauseOf(err)) {
+			return eris.Wrapf(err, "announce %s", name)
+		}
+	}
+}
+
+func (t *Trainer) header() http.Header {
+	return http.Header{"Authorization": {"Bearer " + t.options.Key}}
+}
+
+func (t *Trainer) address() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.next++
+	return t.options.Addresses[t.next%len(t.options.Addresses)]
+}
+
+type pullBody struct {
+	Version    int      `json:"version"`
+	Groups     int      `json:"groups"`
+	GroupSize  int      `json:"group_size"`
+	Prompts    []string `json:"prompts"`
+	MaxTokens  int      `json:"max_tokens"`
+	Have       string   `json:"have"`
+	WaitMS     int64    `json:"wait_ms"`
+	DeadlineMS int64    `json:"deadline_ms"`
+}
+
+type pullAnswer struct {
+	Groups []struct {
+		Group   int      `json:"group"`
+		Samples []sample `json:"samples"`
+	} `json:"groups"`
+	Complete bool `json:"complete"`
+}
+
+type sample struct {
+	ID       string  `json:"id"`
+	Text     string  `json:"text"`
+	Score    float64 `json:"score"`
+	Tokens   int     `json:"tokens"`
+	Versions []span  `json:"versions"`
+}
+
+type span struct {
+	Version int `json:"version"`
+	From    int `json:"from"`
+	To      int `json:"to"`
+}
+
+func (t *Trainer) prompts(step int) ([]string, int) {
+	random := rand.New(rand.NewPCG(t.options.Seed, uint64(step)))
+	prompts := make([]string, 0, t.options.Groups)
+	for g := range t.options.Groups {
+		length := t.options.Tokens/2 + random.IntN(t.options.Tokens+1)
+		if t.options.Tail > 0 && random.IntN(t.options.Tail) == 0 {
+			length = t.options.Tokens * tailFactor
+		}
+		prompts = append(prompts, fmt.Sprintf("trainer %s step %d group %d len=%d ", t.options.Trainer, step, g, max(length, 1)))
+	}
+	return prompts, t.options.Tokens * tailFactor
+}
+
+// pullStep pulls one step until all its groups are here.
+func (t *Trainer) pullStep(ctx context.Context, step int) bool {
+	began := time.Now()
+	prompts, maxTokens := t.prompts(step)
+	have := make([]byte, (t.options.Groups+7)/8)
+	for left := t.options.Groups; left > 0; {
+		t.mu.Lock()
+		version := t.version
+		t.summary.Pulls++
+		t.mu.Unlock()
+		answer, err := t.pull(ctx, step, pullBody{
+			Version: version, Groups: t.options.Groups, GroupSize: t.options.GroupSize, Prompts: prompts,
+			MaxTokens: maxTokens, Have: base64.StdEncoding.EncodeToString(have), WaitMS: t.options.Wait.Milliseconds(),
+			DeadlineMS: max(t.options.Deadline-time.Since(began), time.Second).Milliseconds(),
+		})
+		if err != nil {
+			if ctx.Err() != nil {
+				return false
+			}
+			t.failed(err)
+			if !pause(ctx, pauseOf(err)) {
+				return false
+			}
+			continue
+		}
+		for _, g := range answer.Groups {
+			if g.Group < 0 || g.Group >= t.options.Groups || have[g.Group/8]&(1<<(g.Group%8)) != 0 {
+				t.count(func(s *Summary) { s.Twice += len(g.Samples) })
+				continue
+			}
+			have[g.Group/8] |= 1 << (g.Group % 8)
+			left--
+			t.check(version, prompts[g.Group], maxTokens, g.Samples)
+		}
+		if len(answer.Groups) == 0 && !answer.Complete && !pause(ctx, emptyPause) {
+			return false
+		}
+		if answer.Complete && left > 0 {
+			t.count(func(s *Summary) { s.Missing += left * t.options.GroupSize })
+			return true
+		}
+	}
+	t.count(func(s *Summary) { s.StepMS = append(s.StepMS, time.Since(began).Milliseconds()) })
+	return true
+}
+
+func (t *Trainer) pull(ctx context.Context, step int, body pullBody) (pullAnswer, error) {
+	bounded, stop := context.WithTimeout(ctx, t.options.Wait+spareTime)
+	defer stop()
+	url := fmt.Sprintf("http://%s/v1/trainers/%s/steps/%d/pull", t.address(), t.options.Trainer, step)
+	return codec.Call[pullAnswer](bounded, t.client, http.MethodPost, url, t.header(), body)
+}
+
+// check checks that the samples of a group are whole, labelled, its own, new
+// and within the age bound.
+func (t *Trainer) check(version int, prompt string, maxTokens int, samples []sample) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := &t.summary
+	if missing := t.options.GroupSize - len(samples); missing > 0 {
+		s.Missing += missing
+	} else {
+		s.Twice -= missing
+	}
+	tokens, _ := engine.Length(prompt, maxTokens)
+	for _, v := range samples {
+		if t.seen[v.ID] {
+			s.Twice++
+			continue
+		}
+		t.seen[v.ID] = true
+		s.Samples++
+		s.Tokens += int64(v.Tokens)
+		if v.Tokens != tokens || v.Text != engine.Text(prompt, 0, tokens) {
+			s.Wrong++
+		}
+		if !labelled(v) {
+			s.Unlabelled++
+			continue
+		}
+		oldest := slices.MinFunc(v.Versions, func(a, b span) int { return a.Version - b.Version }).Version
+		age := max(version-oldest, 0)
+		s.Ages[age]++
+		s.Versions[oldest]++
+		if age > t.options.MaxAge {
+			s.TooOld++
+		}
+	}
+}
+
+// labelled reports whether the version spans cover the sample without gaps.
+func labelled(v sample) bool {
+	at := 0
+	for _, s := range v.Versions {
+		if s.From != at || s.To <= s.From || s.Version <= 0 {
+			return false
+		}
+		at = s.To
+	}
+	return at == v.Tokens && at > 0
+}
