--- a/cmd/loadgen/main.go
+++ b/cmd/loadgen/main.go
@@ -12,7 +12,8 @@
 )
 
 type arguments struct {
-	Run *runCommand `arg:"subcommand:run" help:"send a plan's load and measure the answers"`
+	Run     *runCommand     `arg:"subcommand:run" help:"send a plan's load and measure the answers"`
+	Summary *summaryCommand `arg:"subcommand:summary" help:"compare what was served with what was reported"`
 }
 
 type command interface {
--- /dev/null
+++ b/cmd/loadgen/summary.go
@@ -0,0 +1,203 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/codec"
+	"github.com/wigeonpin/wigeonpin/internal/load/balance"
+	"github.com/wigeonpin/wigeonpin/internal/load/generator"
+	"github.com/wigeonpin/wigeonpin/internal/standin/trainer"
+)
+
+type summaryCommand struct {
+	Platform string   `arg:"--platform,required" help:"address of the platform stand-in"`
+	Load     []string `arg:"--load,separate" help:"JSON results of loadgen run"`
+	Trainer  []string `arg:"--trainer,separate" help:"ACCOUNT=FILE with a trainer's JSON summary"`
+	Service  []string `arg:"--service,separate" help:"addresses of service stand-ins, whose runs are checked"`
+	WaitMS   int      `arg:"--wait-ms" default:"30000" help:"how long to wait for the reports to be complete"`
+	Changes  int      `arg:"--changes" default:"0" help:"weight changes that each trainer must have made"`
+	Share    float64  `arg:"--share" default:"0.95" help:"smallest share of whole answers"`
+}
+
+const pollPeriod = 500 * time.Millisecond
+
+func (c *summaryCommand) run(ctx context.Context) error {
+	served := balance.Served{}
+	var faults []string
+	sent, whole := 0, 0
+	for _, path := range c.Load {
+		var r generator.Result
+		if err := readJSON(path, &r); err != nil {
+			return err
+		}
+		served.AddLoad(&r)
+		whole += r.Whole()
+		for name, a := range r.Accounts {
+			sent += a.Sent
+			for kind, n := range a.Wrong {
+				faults = append(faults, fmt.Sprintf("account %s: %d answers were wrong (%s)", name, n, kind))
+			}
+		}
+	}
+	if sent > 0 && float64(whole) < c.Share*float64(sent) {
+		faults = append(faults, fmt.Sprintf("%d of %d answers were whole, less than %.0f %%", whole, sent, 100*c.Share))
+	}
+	trainers, err := c.trainers(served)
+	if err != nil {
+		return err
+	}
+	for _, t := range trainers {
+		faults = append(faults, c.judge(t)...)
+	}
+	twice, err := c.ranTwice(ctx)
+	if err != nil {
+		return err
+	}
+	faults = append(faults, twice...)
+	reported, differences, err := c.reported(ctx, served)
+	if err != nil {
+		return err
+	}
+	faults = append(faults, differences...)
+	spend, err := fetch[spending](ctx, c.Platform, "/fake/spend")
+	if err != nil {
+		return err
+	}
+	if spend.Total <= 0 {
+		faults = append(faults, "no endpoint time was paid for")
+	}
+	show(os.Stdout, served, reported, trainers, spend, whole, sent)
+	if len(faults) == 0 {
+		fmt.Println("all figures agree")
+		return nil
+	}
+	return eris.New(strings.Join(faults, "\n  "))
+}
+
+func readJSON(path string, into any) error {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return eris.Wrap(err, "summary")
+	}
+	return eris.Wrapf(json.Unmarshal(raw, into), "summary: %s", path)
+}
+
+func (c *summaryCommand) trainers(served balance.Served) ([]trainer.Summary, error) {
+	var all []trainer.Summary
+	for _, text := range c.Trainer {
+		account, path, ok := strings.Cut(text, "=")
+		if !ok {
+			return nil, eris.Errorf("trainer %q must be of the form ACCOUNT=FILE", text)
+		}
+		var t trainer.Summary
+		if err := readJSON(path, &t); err != nil {
+			return nil, err
+		}
+		served.AddTrainer(account, t)
+		all = append(all, t)
+	}
+	return all, nil
+}
+
+func (c *summaryCommand) judge(t trainer.Summary) []string {
+	var faults []string
+	if t.Faults() > 0 {
+		faults = append(faults, fmt.Sprintf("trainer %s: %d twice, %d missing, %d wrong, %d unlabelled, %d too old",
+			t.Trainer, t.Twice, t.Missing, t.Wrong, t.Unlabelled, t.TooOld))
+	}
+	if t.Samples == 0 {
+		faults = append(faults, fmt.Sprintf("trainer %s got no samples", t.Trainer))
+	}
+	if len(t.Announced)-1 < c.Changes {
+		faults = append(faults, fmt.Sprintf("trainer %s changed its weights %d times, fewer than %d",
+			t.Trainer, len(t.Announced)-1, c.Changes))
+	}
+	return faults
+}
+
+// reported polls the usage intake until the reports hold what was served.
+func (c *summaryCommand) reported(ctx context.Context, served balance.Served) (balance.Reported, []string, error) {
+	until := time.Now().Add(time.Duration(c.WaitMS) * time.Millisecond)
+	for {
+		raw, err := codec.Exchange(ctx, http.DefaultClient, http.MethodGet, "http://"+c.Platform+"/fake/usage", nil, nil)
+		if err != nil {
+			return balance.Reported{}, nil, err
+		}
+		reported, err := balance.ParseUsage(raw)
+		if err != nil {
+			return reported, nil, err
+		}
+		differences := balance.Compare(served, reported)
+		if len(differences) == 0 || !time.Now().Before(until) {
+			return reported, differences, nil
+		}
+		time.Sleep(pollPeriod)
+	}
+}
+
+type runs struct {
+	Paths map[string]int `json:"paths"`
+}
+
+// ranTwice returns a sentence for each non-repeatable call that ran more than
+// once on all services together.
+func (c *summaryCommand) ranTwice(ctx context.Context) ([]string, error) {
+	all := map[string]int{}
+	for _, address := range c.Service {
+		found, err := fetch[runs](ctx, address, "/fake/runs")
+		if err != nil {
+			return nil, err
+		}
+		for path, n := range found.Paths {
+			all[path] += n
+		}
+	}
+	var out []string
+	for path, n := range all {
+		if n > 1 && strings.HasPrefix(path, generator.OncePath) {
+			out = append(out, fmt.Sprintf("call %s ran %d times", path, n))
+		}
+	}
+	return out, nil
+}
+
+type spending struct {
+	Total   float64            `json:"total"`
+	Class   map[string]float64 `json:"class"`
+	Seconds map[string]float64 `json:"seconds"`
+}
+
+func fetch[T any](ctx context.Context, address, path string) (T, error) {
+	return codec.Call[T](ctx, http.DefaultClient, http.MethodGet, "http://"+address+path, nil, nil)
+}
+
+func show(w io.Writer, served balance.Served, reported balance.Reported, trainers []trainer.Summary, spend spending, whole, sent int) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "account\trequests served\treported\ttokens served\treported\t")
+	for _, name := range slices.Sorted(maps.Keys(served)) {
+		a, b := served[name], reported.Accounts[name]
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t\n", name, a.Requests, b.Requests, a.TokensOut, b.TokensOut)
+	}
+	_ = t.Flush()
+	fmt.Fprintf(w, "whole answers: %d of %d sent\n", whole, sent)
+	fmt.Fprintf(w, "usage reports: %d windows, %d bodies, %d windows with different figures\n",
+		reported.Windows, reported.Bodies, len(reported.Conflicts))
+	for _, s := range trainers {
+		fmt.Fprintf(w, "trainer %s: %d steps, %d samples, by oldest version %v, age mean %.2f most %d, idle %.1f s of %.1f s (%.0f %%)\n",
+			s.Trainer, s.Steps, s.Samples, s.Versions, s.MeanAge, s.MaxAge,
+			float64(s.IdleMS)/1000, float64(s.RunMS)/1000, 100*s.IdleShare)
+	}
+	fmt.Fprintf(w, "endpoint spend: %.4f in total, by class %.4v, endpoint seconds %.4v\n", spend.Total, spend.Class, spend.Seconds)
+}
--- a/internal/load/generator/run.go
+++ b/internal/load/generator/run.go
@@ -15,6 +15,7 @@
 	probePeriod  = 250 * time.Millisecond
 	probeTimeout = time.Second
 	idleConns    = 256
+	resendPause  = 100 * time.Millisecond
 )
 
 // Run sends the plan's load and returns what came of it. It ends when all
--- a/internal/load/generator/send.go
+++ b/internal/load/generator/send.go
@@ -35,11 +35,33 @@
 	first  time.Duration
 	took   time.Duration
 	run    string
+	retry  time.Duration
 }
 
 const answerLimit = 64 << 20
 
+// The paths of plain calls. Each call has its own path, so that a service can
+// tell how often it ran.
+const (
+	OncePath       = "/once/"
+	RepeatablePath = "/any/"
+)
+
+// send sends a request, and sends an idempotent call again with the same id
+// while its outcome is not known.
 func (g *generator) send(ctx context.Context, j job) outcome {
+	for n := 0; ; n++ {
+		out := g.sendOnce(ctx, j)
+		if n >= j.account.Resend || (out.kind != refused && out.kind != broken) || out.run == "ran" {
+			return out
+		}
+		if !sleepUntil(ctx, time.Now().Add(max(out.retry, resendPause))) {
+			return out
+		}
+	}
+}
+
+func (g *generator) sendOnce(ctx context.Context, j job) outcome {
 	req, err := g.request(ctx, j)
 	if err != nil {
 		return outcome{kind: broken, code: "request"}
@@ -73,7 +95,11 @@
 	a := j.account
 	url, body := fmt.Sprintf("http://%s/v1/generate", g.address()), []byte(nil)
 	if a.Kind == KindCall {
-		url = fmt.Sprintf("http://%s/s/%s/%s?work_ms=%d", g.address(), a.Route, j.id, a.WorkMS)
+		path := RepeatablePath
+		if a.Idempotent {
+			path = OncePath
+		}
+		url = fmt.Sprintf("http://%s/s/%s%s%s?work_ms=%d", g.address(), a.Route, path, j.id, a.WorkMS)
 		body = []byte(j.prompt)
 	} else {
 		var err error
@@ -113,6 +139,8 @@
 	Code int    `json:"code"`
 	Name string `json:"name"`
 	Run  string `json:"run"`
+	// RetryMS is when to come back.
+	RetryMS int64 `json:"retry_after_ms"`
 }
 
 func refusal(resp *http.Response) outcome {
@@ -121,7 +149,7 @@
 	if json.Unmarshal(raw, &body) != nil || body.Name == "" {
 		body.Name = "status_" + strconv.Itoa(resp.StatusCode)
 	}
-	return outcome{kind: refused, code: body.Name, run: body.Run}
+	return outcome{kind: refused, code: body.Name, run: body.Run, retry: time.Duration(body.RetryMS) * time.Millisecond}
 }
 
 // line is one line of a stream, or the answer as one object.
@@ -129,7 +157,8 @@
 	Text   string `json:"text"`
 	Tokens int    `json:"tokens"`
 	Done   bool   `json:"done"`
-	errorBody
+	// Error ends a stream that had begun.
+	Error *errorBody `json:"error"`
 }
 
 func checkStream(ctx context.Context, resp *http.Response, j job) outcome {
@@ -145,8 +174,8 @@
 				return outcome{kind: wrong, code: "not_json", tokens: tokens}
 			}
 			switch {
-			case l.Code != 0:
-				return outcome{kind: refused, code: l.Name, run: l.Run, tokens: tokens}
+			case l.Error != nil:
+				return outcome{kind: refused, code: l.Error.Name, run: l.Error.Run, tokens: tokens}
 			case done:
 				return outcome{kind: wrong, code: "after_end", tokens: tokens}
 			case l.Done:
--- a/internal/standin/engine/cache.go
+++ b/internal/standin/engine/cache.go
@@ -1,21 +1,19 @@
 package engine
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"github.com/wigeonpin/wigeonpin/internal/base/code"
 	"github.com/wigeonpin/wigeonpin/internal/base/codec"
 )
 
-// BlockBytes is the size of a prefix block. The cache knows a prompt's first
-// block, its first two, and so on, as far as they are whole.
+// BlockBytes is the length of the shortest prefix that the cache knows. The
+// next ones are twice as long each.
 const BlockBytes = 64
 
 const keptEvents = 10_000
@@ -31,7 +29,7 @@
 	at time.Time
 }
 
-// cache holds the most recently used prefix blocks and tells what changed.
+// cache holds the most recently used prompt prefixes and tells what changed.
 type cache struct {
 	options Options
 	blocks  *simplelru.LRU[string, struct{}]
@@ -46,30 +44,27 @@
 	return c
 }
 
-// Prefixes returns the names of the prompt's whole prefix blocks, shortest
-// first: the xxhash of the prompt's first BlockBytes, 2 BlockBytes, ... bytes.
+// Prefixes returns the prompt's first 64, 128, 256, ... bytes, as far as it has
+// them. Events carry these texts.
 func Prefixes(prompt string) []string {
-	names := make([]string, 0, len(prompt)/BlockBytes)
-	var digest xxhash.Digest
-	digest.Reset()
-	for at := BlockBytes; at <= len(prompt); at += BlockBytes {
-		_, _ = digest.WriteString(prompt[at-BlockBytes : at])
-		names = append(names, fmt.Sprintf("%016x", digest.Sum64()))
+	var all []string
+	for n := BlockBytes; n <= len(prompt); n *= 2 {
+		all = append(all, prompt[:n])
 	}
-	return names
+	return all
 }
 
 // use returns the number of prompt bytes found in the cache and stores the
-// prompt's blocks.
+// prompt's prefixes.
 func (c *cache) use(prompt string) int {
 	found := 0
-	for i, name := range Prefixes(prompt) {
-		if c.blocks.Contains(name) && found == i*BlockBytes {
-			found += BlockBytes
-		} else if !c.blocks.Contains(name) {
-			c.tell(name, true)
+	for _, prefix := range Prefixes(prompt) {
+		if c.blocks.Contains(prefix) {
+			found = len(prefix)
+		} else {
+			c.tell(prefix, true)
 		}
-		c.blocks.Add(name, struct{}{})
+		c.blocks.Add(prefix, struct{}{})
 	}
 	return found
 }
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -44,7 +44,7 @@
 	// EventLag is how late a cache event is shown; one in EventGap is lost.
 	EventLag time.Duration
 	EventGap int
-	// CacheBlocks is the number of prefix blocks that the cache holds.
+	// CacheBlocks is the number of prompt prefixes that the cache holds.
 	CacheBlocks int
 	// Cold is how long the engine is cold after its start.
 	Cold time.Duration
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -63,6 +63,8 @@
 	end    context.CancelCauseFunc
 	turn   chan struct{}
 	cached int
+	// at is the number of tokens so far, resumed ones included.
+	at int
 }
 
 // Tag returns the text that the tokens of a prompt begin with.
@@ -104,7 +106,7 @@
 	}
 	ctx, end := context.WithCancelCause(r.Context())
 	defer end(nil)
-	s := &stream{body: b, ctx: ctx, end: end, turn: make(chan struct{})}
+	s := &stream{body: b, ctx: ctx, end: end, turn: make(chan struct{}), at: b.ResumeTokens}
 	if !e.admit(s) {
 		host.Retry(w, "the engine's queue is full")
 		return
@@ -210,16 +212,15 @@
 
 func (e *Engine) decode(lines *host.Lines, s *stream, idle func(<-chan time.Time, <-chan struct{}) error) error {
 	total, reason := Length(s.body.Prompt, s.body.MaxTokens)
-	at, index, credit, last := s.body.ResumeTokens, 0, 1.0, time.Now()
+	index, credit, last := 0, 1.0, time.Now()
 	ticker := time.NewTicker(e.options.Chunk)
 	defer ticker.Stop()
-	for at < total {
-		if n := min(int(credit), total-at); n > 0 {
-			line := e.line(s, index, at, n)
-			if err := lines.Write(line); err != nil {
+	for s.at < total {
+		if n := min(int(credit), total-s.at); n > 0 {
+			if err := lines.Write(e.line(s, index, n)); err != nil {
 				return err
 			}
-			at, index, credit = at+n, index+1, credit-float64(n)
+			s.at, index, credit = s.at+n, index+1, credit-float64(n)
 			continue
 		}
 		if err := idle(ticker.C, nil); err != nil {
@@ -232,25 +233,25 @@
 	e.mu.Lock()
 	e.cold.finish(e.options.Slots)
 	e.mu.Unlock()
-	return lines.Write(doneLine{s.body.Request, true, reason, at})
+	return lines.Write(doneLine{s.body.Request, true, reason, s.at})
 }
 
 // line returns a chunk, or that of another request when answers are crossed.
-func (e *Engine) line(s *stream, index, at, n int) chunkLine {
+func (e *Engine) line(s *stream, index, n int) chunkLine {
 	e.mu.Lock()
 	version := e.versions.active
 	e.mu.Unlock()
 	if e.crossed.Take() {
-		return chunkLine{"crossed-" + s.body.Request, index, Text("another prompt", at, at+n), n, version}
+		return chunkLine{"crossed-" + s.body.Request, index, Text("another prompt", s.at, s.at+n), n, version}
 	}
-	return chunkLine{s.body.Request, index, Text(s.body.Prompt, at, at+n), n, version}
+	return chunkLine{s.body.Request, index, Text(s.body.Prompt, s.at, s.at+n), n, version}
 }
 
 // ended sends the last line of a cancelled stream and returns why it ended.
 func (e *Engine) ended(lines *host.Lines, s *stream) error {
 	cause := context.Cause(s.ctx)
 	if errors.Is(cause, errCancelled) {
-		_ = lines.Write(doneLine{s.body.Request, true, "cancelled", 0})
+		_ = lines.Write(doneLine{s.body.Request, true, "cancelled", s.at})
 	}
 	return cause
 }
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -16,6 +16,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -57,6 +58,7 @@
 
 	mu       sync.Mutex
 	runs     map[string]int
+	paths    map[string]int
 	powered  bool
 	crash    crashBody
 	slowness float64
@@ -69,7 +71,7 @@
 func New(options Options) *Service {
 	return &Service{
 		options: options, slots: make(chan struct{}, max(options.Slots, 1)),
-		runs: map[string]int{}, powered: true, slowness: 1,
+		runs: map[string]int{}, paths: map[string]int{}, powered: true, slowness: 1,
 	}
 }
 
@@ -109,22 +111,19 @@
 		host.Switch(w, r, host.CountBody{Count: 1}, func(b host.CountBody) (any, error) { s.crossed.Set(b.Count); return b, nil })
 	}).Methods(http.MethodPost)
 	r.HandleFunc("/fake/runs", func(w http.ResponseWriter, _ *http.Request) {
-		codec.Write(w, http.StatusOK, map[string]any{"runs": s.Runs()})
+		runs, paths := s.Runs()
+		codec.Write(w, http.StatusOK, map[string]any{"runs": runs, "paths": paths})
 	}).Methods(http.MethodGet)
 	r.PathPrefix("/fake/").HandlerFunc(host.Unknown)
 	r.PathPrefix("/").HandlerFunc(s.run)
 	return r
 }
 
-// Runs returns how often each request ran, by its id.
-func (s *Service) Runs() map[string]int {
+// Runs returns how often each request ran, by its id and by its path.
+func (s *Service) Runs() (ids, paths map[string]int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	copied := make(map[string]int, len(s.runs))
-	for id, n := range s.runs {
-		copied[id] = n
-	}
-	return copied
+	return maps.Clone(s.runs), maps.Clone(s.paths)
 }
 
 func (s *Service) setCrash(b crashBody) (any, error) {
@@ -206,6 +205,7 @@
 	id := r.Header.Get(codec.HeaderRequest)
 	s.mu.Lock()
 	s.runs[id]++
+	s.paths[r.URL.Path]++
 	s.mu.Unlock()
 	time.Sleep(s.work(r))
 	<-s.slots
