--- /dev/null
+++ b/internal/peer/service/once.go
@@ -0,0 +1,70 @@
+package service
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/code"
+	"github.com/wigeonpin/wigeonpin/internal/peer/conn"
+)
+
+// Once sends the request a single time over a new connection. It does not use
+// http.Transport, which resends some requests by itself, among them those with
+// an Idempotency-Key. When not a byte was written the error says "not run".
+func (c *Client) Once(ctx context.Context, address string, request Request) (*Answer, error) {
+	req, err := request.build(ctx, address)
+	if err != nil {
+		return nil, invalid(err)
+	}
+	// The connection serves this request only.
+	req.Close = true
+	counted, err := conn.Dial(ctx, c.settings, address)
+	if err != nil {
+		return nil, failure(err, false)
+	}
+	// A cancelled context interrupts reads and writes.
+	stop := context.AfterFunc(ctx, func() { _ = counted.SetDeadline(time.Unix(1, 0)) })
+	end := func() { stop(); _ = counted.Close() }
+	resp, err := exchange(counted, req)
+	if err != nil {
+		end()
+		return nil, onceFailure(counted, err)
+	}
+	return receive(request, resp, end)
+}
+
+func onceFailure(counted *conn.Counted, err error) error {
+	if counted.Written() == 0 {
+		return failure(err, false)
+	}
+	return code.New(code.MayHaveRun, "the request was sent and no answer came: %s", reason(err)).WithRun(code.MaybeRun)
+}
+
+// exchange writes the request and reads the answer's head, past any interim
+// answers.
+func exchange(counted *conn.Counted, req *http.Request) (*http.Response, error) {
+	// An answer may come before the whole request was taken, so a failed write
+	// does not decide; only the answer does.
+	writeErr := req.Write(counted)
+	if writeErr != nil && counted.Written() == 0 {
+		return nil, writeErr
+	}
+	reader := bufio.NewReader(counted)
+	for {
+		resp, err := http.ReadResponse(reader, req)
+		if err != nil {
+			return nil, errors.Join(err, writeErr)
+		}
+		if resp.StatusCode >= 200 {
+			return resp, nil
+		}
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errors.New("the service switched protocols")
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+	}
+}
--- /dev/null
+++ b/internal/peer/service/service.go
@@ -0,0 +1,194 @@
+// Package service is the client of plain services.
+//
+// # Usage
+//
+//	client := service.New(settings)
+//	answer, err := client.Once(ctx, endpoint.Address, request)  // sent at most once
+//	answer, err = client.Pooled(ctx, endpoint.Address, request) // may be repeated by the caller
+//	defer answer.Close()
+//
+// Errors are *code.Error whose Run says whether the request may have reached
+// the service.
+package service
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/code"
+	"github.com/wigeonpin/wigeonpin/internal/base/codec"
+	"github.com/wigeonpin/wigeonpin/internal/base/setting"
+	"github.com/wigeonpin/wigeonpin/internal/peer/conn"
+)
+
+// WholeLimit is the size up to which an answer is read completely before it
+// is handed on.
+const WholeLimit = 1 << 20
+
+// Request is one call. Path is the escaped path, with a leading slash.
+type Request struct {
+	ID       string
+	Method   string
+	Path     string
+	RawQuery string
+	Header   http.Header
+	Body     []byte
+}
+
+// Answer is a service's answer. Body holds it whole when Rest is nil;
+// otherwise Body holds its start and Rest the remainder, whose reads fail when
+// the connection ends early.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	Rest   io.Reader
+	close  func()
+}
+
+// Close releases the connection. It is needed only once.
+func (a *Answer) Close() {
+	if a.close != nil {
+		a.close()
+	}
+}
+
+// OnClose returns a copy whose Close also calls f.
+func (a *Answer) OnClose(f func()) *Answer {
+	c := *a
+	c.close = func() { a.Close(); f() }
+	return &c
+}
+
+// Client calls plain services by their addresses.
+type Client struct {
+	settings setting.Settings
+	pooled   *http.Client
+}
+
+// New returns a client.
+func New(settings setting.Settings) *Client {
+	return &Client{settings: settings, pooled: &http.Client{
+		Transport: conn.Transport(settings),
+		CheckRedirect: func(*http.Request, []*http.Request) error {
+			return http.ErrUseLastResponse
+		},
+	}}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.pooled.CloseIdleConnections() }
+
+func (r Request) build(ctx context.Context, address string) (*http.Request, error) {
+	target := &url.URL{Scheme: "http", Host: address, RawQuery: r.RawQuery}
+	path, err := url.PathUnescape(r.Path)
+	if err != nil {
+		return nil, err
+	}
+	target.Path, target.RawPath = path, r.Path
+	var body io.Reader
+	if len(r.Body) > 0 {
+		body = bytes.NewReader(r.Body)
+	}
+	req, err := http.NewRequestWithContext(ctx, r.Method, target.String(), body)
+	if err != nil {
+		return nil, err
+	}
+	for name, values := range r.Header {
+		req.Header[name] = values
+	}
+	req.Header.Set(codec.HeaderRequest, r.ID)
+	return req, nil
+}
+
+// Pooled sends the request over a pooled connection. The transport may resend
+// it by itself when an idle connection turns out to be closed, so it is only
+// for requests that may be repeated.
+func (c *Client) Pooled(ctx context.Context, address string, request Request) (*Answer, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	req, err := request.build(ctx, address)
+	if err != nil {
+		cancel()
+		return nil, invalid(err)
+	}
+	resp, err := c.pooled.Do(req)
+	if err != nil {
+		cancel()
+		return nil, failure(err, !dialFailed(err))
+	}
+	return receive(request, resp, func() { _ = resp.Body.Close(); cancel() })
+}
+
+// receive reads the answer, at most WholeLimit bytes of it, and checks that it
+// belongs to the request. stop closes the connection unless the answer was
+// read to its end.
+func receive(request Request, resp *http.Response, stop func()) (*Answer, error) {
+	if resp.Header.Get(codec.HeaderRequest) != request.ID {
+		stop()
+		return nil, code.New(code.AnswerCrossed, "the endpoint answered another request").WithRun(code.MaybeRun)
+	}
+	if !delimited(request, resp) {
+		stop()
+		return nil, code.New(code.AnswerIncomplete, "the answer has neither a length nor chunks, so its end cannot be told from a cut").
+			WithRun(code.MaybeRun)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, WholeLimit+1))
+	if err != nil {
+		stop()
+		return nil, code.New(code.AnswerIncomplete, "the answer ended early").WithRun(code.MaybeRun)
+	}
+	answer := &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body, close: stop}
+	if len(body) > WholeLimit {
+		answer.Rest = resp.Body
+		return answer, nil
+	}
+	stop()
+	answer.close = nil
+	return answer, nil
+}
+
+// delimited reports whether the end of the answer can be recognised. The end
+// of a connection looks the same whether the service finished or died.
+func delimited(request Request, resp *http.Response) bool {
+	if request.Method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified {
+		return true
+	}
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
+
+func dialFailed(err error) bool {
+	var failed *net.OpError
+	return errors.As(err, &failed) && failed.Op == "dial"
+}
+
+func invalid(err error) error {
+	return code.New(code.BadRequest, "the request cannot be forwarded: %s", err).WithRun(code.NotRun)
+}
+
+func failure(err error, sent bool) error {
+	if !sent {
+		return code.New(code.NoEndpoint, "no connection to the endpoint: %s", reason(err)).WithRun(code.NotRun)
+	}
+	return code.New(code.EndpointFailed, "the endpoint failed: %s", reason(err)).WithRun(code.MaybeRun)
+}
+
+// reason shortens an error to its innermost text, which names no address.
+func reason(err error) string {
+	if errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
+		return "cancelled"
+	}
+	var failed *net.OpError
+	if errors.As(err, &failed) {
+		return failed.Op + ": " + failed.Err.Error()
+	}
+	var target *url.Error
+	if errors.As(err, &target) {
+		return target.Err.Error()
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/internal/traffic/dispatch/dispatch.go
@@ -0,0 +1,192 @@
+// Package dispatch runs requests on endpoints: it chooses the endpoint, retries
+// within budgets, resumes interrupted streams on other engines and labels the
+// generated tokens with the weight versions that produced them.
+//
+// # Usage
+//
+//	runner := dispatch.New(settings, timers, meters, log, engines, services, dispatch.Seams{...})
+//	result, err := runner.Generate(ctx, job, func(c dispatch.Chunk) error { return write(c) })
+//	answer, err := runner.Forward(ctx, call)
+//	defer answer.Close()
+//
+// Errors are *code.Error and state truthfully whether the request ran.
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/code"
+	"github.com/wigeonpin/wigeonpin/internal/base/meter"
+	"github.com/wigeonpin/wigeonpin/internal/base/setting"
+	"github.com/wigeonpin/wigeonpin/internal/control/roster"
+	"github.com/wigeonpin/wigeonpin/internal/control/table"
+	"github.com/wigeonpin/wigeonpin/internal/peer/engine"
+	"github.com/wigeonpin/wigeonpin/internal/peer/service"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/queue"
+)
+
+// Job is one generation.
+type Job struct {
+	Request, Account, Model, Class, Prompt string
+	MaxTokens, Priority                    int
+	Seed                                   int64
+	Deadline                               time.Time
+	// MinVersion is the lowest active weight version of an engine that may
+	// start the job; 0 allows any.
+	MinVersion int
+	// Avoid lists endpoints that must not run the job.
+	Avoid []string
+	// Check is called whenever the job leaves the queue; its error refuses it.
+	Check func() error
+}
+
+// Chunk is a piece of generated text. Version is 0 when the engine named none.
+type Chunk struct {
+	Text    string
+	Tokens  int
+	Version int
+}
+
+// Range says that one weight version generated the tokens [From, To).
+type Range struct {
+	Version int `json:"version"`
+	From    int `json:"from"`
+	To      int `json:"to"`
+}
+
+// Result is a complete generation. Resumed counts the interruptions.
+type Result struct {
+	Text     string
+	Tokens   int
+	Ranges   []Range
+	Endpoint string
+	Resumed  int
+	Reason   string
+}
+
+// ServiceCall is one request to a plain service. Model names the service.
+type ServiceCall struct {
+	Request, Account, Model, Class string
+	Method, Path, RawQuery         string
+	Header                         map[string][]string
+	Body                           []byte
+	Repeatable                     bool
+	Deadline                       time.Time
+	Check                          func() error
+}
+
+// Answer is a service's answer. It must be closed.
+type Answer = service.Answer
+
+// Outcome is how the work in a slot ended.
+type Outcome struct {
+	FirstToken, Took time.Duration
+	Failed           bool
+	Cost             int64
+}
+
+// Slot is the permission to run one request on an endpoint.
+type Slot struct {
+	Release func(Outcome)
+}
+
+// Usage is what one request used.
+type Usage struct {
+	Account, Class                      string
+	Requests, TokensIn, TokensOut, Cost int64
+}
+
+// Seams are the functions that the dispatcher needs.
+type Seams struct {
+	// Endpoints returns all endpoints of a model, whatever their state.
+	Endpoints func(model string) []roster.Endpoint
+	Load      func(endpoint string) (roster.Load, bool)
+	Failed    func(endpoint string, err error)
+	Free      func(endpoint string) int
+	Take      func(endpoint, account string) (Slot, bool)
+	Wait      func(ctx context.Context, item queue.Item) (*queue.Turn, error)
+	Table     func() *table.Table
+	// Admit lets a request with this content digest run until release.
+	Admit     func(digest string) (release func(), err error)
+	Suspect   func(digest string) bool
+	Crashed   func(endpoint string, digests []string)
+	Completed func(digest string)
+	// Record returns once the usage is held safely or cannot be.
+	Record func(ctx context.Context, usage Usage) error
+}
+
+// Dispatcher runs requests of one instance.
+type Dispatcher struct {
+	settings setting.Settings
+	timers   *clock.Service
+	log      *logrus.Entry
+	engines  *engine.Client
+	services *service.Client
+	seams    Seams
+	budgets  *budgets
+	prefixes *prefixes
+	flights  *flights
+	counts   counts
+	// background are cancellations and probes that outlive their requests.
+	background sync.WaitGroup
+}
+
+type counts struct {
+	resumed, retried, failed, served *meter.Counter
+	firstToken                       *meter.Histogram
+}
+
+// New returns a dispatcher.
+func New(settings setting.Settings, timers *clock.Service, meters *meter.Set, log *logrus.Entry,
+	engines *engine.Client, services *service.Client, seams Seams,
+) *Dispatcher {
+	return &Dispatcher{
+		settings: settings, timers: timers, log: log, engines: engines, services: services, seams: seams,
+		budgets: newBudgets(settings.RetryPercent), prefixes: newPrefixes(), flights: newFlights(),
+		counts: counts{
+			resumed: meters.Counter("streams_resumed"), retried: meters.Counter("attempts_repeated"),
+			failed: meters.Counter("attempts_failed"), served: meters.Counter("requests_served"),
+			firstToken: meters.Histogram("first_token_us"),
+		},
+	}
+}
+
+// Close waits for background calls, each of which is limited in time.
+func (d *Dispatcher) Close() { d.background.Wait() }
+
+// Cached takes a cache event of an engine.
+func (d *Dispatcher) Cached(endpoint, prefix string, stored bool) {
+	d.prefixes.set(endpoint, prefix, stored)
+}
+
+// The time that a call which nobody waits for may take.
+const backgroundLimit = time.Second
+
+// later runs f in the background with its own deadline.
+func (d *Dispatcher) later(f func(ctx context.Context)) {
+	d.background.Go(func() {
+		ctx, cancel := d.timers.WithTimeout(context.Background(), backgroundLimit)
+		defer cancel()
+		f(ctx)
+	})
+}
+
+// ended returns the error of a request whose context has ended.
+func ended(ctx context.Context, run code.Run) error {
+	cause := context.Cause(ctx)
+	var coded *code.Error
+	switch {
+	case errors.As(cause, &coded):
+		return coded.WithRun(run)
+	case errors.Is(cause, context.DeadlineExceeded):
+		return code.New(code.DeadlinePast, "the request's deadline passed").WithRun(run)
+	default:
+		return code.New(code.CallerGone, "the caller is gone").WithRun(run)
+	}
+}
--- /dev/null
+++ b/internal/traffic/dispatch/forward.go
@@ -0,0 +1,157 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/code"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/peer/service"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/queue"
+)
+
+// The expected cost of a service call in endpoint milliseconds, used until it
+// is known how long the call took.
+const serviceCost = 50
+
+// forwarding is the state of one service call across its attempts.
+type forwarding struct {
+	d      *Dispatcher
+	call   ServiceCall
+	failed []string
+	sent   bool
+}
+
+// Forward runs a call on a plain service. A call that is not repeatable is
+// sent again only when it is certain that nothing of it was sent before.
+func (d *Dispatcher) Forward(ctx context.Context, call ServiceCall) (*Answer, error) {
+	ctx, cancel := d.timers.WithTimeout(ctx, call.Deadline.Sub(d.timers.Now()))
+	f := &forwarding{d: d, call: call}
+	answer, err := f.run(ctx)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	if answer.Rest == nil {
+		cancel()
+		return answer, nil
+	}
+	return answer.OnClose(cancel), nil
+}
+
+func (f *forwarding) run(ctx context.Context) (*Answer, error) {
+	interval := newInterval()
+	for {
+		turn, chosen, err := f.begin(ctx)
+		if err != nil {
+			return nil, code.Of(err).WithRun(f.ran())
+		}
+		answer, err := f.attempt(ctx, turn, chosen)
+		if err == nil {
+			return answer, nil
+		}
+		if final := f.decide(ctx, chosen, err); final != nil {
+			return nil, final
+		}
+		if f.d.timers.Sleep(ctx, interval.NextBackOff()) != nil {
+			return nil, ended(ctx, f.ran())
+		}
+	}
+}
+
+func (f *forwarding) ran() code.Run {
+	if f.sent {
+		return code.MaybeRun
+	}
+	return code.NotRun
+}
+
+func (f *forwarding) begin(ctx context.Context) (*queue.Turn, picked, error) {
+	var chosen picked
+	account, _ := f.d.seams.Table().Account(f.call.Account)
+	n := need{account: f.call.Account, model: f.call.Model, cheap: f.call.Repeatable, failed: f.failed}
+	turn, err := f.d.seams.Wait(ctx, queue.Item{
+		Account: f.call.Account, Model: f.call.Model, Weight: account.Weight,
+		Limit: account.Queue, Running: account.Running,
+		Cost: serviceCost, Deadline: f.call.Deadline, Front: len(f.failed) > 0, Check: f.call.Check,
+		Start: func() (ok bool, err error) {
+			chosen, ok, err = f.d.pick(n)
+			return ok, err
+		},
+	})
+	return turn, chosen, err
+}
+
+// attempt sends the call once. The slot and the turn are held until the answer
+// is complete or closed.
+func (f *forwarding) attempt(ctx context.Context, turn *queue.Turn, chosen picked) (*Answer, error) {
+	began := f.d.timers.Now()
+	end := func(failed bool) time.Duration {
+		took := f.d.timers.Since(began)
+		chosen.slot.Release(Outcome{FirstToken: took, Took: took, Failed: failed, Cost: max(took.Milliseconds(), 1)})
+		turn.Done()
+		return took
+	}
+	answer, err := f.send(ctx, chosen.endpoint.Address)
+	if err != nil {
+		end(ctx.Err() == nil)
+		return nil, err
+	}
+	f.d.budgets.success(f.call.Account, chosen.endpoint.ID)
+	f.d.counts.served.Add(f.call.Account, 1)
+	if answer.Rest == nil {
+		f.record(ctx, end(false))
+		return answer, nil
+	}
+	return answer.OnClose(func() { f.record(ctx, end(false)) }), nil
+}
+
+func (f *forwarding) send(ctx context.Context, address string) (*Answer, error) {
+	request := service.Request{
+		ID: f.call.Request, Method: f.call.Method, Path: f.call.Path, RawQuery: f.call.RawQuery,
+		Header: http.Header(f.call.Header), Body: f.call.Body,
+	}
+	if f.call.Repeatable {
+		return f.d.services.Pooled(ctx, address, request)
+	}
+	return f.d.services.Once(ctx, address, request)
+}
+
+func (f *forwarding) record(ctx context.Context, took time.Duration) {
+	usage := Usage{Account: f.call.Account, Class: f.call.Class, Requests: 1, Cost: max(took.Milliseconds(), 1)}
+	if err := f.d.seams.Record(context.WithoutCancel(ctx), usage); err != nil {
+		f.d.log.WithField(logs.Account, f.call.Account).WithError(err).Error("usage record not written")
+	}
+}
+
+// decide returns the final error after a failed attempt, or nil when another
+// attempt may follow.
+func (f *forwarding) decide(ctx context.Context, chosen picked, err error) error {
+	failure := code.Of(err)
+	id := chosen.endpoint.ID
+	if failure.Run != code.NotRun {
+		f.sent = true
+	}
+	if failure.Code == code.BadRequest {
+		return failure.WithRun(f.ran())
+	}
+	if ctx.Err() != nil {
+		return ended(ctx, f.ran())
+	}
+	f.d.counts.failed.Add(id, 1)
+	f.d.log.WithField(logs.Endpoint, id).WithField(logs.Request, f.call.Request).WithError(err).Warn("attempt failed")
+	if failure.Run == code.NotRun {
+		f.d.seams.Failed(id, err)
+	}
+	if f.sent && !f.call.Repeatable {
+		return failure.WithRun(code.MaybeRun)
+	}
+	if !f.d.budgets.take(f.call.Account, id) {
+		return code.New(code.RetryBudget, "an endpoint failed and the retry budget is used up").
+			WithRun(f.ran()).WithRetryAfter(noEndpointReturn)
+	}
+	f.failed = append(f.failed, id)
+	f.d.counts.retried.Add(f.call.Account, 1)
+	return nil
+}
--- /dev/null
+++ b/internal/traffic/dispatch/generate.go
@@ -0,0 +1,320 @@
+package dispatch
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/code"
+	"github.com/wigeonpin/wigeonpin/internal/base/codec"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/peer/engine"
+	"github.com/wigeonpin/wigeonpin/internal/peer/fleet"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/queue"
+)
+
+// Prompt tokens are cheaper than generated ones by about this factor, since
+// the prefill runs them in parallel.
+const promptDivisor = 8
+
+// Engines do not report prompt tokens, so usage counts them by this fixed rule.
+const bytesPerToken = 4
+
+// generation is the state of one job across its attempts.
+type generation struct {
+	d        *Dispatcher
+	job      Job
+	digest   string
+	sink     func(Chunk) error
+	text     strings.Builder
+	result   Result
+	attempts int
+	failed   []string
+	// sent is set once an engine may have received the job.
+	sent     bool
+	started  time.Time
+	first    time.Duration
+	interval *backoff.ExponentialBackOff
+}
+
+// ContentDigest identifies a request's content across resends.
+func ContentDigest(model, prompt string) string {
+	sum := sha256.Sum256([]byte(model + "\x00" + prompt))
+	return hex.EncodeToString(sum[:])
+}
+
+// PromptTokens returns the number of prompt tokens that usage counts.
+func PromptTokens(prompt string) int64 {
+	return int64((len(prompt) + bytesPerToken - 1) / bytesPerToken)
+}
+
+func generationCost(prompt string, tokens int) int64 {
+	return max(PromptTokens(prompt)/promptDivisor+int64(tokens), 1)
+}
+
+// Generate runs the job and passes each chunk to sink. When an engine fails,
+// the text so far is continued on another one, and sink sees no difference.
+func (d *Dispatcher) Generate(ctx context.Context, job Job, sink func(Chunk) error) (Result, error) {
+	ctx, cancel := d.timers.WithTimeout(ctx, job.Deadline.Sub(d.timers.Now()))
+	defer cancel()
+	digest := ContentDigest(job.Model, job.Prompt)
+	release, err := d.seams.Admit(digest)
+	if err != nil {
+		return Result{}, code.Of(err).WithRun(code.NotRun)
+	}
+	defer release()
+	g := &generation{d: d, job: job, digest: digest, sink: sink, interval: newInterval()}
+	err = g.run(ctx)
+	g.result.Text = g.text.String()
+	return g.result, g.record(ctx, err)
+}
+
+func newInterval() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval, b.MaxInterval = 20*time.Millisecond, time.Second
+	return b
+}
+
+// record adds the usage: a complete generation counts as a request; of an
+// incomplete one the tokens that were delivered count.
+func (g *generation) record(ctx context.Context, failure error) error {
+	usage := Usage{Account: g.job.Account, Class: g.job.Class, TokensOut: int64(g.result.Tokens)}
+	if failure == nil {
+		usage.Requests = 1
+	}
+	if usage.Requests+usage.TokensOut > 0 {
+		usage.TokensIn = PromptTokens(g.job.Prompt)
+		usage.Cost = generationCost(g.job.Prompt, g.result.Tokens)
+		// The record is written even when the caller is gone.
+		if err := g.d.seams.Record(context.WithoutCancel(ctx), usage); err != nil {
+			g.d.log.WithField(logs.Account, g.job.Account).WithError(err).Error("usage record not written")
+		}
+	}
+	if failure == nil {
+		g.d.counts.served.Add(g.job.Account, 1)
+	}
+	return failure
+}
+
+// run makes attempts until one completes the job.
+func (g *generation) run(ctx context.Context) error {
+	for {
+		turn, chosen, err := g.begin(ctx)
+		if err != nil {
+			return g.runOf(err)
+		}
+		err = g.hold(ctx, chosen)
+		turn.Done()
+		if err == nil {
+			return nil
+		}
+		if final := g.decide(ctx, chosen, err); final != nil {
+			return final
+		}
+		if g.d.timers.Sleep(ctx, g.interval.NextBackOff()) != nil {
+			return ended(ctx, g.ran())
+		}
+	}
+}
+
+// runOf states in an error of the queue whether earlier attempts ran.
+func (g *generation) runOf(err error) error { return code.Of(err).WithRun(g.ran()) }
+
+func (g *generation) ran() code.Run {
+	if g.sent {
+		return code.MaybeRun
+	}
+	return code.NotRun
+}
+
+// begin waits for the job's turn and a slot on an endpoint.
+func (g *generation) begin(ctx context.Context) (*queue.Turn, picked, error) {
+	var chosen picked
+	account, _ := g.d.seams.Table().Account(g.job.Account)
+	n := g.need()
+	turn, err := g.d.seams.Wait(ctx, queue.Item{
+		Account: g.job.Account, Model: g.job.Model, Weight: account.Weight,
+		Limit: account.Queue, Running: account.Running,
+		Cost: generationCost(g.job.Prompt, g.job.MaxTokens-g.result.Tokens), Deadline: g.job.Deadline,
+		Front: g.attempts > 0, Check: g.job.Check,
+		Start: func() (ok bool, err error) {
+			chosen, ok, err = g.d.pick(n)
+			return ok, err
+		},
+	})
+	return turn, chosen, err
+}
+
+func (g *generation) need() need {
+	return need{
+		account: g.job.Account, model: g.job.Model, cheap: true, minVersion: g.job.MinVersion,
+		never: g.job.Avoid, failed: g.failed, suspect: g.d.seams.Suspect(g.digest),
+		prompt: g.job.Prompt, prefixes: hashPrefixes(g.job.Prompt),
+	}
+}
+
+// hold runs attempts on one endpoint in one slot: a second one on a new
+// connection when the first went silent.
+func (g *generation) hold(ctx context.Context, chosen picked) error {
+	began := g.d.timers.Now()
+	before := g.result.Tokens
+	g.first = 0
+	err := g.attempt(ctx, chosen, false)
+	if errors.Is(err, engine.ErrSilent) && ctx.Err() == nil && g.d.budgets.take(g.job.Account, chosen.endpoint.ID) {
+		g.d.counts.retried.Add(g.job.Account, 1)
+		err = g.attempt(ctx, chosen, true)
+	}
+	chosen.slot.Release(Outcome{
+		FirstToken: g.first, Took: g.d.timers.Since(began), Failed: endpointFault(err),
+		Cost: generationCost(g.job.Prompt, g.result.Tokens-before),
+	})
+	if err == nil {
+		g.result.Endpoint = chosen.endpoint.ID
+		g.d.budgets.success(g.job.Account, chosen.endpoint.ID)
+		g.d.prefixes.set(chosen.endpoint.ID, g.job.Prompt, true)
+		g.d.seams.Completed(g.digest)
+	}
+	return err
+}
+
+// endpointFault reports whether err shows a fault of the endpoint.
+func endpointFault(err error) bool {
+	return errors.Is(err, engine.ErrSilent) || errors.Is(err, engine.ErrIncomplete) ||
+		errors.Is(err, engine.ErrUnsent) || errors.Is(err, engine.ErrCrossed) || codec.StatusOf(err) >= 500
+}
+
+// attempt runs one stream.
+func (g *generation) attempt(ctx context.Context, chosen picked, fresh bool) error {
+	if g.attempts > 0 && g.result.Tokens >= g.job.MaxTokens {
+		// Only the last line was missing.
+		g.result.Reason = "length"
+		return nil
+	}
+	g.attempts++
+	e := chosen.endpoint
+	one := &flight{digest: g.digest, suspect: g.d.seams.Suspect(g.digest)}
+	end := g.d.flights.start(e.ID, one)
+	defer end()
+	// Each attempt has its own id, so that late lines of an earlier one on the
+	// same engine are recognised.
+	id := fmt.Sprintf("%s.%d", g.job.Request, g.attempts)
+	if g.result.Tokens > 0 {
+		g.result.Resumed++
+		g.d.counts.resumed.Add(g.job.Account, 1)
+	}
+	g.started = g.d.timers.Now()
+	done, err := g.d.engines.Generate(ctx, e.Address, engine.Request{
+		Request: id, Model: g.job.Model, Prompt: g.job.Prompt, MaxTokens: g.job.MaxTokens,
+		Priority: g.job.Priority, Seed: g.job.Seed, Resume: g.text.String(), ResumeTokens: g.result.Tokens,
+	}, fresh, g.take)
+	if err == nil {
+		g.result.Reason = done.Reason
+		return nil
+	}
+	g.noteFailure(chosen, id, err)
+	return err
+}
+
+// take adds a chunk to the text and passes it on.
+func (g *generation) take(c engine.Chunk) error {
+	if g.first == 0 {
+		g.first = max(g.d.timers.Since(g.started), 1)
+		g.d.counts.firstToken.Record(g.job.Account, g.first.Microseconds())
+	}
+	g.sent = true
+	g.text.WriteString(c.Text)
+	g.label(c)
+	if err := g.sink(Chunk(c)); err != nil {
+		return &sinkError{err}
+	}
+	return nil
+}
+
+// label extends the version ranges by a chunk.
+func (g *generation) label(c engine.Chunk) {
+	from := g.result.Tokens
+	g.result.Tokens += c.Tokens
+	if c.Tokens == 0 {
+		return
+	}
+	if last := len(g.result.Ranges) - 1; last >= 0 && g.result.Ranges[last].Version == c.Version {
+		g.result.Ranges[last].To = g.result.Tokens
+		return
+	}
+	g.result.Ranges = append(g.result.Ranges, Range{Version: c.Version, From: from, To: g.result.Tokens})
+}
+
+// sinkError is an error of the sink, which ends the job.
+type sinkError struct{ err error }
+
+func (s *sinkError) Error() string { return s.err.Error() }
+func (s *sinkError) Unwrap() error { return s.err }
+
+// noteFailure tells the rest of the instance about a failed attempt and stops
+// whatever of it the engine may still run.
+func (g *generation) noteFailure(chosen picked, id string, err error) {
+	e := chosen.endpoint
+	if errors.Is(err, engine.ErrUnsent) {
+		g.d.seams.Failed(e.ID, err)
+		return
+	}
+	if status := codec.StatusOf(err); status == 0 || status/100 == 5 && status != http.StatusServiceUnavailable {
+		g.sent = true
+	}
+	if !errors.Is(err, engine.ErrIncomplete) {
+		g.d.later(func(ctx context.Context) { _ = g.d.engines.Cancel(ctx, e.Address, id) })
+	}
+	if !endpointFault(err) {
+		return
+	}
+	g.d.counts.failed.Add(e.ID, 1)
+	g.d.log.WithField(logs.Endpoint, e.ID).WithField(logs.Request, id).WithError(err).Warn("attempt failed")
+	if errors.Is(err, engine.ErrIncomplete) {
+		g.reportCrash(chosen, err)
+	}
+}
+
+// reportCrash finds out whether the engine is dead. If so, everything that ran
+// on it becomes suspect.
+func (g *generation) reportCrash(chosen picked, err error) {
+	ctx, cancel := g.d.timers.WithTimeout(context.Background(), backgroundLimit)
+	defer cancel()
+	e := chosen.endpoint
+	if _, probe := g.d.engines.Load(ctx, e.Address); fleet.Refused(probe) {
+		g.d.seams.Failed(e.ID, err)
+		if digests := g.d.flights.crashed(e.ID); len(digests) > 0 {
+			g.d.seams.Crashed(e.ID, digests)
+		}
+	}
+}
+
+// decide returns the final error after a failed attempt, or nil when another
+// attempt may follow.
+func (g *generation) decide(ctx context.Context, chosen picked, err error) error {
+	var sunk *sinkError
+	if errors.As(err, &sunk) {
+		return code.Of(sunk.err).WithRun(g.ran())
+	}
+	if ctx.Err() != nil {
+		return ended(ctx, g.ran())
+	}
+	status := codec.StatusOf(err)
+	if status/100 == 4 && status != http.StatusTooManyRequests && status != http.StatusConflict {
+		return code.New(code.EndpointFailed, "the engine refused the request with status %d", status).WithRun(g.ran())
+	}
+	id := chosen.endpoint.ID
+	if !g.d.budgets.take(g.job.Account, id) {
+		return code.New(code.RetryBudget, "an engine failed and the retry budget is used up").
+			WithRun(g.ran()).WithRetryAfter(noEndpointReturn)
+	}
+	g.failed = append(g.failed, id)
+	g.d.counts.retried.Add(g.job.Account, 1)
+	return nil
+}
--- /dev/null
+++ b/internal/traffic/dispatch/pick.go
@@ -0,0 +1,127 @@
+package dispatch
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/code"
+	"github.com/wigeonpin/wigeonpin/internal/control/roster"
+)
+
+// The weights of the endpoint choice. A full engine costs 1; a call into
+// another zone adds a few milliseconds, which matters less than an engine that
+// is a quarter fuller; a fully cached prompt saves most of the prefill. The
+// random part keeps instances with the same view from all choosing the same
+// endpoint.
+const (
+	zoneWeight   = 0.25
+	prefixWeight = 0.5
+	priceWeight  = 0.2
+	randomWeight = 0.05
+	unknownLoad  = 0.5
+)
+
+// The time to come back when no endpoint is up. New endpoints start within
+// seconds, and the roster notices one within about a second.
+const noEndpointReturn = 2 * time.Second
+
+// need is what a request asks of its endpoint.
+type need struct {
+	account, model string
+	// cheap allows endpoints that may vanish on short notice.
+	cheap      bool
+	minVersion int
+	// never lists endpoints that must not be used, failed those that failed
+	// this request and are used only when there is no other.
+	never, failed []string
+	// suspect keeps the request away from other suspects.
+	suspect  bool
+	prompt   string
+	prefixes []prefixHash
+}
+
+type picked struct {
+	endpoint roster.Endpoint
+	slot     Slot
+}
+
+// pick occupies a slot on the best endpoint. It returns false when the request
+// has to wait for one, and an error when no endpoint could ever serve it now.
+func (d *Dispatcher) pick(n need) (picked, bool, error) {
+	usable := d.usable(n)
+	if len(usable) == 0 {
+		return picked{}, false, code.New(code.NoEndpoint, "no endpoint of %q is available", n.model).
+			WithRun(code.NotRun).WithRetryAfter(noEndpointReturn)
+	}
+	for _, e := range d.ranked(n, usable) {
+		if slot, ok := d.seams.Take(e.ID, n.account); ok {
+			return picked{e, slot}, true, nil
+		}
+	}
+	return picked{}, false, nil
+}
+
+// usable returns the endpoints that may get the request at all.
+func (d *Dispatcher) usable(n need) []roster.Endpoint {
+	current := d.seams.Table()
+	var out []roster.Endpoint
+	for _, e := range d.seams.Endpoints(n.model) {
+		if e.State != roster.StateLive || current.ZoneOut(e.Zone) ||
+			(e.Class == roster.ClassCheap && !n.cheap) || slices.Contains(n.never, e.ID) {
+			continue
+		}
+		out = append(out, e)
+	}
+	others := slices.DeleteFunc(slices.Clone(out), func(e roster.Endpoint) bool { return slices.Contains(n.failed, e.ID) })
+	if len(others) > 0 {
+		return others
+	}
+	return out
+}
+
+type ranking struct {
+	endpoint roster.Endpoint
+	score    float64
+}
+
+// ranked returns the endpoints that could start the request now, best first.
+func (d *Dispatcher) ranked(n need, usable []roster.Endpoint) []roster.Endpoint {
+	highest := 0.0
+	for _, e := range usable {
+		highest = max(highest, e.PricePerHour)
+	}
+	all := make([]ranking, 0, len(usable))
+	for _, e := range usable {
+		load, known := d.seams.Load(e.ID)
+		if d.seams.Free(e.ID) <= 0 || (n.minVersion > 0 && load.Version < n.minVersion) ||
+			(n.suspect && d.flights.suspects(e.ID) > 0) {
+			continue
+		}
+		all = append(all, ranking{e, d.score(n, e, load, known, highest)})
+	}
+	slices.SortFunc(all, func(a, b ranking) int { return cmp.Compare(a.score, b.score) })
+	out := make([]roster.Endpoint, 0, len(all))
+	for _, r := range all {
+		out = append(out, r.endpoint)
+	}
+	return out
+}
+
+func (d *Dispatcher) score(n need, e roster.Endpoint, load roster.Load, known bool, highest float64) float64 {
+	score := unknownLoad
+	if known && load.Limit > 0 {
+		score = float64(load.Running+load.Waiting) / float64(load.Limit)
+	}
+	if e.Zone != d.settings.Zone {
+		score += zoneWeight
+	}
+	if highest > 0 {
+		score += priceWeight * e.PricePerHour / highest
+	}
+	if len(n.prefixes) > 0 {
+		score -= prefixWeight * d.prefixes.match(e.ID, n.prefixes, len(n.prompt))
+	}
+	return score + randomWeight*rand.Float64()
+}
--- /dev/null
+++ b/internal/traffic/dispatch/prefix.go
@@ -0,0 +1,80 @@
+package dispatch
+
+import (
+	"github.com/cespare/xxhash/v2"
+	lru "github.com/hashicorp/golang-lru/v2"
+)
+
+// The lengths in bytes at which prompt prefixes are compared.
+var prefixLengths = []int{64, 256, 1024, 4096}
+
+const prefixEntries = 1 << 15
+
+// prefixes remembers which engines have probably cached which prompt prefixes.
+type prefixes struct {
+	seen *lru.Cache[prefixKey, struct{}]
+}
+
+type prefixKey struct {
+	endpoint string
+	hash     uint64
+}
+
+func newPrefixes() *prefixes {
+	// The constructor fails only for sizes below 1.
+	seen, _ := lru.New[prefixKey, struct{}](prefixEntries)
+	return &prefixes{seen: seen}
+}
+
+func (p *prefixes) set(endpoint, prompt string, stored bool) {
+	for _, n := range prefixLengths {
+		if len(prompt) < n {
+			return
+		}
+		key := prefixKey{endpoint, xxhash.Sum64String(prompt[:n])}
+		if stored {
+			p.seen.Add(key, struct{}{})
+		} else if n == longestPrefix(prompt) {
+			p.seen.Remove(key)
+		}
+	}
+}
+
+func longestPrefix(prompt string) int {
+	longest := 0
+	for _, n := range prefixLengths {
+		if n <= len(prompt) {
+			longest = n
+		}
+	}
+	return longest
+}
+
+// match returns the share of the prompt that the endpoint has probably cached.
+func (p *prefixes) match(endpoint string, hashes []prefixHash, length int) float64 {
+	matched := 0
+	for _, h := range hashes {
+		if p.seen.Contains(prefixKey{endpoint, h.hash}) {
+			matched = h.length
+		}
+	}
+	if matched == 0 {
+		return 0
+	}
+	return float64(matched) / float64(length)
+}
+
+type prefixHash struct {
+	length int
+	hash   uint64
+}
+
+func hashPrefixes(prompt string) []prefixHash {
+	var out []prefixHash
+	for _, n := range prefixLengths {
+		if len(prompt) >= n {
+			out = append(out, prefixHash{n, xxhash.Sum64String(prompt[:n])})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/traffic/entry/entry.go
@@ -0,0 +1,218 @@
+// Package entry serves the HTTP routes for callers: it checks keys and input,
+// removes keys from what goes on to endpoints, and turns results into answers.
+//
+// # Usage
+//
+//	door := entry.New(settings, timers, meters, log, entry.Seams{...})
+//	go door.Run(ctx)
+//	server := door.Server()
+//	go server.Serve(listener)
+//	...
+//	err := door.Drain(ctx) // planned stop: not ready, wait, finish running work
+package entry
+
+import (
+	"context"
+	"expvar"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/sirupsen/logrus"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/code"
+	"github.com/wigeonpin/wigeonpin/internal/base/codec"
+	"github.com/wigeonpin/wigeonpin/internal/base/meter"
+	"github.com/wigeonpin/wigeonpin/internal/base/setting"
+	"github.com/wigeonpin/wigeonpin/internal/control/table"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/dispatch"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/once"
+)
+
+// Seams are the functions that the entry needs.
+type Seams struct {
+	Table   func() *table.Table
+	Fresh   func() (ok bool, wait time.Duration)
+	Changed func() <-chan struct{}
+	// Ready returns why the instance cannot serve, or nil.
+	Ready    func() error
+	Generate func(ctx context.Context, job dispatch.Job, sink func(dispatch.Chunk) error) (dispatch.Result, error)
+	Forward  func(ctx context.Context, call dispatch.ServiceCall) (*dispatch.Answer, error)
+	Claim    func(ctx context.Context, account, id, digest string) (*once.Claim, error)
+	Announce func(ctx context.Context, trainer table.Trainer, version int) error
+	Pull     func(ctx context.Context, trainer table.Trainer, pull Pull) (any, error)
+}
+
+// Entry serves callers.
+type Entry struct {
+	settings setting.Settings
+	timers   *clock.Service
+	log      *logrus.Entry
+	seams    Seams
+	refused  *meter.Counter
+	latency  *meter.Histogram
+	active   active
+	drain    drain
+}
+
+// New returns an entry.
+func New(settings setting.Settings, timers *clock.Service, meters *meter.Set, log *logrus.Entry, seams Seams) *Entry {
+	e := &Entry{
+		settings: settings, timers: timers, log: log, seams: seams,
+		refused: meters.Counter("requests_refused"), latency: meters.Histogram("request_us"),
+		active: active{requests: map[*caller]struct{}{}},
+	}
+	meters.Gauge("requests_running", func() any { return e.active.count() })
+	return e
+}
+
+// Handler returns the routes.
+func (e *Entry) Handler() http.Handler {
+	router := mux.NewRouter().SkipClean(true).UseEncodedPath()
+	router.Handle("/v1/generate", e.work(e.generate)).Methods(http.MethodPost)
+	router.Handle("/v1/trainers/{trainer}/version", e.work(e.announce)).Methods(http.MethodPut)
+	router.Handle("/v1/trainers/{trainer}/steps/{step}/pull", e.work(e.pull)).Methods(http.MethodPost)
+	router.PathPrefix("/s/{route}").Handler(e.work(e.service))
+	router.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) {
+		codec.Write(w, http.StatusOK, map[string]bool{"ok": true})
+	}).Methods(http.MethodGet)
+	router.HandleFunc("/readyz", e.ready).Methods(http.MethodGet)
+	router.Handle("/debug/vars", expvar.Handler()).Methods(http.MethodGet)
+	router.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		e.refuse(w, "", code.New(code.UnknownRoute, "no route has this path").WithRun(code.NotRun))
+	})
+	router.MethodNotAllowedHandler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		e.refuse(w, "", code.New(code.BadMethod, "the route does not take this method").WithRun(code.NotRun))
+	})
+	return router
+}
+
+const (
+	headerBytesLimit = 64 << 10
+	// A caller may leave a connection idle for this long between requests.
+	callerIdle = 2 * time.Minute
+)
+
+// Server returns an HTTP server for the routes with the limits for callers.
+func (e *Entry) Server() *http.Server {
+	return &http.Server{
+		Handler:           e.Handler(),
+		ReadHeaderTimeout: setting.Milliseconds(e.settings.HeaderMS),
+		IdleTimeout:       callerIdle,
+		MaxHeaderBytes:    headerBytesLimit,
+		ErrorLog:          nil,
+	}
+}
+
+// handler serves one route. It returns the error that ends the request; once
+// it has begun the answer it returns nil.
+type handler func(w http.ResponseWriter, r *http.Request, c *caller) error
+
+// work wraps a route that runs something: it counts the request as running,
+// turns errors into answers and keeps a fault of one request from the others.
+func (e *Entry) work(next handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		leave, err := e.drain.enter()
+		if err != nil {
+			w.Header().Set("Connection", "close")
+			e.refuse(w, "", err)
+			return
+		}
+		defer leave()
+		ctx, cancel := context.WithCancelCause(r.Context())
+		defer cancel(nil)
+		c := &caller{cancel: cancel}
+		defer e.active.leave(c)
+		defer e.recover(w, c)
+		began := e.timers.Now()
+		if err := next(w, r.WithContext(ctx), c); err != nil {
+			e.refuse(w, c.account, err)
+		}
+		e.latency.Record(c.account, e.timers.Since(began).Microseconds())
+	})
+}
+
+// recover answers a request whose handler panicked.
+func (e *Entry) recover(w http.ResponseWriter, c *caller) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if cause == http.ErrAbortHandler {
+		panic(cause)
+	}
+	e.log.WithField("cause", cause).WithField("stack", string(debug.Stack())).Error("request handler panicked")
+	if c.begun {
+		panic(http.ErrAbortHandler)
+	}
+	e.refuse(w, c.account, code.New(code.Internal, "the instance failed").WithRun(code.MaybeRun))
+}
+
+// refuse answers with a coded error and counts it by account and code.
+func (e *Entry) refuse(w http.ResponseWriter, account string, err error) {
+	coded := code.Of(err)
+	e.refused.Add(account+"/"+coded.Code.String(), 1)
+	codec.WriteError(w, coded)
+}
+
+func (e *Entry) ready(w http.ResponseWriter, _ *http.Request) {
+	if e.drain.leaving() {
+		codec.WriteError(w, code.New(code.Draining, "the instance is stopping"))
+		return
+	}
+	if err := e.seams.Ready(); err != nil {
+		codec.WriteError(w, err)
+		return
+	}
+	codec.Write(w, http.StatusOK, map[string]bool{"ready": true})
+}
+
+// Run ends the requests whose keys are withdrawn, until ctx ends.
+func (e *Entry) Run(ctx context.Context) error {
+	for {
+		changed := e.seams.Changed()
+		e.active.recheck(e.seams.Table())
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
+// active are the running requests with a key.
+type active struct {
+	mu       sync.Mutex
+	requests map[*caller]struct{}
+}
+
+func (a *active) enter(c *caller) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.requests[c] = struct{}{}
+}
+
+func (a *active) leave(c *caller) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.requests, c)
+}
+
+func (a *active) count() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.requests)
+}
+
+func (a *active) recheck(current *table.Table) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for c := range a.requests {
+		if err := c.allowed(current); err != nil {
+			c.cancel(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/traffic/entry/generate.go
@@ -0,0 +1,136 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/code"
+	"github.com/wigeonpin/wigeonpin/internal/base/codec"
+	"github.com/wigeonpin/wigeonpin/internal/base/setting"
+	"github.com/wigeonpin/wigeonpin/internal/control/roster"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/dispatch"
+)
+
+type generateRequest struct {
+	Model     string `json:"model" validate:"required,max=64"`
+	Prompt    string `json:"prompt" validate:"required"`
+	MaxTokens int    `json:"max_tokens" validate:"min=1,max=1048576"`
+	Priority  int    `json:"priority" validate:"min=-100,max=100"`
+	Seed      int64  `json:"seed"`
+	Stream    bool   `json:"stream"`
+}
+
+type generateChunk struct {
+	Text    string `json:"text"`
+	Tokens  int    `json:"tokens"`
+	Version int    `json:"version"`
+}
+
+type generateDone struct {
+	Done     bool             `json:"done"`
+	Request  string           `json:"request"`
+	Reason   string           `json:"reason"`
+	Tokens   int              `json:"tokens"`
+	Versions []dispatch.Range `json:"versions"`
+	Resumed  int              `json:"resumed"`
+}
+
+type generateAnswer struct {
+	Text string `json:"text"`
+	generateDone
+}
+
+type generateFailure struct {
+	Error any `json:"error"`
+}
+
+// generate runs a generation, as a stream of JSON lines or as one object.
+func (e *Entry) generate(w http.ResponseWriter, r *http.Request, c *caller) error {
+	if err := e.identify(r, c, anyAccount); err != nil {
+		return err
+	}
+	job, stream, err := e.job(w, r, c)
+	if err != nil {
+		return err
+	}
+	if stream {
+		return e.stream(w, r, c, job)
+	}
+	result, err := e.seams.Generate(r.Context(), job, func(dispatch.Chunk) error { return context.Cause(r.Context()) })
+	if err != nil {
+		return err
+	}
+	w.Header().Set(codec.HeaderRun, string(code.Ran))
+	codec.Write(w, http.StatusOK, generateAnswer{Text: result.Text, generateDone: doneOf(job, result)})
+	return nil
+}
+
+func doneOf(job dispatch.Job, result dispatch.Result) generateDone {
+	return generateDone{
+		Done: true, Request: job.Request, Reason: result.Reason, Tokens: result.Tokens,
+		Versions: result.Ranges, Resumed: result.Resumed,
+	}
+}
+
+// job reads and checks the request.
+func (e *Entry) job(w http.ResponseWriter, r *http.Request, c *caller) (dispatch.Job, bool, error) {
+	deadline, err := e.deadline(r)
+	if err != nil {
+		return dispatch.Job{}, false, err
+	}
+	request, err := readJSON[generateRequest](e, w, r, e.settings.BodyBytes)
+	if err != nil {
+		return dispatch.Job{}, false, err
+	}
+	if err := setting.Check(request); err != nil {
+		return dispatch.Job{}, false, code.New(code.OutOfRange, "%s", err).WithRun(code.NotRun)
+	}
+	current := e.seams.Table()
+	if model, ok := current.Model(request.Model); !ok || model.Kind != roster.KindEngine {
+		return dispatch.Job{}, false, code.New(code.MissingObject, "no model has the name %q", request.Model).WithRun(code.NotRun)
+	}
+	if err := refuseKey("prompt", request.Prompt, c, current); err != nil {
+		return dispatch.Job{}, false, err
+	}
+	return dispatch.Job{
+		Request: newRequestID(), Account: c.account, Model: request.Model, Class: request.Model,
+		Prompt: request.Prompt, MaxTokens: request.MaxTokens, Priority: request.Priority, Seed: request.Seed,
+		Deadline: deadline, Check: e.check(c),
+	}, request.Stream, nil
+}
+
+// stream sends each chunk as a JSON line. The status is sent with the first
+// chunk, so that a job which fails before it gets a usual error.
+func (e *Entry) stream(w http.ResponseWriter, r *http.Request, c *caller, job dispatch.Job) error {
+	out := e.writer(w, c)
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	w.Header().Set(codec.HeaderRequest, job.Request)
+	result, err := e.seams.Generate(r.Context(), job, func(chunk dispatch.Chunk) error {
+		if cause := context.Cause(r.Context()); cause != nil {
+			return cause
+		}
+		return out.line(generateChunk(chunk))
+	})
+	if err == nil {
+		// A failed write means that the caller is gone; nobody is left to tell.
+		_ = out.line(doneOf(job, result))
+		return nil
+	}
+	if !c.begun {
+		w.Header().Del("Content-Type")
+		return err
+	}
+	coded := code.Of(err)
+	e.refused.Add(c.account+"/"+coded.Code.String(), 1)
+	_ = out.line(generateFailure{codec.ErrorBody(coded)})
+	return nil
+}
+
+func (o *writer) line(value any) error {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		return code.New(code.Internal, "encode a line")
+	}
+	return o.write(append(raw, '\n'))
+}
--- /dev/null
+++ b/internal/traffic/entry/input.go
@@ -0,0 +1,109 @@
+package entry
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/code"
+	"github.com/wigeonpin/wigeonpin/internal/base/codec"
+	"github.com/wigeonpin/wigeonpin/internal/base/setting"
+)
+
+const headerDeadline = "Wigeonpin-Deadline-Ms"
+
+func newRequestID() string { return ulid.Make().String() }
+
+// deadline returns the time up to which the caller wants its answer.
+func (e *Entry) deadline(r *http.Request) (time.Time, error) {
+	limit := e.settings.DeadlineMS
+	if raw := r.Header.Get(headerDeadline); raw != "" {
+		ms, err := strconv.ParseInt(raw, 10, 64)
+		if err != nil {
+			return time.Time{}, code.New(code.BadRequest, "the header %s must be a number of milliseconds", headerDeadline).WithRun(code.NotRun)
+		}
+		if ms < 1 || ms > e.settings.DeadlineMaxMS {
+			return time.Time{}, code.New(code.OutOfRange, "the header %s has value %d, must be from 1 to %d",
+				headerDeadline, ms, e.settings.DeadlineMaxMS).WithRun(code.NotRun)
+		}
+		limit = ms
+	}
+	return e.timers.Now().Add(setting.Milliseconds(limit)), nil
+}
+
+// patience bounds the time that one read from or write to a caller may take.
+// Connection deadlines are compared with the system's clock.
+func (e *Entry) patience() time.Time {
+	return time.Now().Add(setting.Milliseconds(e.settings.HeaderMS))
+}
+
+// slowRead limits the time for the request's body. The returned function ends
+// the limit, since the server also reads while the request runs to notice that
+// the caller has gone.
+func (e *Entry) slowRead(w http.ResponseWriter) (end func()) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(e.patience())
+	return func() { _ = control.SetReadDeadline(time.Time{}) }
+}
+
+// readJSON reads and decodes the body of a request.
+func readJSON[T any](e *Entry, w http.ResponseWriter, r *http.Request, limit int64) (T, error) {
+	var value T
+	raw, err := e.readBody(w, r, limit)
+	if err != nil {
+		return value, err
+	}
+	return value, codec.Decode(raw, &value)
+}
+
+// readBody reads the body of a request.
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	defer e.slowRead(w)()
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err == nil {
+		return raw, nil
+	}
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, code.New(code.BodyTooLarge, "the body exceeds %d bytes", limit).WithRun(code.NotRun)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, code.New(code.SlowCaller, "the body did not arrive in time").WithRun(code.NotRun)
+	default:
+		return nil, code.New(code.BadRequest, "the body ended early").WithRun(code.NotRun)
+	}
+}
+
+// writer writes an answer in pieces and gives up on callers that do not read.
+type writer struct {
+	entry   *Entry
+	caller  *caller
+	w       http.ResponseWriter
+	control *http.ResponseController
+}
+
+func (e *Entry) writer(w http.ResponseWriter, c *caller) *writer {
+	return &writer{entry: e, caller: c, w: w, control: http.NewResponseController(w)}
+}
+
+// write sends one piece at once.
+func (o *writer) write(piece []byte) error {
+	o.caller.begun = true
+	_ = o.control.SetWriteDeadline(o.entry.patience())
+	_, err := o.w.Write(piece)
+	if err == nil {
+		err = o.control.Flush()
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return code.New(code.SlowCaller, "the caller reads too slowly")
+	}
+	if err != nil {
+		return code.New(code.CallerGone, "the caller is gone")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/traffic/once/home.go
@@ -0,0 +1,202 @@
+package once
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/control/member"
+)
+
+// Server returns the twirp handler for calls of other instances.
+func (r *Records) Server() http.Handler { return NewOnceServer((*server)(r)) }
+
+// server is the home's side.
+type server Records
+
+// Claim records a claim, or returns the record of the one before.
+func (s *server) Claim(_ context.Context, request *ClaimRequest) (*ClaimAnswer, error) {
+	r := (*Records)(s)
+	r.observe()
+	home, covers, wait := r.history.covers(r.timers.Now(), request.Record.Id)
+	if !home && !request.Peek {
+		return &ClaimAnswer{}, nil
+	}
+	answer := &ClaimAnswer{Home: home, Covers: covers, WaitMs: wait.Milliseconds()}
+	if request.Peek {
+		answer.Held = r.store.get(request.Record.Id)
+		return answer, nil
+	}
+	held, full := r.store.claim(request.Record, request.Void)
+	if full {
+		return &ClaimAnswer{}, nil
+	}
+	answer.Held = held
+	return answer, nil
+}
+
+// Put stores the claimer's latest record.
+func (s *server) Put(_ context.Context, request *PutRequest) (*PutAnswer, error) {
+	(*Records)(s).store.put(request.Record)
+	return &PutAnswer{}, nil
+}
+
+// Drop removes a claim whose request did not run.
+func (s *server) Drop(_ context.Context, request *DropRequest) (*DropAnswer, error) {
+	(*Records)(s).store.drop(request.Id, request.Token)
+	return &DropAnswer{}, nil
+}
+
+// Ask returns the instance's own record of its claim.
+func (s *server) Ask(_ context.Context, request *AskRequest) (*AskAnswer, error) {
+	return &AskAnswer{Record: (*Records)(s).own(request.Token)}, nil
+}
+
+// store holds the records of which the instance is a home.
+type store struct {
+	timers *clock.Service
+	window time.Duration
+	mu     sync.Mutex
+	held   map[string]*entry
+	bytes  int
+}
+
+type entry struct {
+	record  *Record
+	changed time.Time
+}
+
+func newStore(timers *clock.Service, window time.Duration) *store {
+	return &store{timers: timers, window: window, held: map[string]*entry{}}
+}
+
+func (s *store) get(id string) *Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e, ok := s.held[id]; ok {
+		return e.record
+	}
+	return nil
+}
+
+// claim stores the record unless another claim holds the id.
+func (s *store) claim(record *Record, void string) (held *Record, full bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e, ok := s.held[record.Id]; ok && e.record.Token != record.Token && e.record.Token != void {
+		return e.record, false
+	}
+	if len(s.held) >= recordsLimit {
+		return nil, true
+	}
+	s.set(record)
+	return nil, false
+}
+
+// put stores a claimer's latest record. Records of two claims of one id can
+// meet only when the first was released or both claimers were refused; the
+// settled one is kept.
+func (s *store) put(record *Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e, ok := s.held[record.Id]; ok && record.State == State_RUNNING &&
+		(e.record.Token != record.Token || e.record.State != State_RUNNING) {
+		return
+	}
+	s.set(record)
+}
+
+func (s *store) set(record *Record) {
+	if e, ok := s.held[record.Id]; ok {
+		s.bytes -= len(e.record.Body)
+	}
+	if s.bytes+len(record.Body) > bodiesLimit {
+		record = proto.Clone(record).(*Record)
+		record.Body, record.Header, record.Whole = nil, nil, false
+	}
+	s.bytes += len(record.Body)
+	s.held[record.Id] = &entry{record: record, changed: s.timers.Now()}
+}
+
+func (s *store) drop(id, token string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e, ok := s.held[id]; ok && e.record.Token == token {
+		s.bytes -= len(e.record.Body)
+		delete(s.held, id)
+	}
+}
+
+func (s *store) expire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, e := range s.held {
+		if s.timers.Since(e.changed) > s.window {
+			s.bytes -= len(e.record.Body)
+			delete(s.held, id)
+		}
+	}
+}
+
+// The number of earlier views that are kept. With more changes than this in a
+// window, ids count as not covered.
+const viewsLimit = 64
+
+// history is the views that an instance had during the resend window.
+type history struct {
+	self   string
+	window time.Duration
+	mu     sync.Mutex
+	views  []observed
+}
+
+type observed struct {
+	view  *member.View
+	since time.Time
+}
+
+func newHistory(self string, window time.Duration) *history {
+	return &history{self: self, window: window}
+}
+
+// observe notes the current view. While the view cannot be trusted, members
+// may have come and gone unseen, so the history starts anew.
+func (h *history) observe(now time.Time, view *member.View, current bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !current {
+		h.views = nil
+		return
+	}
+	if last := len(h.views) - 1; last < 0 || (h.views[last].view != view && !h.views[last].view.Equal(view)) {
+		h.views = append(h.views, observed{view, now})
+	}
+	// A view that was replaced before the window began is not needed.
+	for len(h.views) > 1 && now.Sub(h.views[1].since) >= h.window {
+		h.views = h.views[1:]
+	}
+	if len(h.views) > viewsLimit {
+		h.views = h.views[1:]
+	}
+}
+
+// covers reports whether the instance is a home of the id, whether it has been
+// one in all its views for the whole window, and the time until that is so.
+func (h *history) covers(now time.Time, id string) (home, covers bool, wait time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	wait = h.window
+	for i := len(h.views) - 1; i >= 0; i-- {
+		if !slices.Contains(h.views[i].view.Homes(id, homes), h.self) {
+			break
+		}
+		home = home || i == len(h.views)-1
+		wait = max(h.window-now.Sub(h.views[i].since), 0)
+	}
+	return home, home && wait == 0, wait
+}
