--- /dev/null
+++ b/internal/control/roster/snapshot.go
@@ -0,0 +1,85 @@
+package roster
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Snapshot is an immutable state of all endpoints.
+type Snapshot struct {
+	*index
+	loads map[string]Load
+}
+
+// index is the part of a snapshot that changes only with the platform's list,
+// with the table's zones and with failure marks. Load reports leave it alone,
+// so that a report costs as much as the cell's endpoints, not the fleet's.
+type index struct {
+	revision uint64
+	byID     map[string]Endpoint
+	byModel  map[string][]Endpoint
+	byPlace  map[place][]Endpoint
+	failed   map[string]time.Time
+	out      map[string]bool
+}
+
+type place struct{ model, zone string }
+
+func emptySnapshot() *Snapshot { return &Snapshot{index: buildIndex(0, nil, nil, nil)} }
+
+// buildIndex indexes the endpoints that are not gone. The maps become part of
+// the index and must not be changed afterwards.
+func buildIndex(revision uint64, all map[string]Endpoint, failed map[string]time.Time, out map[string]bool) *index {
+	x := &index{
+		revision: revision, byID: make(map[string]Endpoint, len(all)), failed: failed, out: out,
+		byModel: map[string][]Endpoint{}, byPlace: map[place][]Endpoint{},
+	}
+	for id, e := range all {
+		if e.State != StateGone {
+			x.byID[id] = e
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(x.byID)) {
+		e := x.byID[id]
+		if x.Usable(id) {
+			x.byModel[e.Model] = append(x.byModel[e.Model], e)
+			at := place{e.Model, e.Zone}
+			x.byPlace[at] = append(x.byPlace[at], e)
+		}
+	}
+	return x
+}
+
+// Revision returns the revision of the platform's list.
+func (x *index) Revision() uint64 { return x.revision }
+
+// Get returns an endpoint that is not gone.
+func (x *index) Get(id string) (Endpoint, bool) { e, ok := x.byID[id]; return e, ok }
+
+// All returns the endpoints that are not gone, in order of their ids.
+func (x *index) All() []Endpoint {
+	return slices.SortedFunc(maps.Values(x.byID), func(a, b Endpoint) int { return strings.Compare(a.ID, b.ID) })
+}
+
+// Usable reports whether new work may start on the endpoint: it is live, its
+// zone is in service and it does not count as failed.
+func (x *index) Usable(id string) bool {
+	e, ok := x.byID[id]
+	return ok && e.State == StateLive && !x.out[e.Zone] && !x.Failed(id)
+}
+
+// Failed reports whether the endpoint counts as failed.
+func (x *index) Failed(id string) bool { _, failed := x.failed[id]; return failed }
+
+// Live returns the usable endpoints of a model in order of their ids. The
+// slice must not be changed.
+func (x *index) Live(model string) []Endpoint { return x.byModel[model] }
+
+// In returns the usable endpoints of a model in one zone in order of their
+// ids. The slice must not be changed.
+func (x *index) In(model, zone string) []Endpoint { return x.byPlace[place{model, zone}] }
+
+// Load returns the last load report of an endpoint.
+func (s *Snapshot) Load(id string) (Load, bool) { l, ok := s.loads[id]; return l, ok }
--- /dev/null
+++ b/internal/fleet/share/pool.go
@@ -0,0 +1,219 @@
+// Package share bounds the combined load of each endpoint. The instances of a
+// cell own equal shares of an endpoint's limit and delegate them to the one
+// home instance of the endpoint, which grants slots to all instances out of
+// the sum. The limit follows a slow-start ramp. No lease and no quorum is
+// needed: two home instances in diverging views hold shares whose sum is at
+// most one.
+//
+// # Usage
+//
+//	pool := share.New(settings, timers, seams, log)
+//	go pool.Run(ctx)
+//	slot, ok := pool.Take("endpoint-7", "acme")
+//	if !ok {
+//		pool.Ask("endpoint-7") // and wait for Changed
+//	}
+//	defer slot.Release(share.Outcome{FirstToken: first, Took: took})
+//
+// The rules that keep the running work within the limit:
+//
+//   - A delegation names the home instance's token of its previous answer, so
+//     that one which arrives late is not counted.
+//   - A member delegates to another home instance only once the earlier
+//     delegation and all grants based on it have lapsed.
+//   - A member that joins delegates nothing before all others count it.
+//   - A member that left the list is counted until it cannot delegate any more.
+//   - A member whose list may be out of date delegates only while it hears
+//     from every member that it counts.
+//   - What a member runs, holds or was granted last is charged until it
+//     reports again or is proved dead.
+package share
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/setting"
+	"github.com/wigeonpin/wigeonpin/internal/control/member"
+	"github.com/wigeonpin/wigeonpin/internal/control/roster"
+)
+
+// Queued is an account's queued work for a model on this instance.
+type Queued struct {
+	Model, Account string
+	Requests       int
+	Weight         float64
+}
+
+// Seams are the functions that a Pool needs.
+type Seams struct {
+	// Listed returns the platform's list of instances. It decides the cells.
+	Listed func() *member.View
+	// ListAge is the time for which the list may have changed without this
+	// instance's knowledge.
+	ListAge func() time.Duration
+	// Alive returns the instances that answer. It decides the homes.
+	Alive func() *member.View
+	// Dead reports whether the instance's process is proved to be gone.
+	Dead func(id string) bool
+	// Outcome takes the outcome of a call to a peer; err is nil for success.
+	Outcome func(id string, err error)
+	// Endpoints returns the current endpoints, Learn takes in a load report
+	// from a home instance and Probe asks for a report soon.
+	Endpoints func() *roster.Snapshot
+	Learn     func(endpoint string, load roster.Load)
+	Probe     func(endpoint string)
+	// Slots is the highest number of requests on one endpoint of the model.
+	Slots func(model string) int
+	// Queued returns the queued work of this instance.
+	Queued func() []Queued
+	// Call sends a report to another instance.
+	Call func(ctx context.Context, peer member.Instance, report *Report) (*Answer, error)
+}
+
+// Pool holds the slots of this instance and the ledgers of the endpoints whose
+// home it is.
+type Pool struct {
+	settings    setting.Settings
+	timers      *clock.Service
+	seams       Seams
+	log         *logrus.Entry
+	self, zone  string
+	incarnation uint64
+	started     time.Time
+	term        time.Duration
+	lag         time.Duration
+
+	holds  sync.Map // endpoint id to *hold
+	notice notice
+	kicks  chan string
+
+	mu      sync.Mutex
+	leaving bool
+	layout  *layout
+	seat    seat
+	stakes  map[string]*stake
+	peers   map[string]*peer
+	ledgers map[string]*ledger
+	members map[string]*reporter
+	byHash  map[uint64]string
+}
+
+// New returns a pool that holds no slot yet.
+func New(settings setting.Settings, timers *clock.Service, seams Seams, log *logrus.Entry) *Pool {
+	p := &Pool{
+		settings: settings, timers: timers, seams: seams, log: log,
+		self: settings.ID, zone: settings.Zone, incarnation: rand.Uint64(), started: timers.Now(),
+		term: setting.Milliseconds(settings.ShareMS), lag: setting.Milliseconds(settings.ListLagMS),
+		kicks:  make(chan string, 64),
+		stakes: map[string]*stake{}, peers: map[string]*peer{}, ledgers: map[string]*ledger{},
+		members: map[string]*reporter{}, byHash: map[uint64]string{},
+	}
+	p.notice.changed = make(chan struct{})
+	return p
+}
+
+// lapse bounds the time after which a delegation that was sent now, and every
+// grant based on it, has ended: the home instance takes a token for one term,
+// counts the delegation for one term, and its grants run for one term.
+func (p *Pool) lapse() time.Duration { return 3 * p.term }
+
+func hashOf(id string) uint64 { return xxhash.Sum64String(id) }
+
+// notice lets waiters learn that slots may have become free.
+type notice struct {
+	mu      sync.Mutex
+	changed chan struct{}
+}
+
+func (n *notice) wait() <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.changed
+}
+
+func (n *notice) tell() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+// Changed returns a channel that is closed when slots may have become free.
+func (p *Pool) Changed() <-chan struct{} { return p.notice.wait() }
+
+// Free returns the number of slots that this instance may take now.
+func (p *Pool) Free(endpoint string) int {
+	h, ok := p.hold(endpoint)
+	if !ok || !p.seams.Endpoints().Usable(endpoint) {
+		return 0
+	}
+	return h.free(p.timers.Now())
+}
+
+// Take takes a slot without waiting. An endpoint that is leaving, failed or in
+// a zone out of service gives none.
+func (p *Pool) Take(endpoint, account string) (*Slot, bool) {
+	h, ok := p.hold(endpoint)
+	if !ok || !p.seams.Endpoints().Usable(endpoint) {
+		return nil, false
+	}
+	return h.take(p, account)
+}
+
+// Ask asks the endpoint's home instance for slots soon. It does not wait.
+func (p *Pool) Ask(endpoint string) {
+	e, ok := p.seams.Endpoints().Get(endpoint)
+	if !ok {
+		return
+	}
+	h, ok := p.hold(endpoint)
+	if !ok {
+		h = p.addHold(e)
+	}
+	h.want(p.timers.Now().Add(wantedFor))
+	select {
+	case p.kicks <- endpoint:
+	default: // The next periodic exchange asks.
+	}
+}
+
+// Running returns the running cost of the account on the cell's other members.
+func (p *Pool) Running(account string) int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now, sum := p.timers.Now(), int64(0)
+	for id, m := range p.members {
+		if id != p.self && now.Sub(m.heard) < p.lapse() {
+			sum += m.costs[account]
+		}
+	}
+	return sum
+}
+
+// Leave ends all delegations of this instance. Slots can be taken until the
+// grants end; they are granted on, so that queued work still runs.
+func (p *Pool) Leave() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leaving = true
+}
+
+func (p *Pool) hold(endpoint string) (*hold, bool) {
+	v, ok := p.holds.Load(endpoint)
+	if !ok {
+		return nil, false
+	}
+	return v.(*hold), true
+}
+
+func (p *Pool) addHold(e roster.Endpoint) *hold {
+	v, _ := p.holds.LoadOrStore(e.ID, &hold{endpoint: e.ID, model: e.Model, running: map[string]int{}, costs: map[string]int64{}})
+	return v.(*hold)
+}
--- /dev/null
+++ b/internal/fleet/share/stake.go
@@ -0,0 +1,302 @@
+package share
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/wigeonpin/wigeonpin/internal/control/member"
+	"github.com/wigeonpin/wigeonpin/internal/control/roster"
+)
+
+// stake is this instance's view of one endpoint: the members that own shares,
+// the home instance and the delegation.
+type stake struct {
+	endpoint roster.Endpoint
+	hash     uint64
+	cell     []string
+	// inCell: this instance owns a share since the given time.
+	inCell bool
+	since  time.Time
+	joined bool
+	home   string
+	// retained are former members of the cell that may still delegate, with
+	// the time at which they cannot any more.
+	retained map[string]time.Time
+	// delegate is the instance that the share was last delegated to. Until
+	// lapse, that delegation or a grant based on it may be in force.
+	delegate string
+	lapse    time.Time
+	// former are earlier home instances that still charge running work.
+	former map[string]bool
+	usable bool
+}
+
+// peer is what this instance knows of its exchange with another one.
+type peer struct {
+	sequence    uint64
+	incarnation uint64
+	token       uint64
+	tokenAt     time.Time
+	heard       time.Time
+	view        uint64
+	viewAt      time.Time
+	busy        bool
+	asked       time.Time
+}
+
+func (p *Pool) peer(id string) *peer {
+	x, ok := p.peers[id]
+	if !ok {
+		x = &peer{}
+		p.peers[id] = x
+	}
+	return x
+}
+
+// reconcile follows the lists of instances and endpoints.
+func (p *Pool) reconcile() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reconcileLocked(p.timers.Now())
+}
+
+func (p *Pool) reconcileLocked(now time.Time) {
+	listed, alive, snapshot := p.seams.Listed(), p.seams.Alive(), p.seams.Endpoints()
+	before := p.layout
+	if before == nil || before.listed != listed {
+		p.layout = newLayout(listed, p.settings.CellSize)
+		p.sit(now)
+	}
+	for _, e := range snapshot.All() {
+		s, known := p.stakes[e.ID]
+		if !known {
+			s = p.newStake(e, now)
+		}
+		restarted := known && (s.endpoint.Address != e.Address || !s.usable && snapshot.Usable(e.ID))
+		s.endpoint, s.usable = e, snapshot.Usable(e.ID)
+		if restarted {
+			p.coldStart(e.ID)
+		}
+		if before != p.layout {
+			p.recell(s, now)
+		}
+		p.follow(s, alive, now)
+	}
+	p.sweep(snapshot, now)
+}
+
+// seat is the cell of this instance: its place among the zone's cells, and who
+// has been in it.
+type seat struct {
+	place, count int
+	cell         []string
+	since        time.Time
+	retained     map[string]time.Time
+}
+
+// sit follows this instance's own cell, so that an endpoint that is new here
+// starts with the right members.
+func (p *Pool) sit(now time.Time) {
+	cells := p.layout.zone(p.zone).cells
+	place := slices.IndexFunc(cells, func(cell []string) bool { return slices.Contains(cell, p.self) })
+	if place < 0 {
+		p.seat = seat{place: -1}
+		return
+	}
+	next := seat{place: place, count: len(cells), cell: cells[place], since: now, retained: map[string]time.Time{}}
+	if next.place == p.seat.place && next.count == p.seat.count {
+		next.since, next.retained = p.seat.since, p.seat.retained
+		p.retain(next.retained, p.seat.cell, next.cell, now)
+	}
+	p.seat = next
+}
+
+// retain notes the members that are no longer in the cell. Such a member
+// learns within the lag bound that it has left, or stops for its list's age;
+// after that its delegations lapse.
+func (p *Pool) retain(retained map[string]time.Time, before, after []string, now time.Time) {
+	for _, id := range before {
+		if id != p.self && !slices.Contains(after, id) {
+			retained[id] = now.Add(p.lag + p.lapse())
+		}
+	}
+	for _, id := range after {
+		delete(retained, id)
+	}
+}
+
+func (p *Pool) newStake(e roster.Endpoint, now time.Time) *stake {
+	s := &stake{endpoint: e, hash: hashOf(e.ID), since: now, retained: map[string]time.Time{}, former: map[string]bool{}}
+	s.cell = p.layout.cell(e.Zone, e.ID)
+	if e.Zone == p.zone && slices.Contains(s.cell, p.self) {
+		s.inCell, s.since, s.retained = true, p.seat.since, maps.Clone(p.seat.retained)
+	}
+	p.stakes[e.ID] = s
+	p.byHash[s.hash] = e.ID
+	return s
+}
+
+// recell follows a new list of instances.
+func (p *Pool) recell(s *stake, now time.Time) {
+	cell := p.layout.cell(s.endpoint.Zone, s.endpoint.ID)
+	if slices.Equal(cell, s.cell) {
+		return
+	}
+	inCell := slices.Contains(cell, p.self)
+	if inCell && !s.inCell {
+		s.since, s.joined = now, false
+	}
+	p.retain(s.retained, s.cell, cell, now)
+	s.cell, s.inCell = cell, inCell
+}
+
+// follow chooses the home instance and drops members that cannot delegate.
+func (p *Pool) follow(s *stake, alive *member.View, now time.Time) {
+	for id, until := range s.retained {
+		if p.seams.Dead(id) {
+			until = earlier(until, now.Add(p.lapse()))
+			s.retained[id] = until
+		}
+		if !now.Before(until) {
+			delete(s.retained, id)
+		}
+	}
+	next := home(s.endpoint.ID, s.cell, alive)
+	if next == s.home {
+		return
+	}
+	if s.home != "" {
+		s.former[s.home] = true
+	}
+	s.home = next
+	delete(s.former, next)
+}
+
+// sweep drops what belongs to endpoints and instances that are gone.
+func (p *Pool) sweep(snapshot *roster.Snapshot, now time.Time) {
+	for id, s := range p.stakes {
+		if _, ok := snapshot.Get(id); !ok && !now.Before(s.lapse) {
+			delete(p.stakes, id)
+			delete(p.byHash, s.hash)
+			delete(p.ledgers, id)
+			p.holds.Delete(id)
+		}
+	}
+	for id, m := range p.members {
+		if _, ok := p.layout.listed.Instance(id); !ok && now.Sub(m.heard) > p.lag+p.lapse() && len(m.entries) == 0 {
+			delete(p.members, id)
+		}
+	}
+	for id, l := range p.ledgers {
+		p.expire(l, now)
+		if s, ok := p.stakes[id]; ok && s.home != p.self && len(l.entries) == 0 {
+			delete(p.ledgers, id)
+		}
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// parts returns n where this instance may delegate 1/n of the endpoint to the
+// peer now, or 0.
+func (p *Pool) parts(s *stake, id string, now time.Time) uint32 {
+	if !s.inCell || p.leaving || s.home != id {
+		return 0
+	}
+	if !s.joined {
+		s.joined = p.counted(s, now)
+	}
+	if !s.joined || p.fenced(s, now) {
+		return 0
+	}
+	if s.delegate != id && s.delegate != "" {
+		if p.seams.Dead(s.delegate) {
+			// A dead home instance grants nothing more.
+			s.lapse = earlier(s.lapse, now.Add(p.term))
+		}
+		if now.Before(s.lapse) {
+			return 0
+		}
+	}
+	return uint32(len(s.cell) + len(s.retained))
+}
+
+// counted reports whether a joining member may delegate: the members that it
+// does not know have lost their shares, and each member that it knows has
+// counted it for long enough that no larger share of that member is in force.
+func (p *Pool) counted(s *stake, now time.Time) bool {
+	if now.Sub(s.since) < p.lag+p.lapse() {
+		return false
+	}
+	view := p.layout.zone(s.endpoint.Zone).view
+	for _, id := range s.cell {
+		if id == p.self || p.seams.Dead(id) {
+			continue
+		}
+		if x := p.peer(id); x.view != view || now.Sub(x.viewAt) < p.lapse() {
+			return false
+		}
+	}
+	return true
+}
+
+// fenced reports whether this instance may have been taken off the list
+// without its knowledge. Members that all hear each other and list each other
+// go on without the platform: no other member owns a share.
+func (p *Pool) fenced(s *stake, now time.Time) bool {
+	if p.seams.ListAge() <= p.lag {
+		return false
+	}
+	for _, id := range s.cell {
+		if id != p.self && !p.seams.Dead(id) && now.Sub(p.peer(id).heard) > p.lag {
+			return true
+		}
+	}
+	return false
+}
+
+// targets returns the instances to exchange with in a period: the members of
+// the own cell, and the home instances of endpoints that this instance uses.
+func (p *Pool) targets(now time.Time) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var ids []string
+	for _, s := range p.stakes {
+		if s.inCell {
+			ids = append(ids, s.cell...)
+		}
+		if p.concerns(s, s.home, now) {
+			ids = append(ids, s.home)
+		}
+		for id := range s.former {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return slices.DeleteFunc(slices.Compact(ids), func(id string) bool { return id == "" })
+}
+
+// concerns reports whether a report to the peer says something of an endpoint.
+func (p *Pool) concerns(s *stake, id string, now time.Time) bool {
+	if s.former[id] {
+		return true
+	}
+	if s.home != id {
+		return false
+	}
+	if s.inCell {
+		return true
+	}
+	h, ok := p.hold(s.endpoint.ID)
+	if !ok {
+		return false
+	}
+	state := h.state(now)
+	return state.wanted || state.total > 0 || state.held > 0
+}
--- /dev/null
+++ b/internal/fleet/share/world_test.go
@@ -0,0 +1,232 @@
+package share
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/base/setting"
+	"github.com/wigeonpin/wigeonpin/internal/control/member"
+	"github.com/wigeonpin/wigeonpin/internal/control/roster"
+)
+
+// world is a zone in one process: instances with their own views, endpoints
+// that count what runs on them, and messages that get lost or come late.
+type world struct {
+	timers  *clock.Service
+	driver  *clock.Driver
+	nodes   map[string]*node
+	dead    map[string]bool
+	listed  *member.View // the platform's list
+	backs   map[string]*back
+	cut     map[[2]string]bool
+	mute    func() bool // whether the next answer is lost
+	late    []func()
+	limit   int
+	size    int
+	noCheck bool
+	// exceeded describes the first time at which an endpoint ran too much.
+	exceeded string
+}
+
+// node is one instance.
+type node struct {
+	id      string
+	pool    *Pool
+	listed  *member.View
+	checked time.Time // when listed was the platform's list for the last time
+	queued  []Queued
+	slots   []*Slot
+	learned map[string]roster.Load
+	refused map[string]bool
+}
+
+// back is an endpoint.
+type back struct {
+	endpoint roster.Endpoint
+	running  int
+}
+
+const zone = "zone-a"
+
+func newWorld(endpoints, limit int) *world {
+	timers, driver := clock.NewDriven(time.Unix(1000, 0))
+	w := &world{
+		timers: timers, driver: driver, nodes: map[string]*node{}, dead: map[string]bool{}, limit: limit, size: 8,
+		listed: member.NewView(nil), backs: map[string]*back{}, cut: map[[2]string]bool{}, mute: func() bool { return false },
+	}
+	for i := range endpoints {
+		w.addEndpoint(fmt.Sprintf("e-%d", i))
+	}
+	return w
+}
+
+func (w *world) addEndpoint(id string) {
+	w.backs[id] = &back{endpoint: roster.Endpoint{
+		ID: id, Zone: zone, Address: "127.0.0.1:1", Kind: roster.KindEngine, Model: "tagger", State: roster.StateLive,
+	}}
+}
+
+// join starts an instance that reads the platform's list at once.
+func (w *world) join(id string) *node {
+	w.listed = w.listed.With(member.Instance{ID: id, Zone: zone, State: member.StateLive})
+	delete(w.dead, id)
+	settings := setting.Defaults()
+	settings.ID, settings.Zone, settings.CellSize = id, zone, w.size
+	n := &node{id: id, listed: w.listed, checked: w.timers.Now(), learned: map[string]roster.Load{}, refused: map[string]bool{}}
+	n.pool = New(settings, w.timers, Seams{
+		Listed:  func() *member.View { return n.listed },
+		ListAge: func() time.Duration { return w.timers.Since(n.checked) },
+		Alive:   func() *member.View { return n.alive(w) },
+		Dead:    func(peer string) bool { return w.dead[peer] && n.refused[peer] },
+		Outcome: func(peer string, err error) {
+			n.refused[peer] = errors.Is(err, errRefused)
+		},
+		Endpoints: func() *roster.Snapshot { return w.snapshot(n) },
+		Learn:     func(e string, l roster.Load) { n.learned[e] = l },
+		Probe:     func(string) {},
+		Slots:     func(string) int { return w.limit },
+		Queued:    func() []Queued { return n.queued },
+		Call:      func(_ context.Context, to member.Instance, r *Report) (*Answer, error) { return w.call(n.id, to.ID, r) },
+	}, logs.Discard())
+	w.nodes[id] = n
+	return n
+}
+
+// alive is the view without the instances that this one cannot reach.
+func (n *node) alive(w *world) *member.View {
+	view := n.listed
+	for _, id := range view.IDs() {
+		if id != n.id && (w.dead[id] || w.cut[[2]string{n.id, id}]) {
+			view = view.Without(id)
+		}
+	}
+	return view
+}
+
+var (
+	errRefused = errors.New("connection refused")
+	errLost    = errors.New("lost")
+)
+
+func (w *world) call(from, to string, r *Report) (*Answer, error) {
+	n, ok := w.nodes[to]
+	switch {
+	case w.dead[to]:
+		return nil, errRefused
+	case !ok || w.cut[[2]string{from, to}]:
+		return nil, errLost
+	case w.mute():
+		// The report arrives, now or later, and the answer is lost.
+		w.late = append(w.late, func() { _, _ = n.pool.Serve(r) })
+		return nil, errLost
+	}
+	return n.pool.Serve(r)
+}
+
+// snapshot is the roster of an instance: all endpoints live, with the load
+// that each reported at its last poll.
+func (w *world) snapshot(n *node) *roster.Snapshot {
+	r := roster.New(setting.Settings{}, w.timers, roster.Seams{ZoneOut: func(string) bool { return false }}, logs.Discard())
+	page := roster.Page{Revision: 1, Full: true}
+	for _, b := range w.backs {
+		page.Endpoints = append(page.Endpoints, b.endpoint)
+	}
+	r.Merge(page)
+	for id, load := range n.learned {
+		r.Learn(id, load)
+	}
+	return r.Endpoints()
+}
+
+// poll lets an instance ask the endpoints for their load.
+func (n *node) poll(w *world) {
+	for id, b := range w.backs {
+		n.learned[id] = roster.Load{Running: b.running, Limit: w.limit, At: w.timers.Now()}
+	}
+}
+
+func (w *world) take(n *node, endpoint, account string) bool {
+	slot, ok := n.pool.Take(endpoint, account)
+	if !ok {
+		return false
+	}
+	n.slots = append(n.slots, slot)
+	b := w.backs[endpoint]
+	b.running++
+	if highest := w.ramp(endpoint); !w.noCheck && b.running > highest && w.exceeded == "" {
+		w.exceeded = fmt.Sprintf("%s runs %d, limit %d, at %v", endpoint, b.running, highest, w.timers.Now().Sub(time.Unix(1000, 0)))
+	}
+	return true
+}
+
+// ramp is the highest limit that a living home instance has for the endpoint.
+func (w *world) ramp(endpoint string) int {
+	highest := 0
+	for _, n := range w.nodes {
+		if l, ok := n.pool.ledgers[endpoint]; ok {
+			highest = max(highest, l.ramp.value)
+		}
+	}
+	return highest
+}
+
+// finish ends the work on the oldest slot.
+func (w *world) finish(n *node, outcome Outcome) {
+	if len(n.slots) == 0 {
+		return
+	}
+	slot := n.slots[0]
+	n.slots = n.slots[1:]
+	w.backs[slot.hold.endpoint].running--
+	slot.Release(outcome)
+}
+
+// die ends an instance; its work ends with its connections.
+func (w *world) die(id string) {
+	n := w.nodes[id]
+	for len(n.slots) > 0 {
+		w.finish(n, Outcome{})
+	}
+	w.dead[id] = true
+	delete(w.nodes, id)
+}
+
+// exchange lets an instance read its lists and exchange with all peers once.
+func (w *world) exchange(n *node) {
+	n.pool.reconcile()
+	for _, id := range n.pool.targets(w.timers.Now()) {
+		n.pool.Exchange(context.Background(), id)
+	}
+}
+
+// sync lets an instance read the platform's list.
+func (w *world) sync(n *node) {
+	if !n.listed.Equal(w.listed) {
+		n.listed = w.listed
+	}
+	n.checked = w.timers.Now()
+}
+
+func (w *world) ids() []string {
+	ids := make([]string, 0, len(w.nodes))
+	for id := range w.nodes {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// period passes one exchange period for all instances.
+func (w *world) period() {
+	w.driver.Advance(time.Second)
+	for _, id := range w.ids() {
+		w.sync(w.nodes[id])
+		w.nodes[id].poll(w)
+		w.exchange(w.nodes[id])
+	}
+}
