--- a/internal/control/roster/snapshot.go
+++ b/internal/control/roster/snapshot.go
@@ -19,6 +19,7 @@
 type index struct {
 	revision uint64
 	byID     map[string]Endpoint
+	all      []Endpoint
 	byModel  map[string][]Endpoint
 	byPlace  map[place][]Endpoint
 	failed   map[string]time.Time
@@ -41,9 +42,9 @@
 			x.byID[id] = e
 		}
 	}
-	for _, id := range slices.Sorted(maps.Keys(x.byID)) {
-		e := x.byID[id]
-		if x.Usable(id) {
+	x.all = slices.SortedFunc(maps.Values(x.byID), func(a, b Endpoint) int { return strings.Compare(a.ID, b.ID) })
+	for _, e := range x.all {
+		if x.Usable(e.ID) {
 			x.byModel[e.Model] = append(x.byModel[e.Model], e)
 			at := place{e.Model, e.Zone}
 			x.byPlace[at] = append(x.byPlace[at], e)
@@ -58,10 +59,9 @@
 // Get returns an endpoint that is not gone.
 func (x *index) Get(id string) (Endpoint, bool) { e, ok := x.byID[id]; return e, ok }
 
-// All returns the endpoints that are not gone, in order of their ids.
-func (x *index) All() []Endpoint {
-	return slices.SortedFunc(maps.Values(x.byID), func(a, b Endpoint) int { return strings.Compare(a.ID, b.ID) })
-}
+// All returns the endpoints that are not gone, in order of their ids. The slice
+// must not be changed.
+func (x *index) All() []Endpoint { return x.all }
 
 // Usable reports whether new work may start on the endpoint: it is live, its
 // zone is in service and it does not count as failed.
--- /dev/null
+++ b/internal/fleet/rollout/rollout.go
@@ -0,0 +1,221 @@
+// Package rollout brings new weights to all engines of a trainer's model. Under
+// the trainer's lease it tells each engine to load the version beside the
+// running one, then all of them to switch together.
+//
+// # Usage
+//
+//	rollout := rollout.New(settings, timers, seams, log)
+//	go rollout.Run(ctx)
+//
+// An engine that fails is told again until it has the version or a later one is
+// announced. It reports the version of each chunk, so no sample is mislabelled
+// in the meantime.
+package rollout
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/base/setting"
+	"github.com/wigeonpin/wigeonpin/internal/control/member"
+	"github.com/wigeonpin/wigeonpin/internal/control/roster"
+	"github.com/wigeonpin/wigeonpin/internal/control/table"
+)
+
+// candidates is the number of instances that campaign for a trainer's lease.
+// More would only add calls to the platform.
+const candidates = 3
+
+// Status is what an engine says of its weights.
+type Status struct {
+	Active  int
+	Loaded  []int
+	Loading int
+}
+
+// has reports whether the version is loaded or active.
+func (s Status) has(version int) bool {
+	if s.Active == version {
+		return true
+	}
+	for _, v := range s.Loaded {
+		if v == version {
+			return true
+		}
+	}
+	return false
+}
+
+// Lease is the part of a lease that a roll-out needs.
+type Lease struct {
+	Held func() (fence uint64, ok bool)
+}
+
+// Seams are the functions that a Rollout needs.
+type Seams struct {
+	// Hold campaigns for a lease until ctx ends.
+	Hold      func(ctx context.Context, name string) Lease
+	View      func() *member.View
+	Table     func() *table.Table
+	Endpoints func() *roster.Snapshot
+	// Version returns the version that the trainer announced last, and Changed
+	// a channel that is closed at the next announcement of any trainer.
+	Version func(trainer string) (version int, ok bool)
+	Changed func() <-chan struct{}
+	// Stored asks the weight store for a version; nil means that it is there.
+	Stored func(ctx context.Context, trainer string, version int) error
+	// Load and Switch tell an engine; Status asks it.
+	Load   func(ctx context.Context, endpoint roster.Endpoint, trainer string, version int, fence uint64) error
+	Switch func(ctx context.Context, endpoint roster.Endpoint, trainer string, version int, fence uint64) error
+	Status func(ctx context.Context, endpoint roster.Endpoint) (Status, error)
+	// Limited reports whether err is an answer of a rate limit.
+	Limited func(err error) (wait time.Duration, limited bool)
+}
+
+// Rollout runs the roll-outs of the trainers whose lease it holds.
+type Rollout struct {
+	settings setting.Settings
+	timers   *clock.Service
+	seams    Seams
+	log      *logrus.Entry
+
+	mu       sync.Mutex
+	progress map[string]Progress
+}
+
+// Progress is the state of a trainer's roll-out.
+type Progress struct {
+	Version  int           `json:"version"`
+	Engines  int           `json:"engines"`
+	Loaded   int           `json:"loaded"`
+	Switched int           `json:"switched"`
+	Began    time.Time     `json:"began"`
+	Together time.Duration `json:"together"`
+	Whole    time.Duration `json:"whole"`
+}
+
+// New returns a Rollout.
+func New(settings setting.Settings, timers *clock.Service, seams Seams, log *logrus.Entry) *Rollout {
+	return &Rollout{settings: settings, timers: timers, seams: seams, log: log, progress: map[string]Progress{}}
+}
+
+// Progress returns the state of the roll-outs that this instance runs or ran.
+func (r *Rollout) Progress() map[string]Progress {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make(map[string]Progress, len(r.progress))
+	for name, p := range r.progress {
+		out[name] = p
+	}
+	return out
+}
+
+func (r *Rollout) note(trainer string, change func(*Progress)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.progress[trainer]
+	change(&p)
+	r.progress[trainer] = p
+}
+
+// Run campaigns for the leases of the trainers for which this instance is a
+// candidate, until ctx ends.
+func (r *Rollout) Run(ctx context.Context) error {
+	ticks := r.timers.Subscribe(setting.Milliseconds(r.settings.ExchangeMS))
+	defer ticks.Stop()
+	running := map[string]context.CancelFunc{}
+	var trainers sync.WaitGroup
+	defer trainers.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for {
+		wanted := r.wanted()
+		for name, stop := range running {
+			if !wanted[name] {
+				stop()
+				delete(running, name)
+			}
+		}
+		for name := range wanted {
+			if running[name] == nil {
+				own, stop := context.WithCancel(ctx)
+				running[name] = stop
+				trainers.Go(func() { r.trainer(own, name) })
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticks.C:
+		}
+	}
+}
+
+// wanted returns the trainers for which this instance is a candidate.
+func (r *Rollout) wanted() map[string]bool {
+	out := map[string]bool{}
+	ids := r.seams.View().IDs()
+	for name := range r.seams.Table().Trainers() {
+		for place, id := range member.Rank(leaseName(name), ids) {
+			if place < candidates && id == r.settings.ID {
+				out[name] = true
+			}
+		}
+	}
+	return out
+}
+
+func leaseName(trainer string) string { return "weights-" + trainer }
+
+// trainer runs the roll-outs of one trainer, one version after the other. A
+// roll-out ends when a later version is announced or the lease is lost.
+func (r *Rollout) trainer(ctx context.Context, name string) {
+	lease := r.seams.Hold(ctx, leaseName(name))
+	ticks := r.timers.Subscribe(watchEvery)
+	defer ticks.Stop()
+	var current *run
+	var last uint64
+	stop := func() {
+		if current != nil {
+			current.end()
+			current = nil
+		}
+	}
+	defer stop()
+	for {
+		changed := r.seams.Changed()
+		fence, held := lease.Held()
+		version, known := r.seams.Version(name)
+		row, exists := r.seams.Table().Trainer(name)
+		if current != nil && (!held || !exists || fence != current.fence || version != current.version || row.Model != current.model) {
+			stop()
+		}
+		if current == nil && held && known && exists {
+			current = r.begin(ctx, name, row.Model, version, fence, lease, fence != last)
+			last = fence
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-ticks.C:
+		}
+	}
+}
+
+func (r *Rollout) begin(ctx context.Context, trainer, model string, version int, fence uint64, lease Lease, inherited bool) *run {
+	own, cancel := context.WithCancel(ctx)
+	u := &run{
+		rollout: r, trainer: trainer, model: model, version: version, fence: fence, lease: lease,
+		began: r.timers.Now(), cancel: cancel, engines: map[string]*engine{}, width: loadsAtOnce, inherited: inherited,
+		log: r.log.WithField(logs.Trainer, trainer).WithField("version", version).WithField(logs.Fence, fence),
+	}
+	r.note(trainer, func(p *Progress) { *p = Progress{Version: version, Began: u.began} })
+	u.done.Go(func() { u.drive(own) })
+	return u
+}
--- /dev/null
+++ b/internal/peer/weights/weights.go
@@ -0,0 +1,68 @@
+// Package weights is the client of the weight store. Engines read the weights
+// themselves; an instance only asks whether a version is there, so that a
+// version announced too early does not make every engine fail.
+//
+// # Usage
+//
+//	store := weights.New("127.0.0.1:9300", http.DefaultClient)
+//	if err := store.Stored(ctx, "alpha", 12); err != nil {
+//		return err // not there, rate-limited or not reachable
+//	}
+package weights
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/codec"
+)
+
+// Client calls one weight store.
+type Client struct {
+	address string
+	client  *http.Client
+}
+
+// New returns the client of the store at an address.
+func New(address string, client *http.Client) *Client {
+	return &Client{address: address, client: client}
+}
+
+// Stored returns nil when the store has the version. It closes the answer
+// after its header, so that the weights are not transferred.
+func (c *Client) Stored(ctx context.Context, trainer string, version int) error {
+	target := fmt.Sprintf("http://%s/v1/weights/%s/%d", c.address, url.PathEscape(trainer), version)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return eris.Wrap(err, "weight store")
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return eris.Wrap(err, "weight store")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode/100 == 2 {
+		return nil
+	}
+	wait, err := time.ParseDuration(resp.Header.Get("Retry-After") + "s")
+	if err != nil {
+		wait = 0
+	}
+	return eris.Wrapf(&codec.StatusError{Status: resp.StatusCode, RetryAfter: wait}, "version %d of %s", version, trainer)
+}
+
+// Limited reports whether err says that the store's rate limit was reached,
+// and after which time to come back if the store named one.
+func Limited(err error) (wait time.Duration, limited bool) {
+	var status *codec.StatusError
+	if !errors.As(err, &status) || status.Status != http.StatusTooManyRequests {
+		return 0, false
+	}
+	return status.RetryAfter, true
+}
