--- /dev/null
+++ b/internal/billing/report/reporter.go
@@ -0,0 +1,265 @@
+// Package report sends one usage report for each window to the usage intake.
+//
+// The object report/W fixes the report of window W: it is created
+// conditionally from the segments with revisions after those of report W-1 and
+// then sent, so that two reporters can never send different figures. Every
+// window after the first has a report, an empty one if need be. The object
+// report/W-sent notes that the intake has confirmed it; report W+1 is created
+// only after that, and a new reporter sends again only what is not noted.
+//
+// # Usage
+//
+//	reporter := report.New(settings, timers, report.Seams{Held: lease.Held, Send: client.Send, Get: get, Create: create, List: list}, meters, logger)
+//	go reporter.Run(ctx)
+package report
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/base/meter"
+	"github.com/wigeonpin/wigeonpin/internal/base/setting"
+	"github.com/wigeonpin/wigeonpin/internal/billing/usage"
+)
+
+const (
+	// Kind is the kind of the objects that hold reports.
+	Kind = "report"
+	// Lease is the name of the lease under which reports are sent.
+	Lease = "report"
+
+	firstName  = "first"
+	sentSuffix = "-sent"
+
+	stepInterval = time.Second
+	// delayPart is the part of a window that a report waits after the window's
+	// end, twice the time over which instances spread their sealing.
+	delayPart = 6
+)
+
+// Seams are the functions that a reporter needs. Send must go through a
+// connection that refuses to write once the lease is lost.
+type Seams struct {
+	Held   func() (fence uint64, ok bool)
+	Get    func(ctx context.Context, kind, name string) (value []byte, found bool, err error)
+	Create usage.Create
+	// List returns the objects of a kind changed after a revision.
+	List func(ctx context.Context, kind string, after uint64) ([]Object, error)
+	Send func(ctx context.Context, window int64, body []byte, fence uint64, holder string) error
+}
+
+// Reporter sends the reports while it holds the lease.
+type Reporter struct {
+	settings setting.Settings
+	timers   *clock.Service
+	seams    Seams
+	log      *logrus.Entry
+
+	fence uint64 // the lease's token for which last was located, 0 for none
+	last  position
+
+	sent, late, invalid *meter.Counter
+}
+
+// position is the last report that exists.
+type position struct {
+	window  int64
+	through uint64
+	body    []byte
+	// sent says that the intake has confirmed the report, noted that the store
+	// says so too.
+	sent, noted bool
+}
+
+// New returns a reporter.
+func New(settings setting.Settings, timers *clock.Service, seams Seams, meters *meter.Set, log *logrus.Entry) *Reporter {
+	return &Reporter{
+		settings: settings, timers: timers, seams: seams, log: log,
+		sent: meters.Counter("usage_reports"), late: meters.Counter("usage_late_entries"),
+		invalid: meters.Counter("usage_invalid_segments"),
+	}
+}
+
+// Run reports until ctx ends.
+func (r *Reporter) Run(ctx context.Context) error {
+	ticks := r.timers.Subscribe(stepInterval)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticks.C:
+		}
+		if err := r.Step(ctx); err != nil {
+			r.log.WithField(logs.Window, r.last.window).WithField(logs.Cause, err.Error()).Warn("usage report is delayed")
+		}
+	}
+}
+
+// Step does everything that is due while the lease is held.
+func (r *Reporter) Step(ctx context.Context) error {
+	fence, held := r.seams.Held()
+	if !held {
+		r.fence = 0
+		return nil
+	}
+	if fence != r.fence {
+		last, err := r.locate(ctx)
+		if err != nil {
+			return err
+		}
+		r.last, r.fence = last, fence
+	}
+	for {
+		if err := r.deliver(ctx); err != nil {
+			return err
+		}
+		if r.last.window >= r.due() {
+			return nil
+		}
+		if err := r.create(ctx, r.last.window+1); err != nil {
+			return err
+		}
+	}
+}
+
+// due returns the last window whose report is due.
+func (r *Reporter) due() int64 {
+	delay := r.settings.WindowMS / delayPart
+	return (r.timers.Now().UnixMilli()-delay)/r.settings.WindowMS - 1
+}
+
+// locate finds the last report. Reports have no gaps, so it searches by
+// halving between the first window and the one that is due. With an outdated
+// answer of the store it finds an earlier report; creating the next one then
+// fails and moves it forward.
+func (r *Reporter) locate(ctx context.Context) (position, error) {
+	first, err := r.firstWindow(ctx)
+	if err != nil {
+		return position{}, err
+	}
+	last := position{window: first - 1, sent: true, noted: true}
+	low, high := first, max(r.due(), first)
+	for low <= high {
+		middle := (low + high) / 2
+		value, found, err := r.seams.Get(ctx, Kind, name(middle))
+		if err != nil {
+			return position{}, eris.Wrapf(err, "read report %d", middle)
+		}
+		if !found {
+			high = middle - 1
+			continue
+		}
+		if last, err = decode(middle, value); err != nil {
+			return position{}, err
+		}
+		low = middle + 1
+	}
+	if last.window >= first {
+		err = r.readNote(ctx, &last)
+	}
+	return last, err
+}
+
+func (r *Reporter) readNote(ctx context.Context, p *position) error {
+	_, found, err := r.seams.Get(ctx, Kind, name(p.window)+sentSuffix)
+	p.sent, p.noted = found, found
+	return eris.Wrapf(err, "read the note on report %d", p.window)
+}
+
+// firstWindow returns the window with which reports began. Reporters that
+// start at the same time agree on it by a conditional creation.
+func (r *Reporter) firstWindow(ctx context.Context) (int64, error) {
+	value := []byte(`{"window":` + strconv.FormatInt(r.due(), 10) + `}`)
+	value, _, err := r.seams.Create(ctx, Kind, firstName, value)
+	if err != nil {
+		return 0, eris.Wrap(err, "create the first window's note")
+	}
+	var first struct {
+		Window int64 `json:"window"`
+	}
+	return first.Window, eris.Wrap(json.Unmarshal(value, &first), "decode the first window's note")
+}
+
+// create fixes the report of a window, or takes the one that another reporter
+// has fixed.
+func (r *Reporter) create(ctx context.Context, window int64) error {
+	segments, err := r.seams.List(ctx, usage.Kind, r.last.through)
+	if err != nil {
+		return eris.Wrap(err, "list segments")
+	}
+	report, invalid := build(window, r.last.through, segments)
+	for _, err := range invalid {
+		r.invalid.Add("", 1)
+		r.log.WithField(logs.Cause, err.Error()).Error("a usage segment cannot be read")
+	}
+	value, err := json.Marshal(report)
+	if err != nil {
+		return eris.Wrap(err, "encode report")
+	}
+	held, created, err := r.seams.Create(ctx, Kind, name(window), value)
+	if err != nil {
+		return eris.Wrapf(err, "create report %d", window)
+	}
+	if created {
+		for _, e := range report.Entries {
+			if e.Window < window {
+				r.late.Add(e.Account, 1)
+			}
+		}
+	}
+	last, err := decode(window, held)
+	if err == nil && !created {
+		err = r.readNote(ctx, &last)
+	}
+	if err == nil {
+		r.last = last
+	}
+	return err
+}
+
+// deliver sends the last report unless the intake has confirmed it. The bytes
+// are always those in the store, in compact form, because a store may return
+// the same JSON value with other spacing.
+func (r *Reporter) deliver(ctx context.Context) error {
+	if r.last.noted {
+		return nil
+	}
+	fence, held := r.seams.Held()
+	if !held || fence != r.fence {
+		return eris.New("the lease is lost")
+	}
+	if !r.last.sent {
+		if err := r.seams.Send(ctx, r.last.window, r.last.body, fence, r.settings.ID); err != nil {
+			return err
+		}
+		r.last.sent = true
+		r.sent.Add("", 1)
+	}
+	note := []byte(`{"holder":` + strconv.Quote(r.settings.ID) + `,"fence":` + strconv.FormatUint(fence, 10) + `}`)
+	_, _, err := r.seams.Create(ctx, Kind, name(r.last.window)+sentSuffix, note)
+	r.last.noted = err == nil
+	return eris.Wrapf(err, "note that report %d is sent", r.last.window)
+}
+
+func name(window int64) string { return strconv.FormatInt(window, 10) }
+
+func decode(window int64, value []byte) (position, error) {
+	var report Report
+	if err := json.Unmarshal(value, &report); err != nil {
+		return position{}, eris.Wrapf(err, "decode report %d", window)
+	}
+	var body bytes.Buffer
+	if err := json.Compact(&body, value); err != nil {
+		return position{}, eris.Wrapf(err, "report %d", window)
+	}
+	return position{window: window, through: report.Through, body: body.Bytes()}, nil
+}
--- /dev/null
+++ b/internal/billing/usage/copy.go
@@ -0,0 +1,180 @@
+package usage
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/base/setting"
+	"github.com/wigeonpin/wigeonpin/internal/control/member"
+	"github.com/wigeonpin/wigeonpin/internal/peer/fleet"
+)
+
+const (
+	// avoidTime is how long an instance that failed to take a copy is asked
+	// only after all others.
+	avoidTime = 5 * time.Second
+	// attemptLimit is the number of instances asked in one commit.
+	attemptLimit = 3
+	// entriesPerCall bounds the size of one copy call; a new holder gets
+	// everything unsealed in several calls.
+	entriesPerCall = 4096
+)
+
+func holdOver(client *http.Client) func(context.Context, member.Instance, *HoldRequest) (*HoldResponse, error) {
+	return func(ctx context.Context, to member.Instance, request *HoldRequest) (*HoldResponse, error) {
+		return NewCopiesProtobufClient(fleet.URL(to.Peer), client).Hold(ctx, request)
+	}
+}
+
+// commit brings the second copy up to date: at the current holder, otherwise at
+// another instance, otherwise in the data folder.
+func (l *Log) commit(ctx context.Context) {
+	for range attemptLimit {
+		target, ok := l.choose()
+		if !ok {
+			break
+		}
+		err := l.copyTo(ctx, target)
+		if err == nil {
+			return
+		}
+		l.log.WithField(logs.Peer, target.ID).WithField(logs.Cause, err.Error()).Debug("usage copy failed")
+		l.mu.Lock()
+		l.failed[target.ID] = l.timers.Now()
+		l.target, l.known = "", 0
+		l.mu.Unlock()
+	}
+	if l.folder != nil {
+		l.commitToFolder()
+	}
+}
+
+// choose returns the instance that takes the copies: one that did not fail
+// lately, is not leaving and is in another zone, as far as there is one. The
+// current one is kept unless a better one is there.
+func (l *Log) choose() (member.Instance, bool) {
+	view := l.seams.View()
+	now := l.timers.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	best, listed := view.Instance(l.target)
+	// Ranking hashes all members, so it is not repeated for every commit.
+	if listed && view == l.chosenFrom && now.Sub(l.chosenAt) < avoidTime {
+		return best, true
+	}
+	l.chosenFrom, l.chosenAt = view, now
+	bestRank := -1
+	if listed {
+		bestRank = l.rank(best, now)
+	}
+	for _, id := range member.Rank(l.settings.ID, view.IDs()) {
+		candidate, _ := view.Instance(id)
+		if rank := l.rank(candidate, now); rank > bestRank {
+			best, bestRank = candidate, rank
+		}
+	}
+	if best.ID != l.target {
+		l.target, l.known = best.ID, 0
+	}
+	return best, bestRank >= 0
+}
+
+func (l *Log) rank(candidate member.Instance, now time.Time) int {
+	if candidate.ID == l.settings.ID {
+		return -1
+	}
+	rank := 0
+	if at, failed := l.failed[candidate.ID]; !failed || now.Sub(at) > avoidTime {
+		rank += 4
+	}
+	if candidate.State == member.StateLive {
+		rank += 2
+	}
+	if candidate.Zone != l.settings.Zone {
+		rank++
+	}
+	return rank
+}
+
+// copyTo sends what the target does not have and, with no new records, asks it
+// to confirm that it still has the rest.
+func (l *Log) copyTo(ctx context.Context, target member.Instance) error {
+	for request := l.request(); request != nil; request = l.request() {
+		callCtx, cancel := l.timers.WithTimeout(ctx, setting.Milliseconds(l.settings.CopyMS)/2)
+		response, err := l.seams.Hold(callCtx, target, request)
+		cancel()
+		if err != nil {
+			return eris.Wrap(err, "hold")
+		}
+		if len(request.Entries) > 0 && response.Through == request.From-1 {
+			return eris.Errorf("%s took nothing after index %d", target.ID, response.Through)
+		}
+		l.copies.Add("", 1)
+		if l.confirm(request, response.Through) {
+			return nil
+		}
+	}
+	return nil
+}
+
+// request returns the next copy call, or nil when the target needs none.
+func (l *Log) request() *HoldRequest {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := &l.chain
+	if len(c.entries) == 0 && (l.known == 0 || l.told == c.base) {
+		return nil
+	}
+	from := max(c.base, l.known+1)
+	end := min(c.through()+1, from+entriesPerCall)
+	request := &HoldRequest{Owner: c.owner, Incarnation: c.incarnation, Base: c.base, From: from}
+	for _, e := range c.entries[from-c.base : end-c.base] {
+		request.Entries = append(request.Entries, wire(e))
+	}
+	return request
+}
+
+// confirm notes what the target holds after a call and reports whether that is
+// everything the call was to bring about.
+func (l *Log) confirm(request *HoldRequest, through uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.known, l.told = through, request.Base
+	if through+1 >= request.From {
+		l.acknowledge(through)
+	}
+	return through+1 >= request.From+uint64(len(request.Entries)) && len(request.Entries) < entriesPerCall
+}
+
+func (l *Log) commitToFolder() {
+	l.mu.Lock()
+	c := l.chain
+	l.mu.Unlock()
+	through, err := l.folder.append(c)
+	if err != nil {
+		l.log.WithField(logs.Cause, err.Error()).Error("usage records could not be written to the data folder")
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.acknowledge(through)
+}
+
+func wire(e entry) *Entry {
+	r := e.record
+	return &Entry{
+		Window: e.window, Account: r.Account, Class: r.Class, Requests: r.Requests,
+		TokensIn: r.TokensIn, TokensOut: r.TokensOut, Cost: r.Cost,
+	}
+}
+
+func unwire(e *Entry) entry {
+	return entry{e.Window, Record{
+		Account: e.Account, Class: e.Class, Requests: e.Requests,
+		TokensIn: e.TokensIn, TokensOut: e.TokensOut, Cost: e.Cost,
+	}}
+}
--- /dev/null
+++ b/internal/billing/usage/log.go
@@ -0,0 +1,253 @@
+package usage
+
+import (
+	"context"
+	"math"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/oklog/ulid/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/base/meter"
+	"github.com/wigeonpin/wigeonpin/internal/base/setting"
+	"github.com/wigeonpin/wigeonpin/internal/control/member"
+)
+
+const (
+	// commitInterval is the shortest time between two copies. A record that
+	// comes after an idle time is copied at once.
+	commitInterval = 5 * time.Millisecond
+	// confirmInterval is how often a holder of unsealed records is asked
+	// whether it still has them; it bounds the time with a single copy after
+	// the holder has restarted.
+	confirmInterval = time.Second
+	// sealSpread is the part of a window over which instances spread their
+	// sealing, so that the platform's store sees no burst.
+	sealSpread = 12
+)
+
+// Seams are the functions that a log needs.
+type Seams struct {
+	// View returns the live members.
+	View func() *member.View
+	// Client carries calls to other instances.
+	Client *http.Client
+	Create Create
+	// Hold calls an instance's Hold method; nil calls it with Client.
+	Hold func(ctx context.Context, to member.Instance, request *HoldRequest) (*HoldResponse, error)
+}
+
+// Log is the usage log of one incarnation of an instance.
+type Log struct {
+	settings setting.Settings
+	timers   *clock.Service
+	seams    Seams
+	log      *logrus.Entry
+	held     *holder
+	folder   *folder
+	// sealing lets one seal pass run at a time.
+	sealing sync.Mutex
+
+	mu     sync.Mutex
+	chain  chain
+	window int64
+	copied uint64 // every index up to this one has a second copy or is sealed
+	target string // the current second holder
+	known  uint64 // the index through which target confirmed its copy
+	told   uint64 // the base that target was last told
+	failed map[string]time.Time
+	// chosenFrom and chosenAt say when target was chosen.
+	chosenFrom *member.View
+	chosenAt   time.Time
+	waiters    []waiter
+	wake       chan struct{}
+
+	singleCopy, copies, sealed *meter.Counter
+	latency                    *meter.Histogram
+}
+
+type waiter struct {
+	index uint64
+	done  chan struct{}
+}
+
+// New returns an empty log with a new incarnation. Records that an earlier
+// incarnation left in the data folder are read and sealed like the records of
+// a dead instance.
+func New(settings setting.Settings, timers *clock.Service, seams Seams, meters *meter.Set, log *logrus.Entry) (*Log, error) {
+	incarnation := ulid.MustNew(ulid.Timestamp(timers.Now()), ulid.DefaultEntropy()).String()
+	l := &Log{
+		settings: settings, timers: timers, seams: seams, log: log,
+		chain:  chain{owner: settings.ID, incarnation: incarnation, base: 1},
+		failed: map[string]time.Time{}, wake: make(chan struct{}, 1),
+		singleCopy: meters.Counter("usage_single_copy"), copies: meters.Counter("usage_copies"),
+		sealed: meters.Counter("usage_sealed"), latency: meters.Histogram("usage_copy_us"),
+	}
+	if l.seams.Hold == nil {
+		l.seams.Hold = holdOver(seams.Client)
+	}
+	l.held = newHolder(l)
+	meters.Gauge("usage_unsealed", func() any { return l.unsealed() })
+	if settings.Data == "" {
+		return l, nil
+	}
+	f, err := openFolder(settings.Data, settings.ID, incarnation, l.held)
+	l.folder = f
+	return l, err
+}
+
+// Server returns the twirp handler for the calls of other instances.
+func (l *Log) Server() http.Handler { return NewCopiesServer(l.held) }
+
+func (l *Log) unsealed() map[string]int {
+	l.mu.Lock()
+	own := len(l.chain.entries)
+	l.mu.Unlock()
+	return map[string]int{"own": own, "held": l.held.size()}
+}
+
+// Append adds a record and returns once a second holder or the data folder has
+// it, it is sealed, or the copy time has passed. In the last case the record
+// counts all the same, but is lost if this instance dies before it is sealed.
+// An error means that ctx ended during the wait; the record still counts.
+func (l *Log) Append(ctx context.Context, record Record) error {
+	start := l.timers.Now()
+	_, done := l.add(record)
+	limit := l.timers.After(setting.Milliseconds(l.settings.CopyMS))
+	defer limit.Stop()
+	select {
+	case <-done:
+		l.latency.Record("", l.timers.Since(start).Microseconds())
+		return nil
+	case <-limit.C:
+		l.singleCopy.Add("", 1)
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (l *Log) add(record Record) (uint64, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	// The windows of a log must not decrease even if the clock is set back,
+	// because a segment is a run of records of one window.
+	l.window = max(l.window, l.currentWindow())
+	l.chain.entries = append(l.chain.entries, entry{l.window, record})
+	w := waiter{l.chain.through(), make(chan struct{})}
+	l.waiters = append(l.waiters, w)
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+	return w.index, w.done
+}
+
+func (l *Log) currentWindow() int64 { return l.timers.Now().UnixMilli() / l.settings.WindowMS }
+
+// acknowledge releases the waiters up to through. The caller holds mu.
+func (l *Log) acknowledge(through uint64) {
+	l.copied = max(l.copied, through)
+	n := 0
+	for n < len(l.waiters) && l.waiters[n].index <= through {
+		close(l.waiters[n].done)
+		n++
+	}
+	l.waiters = l.waiters[n:]
+}
+
+// Run copies and seals until ctx ends. Close seals the rest.
+func (l *Log) Run(ctx context.Context) error {
+	var parts sync.WaitGroup
+	parts.Go(func() { l.copyLoop(ctx) })
+	parts.Go(func() { l.sealLoop(ctx) })
+	parts.Wait()
+	return ctx.Err()
+}
+
+func (l *Log) copyLoop(ctx context.Context) {
+	confirm := l.timers.Subscribe(confirmInterval)
+	defer confirm.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.wake:
+		case <-confirm.C:
+		}
+		start := l.timers.Now()
+		l.commit(ctx)
+		if l.timers.Sleep(ctx, commitInterval-l.timers.Since(start)) != nil {
+			return
+		}
+	}
+}
+
+func (l *Log) sealLoop(ctx context.Context) {
+	period := setting.Milliseconds(l.settings.WindowMS) / sealSpread
+	offset := time.Duration(xxhash.Sum64String(l.settings.ID) % uint64(period))
+	if l.timers.Sleep(ctx, offset) != nil {
+		return
+	}
+	ticks := l.timers.Subscribe(period)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks.C:
+		}
+		l.sealPass(ctx, l.currentWindow())
+	}
+}
+
+// sealPass seals the instance's own records before a window and those of dead
+// instances.
+func (l *Log) sealPass(ctx context.Context, before int64) {
+	l.sealing.Lock()
+	defer l.sealing.Unlock()
+	if err := l.sealOwn(ctx, before); err != nil {
+		l.log.WithField(logs.Cause, err.Error()).Warn("usage records could not be sealed")
+	}
+	l.held.sealDead(ctx)
+}
+
+func (l *Log) sealOwn(ctx context.Context, before int64) error {
+	l.mu.Lock()
+	c := l.chain
+	l.mu.Unlock()
+	through, err := c.seal(ctx, l.seams.Create, l.settings.ID, before)
+	l.mu.Lock()
+	moved := through >= l.chain.base
+	l.chain.trim(through)
+	l.acknowledge(through)
+	base := l.chain.base
+	l.mu.Unlock()
+	if moved {
+		l.sealed.Add("own", 1)
+		if l.folder != nil {
+			l.folder.clear(base)
+		}
+		// The copy loop tells the holder, which then drops what is sealed.
+		select {
+		case l.wake <- struct{}{}:
+		default:
+		}
+	}
+	return err
+}
+
+// Close seals all records of this instance and all copies that it holds. It is
+// called after the last Append when the instance stops.
+func (l *Log) Close(ctx context.Context) error {
+	l.sealing.Lock()
+	defer l.sealing.Unlock()
+	err := l.sealOwn(ctx, math.MaxInt64)
+	l.held.sealAll(ctx)
+	return err
+}
--- /dev/null
+++ b/internal/billing/usage/segment.go
@@ -0,0 +1,167 @@
+// Package usage keeps the usage records of an instance until they are sealed
+// in the platform's store, and second copies of other instances' records.
+//
+// A record is appended to the instance's log under an increasing index and
+// copied to a second instance, in another availability zone when there is one,
+// or to the data folder. When a window has passed, its records are sealed into
+// one object. The object's name contains only the first index, so two sealers
+// of the same range compete for one name; the loser continues after the
+// winner's last index. Both the owner and any holder of a copy may therefore
+// seal at any time without a lease.
+//
+// # Usage
+//
+//	log := usage.New(settings, timers, usage.Seams{View: directory.View, Client: client, Create: create}, meters, logger)
+//	router.Handle(usage.CopiesPathPrefix, log.Server())
+//	go log.Run(ctx)
+//	err := log.Append(ctx, usage.Record{Account: "acme", Class: "generate", Requests: 1})
+package usage
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"slices"
+	"strconv"
+
+	"github.com/rotisserie/eris"
+)
+
+// Kind is the kind of the objects that hold segments.
+const Kind = "usage"
+
+// Record is the usage of one or more requests.
+type Record struct {
+	Account   string `json:"account"`
+	Class     string `json:"class"`
+	Requests  int64  `json:"requests"`
+	TokensIn  int64  `json:"tokens_in"`
+	TokensOut int64  `json:"tokens_out"`
+	Cost      int64  `json:"cost"`
+}
+
+// Plus returns the record with the amounts of other added.
+func (r Record) Plus(other Record) Record {
+	r.Requests += other.Requests
+	r.TokensIn += other.TokensIn
+	r.TokensOut += other.TokensOut
+	r.Cost += other.Cost
+	return r
+}
+
+// Totals sums records by account and class, in that order.
+func Totals(records []Record) []Record {
+	type key struct{ account, class string }
+	sums := map[key]Record{}
+	for _, r := range records {
+		k := key{r.Account, r.Class}
+		sums[k] = Record{Account: r.Account, Class: r.Class}.Plus(sums[k]).Plus(r)
+	}
+	out := make([]Record, 0, len(sums))
+	for _, r := range sums {
+		out = append(out, r)
+	}
+	slices.SortFunc(out, func(a, b Record) int {
+		return cmp.Or(cmp.Compare(a.Account, b.Account), cmp.Compare(a.Class, b.Class))
+	})
+	return out
+}
+
+// Segment is the value of a sealed object: the records First to Last of one
+// incarnation of an instance, all of one window.
+type Segment struct {
+	Instance    string   `json:"instance"`
+	Incarnation string   `json:"incarnation"`
+	Window      int64    `json:"window"`
+	First       uint64   `json:"first"`
+	Last        uint64   `json:"last"`
+	Sealer      string   `json:"sealer"`
+	Totals      []Record `json:"totals"`
+}
+
+// Name returns the name of the object for the range that starts at first.
+func Name(instance, incarnation string, first uint64) string {
+	return instance + "-" + incarnation + "-" + strconv.FormatUint(first, 10)
+}
+
+// Create stores an object unless one with its name exists. It returns the
+// value that the store holds afterwards and whether this call created it.
+type Create func(ctx context.Context, kind, name string, value []byte) (held []byte, created bool, err error)
+
+// entry is one record with the window that it belongs to.
+type entry struct {
+	window int64
+	record Record
+}
+
+// chain is a contiguous range of records of one incarnation that are not known
+// to be sealed. Its base is always the first index of a possible segment: 1,
+// or the index after the last one of an existing segment.
+type chain struct {
+	owner       string
+	incarnation string
+	base        uint64
+	entries     []entry
+}
+
+func (c *chain) through() uint64 { return c.base + uint64(len(c.entries)) - 1 }
+
+// trim drops the entries up to through.
+func (c *chain) trim(through uint64) {
+	if through < c.base {
+		return
+	}
+	n := min(through-c.base+1, uint64(len(c.entries)))
+	c.entries = slices.Clone(c.entries[n:])
+	c.base = through + 1
+}
+
+// seal creates the segments for the chain's entries before the given window and
+// returns the last index that is sealed. An index after the chain's end means
+// that another sealer had more records.
+func (c chain) seal(ctx context.Context, create Create, sealer string, before int64) (uint64, error) {
+	for len(c.entries) > 0 && c.entries[0].window < before {
+		sealed, err := c.sealRun(ctx, create, sealer)
+		if err != nil {
+			return c.base - 1, err
+		}
+		c.trim(sealed)
+	}
+	return c.base - 1, nil
+}
+
+// sealRun seals the leading entries of one window.
+func (c chain) sealRun(ctx context.Context, create Create, sealer string) (uint64, error) {
+	window := c.entries[0].window
+	records := make([]Record, 0, len(c.entries))
+	for _, e := range c.entries {
+		if e.window != window {
+			break
+		}
+		records = append(records, e.record)
+	}
+	segment := Segment{
+		Instance: c.owner, Incarnation: c.incarnation, Window: window,
+		First: c.base, Last: c.base + uint64(len(records)) - 1, Sealer: sealer, Totals: Totals(records),
+	}
+	value, err := json.Marshal(segment)
+	if err != nil {
+		return 0, eris.Wrap(err, "encode segment")
+	}
+	name := Name(c.owner, c.incarnation, c.base)
+	held, created, err := create(ctx, Kind, name, value)
+	if err != nil {
+		return 0, eris.Wrapf(err, "create segment %s", name)
+	}
+	if created {
+		return segment.Last, nil
+	}
+	var winner Segment
+	if err := json.Unmarshal(held, &winner); err != nil {
+		return 0, eris.Wrapf(err, "decode segment %s", name)
+	}
+	if winner.First != c.base || winner.Last < winner.First {
+		return 0, eris.Errorf("segment %s has the range %d to %d", name, winner.First, winner.Last)
+	}
+	return winner.Last, nil
+}
--- /dev/null
+++ b/internal/billing/usage/usage_test.go
@@ -0,0 +1,119 @@
+package usage_test
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/base/meter"
+	"github.com/wigeonpin/wigeonpin/internal/base/setting"
+	"github.com/wigeonpin/wigeonpin/internal/billing/report"
+)
+
+// reporter returns a reporter that sends to the given intake, by window.
+func (w *world) reporter(id string, fence uint64, intake map[int64][]string) *report.Reporter {
+	settings := setting.Defaults()
+	settings.ID = id
+	return report.New(settings, w.timers, report.Seams{
+		Held: func() (uint64, bool) { return fence, true },
+		Get:  w.store.get, Create: w.store.create, List: w.store.list,
+		Send: func(_ context.Context, window int64, body []byte, _ uint64, _ string) error {
+			intake[window] = append(intake[window], string(body))
+			return nil
+		},
+	}, meter.NewSet(), logs.Discard())
+}
+
+// Guards against records that are lost or counted twice, and against two
+// figures for one window, under random kills, cuts, lost answers, outages of
+// the store, instances taken for dead and two reporters in charge at once.
+func TestReportsEqualAcknowledgedRecords(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		ctx := context.Background()
+		w := newWorld(t, 4)
+		intake := map[int64][]string{}
+		reporters := []*report.Reporter{w.reporter("r-1", 1, intake), w.reporter("r-2", 2, intake)}
+		settled := true
+		node := func(rt *rapid.T) string {
+			id := rapid.SampledFrom(w.ids).Draw(rt, "instance")
+			if w.nodes[id] == nil {
+				rt.Skip("the instance is down")
+			}
+			return id
+		}
+		rt.Repeat(map[string]func(*rapid.T){
+			"append": func(rt *rapid.T) { w.append(node(rt)) },
+			"commit": func(rt *rapid.T) { w.nodes[node(rt)].CommitForTest(ctx) },
+			"seal":   func(rt *rapid.T) { w.nodes[node(rt)].SealForTest(ctx) },
+			"pass":   func(rt *rapid.T) { w.driver.Advance(time.Duration(rapid.IntRange(1, 90).Draw(rt, "s")) * time.Second) },
+			"report": func(rt *rapid.T) { _ = reporters[rapid.IntRange(0, 1).Draw(rt, "reporter")].Step(ctx) },
+			"cut": func(rt *rapid.T) {
+				w.cut[[2]string{node(rt), rapid.SampledFrom(w.ids).Draw(rt, "to")}] = rapid.Bool().Draw(rt, "cut")
+			},
+			"unlist":    func(rt *rapid.T) { w.unlisted[node(rt)] = rapid.Bool().Draw(rt, "unlisted") },
+			"outage":    func(rt *rapid.T) { w.store.down = rapid.Bool().Draw(rt, "down") },
+			"lose copy": func(*rapid.T) { w.loseNext = true },
+			"lose seal": func(*rapid.T) { w.store.loseNext = true },
+			"drop seal": func(*rapid.T) { w.store.dropNext = true },
+			"kill": func(rt *rapid.T) {
+				// A record is lost when both holders die before it is sealed or
+				// copied again, so the kills are apart.
+				if !settled {
+					rt.Skip("not settled")
+				}
+				id := node(rt)
+				if rapid.Bool().Draw(rt, "while sealing") {
+					w.store.loseNext = true
+					w.nodes[id].SealForTest(ctx)
+				}
+				w.kill(id)
+				settled = false
+			},
+			"restart": func(rt *rapid.T) {
+				if id := rapid.SampledFrom(w.ids).Draw(rt, "instance"); w.nodes[id] == nil {
+					w.driver.Advance(time.Millisecond)
+					w.start(t, id)
+				}
+			},
+			"settle": func(*rapid.T) { w.settle(ctx); settled = true },
+			"": func(rt *rapid.T) {
+				for window, bodies := range intake {
+					for _, b := range bodies {
+						if b != bodies[0] {
+							rt.Fatalf("window %d has two figures: %s and %s", window, bodies[0], b)
+						}
+					}
+				}
+			},
+		})
+		w.settle(ctx)
+		w.driver.Advance(4 * time.Minute)
+		w.settle(ctx)
+		w.check(rt, w.sealed(t))
+		w.driver.Advance(time.Minute)
+		for _, r := range reporters {
+			if err := r.Step(ctx); err != nil {
+				rt.Fatal(err)
+			}
+		}
+		counted := map[string]int64{}
+		for _, bodies := range intake {
+			var body report.Report
+			if err := json.Unmarshal([]byte(bodies[0]), &body); err != nil {
+				rt.Fatal(err)
+			}
+			for _, e := range body.Entries {
+				counted[e.Class] += e.Requests
+			}
+		}
+		w.check(rt, counted)
+		sealed := w.sealed(t)
+		if len(sealed) != len(counted) {
+			rt.Fatalf("%d records are sealed, %d reported", len(sealed), len(counted))
+		}
+	})
+}
--- /dev/null
+++ b/internal/training/step/attempt.go
@@ -0,0 +1,270 @@
+package step
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/code"
+)
+
+const (
+	// watchInterval is how often a running group looks for stragglers.
+	watchInterval = 250 * time.Millisecond
+	// rateTime is how long a stream runs before its rate counts.
+	rateTime = time.Second
+	// hedgePart is the part of a group that may have a hedged attempt at a
+	// time, at least one. Without this bound a shortage of engines would make
+	// every sample a straggler and double the load.
+	hedgePart = 4
+)
+
+// attempt is one generation of one sample.
+type attempt struct {
+	run   *run
+	k     int
+	floor int
+	label label
+	// hedge receives the endpoint to avoid when a second attempt is due.
+	hedge chan string
+
+	mu       sync.Mutex
+	first    time.Time // when the first chunk came
+	tokens   int
+	endpoint string
+	asked    bool // a hedged attempt was asked for
+}
+
+type attemptResult struct {
+	sample *Sample
+	err    error
+}
+
+// race generates a sample, with a hedged attempt if the first one is a
+// straggler. The first complete sample wins and the other attempt is cancelled.
+func (r *run) race(ctx context.Context, k, try int) (*Sample, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	results := make(chan attemptResult, 2)
+	first := &attempt{run: r, k: k, hedge: make(chan string, 1)}
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer cancel()
+	defer r.endHedge(first)
+	begin := func(suffix string, a *attempt, avoid []string) {
+		running.Go(func() {
+			s, err := a.generate(ctx, r.sampleID(k)+"/"+strconv.Itoa(try)+suffix, avoid)
+			results <- attemptResult{s, err}
+		})
+	}
+	begin("", first, nil)
+	pending := 1
+	var last error
+	for pending > 0 {
+		select {
+		case endpoint := <-first.hedge:
+			r.home.steps.hedged.Add(r.group.key.trainer, 1)
+			pending++
+			var avoid []string
+			if endpoint != "" {
+				avoid = []string{endpoint}
+			}
+			begin("h", &attempt{run: r, k: k}, avoid)
+		case result := <-results:
+			pending--
+			if result.err == nil {
+				return result.sample, nil
+			}
+			last = errors.Join(last, result.err)
+		}
+	}
+	return nil, last
+}
+
+// generate runs the attempt when a slot is free.
+func (a *attempt) generate(ctx context.Context, request string, avoid []string) (*Sample, error) {
+	r := a.run
+	defer r.remove(a)
+	if err := r.home.slots.Acquire(ctx, 1); err != nil {
+		return nil, err
+	}
+	defer r.home.slots.Release(1)
+	g := r.group
+	deadline, floor := r.home.limits(g)
+	a.floor = floor
+	a.label.limit = g.maxTokens
+	r.add(a)
+	result, err := r.home.steps.seams.Generate(ctx, Job{
+		Request: request, Account: g.account, Model: g.model, Class: Class, Prompt: g.prompt,
+		MaxTokens: g.maxTokens, Seed: int64(xxhash.Sum64String(request) >> 1),
+		Deadline: deadline, MinVersion: max(floor, 0), Avoid: avoid, Check: a.check,
+	}, a.sink)
+	if err != nil {
+		return nil, err
+	}
+	s, err := a.label.sample(r.sampleID(a.k), result)
+	if err != nil {
+		return nil, err
+	}
+	if err := a.young(); err != nil {
+		return nil, err
+	}
+	a.finished()
+	return &s, nil
+}
+
+// check refuses a job that has waited while the trainer moved on: its lowest
+// version may now be too old. The next attempt has the new bound.
+func (a *attempt) check() error {
+	if err := a.run.allowed(); err != nil {
+		return err
+	}
+	if _, floor := a.run.home.limits(a.run.group); floor > a.floor {
+		return code.New(code.SampleTooOld, "the trainer moved on while the sample waited").WithRun(code.NotRun)
+	}
+	return nil
+}
+
+// young returns an error once a part of the sample is too old.
+func (a *attempt) young() error {
+	_, floor := a.run.home.limits(a.run.group)
+	if oldest := a.label.oldest(); oldest != 0 && oldest < floor {
+		return code.New(code.SampleTooOld, "the sample has version %d, the lowest allowed is %d", oldest, floor)
+	}
+	return nil
+}
+
+func (a *attempt) sink(c Chunk) error {
+	if err := a.label.add(c); err != nil {
+		return err
+	}
+	a.mu.Lock()
+	if a.first.IsZero() {
+		a.first = a.run.home.steps.timers.Now()
+	}
+	a.tokens = a.label.tokens
+	if c.Endpoint != "" {
+		a.endpoint = c.Endpoint
+	}
+	a.mu.Unlock()
+	return a.young()
+}
+
+// rate returns the tokens per second of a stream that runs long enough.
+func (a *attempt) rate(now time.Time) (float64, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	took := now.Sub(a.first)
+	if a.first.IsZero() || took < rateTime {
+		return 0, false
+	}
+	return float64(a.tokens) / took.Seconds(), true
+}
+
+func (a *attempt) finished() {
+	now := a.run.home.steps.timers.Now()
+	a.mu.Lock()
+	took, tokens := now.Sub(a.first), a.tokens
+	a.mu.Unlock()
+	if took <= 0 {
+		return
+	}
+	a.run.mu.Lock()
+	defer a.run.mu.Unlock()
+	a.run.rates = append(a.run.rates, float64(tokens)/took.Seconds())
+}
+
+func (r *run) add(a *attempt) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.attempts[a] = struct{}{}
+}
+
+func (r *run) remove(a *attempt) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.attempts, a)
+}
+
+// endHedge frees the place of an attempt's hedged one.
+func (r *run) endHedge(a *attempt) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if a.asked {
+		r.hedges--
+	}
+}
+
+// watch stops the run at the group's deadline and asks for hedged attempts.
+func (r *run) watch(ctx context.Context, stop context.CancelCauseFunc) {
+	ticks := r.home.steps.timers.Subscribe(watchInterval)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks.C:
+		}
+		now := r.home.steps.timers.Now()
+		deadline, _ := r.home.limits(r.group)
+		if !now.Before(deadline) {
+			stop(code.New(code.DeadlinePast, "the step's deadline has passed"))
+			return
+		}
+		if err := r.allowed(); err != nil {
+			stop(err)
+			return
+		}
+		r.hedgeStragglers(now, deadline)
+	}
+}
+
+// hedgeStragglers starts second attempts of samples that would not be complete
+// well before the deadline or that run much slower than the group's others.
+func (r *run) hedgeStragglers(now, deadline time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rates := slices.Clone(r.rates)
+	for a := range r.attempts {
+		if rate, ok := a.rate(now); ok {
+			rates = append(rates, rate)
+		}
+	}
+	if len(rates) == 0 {
+		return
+	}
+	slices.Sort(rates)
+	median := rates[len(rates)/2]
+	limit := max(1, len(r.samples)/hedgePart)
+	for a := range r.attempts {
+		if r.hedges >= limit {
+			return
+		}
+		if endpoint, due := a.straggles(now, deadline, median, len(rates)); due {
+			r.hedges++
+			a.hedge <- endpoint
+		}
+	}
+}
+
+// straggles reports once whether the attempt needs a hedged one.
+func (a *attempt) straggles(now, deadline time.Time, median float64, rates int) (string, bool) {
+	rate, known := a.rate(now)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.hedge == nil || a.asked || median <= 0 {
+		return "", false
+	}
+	expected := time.Duration(float64(a.run.group.maxTokens-a.tokens) / median * float64(time.Second))
+	late := deadline.Sub(now) < 2*expected
+	slow := known && rates > 1 && rate < median/2
+	if !late && !slow {
+		return "", false
+	}
+	a.asked = true
+	return a.endpoint, true
+}
--- /dev/null
+++ b/internal/training/step/group.go
@@ -0,0 +1,250 @@
+package step
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/code"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/peer/scorer"
+)
+
+const (
+	retryFirst = 50 * time.Millisecond
+	retryMax   = 2 * time.Second
+	// retryAfterMax bounds a retry-after time, so that a group notices new
+	// capacity soon.
+	retryAfterMax = 5 * time.Second
+)
+
+// group is a sample group at its home instance. Its fields are guarded by the
+// home's mutex; a run works on its own copies.
+type group struct {
+	key            groupKey
+	account, model string
+	prompt         string
+	maxTokens      int
+	maxAge         int
+	// version is the highest version of the pulls that asked for the group.
+	version  int
+	deadline time.Time
+	touched  time.Time
+	running  bool
+	done     bool
+	cancel   context.CancelFunc
+	samples  []*Sample
+}
+
+func newGroup(key groupKey, r *RunRequest, prompt string) *group {
+	return &group{
+		key: key, account: r.Account, model: r.Model, prompt: prompt,
+		maxTokens: int(r.MaxTokens), samples: make([]*Sample, r.GroupSize),
+	}
+}
+
+// size returns the accounted memory.
+func (g *group) size() int64 {
+	size := groupOverhead + len(g.prompt)
+	for _, s := range g.samples {
+		if s != nil {
+			size += groupOverhead + len(s.Text)
+		}
+	}
+	return int64(size)
+}
+
+// start runs the group in the background. The caller holds mu.
+func (h *home) start(g *group) {
+	ctx, cancel := context.WithCancel(h.steps.base)
+	g.running, g.cancel = true, cancel
+	r := &run{home: h, group: g, samples: make([]*Sample, len(g.samples)), attempts: map[*attempt]struct{}{}}
+	copy(r.samples, g.samples)
+	h.steps.runs.Go(func() {
+		defer cancel()
+		err := r.complete(ctx)
+		h.finish(r, err)
+	})
+}
+
+// finish stores what a run produced.
+func (h *home) finish(r *run, err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	g := r.group
+	g.running, g.cancel = false, nil
+	if h.groups[g.key] != g {
+		return
+	}
+	before := g.size()
+	g.samples = r.samples
+	h.bytes += g.size() - before
+	if err != nil {
+		h.steps.log.WithField(logs.Trainer, g.key.trainer).WithField(logs.Step, g.key.step).
+			WithField(logs.Cause, err.Error()).Warn("a sample group was not finished")
+		return
+	}
+	g.done = true
+	h.announceFinished(stepKey{g.key.trainer, g.key.step})
+}
+
+// limits returns the group's deadline and the lowest version that a new sample
+// may have. The bound follows the trainer's newest known version.
+func (h *home) limits(g *group) (deadline time.Time, floor int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return g.deadline, h.trainers[g.key.trainer].version - g.maxAge
+}
+
+// run generates the missing samples of a group.
+type run struct {
+	home    *home
+	group   *group
+	samples []*Sample // each element is written by one goroutine
+
+	mu       sync.Mutex
+	attempts map[*attempt]struct{}
+	rates    []float64 // of finished attempts, tokens per second
+	hedges   int       // hedged attempts that run
+}
+
+// complete returns nil once all samples are generated, young enough and
+// scored.
+func (r *run) complete(ctx context.Context) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	var watching sync.WaitGroup
+	watching.Go(func() { r.watch(ctx, cancel) })
+	defer watching.Wait()
+	defer cancel(nil)
+	for {
+		if err := r.generateMissing(ctx); err != nil {
+			return err
+		}
+		if err := r.score(ctx); err != nil {
+			return err
+		}
+		if r.discardOld() == 0 {
+			return nil
+		}
+	}
+}
+
+// allowed returns an error once the trainer may not generate any more.
+func (r *run) allowed() error {
+	if r.home.steps.seams.Allowed == nil {
+		return nil
+	}
+	return r.home.steps.seams.Allowed(r.group.key.trainer)
+}
+
+func (r *run) generateMissing(ctx context.Context) error {
+	errs := make([]error, len(r.samples))
+	var parts sync.WaitGroup
+	for k, s := range r.samples {
+		if s == nil {
+			parts.Go(func() { r.samples[k], errs[k] = r.sample(ctx, k) })
+		}
+	}
+	parts.Wait()
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// discardOld drops samples that became too old while others were generated or
+// scored, and returns their number.
+func (r *run) discardOld() int {
+	_, floor := r.home.limits(r.group)
+	n := 0
+	for k, s := range r.samples {
+		if s.oldest() < floor {
+			r.samples[k] = nil
+			n++
+			r.home.steps.discarded.Add("age_at_completion", 1)
+		}
+	}
+	return n
+}
+
+// sample generates one sample, again after each failure, until ctx ends.
+func (r *run) sample(ctx context.Context, k int) (*Sample, error) {
+	wait := newBackoff()
+	for try := 0; ; try++ {
+		s, err := r.race(ctx, k, try)
+		if err == nil {
+			return s, nil
+		}
+		if ctx.Err() != nil {
+			return nil, context.Cause(ctx)
+		}
+		r.home.steps.discarded.Add(code.Of(err).Code.String(), 1)
+		if err := r.home.steps.timers.Sleep(ctx, delayAfter(err, wait)); err != nil {
+			return nil, context.Cause(ctx)
+		}
+	}
+}
+
+func newBackoff() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval, b.MaxInterval = retryFirst, retryMax
+	return b
+}
+
+// delayAfter returns the time to wait after an error: the time that it asks
+// for, with jitter, or the next step of the backoff.
+func delayAfter(err error, b *backoff.ExponentialBackOff) time.Duration {
+	if after := min(code.Of(err).RetryAfter, retryAfterMax); after > 0 {
+		return after + rand.N(after/4+1)
+	}
+	return b.NextBackOff()
+}
+
+// score has the samples without score rated, again after each failure, until
+// ctx ends. Without a scorer all scores are zero.
+func (r *run) score(ctx context.Context) error {
+	score := r.home.steps.seams.Score
+	if score == nil {
+		return nil
+	}
+	var pending []scorer.Sample
+	var at []int
+	for k, s := range r.samples {
+		if !s.scored {
+			pending = append(pending, scorer.Sample{ID: s.ID, Prompt: r.group.prompt, Text: s.Text})
+			at = append(at, k)
+		}
+	}
+	if len(pending) == 0 {
+		return nil
+	}
+	for wait := newBackoff(); ; {
+		scores, err := score(ctx, pending)
+		if err == nil && len(scores) != len(pending) {
+			err = code.New(code.ScoreFailed, "%d scores for %d samples", len(scores), len(pending))
+		}
+		if err == nil {
+			for i, k := range at {
+				scored := *r.samples[k]
+				scored.Score, scored.scored = scores[i], true
+				r.samples[k] = &scored
+			}
+			return nil
+		}
+		r.home.steps.scoreFailed.Add(r.group.key.trainer, 1)
+		if r.home.steps.timers.Sleep(ctx, delayAfter(err, wait)) != nil {
+			return context.Cause(ctx)
+		}
+	}
+}
+
+func (r *run) sampleID(k int) string {
+	return fmt.Sprintf("%s/%s/%d/%d", r.group.key.trainer, r.group.key.step, r.group.key.group, k)
+}
--- /dev/null
+++ b/internal/training/step/home.go
@@ -0,0 +1,261 @@
+package step
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/twitchtv/twirp"
+	"golang.org/x/sync/semaphore"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/setting"
+)
+
+const (
+	// keepVersions is the number of versions after which results are dropped.
+	keepVersions = 2
+	// idleLimit is how long a group stays without being asked for.
+	idleLimit = 10 * time.Minute
+	// groupLimit and byteLimit bound the memory for groups on one instance.
+	groupLimit = 32_768
+	byteLimit  = 64 << 20
+	// parallelLimit bounds the generations that one instance has started and
+	// that run or wait in the queue.
+	parallelLimit = 512
+	// groupOverhead is the accounted size of a group and of a sample besides
+	// its text.
+	groupOverhead = 512
+)
+
+type groupKey struct {
+	trainer, step string
+	group         int
+}
+
+type stepKey struct{ trainer, step string }
+
+// trainerState is the newest version known of a trainer.
+type trainerState struct {
+	version int
+	seen    time.Time
+}
+
+// home generates the groups of which this instance is the home.
+type home struct {
+	steps *Steps
+	slots *semaphore.Weighted
+
+	mu       sync.Mutex
+	groups   map[groupKey]*group
+	trainers map[string]trainerState
+	finished map[stepKey]chan struct{} // closed when a group of the step finishes
+	bytes    int64
+}
+
+func newHome(s *Steps) *home {
+	return &home{
+		steps: s, slots: semaphore.NewWeighted(parallelLimit), groups: map[groupKey]*group{},
+		trainers: map[string]trainerState{}, finished: map[stepKey]chan struct{}{},
+	}
+}
+
+// observe raises the trainer's version. The caller holds mu.
+func (h *home) observe(trainer string, version int) {
+	h.trainers[trainer] = trainerState{max(h.trainers[trainer].version, version), h.steps.timers.Now()}
+}
+
+// current returns the newest version known of a trainer.
+func (h *home) current(trainer string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.trainers[trainer].version
+}
+
+// Run joins or starts the groups and returns those that are finished.
+func (h *home) Run(ctx context.Context, r *RunRequest) (*RunResponse, error) {
+	if r.Trainer == "" || r.Step == "" || r.Version <= 0 || r.GroupSize <= 0 || r.MaxTokens <= 0 {
+		return nil, twirp.InvalidArgumentError("trainer", "the request must name trainer, step, version, size and tokens")
+	}
+	limit := h.steps.timers.After(setting.Milliseconds(r.WaitMs))
+	defer limit.Stop()
+	first := true
+	for {
+		response, changed, err := h.collect(r, first)
+		if err != nil || len(response.Groups) > 0 || len(response.Unknown) > 0 {
+			return response, err
+		}
+		first = false
+		select {
+		case <-changed:
+		case <-limit.C:
+			return response, nil
+		case <-ctx.Done():
+			return nil, twirp.NewError(twirp.Canceled, ctx.Err().Error())
+		}
+	}
+}
+
+// collect returns the finished groups and a channel that is closed when
+// another group of the step finishes. Groups that are neither running nor
+// finished are started.
+func (h *home) collect(r *RunRequest, extend bool) (*RunResponse, <-chan struct{}, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.observe(r.Trainer, int(r.Version))
+	response := &RunResponse{}
+	size := int64(0)
+	for _, p := range r.Groups {
+		g, err := h.join(r, p, extend)
+		if err != nil {
+			return nil, nil, err
+		}
+		if g == nil {
+			response.Unknown = append(response.Unknown, p.Group)
+			continue
+		}
+		if !g.done || (size > 0 && size+g.size() > r.Limit) {
+			continue
+		}
+		size += g.size()
+		response.Groups = append(response.Groups, finishedMessage(g))
+	}
+	key := stepKey{r.Trainer, r.Step}
+	if h.finished[key] == nil {
+		h.finished[key] = make(chan struct{})
+	}
+	return response, h.finished[key], nil
+}
+
+// join returns the group, which is running or finished afterwards, or nil when
+// the group is unknown and the request has no prompt for it. The caller holds
+// mu.
+func (h *home) join(r *RunRequest, p *Prompt, extend bool) (*group, error) {
+	key := groupKey{r.Trainer, r.Step, int(p.Group)}
+	g := h.groups[key]
+	if g == nil {
+		if p.Prompt == nil {
+			return nil, nil
+		}
+		if err := h.makeRoom(); err != nil {
+			return nil, err
+		}
+		g = newGroup(key, r, p.GetPrompt())
+		h.groups[key] = g
+		h.bytes += g.size()
+	}
+	now := h.steps.timers.Now()
+	g.touched = now
+	g.version = max(g.version, int(r.Version))
+	g.maxAge = int(r.MaxAge)
+	if extend {
+		g.deadline = now.Add(setting.Milliseconds(r.DeadlineMs))
+	}
+	if g.done {
+		h.discardOld(g, int(r.Version))
+	}
+	if !g.done && !g.running && now.Before(g.deadline) {
+		h.start(g)
+	}
+	return g, nil
+}
+
+// discardOld drops the samples that are too old to be delivered to a pull at
+// the given version. The group is then incomplete again.
+func (h *home) discardOld(g *group, version int) {
+	before := g.size()
+	for k, s := range g.samples {
+		if s != nil && tooOld(s.oldest(), version, g.maxAge) {
+			g.samples[k] = nil
+			g.done = false
+			h.steps.discarded.Add("age_at_delivery", 1)
+		}
+	}
+	h.bytes += g.size() - before
+}
+
+// tooOld reports whether a sample whose smallest version is oldest exceeds the
+// age bound for a trainer at the given version.
+func tooOld(oldest, version, maxAge int) bool { return version-oldest > maxAge }
+
+// makeRoom drops the finished group that was not asked for the longest while
+// the limits are reached. The caller holds mu.
+func (h *home) makeRoom() error {
+	for len(h.groups) >= groupLimit || h.bytes >= byteLimit {
+		var oldest *group
+		for _, g := range h.groups {
+			if !g.running && (oldest == nil || g.touched.Before(oldest.touched)) {
+				oldest = g
+			}
+		}
+		if oldest == nil {
+			return twirp.NewError(twirp.ResourceExhausted, "the instance runs too many groups")
+		}
+		h.drop(oldest)
+		h.steps.dropped.Add("memory", 1)
+	}
+	return nil
+}
+
+// drop removes a group and stops it if it runs. The caller holds mu.
+func (h *home) drop(g *group) {
+	if g.cancel != nil {
+		g.cancel()
+	}
+	if h.groups[g.key] == g {
+		delete(h.groups, g.key)
+		h.bytes -= g.size()
+	}
+}
+
+// sweep drops groups whose trainer is keepVersions further and everything that
+// nobody asked for in idleLimit.
+func (h *home) sweep() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.steps.timers.Now()
+	used := map[stepKey]bool{}
+	for _, g := range h.groups {
+		switch {
+		case h.trainers[g.key.trainer].version-g.version >= keepVersions:
+			h.drop(g)
+			h.steps.dropped.Add("version", 1)
+		case !g.running && now.Sub(g.touched) >= idleLimit:
+			h.drop(g)
+			h.steps.dropped.Add("idle", 1)
+		default:
+			used[stepKey{g.key.trainer, g.key.step}] = true
+		}
+	}
+	for key, finished := range h.finished {
+		if !used[key] {
+			close(finished)
+			delete(h.finished, key)
+		}
+	}
+	for name, t := range h.trainers {
+		if now.Sub(t.seen) >= 2*idleLimit {
+			delete(h.trainers, name)
+		}
+	}
+}
+
+// announceFinished wakes the calls that wait for groups of the step. The
+// caller holds mu.
+func (h *home) announceFinished(key stepKey) {
+	if finished := h.finished[key]; finished != nil {
+		close(finished)
+		delete(h.finished, key)
+	}
+}
+
+func finishedMessage(g *group) *Finished {
+	out := &Finished{Group: int32(g.key.group)}
+	for _, s := range g.samples {
+		m := &SampleMessage{Id: s.ID, Text: s.Text, Score: s.Score, Tokens: int32(s.Tokens)}
+		for _, v := range s.Versions {
+			m.Versions = append(m.Versions, &RangeMessage{Version: int32(v.Version), From: int32(v.From), To: int32(v.To)})
+		}
+		out.Samples = append(out.Samples, m)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/training/step/steps.go
@@ -0,0 +1,379 @@
+package step
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/code"
+	"github.com/wigeonpin/wigeonpin/internal/base/meter"
+	"github.com/wigeonpin/wigeonpin/internal/base/setting"
+	"github.com/wigeonpin/wigeonpin/internal/control/member"
+	"github.com/wigeonpin/wigeonpin/internal/control/table"
+	"github.com/wigeonpin/wigeonpin/internal/peer/fleet"
+	"github.com/wigeonpin/wigeonpin/internal/peer/scorer"
+)
+
+const (
+	sweepInterval = 10 * time.Second
+	// callWait is the longest wait of one call to a home instance. A home that
+	// does not answer callGrace later is passed over for avoidTime.
+	callWait  = 2 * time.Second
+	callGrace = time.Second
+	avoidTime = 10 * time.Second
+	// gatherTime is how long a pull waits for groups of other home instances
+	// after the first.
+	gatherTime = 20 * time.Millisecond
+	// answerLimit bounds the size of the texts in one answer. The rest comes
+	// with the next pull.
+	answerLimit = 8 << 20
+)
+
+// Seams are the functions that steps need.
+type Seams struct {
+	// View returns the live members.
+	View func() *member.View
+	// Client carries calls to other instances.
+	Client *http.Client
+	// Generate passes each chunk to sink in order and stops when sink fails.
+	Generate func(ctx context.Context, job Job, sink func(Chunk) error) (Result, error)
+	// Score returns the scores in the order of the samples; nil scores nothing.
+	Score func(ctx context.Context, samples []scorer.Sample) ([]float64, error)
+	// Allowed returns an error once a trainer may not generate; may be nil.
+	Allowed func(trainer string) error
+	// Get and Put reach the platform's store. Put writes if the object's
+	// revision is the given one, 0 when it does not exist.
+	Get func(ctx context.Context, kind, name string) (value []byte, revision uint64, found bool, err error)
+	Put func(ctx context.Context, kind, name string, value []byte, revision uint64) (done bool, err error)
+	// Call calls an instance's Run method; nil calls it with Client.
+	Call func(ctx context.Context, to member.Instance, request *RunRequest) (*RunResponse, error)
+}
+
+// Steps serves the pulls of trainers and generates groups.
+type Steps struct {
+	settings setting.Settings
+	timers   *clock.Service
+	seams    Seams
+	log      *logrus.Entry
+	home     *home
+
+	// base is the context of all running groups.
+	base context.Context
+	stop context.CancelFunc
+	runs sync.WaitGroup
+
+	mu     sync.Mutex
+	failed map[string]time.Time // home instances that did not answer
+
+	delivered, discarded, dropped, hedged, scoreFailed *meter.Counter
+}
+
+// New returns steps without any group.
+func New(settings setting.Settings, timers *clock.Service, seams Seams, meters *meter.Set, log *logrus.Entry) *Steps {
+	s := &Steps{
+		settings: settings, timers: timers, seams: seams, log: log, failed: map[string]time.Time{},
+		delivered: meters.Counter("samples_delivered"), discarded: meters.Counter("samples_discarded"),
+		dropped: meters.Counter("groups_dropped"), hedged: meters.Counter("samples_hedged"),
+		scoreFailed: meters.Counter("score_failures"),
+	}
+	s.base, s.stop = context.WithCancel(context.Background())
+	s.home = newHome(s)
+	if s.seams.Call == nil {
+		s.seams.Call = func(ctx context.Context, to member.Instance, r *RunRequest) (*RunResponse, error) {
+			return NewHomesProtobufClient(fleet.URL(to.Peer), seams.Client).Run(ctx, r)
+		}
+	}
+	return s
+}
+
+// Server returns the twirp handler for the calls of other instances.
+func (s *Steps) Server() http.Handler { return NewHomesServer(s.home) }
+
+// Run drops what is no longer needed until ctx ends, then stops all groups.
+func (s *Steps) Run(ctx context.Context) error {
+	ticks := s.timers.Subscribe(sweepInterval)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			s.Close()
+			return ctx.Err()
+		case <-ticks.C:
+			s.home.sweep()
+		}
+	}
+}
+
+// Close stops all groups and waits for them.
+func (s *Steps) Close() {
+	s.stop()
+	s.runs.Wait()
+}
+
+// Pull returns finished groups that the trainer does not have. It waits for
+// the first one as long as the pull says.
+func (s *Steps) Pull(ctx context.Context, trainer table.Trainer, request Pull) (Groups, error) {
+	if err := request.check(); err != nil {
+		return Groups{}, err
+	}
+	missing := request.missing()
+	if len(missing) == 0 {
+		return Groups{Groups: []Group{}, Complete: true}, nil
+	}
+	p := s.newPulling(trainer, request)
+	groups, err := p.gather(ctx, missing)
+	if err != nil {
+		return Groups{}, err
+	}
+	for _, g := range groups {
+		s.delivered.Add(trainer.Name, int64(len(g.Samples)))
+	}
+	return Groups{Groups: groups, Complete: len(groups) == len(missing)}, nil
+}
+
+// pulling is the state of one pull.
+type pulling struct {
+	steps    *Steps
+	trainer  table.Trainer
+	request  Pull
+	end      time.Time // when the wait is over
+	deadline time.Time
+	results  chan callResult
+	pending  map[string]int // calls without result by instance
+}
+
+type call struct {
+	to     member.Instance
+	groups []int
+	known  bool // the home instance has the prompts
+}
+
+type callResult struct {
+	call
+	response *RunResponse
+	err      error
+}
+
+func (s *Steps) newPulling(trainer table.Trainer, request Pull) *pulling {
+	now := s.timers.Now()
+	limit := setting.Milliseconds(s.settings.DeadlineMaxMS)
+	if wanted := setting.Milliseconds(request.DeadlineMS); wanted > 0 {
+		limit = min(limit, wanted)
+	}
+	return &pulling{
+		steps: s, trainer: trainer, request: request, results: make(chan callResult), pending: map[string]int{},
+		end:      now.Add(min(limit, setting.Milliseconds(request.WaitMS))),
+		deadline: now.Add(limit),
+	}
+}
+
+// gather calls the home instances of the groups until the first have finished
+// groups or the wait is over.
+func (p *pulling) gather(ctx context.Context, missing []int) ([]Group, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	defer cancel()
+	begin := func(c call) {
+		p.pending[c.to.ID]++
+		calls.Go(func() { p.call(ctx, c) })
+	}
+	for _, c := range p.assign(missing) {
+		begin(c)
+	}
+	if len(p.pending) == 0 {
+		return nil, code.New(code.NotReady, "no instance is listed").WithRetryAfter(time.Second)
+	}
+	waited := p.steps.timers.After(p.end.Sub(p.steps.timers.Now()) + callGrace)
+	defer func() { waited.Stop() }()
+	groups := []Group{}
+	var last error
+	for len(p.pending) > 0 {
+		select {
+		case r := <-p.results:
+			if p.pending[r.to.ID]--; p.pending[r.to.ID] == 0 {
+				delete(p.pending, r.to.ID)
+			}
+			found := p.finished(r.response)
+			if len(found) > 0 && len(groups) == 0 {
+				waited.Stop()
+				waited = p.steps.timers.After(gatherTime)
+			}
+			groups = append(groups, found...)
+			if r.err != nil {
+				last = r.err
+			}
+			for _, next := range p.next(r) {
+				begin(next)
+			}
+		case <-waited.C:
+			if len(groups) == 0 {
+				p.passOver()
+			}
+			return groups, nil
+		case <-ctx.Done():
+			return groups, eris.Wrap(ctx.Err(), "pull")
+		}
+	}
+	if len(groups) == 0 && last != nil {
+		return nil, code.New(code.NotReady, "no home instance answers: %s", last).WithRetryAfter(time.Second)
+	}
+	return groups, nil
+}
+
+// assign distributes groups to their home instances, passing over those that
+// did not answer lately as long as there are others.
+func (p *pulling) assign(groups []int) []call {
+	view := p.steps.seams.View()
+	ids := p.steps.responsive(view.IDs())
+	byHome := map[string]int{}
+	var calls []call
+	for _, g := range groups {
+		home := member.First(groupName(p.trainer.Name, p.request.Step, g), ids)
+		if home == "" {
+			return nil
+		}
+		at, ok := byHome[home]
+		if !ok {
+			to, _ := view.Instance(home)
+			at = len(calls)
+			byHome[home] = at
+			calls = append(calls, call{to: to})
+		}
+		calls[at].groups = append(calls[at].groups, g)
+	}
+	return calls
+}
+
+// call makes one call and passes its result on unless the pull is over.
+func (p *pulling) call(ctx context.Context, c call) {
+	s := p.steps
+	now := s.timers.Now()
+	wait := max(0, min(p.end.Sub(now), callWait))
+	r := &RunRequest{
+		Trainer: p.trainer.Name, Account: p.trainer.Account, Model: p.trainer.Model, MaxAge: int32(p.trainer.MaxAge),
+		Step: p.request.Step, Version: int32(p.request.Version), GroupSize: int32(p.request.GroupSize),
+		MaxTokens: int32(p.request.MaxTokens), WaitMs: wait.Milliseconds(),
+		DeadlineMs: p.deadline.Sub(now).Milliseconds(), Limit: answerLimit,
+	}
+	for _, g := range c.groups {
+		prompt := &Prompt{Group: int32(g)}
+		if !c.known {
+			prompt.Prompt = &p.request.Prompts[g]
+		}
+		r.Groups = append(r.Groups, prompt)
+	}
+	result := callResult{call: c}
+	if c.to.ID == s.settings.ID {
+		result.response, result.err = s.home.Run(ctx, r)
+	} else {
+		callCtx, cancel := s.timers.WithTimeout(ctx, wait+callGrace)
+		result.response, result.err = s.seams.Call(callCtx, c.to, r)
+		cancel()
+		if result.err != nil && ctx.Err() == nil {
+			s.avoid(c.to.ID)
+		}
+	}
+	select {
+	case p.results <- result:
+	case <-ctx.Done():
+	}
+}
+
+// next returns the calls that follow a call: elsewhere when it failed, with
+// the prompts that the home instance lacks, or again while there is time.
+func (p *pulling) next(r callResult) []call {
+	if p.end.Sub(p.steps.timers.Now()) <= 0 && r.response != nil && len(r.response.Unknown) == 0 {
+		return nil
+	}
+	switch {
+	case r.err != nil && r.to.ID != p.steps.settings.ID && p.steps.timers.Now().Before(p.end):
+		return p.assign(r.groups)
+	case r.err != nil || len(r.response.Groups) > 0:
+		return nil
+	case len(r.response.Unknown) > 0:
+		again := call{to: r.to}
+		for _, g := range r.response.Unknown {
+			again.groups = append(again.groups, int(g))
+		}
+		return []call{again}
+	default:
+		return []call{{to: r.to, groups: r.groups, known: true}}
+	}
+}
+
+// finished converts the groups of a response. It checks the age once more,
+// because this is the last point before delivery.
+func (p *pulling) finished(r *RunResponse) []Group {
+	if r == nil {
+		return nil
+	}
+	var out []Group
+	for _, f := range r.Groups {
+		g := Group{Group: int(f.Group)}
+		young := len(f.Samples) == p.request.GroupSize
+		for _, m := range f.Samples {
+			s := Sample{ID: m.Id, Text: m.Text, Score: m.Score, Tokens: int(m.Tokens)}
+			for _, v := range m.Versions {
+				s.Versions = append(s.Versions, Range{int(v.Version), int(v.From), int(v.To)})
+			}
+			young = young && len(s.Versions) > 0 && !tooOld(s.oldest(), p.request.Version, p.trainer.MaxAge)
+			g.Samples = append(g.Samples, s)
+		}
+		if young {
+			out = append(out, g)
+		} else {
+			p.steps.discarded.Add("refused_at_delivery", 1)
+		}
+	}
+	return out
+}
+
+// passOver notes the instances that did not answer within the wait.
+func (p *pulling) passOver() {
+	for id := range p.pending {
+		if id != p.steps.settings.ID {
+			p.steps.avoid(id)
+		}
+	}
+}
+
+// avoid notes that an instance did not answer.
+func (s *Steps) avoid(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failed[id] = s.timers.Now()
+}
+
+// responsive returns the ids without those that did not answer lately, or all
+// ids when none is left.
+func (s *Steps) responsive(ids []string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.timers.Now()
+	for id, at := range s.failed {
+		if now.Sub(at) >= avoidTime {
+			delete(s.failed, id)
+		}
+	}
+	out := make([]string, 0, len(ids))
+	for _, id := range ids {
+		if _, failed := s.failed[id]; !failed {
+			out = append(out, id)
+		}
+	}
+	if len(out) == 0 {
+		return ids
+	}
+	return out
+}
+
+func groupName(trainer, step string, group int) string {
+	return trainer + "/" + step + "/" + strconv.Itoa(group)
+}
--- /dev/null
+++ b/internal/training/step/types.go
@@ -0,0 +1,147 @@
+// Package step serves the trainers' pulls. A step's sample groups are
+// distributed over the instances: the home instance of a group generates its
+// samples, labels them with the weight versions that produced them, has them
+// scored and keeps them until two versions later. The trainer's bitmap of the
+// groups that it has is the only delivery state, so a pull may be repeated at
+// any instance.
+//
+// # Usage
+//
+//	steps := step.New(settings, timers, step.Seams{View: directory.View, Client: client, Generate: generate, Score: scorer.Score}, meters, logger)
+//	router.Handle(step.HomesPathPrefix, steps.Server())
+//	go steps.Run(ctx)
+//	groups, err := steps.Pull(ctx, trainer, step.Pull{Step: "12", Version: 12, Groups: 1, GroupSize: 8, ...})
+package step
+
+import (
+	"strings"
+	"time"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/code"
+	"github.com/wigeonpin/wigeonpin/internal/base/setting"
+)
+
+// Class is the class of all jobs of trainers.
+const Class = "training"
+
+// Job is one generation.
+type Job struct {
+	Request, Account, Model, Class, Prompt string
+	MaxTokens, Priority                    int
+	Seed                                   int64
+	Deadline                               time.Time
+	// MinVersion is the lowest active version of an engine that may start it.
+	MinVersion int
+	// Avoid lists endpoints that are not to be used.
+	Avoid []string
+	// Check is called before the job is started; its error refuses the job.
+	Check func() error
+}
+
+// Chunk is a part of the generated text. Endpoint names the engine where it is
+// known, so that a second attempt goes to another one.
+type Chunk struct {
+	Text            string
+	Tokens, Version int
+	Endpoint        string
+}
+
+// Range says that a version produced the tokens from From up to, not
+// including, To.
+type Range struct {
+	Version int `json:"version"`
+	From    int `json:"from"`
+	To      int `json:"to"`
+}
+
+// Result is a complete generation. Empty Ranges are not compared with the
+// labels of the chunks.
+type Result struct {
+	Text     string
+	Tokens   int
+	Ranges   []Range
+	Endpoint string
+	Resumed  int
+}
+
+// Pull is a trainer's request for finished groups. It describes the whole step.
+type Pull struct {
+	Step string `json:"-" validate:"required,max=64"`
+	// Version is the trainer's current weight version.
+	Version   int      `json:"version" validate:"min=1,max=1000000000"`
+	Groups    int      `json:"groups" validate:"min=1,max=8192"`
+	GroupSize int      `json:"group_size" validate:"min=1,max=1024"`
+	Prompts   []string `json:"prompts"`
+	MaxTokens int      `json:"max_tokens" validate:"min=1,max=1000000"`
+	// Have has one bit for each group that the trainer holds: bit i%8, counted
+	// from the lowest, of byte i/8. Missing bytes are zero.
+	Have []byte `json:"have"`
+	// WaitMS is how long the pull waits for the first finished group.
+	WaitMS int64 `json:"wait_ms" validate:"min=0,max=600000"`
+	// DeadlineMS is the time until the whole step is to be complete; 0 is the
+	// longest deadline that the settings allow.
+	DeadlineMS int64 `json:"deadline_ms" validate:"min=0"`
+}
+
+// Groups is the answer to a pull. Complete says that the trainer has all
+// groups of the step once it has these.
+type Groups struct {
+	Groups   []Group `json:"groups"`
+	Complete bool    `json:"complete"`
+}
+
+// Group is one finished group.
+type Group struct {
+	Group   int      `json:"group"`
+	Samples []Sample `json:"samples"`
+}
+
+// Sample is one generated text with the versions that produced it.
+type Sample struct {
+	ID       string  `json:"id"`
+	Text     string  `json:"text"`
+	Score    float64 `json:"score"`
+	Tokens   int     `json:"tokens"`
+	Versions []Range `json:"versions"`
+
+	scored bool
+}
+
+// oldest returns the smallest version of the sample.
+func (s Sample) oldest() int {
+	oldest := s.Versions[0].Version
+	for _, r := range s.Versions {
+		oldest = min(oldest, r.Version)
+	}
+	return oldest
+}
+
+// check returns an error that names the offending field.
+func (p Pull) check() error {
+	if err := setting.Check(p); err != nil {
+		return code.New(code.StepInvalid, "%s", err.Error()).WithRun(code.NotRun)
+	}
+	if strings.ContainsAny(p.Step, "/ \t\n") {
+		return code.New(code.StepInvalid, "field \"step\" has value %q, must have no space or slash", p.Step).WithRun(code.NotRun)
+	}
+	if len(p.Prompts) != p.Groups {
+		return code.New(code.StepInvalid, "field \"prompts\" has %d values, must have one for each of %d groups",
+			len(p.Prompts), p.Groups).WithRun(code.NotRun)
+	}
+	if len(p.Have) > (p.Groups+7)/8 {
+		return code.New(code.StepInvalid, "field \"have\" has %d bytes, must have at most %d",
+			len(p.Have), (p.Groups+7)/8).WithRun(code.NotRun)
+	}
+	return nil
+}
+
+// missing returns the groups that the trainer does not have.
+func (p Pull) missing() []int {
+	var out []int
+	for i := range p.Groups {
+		if at := i / 8; at >= len(p.Have) || p.Have[at]&(1<<(i%8)) == 0 {
+			out = append(out, i)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/training/step/version.go
@@ -0,0 +1,69 @@
+package step
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/code"
+)
+
+// VersionKind is the kind of the objects that hold a trainer's version.
+const VersionKind = "version"
+
+// announceAttempts bounds the conditional updates of one announcement. Each
+// attempt is lost only to another accepted one.
+const announceAttempts = 8
+
+type announced struct {
+	Version int `json:"version"`
+}
+
+// Announce records a trainer's new weight version in the platform's store. It
+// may be repeated. A version below the recorded one is refused.
+func (s *Steps) Announce(ctx context.Context, trainer string, version int) error {
+	if version <= 0 {
+		return code.New(code.OutOfRange, "field \"version\" has value %d, must be at least 1", version).WithRun(code.NotRun)
+	}
+	value, err := json.Marshal(announced{version})
+	if err != nil {
+		return eris.Wrap(err, "encode version")
+	}
+	for range announceAttempts {
+		held, revision, found, err := s.seams.Get(ctx, VersionKind, trainer)
+		if err != nil {
+			return eris.Wrapf(err, "read the version of trainer %s", trainer)
+		}
+		var current announced
+		if found {
+			if err := json.Unmarshal(held, &current); err != nil {
+				return eris.Wrapf(err, "decode the version of trainer %s", trainer)
+			}
+		}
+		s.Observe(trainer, max(version, current.Version))
+		if current.Version > version {
+			return code.New(code.StepInvalid, "version %d of trainer %s is below the announced version %d",
+				version, trainer, current.Version).WithRun(code.NotRun)
+		}
+		if current.Version == version {
+			return nil
+		}
+		done, err := s.seams.Put(ctx, VersionKind, trainer, value, revision)
+		if err != nil {
+			return eris.Wrapf(err, "write the version of trainer %s", trainer)
+		}
+		if done {
+			return nil
+		}
+	}
+	return code.New(code.PlatformBehind, "the version of trainer %s could not be written", trainer).WithRetryAfter(time.Second)
+}
+
+// Observe tells this instance that a trainer has reached a version.
+func (s *Steps) Observe(trainer string, version int) {
+	s.home.mu.Lock()
+	defer s.home.mu.Unlock()
+	s.home.observe(trainer, version)
+}
