--- a/cmd/wigeonpin/main.go
+++ b/cmd/wigeonpin/main.go
@@ -15,6 +15,7 @@
 )
 
 type commands struct {
+	Serve   *serveCommand   `arg:"subcommand:serve" help:"run an instance"`
 	Check   *checkCommand   `arg:"subcommand:check" help:"check a settings file and show the result with all defaults"`
 	Version *versionCommand `arg:"subcommand:version" help:"show the version of this program"`
 	Account *accountCommand `arg:"subcommand:account" help:"add, change or remove client accounts"`
--- /dev/null
+++ b/internal/control/roster/lists.go
@@ -0,0 +1,44 @@
+package roster
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/wigeonpin/wigeonpin/internal/control/member"
+	"github.com/wigeonpin/wigeonpin/internal/peer/fleet"
+)
+
+// Server returns the handler for calls of other instances, to be mounted at
+// ListsPathPrefix.
+func (r *Roster) Server() http.Handler { return NewListsServer(&lists{r}) }
+
+type lists struct{ roster *Roster }
+
+// Since returns the endpoints that changed after a revision.
+func (l *lists) Since(_ context.Context, request *SinceRequest) (*SinceAnswer, error) {
+	page := l.roster.Since(request.GetAfter())
+	answer := &SinceAnswer{Revision: page.Revision, Full: page.Full}
+	for _, e := range page.Endpoints {
+		answer.Endpoints = append(answer.Endpoints, &Listed{
+			Id: e.ID, Zone: e.Zone, Address: e.Address, Kind: e.Kind, Model: e.Model,
+			Class: e.Class, State: e.State, Revision: e.Revision, Price: e.PricePerHour,
+		})
+	}
+	return answer, nil
+}
+
+// Ask asks another instance for the endpoints that changed after a revision.
+func Ask(ctx context.Context, client *http.Client, peer member.Instance, after uint64) (Page, error) {
+	answer, err := NewListsProtobufClient(fleet.URL(peer.Peer), client).Since(ctx, &SinceRequest{After: after})
+	if err != nil {
+		return Page{}, err
+	}
+	page := Page{Revision: answer.GetRevision(), Full: answer.GetFull()}
+	for _, e := range answer.GetEndpoints() {
+		page.Endpoints = append(page.Endpoints, Endpoint{
+			ID: e.GetId(), Zone: e.GetZone(), Address: e.GetAddress(), Kind: e.GetKind(), Model: e.GetModel(),
+			Class: e.GetClass(), State: e.GetState(), Revision: e.GetRevision(), PricePerHour: e.GetPrice(),
+		})
+	}
+	return page, nil
+}
--- /dev/null
+++ b/internal/control/serve/build.go
@@ -0,0 +1,178 @@
+package serve
+
+import (
+	"context"
+	"net/http"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/meter"
+	"github.com/wigeonpin/wigeonpin/internal/base/setting"
+	"github.com/wigeonpin/wigeonpin/internal/billing/usage"
+	"github.com/wigeonpin/wigeonpin/internal/control/bulletin"
+	"github.com/wigeonpin/wigeonpin/internal/control/config"
+	"github.com/wigeonpin/wigeonpin/internal/control/lease"
+	"github.com/wigeonpin/wigeonpin/internal/control/member"
+	"github.com/wigeonpin/wigeonpin/internal/control/roster"
+	"github.com/wigeonpin/wigeonpin/internal/fleet/order"
+	"github.com/wigeonpin/wigeonpin/internal/fleet/rollout"
+	"github.com/wigeonpin/wigeonpin/internal/fleet/share"
+	"github.com/wigeonpin/wigeonpin/internal/peer/capacity"
+	"github.com/wigeonpin/wigeonpin/internal/peer/engine"
+	"github.com/wigeonpin/wigeonpin/internal/peer/fleet"
+	"github.com/wigeonpin/wigeonpin/internal/peer/objects"
+	"github.com/wigeonpin/wigeonpin/internal/peer/scorer"
+	"github.com/wigeonpin/wigeonpin/internal/peer/service"
+	"github.com/wigeonpin/wigeonpin/internal/peer/weights"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/dispatch"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/entry"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/once"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/queue"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/suspect"
+	"github.com/wigeonpin/wigeonpin/internal/training/step"
+	"github.com/wigeonpin/wigeonpin/internal/training/version"
+)
+
+// instance holds the parts of one instance.
+type instance struct {
+	settings setting.Settings
+	timers   *clock.Service
+	meters   *meter.Set
+	log      *logrus.Entry
+
+	peers    *http.Client
+	store    *objects.Client
+	capacity *capacity.Client
+	weights  *weights.Client
+	scorer   *scorer.Client
+	engines  *engine.Client
+	services *service.Client
+
+	directory *member.Directory
+	config    *config.Config
+	board     *bulletin.Board
+	leases    *lease.Manager
+	roster    *roster.Roster
+
+	pool     *share.Pool
+	suspects *suspect.Suspects
+	orders   *order.Orders
+	rollout  *rollout.Rollout
+	work     *work
+
+	queue      *queue.Queue
+	dispatcher *dispatch.Dispatcher
+	once       *once.Records
+	entry      *entry.Entry
+
+	steps    *step.Steps
+	versions *version.Versions
+	usage    *usage.Log
+
+	guarded   sync.Map // trainer to *lease.Lease
+	drain     chan struct{}
+	drainOnce sync.Once
+}
+
+// build makes the parts in the order in which they need each other. Nothing
+// runs yet.
+func build(settings setting.Settings, timers *clock.Service, meters *meter.Set, log *logrus.Entry) (*instance, error) {
+	i := &instance{
+		settings: settings, timers: timers, meters: meters, log: log, work: newWork(),
+		peers: fleet.NewClient(settings, meters), drain: make(chan struct{}),
+		store:    objects.New(settings.Platform, timers),
+		engines:  engine.New(settings, timers),
+		services: service.New(settings),
+		capacity: capacity.New(settings.Capacity, &http.Client{}),
+		weights:  weights.New(settings.Weights, &http.Client{}),
+		scorer:   scorer.New(settings.Scorer, &http.Client{}),
+	}
+	i.buildControl()
+	i.buildFleet()
+	i.buildTraffic()
+	return i, i.buildBilling()
+}
+
+func (i *instance) buildControl() {
+	i.directory = member.NewDirectory(i.settings, i.timers, member.Seams{
+		Fetch: i.store.Instances, Ping: i.ping, Refused: fleet.Refused,
+	}, i.log)
+	i.config = config.New(i.settings, i.timers, config.Seams{
+		Store: config.StoreOf(i.store), Peers: i.peers, Directory: i.directory, Meters: i.meters,
+	}, i.log)
+	i.board = bulletin.New(i.settings, i.timers, bulletin.Seams{
+		Neighbours: i.directory.Neighbours, Report: i.directory.Report, Peers: i.peers,
+	}, i.log)
+	i.leases = lease.New(i.settings, i.timers, lease.Seams{
+		Get: i.store.Get, Put: i.store.Put, Eligible: i.eligible,
+	}, i.log)
+	i.roster = roster.New(i.settings, i.timers, roster.Seams{
+		Relay: i.directory.Relay, Watch: i.capacity.Watch, Peer: i.askEndpoints, Load: i.askLoad, Mine: i.mine,
+		ZoneOut: i.zoneOut, TableChanged: i.config.Changed,
+	}, i.log)
+}
+
+func (i *instance) buildFleet() {
+	enter, leave := suspect.Calls(i.peers)
+	i.suspects = suspect.New(i.settings, i.timers, suspect.Seams{
+		Post: i.board.Post, Subscribe: i.board.Subscribe, View: i.directory.View, Enter: enter, Leave: leave,
+	}, i.log)
+	i.pool = share.New(i.settings, i.timers, share.Seams{
+		Listed: i.directory.Listed, ListAge: i.listAge, Alive: i.directory.View, Dead: i.dead, Outcome: i.outcome,
+		Endpoints: i.roster.Endpoints, Learn: i.roster.Learn, Probe: i.probe, Slots: i.slots, Queued: i.queued,
+		Call: share.Call(i.peers),
+	}, i.log)
+	i.orders = order.New(i.settings, i.timers, order.Seams{
+		Hold: i.holdOrders, Members: i.zoneMembers, Demand: i.demand, Collect: order.Collect(i.peers),
+		Endpoints: i.roster.Endpoints, Table: i.config.Table, Order: i.capacity.Order,
+	}, i.log)
+	i.rollout = rollout.New(i.settings, i.timers, rollout.Seams{
+		Hold: i.holdWeights, View: i.directory.View, Table: i.config.Table, Endpoints: i.roster.Endpoints,
+		Version: func(trainer string) (int, bool) { return i.versions.Version(trainer) },
+		Changed: func() <-chan struct{} { return i.versions.Changed() },
+		Stored:  i.weights.Stored, Load: i.orderLoad, Switch: i.orderSwitch, Status: i.engineStatus, Limited: weights.Limited,
+	}, i.log)
+}
+
+func (i *instance) buildTraffic() {
+	i.queue = queue.New(i.timers, i.meters, queue.Seams{Running: i.pool.Running, Changed: i.pool.Changed})
+	i.dispatcher = dispatch.New(i.settings, i.timers, i.meters, i.log, i.engines, i.services, dispatch.Seams{
+		Endpoints: i.endpoints, Load: i.load, Failed: i.roster.Failed, Free: i.free, Take: i.take, Wait: i.queue.Wait,
+		Table: i.config.Table, Admit: i.suspects.Admit, Suspect: i.suspects.Suspect, Crashed: i.suspects.Crashed,
+		Completed: i.suspects.Completed, Record: i.record,
+	})
+	i.once = once.New(i.settings, i.timers, i.meters, once.Seams{
+		View: i.directory.Listed, Peer: i.oncePeer, Refused: fleet.Refused, Report: i.directory.Report, Current: i.fresh,
+	})
+	i.steps = step.New(i.settings, i.timers, step.Seams{
+		View: i.directory.View, Client: i.peers, Generate: i.generateSample, Score: i.scorer.Score,
+		Allowed: i.trainerAllowed, Get: i.getValue, Put: i.putValue,
+	}, i.meters, i.log)
+	i.versions = version.New(i.timers, version.Seams{
+		List: i.listVersions, Post: i.board.Post, Subscribe: i.board.Subscribe, Relay: i.directory.Relay, Observe: i.steps.Observe,
+	}, i.log)
+	i.entry = entry.New(i.settings, i.timers, i.meters, i.log, entry.Seams{
+		Table: i.config.Table, Fresh: i.config.Fresh, Changed: i.config.Changed, Ready: i.ready,
+		Generate: i.dispatcher.Generate, Forward: i.dispatcher.Forward, Claim: i.once.Claim, Announce: i.announce, Pull: i.pull,
+	})
+}
+
+func (i *instance) buildBilling() error {
+	var err error
+	i.usage, err = usage.New(i.settings, i.timers, usage.Seams{
+		View: i.directory.View, Client: i.peers, Create: i.create,
+	}, i.meters, i.log)
+	return err
+}
+
+// parts returns what runs for the whole life of the instance, by name.
+func (i *instance) parts() map[string]func(context.Context) error {
+	return map[string]func(context.Context) error{
+		"directory": i.directory.Run, "config": i.config.Run, "bulletin": i.board.Run, "roster": i.roster.Run,
+		"share": i.pool.Run, "suspect": i.suspects.Run, "order": i.runOrders, "rollout": i.rollout.Run,
+		"queue": i.queue.Run, "once": i.once.Run, "entry": i.entry.Run, "step": i.steps.Run,
+		"version": i.versions.Run, "usage": i.usage.Run, "report": i.runReports, "cache": i.runCache,
+	}
+}
--- /dev/null
+++ b/internal/control/serve/fleet.go
@@ -0,0 +1,236 @@
+package serve
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/code"
+	"github.com/wigeonpin/wigeonpin/internal/control/lease"
+	"github.com/wigeonpin/wigeonpin/internal/control/member"
+	"github.com/wigeonpin/wigeonpin/internal/control/roster"
+	"github.com/wigeonpin/wigeonpin/internal/fleet/order"
+	"github.com/wigeonpin/wigeonpin/internal/fleet/rollout"
+	"github.com/wigeonpin/wigeonpin/internal/fleet/share"
+	"github.com/wigeonpin/wigeonpin/internal/peer/engine"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/dispatch"
+)
+
+const (
+	probeLimit = time.Second
+	// cachePeriod is the time between two reads of an engine's cache events.
+	cachePeriod  = 2 * time.Second
+	defaultSlots = 1
+)
+
+// work counts the slots in use and the cost served, by model.
+type work struct {
+	mu      sync.Mutex
+	running map[string]int64
+	served  map[string]int64
+}
+
+func newWork() *work { return &work{running: map[string]int64{}, served: map[string]int64{}} }
+
+func (w *work) add(model string, running, served int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.running[model] += running
+	w.served[model] += served
+}
+
+func (i *instance) askLoad(ctx context.Context, e roster.Endpoint) (roster.Load, error) {
+	asked := i.timers.Now()
+	report, err := i.engines.Load(ctx, e.Address)
+	if err != nil {
+		return roster.Load{}, err
+	}
+	return roster.Load{
+		Running: report.Running, Waiting: report.Waiting, Limit: report.Limit, Version: report.Version, At: asked,
+	}, nil
+}
+
+// probe asks an endpoint for its load outside the usual period.
+func (i *instance) probe(id string) {
+	e, ok := i.roster.Endpoints().Get(id)
+	if !ok {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), probeLimit)
+		defer cancel()
+		if load, err := i.askLoad(ctx, e); err == nil {
+			i.roster.Learn(id, load)
+		}
+	}()
+}
+
+// slots is the highest number of requests on one endpoint of the model. A model
+// without a row is tried with a single slot.
+func (i *instance) slots(model string) int {
+	if row, ok := i.config.Table().Model(model); ok {
+		return row.Slots
+	}
+	return defaultSlots
+}
+
+func (i *instance) queued() []share.Queued {
+	var out []share.Queued
+	for _, w := range i.queue.Waiters() {
+		out = append(out, share.Queued{Model: w.Model, Account: w.Account, Requests: w.Requests, Weight: w.Weight})
+	}
+	return out
+}
+
+func (i *instance) zoneMembers() []member.Instance {
+	view := i.directory.View()
+	var out []member.Instance
+	for _, id := range view.Zone(i.settings.Zone) {
+		if one, ok := view.Instance(id); ok {
+			out = append(out, one)
+		}
+	}
+	return out
+}
+
+// demand is this instance's part of the zone's demand. Work of services with a
+// route that must not be repeated counts as fixed to standard endpoints.
+func (i *instance) demand() []*order.Demand {
+	byModel := map[string]*order.Demand{}
+	for name := range i.config.Table().Models() {
+		byModel[name] = &order.Demand{Model: name}
+	}
+	i.work.mu.Lock()
+	for name, d := range byModel {
+		d.Running, d.Served = i.work.running[name], i.work.served[name]
+	}
+	i.work.mu.Unlock()
+	for _, w := range i.queue.Waiters() {
+		if d, ok := byModel[w.Model]; ok {
+			d.Queued += int64(w.Requests)
+			d.QueuedCost += w.Cost
+		}
+	}
+	out := make([]*order.Demand, 0, len(byModel))
+	for name, d := range byModel {
+		if i.fixed(name) {
+			d.Fixed = d.GetRunning() + d.GetQueued()
+		}
+		out = append(out, d)
+	}
+	return out
+}
+
+func (i *instance) fixed(model string) bool {
+	row, ok := i.config.Table().Model(model)
+	return ok && row.Kind == roster.KindService && !row.Cheap
+}
+
+// runOrders orders endpoints unless the settings name no capacity interface.
+func (i *instance) runOrders(ctx context.Context) error {
+	if i.settings.Capacity == "" {
+		return nil
+	}
+	return i.orders.Run(ctx)
+}
+
+func (i *instance) holdOrders(ctx context.Context, name string) order.Lease {
+	held := i.leases.Hold(ctx, name)
+	return order.Lease{Held: held.Held, Client: held.Client()}
+}
+
+const weightsLease = "weights-"
+
+func (i *instance) holdWeights(ctx context.Context, name string) rollout.Lease {
+	held := i.leases.Hold(ctx, name)
+	i.guarded.Store(name, held)
+	return rollout.Lease{Held: held.Held}
+}
+
+func (i *instance) orderLoad(ctx context.Context, e roster.Endpoint, trainer string, version int, fence uint64) error {
+	return i.orderVersion(ctx, e, engine.Order{Action: engine.ActionLoad, Trainer: trainer, Version: version, Fence: fence})
+}
+
+func (i *instance) orderSwitch(ctx context.Context, e roster.Endpoint, trainer string, version int, fence uint64) error {
+	return i.orderVersion(ctx, e, engine.Order{Action: engine.ActionSwitch, Trainer: trainer, Version: version, Fence: fence})
+}
+
+// orderVersion sends a version order over the guarded connections of the
+// trainer's lease.
+func (i *instance) orderVersion(ctx context.Context, e roster.Endpoint, o engine.Order) error {
+	held, ok := i.guarded.Load(weightsLease + o.Trainer)
+	if !ok {
+		return code.New(code.LeaseLost, "the lease for the weights of trainer %s is not held", o.Trainer)
+	}
+	o.Holder = i.settings.ID
+	var client *http.Client = held.(*lease.Lease).Client()
+	return i.engines.Order(ctx, client, e.Address, o)
+}
+
+func (i *instance) engineStatus(ctx context.Context, e roster.Endpoint) (rollout.Status, error) {
+	versions, err := i.engines.Versions(ctx, e.Address)
+	return rollout.Status{Active: versions.Active, Loaded: versions.Loaded, Loading: versions.Loading}, err
+}
+
+// endpoints returns the endpoints that dispatch may consider. The roster's
+// snapshot leaves out those that are leaving, failed or in a zone that is out.
+func (i *instance) endpoints(model string) []roster.Endpoint { return i.roster.Endpoints().Live(model) }
+
+func (i *instance) load(id string) (roster.Load, bool) { return i.roster.Endpoints().Load(id) }
+
+func (i *instance) free(id string) int {
+	free := i.pool.Free(id)
+	if free == 0 {
+		i.pool.Ask(id)
+	}
+	return free
+}
+
+func (i *instance) take(id, account string) (dispatch.Slot, bool) {
+	slot, ok := i.pool.Take(id, account)
+	if !ok {
+		i.pool.Ask(id)
+		return dispatch.Slot{}, false
+	}
+	e, _ := i.roster.Endpoints().Get(id)
+	i.work.add(e.Model, 1, 0)
+	return dispatch.Slot{Release: func(o dispatch.Outcome) {
+		i.work.add(e.Model, -1, o.Cost)
+		slot.Release(share.Outcome{FirstToken: o.FirstToken, Took: o.Took, Failed: o.Failed, Cost: o.Cost})
+	}}, true
+}
+
+// runCache reads the cache events of the engines whose load this instance asks
+// for. Events come late and with gaps, so they only steer the choice.
+func (i *instance) runCache(ctx context.Context) error {
+	ticks := i.timers.Subscribe(cachePeriod)
+	defer ticks.Stop()
+	read := map[string]uint64{}
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticks.C:
+		}
+		for _, e := range i.roster.Endpoints().All() {
+			if e.Kind == roster.KindEngine && e.State == roster.StateLive && i.mine(e) {
+				read[e.ID] = i.readCache(ctx, e, read[e.ID])
+			}
+		}
+	}
+}
+
+func (i *instance) readCache(ctx context.Context, e roster.Endpoint, after uint64) uint64 {
+	limited, cancel := context.WithTimeout(ctx, probeLimit)
+	defer cancel()
+	events, err := i.engines.CacheEvents(limited, e.Address, after)
+	if err != nil {
+		return after
+	}
+	for _, event := range events {
+		i.dispatcher.Cached(e.ID, event.Prefix, event.Stored)
+		after = max(after, event.N)
+	}
+	return after
+}
--- /dev/null
+++ b/internal/control/serve/handler.go
@@ -0,0 +1,86 @@
+package serve
+
+import (
+	"net/http"
+
+	"github.com/gorilla/mux"
+
+	"github.com/wigeonpin/wigeonpin/internal/billing/usage"
+	"github.com/wigeonpin/wigeonpin/internal/control/bulletin"
+	"github.com/wigeonpin/wigeonpin/internal/control/config"
+	"github.com/wigeonpin/wigeonpin/internal/control/operator"
+	"github.com/wigeonpin/wigeonpin/internal/control/roster"
+	"github.com/wigeonpin/wigeonpin/internal/fleet/order"
+	"github.com/wigeonpin/wigeonpin/internal/fleet/rollout"
+	"github.com/wigeonpin/wigeonpin/internal/fleet/share"
+	"github.com/wigeonpin/wigeonpin/internal/peer/fleet"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/once"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/suspect"
+	"github.com/wigeonpin/wigeonpin/internal/training/step"
+)
+
+// peerHandler serves the calls of other instances.
+func (i *instance) peerHandler() http.Handler {
+	router := mux.NewRouter()
+	for prefix, handler := range map[string]http.Handler{
+		config.FeedPathPrefix:      i.config.Server(),
+		bulletin.NoticesPathPrefix: i.board.Server(),
+		roster.ListsPathPrefix:     i.roster.Server(),
+		share.SharesPathPrefix:     i.pool.Server(),
+		suspect.PlacesPathPrefix:   i.suspects.Server(),
+		order.DemandsPathPrefix:    i.orders.Server(),
+		once.OncePathPrefix:        i.once.Server(),
+		step.HomesPathPrefix:       i.steps.Server(),
+		usage.CopiesPathPrefix:     i.usage.Server(),
+	} {
+		router.PathPrefix(prefix).Handler(handler)
+	}
+	router.HandleFunc(pingPath, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	return fleet.Guard(i.settings.Secret, i.meters, router)
+}
+
+func (i *instance) operatorHandler() http.Handler {
+	return operator.New(i.settings.OperatorDigest, operator.Seams{
+		Table: i.config.Table, Edit: i.config.Edit, Status: i.status,
+		Drain: func() { i.drainOnce.Do(func() { close(i.drain) }) },
+	}, i.log)
+}
+
+type instanceStatus struct {
+	Instance  string                      `json:"instance"`
+	Zone      string                      `json:"zone"`
+	Ready     bool                        `json:"ready"`
+	Sequence  uint64                      `json:"sequence"`
+	Fresh     bool                        `json:"fresh"`
+	Relay     bool                        `json:"relay"`
+	Members   []string                    `json:"members"`
+	Endpoints []endpointStatus            `json:"endpoints"`
+	Rollouts  map[string]rollout.Progress `json:"rollouts"`
+	Waiting   map[string]int              `json:"waiting"`
+}
+
+type endpointStatus struct {
+	ID      string `json:"id"`
+	Zone    string `json:"zone"`
+	Model   string `json:"model"`
+	State   string `json:"state"`
+	Usable  bool   `json:"usable"`
+	Version int    `json:"version,omitempty"`
+}
+
+// status describes the instance for operators.
+func (i *instance) status() any {
+	snapshot := i.roster.Endpoints()
+	out := instanceStatus{
+		Instance: i.settings.ID, Zone: i.settings.Zone, Ready: i.ready() == nil, Sequence: i.config.Sequence(),
+		Fresh: i.fresh(), Relay: i.directory.Relay(), Members: i.directory.View().IDs(),
+		Rollouts: i.rollout.Progress(), Waiting: i.queue.Waiting(),
+	}
+	for _, e := range snapshot.All() {
+		load, _ := snapshot.Load(e.ID)
+		out.Endpoints = append(out.Endpoints, endpointStatus{
+			ID: e.ID, Zone: e.Zone, Model: e.Model, State: e.State, Usable: snapshot.Usable(e.ID), Version: load.Version,
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/control/serve/serve.go
@@ -0,0 +1,135 @@
+// Package serve puts the parts of one instance together and runs them: the
+// control plane, the request path, the endpoint side, training and usage.
+//
+// # Usage
+//
+//	err := serve.Run(ctx, settings, log) // returns once ctx has ended and all work is finished
+//
+// The end of ctx starts the planned shutdown: the readiness probe fails first,
+// running work finishes, usage is sealed, then the leases are given up.
+package serve
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/base/meter"
+	"github.com/wigeonpin/wigeonpin/internal/base/setting"
+	"github.com/wigeonpin/wigeonpin/internal/peer/fleet"
+)
+
+// closeLimit bounds the steps of a shutdown after the running work has ended.
+const closeLimit = 10 * time.Second
+
+// Run serves until ctx ends and then shuts down as planned.
+func Run(ctx context.Context, settings setting.Settings, log *logrus.Entry) error {
+	i, err := build(settings, clock.NewSystem(), meter.NewSet(), log)
+	if err != nil {
+		return err
+	}
+	listeners, err := i.listen()
+	if err != nil {
+		return err
+	}
+	i.meters.Publish("wigeonpin")
+	return i.run(ctx, listeners)
+}
+
+type listeners struct{ callers, peers, operators net.Listener }
+
+func (i *instance) listen() (listeners, error) {
+	var l listeners
+	var err error
+	for _, one := range []struct {
+		address string
+		into    *net.Listener
+	}{{i.settings.Listen, &l.callers}, {i.settings.Peer, &l.peers}, {i.settings.Operator, &l.operators}} {
+		if *one.into, err = net.Listen("tcp", one.address); err != nil {
+			return l, eris.Wrapf(err, "listen on %s", one.address)
+		}
+	}
+	return l, nil
+}
+
+// run starts all parts. Parts that finish work during the shutdown get a
+// context of their own, which ends after the last request.
+func (i *instance) run(ctx context.Context, l listeners) error {
+	working, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	servers := map[net.Listener]*http.Server{
+		l.callers:                      i.entry.Server(),
+		fleet.Count(l.peers, i.meters): {Handler: i.peerHandler(), ReadHeaderTimeout: setting.Milliseconds(i.settings.HeaderMS)},
+		l.operators:                    {Handler: i.operatorHandler(), ReadHeaderTimeout: setting.Milliseconds(i.settings.HeaderMS)},
+	}
+	group, failed := errgroup.WithContext(ctx)
+	for listener, server := range servers {
+		group.Go(func() error { return serveUntilClosed(server, listener) })
+	}
+	parts, _ := errgroup.WithContext(working)
+	for name, part := range i.parts() {
+		parts.Go(func() error { return i.runPart(working, name, part) })
+	}
+	i.log.WithField("listen", i.settings.Listen).Info("instance started")
+	select {
+	case <-failed.Done():
+	case <-i.drain:
+	}
+	i.shutdown(stop, servers)
+	// Parts end with the context's error, which is no failure.
+	_ = parts.Wait()
+	return group.Wait()
+}
+
+func serveUntilClosed(server *http.Server, listener net.Listener) error {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return eris.Wrapf(err, "serve on %s", listener.Addr())
+	}
+	return nil
+}
+
+func (i *instance) runPart(ctx context.Context, name string, part func(context.Context) error) error {
+	err := part(ctx)
+	if err != nil && ctx.Err() == nil {
+		i.log.WithFields(logrus.Fields{"part": name, logs.Cause: err.Error()}).Error("a part of the instance ended")
+	}
+	return err
+}
+
+// shutdown ends the instance in the order that loses nothing: new work stops,
+// running work finishes, usage is sealed, delegations and leases end.
+func (i *instance) shutdown(stop context.CancelFunc, servers map[net.Listener]*http.Server) {
+	i.log.Info("planned shutdown started")
+	limit := setting.Milliseconds(i.settings.DrainDelayMS + i.settings.DrainLimitMS)
+	draining, cancel := context.WithTimeout(context.Background(), limit+closeLimit)
+	defer cancel()
+	if err := i.entry.Drain(draining); err != nil {
+		i.log.WithField(logs.Cause, err.Error()).Warn("requests were still running at the end of the drain limit")
+	}
+	i.steps.Close()
+	i.dispatcher.Close()
+	closing, done := context.WithTimeout(context.Background(), closeLimit)
+	defer done()
+	if err := i.usage.Close(closing); err != nil {
+		i.log.WithField(logs.Cause, err.Error()).Warn("usage could not be sealed; its second holder seals it")
+	}
+	i.pool.Leave()
+	stop()
+	i.leases.Wait()
+	for _, server := range servers {
+		if err := server.Shutdown(closing); err != nil {
+			i.log.WithField(logs.Cause, err.Error()).Warn("a server did not close in time")
+		}
+	}
+	i.engines.Close()
+	i.services.Close()
+	i.log.Info("planned shutdown finished")
+}
--- /dev/null
+++ b/internal/traffic/queue/demand.go
@@ -0,0 +1,26 @@
+package queue
+
+// Waiters is the waiting work of one account for one model.
+type Waiters struct {
+	Model, Account string
+	Requests       int
+	Cost           int64
+	Weight         float64
+}
+
+// Waiters returns the waiting work by model and account.
+func (q *Queue) Waiters() []Waiters {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var out []Waiters
+	for name, m := range q.models {
+		for _, f := range m.flows {
+			if len(f.waiting) > 0 {
+				out = append(out, Waiters{
+					Model: name, Account: f.account, Requests: len(f.waiting), Cost: f.cost, Weight: f.weight,
+				})
+			}
+		}
+	}
+	return out
+}
