--- a/internal/fleet/share/exchange.go
+++ b/internal/fleet/share/exchange.go
@@ -128,6 +128,8 @@
 
 // prepare builds the report for a peer. It marks the peer as busy.
 func (p *Pool) prepare(id string) (*Report, []*stake, bool) {
+	// The queue holds its lock while it calls Running, so it is asked first.
+	queued := p.seams.Queued()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	x, now := p.peer(id), p.timers.Now()
@@ -150,7 +152,7 @@
 		p.describe(report, s, id, now)
 		models[s.endpoint.Model] = map[string]*Demand{}
 	}
-	p.describeDemand(report, models)
+	p.describeDemand(report, models, queued)
 	return report, covered, true
 }
 
@@ -192,7 +194,7 @@
 }
 
 // describeDemand adds the queued and running work for the report's models.
-func (p *Pool) describeDemand(report *Report, models map[string]map[string]*Demand) {
+func (p *Pool) describeDemand(report *Report, models map[string]map[string]*Demand, queue []Queued) {
 	add := func(model, account string) *Demand {
 		byAccount, ok := models[model]
 		if !ok {
@@ -221,7 +223,7 @@
 		}
 		return true
 	})
-	for _, q := range p.seams.Queued() {
+	for _, q := range queue {
 		if d := add(q.Model, q.Account); d != nil {
 			d.Queued += uint32(q.Requests)
 			d.Weight = float32(q.Weight)
