--- /dev/null
+++ b/internal/standin/contract/contract_test.go
@@ -0,0 +1,323 @@
+// Package contract tests the stand-ins against the published protocols, with
+// one table of calls for each interface in testdata.
+package contract
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"go.uber.org/goleak"
+
+	"github.com/wigeonpin/wigeonpin/internal/standin/cut"
+	"github.com/wigeonpin/wigeonpin/internal/standin/engine"
+	"github.com/wigeonpin/wigeonpin/internal/standin/host"
+	"github.com/wigeonpin/wigeonpin/internal/standin/platform"
+	"github.com/wigeonpin/wigeonpin/internal/standin/scorer"
+	"github.com/wigeonpin/wigeonpin/internal/standin/service"
+	"github.com/wigeonpin/wigeonpin/internal/standin/weightstore"
+)
+
+// patience bounds every wait for an event.
+const patience = 30 * time.Second
+
+// Guards against stand-ins that deviate from the published protocols, and
+// against switches without effect: tests of instances would then prove nothing.
+func TestContracts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		defer goleak.VerifyNone(t, goleak.IgnoreTopFunction("internal/poll.runtime_pollWait"))
+		w := newWorld(t)
+		defer w.close()
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			w.t = t
+			if d.Cmd == "start" {
+				for _, line := range strings.Split(d.Input, "\n") {
+					w.start(strings.Fields(line))
+				}
+				return ""
+			}
+			var out strings.Builder
+			for _, line := range strings.Split(d.Input, "\n") {
+				out.WriteString(w.line(line) + "\n")
+			}
+			return out.String()
+		})
+	})
+}
+
+// world holds the stand-ins of one table by name.
+type world struct {
+	t          *testing.T
+	ctx        context.Context
+	stop       context.CancelFunc
+	hosts      []*host.Host
+	addresses  map[string]string
+	machines   []platform.Machine
+	client     *http.Client
+	background chan string
+	relays     []*cut.Relay
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{t: t, addresses: map[string]string{}, client: &http.Client{Transport: &http.Transport{}}, background: make(chan string, 16)}
+	w.ctx, w.stop = context.WithCancel(context.Background())
+	return w
+}
+
+func (w *world) close() {
+	w.stop()
+	w.client.CloseIdleConnections()
+	for _, r := range w.relays {
+		r.Close()
+	}
+	for _, h := range w.hosts {
+		h.Close()
+	}
+}
+
+// start starts a stand-in: NAME KIND OPTION=VALUE...
+func (w *world) start(words []string) {
+	name, kind, options := words[0], words[1], map[string]string{}
+	for _, word := range words[2:] {
+		key, value, _ := strings.Cut(word, "=")
+		options[key] = value
+	}
+	number := func(key string, missing int) int {
+		if n, err := strconv.Atoi(options[key]); err == nil {
+			return n
+		}
+		return missing
+	}
+	ms := func(key string, missing int) time.Duration {
+		return time.Duration(number(key, missing)) * time.Millisecond
+	}
+	o := host.Options{Name: kind, Listen: "127.0.0.1:0", Control: "127.0.0.1:0"}
+	switch kind {
+	case "platform":
+		p := platform.New(platform.Options{
+			Lag: ms("lag", 0), Reads: float64(number("reads", 0)), Writes: float64(number("writes", 0)),
+			Start: ms("start", 0), Leave: ms("leave", 0), Pool: w.machines,
+		})
+		go p.Run(w.ctx)
+		o.Handler = p.Handler()
+	case "engine":
+		e := w.engine(options, number, ms, &o)
+		defer func() {
+			h := w.hosts[len(w.hosts)-1]
+			e.OnFall = func() { h.Down(20 * time.Millisecond) }
+			w.machines = append(w.machines, platform.Machine{
+				ID: name, Zone: options["zone"], Address: w.addresses[name], Control: w.addresses[name+"-control"], Kind: "engine", Model: "tagger",
+				Class: options["class"], Price: 1, On: options["on"] == "yes", ColdMS: 1000,
+			})
+		}()
+	case "service":
+		s := service.New(service.Options{Slots: 4, Work: time.Millisecond})
+		o.Handler, o.OwnCrash = s.Handler(), true
+	case "weightstore":
+		o.Handler = weightstore.New(weightstore.Options{Rate: 0.001, Burst: number("burst", 100), Bytes: 8}).Handler()
+	case "scorer":
+		o.Handler = scorer.New(0).Handler()
+	case "cut":
+		r := cut.New([]cut.Pair{{Listen: "127.0.0.1:0", To: w.addresses[options["to"]]}})
+		if err := r.Start(); err != nil {
+			w.t.Fatal(err)
+		}
+		w.relays = append(w.relays, r)
+		w.addresses[name+"-relayed"] = r.Addresses()[0]
+		o.Handler = r.Handler()
+	default:
+		w.t.Fatalf("unknown kind %q", kind)
+	}
+	h := host.New(o)
+	if err := h.Start(); err != nil {
+		w.t.Fatal(err)
+	}
+	w.hosts = append(w.hosts, h)
+	w.addresses[name], w.addresses[name+"-control"] = h.Address(), h.Control()
+}
+
+func (w *world) engine(options map[string]string, number func(string, int) int, ms func(string, int) time.Duration, o *host.Options) *engine.Engine {
+	d := engine.Defaults()
+	d.Slots, d.Queue = number("slots", 4), number("queue", 2)
+	d.Rate, d.Total, d.Chunk = float64(number("rate", 2000)), 1e6, 5*time.Millisecond
+	d.LoadLag, d.EventLag, d.EventGap = ms("load-lag", 0), ms("event-lag", 0), number("event-gap", 0)
+	d.Cold, d.Load, d.CheckFence = ms("cold", 0), 0, options["fence"] == "yes"
+	if store, ok := options["weights"]; ok {
+		d.Weights = w.addresses[store]
+	}
+	e := engine.New(d)
+	o.Handler, o.OnDown, o.OnUp = e.Handler(), e.Reset, e.Restart
+	return e
+}
+
+// call is one line of a table: [NAME] METHOD PATH [HEADER: VALUE; ...] BODY.
+var call = regexp.MustCompile(`^(\S+) (GET|PUT|POST|DELETE) (\S+)(?: \[(.*?)\])?(?: (.*))?$`)
+
+// line runs one line of a table. "until TEXT | CALL" repeats a call until its
+// answer contains the text, "& CALL" runs it in the background until "join",
+// and "N x CALL" repeats it and counts the statuses.
+func (w *world) line(line string) string {
+	switch {
+	case strings.HasPrefix(line, "until "):
+		text, rest, _ := strings.Cut(strings.TrimPrefix(line, "until "), " | ")
+		return w.until(text, rest)
+	case strings.HasPrefix(line, "& "):
+		go func() { w.background <- w.call(line[2:]) }()
+		return "started"
+	case line == "join":
+		select {
+		case answer := <-w.background:
+			return answer
+		case <-time.After(patience):
+			return "no answer"
+		}
+	case regexp.MustCompile(`^\d+ x `).MatchString(line):
+		count, rest, _ := strings.Cut(line, " x ")
+		n, _ := strconv.Atoi(count)
+		return w.repeat(n, rest)
+	default:
+		return w.call(line)
+	}
+}
+
+func (w *world) until(text, line string) string {
+	last := ""
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if last = w.line(line); strings.Contains(last, text) {
+			return "seen " + text
+		}
+	}
+	return fmt.Sprintf("not seen %s, last %s", text, last)
+}
+
+func (w *world) repeat(n int, line string) string {
+	counts := map[string]int{}
+	for range n {
+		status, _, _ := strings.Cut(w.call(line), " ")
+		counts[status]++
+	}
+	return fmt.Sprint(counts)
+}
+
+// scrub hides times and addresses, which differ from run to run.
+var scrub = []struct {
+	pattern *regexp.Regexp
+	with    string
+}{
+	{regexp.MustCompile(`"(at_ms|age_ms)":\d+`), `"$1":0`},
+	{regexp.MustCompile(`127\.0\.0\.1:\d+`), `ADDRESS`},
+}
+
+func (w *world) call(line string) string {
+	parts := call.FindStringSubmatch(line)
+	if parts == nil {
+		return "not a call: " + line
+	}
+	path := parts[3]
+	ctx, stop := context.WithTimeout(w.ctx, patience)
+	defer stop()
+	if limit, rest, ok := strings.Cut(path, "!"); ok {
+		// PATH!MS gives up after a time.
+		path = limit
+		n, _ := strconv.Atoi(rest)
+		ctx, stop = context.WithTimeout(w.ctx, time.Duration(n)*time.Millisecond)
+		defer stop()
+	}
+	body := parts[5]
+	for name, address := range w.addresses {
+		body = strings.ReplaceAll(body, "ADDRESS("+name+")", address)
+	}
+	req, err := http.NewRequestWithContext(ctx, parts[2], "http://"+w.addresses[parts[1]]+path, strings.NewReader(body))
+	if err != nil {
+		return err.Error()
+	}
+	for _, header := range strings.Split(parts[4], "; ") {
+		if key, value, ok := strings.Cut(header, ": "); ok {
+			req.Header.Set(key, value)
+		}
+	}
+	resp, err := w.client.Do(req)
+	if err != nil {
+		return failure(ctx, err)
+	}
+	defer resp.Body.Close()
+	if strings.HasPrefix(resp.Header.Get("Content-Type"), "application/x-ndjson") {
+		return stream(ctx, resp)
+	}
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return fmt.Sprintf("%d cut off", resp.StatusCode)
+	}
+	answer := strconv.Itoa(resp.StatusCode) + " " + string(raw)
+	for _, name := range []string{"Retry-After", "Wigeonpin-Request"} {
+		if value := resp.Header.Get(name); value != "" {
+			answer += " " + name + ": " + value
+		}
+	}
+	for _, s := range scrub {
+		answer = s.pattern.ReplaceAllString(answer, s.with)
+	}
+	return answer
+}
+
+func failure(ctx context.Context, err error) string {
+	switch {
+	case ctx.Err() != nil:
+		return "no answer"
+	case strings.Contains(err.Error(), "refused"):
+		return "refused"
+	default:
+		return "reset"
+	}
+}
+
+// stream joins the lines of a stream, whose division depends on timing.
+func stream(ctx context.Context, resp *http.Response) string {
+	var text strings.Builder
+	var versions []int
+	request, end := "", "cut off"
+	reader := bufio.NewReader(resp.Body)
+	for {
+		raw, err := reader.ReadBytes('\n')
+		if err != nil {
+			if ctx.Err() != nil {
+				end = "silent"
+			}
+			if strings.Contains(end, `"reason":"cancelled"`) {
+				end = "cancelled"
+			}
+			if !strings.HasPrefix(end, "{") {
+				// How much came until then depends on timing.
+				return fmt.Sprintf("%s versions=%v %s", request, versions, end)
+			}
+			return fmt.Sprintf("%s text=%q versions=%v %s", request, text.String(), versions, end)
+		}
+		var line struct {
+			Request string
+			Text    string
+			Version int
+			Done    bool
+		}
+		if json.Unmarshal(raw, &line) != nil {
+			return "not JSON: " + string(raw)
+		}
+		if line.Done {
+			end = strings.TrimSpace(string(raw))
+		} else if line.Text != "" {
+			request = line.Request
+			text.WriteString(line.Text)
+			if len(versions) == 0 || versions[len(versions)-1] != line.Version {
+				versions = append(versions, line.Version)
+			}
+		}
+	}
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -93,6 +93,7 @@
 	poison   map[string]bool
 	fails    map[string]int
 	falls    int
+	tokens   int64
 	role     string
 	adapters []string
 
@@ -103,7 +104,7 @@
 func New(options Options) *Engine {
 	e := &Engine{
 		options: options, streams: map[string]*stream{}, powered: true,
-		versions: versions{active: options.Version, loaded: []int{options.Version}}, cache: newCache(options),
+		versions: versions{active: options.Version, loaded: []int{options.Version}, fences: map[string]uint64{}}, cache: newCache(options),
 		poison: map[string]bool{}, fails: map[string]int{}, slowness: 1, role: "both",
 		client: &http.Client{Timeout: time.Minute, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
@@ -300,6 +301,8 @@
 	Bears   int  `json:"bears"`
 	Falls   int  `json:"falls"`
 	Active  int  `json:"active"`
+	// Tokens is the number of tokens generated since the start.
+	Tokens int64 `json:"tokens"`
 }
 
 func (e *Engine) state() engineState {
@@ -307,6 +310,6 @@
 	defer e.mu.Unlock()
 	return engineState{
 		Running: e.running, Waiting: len(e.waiting), Powered: e.powered,
-		Cold: e.cold.is(time.Now()), Bears: e.bears(), Falls: e.falls, Active: e.versions.active,
+		Cold: e.cold.is(time.Now()), Bears: e.bears(), Falls: e.falls, Active: e.versions.active, Tokens: e.tokens,
 	}
 }
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -240,6 +240,7 @@
 func (e *Engine) line(s *stream, index, n int) chunkLine {
 	e.mu.Lock()
 	version := e.versions.active
+	e.tokens += int64(n)
 	e.mu.Unlock()
 	if e.crossed.Take() {
 		return chunkLine{"crossed-" + s.body.Request, index, Text("another prompt", s.at, s.at+n), n, version}
--- a/internal/standin/engine/version.go
+++ b/internal/standin/engine/version.go
@@ -16,10 +16,11 @@
 const keptVersions = 2
 
 type versions struct {
-	active     int
-	loaded     []int
-	loading    int
-	fence      uint64
+	active  int
+	loaded  []int
+	loading int
+	// fences holds the highest fencing token of each trainer's lease.
+	fences     map[string]uint64
 	silentFail bool
 }
 
@@ -56,7 +57,7 @@
 		codec.WriteError(w, err)
 		return
 	}
-	if !e.acceptFence(b.Fence) {
+	if !e.acceptFence(b.Trainer, b.Fence) {
 		codec.WriteError(w, code.New(code.LeaseLost, "fence %d is older than an earlier one", b.Fence))
 		return
 	}
@@ -78,13 +79,13 @@
 	}
 }
 
-func (e *Engine) acceptFence(fence uint64) bool {
+func (e *Engine) acceptFence(trainer string, fence uint64) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.options.CheckFence && fence < e.versions.fence {
+	if e.options.CheckFence && fence < e.versions.fences[trainer] {
 		return false
 	}
-	e.versions.fence = max(e.versions.fence, fence)
+	e.versions.fences[trainer] = max(e.versions.fences[trainer], fence)
 	return true
 }
 
--- a/internal/standin/host/host.go
+++ b/internal/standin/host/host.go
@@ -10,7 +10,7 @@
 //	defer h.Close()
 //	h.Down(2 * time.Second) // connections are reset, new ones refused
 //
-// The switches crash, freeze and silence are served under /fake/ next to those
+// The switches crash, up, freeze and silence are served under /fake/ next to those
 // of the handler. With a control address, /fake/ is reachable there while the
 // main address is down or frozen.
 package host
@@ -94,6 +94,7 @@
 		h.Close()
 		return eris.Wrapf(err, "%s: listen on control address", h.options.Name)
 	}
+	h.control.Addr = l.Addr().String()
 	go func() { _ = h.control.Serve(l) }()
 	return nil
 }
@@ -116,6 +117,14 @@
 	return h.address
 }
 
+// Control returns the address of the switches, once the host has started.
+func (h *Host) Control() string {
+	if h.control == nil {
+		return h.Address()
+	}
+	return h.control.Addr
+}
+
 func (h *Host) listen() error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -263,8 +272,10 @@
 }
 
 type crashBody struct {
-	MS   int64 `json:"ms"`
-	Exit bool  `json:"exit"`
+	// MS is how long the host is down; with 0 it is down until the switch up.
+	MS int64 `json:"ms"`
+	// Exit ends the process.
+	Exit bool `json:"exit"`
 }
 
 type silenceAnswer struct {
@@ -295,6 +306,8 @@
 			}
 			return b, nil
 		})
+	case "up":
+		Switch(w, r, struct{}{}, func(b struct{}) (any, error) { return b, h.Up() })
 	case "freeze":
 		Switch(w, r, OnBody{On: true}, func(b OnBody) (any, error) {
 			if b.On {
--- a/internal/standin/platform/orders.go
+++ b/internal/standin/platform/orders.go
@@ -104,13 +104,19 @@
 		wanted[key{m.Model, "cheap"}] = m.Cheap
 	}
 	groups := map[key][]*machine{}
+	var keys []key
 	for _, m := range s.machines {
-		if m.Zone == zone {
-			groups[key{m.Model, m.Class}] = append(groups[key{m.Model, m.Class}], m)
+		k := key{m.Model, m.Class}
+		if m.Zone != zone {
+			continue
 		}
+		if groups[k] == nil {
+			keys = append(keys, k)
+		}
+		groups[k] = append(groups[k], m)
 	}
-	for k, machines := range groups {
-		s.bring(machines, wanted[k])
+	for _, k := range keys {
+		s.bring(groups[k], wanted[k])
 	}
 	return true
 }
