--- a/internal/standin/contract/contract_test.go
+++ b/internal/standin/contract/contract_test.go
@@ -10,6 +10,7 @@
 	"io"
 	"net/http"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -174,12 +175,9 @@
 		go func() { w.background <- w.call(line[2:]) }()
 		return "started"
 	case line == "join":
-		select {
-		case answer := <-w.background:
-			return answer
-		case <-time.After(patience):
-			return "no answer"
-		}
+		return w.join(1)
+	case line == "join 2":
+		return w.join(2)
 	case regexp.MustCompile(`^\d+ x `).MatchString(line):
 		count, rest, _ := strings.Cut(line, " x ")
 		n, _ := strconv.Atoi(count)
@@ -189,6 +187,21 @@
 	}
 }
 
+// join waits for answers of calls in the background, in no particular order.
+func (w *world) join(n int) string {
+	var answers []string
+	for range n {
+		select {
+		case answer := <-w.background:
+			answers = append(answers, answer)
+		case <-time.After(patience):
+			return "no answer"
+		}
+	}
+	slices.Sort(answers)
+	return strings.Join(answers, "\n")
+}
+
 func (w *world) until(text, line string) string {
 	last := ""
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
