Close the gaps of the at-most-once records and test them

A claim also goes to former homes within the lag bound of the member list, homes hand records over when homes change, and a refusal says "not run" only when a covering home proves it. The random test guards against an id that runs twice and against a false "not run" under crashes, restarts, silent links, lost answers and late member lists; the scripts cover the death of the claimer, of one home and of both, and changed homes.

--- a/internal/traffic/once/claim.go
+++ b/internal/traffic/once/claim.go
@@ -25,7 +25,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.claims) >= recordsLimit {
-		return nil, unsure(retryReturn, "too many idempotency keys are in use")
+		return nil, unsure(code.MaybeRun, retryReturn, "too many idempotency keys are in use")
 	}
 	now := r.timers.Now()
 	c := &Claim{records: r, record: record, acked: map[string]bool{}, changed: now, pushed: now}
@@ -153,18 +153,33 @@
 	var calls sync.WaitGroup
 	defer calls.Wait()
 	slots := make(chan struct{}, maintainers)
-	for _, c := range r.due() {
+	start := func(f func()) {
 		slots <- struct{}{}
 		calls.Go(func() {
 			defer func() { <-slots }()
-			r.spread(ctx, c)
+			f()
+		})
+	}
+	for _, c := range r.due() {
+		start(func() { r.spread(ctx, c) })
+	}
+	view := r.seams.View()
+	for _, h := range r.store.handoffs(r.settings.ID, view) {
+		start(func() {
+			_, err := call(ctx, r, view, h.home, func(ctx context.Context, peer Once) (*PutAnswer, error) {
+				return peer.Put(ctx, &PutRequest{Record: h.record})
+			})
+			if err == nil || r.seams.Refused(err) {
+				r.store.tell(h)
+			}
 		})
 	}
 }
 
 // due returns the claims that some home does not hold, and forgets expired
-// ones. A running claim is refreshed often enough that its record, which a home
-// keeps for the resend window, does not expire.
+// ones. A running claim is refreshed several times in a resend window, so that
+// a home which lost its records by a restart holds it again before it covers
+// the id.
 func (r *Records) due() []*Claim {
 	window := setting.Milliseconds(r.settings.ResendMS)
 	view := r.seams.View()
--- a/internal/traffic/once/home.go
+++ b/internal/traffic/once/home.go
@@ -24,10 +24,10 @@
 	r := (*Records)(s)
 	r.observe()
 	home, covers, wait := r.history.covers(r.timers.Now(), request.Record.Id)
-	if !home && !request.Peek {
+	if !home && !request.Peek && !request.Former {
 		return &ClaimAnswer{}, nil
 	}
-	answer := &ClaimAnswer{Home: home, Covers: covers, WaitMs: wait.Milliseconds()}
+	answer := &ClaimAnswer{Home: home || request.Former, Covers: covers, WaitMs: wait.Milliseconds()}
 	if request.Peek {
 		answer.Held = r.store.get(request.Record.Id)
 		return answer, nil
@@ -61,18 +61,25 @@
 type store struct {
 	timers *clock.Service
 	window time.Duration
-	mu     sync.Mutex
-	held   map[string]*entry
-	bytes  int
+	// longest is how long a request may run; a running record outlives it,
+	// even when its claimer cannot refresh it.
+	longest time.Duration
+	mu      sync.Mutex
+	held    map[string]*entry
+	bytes   int
 }
 
 type entry struct {
 	record  *Record
 	changed time.Time
+	// homes are the homes of the id when the record came.
+	homes []string
+	// told are the homes that got the record from this instance.
+	told map[string]bool
 }
 
-func newStore(timers *clock.Service, window time.Duration) *store {
-	return &store{timers: timers, window: window, held: map[string]*entry{}}
+func newStore(timers *clock.Service, window, longest time.Duration) *store {
+	return &store{timers: timers, window: window, longest: longest, held: map[string]*entry{}}
 }
 
 func (s *store) get(id string) *Record {
@@ -120,7 +127,44 @@
 		record.Body, record.Header, record.Whole = nil, nil, false
 	}
 	s.bytes += len(record.Body)
-	s.held[record.Id] = &entry{record: record, changed: s.timers.Now()}
+	s.held[record.Id] = &entry{record: record, changed: s.timers.Now(), told: map[string]bool{}}
+}
+
+// handoff is a record that a new home does not have from this instance yet.
+type handoff struct {
+	record *Record
+	home   string
+}
+
+// handoffs returns the records whose homes have changed, with the new homes
+// that have to be told. The claimer tells them too, but may be cut off.
+func (s *store) handoffs(self string, view *member.View) []handoff {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []handoff
+	for id, e := range s.held {
+		now := view.Homes(id, homes)
+		if e.homes == nil {
+			e.homes = now
+		}
+		if slices.Equal(now, e.homes) && slices.Contains(now, self) {
+			continue
+		}
+		for _, home := range now {
+			if home != self && !e.told[home] {
+				out = append(out, handoff{e.record, home})
+			}
+		}
+	}
+	return out
+}
+
+func (s *store) tell(h handoff) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e, ok := s.held[h.record.Id]; ok && e.record == h.record {
+		e.told[h.home] = true
+	}
 }
 
 func (s *store) drop(id, token string) {
@@ -136,7 +180,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, e := range s.held {
-		if s.timers.Since(e.changed) > s.window {
+		limit := s.window
+		if e.record.State == State_RUNNING {
+			limit += s.longest
+		}
+		if s.timers.Since(e.changed) > limit {
 			s.bytes -= len(e.record.Body)
 			delete(s.held, id)
 		}
@@ -185,6 +233,19 @@
 	}
 }
 
+// former returns the views that were replaced within the time span before now.
+func (h *history) former(now time.Time, span time.Duration) []*member.View {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []*member.View
+	for i := 0; i+1 < len(h.views); i++ {
+		if now.Sub(h.views[i+1].since) <= span {
+			out = append(out, h.views[i].view)
+		}
+	}
+	return out
+}
+
 // covers reports whether the instance is a home of the id, whether it has been
 // one in all its views for the whole window, and the time until that is so.
 func (h *history) covers(now time.Time, id string) (home, covers bool, wait time.Duration) {
--- a/internal/traffic/once/once.go
+++ b/internal/traffic/once/once.go
@@ -93,7 +93,7 @@
 	window := setting.Milliseconds(settings.ResendMS)
 	r := &Records{
 		settings: settings, timers: timers, seams: seams, counts: meters.Counter("once"),
-		store: newStore(timers, window), claims: map[string]*Claim{},
+		store: newStore(timers, window, setting.Milliseconds(settings.DeadlineMaxMS)), claims: map[string]*Claim{},
 		// Other instances may act on an older member list for its lag bound.
 		history: newHistory(settings.ID, window+setting.Milliseconds(settings.ListLagMS)),
 	}
@@ -149,7 +149,7 @@
 		}
 		void = released
 	}
-	return nil, unsure(retryReturn, "the records of this idempotency key are changing")
+	return nil, unsure(code.MaybeRun, retryReturn, "the records of this idempotency key are changing")
 }
 
 func (r *Records) count(err error) {
@@ -160,20 +160,25 @@
 	r.counts.Add(name, 1)
 }
 
-func unsure(wait time.Duration, format string, args ...any) error {
-	return code.New(code.RecordUnsure, format, args...).WithRun(code.NotRun).WithRetryAfter(wait)
+func unsure(run code.Run, wait time.Duration, format string, args ...any) error {
+	return code.New(code.RecordUnsure, format, args...).WithRun(run).WithRetryAfter(wait)
 }
 
 // claim tries to record the claim at the homes, one after the other in their
 // common order, so that of two instances that claim the same id at the same
 // time one loses at the first home. It returns the record found instead.
 func (r *Records) claim(ctx context.Context, record *Record, void string) (*Claim, *Record, error) {
+	view := r.seams.View()
+	// An instance that was a home until a moment ago may be the only one left
+	// that knows the id.
+	if held := r.store.get(record.Id); held != nil && held.Token != void {
+		return nil, r.latest(ctx, view, view.Homes(record.Id, homes), held), nil
+	}
 	own, err := r.open(record)
 	if err != nil {
 		return nil, nil, err
 	}
 	r.observe()
-	view := r.seams.View()
 	tally := tally{homes: view.Homes(record.Id, homes)}
 	for _, home := range tally.homes {
 		answer, err := call(ctx, r, view, home, func(ctx context.Context, peer Once) (*ClaimAnswer, error) {
@@ -187,11 +192,49 @@
 			r.acknowledge(own, home, own.record)
 		}
 	}
-	if err := tally.verdict(); err != nil {
+	err = tally.verdict()
+	if err == nil {
+		held, err := r.claimFormer(ctx, own, tally.homes, void)
+		if err == nil && held == nil {
+			return own, nil, nil
+		}
 		r.release(ctx, own)
-		return nil, nil, err
+		return nil, held, err
 	}
-	return own, nil, nil
+	r.release(ctx, own)
+	return nil, nil, err
+}
+
+// claimFormer also records the claim at the homes of the views that the
+// instance had within the lag bound of the member list. Other instances may
+// still use such a view: without this, when the one home that both views have
+// in common dies, a former home that never heard of the claim would cover the id.
+func (r *Records) claimFormer(ctx context.Context, own *Claim, current []string, void string) (*Record, error) {
+	seen := map[string]bool{}
+	for _, home := range current {
+		seen[home] = true
+	}
+	for _, view := range r.history.former(r.timers.Now(), setting.Milliseconds(r.settings.ListLagMS)) {
+		for _, home := range view.Homes(own.record.Id, homes) {
+			if seen[home] {
+				continue
+			}
+			seen[home] = true
+			answer, err := call(ctx, r, view, home, func(ctx context.Context, peer Once) (*ClaimAnswer, error) {
+				return peer.Claim(ctx, &ClaimRequest{Record: own.record, Void: void, Former: true})
+			})
+			switch {
+			case err != nil && r.seams.Refused(err):
+			case err != nil || !answer.Home:
+				return nil, unsure(code.MaybeRun, retryReturn, "a former home of this idempotency key does not answer")
+			case answer.Held != nil:
+				return answer.Held, nil
+			default:
+				r.acknowledge(own, home, own.record)
+			}
+		}
+	}
+	return nil, nil
 }
 
 // tally is what the homes of an id said.
@@ -219,15 +262,19 @@
 	return nil
 }
 
-// verdict returns nil when the request may run.
+// verdict returns nil when the request may run. A home that covers the id and
+// holds no record proves that it did not run under an earlier claim.
 func (t *tally) verdict() error {
-	if len(t.homes) == 0 || t.answered == 0 || t.answered+t.dead < len(t.homes) {
-		return unsure(retryReturn, "the homes of this idempotency key do not answer")
+	if t.covers > 0 && t.answered+t.dead == len(t.homes) {
+		return nil
 	}
-	if t.covers == 0 {
-		return unsure(max(t.wait, retryReturn), "the homes of this idempotency key have not been responsible long enough")
+	if t.covers > 0 {
+		return unsure(code.NotRun, retryReturn, "a home of this idempotency key does not answer")
 	}
-	return nil
+	if t.answered == 0 {
+		return unsure(code.MaybeRun, retryReturn, "the homes of this idempotency key do not answer")
+	}
+	return unsure(code.MaybeRun, max(t.wait, retryReturn), "the homes of this idempotency key have not been responsible long enough")
 }
 
 // latest returns the most settled record that the homes hold.
--- /dev/null
+++ b/internal/traffic/once/once_test.go
@@ -0,0 +1,322 @@
+package once
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/code"
+	"github.com/wigeonpin/wigeonpin/internal/base/meter"
+	"github.com/wigeonpin/wigeonpin/internal/base/setting"
+	"github.com/wigeonpin/wigeonpin/internal/control/member"
+)
+
+// group is several instances whose calls to each other can fail.
+type group struct {
+	timers *clock.Service
+	driver *clock.Driver
+	mu     sync.Mutex
+	nodes  map[string]*node
+}
+
+type node struct {
+	records *Records
+	view    *member.View
+	// fault is "", "refused", "silent" or "lost" (the answer is lost).
+	fault  string
+	claims map[string]*Claim
+}
+
+func newGroup() *group {
+	g := &group{nodes: map[string]*node{}}
+	g.timers, g.driver = clock.NewDriven(time.Unix(1000, 0))
+	return g
+}
+
+func (g *group) fault(id string) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.nodes[id].fault
+}
+
+func (g *group) start(id string, view *member.View) {
+	n := &node{view: view, claims: map[string]*Claim{}}
+	g.mu.Lock()
+	g.nodes[id] = n
+	g.mu.Unlock()
+	settings := setting.Defaults()
+	settings.ID = id
+	n.records = New(settings, g.timers, meter.NewSet(), Seams{
+		View: func() *member.View { return n.view },
+		Peer: func(i member.Instance) Once { return link{g, id, i.ID} },
+		Refused: func(err error) bool {
+			return errors.Is(err, syscall.ECONNREFUSED)
+		},
+		Report: func(string, bool, bool) {},
+		// An instance that reaches nobody has no fresh view.
+		Current: func() bool { return n.fault != "silent" },
+	})
+}
+
+// link carries calls between two instances, or fails them.
+type link struct {
+	group    *group
+	from, to string
+}
+
+func carry[Q, A proto.Message](l link, q Q, f func(*server, Q) (A, error)) (A, error) {
+	var none A
+	fault := l.group.fault(l.to)
+	if fault == "refused" {
+		return none, syscall.ECONNREFUSED
+	}
+	if fault == "silent" || l.group.fault(l.from) == "silent" {
+		return none, context.DeadlineExceeded
+	}
+	answer, err := f((*server)(l.group.nodes[l.to].records), proto.Clone(q).(Q))
+	if fault == "lost" {
+		return none, context.DeadlineExceeded
+	}
+	return proto.Clone(answer).(A), err
+}
+
+func (l link) Claim(ctx context.Context, q *ClaimRequest) (*ClaimAnswer, error) {
+	return carry(l, q, func(s *server, q *ClaimRequest) (*ClaimAnswer, error) { return s.Claim(ctx, q) })
+}
+
+func (l link) Put(ctx context.Context, q *PutRequest) (*PutAnswer, error) {
+	return carry(l, q, func(s *server, q *PutRequest) (*PutAnswer, error) { return s.Put(ctx, q) })
+}
+
+func (l link) Drop(ctx context.Context, q *DropRequest) (*DropAnswer, error) {
+	return carry(l, q, func(s *server, q *DropRequest) (*DropAnswer, error) { return s.Drop(ctx, q) })
+}
+
+func (l link) Ask(ctx context.Context, q *AskRequest) (*AskAnswer, error) {
+	return carry(l, q, func(s *server, q *AskRequest) (*AskAnswer, error) { return s.Ask(ctx, q) })
+}
+
+// advance moves the time and lets each instance do its periodic work.
+func (g *group) advance(step time.Duration) {
+	for ; step > 0; step -= tickPeriod {
+		g.driver.Advance(min(step, tickPeriod))
+		for _, n := range g.nodes {
+			if n.fault != "refused" {
+				n.records.observe()
+				n.records.store.expire()
+				n.records.maintain(context.Background())
+			}
+		}
+	}
+}
+
+func (g *group) claim(via, id, digest string) string {
+	n := g.nodes[via]
+	claim, err := n.records.Claim(context.Background(), "acme", id, digest)
+	if err != nil {
+		coded := code.Of(err)
+		return fmt.Sprintf("%s run=%s", coded.Code, coded.Run)
+	}
+	if replay, ok := claim.Replay(); ok {
+		return fmt.Sprintf("replay %d %s", replay.Status, replay.Body)
+	}
+	n.claims[id] = claim
+	return "claimed"
+}
+
+func (g *group) done(via, id string, run code.Run, body string) {
+	if claim := g.nodes[via].claims[id]; claim != nil {
+		claim.Done(context.Background(), Stored{Run: run, Status: 200, Body: []byte(body), Whole: true})
+		delete(g.nodes[via].claims, id)
+	}
+}
+
+func viewOf(ids []string) *member.View {
+	var list []member.Instance
+	for _, id := range ids {
+		list = append(list, member.Instance{ID: id, Zone: id[:1], Peer: id})
+	}
+	return member.NewView(list)
+}
+
+// The scripts guard against a request with an idempotency key that runs twice
+// and against a wrong "not run": resends through other instances, the death of
+// the claimer, of one home and of both, and changed homes.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		g := newGroup()
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var out []string
+			for _, line := range strings.Split(d.Input, "\n") {
+				if words := strings.Fields(line); len(words) > 0 {
+					out = append(out, g.run(t, words)...)
+				}
+			}
+			return strings.Join(out, "\n")
+		})
+	})
+}
+
+func (g *group) run(t *testing.T, words []string) []string {
+	arg := func(n int) string {
+		if n < len(words) {
+			return words[n]
+		}
+		return ""
+	}
+	switch words[0] {
+	case "members": // members ID...: starts the missing ones, all get the view
+		view := viewOf(words[1:])
+		for _, id := range words[1:] {
+			if g.nodes[id] == nil {
+				g.start(id, view)
+			}
+		}
+		for _, n := range g.nodes {
+			n.view = view
+		}
+	case "homes":
+		return []string{strings.Join(g.nodes[arg(1)].view.Homes("acme\x00"+arg(2), homes), " ")}
+	case "advance":
+		step, err := time.ParseDuration(arg(1))
+		if err != nil {
+			t.Fatal(err)
+		}
+		g.advance(step)
+	case "claim": // claim VIA ID [DIGEST]
+		return []string{g.claim(arg(1), arg(2), arg(3))}
+	case "done": // done VIA ID RUN [BODY]
+		g.done(arg(1), arg(2), code.Run(arg(3)), arg(4))
+	case "fault": // fault ID [KIND]
+		g.nodes[arg(1)].fault = arg(2)
+	case "restart":
+		g.start(arg(1), g.nodes[arg(1)].view)
+	default:
+		t.Fatalf("unknown command %q", words[0])
+	}
+	return nil
+}
+
+// Random faults, restarts, member lists that arrive late and resends through
+// any instance must never let an id run twice within the resend window.
+func TestNeverTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := newGroup()
+		all := []string{"a1", "a2", "b1", "b2", "c1"}
+		listed := slices.Clone(all)
+		for _, id := range all {
+			g.start(id, viewOf(all))
+		}
+		g.advance(66 * time.Second)
+		type ran struct {
+			via  string
+			open bool
+			// end is when the run ended or its claimer was last in contact;
+			// zero while it runs and the claimer is in contact.
+			end time.Time
+		}
+		runs := map[string]ran{}
+		contact := func(via string, end time.Time) {
+			for id, r := range runs {
+				if r.via == via && r.open {
+					runs[id] = ran{via, true, end}
+				}
+			}
+		}
+		node := func() string { return rapid.SampledFrom(all).Draw(t, "node") }
+		key := func() string { return rapid.SampledFrom([]string{"x", "y"}).Draw(t, "id") }
+		t.Repeat(map[string]func(*rapid.T){
+			"claim": func(t *rapid.T) {
+				via, id := node(), key()
+				if g.nodes[via].fault == "refused" {
+					return
+				}
+				answer := g.claim(via, id, "d")
+				r, ok := runs[id]
+				ok = ok && (r.end.IsZero() || g.timers.Since(r.end) < 60*time.Second)
+				if ok && (answer == "claimed" || strings.Contains(answer, "not_run")) {
+					t.Fatalf("%s via %s: %s, but it ran via %s until %s", id, via, answer, r.via, r.end)
+				}
+				if answer != "claimed" {
+					return
+				}
+				runs[id] = ran{via: via, open: true}
+				if g.nodes[via].fault == "silent" {
+					runs[id] = ran{via, true, g.timers.Now()}
+				}
+			},
+			"done": func(t *rapid.T) {
+				id := key()
+				if r, ok := runs[id]; ok && r.open {
+					run := rapid.SampledFrom([]code.Run{code.Ran, code.MaybeRun, code.NotRun}).Draw(t, "run")
+					g.done(r.via, id, run, "body")
+					runs[id] = ran{r.via, false, g.timers.Now()}
+					if g.nodes[r.via].fault == "silent" {
+						runs[id] = ran{r.via, false, r.end}
+					}
+					if run == code.NotRun {
+						delete(runs, id)
+					}
+				}
+			},
+			"fault": func(t *rapid.T) {
+				id := node()
+				n := g.nodes[id]
+				if n.fault == "refused" {
+					return
+				}
+				was := n.fault
+				n.fault = rapid.SampledFrom([]string{"", "", "silent", "lost"}).Draw(t, "fault")
+				if n.fault == "silent" && was != "silent" {
+					contact(id, g.timers.Now())
+				} else if n.fault != "silent" && was == "silent" {
+					contact(id, time.Time{})
+				}
+			},
+			"crash": func(*rapid.T) {
+				id := node()
+				for key, r := range runs {
+					if r.via == id && r.open {
+						if r.end.IsZero() {
+							r.end = g.timers.Now()
+						}
+						runs[key] = ran{id, false, r.end}
+					}
+				}
+				g.start(id, g.nodes[id].view)
+				g.nodes[id].fault = "refused"
+			},
+			"restart": func(*rapid.T) {
+				if id := node(); g.nodes[id].fault == "refused" {
+					g.start(id, g.nodes[id].view)
+				}
+			},
+			"list": func(*rapid.T) {
+				if id := node(); slices.Contains(listed, id) && len(listed) > 2 {
+					listed = slices.DeleteFunc(slices.Clone(listed), func(o string) bool { return o == id })
+				} else if !slices.Contains(listed, id) {
+					listed = append(slices.Clone(listed), id)
+				}
+			},
+			"adopt": func(*rapid.T) { g.nodes[node()].view = viewOf(listed) },
+			"advance": func(t *rapid.T) {
+				// The member list reaches everyone within its lag bound of 5 s.
+				for _, n := range g.nodes {
+					n.view = viewOf(listed)
+				}
+				g.advance(time.Duration(rapid.IntRange(1, 40).Draw(t, "seconds")) * time.Second)
+			},
+		})
+	})
+}
