Bound the combined load under joins, deaths, split views and loss

A property test with a driven clock checks the running work and the sum of the shares. Members are fenced by the age of their list; a joining member waits until larger shares have lapsed.

--- a/internal/fleet/rollout/run.go
+++ b/internal/fleet/rollout/run.go
@@ -53,6 +53,7 @@
 	endpoint roster.Endpoint
 	phase    phase
 	busy     bool
+	asked    bool
 	next     time.Time
 	since    time.Time // when the engine was last seen to have switched
 	retry    *backoff.ExponentialBackOff
@@ -285,6 +286,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := u.rollout.timers.Now()
+	defer func() { e.asked = true }()
 	switch {
 	case status.Active == u.version:
 		u.arrived(e, now)
@@ -296,7 +298,7 @@
 		e.next = now.Add(100*time.Millisecond + rand.N(100*time.Millisecond))
 	default:
 		e.phase, e.next = idle, now
-		if !u.inherited {
+		if e.asked {
 			e.next = now.Add(e.retry.NextBackOff())
 		}
 	}
--- a/internal/fleet/share/exchange.go
+++ b/internal/fleet/share/exchange.go
@@ -130,15 +130,21 @@
 func (p *Pool) prepare(id string) (*Report, []*stake, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	// The age is read before the list, so that the list is at least as new.
+	age := p.seams.ListAge()
 	x, now := p.peer(id), p.timers.Now()
 	if x.busy {
 		return nil, nil, false
 	}
+	if p.layout == nil || p.layout.listed != p.seams.Listed() {
+		p.reconcileLocked(now)
+	}
+	p.fenced = age > p.lag
 	x.busy = true
 	x.sequence++
 	report := &Report{
 		Member: p.self, Incarnation: p.incarnation, Sequence: x.sequence, HomeIncarnation: x.incarnation,
-		Token: x.token, View: p.layout.zone(p.zone).view, Leaving: p.leaving,
+		Token: x.token, Leaving: p.leaving,
 	}
 	var covered []*stake
 	models := map[string]map[string]*Demand{}
@@ -243,12 +249,6 @@
 		return false
 	}
 	x.incarnation, x.token, x.tokenAt = answer.Incarnation, answer.Token, now
-	if !answer.Refused {
-		x.heard = now
-	}
-	if x.view != answer.View {
-		x.view, x.viewAt = answer.View, now
-	}
 	freed := false
 	for i, s := range covered {
 		if report.Running[i] == 0 {
@@ -328,12 +328,8 @@
 	}
 	answer := &Answer{
 		Incarnation: p.incarnation, Token: uint64(now.Sub(p.started)) + 1,
-		View:       p.layout.zone(p.zone).view,
 		Allotments: make([]uint32, n), Ramps: make([]uint32, n), Epochs: make([]uint32, n),
 	}
-	if _, ok := p.layout.listed.Instance(report.Member); !ok {
-		answer.Refused = true
-	}
 	fresh := report.HomeIncarnation == p.incarnation && report.Token > 0 &&
 		now.Sub(p.started)+1-time.Duration(report.Token) < p.term
 	details := make([]*Detail, n)
--- a/internal/fleet/share/layout.go
+++ b/internal/fleet/share/layout.go
@@ -4,8 +4,6 @@
 	"slices"
 	"strconv"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/wigeonpin/wigeonpin/internal/control/member"
 )
 
@@ -20,8 +18,6 @@
 type zoneLayout struct {
 	cells [][]string
 	names []string
-	// view identifies the zone's list.
-	view uint64
 }
 
 func newLayout(listed *member.View, size int) *layout {
@@ -38,13 +34,6 @@
 		slices.Sort(z.cells[i])
 		z.names = append(z.names, strconv.Itoa(i))
 	}
-	var digest xxhash.Digest
-	digest.Reset()
-	for _, id := range l.listed.Zone(name) {
-		_, _ = digest.WriteString(id)
-		_, _ = digest.WriteString("\x00")
-	}
-	z.view = digest.Sum64()
 	l.zones[name] = z
 	return z
 }
--- a/internal/fleet/share/pool.go
+++ b/internal/fleet/share/pool.go
@@ -21,10 +21,9 @@
 //     that one which arrives late is not counted.
 //   - A member delegates to another home instance only once the earlier
 //     delegation and all grants based on it have lapsed.
+//   - A member whose list may be out of date delegates nothing.
 //   - A member that joins delegates nothing before all others count it.
 //   - A member that left the list is counted until it cannot delegate any more.
-//   - A member whose list may be out of date delegates only while it hears
-//     from every member that it counts.
 //   - What a member runs, holds or was granted last is charged until it
 //     reports again or is proved dead.
 package share
@@ -55,8 +54,11 @@
 type Seams struct {
 	// Listed returns the platform's list of instances. It decides the cells.
 	Listed func() *member.View
-	// ListAge is the time for which the list may have changed without this
-	// instance's knowledge.
+	// ListAge is the time for which another instance of the zone may have had
+	// a newer list of the zone than this one. It starts when the call to the
+	// platform was sent, also for lists that came through others. While the
+	// platform is down, the age stays low as long as there is evidence that no
+	// instance of the zone reaches the platform.
 	ListAge func() time.Duration
 	// Alive returns the instances that answer. It decides the homes.
 	Alive func() *member.View
@@ -96,6 +98,9 @@
 
 	mu      sync.Mutex
 	leaving bool
+	// fenced: this instance may have left the list, or another may have
+	// joined, without its knowledge.
+	fenced  bool
 	layout  *layout
 	seat    seat
 	stakes  map[string]*stake
--- a/internal/fleet/share/stake.go
+++ b/internal/fleet/share/stake.go
@@ -18,7 +18,6 @@
 	// inCell: this instance owns a share since the given time.
 	inCell bool
 	since  time.Time
-	joined bool
 	home   string
 	// retained are former members of the cell that may still delegate, with
 	// the time at which they cannot any more.
@@ -38,9 +37,6 @@
 	incarnation uint64
 	token       uint64
 	tokenAt     time.Time
-	heard       time.Time
-	view        uint64
-	viewAt      time.Time
 	busy        bool
 	asked       time.Time
 }
@@ -145,7 +141,7 @@
 	}
 	inCell := slices.Contains(cell, p.self)
 	if inCell && !s.inCell {
-		s.since, s.joined = now, false
+		s.since = now
 	}
 	p.retain(s.retained, s.cell, cell, now)
 	s.cell, s.inCell = cell, inCell
@@ -209,10 +205,7 @@
 	if !s.inCell || p.leaving || s.home != id {
 		return 0
 	}
-	if !s.joined {
-		s.joined = p.counted(s, now)
-	}
-	if !s.joined || p.fenced(s, now) {
+	if !p.settled(s, now) || p.fenced {
 		return 0
 	}
 	if s.delegate != id && s.delegate != "" {
@@ -227,38 +220,12 @@
 	return uint32(len(s.cell) + len(s.retained))
 }
 
-// counted reports whether a joining member may delegate: the members that it
-// does not know have lost their shares, and each member that it knows has
-// counted it for long enough that no larger share of that member is in force.
-func (p *Pool) counted(s *stake, now time.Time) bool {
-	if now.Sub(s.since) < p.lag+p.lapse() {
-		return false
-	}
-	view := p.layout.zone(s.endpoint.Zone).view
-	for _, id := range s.cell {
-		if id == p.self || p.seams.Dead(id) {
-			continue
-		}
-		if x := p.peer(id); x.view != view || now.Sub(x.viewAt) < p.lapse() {
-			return false
-		}
-	}
-	return true
-}
-
-// fenced reports whether this instance may have been taken off the list
-// without its knowledge. Members that all hear each other and list each other
-// go on without the platform: no other member owns a share.
-func (p *Pool) fenced(s *stake, now time.Time) bool {
-	if p.seams.ListAge() <= p.lag {
-		return false
-	}
-	for _, id := range s.cell {
-		if id != p.self && !p.seams.Dead(id) && now.Sub(p.peer(id).heard) > p.lag {
-			return true
-		}
-	}
-	return false
+// settled reports whether a joining member may delegate. By then every other
+// member knows that it joined or is fenced, and the larger shares that they
+// delegated before have lapsed; so have those of members that left the list
+// before this one came and that it does not know.
+func (p *Pool) settled(s *stake, now time.Time) bool {
+	return now.Sub(s.since) >= p.lag+p.lapse()
 }
 
 // targets returns the instances to exchange with in a period: the members of
--- a/internal/fleet/share/world_test.go
+++ b/internal/fleet/share/world_test.go
@@ -17,22 +17,28 @@
 // world is a zone in one process: instances with their own views, endpoints
 // that count what runs on them, and messages that get lost or come late.
 type world struct {
-	timers  *clock.Service
-	driver  *clock.Driver
-	nodes   map[string]*node
-	dead    map[string]bool
-	listed  *member.View // the platform's list
-	backs   map[string]*back
-	cut     map[[2]string]bool
-	mute    func() bool // whether the next answer is lost
-	late    []func()
-	limit   int
-	size    int
-	noCheck bool
+	timers *clock.Service
+	driver *clock.Driver
+	nodes  map[string]*node
+	dead   map[string]bool
+	listed *member.View // the platform's list
+	backs  map[string]*back
+	cut    map[[2]string]bool
+	mute   func() bool // whether the next answer is lost
+	late   []func()
+	limit  int
+	size   int
+	// highs holds the ramps of the home instances over time, by endpoint.
+	highs map[string][]high
 	// exceeded describes the first time at which an endpoint ran too much.
 	exceeded string
 }
 
+type high struct {
+	at    time.Time
+	value int
+}
+
 // node is one instance.
 type node struct {
 	id      string
@@ -43,6 +49,7 @@
 	slots   []*Slot
 	learned map[string]roster.Load
 	refused map[string]bool
+	cached  *roster.Snapshot
 }
 
 // back is an endpoint.
@@ -57,7 +64,7 @@
 	timers, driver := clock.NewDriven(time.Unix(1000, 0))
 	w := &world{
 		timers: timers, driver: driver, nodes: map[string]*node{}, dead: map[string]bool{}, limit: limit, size: 8,
-		listed: member.NewView(nil), backs: map[string]*back{}, cut: map[[2]string]bool{}, mute: func() bool { return false },
+		listed: member.NewView(nil), backs: map[string]*back{}, cut: map[[2]string]bool{}, highs: map[string][]high{}, mute: func() bool { return false },
 	}
 	for i := range endpoints {
 		w.addEndpoint(fmt.Sprintf("e-%d", i))
@@ -71,8 +78,10 @@
 	}}
 }
 
-// join starts an instance that reads the platform's list at once.
-func (w *world) join(id string) *node {
+// join starts an instance of the zone that reads the platform's list at once.
+func (w *world) join(id string) *node { return w.joinZone(id, zone) }
+
+func (w *world) joinZone(id, zone string) *node {
 	w.listed = w.listed.With(member.Instance{ID: id, Zone: zone, State: member.StateLive})
 	delete(w.dead, id)
 	settings := setting.Defaults()
@@ -87,7 +96,7 @@
 			n.refused[peer] = errors.Is(err, errRefused)
 		},
 		Endpoints: func() *roster.Snapshot { return w.snapshot(n) },
-		Learn:     func(e string, l roster.Load) { n.learned[e] = l },
+		Learn:     func(e string, l roster.Load) { n.learn(e, l) },
 		Probe:     func(string) {},
 		Slots:     func(string) int { return w.limit },
 		Queued:    func() []Queued { return n.queued },
@@ -131,6 +140,9 @@
 // snapshot is the roster of an instance: all endpoints live, with the load
 // that each reported at its last poll.
 func (w *world) snapshot(n *node) *roster.Snapshot {
+	if n.cached != nil {
+		return n.cached
+	}
 	r := roster.New(setting.Settings{}, w.timers, roster.Seams{ZoneOut: func(string) bool { return false }}, logs.Discard())
 	page := roster.Page{Revision: 1, Full: true}
 	for _, b := range w.backs {
@@ -140,13 +152,20 @@
 	for id, load := range n.learned {
 		r.Learn(id, load)
 	}
-	return r.Endpoints()
+	n.cached = r.Endpoints()
+	return n.cached
+}
+
+func (n *node) learn(endpoint string, load roster.Load) {
+	if load.At.After(n.learned[endpoint].At) {
+		n.learned[endpoint], n.cached = load, nil
+	}
 }
 
 // poll lets an instance ask the endpoints for their load.
 func (n *node) poll(w *world) {
 	for id, b := range w.backs {
-		n.learned[id] = roster.Load{Running: b.running, Limit: w.limit, At: w.timers.Now()}
+		n.learn(id, roster.Load{Running: b.running, Limit: w.limit, At: w.timers.Now()})
 	}
 }
 
@@ -158,21 +177,51 @@
 	n.slots = append(n.slots, slot)
 	b := w.backs[endpoint]
 	b.running++
-	if highest := w.ramp(endpoint); !w.noCheck && b.running > highest && w.exceeded == "" {
-		w.exceeded = fmt.Sprintf("%s runs %d, limit %d, at %v", endpoint, b.running, highest, w.timers.Now().Sub(time.Unix(1000, 0)))
+	if highest := w.highest(endpoint); b.running > highest && w.exceeded == "" {
+		w.exceeded = fmt.Sprintf("%s runs %d, limit %d, %v after the start", endpoint, b.running, highest, w.timers.Since(time.Unix(1000, 0)))
 	}
 	return true
 }
 
-// ramp is the highest limit that a living home instance has for the endpoint.
-func (w *world) ramp(endpoint string) int {
-	highest := 0
-	for _, n := range w.nodes {
-		if l, ok := n.pool.ledgers[endpoint]; ok {
-			highest = max(highest, l.ramp.value)
+// observe records the ramps of the home instances and adds up the shares that
+// they hold.
+func (w *world) observe() {
+	now := w.timers.Now()
+	for endpoint := range w.backs {
+		shares := 0.0
+		for _, n := range w.nodes {
+			l, ok := n.pool.ledgers[endpoint]
+			if !ok {
+				continue
+			}
+			w.highs[endpoint] = append(w.highs[endpoint], high{now, l.ramp.value})
+			for _, e := range l.entries {
+				if e.parts > 0 && now.Before(e.partsUntil) {
+					shares += 1 / float64(e.parts)
+				}
+			}
+		}
+		if shares > 1+1e-9 && w.exceeded == "" {
+			w.exceeded = fmt.Sprintf("the shares of %s that home instances hold add up to %.2f", endpoint, shares)
+			w.exceeded += w.dump(endpoint)
 		}
 	}
-	return highest
+}
+
+// highest is the highest ramp of the last two terms: a grant that was made
+// under it may still be used.
+func (w *world) highest(endpoint string) int {
+	w.observe()
+	now, best := w.timers.Now(), 0
+	kept := w.highs[endpoint][:0]
+	for _, h := range w.highs[endpoint] {
+		if now.Sub(h.at) <= 3*time.Second {
+			kept = append(kept, h)
+			best = max(best, h.value)
+		}
+	}
+	w.highs[endpoint] = kept
+	return best
 }
 
 // finish ends the work on the oldest slot.
@@ -186,6 +235,13 @@
 	slot.Release(outcome)
 }
 
+// freeAll ends all work of an instance well.
+func (w *world) freeAll(n *node) {
+	for len(n.slots) > 0 {
+		w.finish(n, Outcome{FirstToken: 50 * time.Millisecond})
+	}
+}
+
 // die ends an instance; its work ends with its connections.
 func (w *world) die(id string) {
 	n := w.nodes[id]
@@ -202,6 +258,7 @@
 	for _, id := range n.pool.targets(w.timers.Now()) {
 		n.pool.Exchange(context.Background(), id)
 	}
+	w.observe()
 }
 
 // sync lets an instance read the platform's list.
@@ -230,3 +287,18 @@
 		w.exchange(w.nodes[id])
 	}
 }
+
+func (w *world) dump(endpoint string) string {
+	out := fmt.Sprintf("\nplatform %v now %v", w.listed.Zone(zone), w.timers.Now())
+	for _, id := range w.ids() {
+		n := w.nodes[id]
+		s := n.pool.stakes[endpoint]
+		out += fmt.Sprintf("\n%s listed %v stake %+v", id, n.listed.Zone(zone), s)
+		if l, ok := n.pool.ledgers[endpoint]; ok {
+			for m, e := range l.entries {
+				out += fmt.Sprintf("\n   entry %s parts %d until %v heard %v", m, e.parts, e.partsUntil, e.heard)
+			}
+		}
+	}
+	return out
+}
