--- a/internal/billing/usage/usage_test.go
+++ b/internal/billing/usage/usage_test.go
@@ -3,15 +3,20 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
 	"github.com/wigeonpin/wigeonpin/internal/base/logs"
 	"github.com/wigeonpin/wigeonpin/internal/base/meter"
 	"github.com/wigeonpin/wigeonpin/internal/base/setting"
 	"github.com/wigeonpin/wigeonpin/internal/billing/report"
+	"github.com/wigeonpin/wigeonpin/internal/billing/usage"
+	"github.com/wigeonpin/wigeonpin/internal/control/member"
+	"github.com/wigeonpin/wigeonpin/internal/peer/fleet"
 )
 
 // reporter returns a reporter that sends to the given intake, by window.
@@ -28,6 +33,14 @@
 	}, meter.NewSet(), logs.Discard())
 }
 
+func decodeReport(t rapid.TB, raw string) report.Report {
+	var body report.Report
+	if err := json.Unmarshal([]byte(raw), &body); err != nil {
+		t.Fatal(err)
+	}
+	return body
+}
+
 // Guards against records that are lost or counted twice, and against two
 // figures for one window, under random kills, cuts, lost answers, outages of
 // the store, instances taken for dead and two reporters in charge at once.
@@ -35,6 +48,8 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		ctx := context.Background()
 		w := newWorld(t, 4)
+		w.data["i-3"] = t.TempDir()
+		w.start(t, "i-3")
 		intake := map[int64][]string{}
 		reporters := []*report.Reporter{w.reporter("r-1", 1, intake), w.reporter("r-2", 2, intake)}
 		settled := true
@@ -90,6 +105,11 @@
 				}
 			},
 		})
+		if w.nodes["i-3"] == nil {
+			// The records may be in its data folder only.
+			w.driver.Advance(time.Millisecond)
+			w.start(t, "i-3")
+		}
 		w.settle(ctx)
 		w.driver.Advance(4 * time.Minute)
 		w.settle(ctx)
@@ -102,11 +122,7 @@
 		}
 		counted := map[string]int64{}
 		for _, bodies := range intake {
-			var body report.Report
-			if err := json.Unmarshal([]byte(bodies[0]), &body); err != nil {
-				rt.Fatal(err)
-			}
-			for _, e := range body.Entries {
+			for _, e := range decodeReport(rt, bodies[0]).Entries {
 				counted[e.Class] += e.Requests
 			}
 		}
@@ -117,3 +133,75 @@
 		}
 	})
 }
+
+// Guards against a record that reaches the data folder while earlier ones are
+// sealed and is cut off when the file is emptied after that.
+func TestFolderKeepsWhatCameWhileSealing(t *testing.T) {
+	ctx := context.Background()
+	w := newWorld(t, 1)
+	w.data["i-0"] = t.TempDir()
+	w.start(t, "i-0")
+	w.append("i-0")
+	w.nodes["i-0"].CommitForTest(ctx)
+	w.driver.Advance(time.Minute)
+	w.store.during = func() {
+		w.append("i-0")
+		w.nodes["i-0"].CommitForTest(ctx)
+	}
+	w.nodes["i-0"].SealForTest(ctx)
+	w.store.during = nil
+	w.kill("i-0")
+	w.driver.Advance(time.Millisecond)
+	w.start(t, "i-0")
+	w.nodes["i-0"].SealForTest(ctx)
+	w.check(t, w.sealed(t))
+}
+
+// Guards against a response that waits longer than the copy time when no
+// second holder answers, and against calls that do not reach a second holder
+// over the network.
+func TestAppendOverTheNetwork(t *testing.T) {
+	timers, driver := clock.NewDriven(time.Unix(1_700_000_000, 0))
+	start := func(id, zone string, view func() *member.View) (*usage.Log, *meter.Set, *httptest.Server) {
+		settings := setting.Defaults()
+		settings.ID, settings.Zone, settings.Secret = id, zone, "0123456789abcdef"
+		meters := meter.NewSet()
+		log, err := usage.New(settings, timers, usage.Seams{View: view, Client: fleet.NewClient(settings), Create: (&store{}).create}, meters, logs.Discard())
+		if err != nil {
+			t.Fatal(err)
+		}
+		server := httptest.NewServer(fleet.Guard(settings.Secret, meters, log.Server()))
+		t.Cleanup(server.Close)
+		return log, meters, server
+	}
+	_, _, holder := start("i-1", "b", func() *member.View { return member.NewView(nil) })
+	view := member.NewView([]member.Instance{
+		{ID: "i-0", Zone: "a", State: member.StateLive},
+		{ID: "i-1", Zone: "b", State: member.StateLive, Peer: holder.Listener.Addr().String()},
+	})
+	log, meters, _ := start("i-0", "a", func() *member.View { return view })
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	go func() { done <- log.Run(ctx) }()
+	if err := log.Append(ctx, usage.Record{Account: "acme"}); err != nil {
+		t.Fatal(err)
+	}
+	if n := meters.Counter("usage_single_copy").Value(""); n != 0 {
+		t.Fatal("the record has a single copy although a holder answers")
+	}
+	holder.Close()
+	go func() { done <- log.Append(ctx, usage.Record{Account: "acme"}) }()
+	for {
+		select {
+		case err := <-done:
+			if err != nil || meters.Counter("usage_single_copy").Value("") != 1 {
+				t.Fatalf("append ended with %v, single copies %d", err, meters.Counter("usage_single_copy").Value(""))
+			}
+			cancel()
+			<-done
+			return
+		case <-time.After(time.Millisecond):
+			driver.Advance(10 * time.Millisecond)
+		}
+	}
+}
--- a/internal/billing/usage/world_test.go
+++ b/internal/billing/usage/world_test.go
@@ -26,9 +26,13 @@
 	down     bool
 	loseNext bool // apply the next creation, then lose its answer
 	dropNext bool // lose the next creation
+	during   func()
 }
 
 func (s *store) create(_ context.Context, kind, name string, value []byte) ([]byte, bool, error) {
+	if s.during != nil {
+		s.during()
+	}
 	if s.down || s.dropNext {
 		s.dropNext = false
 		return nil, false, errCut
