Test the control plane's failure cases and close the gaps they showed

A refusal now rests on a head that was read after the edit came in, an instance without a list asks its callers for one, and parents call quiet children.

--- /dev/null
+++ b/internal/control/bulletin/bulletin_test.go
@@ -0,0 +1,159 @@
+package bulletin
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/base/setting"
+	"github.com/wigeonpin/wigeonpin/internal/control/member"
+)
+
+// network connects boards that are neighbours in a chain or a ring.
+type network struct {
+	timers *clock.Service
+	driver *clock.Driver
+	boards map[string]*Board
+	edges  map[string][]string
+	cut    map[string]bool
+	mu     sync.Mutex
+	got    map[string][]string
+}
+
+func newNetwork(edges map[string][]string) *network {
+	n := &network{boards: map[string]*Board{}, edges: edges, cut: map[string]bool{}, got: map[string][]string{}}
+	n.timers, n.driver = clock.NewDriven(time.Unix(0, 0))
+	for id := range edges {
+		n.add(id)
+	}
+	return n
+}
+
+func (n *network) add(id string) {
+	settings := setting.Defaults()
+	settings.ID = id
+	n.boards[id] = New(settings, n.timers, Seams{
+		Neighbours: func() (out []member.Instance) {
+			for _, e := range n.edges[id] {
+				out = append(out, member.Instance{ID: e, Peer: e + ":1"})
+			}
+			return out
+		},
+		Report: func(string, bool, bool) {},
+		Peers:  &http.Client{Transport: route{n, id}},
+	}, logs.Discard())
+	n.boards[id].Subscribe("topic", func(key string, payload []byte) {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.got[id] = append(n.got[id], key+"="+string(payload))
+	})
+}
+
+type route struct {
+	network *network
+	from    string
+}
+
+func (r route) RoundTrip(q *http.Request) (*http.Response, error) {
+	to := q.URL.Hostname()
+	if r.network.cut[to] || r.network.cut[r.from] {
+		return nil, errors.New("no answer")
+	}
+	body, err := io.ReadAll(q.Body)
+	if err != nil {
+		return nil, err
+	}
+	in := q.Clone(q.Context())
+	in.Body = io.NopCloser(bytes.NewReader(body))
+	w := httptest.NewRecorder()
+	r.network.boards[to].Server().ServeHTTP(w, in)
+	return w.Result(), nil
+}
+
+// pass lets periods pass at all boards.
+func (n *network) pass(t *testing.T, periods int, compare bool) {
+	for range periods {
+		n.driver.Advance(time.Second)
+		for _, b := range n.boards {
+			b.spread(t.Context(), compare)
+		}
+	}
+}
+
+// Guards against events that instances miss: because they are far away, cut off
+// when the event is posted, or have lost their memory; and against events that
+// are delivered twice or never end.
+func TestEventsReachAllOnce(t *testing.T) {
+	edges := map[string][]string{"a": {"b"}, "b": {"a", "c"}, "c": {"b", "d"}, "d": {"c"}}
+	n := newNetwork(edges)
+	n.cut["d"] = true
+	n.boards["a"].Post("topic", "k", []byte("1"), 30*time.Second)
+	n.pass(t, 5, false)
+	check := func(when, id string, want int) {
+		t.Helper()
+		if got := len(n.got[id]); got != want {
+			t.Errorf("%s: %s got %v, want %d events", when, id, n.got[id], want)
+		}
+	}
+	for id, want := range map[string]int{"a": 1, "b": 1, "c": 1, "d": 0} {
+		check("while d is cut off", id, want)
+	}
+	n.cut["d"] = false
+	n.pass(t, 2, false)
+	check("after d is back", "d", 1)
+	// b starts again without memory under the same id.
+	n.got["b"] = nil
+	n.add("b")
+	n.pass(t, 3, true)
+	check("after b has started again", "b", 1)
+	n.driver.Advance(30 * time.Second)
+	n.pass(t, 2, true)
+	for id, b := range n.boards {
+		check("at the end", id, 1)
+		if len(b.events) != 0 || b.digest != 0 {
+			t.Errorf("%s still holds %d expired events", id, len(b.events))
+		}
+	}
+}
+
+// Guards against messages without bound: an event crosses each edge of a ring
+// a few times at most, and nothing is sent when there is no news.
+func TestEventsDoNotCircle(t *testing.T) {
+	edges := map[string][]string{}
+	for i := range 6 {
+		edges[fmt.Sprint(i)] = []string{fmt.Sprint((i + 1) % 6), fmt.Sprint((i + 5) % 6)}
+	}
+	n := newNetwork(edges)
+	n.boards["0"].Post("topic", "k", nil, time.Hour)
+	n.pass(t, 20, false)
+	for id, b := range n.boards {
+		for _, neighbour := range n.edges[id] {
+			if len(b.lacking(neighbour)) > 0 {
+				t.Errorf("%s would send the event to %s again", id, neighbour)
+			}
+		}
+		if len(n.got[id]) != 1 {
+			t.Errorf("%s got the event %d times", id, len(n.got[id]))
+		}
+	}
+}
+
+// Guards against news that waits a whole period at each instance on its way.
+func TestNewsIsPassedOnAtOnce(t *testing.T) {
+	n := newNetwork(map[string][]string{"a": {"b"}, "b": {"a", "c"}, "c": {"b"}})
+	n.boards["a"].Post("topic", "k", nil, time.Hour)
+	n.boards["a"].spread(t.Context(), false)
+	select {
+	case <-n.boards["b"].wake:
+	default:
+		t.Error("the middle instance does not wake up to pass the event on")
+	}
+}
--- a/internal/control/config/commit.go
+++ b/internal/control/config/commit.go
@@ -239,7 +239,7 @@
 	pause.InitialInterval, pause.MaxInterval = 20*time.Millisecond, time.Second
 	for len(a.open) > 0 {
 		err := c.tryCommit(ctx, a)
-		if err == nil {
+		if err == nil && ctx.Err() == nil {
 			continue
 		}
 		if code.Is(err, code.PlatformBehind) {
@@ -247,6 +247,9 @@
 			return
 		}
 		wait := max(pause.NextBackOff(), objects.RetryAfter(err))
+		if err == nil {
+			err = ctx.Err()
+		}
 		if !a.sent && !c.reachable() {
 			a.fail(unavailable("the platform does not answer: %s", err))
 			return
@@ -266,10 +269,16 @@
 
 // tryCommit makes one attempt at the open edits of a batch.
 func (c *Config) tryCommit(ctx context.Context, a *attempt) error {
-	base, revision, err := c.writableHead(ctx, a.sent)
+	base, revision, confirmed, err := c.writableHead(ctx, a.sent)
 	if err != nil {
 		return err
 	}
+	// A refusal is only true if the head it rests on is not older than the edit.
+	if !confirmed && c.refuses(a, base) {
+		if base, revision, _, err = c.writableHead(ctx, true); err != nil {
+			return err
+		}
+	}
 	if a.sent && !base.holds(a.after) {
 		// The head has moved on so far that the edits' ids may have left it.
 		a.fail(uncertain())
@@ -320,9 +329,29 @@
 	return nil
 }
 
-// writableHead returns the head to extend. It is read again when none is known
-// for the own sequence or when an earlier write may have taken effect.
-func (c *Config) writableHead(ctx context.Context, reread bool) (head, uint64, error) {
+// refuses reports whether a head decides against any of the open edits.
+func (c *Config) refuses(a *attempt, base head) bool {
+	c.mu.Lock()
+	t := c.state.table
+	c.mu.Unlock()
+	next := base.Sequence
+	for _, p := range a.open {
+		if _, found := base.find(p.id); found {
+			continue
+		}
+		next++
+		_, after, err := propose(t, p.row, next)
+		if err != nil {
+			return true
+		}
+		t = after
+	}
+	return false
+}
+
+// writableHead returns the head to extend, and whether it was read just now. It
+// is read when none is known for the own sequence or when reread is set.
+func (c *Config) writableHead(ctx context.Context, reread bool) (head, uint64, bool, error) {
 	c.mu.Lock()
 	current := c.state.head.Sequence == c.state.table.Sequence() && c.state.revision > 0
 	c.mu.Unlock()
@@ -333,15 +362,15 @@
 		c.platformAnswered(m.sent, err == nil)
 		c.mu.Unlock()
 		if err != nil {
-			return head{}, 0, err
+			return head{}, 0, false, err
 		}
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.state.behind {
-		return head{}, 0, behind()
+		return head{}, 0, false, behind()
 	}
-	return c.state.head, c.state.revision, nil
+	return c.state.head, c.state.revision, !current || reread, nil
 }
 
 // prepare settles the edits whose outcome a head decides, and returns the head
--- /dev/null
+++ b/internal/control/config/commit_test.go
@@ -0,0 +1,201 @@
+package config
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/code"
+	"github.com/wigeonpin/wigeonpin/internal/control/table"
+	"github.com/wigeonpin/wigeonpin/internal/peer/objects"
+)
+
+func (f *testFleet) head() head {
+	var h head
+	f.platform.mu.Lock()
+	defer f.platform.mu.Unlock()
+	if err := json.Unmarshal(f.platform.objects[kind+"/"+headName].Value, &h); err != nil {
+		f.t.Fatal(err)
+	}
+	return h
+}
+
+// Guards against lost updates: many operators at several instances change the
+// same two rows, each from the revision that it has seen, while answers of the
+// platform are lost. Every accepted edit must build on the one before.
+func TestRacingEditsBuildOnEachOther(t *testing.T) {
+	f := newFleet(t)
+	for i := range 4 {
+		f.start(fmt.Sprintf("i%d", i), fmt.Sprintf("zone-%d", i%2))
+	}
+	for range 3 {
+		f.step()
+	}
+	f.platform.lose = 5
+	const operators, rounds = 8, 5
+	f.drive(func() {
+		var group sync.WaitGroup
+		for o := range operators {
+			group.Go(func() { f.increment(fmt.Sprintf("o%d", o), f.nodes[f.order[o%4]], fmt.Sprintf("row-%d", o%2), rounds) })
+		}
+		group.Wait()
+	})
+	f.step()
+	for _, n := range f.nodes {
+		for r := range 2 {
+			a, _ := n.Table().Account(fmt.Sprintf("row-%d", r))
+			if want := operators * rounds / 2; a.Queue != want {
+				t.Errorf("%s counts %d accepted edits of row %d, want %d", n.id, a.Queue, r, want)
+			}
+		}
+	}
+	if h := f.head(); h.Sequence != operators*rounds {
+		t.Errorf("head has sequence %d, want %d", h.Sequence, operators*rounds)
+	}
+}
+
+// increment adds 1 to a row's queue limit a number of times, starting again
+// from the winning row after each lost race.
+func (f *testFleet) increment(operator string, n *node, name string, rounds int) {
+	seen := table.Row{Table: table.Accounts, Name: name}
+	for i := 0; i < rounds; {
+		var value struct {
+			Queue int `json:"queue"`
+		}
+		if len(seen.Value) > 0 && json.Unmarshal(seen.Value, &value) != nil {
+			f.t.Error("row cannot be decoded")
+			return
+		}
+		row := seen
+		row.Value = rawOf(fmt.Sprintf(`{"queue":%d}`, value.Queue+1))
+		accepted, err := n.Edit(context.Background(), fmt.Sprintf("%s-%d-%d", operator, i, seen.Revision), row)
+		switch {
+		case err == nil:
+			seen = accepted.Row
+			i++
+		case code.Is(err, code.EditConflict):
+			seen = accepted.Row
+		case !code.Is(err, code.EditUncertain) && !code.Is(err, code.PlatformUnavailable):
+			f.t.Errorf("%s: %v", operator, err)
+			return
+		}
+	}
+}
+
+// Guards against "not run" for an edit that was accepted, whose answer was lost
+// and whose id has left the head before its instance reads it again.
+func TestEditThatLeftTheHeadIsUncertain(t *testing.T) {
+	f := newFleet(t)
+	n := f.start("i0", "zone-a")
+	f.step()
+	f.step()
+	f.platform.lose = 1
+	f.platform.lost = func() {
+		row := table.Row{Table: table.Accounts, Name: "acme", Revision: 500, Value: rawOf("{}")}
+		h, _ := json.Marshal(head{Sequence: 500, Base: 499, Changes: []change{{Sequence: 500, EditID: "other", Row: row}}})
+		p, _ := json.Marshal(page{Sequence: 499, Pages: 1})
+		f.platform.revision++
+		for name, value := range map[string][]byte{headName: h, pageName(499, 0): p} {
+			f.platform.objects[kind+"/"+name] = objects.Object{Kind: kind, Name: name, Revision: f.platform.revision, Value: value}
+		}
+	}
+	f.drive(func() {
+		_, err := n.Edit(context.Background(), "e1", table.Row{Table: table.Accounts, Name: "acme", Value: rawOf("{}")})
+		if !code.Is(err, code.EditUncertain) || code.Of(err).Run != code.MaybeRun {
+			t.Errorf("the edit ended with %v, want an uncertain outcome", err)
+		}
+	})
+}
+
+// Guards against a head that grows without bound, snapshots that nobody
+// removes, and instances that cannot start from a snapshot of several pages.
+func TestCheckpointBoundsTheHead(t *testing.T) {
+	f := newFleet(t)
+	n := f.start("i0", "zone-a")
+	f.step()
+	f.step()
+	const edits = 2 * checkpointChanges
+	pad := strings.Repeat("x", 4000)
+	const wave = 64
+	for from := 0; from < edits; from += wave {
+		f.drive(func() {
+			var group sync.WaitGroup
+			for i := from; i < from+wave; i++ {
+				row := table.Row{Table: table.Routes, Name: fmt.Sprintf("r%d", i), Value: rawOf(fmt.Sprintf(`{"model":"m","accounts":[%q]}`, pad))}
+				group.Go(func() {
+					if _, err := n.Edit(context.Background(), fmt.Sprintf("e%d", i), row); err != nil {
+						t.Errorf("edit %d: %v", i, err)
+					}
+				})
+			}
+			group.Wait()
+		})
+		f.step()
+	}
+	f.await("old snapshots are removed", func() bool {
+		f.platform.mu.Lock()
+		defer f.platform.mu.Unlock()
+		first := 0
+		for name, o := range f.platform.objects {
+			if len(o.Value) > 1<<20 {
+				t.Errorf("%s has %d bytes, more than the platform takes", name, len(o.Value))
+			}
+			if strings.Count(name, "-") == 1 {
+				first++
+			}
+		}
+		return first <= 2
+	})
+	h := f.head()
+	if h.Base < edits-checkpointChanges-batchEdits || len(h.Changes) > checkpointChanges+tailChanges {
+		t.Errorf("head has base %d and %d changes after %d edits", h.Base, len(h.Changes), edits)
+	}
+	f.cuts[[2]string{"zone-a", "zone-b"}] = true // leaves only the platform to start from
+	late := f.start("i1", "zone-b")
+	f.step()
+	f.step()
+	if got := len(late.Table().Rows()); got != edits || !late.Ready() {
+		t.Errorf("an instance that starts later has %d rows, want %d", got, edits)
+	}
+}
+
+// Guards against one update of the head for each edit: edits that arrive while
+// an update is in progress must go into the next one together.
+func TestEditsAreCommittedInGroups(t *testing.T) {
+	f := newFleet(t)
+	n := f.start("i0", "zone-a")
+	f.step()
+	f.step()
+	before := f.platform.calls
+	const edits = 100
+	f.platform.mu.Lock() // holds the first update while the other edits arrive
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.drive(func() {
+			var group sync.WaitGroup
+			for i := range edits {
+				row := table.Row{Table: table.Accounts, Name: fmt.Sprintf("a%d", i), Value: rawOf("{}")}
+				group.Go(func() {
+					if _, err := n.Edit(context.Background(), row.Name, row); err != nil {
+						t.Error(err)
+					}
+				})
+			}
+			group.Wait()
+		})
+	}()
+	f.await("all edits wait", func() bool {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return len(n.pending) >= edits-batchEdits/2
+	})
+	f.platform.mu.Unlock()
+	<-done
+	if calls := f.platform.calls - before; calls > 10 {
+		t.Errorf("%d edits took %d calls to the platform, want at most 10", edits, calls)
+	}
+}
--- a/internal/control/config/config.go
+++ b/internal/control/config/config.go
@@ -23,12 +23,15 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/wigeonpin/wigeonpin/internal/base/clock"
@@ -99,6 +102,7 @@
 	wake       chan struct{}
 	nextAt     time.Time
 	turns      int
+	seeds      []string
 
 	background context.Context
 	stop       context.CancelFunc
@@ -118,6 +122,11 @@
 type state struct {
 	table  *table.Table
 	recent []table.Row
+	// last is the hash of the row with the table's sequence.
+	last uint64
+	// lost holds the changes of a history that another one has replaced, until
+	// a relay has added to the head those that it lacks.
+	lost []change
 	// found is set once any source has given a table, triedPlatform and
 	// triedPeers once each of them has been asked.
 	found, triedPlatform, triedPeers bool
@@ -228,6 +237,10 @@
 	}
 	rows = slices.DeleteFunc(slices.Clone(rows), func(r table.Row) bool { return r.Revision <= own })
 	c.replace(c.state.table.Apply(sequence, rows))
+	c.state.last = 0
+	if n := len(rows); n > 0 && rows[n-1].Revision == sequence {
+		c.state.last = hash(rows[n-1])
+	}
 	// Only a gapless run of rows may answer later requests for a delta.
 	if uint64(len(rows)) != sequence-own {
 		c.state.recent = nil
@@ -240,6 +253,53 @@
 	return true
 }
 
+// reload takes over a whole table of another history than the own one. mu is
+// held.
+func (c *Config) reload(sequence uint64, rows []table.Row) bool {
+	own := c.state.table.Sequence()
+	if sequence <= own {
+		return false
+	}
+	c.log.WithField(logs.Sequence, sequence).WithField("own_sequence", own).
+		Warn("the table belongs to another history and is read as a whole")
+	c.state.lost = append(c.state.lost, c.state.head.Changes...)
+	c.state.recent, c.state.last = nil, 0
+	next := table.Load(sequence, rows)
+	if all := next.Rows(); len(all) > 0 && all[len(all)-1].Revision == sequence {
+		c.state.last = hash(all[len(all)-1])
+	}
+	c.replace(next)
+	return true
+}
+
+// lastAt returns the hash of the row with a sequence, or 0 when the row is not
+// known or has changed since. mu is held.
+func (c *Config) lastAt(sequence uint64) uint64 {
+	own := c.state.table.Sequence()
+	if sequence == own {
+		return c.state.last
+	}
+	i := len(c.state.recent) - 1 - int(own-sequence)
+	if i >= 0 && sequence < own {
+		return hash(c.state.recent[i])
+	}
+	for _, r := range c.state.table.Rows() {
+		if r.Revision == sequence && sequence < own {
+			return hash(r)
+		}
+	}
+	return 0
+}
+
+// hash returns a hash of a row. The platform may space and order the fields of
+// a value as it likes, so the value is decoded first.
+func hash(r table.Row) uint64 {
+	var value any
+	// An undecodable value hashes like none; tables never accept one.
+	_ = json.Unmarshal(r.Value, &value)
+	return xxhash.Sum64String(fmt.Sprintf("%s/%s %d %v %v", r.Table, r.Name, r.Revision, r.Deleted, value))
+}
+
 // replace publishes a table with a higher sequence. mu is held.
 func (c *Config) replace(next *table.Table) {
 	c.state.table = next
--- a/internal/control/config/feed.go
+++ b/internal/control/config/feed.go
@@ -24,6 +24,8 @@
 	// startTurns is the number of exchange turns after which an instance without
 	// an instance list stops waiting for one before it becomes ready.
 	startTurns = 3
+	// maxSeeds bounds the addresses remembered while there is no instance list.
+	maxSeeds = 8
 	// pushRounds bounds the attempts to close a gap at one instance.
 	pushRounds = 8
 	// pushTimeout bounds one push; the next exchange repairs what it missed.
@@ -39,6 +41,7 @@
 func (s *server) Exchange(ctx context.Context, in *FeedExchange) (*FeedState, error) {
 	c := s.config
 	c.seams.Directory.Report(in.Instance, true, false)
+	c.heard(in.Peer)
 	if in.Relay && in.Outage {
 		c.mu.Lock()
 		held := c.statements[c.settings.Zone]
@@ -58,7 +61,12 @@
 		Ready: c.Ready(), ListAgeUs: -1, NextUs: max(0, c.nextAt.Sub(now).Microseconds()),
 	}
 	if out.Ready {
-		out.Rows = feedRows(c.delta(in.Sequence))
+		own := c.lastAt(in.Sequence)
+		if out.Whole = in.Last != 0 && own != 0 && in.Last != own; out.Whole {
+			out.Rows = feedRows(c.state.table.Rows())
+		} else {
+			out.Rows = feedRows(c.delta(in.Sequence))
+		}
 		out.AgeUs = c.age()
 	}
 	for zone, held := range c.statements {
@@ -76,6 +84,18 @@
 	return out, nil
 }
 
+// heard remembers the address of a caller while there is no instance list.
+func (c *Config) heard(address string) {
+	if address == "" || len(c.seams.Directory.Listed().IDs()) > 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.seeds) < maxSeeds && !slices.Contains(c.seeds, address) {
+		c.seeds = append(c.seeds, address)
+	}
+}
+
 // Push takes over newly accepted rows and passes them on.
 func (s *server) Push(_ context.Context, in *FeedPush) (*FeedAck, error) {
 	c := s.config
@@ -87,7 +107,11 @@
 	c.known[in.Instance] = in.Sequence
 	// Rows that follow a sequence this instance has not reached leave a gap; the
 	// answer tells the sender where to start.
-	if in.After <= c.state.table.Sequence() && c.adopt(in.Sequence, tableRows(in.Rows)) {
+	// Rows that follow another history are refused; the next exchange replaces
+	// the table.
+	own := c.lastAt(in.After)
+	foreign := in.Last != 0 && own != 0 && in.Last != own
+	if !foreign && in.After <= c.state.table.Sequence() && c.adopt(in.Sequence, tableRows(in.Rows)) {
 		c.pushAll(in.Instance)
 	}
 	return &FeedAck{Sequence: c.state.table.Sequence()}, nil
@@ -135,7 +159,8 @@
 	c.mu.Lock()
 	in := &FeedExchange{
 		Instance: c.settings.ID, Zone: c.settings.Zone, Sequence: c.state.table.Sequence(),
-		List: roll.Digest, Outage: c.blind(),
+		List: roll.Digest, Outage: c.blind(), Peer: c.settings.Peer,
+		Last: c.state.last,
 	}
 	c.mu.Unlock()
 	in.Relay = peer.Zone != "" && peer.Zone != c.settings.Zone
@@ -175,7 +200,11 @@
 	}
 	if out.Ready {
 		c.state.found = true
-		if c.adopt(out.Sequence, tableRows(out.Rows)) {
+		take := c.adopt
+		if out.Whole {
+			take = c.reload
+		}
+		if take(out.Sequence, tableRows(out.Rows)) {
 			c.pushAll(out.Instance)
 		}
 		c.acknowledged(out.Sequence)
@@ -218,7 +247,7 @@
 			c.mu.Unlock()
 			return
 		}
-		in := &FeedPush{Instance: c.settings.ID, After: after, Sequence: own, Rows: feedRows(c.delta(after))}
+		in := &FeedPush{Instance: c.settings.ID, After: after, Sequence: own, Rows: feedRows(c.delta(after)), Last: c.lastAt(after)}
 		c.mu.Unlock()
 		ack, err := c.pushOnce(ctx, client, in)
 		c.report(peer.ID, err)
@@ -272,7 +301,10 @@
 func (c *Config) exchangeTurn(ctx context.Context) time.Duration {
 	d := c.seams.Directory
 	if len(d.Listed().IDs()) == 0 {
-		for _, address := range c.settings.Seeds {
+		c.mu.Lock()
+		seeds := append(slices.Clone(c.settings.Seeds), c.seeds...)
+		c.mu.Unlock()
+		for _, address := range seeds {
 			if _, err := c.exchange(ctx, member.Instance{Peer: address}); err != nil {
 				c.log.WithField(logs.Peer, address).WithError(err).Debug("seed does not answer")
 			}
@@ -286,6 +318,7 @@
 		}
 		group.Wait()
 	}
+	c.missChildren(ctx)
 	wait := c.period
 	for _, i := range d.Parents() {
 		if next, err := c.exchange(ctx, i); err == nil {
@@ -305,6 +338,21 @@
 	return wait
 }
 
+// missChildren calls the children that have not called for some time. It finds
+// out which of them are gone, and tells those that know nobody where to ask.
+func (c *Config) missChildren(ctx context.Context) {
+	var group sync.WaitGroup
+	for _, i := range c.seams.Directory.Children() {
+		c.mu.Lock()
+		quiet := c.timers.Since(c.contacts[i.ID]) > contactPeriods*c.period
+		c.mu.Unlock()
+		if quiet {
+			group.Go(func() { _, _ = c.exchange(ctx, i) })
+		}
+	}
+	group.Wait()
+}
+
 // forget drops what is remembered of instances that are no longer listed.
 // mu is held.
 func (c *Config) forget() {
--- a/internal/control/config/fleet_test.go
+++ b/internal/control/config/fleet_test.go
@@ -35,6 +35,8 @@
 	outage   bool
 	// lose is the number of writes whose answers are lost after they took effect.
 	lose int
+	// lost runs after such a write.
+	lost func()
 	// stale makes reads show the store as it was at this revision, if not 0.
 	stale uint64
 	list  []member.Instance
@@ -104,6 +106,9 @@
 	p.keep()
 	if p.lose > 0 {
 		p.lose--
+		if p.lost != nil {
+			p.lost()
+		}
 		return objects.Object{}, errors.New("the answer was lost")
 	}
 	return o, nil
@@ -381,6 +386,7 @@
 // describe returns each instance's sequence and freshness.
 func (f *testFleet) describe() string {
 	var out strings.Builder
+	seen := map[uint64]string{}
 	for _, id := range f.order {
 		n := f.nodes[id]
 		if n.dead {
@@ -389,6 +395,11 @@
 		}
 		fresh, _ := n.Fresh()
 		fmt.Fprintf(&out, "%s sequence=%d ready=%v fresh=%v\n", id, n.Sequence(), n.Ready(), fresh)
+		rows, _ := json.Marshal(n.Table().Rows())
+		if held, ok := seen[n.Sequence()]; ok && held != string(rows) {
+			fmt.Fprintf(&out, "DIFFERENT TABLES at sequence %d: %s and %s\n", n.Sequence(), held, rows)
+		}
+		seen[n.Sequence()] = string(rows)
 	}
 	return out.String()
 }
--- a/internal/control/config/head.go
+++ b/internal/control/config/head.go
@@ -79,6 +79,15 @@
 	return rows, sequence >= h.Base || uint64(len(rows)) == h.Sequence-sequence
 }
 
+// rows returns the rows of all changes.
+func (h head) rows() []table.Row {
+	out := make([]table.Row, 0, len(h.Changes))
+	for _, c := range h.Changes {
+		out = append(out, c.Row)
+	}
+	return out
+}
+
 // holds reports whether the head holds all changes after a sequence.
 func (h head) holds(sequence uint64) bool {
 	return h.Sequence <= sequence || (len(h.Changes) > 0 && h.Changes[0].Sequence <= sequence+1)
@@ -109,7 +118,9 @@
 func (c *Config) poll(ctx context.Context, full bool) {
 	m := c.mark()
 	c.mu.Lock()
-	full = full || c.state.behind || !c.state.triedPlatform
+	// Without contact the store may have gone back and have passed its earlier
+	// revision again.
+	full = full || c.state.behind || !c.state.reached
 	c.mu.Unlock()
 	c.polls.Add("list", 1)
 	answer, err := c.seams.Store.List(ctx, kind, m.store, 0)
@@ -173,8 +184,11 @@
 			return eris.Wrap(err, "decode head")
 		}
 	}
+	c.mu.Lock()
+	foreign := c.foreign(h)
+	c.mu.Unlock()
 	rows, whole := h.rowsAfter(m.own)
-	if h.Sequence > m.own && !whole {
+	if h.Sequence > m.own && (!whole || foreign) {
 		snapshot, err := c.readSnapshot(ctx, h.Base)
 		if err != nil {
 			return err
@@ -184,7 +198,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := &c.state
-	if regressed || h.Sequence < m.own || o.Revision < m.revision {
+	own := s.table.Sequence()
+	if regressed || h.Sequence < m.own || o.Revision < m.revision || (foreign && h.Sequence == own) {
 		if !s.behind {
 			c.log.WithField(logs.Sequence, m.own).WithField("platform_sequence", h.Sequence).
 				Warn("the platform returns older data than was accepted")
@@ -192,17 +207,34 @@
 		s.behind, s.old, s.oldRevision = true, h, o.Revision
 		return nil
 	}
+	take := c.adopt
+	if foreign {
+		take = c.reload
+	}
+	if take(h.Sequence, rows) {
+		if s.recent == nil {
+			s.recent = h.rows()
+		}
+		c.pushAll("")
+	}
 	s.behind, s.found = false, true
 	if o.Revision >= s.revision {
 		s.head, s.revision = h, o.Revision
 	}
-	if c.adopt(h.Sequence, rows) {
-		c.pushAll("")
-	}
 	c.proven(m.sent)
 	return nil
 }
 
+// foreign reports whether a head belongs to another history than the own table:
+// it names another change for the table's sequence. That happens when an
+// instance without contact to the others accepts edits on a store that went
+// back. mu is held.
+func (c *Config) foreign(h head) bool {
+	own := c.state.table.Sequence()
+	i := slices.IndexFunc(h.Changes, func(ch change) bool { return ch.Sequence == own })
+	return i >= 0 && c.state.last != 0 && hash(h.Changes[i].Row) != c.state.last
+}
+
 // readSnapshot reads all pages of a snapshot.
 func (c *Config) readSnapshot(ctx context.Context, sequence uint64) ([]table.Row, error) {
 	var rows []table.Row
@@ -271,16 +303,18 @@
 	return json.Unmarshal(a, &left) == nil && json.Unmarshal(b, &right) == nil && reflect.DeepEqual(left, right)
 }
 
-// writeBack restores the table at the platform after older data came back. Edits
-// that only the platform knows are kept, with new sequences.
+// writeBack restores the table at the platform after older data came back, and
+// adds edits of a replaced history. Edits that only the platform knows are kept,
+// with new sequences.
 func (c *Config) writeBack(ctx context.Context) {
 	c.mu.Lock()
 	s := c.state
+	foreign := c.foreign(s.old)
 	c.mu.Unlock()
-	if !s.behind {
+	if !s.behind && len(s.lost) == 0 {
 		return
 	}
-	if s.saved != s.table.Sequence() {
+	if s.behind && s.saved != s.table.Sequence() {
 		if err := c.writeSnapshot(ctx, s.table); err != nil {
 			c.log.WithError(err).Warn("snapshot for the write-back failed")
 			return
@@ -289,7 +323,22 @@
 		c.state.saved = s.table.Sequence()
 		c.mu.Unlock()
 	}
-	next, merged := mergeHeads(s)
+	base, extra, revision := s.head, s.lost, s.revision
+	if s.behind {
+		own := s.table.Sequence()
+		base, revision = head{Sequence: own, Base: own, Changes: tail(s.head.Changes)}, s.oldRevision
+		extra = append(slices.Clone(s.lost), s.old.Changes...)
+	}
+	next, merged := mergeHeads(base, s.table, extra)
+	if len(merged) == 0 && foreign && s.behind {
+		next, merged = advance(next, s.table)
+	}
+	if len(merged) == 0 && !s.behind {
+		c.mu.Lock()
+		c.state.lost = nil
+		c.mu.Unlock()
+		return
+	}
 	value, err := json.Marshal(next)
 	if err != nil {
 		c.log.WithError(err).Error("head cannot be encoded")
@@ -297,7 +346,7 @@
 	}
 	m := c.mark()
 	c.polls.Add("put", 1)
-	o, err := c.seams.Store.Put(ctx, kind, headName, s.oldRevision, value)
+	o, err := c.seams.Store.Put(ctx, kind, headName, revision, value)
 	if current, lost := objects.Conflict(err); lost {
 		c.settleWriteBack(ctx, m, current)
 		return
@@ -309,7 +358,7 @@
 	c.log.WithField(logs.Sequence, next.Sequence).Warn("wrote the accepted table back to the platform")
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.state.behind, c.state.head = false, next
+	c.state.behind, c.state.head, c.state.lost = false, next, nil
 	// The store's counter went back for good; later answers are compared with
 	// the new one.
 	c.state.revision, c.state.store = o.Revision, o.Revision
@@ -323,26 +372,28 @@
 // is newer than what reads return, so it may prove freshness, but the platform
 // counts as behind until a read agrees.
 func (c *Config) settleWriteBack(ctx context.Context, m mark, current objects.Object) {
+	c.mu.Lock()
+	behind := c.state.behind
+	c.mu.Unlock()
 	if err := c.absorb(ctx, m, current, false); err != nil {
 		c.log.WithError(err).Warn("current head cannot be read")
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.state.behind = true
+	c.state.behind = c.state.behind || behind
 }
 
-// mergeHeads returns the head to write over the older one, and the rows of
-// edits that only the older one holds, with the sequences that follow the own.
-// A row that the own table changed at or after the edit's sequence wins.
-func mergeHeads(s state) (head, []table.Row) {
-	own := s.table.Sequence()
-	next := head{Sequence: own, Base: own, Changes: tail(s.head.Changes)}
-	t := s.table
+// mergeHeads adds to a head those of the extra changes that it lacks, with the
+// sequences that follow its own, and returns their rows. For two changes of one
+// row the one with the higher sequence wins.
+func mergeHeads(base head, t *table.Table, extra []change) (head, []table.Row) {
+	next := base
+	next.Changes = slices.Clone(base.Changes)
 	var merged []table.Row
-	for _, ch := range s.old.Changes {
-		held := t.RowAny(ch.Row.Table, ch.Row.Name)
-		if held.Revision >= ch.Sequence {
+	for _, ch := range extra {
+		_, held := next.find(ch.EditID)
+		if held || t.RowAny(ch.Row.Table, ch.Row.Name).Revision >= ch.Sequence {
 			continue
 		}
 		row := ch.Row
@@ -359,6 +410,22 @@
 	return next, merged
 }
 
+// advance repeats the table's last row under the next sequence. Of two histories
+// of the same length one must become longer, so that instances of the other one
+// take it over.
+func advance(base head, t *table.Table) (head, []table.Row) {
+	rows := t.Rows()
+	if len(rows) == 0 {
+		return base, nil
+	}
+	row := rows[len(rows)-1]
+	row.Revision = base.Sequence + 1
+	id := fmt.Sprintf("advance-%d", row.Revision)
+	base.Sequence = row.Revision
+	base.Changes = append(slices.Clone(base.Changes), change{Sequence: row.Revision, EditID: id, Row: row})
+	return base, []table.Row{row}
+}
+
 // tail returns the last changes, few enough to stay in the head after a
 // checkpoint.
 func tail(changes []change) []change {
--- a/internal/control/lease/guard.go
+++ b/internal/control/lease/guard.go
@@ -66,10 +66,10 @@
 // the call by the end of the term.
 func (g *guardedConn) Write(p []byte) (int, error) {
 	h := g.lease.holding.Load()
-	left := h.until.Sub(g.lease.manager.timers.Now())
-	if h.fence != g.fence || left <= 0 {
+	if h.fence != g.fence {
 		return 0, g.abort()
 	}
+	left := h.until.Sub(g.lease.manager.timers.Now())
 	if err := g.SetWriteDeadline(time.Now().Add(left)); err != nil {
 		return 0, err
 	}
--- /dev/null
+++ b/internal/control/lease/lease_test.go
@@ -0,0 +1,373 @@
+package lease
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/codec"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/base/setting"
+	"github.com/wigeonpin/wigeonpin/internal/peer/objects"
+)
+
+// store is an object API with one object.
+type store struct {
+	mu     sync.Mutex
+	object objects.Object
+	// lose drops the answers of that many writes, outage refuses all calls.
+	lose   int
+	outage bool
+	puts   int
+}
+
+// seams calls the store through the real client.
+func (s *store) seams(t *testing.T) Seams {
+	server := httptest.NewServer(http.HandlerFunc(s.serve))
+	t.Cleanup(server.Close)
+	client := objects.New(strings.TrimPrefix(server.URL, "http://"), clock.NewSystem())
+	t.Cleanup(client.Close)
+	return Seams{Get: client.Get, Put: client.Put}
+}
+
+func (s *store) serve(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.outage {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if r.Method == http.MethodGet {
+		if s.object.Revision == 0 {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		codec.Write(w, http.StatusOK, s.object)
+		return
+	}
+	s.puts++
+	var condition uint64
+	if json.Unmarshal([]byte(r.URL.Query().Get("if")), &condition) != nil || condition != s.object.Revision {
+		codec.Write(w, http.StatusConflict, s.object)
+		return
+	}
+	value, _ := io.ReadAll(r.Body)
+	s.object = objects.Object{Kind: kind, Name: "x", Revision: s.object.Revision + 1, Value: value}
+	if s.lose > 0 {
+		s.lose--
+		panic(http.ErrAbortHandler)
+	}
+	codec.Write(w, http.StatusOK, s.object)
+}
+
+// contest holds two instances that campaign for one lease on a driven clock.
+type contest struct {
+	t      *testing.T
+	store  *store
+	driver *clock.Driver
+	leases []*Lease
+}
+
+func newContest(t *testing.T) *contest {
+	c := &contest{t: t, store: &store{}}
+	timers, driver := clock.NewDriven(time.Unix(1000, 0))
+	c.driver = driver
+	for _, id := range []string{"i0", "i1"} {
+		settings := setting.Defaults()
+		settings.ID = id
+		c.leases = append(c.leases, New(settings, timers, c.store.seams(t), logs.Discard()).lease("x"))
+	}
+	return c
+}
+
+// pass lets time pass; the instances named in awake act every half second. It
+// fails when both believe that they hold the lease.
+func (c *contest) pass(d time.Duration, awake ...int) {
+	c.t.Helper()
+	for ; d > 0; d -= 500 * time.Millisecond {
+		c.driver.Advance(500 * time.Millisecond)
+		for _, i := range awake {
+			_ = c.leases[i].step(context.Background())
+		}
+		_, first := c.leases[0].Held()
+		_, second := c.leases[1].Held()
+		if first && second {
+			c.t.Fatal("two instances hold the lease")
+		}
+	}
+}
+
+func (c *contest) want(holder int, fence uint64) {
+	c.t.Helper()
+	for i, l := range c.leases {
+		got, held := l.Held()
+		if held != (i == holder) || (held && got != fence) {
+			c.t.Fatalf("i%d: held=%v with token %d, want holder i%d with token %d", i, held, got, holder, fence)
+		}
+	}
+}
+
+const nobody = -1
+
+// Guards against two holders and reused tokens when the holder freezes.
+func TestFrozenHolderIsSucceeded(t *testing.T) {
+	c := newContest(t)
+	c.pass(time.Second, 0, 1)
+	c.want(0, 1)
+	c.pass(time.Minute, 0, 1)
+	c.want(0, 1)
+	c.pass(5*time.Second, 1)
+	c.want(nobody, 0)
+	c.pass(2*time.Second, 1)
+	// The drain bound has to pass as well, from the first reading of the object.
+	c.pass(time.Second, 1)
+	c.want(1, 2)
+	c.pass(time.Second, 0, 1)
+	c.want(1, 2)
+}
+
+// Guards against a successor that does not wait for the drain bound, in which
+// data of the earlier holder may still be delivered.
+func TestSuccessorWaitsForTheDrainBound(t *testing.T) {
+	c := newContest(t)
+	c.pass(time.Second, 0, 1)
+	frozen := c.leases[0].holding.Load().until
+	for i := 0; ; i++ {
+		c.pass(500*time.Millisecond, 1)
+		if _, ok := c.leases[1].Held(); ok {
+			break
+		}
+		if i > 100 {
+			t.Fatal("nobody succeeds")
+		}
+	}
+	gap := c.leases[1].manager.timers.Now().Sub(frozen)
+	if gap < c.leases[1].manager.drain {
+		t.Errorf("the successor came %v after the end of the term, want at least the drain bound", gap)
+	}
+}
+
+// Guards against a holder that loses its role, or a free lease that stays free
+// for a whole term, because an answer was lost.
+func TestLostAnswers(t *testing.T) {
+	c := newContest(t)
+	c.store.lose = 1
+	c.pass(time.Second, 0)
+	c.want(0, 1)
+	c.store.lose = 3
+	c.pass(20*time.Second, 0, 1)
+	c.want(0, 1)
+}
+
+// Guards against a holder that goes on during an outage of the platform.
+func TestOutageEndsTheLease(t *testing.T) {
+	c := newContest(t)
+	c.pass(time.Second, 0, 1)
+	c.store.outage = true
+	c.pass(6*time.Second, 0, 1)
+	c.want(nobody, 0)
+	c.pass(time.Minute, 0, 1)
+	c.store.outage = false
+	c.pass(time.Second, 0, 1)
+	c.want(0, 1)
+}
+
+// Guards against a process that takes over the lease of an earlier process with
+// the same instance id, which may still be running.
+func TestRestartedHolderWaits(t *testing.T) {
+	c := newContest(t)
+	c.pass(time.Second, 0)
+	restarted := c.leases[0].manager.lease("x")
+	_ = restarted.step(context.Background())
+	if _, ok := restarted.Held(); ok {
+		t.Error("the new process holds the lease while the term of the old one runs")
+	}
+}
+
+// Guards against a term that the successor sits out although the holder gave
+// the lease up, and against a successor that does not wait for the drain bound.
+func TestReleaseShortensTheWait(t *testing.T) {
+	c := newContest(t)
+	c.pass(time.Second, 0, 1)
+	c.leases[0].release()
+	c.pass(2*time.Second, 1)
+	c.want(nobody, 0)
+	c.pass(time.Second, 1)
+	c.want(1, 2)
+}
+
+// receiver is a back end that records the orders it takes. One that checks
+// tokens refuses those lower than the highest it has seen.
+type receiver struct {
+	mu      sync.Mutex
+	checks  bool
+	highest uint64
+	taken   []uint64
+}
+
+func (r *receiver) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	body, err := io.ReadAll(q.Body)
+	var fence uint64
+	if err != nil || json.Unmarshal(body, &fence) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.checks && fence < r.highest {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	r.highest = max(r.highest, fence)
+	r.taken = append(r.taken, fence)
+}
+
+// The holder freezes past its lease at each point of an order, the successor
+// sends an order, and the holder goes on. Guards against an old order that
+// takes effect after the successor's. At the last point, between the check and
+// the system call, only a receiver that checks tokens refuses it: that is the
+// remaining window.
+func TestFrozenHolderAtEachPoint(t *testing.T) {
+	points := []string{"before the token is read", "before the dial", "before the check", "after the check"}
+	for _, point := range points {
+		for _, checks := range []bool{true, false} {
+			c := newContest(t)
+			c.pass(time.Second, 0, 1)
+			target := &receiver{checks: checks}
+			server := httptest.NewServer(target)
+			sent := false
+			freeze := func(at string) {
+				if at != point || sent {
+					return
+				}
+				sent = true
+				c.pass(9*time.Second, 1)
+				if err := order(c.leases[1], server.URL, "", nil); err != nil {
+					t.Errorf("%s: order of the successor: %v", point, err)
+				}
+			}
+			old := c.leases[0]
+			old.checked = func() { freeze("after the check") }
+			err := order(old, server.URL, point, freeze)
+			late := len(target.taken) > 1 && target.taken[len(target.taken)-1] == 1
+			if window := point == "after the check" && !checks; late != window {
+				t.Errorf("%s, receiver checks tokens: %v: the old order took effect: %v", point, checks, late)
+			}
+			if !late && err == nil {
+				t.Errorf("%s, receiver checks tokens: %v: the frozen holder believes that its order was taken", point, checks)
+			}
+			server.Close()
+		}
+	}
+}
+
+// order sends the lease's token. At calls freeze at the points that lie in the
+// caller.
+func order(l *Lease, url, point string, at func(string)) error {
+	if at == nil {
+		at = func(string) {}
+	}
+	at("before the token is read")
+	fence, ok := l.Held()
+	if !ok {
+		return errors.New("not held")
+	}
+	at("before the dial")
+	body, _ := json.Marshal(fence)
+	// A body in memory leaves in one write together with the headers.
+	q, err := http.NewRequest(http.MethodPut, url, strings.NewReader(string(body)))
+	if err != nil {
+		return err
+	}
+	if point == "before the check" {
+		q.Body = io.NopCloser(&freezingBody{Reader: strings.NewReader(string(body)), at: at})
+	}
+	r, err := l.Client().Do(q)
+	if err != nil {
+		return err
+	}
+	defer r.Body.Close()
+	if r.StatusCode != http.StatusOK {
+		return errors.New(r.Status)
+	}
+	return nil
+}
+
+// freezingBody is read after the dial and before the first write.
+type freezingBody struct {
+	io.Reader
+	at func(string)
+}
+
+func (b *freezingBody) Read(p []byte) (int, error) {
+	b.at("before the check")
+	return b.Reader.Read(p)
+}
+
+// Guards against data that the kernel delivers after the drain bound, and
+// against connections that outlive an order.
+func TestGuardedConnectionLimitsDelivery(t *testing.T) {
+	c := newContest(t)
+	c.pass(time.Second, 0)
+	l := c.leases[0]
+	server := httptest.NewServer(&receiver{})
+	defer server.Close()
+	conn, err := l.dial(context.Background(), "tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if got := userTimeout(t, conn.(*guardedConn).Conn.(*net.TCPConn)); got != 2000 {
+		t.Errorf("TCP_USER_TIMEOUT is %d ms, want the drain bound of 2000 ms", got)
+	}
+	if !l.client.Transport.(*http.Transport).DisableKeepAlives {
+		t.Error("connections are reused")
+	}
+}
+
+// Guards against an order under an earlier token that leaves on its old
+// connection after this instance has got the lease again.
+func TestConnectionBelongsToOneToken(t *testing.T) {
+	c := newContest(t)
+	c.pass(time.Second, 0)
+	server := httptest.NewServer(&receiver{})
+	defer server.Close()
+	conn, err := c.leases[0].dial(context.Background(), "tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	c.pass(9*time.Second, 1)
+	c.want(1, 2)
+	c.pass(9*time.Second, 0)
+	c.want(0, 3)
+	if _, err := conn.Write([]byte("x")); err == nil {
+		t.Error("the connection of token 1 can be written to under token 3")
+	}
+}
+
+// Guards against a term counted from the answer of a slow platform: the
+// successor counts from when the write took effect.
+func TestTermCountsFromBeforeTheRenewal(t *testing.T) {
+	c := newContest(t)
+	l := c.leases[0]
+	put := l.manager.seams.Put
+	l.manager.seams.Put = func(ctx context.Context, kind, name string, revision uint64, value []byte) (objects.Object, error) {
+		o, err := put(ctx, kind, name, revision, value)
+		c.driver.Advance(3 * time.Second)
+		return o, err
+	}
+	_ = l.step(context.Background())
+	if left := l.holding.Load().until.Sub(l.manager.timers.Now()); left > l.manager.term-3*time.Second {
+		t.Errorf("%v of the term are left after a renewal that took 3 s", left)
+	}
+}
