--- a/cmd/standin/trainer.go
+++ b/cmd/standin/trainer.go
@@ -18,6 +18,7 @@
 	Weights    string   `arg:"--weights" help:"address of the weight store"`
 	Steps      int      `arg:"--steps" default:"0" help:"steps until the end, 0 is no bound"`
 	LimitMS    int      `arg:"--limit-ms" default:"20000" help:"time until the end, 0 is no bound"`
+	GraceMS    int      `arg:"--grace-ms" default:"30000" help:"time after the limit in which open steps may be finished"`
 	Groups     int      `arg:"--groups" default:"8"`
 	GroupSize  int      `arg:"--group-size" default:"4"`
 	Tokens     int      `arg:"--tokens" default:"60" help:"usual length of a sample"`
@@ -36,7 +37,7 @@
 func (c *trainerCommand) run(ctx context.Context) error {
 	t := trainer.New(trainer.Options{
 		Addresses: c.Addresses, Trainer: c.Trainer, Key: c.Key, Weights: c.Weights,
-		Steps: c.Steps, Limit: milliseconds(c.LimitMS), Groups: c.Groups, GroupSize: c.GroupSize,
+		Steps: c.Steps, Limit: milliseconds(c.LimitMS), Grace: milliseconds(c.GraceMS), Groups: c.Groups, GroupSize: c.GroupSize,
 		Tokens: max(c.Tokens, 1), Tail: c.Tail, Train: milliseconds(c.TrainMS), Ahead: max(c.Ahead, 0),
 		Version: c.Version, Change: c.Change, MaxAge: c.MaxAge,
 		Wait: milliseconds(c.WaitMS), Deadline: milliseconds(c.DeadlineMS), Seed: c.Seed,
--- a/internal/standin/trainer/trainer.go
+++ b/internal/standin/trainer/trainer.go
@@ -42,6 +42,8 @@
 	// Steps and Limit end the run, whichever comes first; 0 is no bound.
 	Steps int
 	Limit time.Duration
+	// Grace is the time after Limit in which open steps may be finished.
+	Grace time.Duration
 	// Groups of GroupSize samples make a step.
 	Groups, GroupSize int
 	// Tokens is the usual length of a sample; one group in Tail is 6 times as
@@ -104,6 +106,8 @@
 	if t.options.Limit > 0 {
 		opening, stop = context.WithTimeout(ctx, t.options.Limit)
 		defer stop()
+		ctx, stop = context.WithTimeout(ctx, t.options.Limit+t.options.Grace)
+		defer stop()
 	}
 	if err := t.announce(ctx, t.options.Version); err != nil {
 		return t.Summary(), err
