--- a/internal/fleet/share/exchange.go
+++ b/internal/fleet/share/exchange.go
@@ -128,17 +128,25 @@
 
 // prepare builds the report for a peer. It marks the peer as busy.
 func (p *Pool) prepare(id string) (*Report, []*stake, bool) {
+	// The queue holds its lock while it calls Running, so it is asked first.
+	queued := p.seams.Queued()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	// The age is read before the list, so that the list is at least as new.
+	age := p.seams.ListAge()
 	x, now := p.peer(id), p.timers.Now()
 	if x.busy {
 		return nil, nil, false
 	}
+	if p.layout == nil || p.layout.listed != p.seams.Listed() {
+		p.reconcileLocked(now)
+	}
+	p.fenced = age > p.lag
 	x.busy = true
 	x.sequence++
 	report := &Report{
 		Member: p.self, Incarnation: p.incarnation, Sequence: x.sequence, HomeIncarnation: x.incarnation,
-		Token: x.token, View: p.layout.zone(p.zone).view, Leaving: p.leaving,
+		Token: x.token, Leaving: p.leaving,
 	}
 	var covered []*stake
 	models := map[string]map[string]*Demand{}
@@ -150,7 +158,7 @@
 		p.describe(report, s, id, now)
 		models[s.endpoint.Model] = map[string]*Demand{}
 	}
-	p.describeDemand(report, models)
+	p.describeDemand(report, models, queued)
 	return report, covered, true
 }
 
@@ -192,7 +200,7 @@
 }
 
 // describeDemand adds the queued and running work for the report's models.
-func (p *Pool) describeDemand(report *Report, models map[string]map[string]*Demand) {
+func (p *Pool) describeDemand(report *Report, models map[string]map[string]*Demand, queue []Queued) {
 	add := func(model, account string) *Demand {
 		byAccount, ok := models[model]
 		if !ok {
@@ -221,7 +229,7 @@
 		}
 		return true
 	})
-	for _, q := range p.seams.Queued() {
+	for _, q := range queue {
 		if d := add(q.Model, q.Account); d != nil {
 			d.Queued += uint32(q.Requests)
 			d.Weight = float32(q.Weight)
@@ -243,12 +251,6 @@
 		return false
 	}
 	x.incarnation, x.token, x.tokenAt = answer.Incarnation, answer.Token, now
-	if !answer.Refused {
-		x.heard = now
-	}
-	if x.view != answer.View {
-		x.view, x.viewAt = answer.View, now
-	}
 	freed := false
 	for i, s := range covered {
 		if report.Running[i] == 0 {
@@ -328,12 +330,8 @@
 	}
 	answer := &Answer{
 		Incarnation: p.incarnation, Token: uint64(now.Sub(p.started)) + 1,
-		View:       p.layout.zone(p.zone).view,
 		Allotments: make([]uint32, n), Ramps: make([]uint32, n), Epochs: make([]uint32, n),
 	}
-	if _, ok := p.layout.listed.Instance(report.Member); !ok {
-		answer.Refused = true
-	}
 	fresh := report.HomeIncarnation == p.incarnation && report.Token > 0 &&
 		now.Sub(p.started)+1-time.Duration(report.Token) < p.term
 	details := make([]*Detail, n)
