Give each stream its own connection and test whole answers

Guards against incomplete, crossed and silent streams that pass for complete ones and against reuse of a connection after an abnormal end. Seen to fail: without the echo check another request's text is delivered; without the total a missing chunk passes; with pooled connections they are reused after crossed streams; without the watchdog a silent stream hangs; without the explicit close a connection is reused after a crossed answer without a body.

--- a/internal/peer/engine/engine.go
+++ b/internal/peer/engine/engine.go
@@ -3,7 +3,7 @@
 // # Usage
 //
 //	client := engine.New(settings, timers)
-//	done, err := client.Generate(ctx, endpoint.Address, engine.Request{...}, false, func(c engine.Chunk) error {
+//	done, err := client.Generate(ctx, endpoint.Address, engine.Request{...}, func(c engine.Chunk) error {
 //		return deliver(c.Text)
 //	})
 //	report, err := client.Load(ctx, endpoint.Address)
@@ -30,25 +30,26 @@
 type Client struct {
 	settings setting.Settings
 	timers   *clock.Service
-	pooled   *http.Client
+	streams  *http.Client
 	control  *http.Client
 }
 
-// New returns a client. Streams and control calls use separate connections,
-// so that a busy stream pool does not delay a load report.
+// New returns a client. Each stream has a connection of its own: net/http
+// reuses a connection as soon as a body was read to its end, before it can be
+// known whether its lines were the right ones, and a pooled connection may
+// have gone silent, which shows only after the silence timeout.
 func New(settings setting.Settings, timers *clock.Service) *Client {
+	streams := conn.Transport(settings)
+	streams.DisableKeepAlives = true
 	return &Client{
 		settings: settings, timers: timers,
-		pooled:  &http.Client{Transport: conn.Transport(settings)},
+		streams: &http.Client{Transport: streams},
 		control: &http.Client{Transport: conn.Transport(settings)},
 	}
 }
 
 // Close closes the idle connections.
-func (c *Client) Close() {
-	c.pooled.CloseIdleConnections()
-	c.control.CloseIdleConnections()
-}
+func (c *Client) Close() { c.control.CloseIdleConnections() }
 
 // Cancel tells the engine to stop a request.
 func (c *Client) Cancel(ctx context.Context, address, request string) error {
--- /dev/null
+++ b/internal/peer/engine/engine_test.go
@@ -0,0 +1,131 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/codec"
+	"github.com/wigeonpin/wigeonpin/internal/base/setting"
+)
+
+// scripted is an engine that plays a script for each request: lines to send,
+// or one of the commands below. ID stands for the request's id.
+type scripted struct {
+	mu      sync.Mutex
+	scripts [][]string
+	remotes []string
+	quiet   chan struct{}
+}
+
+func (s *scripted) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var in Request
+	if json.NewDecoder(r.Body).Decode(&in) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	script := s.scripts[0]
+	s.scripts = s.scripts[1:]
+	s.remotes = append(s.remotes, r.RemoteAddr)
+	s.mu.Unlock()
+	for _, step := range script {
+		word, rest, _ := strings.Cut(step, " ")
+		switch word {
+		case "status":
+			var status int
+			fmt.Sscan(rest, &status)
+			w.WriteHeader(status)
+		case "cut":
+			panic(http.ErrAbortHandler)
+		case "silent":
+			// The client reads what was sent before; then the time passes.
+			s.quiet <- struct{}{}
+			<-r.Context().Done()
+			return
+		case "part":
+			fmt.Fprint(w, strings.ReplaceAll(rest, "ID", in.Request))
+			_ = http.NewResponseController(w).Flush()
+		case "chunk":
+			var n int
+			fmt.Sscan(rest, &n)
+			fmt.Fprintf(w, `{"request":%q,"index":%d,"text":"w%d ","tokens":1,"version":7}`+"\n", in.Request, n, n)
+			_ = http.NewResponseController(w).Flush()
+		case "beat":
+			fmt.Fprintln(w, `{"heartbeat":true}`)
+		case "done":
+			fmt.Fprintf(w, `{"request":%q,"done":true,"reason":"length","tokens":%s}`+"\n", in.Request, rest)
+		default:
+			fmt.Fprintln(w, strings.ReplaceAll(step, "ID", in.Request))
+		}
+	}
+}
+
+func nameOf(err error) string {
+	for name, known := range map[string]error{
+		"silent": ErrSilent, "incomplete": ErrIncomplete, "crossed": ErrCrossed, "unsent": ErrUnsent,
+	} {
+		if errors.Is(err, known) {
+			return name
+		}
+	}
+	if status := codec.StatusOf(err); status != 0 {
+		return fmt.Sprintf("status %d", status)
+	}
+	if err != nil {
+		return err.Error()
+	}
+	return "complete"
+}
+
+// Each script fails one stream at one point and then runs a whole one. They
+// guard against an incomplete, crossed or silent stream that passes for a
+// complete one, and against reuse of its connection, on which late lines could
+// be taken for the next request's.
+func TestStreams(t *testing.T) {
+	datadriven.RunTest(t, "testdata/streams", func(_ *testing.T, d *datadriven.TestData) string {
+		timers, driver := clock.NewDriven(time.Unix(1000, 0))
+		s := &scripted{quiet: make(chan struct{}, 1), scripts: [][]string{strings.Split(d.Input, "\n"), {"chunk 0", "done 1"}}}
+		server := httptest.NewServer(s)
+		defer server.Close()
+		client := New(setting.Defaults(), timers)
+		defer client.Close()
+		stop, received := make(chan struct{}), make(chan struct{}, 8)
+		defer close(stop)
+		go func() {
+			select {
+			case <-s.quiet:
+				for range strings.Count(d.Input, "chunk") {
+					<-received
+				}
+				driver.Advance(setting.Milliseconds(setting.Defaults().SilenceMS))
+			case <-stop:
+			}
+		}()
+		var out []string
+		for _, id := range []string{"r-1", "r-2"} {
+			text := ""
+			_, err := client.Generate(context.Background(), strings.TrimPrefix(server.URL, "http://"),
+				Request{Request: id, MaxTokens: 2}, func(c Chunk) error {
+					text += c.Text
+					received <- struct{}{}
+					return nil
+				})
+			out = append(out, fmt.Sprintf("%s: %s %q", id, nameOf(err), text))
+		}
+		if s.remotes[0] == s.remotes[1] {
+			out = append(out, "connection reused")
+		}
+		return strings.Join(out, "\n")
+	})
+}
--- a/internal/peer/engine/stream.go
+++ b/internal/peer/engine/stream.go
@@ -15,7 +15,6 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/wigeonpin/wigeonpin/internal/base/codec"
-	"github.com/wigeonpin/wigeonpin/internal/peer/conn"
 )
 
 // The reasons why a stream ended early.
@@ -33,9 +32,6 @@
 // A chunk holds a few tokens; a line beyond this size is no chunk.
 const lineLimit = 1 << 20
 
-// The end of a body normally arrives together with the last line.
-const finishTimeout = time.Second
-
 // Request is one generation. Resume continues a text that another attempt
 // has generated so far.
 type Request struct {
@@ -73,53 +69,24 @@
 	Reason    string `json:"reason"`
 }
 
-// Generate runs one attempt and passes each chunk to receive. With fresh it
-// uses a connection of its own, for the case that pooled ones are silent. A
-// connection whose stream ended in any way but completely is closed.
-func (c *Client) Generate(ctx context.Context, address string, request Request, fresh bool, receive func(Chunk) error) (Done, error) {
+// Generate runs one attempt over a connection of its own and passes each chunk
+// to receive.
+func (c *Client) Generate(ctx context.Context, address string, request Request, receive func(Chunk) error) (Done, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	watch := c.watch(cancel)
 	defer watch.stop()
-	resp, err := c.open(ctx, address, request, fresh)
+	resp, err := c.open(ctx, address, request)
 	if err != nil {
-		err = cause(ctx, err)
-		cancel(nil)
-		return Done{}, err
+		return Done{}, cause(ctx, err)
 	}
+	defer resp.Body.Close()
 	reader := &lineReader{request: request, receive: receive, beat: watch.beat}
 	done, err := reader.read(resp)
-	if err != nil {
-		err = cause(ctx, err)
-		// Closing a body that was not read to its end closes the connection.
-		_ = resp.Body.Close()
-		cancel(nil)
-		return Done{}, err
-	}
-	go c.finish(resp.Body, cancel)
-	return done, nil
+	return done, cause(ctx, err)
 }
 
-// finish reads up to the end of the body, which lets the connection be reused,
-// but not for longer than finishTimeout: the stream itself is complete.
-// Anything that follows the last line belongs to another request and closes
-// the connection.
-func (c *Client) finish(body io.ReadCloser, cancel context.CancelCauseFunc) {
-	timer := c.timers.After(finishTimeout)
-	defer timer.Stop()
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		_, _ = body.Read(make([]byte, 1))
-		_ = body.Close()
-	}()
-	select {
-	case <-ended:
-	case <-timer.C:
-	}
-	cancel(nil)
-}
-
-func (c *Client) open(ctx context.Context, address string, request Request, fresh bool) (*http.Response, error) {
+func (c *Client) open(ctx context.Context, address string, request Request) (*http.Response, error) {
 	raw, err := json.Marshal(request)
 	if err != nil {
 		return nil, eris.Wrap(err, "encode request")
@@ -132,13 +99,7 @@
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(codec.HeaderRequest, request.Request)
-	client := c.pooled
-	if fresh {
-		transport := conn.Transport(c.settings)
-		transport.DisableKeepAlives = true
-		client = &http.Client{Transport: transport}
-	}
-	resp, err := client.Do(req)
+	resp, err := c.streams.Do(req)
 	if err != nil {
 		if unsent(err) {
 			return nil, errors.Join(ErrUnsent, err)
@@ -240,8 +201,8 @@
 			select {
 			case <-quit:
 				return
-			case now := <-ticks.C:
-				if now.UnixNano()-w.last.Load() >= int64(c.silence()) {
+			case <-ticks.C:
+				if c.timers.Now().UnixNano()-w.last.Load() >= int64(c.silence()) {
 					cancel(ErrSilent)
 					return
 				}
--- a/internal/peer/service/service.go
+++ b/internal/peer/service/service.go
@@ -18,6 +18,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 
 	"github.com/wigeonpin/wigeonpin/internal/base/code"
@@ -111,6 +112,10 @@
 // for requests that may be repeated.
 func (c *Client) Pooled(ctx context.Context, address string, request Request) (*Answer, error) {
 	ctx, cancel := context.WithCancel(ctx)
+	var used net.Conn
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { used = info.Conn },
+	})
 	req, err := request.build(ctx, address)
 	if err != nil {
 		cancel()
@@ -121,7 +126,13 @@
 		cancel()
 		return nil, failure(err, !dialFailed(err))
 	}
-	return receive(request, resp, func() { _ = resp.Body.Close(); cancel() })
+	answer, err := receive(request, resp, func() { _ = resp.Body.Close(); cancel() })
+	if err != nil {
+		// net/http keeps a connection whose body has ended, for example a crossed
+		// answer without a body; the answer to this request may still come on it.
+		_ = used.Close()
+	}
+	return answer, err
 }
 
 // receive reads the answer, at most WholeLimit bytes of it, and checks that it
--- a/internal/peer/service/service_test.go
+++ b/internal/peer/service/service_test.go
@@ -111,6 +111,9 @@
 		_, _ = io.WriteString(c, head+"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n")
 	case "crossed":
 		_, _ = io.WriteString(c, strings.Replace(whole, id, "another", 1))
+	case "crossed-empty":
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nWigeonpin-Request: another\r\nContent-Length: 0\r\n\r\n")
+		return false
 	case "no-echo":
 		_, _ = io.WriteString(c, strings.Replace(whole, "Wigeonpin-Request: "+id+"\r\n", "", 1))
 	case "undelimited":
@@ -167,6 +170,10 @@
 			cancel()
 		}
 		answer, err := send(ctx, f.listener.Addr().String(), testRequest("r-1"))
+		if err != nil && fault == "crossed-empty" {
+			_, again := send(ctx, f.listener.Addr().String(), testRequest("r-2"))
+			return fmt.Sprintf("%s, then %s, connections=%d", code.Of(err).Code, code.Of(again).Code, f.accepted.Load())
+		}
 		if err != nil {
 			return fmt.Sprintf("%s run=%s seen=%d runs=%d", code.Of(err).Code, code.Of(err).Run, f.seen.Load()-warm, f.runs.Load()-warm)
 		}
--- a/internal/traffic/dispatch/forward.go
+++ b/internal/traffic/dispatch/forward.go
@@ -93,7 +93,7 @@
 		turn.Done()
 		return took
 	}
-	answer, err := f.send(ctx, chosen.endpoint.Address)
+	answer, err := f.send(ctx, chosen)
 	if err != nil {
 		end(ctx.Err() == nil)
 		return nil, err
@@ -107,15 +107,15 @@
 	return answer.OnClose(func() { f.record(ctx, end(false)) }), nil
 }
 
-func (f *forwarding) send(ctx context.Context, address string) (*Answer, error) {
+func (f *forwarding) send(ctx context.Context, chosen picked) (*Answer, error) {
 	request := service.Request{
 		ID: f.call.Request, Method: f.call.Method, Path: f.call.Path, RawQuery: f.call.RawQuery,
 		Header: http.Header(f.call.Header), Body: f.call.Body,
 	}
 	if f.call.Repeatable {
-		return f.d.services.Pooled(ctx, address, request)
+		return f.hedged(ctx, chosen, request)
 	}
-	return f.d.services.Once(ctx, address, request)
+	return f.d.services.Once(ctx, chosen.endpoint.Address, request)
 }
 
 func (f *forwarding) record(ctx context.Context, took time.Duration) {
--- a/internal/traffic/dispatch/generate.go
+++ b/internal/traffic/dispatch/generate.go
@@ -166,10 +166,10 @@
 	began := g.d.timers.Now()
 	before := g.result.Tokens
 	g.first = 0
-	err := g.attempt(ctx, chosen, false)
+	err := g.attempt(ctx, chosen)
 	if errors.Is(err, engine.ErrSilent) && ctx.Err() == nil && g.d.budgets.take(g.job.Account, chosen.endpoint.ID) {
 		g.d.counts.retried.Add(g.job.Account, 1)
-		err = g.attempt(ctx, chosen, true)
+		err = g.attempt(ctx, chosen)
 	}
 	chosen.slot.Release(Outcome{
 		FirstToken: g.first, Took: g.d.timers.Since(began), Failed: endpointFault(err),
@@ -191,7 +191,7 @@
 }
 
 // attempt runs one stream.
-func (g *generation) attempt(ctx context.Context, chosen picked, fresh bool) error {
+func (g *generation) attempt(ctx context.Context, chosen picked) error {
 	if g.attempts > 0 && g.result.Tokens >= g.job.MaxTokens {
 		// Only the last line was missing.
 		g.result.Reason = "length"
@@ -213,7 +213,7 @@
 	done, err := g.d.engines.Generate(ctx, e.Address, engine.Request{
 		Request: id, Model: g.job.Model, Prompt: g.job.Prompt, MaxTokens: g.job.MaxTokens,
 		Priority: g.job.Priority, Seed: g.job.Seed, Resume: g.text.String(), ResumeTokens: g.result.Tokens,
-	}, fresh, g.take)
+	}, g.take)
 	if err == nil {
 		g.result.Reason = done.Reason
 		return nil
--- /dev/null
+++ b/internal/traffic/dispatch/hedge.go
@@ -0,0 +1,76 @@
+package dispatch
+
+import (
+	"context"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/code"
+	"github.com/wigeonpin/wigeonpin/internal/base/setting"
+	"github.com/wigeonpin/wigeonpin/internal/peer/service"
+)
+
+type sending func(ctx context.Context, address string, request service.Request) (*Answer, error)
+
+type sent struct {
+	answer *Answer
+	err    error
+	number int
+}
+
+// hedged sends a repeatable call over a pooled connection. When no answer came
+// within the silence timeout it sends it once more over a new connection,
+// since the pooled one may have gone silent, and takes the first whole answer.
+func (f *forwarding) hedged(ctx context.Context, chosen picked, request service.Request) (*Answer, error) {
+	results := make(chan sent, 2)
+	var cancels []context.CancelFunc
+	start := func(send sending) {
+		one, cancel := context.WithCancel(ctx)
+		number := len(cancels)
+		cancels = append(cancels, cancel)
+		go func() {
+			answer, err := send(one, chosen.endpoint.Address, request)
+			results <- sent{answer, err, number}
+		}()
+	}
+	start(f.d.services.Pooled)
+	timer := f.d.timers.After(setting.Milliseconds(f.d.settings.SilenceMS))
+	defer timer.Stop()
+	var first error
+	for finished := 0; finished < len(cancels); {
+		select {
+		case <-timer.C:
+			if f.d.budgets.take(f.call.Account, chosen.endpoint.ID) {
+				f.d.counts.retried.Add(f.call.Account, 1)
+				start(f.d.services.Once)
+			}
+		case r := <-results:
+			finished++
+			if r.err == nil {
+				return f.winner(r, results, cancels, finished), nil
+			}
+			cancels[r.number]()
+			// An attempt that may have run decides what the caller is told.
+			if first == nil || code.Of(first).Run == code.NotRun {
+				first = r.err
+			}
+		}
+	}
+	return nil, first
+}
+
+// winner stops the other attempts; the answer's own connection stays open
+// until the answer is closed.
+func (f *forwarding) winner(won sent, results chan sent, cancels []context.CancelFunc, finished int) *Answer {
+	for number, cancel := range cancels {
+		if number != won.number {
+			cancel()
+		}
+	}
+	f.d.background.Go(func() {
+		for ; finished < len(cancels); finished++ {
+			if r := <-results; r.err == nil {
+				r.answer.Close()
+			}
+		}
+	})
+	return won.answer.OnClose(cancels[won.number])
+}
