Test keys and bad input in the entry

Guards against a key that reaches an endpoint, a peer, a log or a metric, a key that works after its withdrawal (queued, connected, streaming), a queued request that runs on a stale view, and bad input that is accepted, uncounted or disturbs others. An idempotency key that holds a key is refused, since it would reach other instances.

--- /dev/null
+++ b/internal/traffic/entry/key_test.go
@@ -0,0 +1,205 @@
+package entry
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// A key that a caller puts into the wrong place must reach no endpoint, log or
+// metric, and what it is not part of must still arrive.
+func TestKeyReachesNoEndpoint(t *testing.T) {
+	var mu sync.Mutex
+	var seen strings.Builder
+	i := newInstance(t, startService(t, func(_ http.ResponseWriter, r *http.Request) {
+		raw, _ := httputil.DumpRequest(r, true)
+		mu.Lock()
+		defer mu.Unlock()
+		seen.Write(raw)
+	}))
+	coded := strings.ReplaceAll(testKey, "_", "%5F")
+	for _, c := range []struct{ path, name, value, kept string }{
+		{"/s/send/a?x=1", "", "", "x=1"},
+		{"/s/send/b?key=" + testKey + "&y=2", "", "", "y=2"},
+		{"/s/look/c?key=" + coded + "&z=3", "", "", "z=3"},
+		{"/s/look/c?" + url.QueryEscape(coded) + "=1&u=4", "", "", "u=4"},
+		{"/s/open/d", "Cookie", "a=b; key=" + testKey + "; session=" + coded, "a=b"},
+		{"/s/send/e", "X-Api-Key", testKey, "/e"},
+		{"/s/send/f", "Referer", "http://x/?k=" + coded, "/f"},
+		{"/s/open/g", "Proxy-Authorization", "Bearer " + testKey, "/g"},
+		{"/s/send/h", "X-Note", "plain", "X-Note: plain"},
+		{"/s/look/i", "Idempotency-Key", testKey, "/i"},
+	} {
+		name, value := c.name, c.value
+		if name == "" {
+			name, value = "X-Other", "1"
+		}
+		resp, body := i.do(t, "POST", c.path, "body", name, value)
+		if resp.StatusCode != http.StatusOK || !strings.Contains(seen.String(), c.kept) {
+			t.Errorf("%s: status %d %s, want %q to arrive", c.path, resp.StatusCode, body, c.kept)
+		}
+	}
+	for _, c := range []struct{ path, body string }{{"/s/send/" + testKey, ""}, {"/s/send/" + coded, ""}, {"/s/open/x", "key is " + testKey}} {
+		if resp, body := i.do(t, "POST", c.path, c.body); resp.StatusCode != http.StatusBadRequest {
+			t.Errorf("%s %s: status %d %s", c.path, c.body, resp.StatusCode, body)
+		}
+	}
+	if resp, body := i.do(t, "POST", "/s/send/x", "", "Idempotency-Key", testKey); resp.StatusCode != http.StatusBadRequest {
+		t.Errorf("key as idempotency key: status %d %s", resp.StatusCode, body)
+	}
+	metrics, err := json.Marshal(i.meters)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for place, text := range map[string]string{"endpoint": seen.String(), "log": i.logged(), "metrics": string(metrics)} {
+		plain, _ := url.QueryUnescape(text)
+		if strings.Contains(text+plain, "0123456789abcdefsecret") || strings.Contains(text, digestOf(testKey)) {
+			t.Errorf("the key or its digest reached the %s: %s", place, text)
+		}
+	}
+}
+
+// A key withdrawn while its request is queued must stop the request before it
+// runs, also when the notice and the free slot come at the same time.
+func TestKeyWithdrawnWhileQueued(t *testing.T) {
+	for _, notice := range []bool{true, false} {
+		runs := 0
+		i := newInstance(t, startService(t, func(http.ResponseWriter, *http.Request) { runs++ }))
+		i.slots.Store(0)
+		answer := make(chan string)
+		go func() {
+			_, body := i.do(t, "POST", "/s/send/x", "")
+			answer <- body
+		}()
+		for i.queue.Waiting()["acme"] == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		if notice {
+			i.withdraw(t)
+		} else {
+			// Without the notice only the check at dispatch is left.
+			i.entry.active.leaveAll()
+			i.withdraw(t)
+			i.slots.Store(1)
+		}
+		if body := <-answer; !strings.Contains(body, "key_withdrawn") || !strings.Contains(body, "not_run") || runs > 0 {
+			t.Errorf("notice %v: runs %d, answer %s", notice, runs, body)
+		}
+	}
+}
+
+func (a *active) leaveAll() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.requests = map[*caller]struct{}{}
+}
+
+// A queued request must not run once the view of the keys is no longer fresh,
+// and the answer must say so truthfully.
+func TestStaleWhileQueued(t *testing.T) {
+	i := newInstance(t, startService(t, func(http.ResponseWriter, *http.Request) { t.Error("ran") }))
+	i.slots.Store(0)
+	answer := make(chan string)
+	go func() {
+		_, body := i.do(t, "POST", "/s/send/x", "")
+		answer <- body
+	}()
+	for i.queue.Waiting()["acme"] == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	i.stale.Store(true)
+	i.slots.Store(1)
+	if body := <-answer; !strings.Contains(body, "keys_stale") || !strings.Contains(body, "not_run") {
+		t.Error(body)
+	}
+}
+
+// A key withdrawn while its stream runs must end the stream, without a last
+// line, and later requests on the same connection.
+func TestKeyWithdrawnWhileStreaming(t *testing.T) {
+	i := newInstance(t, startEngine(t, &testEngine{hold: func(int) { time.Sleep(100 * time.Microsecond) }}))
+	req, err := http.NewRequest("POST", i.url+"/v1/generate", strings.NewReader(`{"model":"tagger","prompt":"p","max_tokens":20000,"stream":true}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	reader := bufio.NewReader(resp.Body)
+	if _, err := reader.ReadString('\n'); err != nil {
+		t.Fatal(err)
+	}
+	i.withdraw(t)
+	rest, _ := io.ReadAll(reader)
+	if !strings.Contains(string(rest), "key_withdrawn") || strings.Contains(string(rest), `"done"`) {
+		t.Errorf("stream ended with %s", rest)
+	}
+	if resp, body := i.do(t, "POST", "/v1/generate", `{}`); resp.StatusCode != http.StatusUnauthorized {
+		t.Errorf("status %d %s", resp.StatusCode, body)
+	}
+}
+
+// Each script line is one request with bad input. They guard against input that
+// is accepted, answered without its code or not counted, or that disturbs later
+// requests.
+func TestBadInput(t *testing.T) {
+	served := 0
+	i := newInstance(t, startService(t, func(http.ResponseWriter, *http.Request) { served++ }), startEngine(t, &testEngine{}))
+	datadriven.RunTest(t, "testdata/input", func(t *testing.T, d *datadriven.TestData) string {
+		var path, body string
+		header := []string{}
+		for _, arg := range d.CmdArgs {
+			switch arg.Key {
+			case "path":
+				path = arg.Vals[0]
+			case "huge":
+				body = `{"prompt":"` + strings.Repeat("x", 1<<20) + `"}`
+			case "stale":
+				i.stale.Store(true)
+				defer i.stale.Store(false)
+			case "nokey":
+				header = append(header, "Authorization", "")
+			case "key":
+				header = append(header, "Authorization", "Bearer "+arg.Vals[0])
+			default:
+				header = append(header, arg.Key, strings.Join(arg.Vals, ","))
+			}
+		}
+		if body == "" {
+			body = d.Input
+		}
+		before := i.refusals()
+		resp, text := i.do(t, d.Cmd, path, body, header...)
+		var failure struct{ Name, Run string }
+		if resp.StatusCode < 300 {
+			return fmt.Sprintf("%d", resp.StatusCode)
+		}
+		if err := json.Unmarshal([]byte(text), &failure); err != nil {
+			return fmt.Sprintf("%d %s", resp.StatusCode, text)
+		}
+		return fmt.Sprintf("%d %s run=%s counted=%d retry=%v", resp.StatusCode, failure.Name, failure.Run, i.refusals()-before, resp.Header.Get("Retry-After"))
+	})
+	if served != 2 {
+		t.Errorf("%d bad requests reached the service", served-2)
+	}
+}
+
+func (i *instance) refusals() (sum int64) {
+	for _, n := range i.meters.Counter("requests_refused").Values() {
+		sum += n
+	}
+	return sum
+}
--- a/internal/traffic/entry/service.go
+++ b/internal/traffic/entry/service.go
@@ -97,6 +97,10 @@
 	if len(id) > idempotencyLimit {
 		return code.New(code.OutOfRange, "the header %s is longer than %d bytes", headerIdempotency, idempotencyLimit).WithRun(code.NotRun)
 	}
+	if holdsKey(id) {
+		// The id goes to other instances.
+		return code.New(code.BadRequest, "the header %s holds a key", headerIdempotency).WithRun(code.NotRun)
+	}
 	// Keys of different routes do not collide.
 	claim, err := e.seams.Claim(r.Context(), c.account, route+"\x00"+id, callDigest(call))
 	if err != nil {
