--- a/internal/traffic/entry/fixture_test.go
+++ b/internal/traffic/entry/fixture_test.go
@@ -254,7 +254,7 @@
 		return
 	}
 	cut := t.cuts.Add(-1) >= 0
-	for n := in.ResumeTokens; n < in.MaxTokens; n++ {
+	for n := in.ResumeTokens; n < in.MaxTokens && r.Context().Err() == nil; n++ {
 		if cut && n == in.ResumeTokens+2 {
 			panic(http.ErrAbortHandler)
 		}
