--- a/internal/traffic/queue/queue.go
+++ b/internal/traffic/queue/queue.go
@@ -1,5 +1,5 @@
 // Package queue decides which waiting request runs next: one queue per client
-// account and model, and the account with the lowest running cost relative to
+// account and model, and the account with the lowest running share relative to
 // its weight goes first. A request that cannot be served in time is refused at
 // once.
 //
@@ -369,7 +369,7 @@
 	}
 }
 
-// next returns the flow with the lowest running cost relative to its weight.
+// next returns the flow with the lowest running share relative to its weight.
 func (q *Queue) next(m *model, blocked map[string]bool) *flow {
 	var best *flow
 	bestShare := math.Inf(1)
@@ -377,7 +377,7 @@
 		if len(f.waiting) == 0 || blocked[f.account] {
 			continue
 		}
-		share := float64(q.account(f.account).cost+q.seams.Running(f.account)) / f.weight
+		share := q.share(f)
 		if best == nil || share < bestShare || (share == bestShare && earlier(f, best)) {
 			best, bestShare = f, share
 		}
@@ -385,6 +385,21 @@
 	return best
 }
 
+// share is the number of slots that the account holds here and on other
+// instances, relative to its weight. Slots and not the cost in them are
+// compared: each unit of cost holds a slot for about the same time, so that
+// equal slots are equal cost per second, while equal cost in flight would give
+// an account with large requests fewer slots. Peers report cost, which the
+// account's mean cost of a request turns into slots.
+func (q *Queue) share(f *flow) float64 {
+	a := q.account(f.account)
+	mean := float64(max(f.waiting[0].item.Cost, 1))
+	if a.running > 0 {
+		mean = float64(max(a.cost, 1)) / float64(a.running)
+	}
+	return (float64(a.running) + float64(q.seams.Running(f.account))/mean) / f.weight
+}
+
 func earlier(a, b *flow) bool {
 	return a.finish < b.finish || (a.finish == b.finish && a.account < b.account)
 }
