--- /dev/null
+++ b/internal/control/roster/roster_test.go
@@ -0,0 +1,168 @@
+package roster
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/base/setting"
+)
+
+type fixture struct {
+	roster *Roster
+	driver *clock.Driver
+	out    map[string]bool
+	dead   map[string]bool
+	mine   bool
+}
+
+func newFixture() *fixture {
+	timers, driver := clock.NewDriven(time.Unix(1000, 0))
+	f := &fixture{driver: driver, out: map[string]bool{}, dead: map[string]bool{}, mine: true}
+	f.roster = New(setting.Defaults(), timers, Seams{
+		ZoneOut: func(zone string) bool { return f.out[zone] },
+		Mine:    func(Endpoint) bool { return f.mine },
+		Load: func(_ context.Context, e Endpoint) (Load, error) {
+			if f.dead[e.ID] {
+				return Load{}, errors.New("connection refused")
+			}
+			return Load{Running: 1, Limit: 8}, nil
+		},
+	}, logs.Discard())
+	return f
+}
+
+func (f *fixture) ask(after time.Duration) {
+	f.driver.Advance(after)
+	f.roster.ask(context.Background(), 0)
+}
+
+func list(revision uint64, states map[string]string) Page {
+	page := Page{Revision: revision, Full: revision == 1}
+	for id, state := range states {
+		page.Endpoints = append(page.Endpoints, Endpoint{ID: id, Zone: "zone-" + id[:1], Model: "m", State: state, Revision: revision})
+	}
+	return page
+}
+
+// Guards against new work for an endpoint that is starting, leaving or gone
+// (invariant 15), and for a zone that was taken out of service (invariant 11).
+func TestOnlyLiveEndpointsOfZonesInServiceAreUsable(t *testing.T) {
+	f := newFixture()
+	f.roster.Merge(list(1, map[string]string{"a1": StateLive, "a2": StateStarting, "b1": StateLive}))
+	if got := f.roster.Endpoints().Live("m"); len(got) != 2 {
+		t.Fatalf("usable: %v, want a1 and b1", got)
+	}
+	f.roster.Merge(list(2, map[string]string{"a1": StateLeaving}))
+	f.out["zone-b"] = true
+	f.roster.refresh()
+	s := f.roster.Endpoints()
+	if len(s.Live("m")) != 0 || s.Usable("a1") || s.Usable("b1") || len(s.In("m", "zone-b")) != 0 {
+		t.Fatalf("usable: %v, want none", s.Live("m"))
+	}
+	f.roster.Merge(list(3, map[string]string{"b2": StateLive, "a1": StateGone}))
+	if f.roster.Endpoints().Usable("b2") {
+		t.Fatal("an endpoint that came to a zone out of service is usable")
+	}
+	if _, ok := f.roster.Endpoints().Get("a1"); ok {
+		t.Fatal("an endpoint that is gone is still listed")
+	}
+}
+
+// Guards against pages that come late or in another order and bring back an
+// older state, and against a peer that misses an endpoint's end.
+func TestPagesInAnyOrderLeadToTheSameList(t *testing.T) {
+	f, g := newFixture(), newFixture()
+	f.roster.Merge(list(1, map[string]string{"a1": StateLive, "a2": StateLive}))
+	g.roster.Merge(f.roster.Since(0))
+	f.roster.Merge(list(3, map[string]string{"a1": StateGone}))
+	f.roster.Merge(list(2, map[string]string{"a1": StateLive}))
+	if f.roster.Endpoints().Usable("a1") {
+		t.Fatal("an older page brought an endpoint back")
+	}
+	g.roster.Merge(f.roster.Since(1))
+	if g.roster.Endpoints().Usable("a1") || !g.roster.Endpoints().Usable("a2") {
+		t.Fatal("the peer's list differs")
+	}
+	// Once the tombstone is dropped, only the whole list tells of the end.
+	f.ask(tombstoneAge + time.Second)
+	if page := f.roster.Since(1); !page.Full || len(page.Endpoints) != 1 {
+		t.Fatalf("page after the tombstone's end: %+v, want the whole list", page)
+	}
+}
+
+// Guards against work for an endpoint that does not answer, against one that
+// stays closed after it has come back, and against one burst of failures that
+// counts as many.
+func TestFailedEndpointReturnsOnceItAnswers(t *testing.T) {
+	f := newFixture()
+	f.roster.Merge(list(1, map[string]string{"a1": StateLive}))
+	f.dead["a1"] = true
+	for range 5 {
+		f.roster.Failed("a1", errors.New("reset"))
+	}
+	if f.roster.Endpoints().Usable("a1") {
+		t.Fatal("a failed endpoint is usable")
+	}
+	f.ask(retryFirst)
+	if f.roster.Endpoints().Usable("a1") {
+		t.Fatal("an endpoint that does not answer is usable")
+	}
+	f.dead["a1"] = false
+	f.ask(2 * retryFirst)
+	if !f.roster.Endpoints().Usable("a1") {
+		t.Fatal("the endpoint answers and is still not usable")
+	}
+	// An instance that does not ask the endpoint lifts the mark by time.
+	f.mine = false
+	f.roster.Failed("a1", errors.New("reset"))
+	f.ask(retryMost)
+	if !f.roster.Endpoints().Usable("a1") {
+		t.Fatal("the mark was not lifted")
+	}
+}
+
+// BenchmarkMemory shows the memory of the roster against the number of
+// endpoints of the fleet; an eighth of a cell's 133 endpoints report load.
+func BenchmarkMemory(b *testing.B) {
+	for _, count := range []int{100, 500, 1000, 2500, 6500} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			page := Page{Revision: 1, Full: true}
+			for i := range count {
+				page.Endpoints = append(page.Endpoints, Endpoint{
+					ID: fmt.Sprintf("endpoint-%05d", i), Zone: fmt.Sprintf("zone-%d", i%7), Address: fmt.Sprintf("10.0.%d.%d:8000", i/250, i%250),
+					Kind: KindEngine, Model: fmt.Sprintf("model-%d", i%5), Class: ClassStandard, State: StateLive, Revision: uint64(i),
+				})
+			}
+			var bytes, published float64
+			for b.Loop() {
+				before := heap()
+				f := newFixture()
+				f.roster.Merge(page)
+				bytes = float64(heap() - before)
+				at := time.Now()
+				for range 100 {
+					f.roster.Learn("endpoint-00007", Load{At: f.roster.timers.Now()})
+					f.driver.Advance(time.Millisecond)
+				}
+				published = float64(time.Since(at).Nanoseconds()) / 100
+				runtime.KeepAlive(f)
+			}
+			b.ReportMetric(bytes, "B")
+			b.ReportMetric(bytes/float64(count), "B/endpoint")
+			b.ReportMetric(published, "ns/report")
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/internal/fleet/share/exchange.go
+++ b/internal/fleet/share/exchange.go
@@ -114,11 +114,11 @@
 	if id == p.self {
 		return p.Serve(report)
 	}
-	instance, ok := p.seams.Alive().Instance(id)
+	p.mu.Lock()
+	instance, ok := p.addresses[id]
+	p.mu.Unlock()
 	if !ok {
-		if instance, ok = p.seams.Listed().Instance(id); !ok {
-			return nil, eris.Errorf("instance %s is not listed", id)
-		}
+		return nil, eris.Errorf("instance %s is not listed", id)
 	}
 	ctx, cancel := p.timers.WithTimeout(ctx, callLimit)
 	defer cancel()
--- a/internal/fleet/share/ledger.go
+++ b/internal/fleet/share/ledger.go
@@ -5,9 +5,14 @@
 	"slices"
 	"time"
 
+	"github.com/wigeonpin/wigeonpin/internal/base/setting"
 	"github.com/wigeonpin/wigeonpin/internal/control/roster"
 )
 
+// turnTerms is how many terms a member keeps a slot that rounding gave it.
+// Between two members the slot stays unused for up to one exchange period.
+const turnTerms = 6
+
 // ledger is a home instance's account of one endpoint.
 type ledger struct {
 	since   time.Time
@@ -81,32 +86,43 @@
 }
 
 // expire drops entries that charge and own nothing any more.
-func (p *Pool) expire(l *ledger, now time.Time) {
+func (p *Pool) expire(s *stake, l *ledger, now time.Time) {
 	for id, e := range l.entries {
-		unlisted := false
-		if _, ok := p.layout.listed.Instance(id); !ok {
-			unlisted = true
-		}
-		if id != p.self && p.seams.Dead(id) {
+		_, listed := p.layout.listed.Instance(id)
+		dead := id != p.self && p.seams.Dead(id)
+		if dead {
 			e.running, e.held, e.granted = 0, 0, 0
-			unlisted = true
+		} else if !listed && now.Sub(e.heard) > p.lag+p.lapse() {
+			p.bury(s, l, e, now)
 		}
-		if e.charge() == 0 && !now.Before(e.partsUntil) && (unlisted || now.Sub(e.heard) > p.lag+p.lapse()) {
+		if e.charge() == 0 && !now.Before(e.partsUntil) && (dead || now.Sub(e.heard) > p.lag+p.lapse()) {
 			delete(l.entries, id)
 			if m, ok := p.members[id]; ok {
-				delete(m.entries, p.nameOf(l))
+				delete(m.entries, s.endpoint.ID)
 			}
 		}
 	}
 }
 
-func (p *Pool) nameOf(l *ledger) string {
-	for id, other := range p.ledgers {
-		if other == l {
-			return id
+// bury lowers the charge of a member that left the list in silence. Its grants
+// have ended, so it runs at most what the endpoint reports beyond the work of
+// the others; and no request outlives the highest deadline.
+func (p *Pool) bury(s *stake, l *ledger, gone *entry, now time.Time) {
+	most := gone.charge()
+	load, ok := p.seams.Endpoints().Load(s.endpoint.ID)
+	if ok && load.At.Sub(gone.heard) > p.lag+p.lapse() {
+		others := 0
+		for _, e := range l.entries {
+			if e != gone && e.leastAt.Equal(load.At) {
+				others += e.least
+			}
 		}
+		most = min(most, max(load.Running-others, 0))
+	}
+	if now.Sub(gone.heard) > setting.Milliseconds(p.settings.DeadlineMaxMS)+p.lag+p.lapse() {
+		most = 0
 	}
-	return ""
+	gone.running, gone.held, gone.granted = most, 0, 0
 }
 
 // budget is the number of slots that the shares delegated to this instance
@@ -199,7 +215,7 @@
 	if unknown < 0 {
 		return 0, false
 	}
-	if now.Sub(l.turned) >= p.term {
+	if now.Sub(l.turned) >= turnTerms*p.term {
 		l.turn, l.turned = l.turn+1, now
 	}
 	budget := l.budget(now)
--- a/internal/fleet/share/pool.go
+++ b/internal/fleet/share/pool.go
@@ -108,6 +108,8 @@
 	ledgers map[string]*ledger
 	members map[string]*reporter
 	byHash  map[uint64]string
+	// addresses holds the instances that are listed or still charged.
+	addresses map[string]member.Instance
 }
 
 // New returns a pool that holds no slot yet.
@@ -118,7 +120,7 @@
 		term: setting.Milliseconds(settings.ShareMS), lag: setting.Milliseconds(settings.ListLagMS),
 		kicks:  make(chan string, 64),
 		stakes: map[string]*stake{}, peers: map[string]*peer{}, ledgers: map[string]*ledger{},
-		members: map[string]*reporter{}, byHash: map[uint64]string{},
+		members: map[string]*reporter{}, byHash: map[uint64]string{}, addresses: map[string]member.Instance{},
 	}
 	p.notice.changed = make(chan struct{})
 	return p
--- a/internal/fleet/share/stake.go
+++ b/internal/fleet/share/stake.go
@@ -63,6 +63,7 @@
 	if before == nil || before.listed != listed {
 		p.layout = newLayout(listed, p.settings.CellSize)
 		p.sit(now)
+		p.remember(listed)
 	}
 	for _, e := range snapshot.All() {
 		s, known := p.stakes[e.ID]
@@ -185,8 +186,12 @@
 		}
 	}
 	for id, l := range p.ledgers {
-		p.expire(l, now)
-		if s, ok := p.stakes[id]; ok && s.home != p.self && len(l.entries) == 0 {
+		s, ok := p.stakes[id]
+		if !ok {
+			continue
+		}
+		p.expire(s, l, now)
+		if s.home != p.self && len(l.entries) == 0 {
 			delete(p.ledgers, id)
 		}
 	}
@@ -245,10 +250,42 @@
 			ids = append(ids, id)
 		}
 	}
+	ids = append(ids, p.silent(now)...)
 	slices.Sort(ids)
 	return slices.DeleteFunc(slices.Compact(ids), func(id string) bool { return id == "" })
 }
 
+// silent returns the members that still have a charge here and have not
+// reported for a term. The call to them proves whether they are dead.
+func (p *Pool) silent(now time.Time) []string {
+	var ids []string
+	for id, m := range p.members {
+		if now.Sub(m.heard) < p.term || p.seams.Dead(id) {
+			continue
+		}
+		for endpoint := range m.entries {
+			if l, ok := p.ledgers[endpoint]; ok && l.entries[id] != nil && l.entries[id].charge() > 0 {
+				ids = append(ids, id)
+				break
+			}
+		}
+	}
+	return ids
+}
+
+// remember keeps the addresses of instances that left the list while they are
+// still charged.
+func (p *Pool) remember(listed *member.View) {
+	for id := range p.addresses {
+		if _, ok := p.members[id]; !ok {
+			delete(p.addresses, id)
+		}
+	}
+	for _, i := range listed.Instances() {
+		p.addresses[i.ID] = i
+	}
+}
+
 // concerns reports whether a report to the peer says something of an endpoint.
 func (p *Pool) concerns(s *stake, id string, now time.Time) bool {
 	if s.former[id] {
--- a/internal/fleet/share/world_test.go
+++ b/internal/fleet/share/world_test.go
@@ -295,8 +295,9 @@
 		s := n.pool.stakes[endpoint]
 		out += fmt.Sprintf("\n%s listed %v stake %+v", id, n.listed.Zone(zone), s)
 		if l, ok := n.pool.ledgers[endpoint]; ok {
+			out += fmt.Sprintf("\n   ramp %+v settled %v explained %v", l.ramp, l.settled, l.explained)
 			for m, e := range l.entries {
-				out += fmt.Sprintf("\n   entry %s parts %d until %v heard %v", m, e.parts, e.partsUntil, e.heard)
+				out += fmt.Sprintf("\n   entry %s %+v", m, e)
 			}
 		}
 	}
