Test roll-outs and join anew after a gap in the list

The property test found a member that missed its own absence from the list and went on with its old share. A member now joins anew after a gap in its list, and a share is given up or taken over only after twice the bound of the list's age and the lapse of a delegation.

--- a/internal/fleet/rollout/rollout.go
+++ b/internal/fleet/rollout/rollout.go
@@ -209,13 +209,18 @@
 }
 
 func (r *Rollout) begin(ctx context.Context, trainer, model string, version int, fence uint64, lease Lease, inherited bool) *run {
-	own, cancel := context.WithCancel(ctx)
+	u := r.prepare(trainer, model, version, fence, lease, inherited)
+	u.context, u.cancel = context.WithCancel(ctx)
+	u.done.Go(u.drive)
+	return u
+}
+
+func (r *Rollout) prepare(trainer, model string, version int, fence uint64, lease Lease, inherited bool) *run {
 	u := &run{
 		rollout: r, trainer: trainer, model: model, version: version, fence: fence, lease: lease,
-		began: r.timers.Now(), cancel: cancel, engines: map[string]*engine{}, width: loadsAtOnce, inherited: inherited,
+		began: r.timers.Now(), engines: map[string]*engine{}, width: loadsAtOnce, inherited: inherited,
 		log: r.log.WithField(logs.Trainer, trainer).WithField("version", version).WithField(logs.Fence, fence),
 	}
 	r.note(trainer, func(p *Progress) { *p = Progress{Version: version, Began: u.began} })
-	u.done.Go(func() { u.drive(own) })
 	return u
 }
--- /dev/null
+++ b/internal/fleet/rollout/rollout_test.go
@@ -0,0 +1,260 @@
+package rollout
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/base/setting"
+	"github.com/wigeonpin/wigeonpin/internal/control/member"
+	"github.com/wigeonpin/wigeonpin/internal/control/roster"
+	"github.com/wigeonpin/wigeonpin/internal/control/table"
+)
+
+var errLimited = errors.New("429")
+
+// fakeEngine loads for a while in driven time and can fail.
+type fakeEngine struct {
+	status    Status
+	loadedAt  time.Time
+	version   int
+	failLoads int
+	failSwaps int
+	switched  time.Time
+	fence     uint64
+}
+
+// fixture is a trainer's engines and a weight store with a rate limit.
+type fixture struct {
+	driver   *clock.Driver
+	timers   *clock.Service
+	rollout  *Rollout
+	mu       sync.Mutex
+	engines  map[string]*fakeEngine
+	loadTime time.Duration
+	rate     float64 // loads a second that the store allows
+	tokens   float64
+	filled   time.Time
+	limited  int
+	calls    int
+	held     bool
+	missing  bool
+	list     *roster.Snapshot
+}
+
+func newFixture(engines int) *fixture {
+	timers, driver := clock.NewDriven(time.Unix(1000, 0))
+	f := &fixture{
+		driver: driver, timers: timers, engines: map[string]*fakeEngine{}, loadTime: time.Second,
+		rate: 1e9, tokens: 100, filled: timers.Now(), held: true,
+	}
+	r := roster.New(setting.Settings{}, timers, roster.Seams{ZoneOut: func(string) bool { return false }}, logs.Discard())
+	page := roster.Page{Revision: 1, Full: true}
+	for i := range engines {
+		id := fmt.Sprintf("e-%04d", i)
+		f.engines[id] = &fakeEngine{status: Status{Active: 1}}
+		page.Endpoints = append(page.Endpoints, roster.Endpoint{ID: id, Kind: roster.KindEngine, Model: "m", State: roster.StateLive})
+	}
+	r.Merge(page)
+	f.list = r.Endpoints()
+	trainer := json.RawMessage(`{"account":"acme","model":"m"}`)
+	rows := table.Load(1, []table.Row{{Table: table.Trainers, Name: "t", Revision: 1, Value: trainer}})
+	f.rollout = New(setting.Defaults(), timers, Seams{
+		View:      func() *member.View { return member.NewView(nil) },
+		Table:     func() *table.Table { return rows },
+		Endpoints: func() *roster.Snapshot { return f.list },
+		Stored: func(context.Context, string, int) error {
+			if f.missing {
+				return errLimited
+			}
+			return nil
+		},
+		Load: f.load, Switch: f.change, Status: f.ask,
+		Limited: func(err error) (time.Duration, bool) { return 0, errors.Is(err, errLimited) },
+	}, logs.Discard())
+	return f
+}
+
+func (f *fixture) load(_ context.Context, e roster.Endpoint, _ string, version int, fence uint64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls++
+	now, x := f.timers.Now(), f.engines[e.ID]
+	f.tokens = min(f.tokens+now.Sub(f.filled).Seconds()*f.rate, max(f.rate/10, 1))
+	f.filled = now
+	if f.tokens < 1 {
+		f.limited++
+		return errLimited
+	}
+	f.tokens--
+	if x.failLoads > 0 {
+		x.failLoads--
+		return errors.New("load failed")
+	}
+	x.version, x.fence, x.loadedAt, x.status.Loading = version, fence, now.Add(f.loadTime), version
+	return nil
+}
+
+func (f *fixture) ask(_ context.Context, e roster.Endpoint) (Status, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls++
+	x := f.engines[e.ID]
+	if x.status.Loading != 0 && !f.timers.Now().Before(x.loadedAt) {
+		x.status.Loaded, x.status.Loading = []int{x.version}, 0
+	}
+	return x.status, nil
+}
+
+func (f *fixture) change(_ context.Context, e roster.Endpoint, _ string, version int, _ uint64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls++
+	x := f.engines[e.ID]
+	if x.failSwaps > 0 {
+		x.failSwaps--
+		x.status.Loaded = nil // The engine has lost the loaded weights.
+		return errors.New("swap failed")
+	}
+	x.status.Active, x.switched = version, f.timers.Now()
+	return nil
+}
+
+func (f *fixture) begin(version int) *run {
+	lease := Lease{Held: func() (uint64, bool) { return 7, f.held }}
+	ctx, cancel := context.WithCancel(context.Background())
+	u := f.rollout.prepare("t", "m", version, 7, lease, false)
+	u.cancel = cancel
+	u.context = ctx
+	return u
+}
+
+// steps runs the roll-out for a driven time, at its own period.
+func (f *fixture) steps(u *run, total time.Duration) {
+	for range total / stepEvery {
+		u.stepIfHeld(u.context)
+		for u.inProgress() > 0 {
+			runtime.Gosched()
+		}
+		f.driver.Advance(stepEvery)
+	}
+}
+
+func (u *run) inProgress() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.calls
+}
+
+// counts returns how many engines run the version, and when the first and the
+// last of them switched.
+func (f *fixture) counts(version int) (count int, first, last time.Duration) {
+	first = time.Hour
+	for _, x := range f.engines {
+		if x.status.Active == version {
+			count++
+			at := x.switched.Sub(time.Unix(1000, 0))
+			first, last = min(first, at), max(last, at)
+		}
+	}
+	return count, first, last
+}
+
+// Guards against a roll-out that takes longer than 10 s or leaves engines
+// behind when the weight store limits the rate and loads and swaps fail, and
+// against engines that switch one by one while the others still load.
+func TestAllEnginesSwitchWithin10Seconds(t *testing.T) {
+	f := newFixture(1300)
+	f.rate = 300
+	for i, id := range []string{"e-0000", "e-0100", "e-0200", "e-0300", "e-1299"} {
+		f.engines[id].failLoads, f.engines[id].failSwaps = i%3, 1
+	}
+	u := f.begin(2)
+	defer u.end()
+	f.steps(u, 10*time.Second)
+	count, first, last := f.counts(2)
+	t.Logf("%d engines switched from %v to %v, %d loads met the rate limit, %d calls", count, first, last, f.limited, f.calls)
+	if count != 1300 {
+		t.Fatalf("%d of 1300 engines switched within 10 s", count)
+	}
+	if f.limited > 2*1300 {
+		t.Fatalf("%d loads met the rate limit of the store, want at most two for each engine", f.limited)
+	}
+	if early := 1300.0 / 300 * 0.75; first.Seconds() < early {
+		t.Fatalf("an engine switched after %v, before three quarters can have loaded", first)
+	}
+}
+
+// Guards against one engine that never loads and holds up all others, and
+// against one that is given up.
+func TestFailingEngineDoesNotHoldUpTheOthers(t *testing.T) {
+	f := newFixture(20)
+	f.engines["e-0007"].failLoads = 1 << 30
+	u := f.begin(2)
+	defer u.end()
+	f.steps(u, 10*time.Second)
+	if count, _, _ := f.counts(2); count != 19 {
+		t.Fatalf("%d engines switched, want the 19 that work", count)
+	}
+	f.mu.Lock()
+	f.engines["e-0007"].failLoads = 0
+	f.mu.Unlock()
+	f.steps(u, 20*time.Second)
+	if count, _, _ := f.counts(2); count != 20 {
+		t.Fatal("the engine that works again was given up")
+	}
+}
+
+// Guards against orders to engines without the lease, and against engines
+// that are told to load a version that the store does not have.
+func TestNothingIsToldWithoutLeaseOrWeights(t *testing.T) {
+	f := newFixture(20)
+	f.missing = true
+	u := f.begin(2)
+	defer u.end()
+	f.steps(u, 5*time.Second)
+	if f.calls != 0 {
+		t.Fatalf("%d calls for a version that the store does not have", f.calls)
+	}
+	f.missing = false
+	f.steps(u, time.Second)
+	f.held = false
+	before := f.calls
+	f.steps(u, 10*time.Second)
+	if count, _, _ := f.counts(2); f.calls != before || count != 0 {
+		t.Fatalf("%d calls without the lease", f.calls-before)
+	}
+}
+
+// BenchmarkRollout shows the driven time of a roll-out until all engines have
+// switched, and the real time and the calls that it costs the instance,
+// against the number of engines.
+func BenchmarkRollout(b *testing.B) {
+	for _, count := range []int{12, 130, 650, 1300, 6500} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			var whole time.Duration
+			var calls int
+			for b.Loop() {
+				f := newFixture(count)
+				f.rate = max(float64(count)/4, 20)
+				u := f.begin(2)
+				f.steps(u, 12*time.Second)
+				u.end()
+				done, _, last := f.counts(2)
+				if done != count {
+					b.Fatalf("%d of %d engines switched", done, count)
+				}
+				whole, calls = last, f.calls
+			}
+			b.ReportMetric(whole.Seconds(), "driven-s")
+			b.ReportMetric(float64(calls)/float64(count), "calls/engine")
+		})
+	}
+}
--- a/internal/fleet/rollout/run.go
+++ b/internal/fleet/rollout/run.go
@@ -21,14 +21,25 @@
 	// at every engine.
 	finishedEvery = time.Second
 	// loadsAtOnce is the number of engines that load at the same time at first.
-	// It grows by one with each engine that has loaded and halves at a rate
-	// limit: with a fixed 8, 6,500 engines need 810 rounds, which cannot end
-	// within 10 s.
+	// It grows with each load that begins and shrinks at a failure or rate
+	// limit: with a fixed 8, 1,300 engines of a trainer need 163 rounds, which
+	// cannot end within 10 s. Before the first failure it grows by growFirst,
+	// for engines that answer only when they have loaded: doubling, 1,300 of
+	// them that load for a second need 8 s.
 	loadsAtOnce = 8
-	loadsAtMost = 1024
-	// switchesAtOnce bounds the calls in progress when all switch together.
-	switchesAtOnce = 256
-	callLimit      = 2 * time.Second
+	growFirst   = 3
+	growLater   = 0.6
+	loadsAtMost = 2048
+	// slowEvery is the time in which all failures count as one: engines that
+	// began together meet the rate limit together.
+	slowEvery  = 500 * time.Millisecond
+	slowFactor = 0.8
+	// limitedWait is the pause of an engine that met the rate limit, when the
+	// limit names none. It does not grow: the fewer loads already slow down.
+	limitedWait = 200 * time.Millisecond
+	// callsAtOnce bounds the calls in progress when all switch together.
+	callsAtOnce = 256
+	callLimit   = 2 * time.Second
 	// loadLimit is longer, for engines that answer once they have loaded.
 	loadLimit = 10 * time.Second
 	// laggards is how long the others wait for the last quarter to load.
@@ -54,6 +65,7 @@
 	phase    phase
 	busy     bool
 	asked    bool
+	counted  bool // among the loads in progress
 	next     time.Time
 	since    time.Time // when the engine was last seen to have switched
 	retry    *backoff.ExponentialBackOff
@@ -67,6 +79,7 @@
 	fence          uint64
 	lease          Lease
 	began          time.Time
+	context        context.Context
 	cancel         context.CancelFunc
 	done           sync.WaitGroup
 	log            *logrus.Entry
@@ -75,6 +88,8 @@
 	engines  map[string]*engine
 	width    float64
 	calls    int
+	loads    int
+	slowed   time.Time
 	three    time.Time // when three quarters had loaded
 	together bool
 	stored   bool
@@ -94,22 +109,26 @@
 
 // drive steps until the roll-out is replaced. It stays after all engines have
 // switched, for engines that start later or come back with old weights.
-func (u *run) drive(ctx context.Context) {
+func (u *run) drive() {
 	ticks := u.rollout.timers.Subscribe(stepEvery)
 	defer ticks.Stop()
-	for {
-		if _, held := u.lease.Held(); !held {
-			return
-		}
-		u.step(ctx)
+	for u.stepIfHeld(u.context) {
 		select {
-		case <-ctx.Done():
+		case <-u.context.Done():
 			return
 		case <-ticks.C:
 		}
 	}
 }
 
+func (u *run) stepIfHeld(ctx context.Context) bool {
+	_, held := u.lease.Held()
+	if held {
+		u.step(ctx)
+	}
+	return held
+}
+
 func (u *run) step(ctx context.Context) {
 	if !u.stored && !u.askStore(ctx) {
 		return
@@ -129,7 +148,10 @@
 		}
 		switch e.phase {
 		case idle:
-			u.start(ctx, e, u.load)
+			if u.loads < int(u.width) && u.start(ctx, e, u.load) {
+				u.loads++
+				e.counted = true
+			}
 		case loading:
 			u.start(ctx, e, u.ask)
 		case loaded:
@@ -178,6 +200,9 @@
 		seen[e.ID] = true
 		known, ok := u.engines[e.ID]
 		if !ok || known.endpoint.Address != e.Address {
+			if ok {
+				u.ended(known)
+			}
 			fresh := &engine{endpoint: e, retry: newRetry()}
 			if u.inherited {
 				fresh.phase = loading
@@ -192,8 +217,9 @@
 			known.phase, known.next = idle, now
 		}
 	}
-	for id := range u.engines {
+	for id, e := range u.engines {
 		if !seen[id] {
+			u.ended(e)
 			delete(u.engines, id)
 		}
 	}
@@ -238,13 +264,9 @@
 }
 
 // start runs one call to an engine unless too many are in progress.
-func (u *run) start(ctx context.Context, e *engine, call func(context.Context, *engine)) {
-	most := int(u.width)
-	if e.phase >= loaded {
-		most = switchesAtOnce
-	}
-	if u.calls >= most {
-		return
+func (u *run) start(ctx context.Context, e *engine, call func(context.Context, *engine)) bool {
+	if u.calls >= callsAtOnce {
+		return false
 	}
 	u.calls++
 	e.busy = true
@@ -255,6 +277,31 @@
 		u.calls--
 		e.busy = false
 	})
+	return true
+}
+
+// ended notes that an engine no longer loads.
+func (u *run) ended(e *engine) {
+	if e.counted {
+		e.counted = false
+		u.loads--
+	}
+}
+
+// quicken allows more loads at the same time after one that began.
+func (u *run) quicken() {
+	grow := growLater
+	if u.slowed.IsZero() {
+		grow = growFirst
+	}
+	u.width = min(u.width+grow, loadsAtMost)
+}
+
+// slow lowers the number of loads at the same time.
+func (u *run) slow(now time.Time) {
+	if now.Sub(u.slowed) >= slowEvery {
+		u.width, u.slowed = max(u.width*slowFactor, 1), now
+	}
 }
 
 func (u *run) load(ctx context.Context, e *engine) {
@@ -264,6 +311,7 @@
 	u.mu.Lock()
 	if err == nil {
 		e.phase = loading
+		u.quicken()
 	}
 	u.mu.Unlock()
 	if err != nil {
@@ -297,6 +345,10 @@
 		e.phase = loading
 		e.next = now.Add(100*time.Millisecond + rand.N(100*time.Millisecond))
 	default:
+		if e.counted {
+			u.ended(e)
+			u.slow(now)
+		}
 		e.phase, e.next = idle, now
 		if e.asked {
 			e.next = now.Add(e.retry.NextBackOff())
@@ -305,8 +357,8 @@
 }
 
 func (u *run) reached(e *engine, p phase) {
-	if e.phase < loaded {
-		u.width = min(u.width+1, loadsAtMost)
+	if e.counted {
+		u.ended(e)
 	}
 	e.phase = p
 	e.retry.Reset()
@@ -335,15 +387,20 @@
 // failed puts the engine's next call off. After a failed switch the engine is
 // asked first, since the switch may have happened or the weights may be gone.
 func (u *run) failed(e *engine, err error, call string) {
-	wait, limited := u.rollout.seams.Limited(err)
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if limited {
-		u.width = max(u.width/2, 1)
+	now := u.rollout.timers.Now()
+	if call == "load" {
+		u.ended(e)
+		u.slow(now)
 	}
 	if e.phase >= loaded {
 		e.phase = loading
 	}
-	e.next = u.rollout.timers.Now().Add(max(wait, e.retry.NextBackOff()))
+	if wait, limited := u.rollout.seams.Limited(err); limited {
+		e.next = now.Add(max(wait, limitedWait) + rand.N(limitedWait))
+	} else {
+		e.next = now.Add(e.retry.NextBackOff())
+	}
 	u.log.WithError(err).WithField("endpoint", e.endpoint.ID).WithField("call", call).Debug("engine failed")
 }
--- a/internal/fleet/share/exchange.go
+++ b/internal/fleet/share/exchange.go
@@ -130,16 +130,15 @@
 func (p *Pool) prepare(id string) (*Report, []*stake, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	// The age is read before the list, so that the list is at least as new.
-	age := p.seams.ListAge()
 	x, now := p.peer(id), p.timers.Now()
 	if x.busy {
 		return nil, nil, false
 	}
+	// The age is read before the list, so that the list is at least as new.
+	p.confirm(p.seams.ListAge(), now)
 	if p.layout == nil || p.layout.listed != p.seams.Listed() {
 		p.reconcileLocked(now)
 	}
-	p.fenced = age > p.lag
 	x.busy = true
 	x.sequence++
 	report := &Report{
--- a/internal/fleet/share/ledger.go
+++ b/internal/fleet/share/ledger.go
@@ -92,10 +92,10 @@
 		dead := id != p.self && p.seams.Dead(id)
 		if dead {
 			e.running, e.held, e.granted = 0, 0, 0
-		} else if !listed && now.Sub(e.heard) > p.lag+p.lapse() {
+		} else if !listed && now.Sub(e.heard) > p.settling() {
 			p.bury(s, l, e, now)
 		}
-		if e.charge() == 0 && !now.Before(e.partsUntil) && (dead || now.Sub(e.heard) > p.lag+p.lapse()) {
+		if e.charge() == 0 && !now.Before(e.partsUntil) && (dead || now.Sub(e.heard) > p.settling()) {
 			delete(l.entries, id)
 			if m, ok := p.members[id]; ok {
 				delete(m.entries, s.endpoint.ID)
@@ -110,7 +110,7 @@
 func (p *Pool) bury(s *stake, l *ledger, gone *entry, now time.Time) {
 	most := gone.charge()
 	load, ok := p.seams.Endpoints().Load(s.endpoint.ID)
-	if ok && load.At.Sub(gone.heard) > p.lag+p.lapse() {
+	if ok && load.At.Sub(gone.heard) > p.settling() {
 		others := 0
 		for _, e := range l.entries {
 			if e != gone && e.leastAt.Equal(load.At) {
@@ -119,7 +119,7 @@
 		}
 		most = min(most, max(load.Running-others, 0))
 	}
-	if now.Sub(gone.heard) > setting.Milliseconds(p.settings.DeadlineMaxMS)+p.lag+p.lapse() {
+	if now.Sub(gone.heard) > setting.Milliseconds(p.settings.DeadlineMaxMS)+p.settling() {
 		most = 0
 	}
 	gone.running, gone.held, gone.granted = most, 0, 0
--- a/internal/fleet/share/pool.go
+++ b/internal/fleet/share/pool.go
@@ -100,14 +100,16 @@
 	leaving bool
 	// fenced: this instance may have left the list, or another may have
 	// joined, without its knowledge.
-	fenced  bool
-	layout  *layout
-	seat    seat
-	stakes  map[string]*stake
-	peers   map[string]*peer
-	ledgers map[string]*ledger
-	members map[string]*reporter
-	byHash  map[uint64]string
+	fenced bool
+	// confirmed is the time up to which this instance knew the list.
+	confirmed time.Time
+	layout    *layout
+	seat      seat
+	stakes    map[string]*stake
+	peers     map[string]*peer
+	ledgers   map[string]*ledger
+	members   map[string]*reporter
+	byHash    map[uint64]string
 	// addresses holds the instances that are listed or still charged.
 	addresses map[string]member.Instance
 }
@@ -131,6 +133,15 @@
 // counts the delegation for one term, and its grants run for one term.
 func (p *Pool) lapse() time.Duration { return 3 * p.term }
 
+// bound is the age of the list at which a member is fenced.
+func (p *Pool) bound() time.Duration { return min(p.lag, p.lapse()) }
+
+// settling is the time after which a member that left the list owns no share
+// any more, and after which one that joined is counted by all. It holds the
+// bound twice: a member may miss its own absence for as long as the bound, and
+// another one may miss that it was back on the list in between.
+func (p *Pool) settling() time.Duration { return 2*p.bound() + p.lapse() }
+
 func hashOf(id string) uint64 { return xxhash.Sum64String(id) }
 
 // notice lets waiters learn that slots may have become free.
--- a/internal/fleet/share/pool_test.go
+++ b/internal/fleet/share/pool_test.go
@@ -75,15 +75,19 @@
 		}
 		epoch := w.epoch()
 		for _, id := range w.ids() {
-			for len(w.nodes[id].slots) > 0 {
+			for len(w.nodes[id].slots) > 1 {
 				w.finish(w.nodes[id], outcome)
 			}
 		}
 		// The members report the degradation, then what they still hold of the
 		// grants made before, and then get new ones.
-		for range 3 {
-			w.period()
+		w.period()
+		w.period()
+		for _, id := range w.ids() {
+			w.finish(w.nodes[id], outcome)
 		}
+		w.period()
+		w.period()
 		if running := w.loadAll(); running != 1 {
 			t.Fatalf("%s: %d requests run on the cold endpoint, want 1", name, running)
 		}
--- a/internal/fleet/share/stake.go
+++ b/internal/fleet/share/stake.go
@@ -115,7 +115,7 @@
 func (p *Pool) retain(retained map[string]time.Time, before, after []string, now time.Time) {
 	for _, id := range before {
 		if id != p.self && !slices.Contains(after, id) {
-			retained[id] = now.Add(p.lag + p.lapse())
+			retained[id] = now.Add(p.settling())
 		}
 	}
 	for _, id := range after {
@@ -181,7 +181,7 @@
 		}
 	}
 	for id, m := range p.members {
-		if _, ok := p.layout.listed.Instance(id); !ok && now.Sub(m.heard) > p.lag+p.lapse() && len(m.entries) == 0 {
+		if _, ok := p.layout.listed.Instance(id); !ok && now.Sub(m.heard) > p.settling() && len(m.entries) == 0 {
 			delete(p.members, id)
 		}
 	}
@@ -230,7 +230,26 @@
 // delegated before have lapsed; so have those of members that left the list
 // before this one came and that it does not know.
 func (p *Pool) settled(s *stake, now time.Time) bool {
-	return now.Sub(s.since) >= p.lag+p.lapse()
+	return now.Sub(s.since) >= p.settling()
+}
+
+// confirm notes up to which time this instance knew the list. Beyond the bound
+// it is fenced: it may have left the list, or another may have joined, without
+// its knowledge. Afterwards it joins anew, since the others may have stopped
+// counting it, even if it finds itself on the list again.
+func (p *Pool) confirm(age time.Duration, now time.Time) {
+	bound := p.bound()
+	p.fenced = age > bound
+	at := now.Add(-age)
+	if !p.confirmed.IsZero() && at.Sub(p.confirmed) > bound {
+		p.seat.since = now
+		for _, s := range p.stakes {
+			if s.inCell {
+				s.since = now
+			}
+		}
+	}
+	p.confirmed = later(p.confirmed, at)
 }
 
 // targets returns the instances to exchange with in a period: the members of
--- a/internal/fleet/share/sum_test.go
+++ b/internal/fleet/share/sum_test.go
@@ -32,7 +32,7 @@
 		outside.pool.reconcile()
 		// The property holds from a state in which shares have been delegated
 		// and the ramp has been climbed; without one, little would be tested.
-		for range 25 {
+		for range 30 {
 			w.period()
 			for _, id := range w.ids() {
 				w.load(w.nodes[id], 20)
--- a/internal/traffic/suspect/place.go
+++ b/internal/traffic/suspect/place.go
@@ -96,7 +96,7 @@
 	switch {
 	case ok && held.owner != request.Owner:
 		return &EnterAnswer{RetryAfterMs: held.until.Sub(now).Milliseconds()}
-	case !ok && !p.settled(request.Key, s.settings.ID, now):
+	case !ok && !request.Renewal && !p.settled(request.Key, s.settings.ID, now):
 		return &EnterAnswer{RetryAfterMs: placeTerm.Milliseconds()}
 	}
 	p.taken[request.Key] = taken{request.Owner, now.Add(placeTerm)}
@@ -139,6 +139,7 @@
 }
 
 func (s *Suspects) renew(ctx context.Context, request *EnterRequest) {
+	request = &EnterRequest{Key: request.Key, Owner: request.Owner, Renewal: true}
 	ticks := s.timers.Subscribe(renewEvery)
 	defer ticks.Stop()
 	for {
