--- a/internal/fleet/share/stake.go
+++ b/internal/fleet/share/stake.go
@@ -63,6 +63,7 @@
 	if before == nil || before.listed != listed {
 		p.layout = newLayout(listed, p.settings.CellSize)
 		p.sit(now)
+		p.remember(listed)
 	}
 	for _, e := range snapshot.All() {
 		s, known := p.stakes[e.ID]
@@ -114,7 +115,7 @@
 func (p *Pool) retain(retained map[string]time.Time, before, after []string, now time.Time) {
 	for _, id := range before {
 		if id != p.self && !slices.Contains(after, id) {
-			retained[id] = now.Add(p.lag + p.lapse())
+			retained[id] = now.Add(p.settling())
 		}
 	}
 	for _, id := range after {
@@ -180,13 +181,17 @@
 		}
 	}
 	for id, m := range p.members {
-		if _, ok := p.layout.listed.Instance(id); !ok && now.Sub(m.heard) > p.lag+p.lapse() && len(m.entries) == 0 {
+		if _, ok := p.layout.listed.Instance(id); !ok && now.Sub(m.heard) > p.settling() && len(m.entries) == 0 {
 			delete(p.members, id)
 		}
 	}
 	for id, l := range p.ledgers {
-		p.expire(l, now)
-		if s, ok := p.stakes[id]; ok && s.home != p.self && len(l.entries) == 0 {
+		s, ok := p.stakes[id]
+		if !ok {
+			continue
+		}
+		p.expire(s, l, now)
+		if s.home != p.self && len(l.entries) == 0 {
 			delete(p.ledgers, id)
 		}
 	}
@@ -225,7 +230,26 @@
 // delegated before have lapsed; so have those of members that left the list
 // before this one came and that it does not know.
 func (p *Pool) settled(s *stake, now time.Time) bool {
-	return now.Sub(s.since) >= p.lag+p.lapse()
+	return now.Sub(s.since) >= p.settling()
+}
+
+// confirm notes up to which time this instance knew the list. Beyond the bound
+// it is fenced: it may have left the list, or another may have joined, without
+// its knowledge. Afterwards it joins anew, since the others may have stopped
+// counting it, even if it finds itself on the list again.
+func (p *Pool) confirm(age time.Duration, now time.Time) {
+	bound := p.bound()
+	p.fenced = age > bound
+	at := now.Add(-age)
+	if !p.confirmed.IsZero() && at.Sub(p.confirmed) > bound {
+		p.seat.since = now
+		for _, s := range p.stakes {
+			if s.inCell {
+				s.since = now
+			}
+		}
+	}
+	p.confirmed = later(p.confirmed, at)
 }
 
 // targets returns the instances to exchange with in a period: the members of
@@ -245,10 +269,42 @@
 			ids = append(ids, id)
 		}
 	}
+	ids = append(ids, p.silent(now)...)
 	slices.Sort(ids)
 	return slices.DeleteFunc(slices.Compact(ids), func(id string) bool { return id == "" })
 }
 
+// silent returns the members that still have a charge here and have not
+// reported for a term. The call to them proves whether they are dead.
+func (p *Pool) silent(now time.Time) []string {
+	var ids []string
+	for id, m := range p.members {
+		if now.Sub(m.heard) < p.term || p.seams.Dead(id) {
+			continue
+		}
+		for endpoint := range m.entries {
+			if l, ok := p.ledgers[endpoint]; ok && l.entries[id] != nil && l.entries[id].charge() > 0 {
+				ids = append(ids, id)
+				break
+			}
+		}
+	}
+	return ids
+}
+
+// remember keeps the addresses of instances that left the list while they are
+// still charged.
+func (p *Pool) remember(listed *member.View) {
+	for id := range p.addresses {
+		if _, ok := p.members[id]; !ok {
+			delete(p.addresses, id)
+		}
+	}
+	for _, i := range listed.Instances() {
+		p.addresses[i.ID] = i
+	}
+}
+
 // concerns reports whether a report to the peer says something of an endpoint.
 func (p *Pool) concerns(s *stake, id string, now time.Time) bool {
 	if s.former[id] {
