--- a/internal/training/step/step_test.go
+++ b/internal/training/step/step_test.go
@@ -1,15 +1,359 @@
 package step
 
 import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/code"
+	"github.com/wigeonpin/wigeonpin/internal/peer/scorer"
 )
 
-// Guards against groups that are lost or delivered twice when pulls go to
-// different instances.
-func TestPullsAtAllInstancesCompleteTheStep(t *testing.T) {
+// firstTry reports whether a job is the first attempt of its sample.
+func firstTry(j Job) bool { return strings.HasSuffix(j.Request, "/0") }
+
+// Guards against labels that name the version at the start or end of a sample
+// instead of those that produced its parts.
+func TestLabelsAcrossASwap(t *testing.T) {
+	w := newWorld(t, 1)
+	w.gen.chunk = func(_ context.Context, _ Job, n int, c Chunk) (Chunk, error) {
+		c.Version = 7 + n/3
+		return c, nil
+	}
+	for id, s := range w.pullAll(t, pullOf(7, 2, 2), "i-0") {
+		if want := []Range{{7, 0, 3}, {8, 3, 4}}; !slices.Equal(s.Versions, want) {
+			t.Errorf("sample %s has the versions %v, want %v", id, s.Versions, want)
+		}
+	}
+}
+
+// Guards against samples whose labels are missing or contradict each other:
+// each such attempt is discarded and made again.
+func TestBadLabelsAreSampledAgain(t *testing.T) {
+	chunk := func(change func(*Chunk)) func(*generator) {
+		return func(g *generator) {
+			g.chunk = func(_ context.Context, j Job, n int, c Chunk) (Chunk, error) {
+				if firstTry(j) && n == 1 {
+					change(&c)
+				}
+				return c, nil
+			}
+		}
+	}
+	result := func(change func(*Result)) func(*generator) {
+		return func(g *generator) {
+			g.result = func(j Job, r Result) Result {
+				if firstTry(j) {
+					change(&r)
+				}
+				return r
+			}
+		}
+	}
+	cases := map[string]func(*generator){
+		"no version":          chunk(func(c *Chunk) { c.Version = 0 }),
+		"negative version":    chunk(func(c *Chunk) { c.Version = -1 }),
+		"text without tokens": chunk(func(c *Chunk) { c.Tokens = 0 }),
+		"too many tokens":     chunk(func(c *Chunk) { c.Tokens = 9 }),
+		"other token total":   result(func(r *Result) { r.Tokens++ }),
+		"other text":          result(func(r *Result) { r.Text += "y" }),
+		"other ranges":        result(func(r *Result) { r.Ranges = []Range{{1, 0, 2}, {2, 2, 4}} }),
+	}
+	for name, fault := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 1)
+			fault(w.gen)
+			got := w.pullAll(t, pullOf(1, 1, 4), "i-0")
+			if len(got) != 4 || w.gen.count() != 8 {
+				t.Errorf("%d samples from %d attempts, want 4 from 8", len(got), w.gen.count())
+			}
+			for id, s := range got {
+				if !slices.Equal(s.Versions, []Range{{1, 0, 4}}) || s.Text != "xxxx" {
+					t.Errorf("sample %s is %q with the versions %v", id, s.Text, s.Versions)
+				}
+			}
+		})
+	}
+}
+
+// Guards against samples above the age bound, at each of the three checks: the
+// trainer moves from version 1 to 3 while a job waits, while other samples of
+// the group are scored, and between the end of the group and its delivery.
+func TestAgeBound(t *testing.T) {
+	for _, point := range []string{"admission", "completion", "delivery"} {
+		t.Run(point, func(t *testing.T) {
+			w := newWorld(t, 1)
+			steps := w.nodes["i-0"]
+			move := func() {
+				w.gen.set(3)
+				steps.Observe("t", 3)
+			}
+			p := pullOf(1, 1, 2)
+			var once atomic.Bool
+			switch point {
+			case "admission":
+				w.gen.before = func(Job) {
+					if !once.Swap(true) {
+						move()
+					}
+				}
+			case "completion":
+				w.score = func(samples []scorer.Sample) ([]float64, error) {
+					if !once.Swap(true) {
+						move()
+					}
+					return make([]float64, len(samples)), nil
+				}
+			case "delivery":
+				if got := w.pullAll(t, p, "i-0"); len(got) != 2 {
+					t.Fatal("the first pull is not complete")
+				}
+				w.gen.set(3)
+				p = pullOf(3, 1, 2)
+			}
+			for id, s := range w.pullAll(t, p, "i-0") {
+				if s.oldest() != 3 {
+					t.Errorf("sample %s has the versions %v, the trainer is at 3 with a bound of 1", id, s.Versions)
+				}
+			}
+			if last := w.gen.jobs[len(w.gen.jobs)-1]; last.MinVersion != 2 {
+				t.Errorf("the last job may start at version %d, want 2", last.MinVersion)
+			}
+			for _, j := range w.gen.jobs {
+				if point == "admission" && j.MinVersion < 2 && w.gen.started[j.Request] {
+					t.Errorf("job %s started with the lowest version %d", j.Request, j.MinVersion)
+				}
+			}
+		})
+	}
+}
+
+// Guards against groups that are lost, generated twice or delivered twice when
+// answers of home instances and of pulls are lost.
+func TestLostAnswers(t *testing.T) {
 	w := newWorld(t, 3)
-	got := w.pullAll(t, pullOf(1, 20, 4), "i-0", "i-1", "i-2")
-	if len(got) != 80 || w.gen.count() != 80 {
-		t.Fatalf("%d samples from %d generations, want 80 each", len(got), w.gen.count())
+	lost := map[string]bool{}
+	w.answer = func(_ context.Context, home string) error {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if lost[home] = !lost[home]; lost[home] {
+			return errDown
+		}
+		return nil
+	}
+	p := pullOf(1, 12, 2)
+	for range 3 {
+		// The answers of these pulls do not reach the trainer.
+		_, _ = w.nodes["i-0"].Pull(t.Context(), testTrainer, p)
+	}
+	w.mu.Lock()
+	w.answer = nil
+	w.mu.Unlock()
+	if got := w.pullAll(t, p, "i-0", "i-1", "i-2"); len(got) != 24 {
+		t.Fatalf("%d samples, want 24", len(got))
+	}
+	if n := w.gen.count(); n != 24 {
+		t.Errorf("%d generations, want 24", n)
+	}
+}
+
+// Guards against a step that stops or a group that is delivered twice when
+// home instances are killed and the trainer pulls elsewhere with its bitmap.
+func TestKilledInstances(t *testing.T) {
+	w := newWorld(t, 4)
+	var n atomic.Int64
+	w.gen.chunk = func(ctx context.Context, _ Job, _ int, c Chunk) (Chunk, error) {
+		if n.Add(1) == 60 {
+			w.mu.Lock()
+			w.down["i-1"], w.down["i-2"] = true, true
+			w.mu.Unlock()
+		}
+		return c, w.timers.Sleep(ctx, 50*time.Millisecond)
+	}
+	if got := w.pullAll(t, pullOf(1, 24, 2), "i-0", "i-3"); len(got) != 48 {
+		t.Fatalf("%d samples, want 48", len(got))
+	}
+}
+
+// Guards against a home instance that takes calls and never answers.
+func TestFrozenHomeInstance(t *testing.T) {
+	w := newWorld(t, 2)
+	w.answer = func(ctx context.Context, _ string) error { return w.timers.Sleep(ctx, time.Hour) }
+	p := pullOf(1, 8, 1)
+	p.WaitMS = 500
+	if got := w.pullAll(t, p, "i-0"); len(got) != 8 {
+		t.Fatalf("%d samples, want 8", len(got))
+	}
+}
+
+// Guards against a group that waits for a stream that is silent, much slower
+// than the others, or too slow for the deadline.
+func TestStragglersAreHedged(t *testing.T) {
+	cases := map[string]struct {
+		straggler time.Duration // per token, 0 never ends
+		others    time.Duration
+		deadline  int64
+	}{
+		"silent":       {0, 200 * time.Millisecond, 300_000},
+		"slow":         {20 * time.Second, 200 * time.Millisecond, 300_000},
+		"deadline":     {12 * time.Second, 500 * time.Millisecond, 20_000},
+		"all too late": {2 * time.Second, 2 * time.Second, 14_000},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 1)
+			w.gen.chunk = func(ctx context.Context, j Job, n int, chunk Chunk) (Chunk, error) {
+				pace := c.others
+				if j.Request == "t/s/0/3/0" && n > 0 {
+					pace = c.straggler
+				}
+				if pace == 0 {
+					<-ctx.Done()
+					return chunk, ctx.Err()
+				}
+				return chunk, w.timers.Sleep(ctx, pace)
+			}
+			start := w.timers.Now()
+			p := pullOf(1, 1, 4)
+			p.DeadlineMS = c.deadline
+			if got := w.pullAll(t, p, "i-0"); len(got) != 4 {
+				t.Fatalf("%d samples, want 4", len(got))
+			}
+			hedges := 0
+			for _, j := range w.gen.jobs {
+				if strings.HasSuffix(j.Request, "h") {
+					hedges++
+					if !slices.Equal(j.Avoid, []string{"e-1"}) {
+						t.Errorf("the hedged attempt avoids %v, want the straggler's endpoint", j.Avoid)
+					}
+				}
+			}
+			if hedges == 0 || len(w.gen.jobs) != 4+hedges {
+				t.Errorf("%d attempts, %d of them hedged", len(w.gen.jobs), hedges)
+			}
+			if took := w.timers.Since(start); c.straggler != c.others && took > 12*time.Second {
+				t.Errorf("the group took %v", took)
+			}
+		})
+	}
+}
+
+// Guards against samples without score or with a wrong one when the scorer
+// fails, answers for too few samples, or fails for a while.
+func TestScorerFails(t *testing.T) {
+	w := newWorld(t, 1)
+	var calls atomic.Int64
+	w.score = func(samples []scorer.Sample) ([]float64, error) {
+		switch calls.Add(1) {
+		case 1, 2:
+			return nil, errors.New("scorer down")
+		case 3:
+			return make([]float64, len(samples)-1), nil
+		}
+		scores := make([]float64, 0, len(samples))
+		for _, s := range samples {
+			scores = append(scores, float64(s.ID[len(s.ID)-1]-'0')+1)
+		}
+		return scores, nil
+	}
+	for id, s := range w.pullAll(t, pullOf(1, 1, 4), "i-0") {
+		if want := float64(id[len(id)-1]-'0') + 1; s.Score != want {
+			t.Errorf("sample %s has the score %v, want %v", id, s.Score, want)
+		}
+	}
+	if calls.Load() != 4 || w.gen.count() != 4 {
+		t.Errorf("%d calls of the scorer and %d generations, want 4 each", calls.Load(), w.gen.count())
+	}
+}
+
+// Guards against memory that grows: groups are dropped two versions later,
+// when nobody asks for them, and when the limit is reached.
+func TestGroupsAreDropped(t *testing.T) {
+	w := newWorld(t, 1)
+	s := w.nodes["i-0"]
+	held := func() int {
+		s.home.sweep()
+		s.home.mu.Lock()
+		defer s.home.mu.Unlock()
+		return len(s.home.groups) + len(s.home.finished)
+	}
+	w.pullAll(t, pullOf(1, 3, 1), "i-0")
+	s.Observe("t", 2)
+	if held() == 0 {
+		t.Error("the results are dropped one version later, want two")
+	}
+	s.Observe("t", 3)
+	if n := held(); n != 0 {
+		t.Errorf("%d entries are left two versions later", n)
+	}
+	w.gen.set(3)
+	w.pullAll(t, pullOf(3, 3, 1), "i-0")
+	w.driver.Advance(idleLimit)
+	if n := held(); n != 0 {
+		t.Errorf("%d entries are left after the idle time", n)
+	}
+	p := pullOf(3, 100, 1)
+	large := strings.Repeat("p", 1<<20)
+	for i := range p.Prompts {
+		p.Prompts[i] = large
+	}
+	if got := w.pullAll(t, p, "i-0"); len(got) != 100 || s.home.bytes > byteLimit+2<<20 {
+		t.Errorf("%d samples, %d bytes are held, the limit is %d", len(got), s.home.bytes, byteLimit)
+	}
+}
+
+// Guards against a version that goes back, and against an announcement that
+// overwrites another one.
+func TestAnnounce(t *testing.T) {
+	w := newWorld(t, 1)
+	s := w.nodes["i-0"]
+	value, revision := "", uint64(0)
+	s.seams.Get = func(context.Context, string, string) ([]byte, uint64, bool, error) {
+		return []byte(value), revision, revision > 0, nil
+	}
+	s.seams.Put = func(_ context.Context, _, _ string, v []byte, at uint64) (bool, error) {
+		if revision == 0 { // another instance is faster
+			value, revision = `{"version":4}`, 1
+		}
+		if at != revision {
+			return false, nil
+		}
+		value, revision = string(v), revision+1
+		return true, nil
+	}
+	for _, step := range []struct {
+		version int
+		want    code.Code
+		held    string
+	}{{3, code.StepInvalid, `{"version":4}`}, {5, 0, `{"version":5}`}, {5, 0, `{"version":5}`}, {0, code.OutOfRange, `{"version":5}`}} {
+		err := s.Announce(t.Context(), "t", step.version)
+		if (err == nil) != (step.want == 0) || (err != nil && !code.Is(err, step.want)) || value != step.held {
+			t.Errorf("announcing %d gives %v and leaves %s", step.version, err, value)
+		}
+	}
+	if got := s.home.current("t"); got != 5 {
+		t.Errorf("the instance knows version %d, want 5", got)
+	}
+}
+
+// Guards against pulls that are accepted with fields that contradict each other.
+func TestInvalidPulls(t *testing.T) {
+	w := newWorld(t, 1)
+	for name, change := range map[string]func(*Pull){
+		"version": func(p *Pull) { p.Version = 0 }, "groups": func(p *Pull) { p.Groups = 0 },
+		"prompts": func(p *Pull) { p.Prompts = p.Prompts[1:] }, "have": func(p *Pull) { p.Have = make([]byte, 2) },
+		"step": func(p *Pull) { p.Step = "a/b" }, "max_tokens": func(p *Pull) { p.MaxTokens = -1 },
+	} {
+		p := pullOf(1, 2, 1)
+		change(&p)
+		_, err := w.nodes["i-0"].Pull(t.Context(), testTrainer, p)
+		if !code.Is(err, code.StepInvalid) || !strings.Contains(err.Error(), fmt.Sprintf("field %q", name)) {
+			t.Errorf("invalid %s gives %v", name, err)
+		}
 	}
 }
--- a/internal/training/step/steps.go
+++ b/internal/training/step/steps.go
@@ -152,12 +152,17 @@
 	to     member.Instance
 	groups []int
 	known  bool // the home instance has the prompts
+	again  bool // the call repeats one whose answer was lost
 }
 
 type callResult struct {
 	call
 	response *RunResponse
 	err      error
+	// lost says that the home instance may be well: the connection was neither
+	// refused nor silent. The call is then repeated there, because another
+	// home would generate the groups once more.
+	lost bool
 }
 
 func (s *Steps) newPulling(trainer table.Trainer, request Pull) *pulling {
@@ -275,8 +280,9 @@
 	} else {
 		callCtx, cancel := s.timers.WithTimeout(ctx, wait+callGrace)
 		result.response, result.err = s.seams.Call(callCtx, c.to, r)
+		result.lost = result.err != nil && !c.again && callCtx.Err() == nil && !fleet.Refused(result.err)
 		cancel()
-		if result.err != nil && ctx.Err() == nil {
+		if result.err != nil && !result.lost && ctx.Err() == nil {
 			s.avoid(c.to.ID)
 		}
 	}
@@ -293,6 +299,10 @@
 		return nil
 	}
 	switch {
+	case r.lost:
+		again := r.call
+		again.again = true
+		return []call{again}
 	case r.err != nil && r.to.ID != p.steps.settings.ID && p.steps.timers.Now().Before(p.end):
 		return p.assign(r.groups)
 	case r.err != nil || len(r.response.Groups) > 0:
--- a/internal/training/step/world_test.go
+++ b/internal/training/step/world_test.go
@@ -27,6 +27,9 @@
 	mu      sync.Mutex
 	version int
 	jobs    []Job
+	started map[string]bool
+	// before runs before the job's check.
+	before func(j Job)
 	// chunk may change or fail a chunk; n counts from 0.
 	chunk func(ctx context.Context, j Job, n int, c Chunk) (Chunk, error)
 	// result may change the result.
@@ -37,9 +40,15 @@
 	g.mu.Lock()
 	g.jobs = append(g.jobs, j)
 	g.mu.Unlock()
+	if g.before != nil {
+		g.before(j)
+	}
 	if err := j.Check(); err != nil {
 		return Result{}, err
 	}
+	g.mu.Lock()
+	g.started[j.Request] = true
+	g.mu.Unlock()
 	r := Result{Tokens: j.MaxTokens}
 	for n := range j.MaxTokens {
 		g.mu.Lock()
@@ -84,12 +93,12 @@
 	nodes  map[string]*Steps
 	down   map[string]bool
 	// answer may lose the answer of a call to a home instance.
-	answer func(r *RunRequest) error
+	answer func(ctx context.Context, home string) error
 	score  func(samples []scorer.Sample) ([]float64, error)
 }
 
 func newWorld(t testing.TB, size int) *world {
-	w := &world{gen: &generator{version: 1}, nodes: map[string]*Steps{}, down: map[string]bool{}}
+	w := &world{gen: &generator{version: 1, started: map[string]bool{}}, nodes: map[string]*Steps{}, down: map[string]bool{}}
 	w.timers, w.driver = clock.NewDriven(time.Unix(1_700_000_000, 0))
 	var list []member.Instance
 	for i := range size {
@@ -140,7 +149,7 @@
 	}
 	response, err := w.nodes[to.ID].home.Run(ctx, r)
 	if err == nil && answer != nil {
-		err = answer(r)
+		err = answer(ctx, to.ID)
 	}
 	return response, err
 }
