--- a/internal/control/serve/control.go
+++ b/internal/control/serve/control.go
@@ -63,9 +63,10 @@
 }
 
 // askEndpoints asks the parent in the control tree, or else any ancestor, for
-// endpoints that changed.
+// endpoints that changed. A relay that does not reach the platform and has no
+// other relay in its zone asks those of the other zones.
 func (i *instance) askEndpoints(ctx context.Context, after uint64) (roster.Page, error) {
-	for _, peer := range i.directory.Parents() {
+	for _, peer := range slices.Concat(i.directory.Parents(), i.directory.Abroad()) {
 		limited, cancel := context.WithTimeout(ctx, peerCallLimit)
 		page, err := roster.Ask(limited, i.peers, peer, after)
 		cancel()
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -93,6 +93,7 @@
 	poison   map[string]bool
 	fails    map[string]int
 	falls    int
+	started  int
 	tokens   int64
 	role     string
 	adapters []string
@@ -303,6 +304,8 @@
 	Active  int  `json:"active"`
 	// Tokens is the number of tokens generated since the start.
 	Tokens int64 `json:"tokens"`
+	// Started is the number of requests that came since the start.
+	Started int `json:"started"`
 }
 
 func (e *Engine) state() engineState {
@@ -311,5 +314,6 @@
 	return engineState{
 		Running: e.running, Waiting: len(e.waiting), Powered: e.powered,
 		Cold: e.cold.is(time.Now()), Bears: e.bears(), Falls: e.falls, Active: e.versions.active, Tokens: e.tokens,
+		Started: e.started,
 	}
 }
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -123,6 +123,7 @@
 func (e *Engine) admit(s *stream) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.started++
 	if e.poison[Tag(s.body.Prompt)] {
 		e.streams[s.body.Request] = s
 		e.fall()
--- a/proof/call_test.go
+++ b/proof/call_test.go
@@ -51,7 +51,7 @@
 // Guards against a non-repeatable call that runs twice when instances are
 // killed and callers send it again elsewhere, and against a false "not run".
 func TestCallsRunOnceWhenInstancesDie(t *testing.T) {
-	f := start(t, shape{zones: 3, perZone: 2, services: 1})
+	f := start(t, shape{zones: 3, perZone: 2, services: 1, settings: map[string]any{"resend_ms": 10_000}})
 	key := f.account("acme")
 	for _, p := range f.instances {
 		f.charges(p, key)
@@ -113,7 +113,7 @@
 // Guards against a second run, or a false "not run", when the service itself
 // dies at any point of the exchange.
 func TestServiceDiesAtEachPoint(t *testing.T) {
-	f := start(t, shape{zones: 1, perZone: 2, services: 1})
+	f := start(t, shape{zones: 1, perZone: 2, services: 1, settings: map[string]any{"resend_ms": 10_000}})
 	key := f.account("acme")
 	f.charges(f.instances[0], key)
 	for i, point := range []string{"before_read", "after_read", "after_run", "mid_response"} {
--- /dev/null
+++ b/proof/fault_test.go
@@ -0,0 +1,199 @@
+package proof
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/wigeonpin/wigeonpin/internal/load/balance"
+	"github.com/wigeonpin/wigeonpin/internal/standin/engine"
+	"github.com/wigeonpin/wigeonpin/internal/standin/trainer"
+)
+
+// Guards against an answer that stays incomplete because a connection to an
+// endpoint went silent for good while new ones work.
+func TestSilentConnectionsLoseNothing(t *testing.T) {
+	f := start(t, shape{zones: 1, perZone: 2, engines: 2, relay: true, engine: []string{"--rate", "50"}, settings: map[string]any{"silence_ms": 1500}})
+	key := f.account("acme")
+	f.generates(f.instances[0], key)
+	const streams = 6
+	answers := make([]answer, streams)
+	var wg sync.WaitGroup
+	for i := range streams {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			answers[i] = f.generate(f.instances[0], key, fmt.Sprintf("silent %d", i), 100, patience)
+		}()
+	}
+	time.Sleep(700 * time.Millisecond)
+	f.fake(f.relays, "hold", map[string]any{"on": true, "existing": true})
+	wg.Wait()
+	for i, a := range answers {
+		want := engine.Text(fmt.Sprintf("silent %d", i), 0, 100)
+		var got struct {
+			Text string `json:"text"`
+		}
+		if err := json.Unmarshal(a.body, &got); a.status != http.StatusOK || err != nil || got.Text != want {
+			t.Errorf("request %d: status %d, error %v, %d of %d bytes", i, a.status, a.err, len(got.Text), len(want))
+		}
+	}
+}
+
+// Guards against a request that takes down one endpoint after another while its
+// caller sends it again through every instance, and against harm to the
+// requests that ran beside it.
+func TestCrashingRequestIsStopped(t *testing.T) {
+	f := start(t, shape{zones: 3, perZone: 1, engines: 2, engine: []string{"--down-ms", "500", "--rate", "100"}})
+	key, other := f.account("acme"), f.account("birch")
+	for _, p := range f.instances {
+		f.generates(p, key)
+	}
+	const poison = "crashes each engine that runs it"
+	for _, p := range f.engines {
+		f.fake(p, "poison", map[string]any{"digest": engine.Tag(poison), "on": true})
+	}
+	var wg sync.WaitGroup
+	innocent := make([]answer, 30)
+	for i := range innocent {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			time.Sleep(time.Duration(i) * 100 * time.Millisecond)
+			innocent[i] = f.generate(f.instances[i%3], other, fmt.Sprintf("innocent %d", i), 40, patience)
+		}()
+	}
+	for n := range 12 {
+		a := f.generate(f.instances[n%3], key, poison, 5, 10*time.Second)
+		if a.status == http.StatusOK {
+			t.Errorf("the crashing request was answered: %s", a.body)
+		}
+	}
+	wg.Wait()
+	falls := 0
+	for _, p := range f.engines {
+		var s struct {
+			Falls int `json:"falls"`
+		}
+		f.ask(p.control, http.MethodGet, "/fake/state", nil, nil, &s)
+		falls += s.Falls
+	}
+	if falls == 0 || falls > 2 {
+		t.Errorf("the request took down %d endpoints, want 1 or 2", falls)
+	}
+	for i, a := range innocent {
+		if a.status != http.StatusOK {
+			t.Errorf("innocent request %d: status %d, error %v, %s", i, a.status, a.err, a.body)
+		}
+	}
+}
+
+// Guards against usage that is lost or counted twice when instances die, and
+// against a window that is reported with different figures.
+func TestUsageIsExactWhenInstancesDie(t *testing.T) {
+	f := start(t, shape{zones: 3, perZone: 2, services: 1})
+	key := f.account("acme")
+	for _, p := range f.instances {
+		f.eventually(p.name+" serves", func() bool { return f.call(p, key, "/s/look/x", "", 5*time.Second).status == http.StatusOK })
+	}
+	before := f.served()
+	var mu sync.Mutex
+	served, unclear := int64(0), int64(0)
+	var wg sync.WaitGroup
+	for c := range 400 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			time.Sleep(time.Duration(c) * 10 * time.Millisecond)
+			a := f.call(f.instances[c%len(f.instances)], key, "/s/look/x", "", 5*time.Second)
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case a.status == http.StatusOK && a.err == nil:
+				served++
+			case a.run != "not_run":
+				unclear++
+			}
+		}()
+	}
+	time.Sleep(1500 * time.Millisecond)
+	f.instances[2].kill()
+	f.fake(f.platform, "lose", map[string]any{"count": 5})
+	time.Sleep(time.Second)
+	f.instances[5].kill()
+	wg.Wait()
+	_ = before
+	f.eventually("the reports hold what was served", func() bool { return f.reported("acme") >= served })
+	time.Sleep(5 * time.Second)
+	warm := f.served()
+	if got := f.reported("acme"); got < served || got > served+unclear+warm {
+		t.Errorf("%d requests were reported; %d were answered, %d more may have been", got, served, unclear+warm)
+	}
+	if served < 250 {
+		t.Errorf("only %d of 400 calls were served", served)
+	}
+}
+
+// served is an upper bound of the warm-up calls that were answered.
+func (f *fleet) served() int64 { return int64(len(f.instances)) }
+
+// reported returns the reported requests of an account, and fails when a window
+// came with different figures.
+func (f *fleet) reported(account string) int64 {
+	f.t.Helper()
+	var raw json.RawMessage
+	f.ask(f.platform.address, http.MethodGet, "/fake/usage", nil, nil, &raw)
+	reported, err := balance.ParseUsage(bytes.TrimSpace(raw))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if len(reported.Conflicts) > 0 {
+		f.t.Errorf("windows were reported with different figures: %v", reported.Conflicts)
+	}
+	return reported.Accounts[account].Requests
+}
+
+// Guards against samples that are doubled, missing, wrongly labelled or too old
+// while weights change, engines fall and an instance dies.
+func TestSamplesUnderFaults(t *testing.T) {
+	f := start(t, shape{zones: 3, perZone: 1, engines: 2, engine: []string{"--check-fence", "--down-ms", "300"}})
+	key := f.account("acme")
+	f.edit("trainer", "tags", map[string]any{"account": "acme", "model": "tagger", "max_age": 1})
+	for _, p := range f.instances {
+		f.generates(p, key)
+	}
+	out := filepath.Join(f.dir, "summary.json")
+	p := &process{name: "trainer"}
+	args := []string{"trainer"}
+	for _, one := range f.instances {
+		args = append(args, one.address)
+	}
+	f.launch(p, "standin", append(args, "--trainer", "tags", "--key", key, "--weights", f.weights.address,
+		"--steps", "12", "--limit-ms", "50000", "--change", "2", "--max-age", "1", "--groups", "12", "--group-size", "4",
+		"--train-ms", "200", "--out", out)...)
+	time.Sleep(3 * time.Second)
+	f.fake(f.engines[0], "crash", map[string]any{"ms": 500})
+	f.fake(f.engines[3], "failswap", map[string]any{"count": 1})
+	time.Sleep(2 * time.Second)
+	f.instances[1].kill()
+	time.Sleep(2 * time.Second)
+	f.fake(f.engines[4], "crash", map[string]any{"ms": 500})
+	<-p.done
+	raw, err := os.ReadFile(out)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var s trainer.Summary
+	if err := json.Unmarshal(raw, &s); err != nil {
+		t.Fatal(err)
+	}
+	if s.Faults() != 0 || s.Steps < 12 || len(s.Announced) < 3 {
+		t.Errorf("%s", raw)
+	}
+}
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -65,8 +65,9 @@
 	// platform, engine and instance are further arguments and settings.
 	platform, engine []string
 	settings         map[string]any
-	// relay puts a relay between the instances and the engines.
-	relay bool
+	// relay puts a relay before each endpoint; links puts one before the peer
+	// address of each instance and one between each instance and the platform.
+	relay, links bool
 }
 
 type process struct {
@@ -77,8 +78,10 @@
 	oper    string
 	zone    string
 	config  string
-	command *exec.Cmd
-	done    chan struct{}
+	// peerLink and platformLink are the relayed addresses of an instance.
+	peerLink, platformLink string
+	command                *exec.Cmd
+	done                   chan struct{}
 }
 
 type fleet struct {
@@ -89,6 +92,7 @@
 	weights   *process
 	scorer    *process
 	relays    *process
+	links     *process
 	instances []*process
 	engines   []*process
 	services  []*process
@@ -212,43 +216,65 @@
 }
 
 func (f *fleet) startInstances(s shape) {
-	digest := sha256.Sum256([]byte(operatorKey))
 	for z := range s.zones {
 		for i := range s.perZone {
 			p := &process{
 				name: fmt.Sprintf("i-%d-%d", z, i), zone: zoneName(z),
-				address: f.port(), peer: f.port(), oper: f.port(),
-			}
-			settings := map[string]any{
-				"id": p.name, "zone": p.zone, "listen": p.address, "peer": p.peer, "operator": p.oper,
-				"platform": f.platform.address, "capacity": f.platform.address, "intake": f.platform.address,
-				"weights": f.weights.address, "scorer": f.scorer.address,
-				"secret": secret, "operator_digest": hex.EncodeToString(digest[:]),
-				"freshness_ms": 3000, "exchange_ms": 300, "list_lag_ms": 1500, "share_ms": 1000, "resend_ms": 1000,
-				"lease_ms": 2000, "lease_drain_ms": 500, "window_ms": 2000, "order_ms": 500, "copy_ms": 2000,
-				"drain_delay_ms": 300, "drain_limit_ms": 60000,
-			}
-			for name, value := range s.settings {
-				settings[name] = value
+				address: f.port(), peer: f.port(), oper: f.port(), platformLink: f.platform.address,
 			}
-			raw, _ := json.Marshal(settings)
-			p.config = filepath.Join(f.dir, p.name+".json")
-			if err := os.WriteFile(p.config, raw, 0o600); err != nil {
-				f.t.Fatal(err)
-			}
-			f.launch(p, "wigeonpin", "serve", "--settings", p.config)
+			p.peerLink = p.peer
 			f.instances = append(f.instances, p)
-			f.ask(f.platform.address, http.MethodPost, "/v1/instances", nil, map[string]any{
-				"id": p.name, "zone": p.zone, "peer_address": p.peer, "ready_address": p.address,
-			}, nil)
 		}
 	}
+	if s.links {
+		f.startLinks()
+	}
+	for _, p := range f.instances {
+		f.startInstance(p, s.settings)
+	}
 	for _, p := range f.instances {
 		f.eventually(p.name+" is ready", func() bool { return f.status(p.address, "/readyz") == http.StatusOK })
 	}
 	f.rows()
 }
 
+// startLinks puts relays before the instances and between them and the platform.
+func (f *fleet) startLinks() {
+	f.links = &process{name: "links", control: f.port()}
+	args := []string{"cut", "--control", f.links.control}
+	for _, p := range f.instances {
+		p.peerLink, p.platformLink = f.port(), f.port()
+		args = append(args, p.peerLink+"="+p.peer, p.platformLink+"="+f.platform.address)
+	}
+	f.launch(f.links, "standin", args...)
+	f.eventually("links start", func() bool { return dials(f.links.control) })
+}
+
+func (f *fleet) startInstance(p *process, changes map[string]any) {
+	digest := sha256.Sum256([]byte(operatorKey))
+	settings := map[string]any{
+		"id": p.name, "zone": p.zone, "listen": p.address, "peer": p.peer, "operator": p.oper,
+		"platform": p.platformLink, "capacity": f.platform.address, "intake": f.platform.address,
+		"weights": f.weights.address, "scorer": f.scorer.address,
+		"secret": secret, "operator_digest": hex.EncodeToString(digest[:]),
+		"freshness_ms": 3000, "exchange_ms": 300, "list_lag_ms": 1500, "share_ms": 1000, "resend_ms": 1000,
+		"lease_ms": 2000, "lease_drain_ms": 500, "window_ms": 2000, "order_ms": 500, "copy_ms": 2000,
+		"drain_delay_ms": 300, "drain_limit_ms": 60000,
+	}
+	for name, value := range changes {
+		settings[name] = value
+	}
+	raw, _ := json.Marshal(settings)
+	p.config = filepath.Join(f.dir, p.name+".json")
+	if err := os.WriteFile(p.config, raw, 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	f.launch(p, "wigeonpin", "serve", "--settings", p.config)
+	f.ask(f.platform.address, http.MethodPost, "/v1/instances", nil, map[string]any{
+		"id": p.name, "zone": p.zone, "peer_address": p.peerLink, "ready_address": p.address,
+	}, nil)
+}
+
 // rows makes the models and routes that the tests use.
 func (f *fleet) rows() {
 	f.edit("model", "tagger", map[string]any{"kind": "engine", "slots": 8, "floor": 1})
