Test the dispatcher's choice, attempts and budgets

Guards against work on endpoints that must not get it, streams with gaps, calls that are sent again though they may have run, wrong "not run" answers, retries without limit and slots that are never given back.

--- /dev/null
+++ b/internal/traffic/dispatch/dispatch_test.go
@@ -0,0 +1,278 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/code"
+	"github.com/wigeonpin/wigeonpin/internal/base/codec"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/base/meter"
+	"github.com/wigeonpin/wigeonpin/internal/base/setting"
+	"github.com/wigeonpin/wigeonpin/internal/control/roster"
+	"github.com/wigeonpin/wigeonpin/internal/control/table"
+	"github.com/wigeonpin/wigeonpin/internal/peer/engine"
+	"github.com/wigeonpin/wigeonpin/internal/peer/service"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/queue"
+)
+
+// back is an endpoint with a fault: "refuse" (nothing listens), "cut N" (each
+// stream breaks after N chunks), "die N" (the same, and nothing listens any
+// more), "busy" (status 503), "drop" (the connection is closed after the
+// request was read).
+type back struct {
+	roster.Endpoint
+	fault   string
+	load    roster.Load
+	free    int
+	taken   int
+	server  *httptest.Server
+	crashed []string
+}
+
+type bench struct {
+	runner *Dispatcher
+	mu     sync.Mutex
+	backs  []*back
+	seen   []string
+	usage  Usage
+	out    map[string]bool
+}
+
+func (b *bench) find(id string) *back {
+	return b.backs[slices.IndexFunc(b.backs, func(e *back) bool { return e.ID == id })]
+}
+
+func newBench() *bench {
+	b := &bench{out: map[string]bool{}}
+	settings := setting.Defaults()
+	settings.ID, settings.Zone = "i-1", "a"
+	timers, meters := clock.NewSystem(), meter.NewSet()
+	waiting := queue.New(timers, meters, queue.Seams{Running: func(string) int64 { return 0 }})
+	b.runner = New(settings, timers, meters, logs.Discard(), engine.New(settings, timers), service.New(settings), Seams{
+		Endpoints: func(string) (out []roster.Endpoint) {
+			for _, e := range b.backs {
+				out = append(out, e.Endpoint)
+			}
+			return out
+		},
+		Load:   func(id string) (roster.Load, bool) { return b.find(id).load, b.find(id).load.Limit > 0 },
+		Failed: func(string, error) {},
+		Free:   func(id string) int { return b.find(id).free },
+		Take: func(id, _ string) (Slot, bool) {
+			b.find(id).taken++
+			return Slot{Release: func(Outcome) { b.find(id).taken-- }}, true
+		},
+		Wait: waiting.Wait,
+		Table: func() *table.Table {
+			var rows []table.Row
+			for zone := range b.out {
+				rows = append(rows, table.Row{Table: table.Zones, Name: zone, Value: json.RawMessage(`{"state":"out"}`)})
+			}
+			return table.Load(1, rows)
+		},
+		Admit:   func(string) (func(), error) { return func() {}, nil },
+		Suspect: func(string) bool { return false }, Completed: func(string) {},
+		Crashed: func(id string, digests []string) { b.find(id).crashed = digests },
+		Record:  func(_ context.Context, u Usage) error { b.usage = u; return nil },
+	})
+	return b
+}
+
+func (b *bench) add(t *testing.T, e *back) {
+	e.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { b.serve(w, r, e) }))
+	t.Cleanup(e.server.Close)
+	e.Address = strings.TrimPrefix(e.server.URL, "http://")
+	if e.fault == "refuse" {
+		e.server.Close()
+	}
+	b.backs = append(b.backs, e)
+}
+
+func (b *bench) serve(w http.ResponseWriter, r *http.Request, e *back) {
+	var in engine.Request
+	raw, _ := io.ReadAll(r.Body)
+	if r.URL.Path == "/v1/load" || r.Method == http.MethodDelete {
+		return
+	}
+	b.mu.Lock()
+	b.seen = append(b.seen, e.ID)
+	b.mu.Unlock()
+	switch {
+	case e.fault == "busy":
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case e.fault == "drop":
+		panic(http.ErrAbortHandler)
+	case json.Unmarshal(raw, &in) != nil:
+		w.Header().Set(codec.HeaderRequest, r.Header.Get(codec.HeaderRequest))
+		fmt.Fprint(w, "served by "+e.ID)
+		return
+	}
+	cut := in.MaxTokens
+	for _, word := range []string{"cut", "die"} {
+		if strings.HasPrefix(e.fault, word) {
+			fmt.Sscanf(e.fault, word+" %d", &cut)
+			cut += in.ResumeTokens
+		}
+	}
+	for n := in.ResumeTokens; n < in.MaxTokens; n++ {
+		if n == cut {
+			if strings.HasPrefix(e.fault, "die") {
+				_ = e.server.Listener.Close()
+			}
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprintf(w, `{"request":%q,"index":%d,"text":"w%d ","tokens":1,"version":%d}`+"\n", in.Request, n, n, e.load.Version)
+		_ = http.NewResponseController(w).Flush()
+	}
+	fmt.Fprintf(w, `{"request":%q,"done":true,"reason":"length","tokens":%d}`+"\n", in.Request, in.MaxTokens)
+}
+
+// endpoints adds the endpoints of a script:
+// ID zone=Z class=C state=S fault=F running=N version=V price=P free=N
+func (b *bench) endpoints(t *testing.T, d *datadriven.TestData) {
+	for _, line := range strings.Split(d.Input, "\n") {
+		words := strings.Fields(line)
+		e := &back{Endpoint: roster.Endpoint{ID: words[0], Zone: "a", Class: roster.ClassStandard, State: roster.StateLive}, free: 1}
+		e.load.Limit = 10
+		for _, word := range words[1:] {
+			name, value, _ := strings.Cut(word, "=")
+			var number int
+			fmt.Sscan(value, &number)
+			switch name {
+			case "zone":
+				e.Zone = value
+			case "class":
+				e.Class = value
+			case "state":
+				e.State = value
+			case "fault":
+				e.fault = strings.ReplaceAll(value, "-", " ")
+			case "running":
+				e.load.Running = number
+			case "version":
+				e.load.Version = number
+			case "price":
+				e.PricePerHour = float64(number)
+			case "free":
+				e.free = number
+			default:
+				t.Fatalf("unknown field %q", name)
+			}
+		}
+		b.add(t, e)
+	}
+}
+
+// The scripts guard against work on endpoints that must not get it, streams
+// with gaps after failures, resends of calls that may have run, wrong "not run"
+// answers, retries without limit, and slots that are never given back.
+func TestDispatch(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		var b *bench
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			if d.Cmd == "endpoints" {
+				b = newBench()
+				b.endpoints(t, d)
+				return ""
+			}
+			b.mu.Lock()
+			b.seen, b.usage = nil, Usage{}
+			b.mu.Unlock()
+			var zone, avoid, prompt string
+			var version, credit int
+			d.MaybeScanArgs(t, "out", &zone)
+			d.MaybeScanArgs(t, "version", &version)
+			d.MaybeScanArgs(t, "avoid", &avoid)
+			d.MaybeScanArgs(t, "prompt", &prompt)
+			if zone != "" {
+				b.out[zone] = true
+			}
+			if d.MaybeScanArgs(t, "credit", &credit) {
+				b.runner.budgets.credits["account/acme"] = float64(credit)
+			}
+			deadline := time.Now().Add(time.Minute)
+			var text string
+			var err error
+			if d.Cmd == "generate" {
+				var result Result
+				result, err = b.runner.Generate(context.Background(), Job{
+					Request: "r", Account: "acme", Model: "m", Prompt: strings.Repeat(prompt, 100), MaxTokens: 4,
+					Deadline: deadline, MinVersion: version, Avoid: []string{avoid},
+				}, func(Chunk) error { return nil })
+				text = fmt.Sprintf("%q versions=%v", result.Text, result.Ranges)
+			} else {
+				var answer *Answer
+				answer, err = b.runner.Forward(context.Background(), ServiceCall{
+					Request: "r", Account: "acme", Model: "m", Method: "POST", Path: "/x", Body: []byte("pay"),
+					Repeatable: d.HasArg("repeatable"), Deadline: deadline,
+				})
+				if err == nil {
+					text = string(answer.Body)
+					answer.Close()
+				}
+			}
+			return b.report(text, err)
+		})
+	})
+}
+
+func (b *bench) report(text string, err error) string {
+	b.runner.Close()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := text
+	if err != nil {
+		out = fmt.Sprintf("%s run=%s", code.Of(err).Code, code.Of(err).Run)
+	}
+	out += fmt.Sprintf("\nseen=%v usage=%d/%d", b.seen, b.usage.Requests, b.usage.TokensOut)
+	for _, e := range b.backs {
+		if e.taken != 0 {
+			out += fmt.Sprintf("\n%s still has %d slots taken", e.ID, e.taken)
+		}
+		if len(e.crashed) > 0 {
+			out += fmt.Sprintf("\n%s crashed with %d digests", e.ID, len(e.crashed))
+		}
+	}
+	return out
+}
+
+// Budgets must allow repeated attempts as a share of the successes and keep
+// accounts and endpoints apart.
+func TestBudget(t *testing.T) {
+	b := newBudgets(10)
+	spend := func(account, endpoint string) (n int) {
+		for b.take(account, endpoint) {
+			n++
+		}
+		return n
+	}
+	if n := spend("acme", "e1"); n != firstCredit {
+		t.Errorf("first credit allows %d attempts", n)
+	}
+	for range 55 {
+		b.success("acme", "e2")
+	}
+	for range 45 {
+		b.success("other", "e1")
+	}
+	if n := spend("acme", "e2"); n != 5 {
+		t.Errorf("55 successes allow %d attempts, want 5", n)
+	}
+	if n := spend("other", "e1"); n != 4 {
+		t.Errorf("45 successes on the endpoint allow %d attempts, want 4", n)
+	}
+}
