--- a/internal/billing/usage/usage_test.go
+++ b/internal/billing/usage/usage_test.go
@@ -166,7 +166,7 @@
 		settings := setting.Defaults()
 		settings.ID, settings.Zone, settings.Secret = id, zone, "0123456789abcdef"
 		meters := meter.NewSet()
-		log, err := usage.New(settings, timers, usage.Seams{View: view, Client: fleet.NewClient(settings), Create: (&store{}).create}, meters, logs.Discard())
+		log, err := usage.New(settings, timers, usage.Seams{View: view, Client: fleet.NewClient(settings, meters), Create: (&store{}).create}, meters, logs.Discard())
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/control/serve/build.go
+++ b/internal/control/serve/build.go
@@ -140,7 +140,7 @@
 	i.queue = queue.New(i.timers, i.meters, queue.Seams{Running: i.pool.Running, Changed: i.pool.Changed})
 	i.dispatcher = dispatch.New(i.settings, i.timers, i.meters, i.log, i.engines, i.services, dispatch.Seams{
 		Endpoints: i.endpoints, Load: i.load, Failed: i.roster.Failed, Free: i.free, Take: i.take, Wait: i.queue.Wait,
-		Table: i.config.Table, Admit: i.suspects.Admit, Suspect: i.suspects.Suspect, Crashed: i.suspects.Crashed,
+		Table: i.config.Table, Admit: i.suspects.Admit, Suspect: i.suspects.Suspect, Enter: i.suspects.Enter, Crashed: i.suspects.Crashed,
 		Completed: i.suspects.Completed, Record: i.record,
 	})
 	i.once = once.New(i.settings, i.timers, i.meters, once.Seams{
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -113,8 +113,11 @@
 	Wait      func(ctx context.Context, item queue.Item) (*queue.Turn, error)
 	Table     func() *table.Table
 	// Admit lets a request with this content digest run until release.
-	Admit     func(digest string) (release func(), err error)
-	Suspect   func(digest string) bool
+	Admit   func(digest string) (release func(), err error)
+	Suspect func(digest string) bool
+	// Enter reserves an endpoint for a suspect until leave; for other content it
+	// does nothing.
+	Enter     func(endpoint, digest string) (leave func(), err error)
 	Crashed   func(endpoint string, digests []string)
 	Completed func(digest string)
 	// Record returns once the usage is held safely or cannot be.
--- a/internal/traffic/dispatch/dispatch_test.go
+++ b/internal/traffic/dispatch/dispatch_test.go
@@ -84,7 +84,7 @@
 			return table.Load(1, rows)
 		},
 		Admit:   func(string) (func(), error) { return func() {}, nil },
-		Suspect: func(string) bool { return false }, Completed: func(string) {},
+		Suspect: func(string) bool { return false }, Enter: func(string, string) (func(), error) { return func() {}, nil }, Completed: func(string) {},
 		Crashed: func(id string, digests []string) { b.find(id).crashed = digests },
 		Record:  func(_ context.Context, u Usage) error { b.usage = u; return nil },
 	})
--- a/internal/traffic/dispatch/generate.go
+++ b/internal/traffic/dispatch/generate.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -42,6 +43,12 @@
 	started  time.Time
 	first    time.Duration
 	interval *backoff.ExponentialBackOff
+	// release ends the admission of the content, and admitted and suspect say
+	// whether there is one and whether it is that of a suspect.
+	release           func()
+	admitted, suspect bool
+	// occupied is the endpoint on which another suspect was met last.
+	occupied []string
 }
 
 // ContentDigest identifies a request's content across resends.
@@ -64,14 +71,12 @@
 func (d *Dispatcher) Generate(ctx context.Context, job Job, sink func(Chunk) error) (Result, error) {
 	ctx, cancel := d.timers.WithTimeout(ctx, job.Deadline.Sub(d.timers.Now()))
 	defer cancel()
-	digest := ContentDigest(job.Model, job.Prompt)
-	release, err := d.seams.Admit(digest)
-	if err != nil {
-		return Result{}, code.Of(err).WithRun(code.NotRun)
+	g := &generation{
+		d: d, job: job, digest: ContentDigest(job.Model, job.Prompt), sink: sink, interval: newInterval(),
+		release: func() {},
 	}
-	defer release()
-	g := &generation{d: d, job: job, digest: digest, sink: sink, interval: newInterval()}
-	err = g.run(ctx)
+	defer func() { g.release() }()
+	err := g.run(ctx)
 	g.result.Text = g.text.String()
 	return g.result, g.record(ctx, err)
 }
@@ -106,17 +111,23 @@
 // run makes attempts until one completes the job.
 func (g *generation) run(ctx context.Context) error {
 	for {
+		if err := g.admit(); err != nil {
+			return g.runOf(err)
+		}
 		turn, chosen, err := g.begin(ctx)
 		if err != nil {
 			return g.runOf(err)
 		}
-		err = g.hold(ctx, chosen)
+		entered, err := g.enter(ctx, chosen)
 		turn.Done()
-		if err == nil {
+		if entered && err == nil {
 			return nil
 		}
-		if final := g.decide(ctx, chosen, err); final != nil {
-			return final
+		if entered {
+			err = g.decide(ctx, chosen, err)
+		}
+		if err != nil {
+			return err
 		}
 		if g.d.timers.Sleep(ctx, g.interval.NextBackOff()) != nil {
 			return ended(ctx, g.ran())
@@ -124,6 +135,37 @@
 	}
 }
 
+// admit asks whether the content may run. It asks again once the content has
+// become suspect by a crash, since the same job would otherwise go on to take
+// down one endpoint after another.
+func (g *generation) admit() error {
+	suspect := g.d.seams.Suspect(g.digest)
+	if g.admitted && !suspect && !g.suspect {
+		return nil
+	}
+	g.release()
+	g.release = func() {}
+	release, err := g.d.seams.Admit(g.digest)
+	if err != nil {
+		return err
+	}
+	g.release, g.admitted, g.suspect = release, true, suspect
+	return nil
+}
+
+// enter runs the job on the chosen endpoint unless another suspect runs there.
+func (g *generation) enter(ctx context.Context, chosen picked) (entered bool, err error) {
+	leave, err := g.d.seams.Enter(chosen.endpoint.ID, g.digest)
+	if err != nil {
+		chosen.slot.Release(Outcome{})
+		g.occupied = []string{chosen.endpoint.ID}
+		return false, nil
+	}
+	defer leave()
+	g.occupied = nil
+	return true, g.hold(ctx, chosen)
+}
+
 // runOf states in an error of the queue whether earlier attempts ran.
 func (g *generation) runOf(err error) error { return code.Of(err).WithRun(g.ran()) }
 
@@ -155,7 +197,7 @@
 func (g *generation) need() need {
 	return need{
 		account: g.job.Account, model: g.job.Model, cheap: true, minVersion: g.job.MinVersion,
-		never: g.job.Avoid, failed: g.failed, suspect: g.d.seams.Suspect(g.digest),
+		never: slices.Concat(g.job.Avoid, g.occupied), failed: g.failed, suspect: g.d.seams.Suspect(g.digest),
 		prompt: g.job.Prompt, prefixes: hashPrefixes(g.job.Prompt),
 	}
 }
--- a/internal/traffic/entry/fixture_test.go
+++ b/internal/traffic/entry/fixture_test.go
@@ -160,7 +160,7 @@
 		},
 		Wait: i.queue.Wait, Table: i.current,
 		Admit:   func(string) (func(), error) { return func() {}, nil },
-		Suspect: func(string) bool { return false }, Crashed: func(string, []string) {}, Completed: func(string) {},
+		Suspect: func(string) bool { return false }, Enter: func(string, string) (func(), error) { return func() {}, nil }, Crashed: func(string, []string) {}, Completed: func(string) {},
 		Record: func(_ context.Context, usage dispatch.Usage) error {
 			i.mu.Lock()
 			defer i.mu.Unlock()
