--- a/cmd/loadgen/summary.go
+++ b/cmd/loadgen/summary.go
@@ -26,6 +26,7 @@
 	Load     []string `arg:"--load,separate" help:"JSON results of loadgen run"`
 	Trainer  []string `arg:"--trainer,separate" help:"ACCOUNT=FILE with a trainer's JSON summary"`
 	Service  []string `arg:"--service,separate" help:"addresses of service stand-ins, whose runs are checked"`
+	Ignore   []string `arg:"--ignore,separate" help:"accounts that are not compared"`
 	WaitMS   int      `arg:"--wait-ms" default:"30000" help:"how long to wait for the reports to be complete"`
 	Changes  int      `arg:"--changes" default:"0" help:"weight changes that each trainer must have made"`
 	Share    float64  `arg:"--share" default:"0.95" help:"smallest share of whole answers"`
@@ -139,6 +140,9 @@
 		if err != nil {
 			return reported, nil, err
 		}
+		for _, name := range c.Ignore {
+			delete(reported.Accounts, name)
+		}
 		differences := balance.Compare(served, reported)
 		if len(differences) == 0 || !time.Now().Before(until) {
 			return reported, differences, nil
--- a/internal/load/generator/run.go
+++ b/internal/load/generator/run.go
@@ -121,7 +121,7 @@
 	at := seconds(a.From)
 	for n := 0; ; n++ {
 		at += seconds(random.ExpFloat64() / a.Rate)
-		job := newJob(g.plan, index, n, a, random)
+		job, begun := newJob(g.plan, index, n, a, random), at
 		if at >= until || !sleepUntil(ctx, g.start.Add(at)) {
 			return
 		}
@@ -129,14 +129,14 @@
 		select {
 		case g.flight <- struct{}{}:
 		default:
-			g.result.add(index, at, outcome{kind: unsent, code: "unsent"})
+			g.result.add(index, begun, outcome{kind: unsent, code: "unsent"})
 			continue
 		}
 		g.requests.Go(func() {
 			defer func() { <-g.flight }()
 			out := g.send(ctx, job)
 			out.took = time.Since(job.intended)
-			g.result.add(index, at, out)
+			g.result.add(index, begun, out)
 		})
 	}
 }
--- a/internal/standin/trainer/summary.go
+++ b/internal/standin/trainer/summary.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"strconv"
@@ -40,6 +41,16 @@
 	Wrong      int `json:"wrong"`
 	Unlabelled int `json:"unlabelled"`
 	TooOld     int `json:"too_old"`
+	// Examples describe the first samples that broke a rule.
+	Examples []string `json:"examples"`
+}
+
+const keptExamples = 5
+
+func (s *Summary) example(format string, args ...any) {
+	if len(s.Examples) < keptExamples {
+		s.Examples = append(s.Examples, fmt.Sprintf(format, args...))
+	}
 }
 
 func newSummary(name string) Summary {
@@ -55,7 +66,7 @@
 	defer t.mu.Unlock()
 	s := t.summary
 	s.Versions, s.Ages, s.Errors = maps.Clone(s.Versions), maps.Clone(s.Ages), maps.Clone(s.Errors)
-	s.StepMS, s.Announced = slices.Clone(s.StepMS), slices.Clone(s.Announced)
+	s.StepMS, s.Announced, s.Examples = slices.Clone(s.StepMS), slices.Clone(s.Announced), slices.Clone(s.Examples)
 	sum, count := 0, 0
 	for age, n := range s.Ages {
 		sum, count = sum+age*n, count+n
--- a/internal/standin/trainer/trainer.go
+++ b/internal/standin/trainer/trainer.go
@@ -338,6 +338,7 @@
 	for _, v := range samples {
 		if t.seen[v.ID] {
 			s.Twice++
+			s.example("sample %s came twice", v.ID)
 			continue
 		}
 		t.seen[v.ID] = true
@@ -345,9 +346,12 @@
 		s.Tokens += int64(v.Tokens)
 		if v.Tokens != tokens || v.Text != engine.Text(prompt, 0, tokens) {
 			s.Wrong++
+			s.example("sample %s: %d tokens, want %d, text %.40q... of %d bytes ends %q, versions %v",
+				v.ID, v.Tokens, tokens, v.Text, len(v.Text), v.Text[max(0, len(v.Text)-40):], v.Versions)
 		}
 		if !labelled(v) {
 			s.Unlabelled++
+			s.example("sample %s: %d tokens, versions %v", v.ID, v.Tokens, v.Versions)
 			continue
 		}
 		oldest := slices.MinFunc(v.Versions, func(a, b span) int { return a.Version - b.Version }).Version
@@ -356,6 +360,7 @@
 		s.Versions[oldest]++
 		if age > t.options.MaxAge {
 			s.TooOld++
+			s.example("sample %s: pulled with version %d, versions %v", v.ID, version, v.Versions)
 		}
 	}
 }
