--- a/internal/fleet/share/exchange.go
+++ b/internal/fleet/share/exchange.go
@@ -114,11 +114,11 @@
 	if id == p.self {
 		return p.Serve(report)
 	}
-	instance, ok := p.seams.Alive().Instance(id)
+	p.mu.Lock()
+	instance, ok := p.addresses[id]
+	p.mu.Unlock()
 	if !ok {
-		if instance, ok = p.seams.Listed().Instance(id); !ok {
-			return nil, eris.Errorf("instance %s is not listed", id)
-		}
+		return nil, eris.Errorf("instance %s is not listed", id)
 	}
 	ctx, cancel := p.timers.WithTimeout(ctx, callLimit)
 	defer cancel()
@@ -132,16 +132,15 @@
 	queued := p.seams.Queued()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	// The age is read before the list, so that the list is at least as new.
-	age := p.seams.ListAge()
 	x, now := p.peer(id), p.timers.Now()
 	if x.busy {
 		return nil, nil, false
 	}
+	// The age is read before the list, so that the list is at least as new.
+	p.confirm(p.seams.ListAge(), now)
 	if p.layout == nil || p.layout.listed != p.seams.Listed() {
 		p.reconcileLocked(now)
 	}
-	p.fenced = age > p.lag
 	x.busy = true
 	x.sequence++
 	report := &Report{
