--- /dev/null
+++ b/internal/fleet/share/bench_test.go
@@ -0,0 +1,150 @@
+package share
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/meter"
+	"github.com/wigeonpin/wigeonpin/internal/base/setting"
+	"github.com/wigeonpin/wigeonpin/internal/control/member"
+	"github.com/wigeonpin/wigeonpin/internal/control/roster"
+	"github.com/wigeonpin/wigeonpin/internal/peer/fleet"
+)
+
+// countedListener counts the bytes of its connections in both directions.
+type countedListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (l countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return countedConn{c, l.bytes}, err
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// BenchmarkExchange shows what the exchange of one period costs an instance,
+// over HTTP on loopback, against the number of endpoints of the cell and of its
+// members: bytes sent and received, and the time of both ends on one core. Each
+// member runs work on the endpoints and has the queues of 8 accounts; the home
+// instances have new load reports of a fifth of their endpoints.
+func BenchmarkExchange(b *testing.B) {
+	for _, members := range []int{2, 4, 6, 8} {
+		for _, endpoints := range []int{6, 17, 50, 133, 250} {
+			b.Run(fmt.Sprintf("members=%d/endpoints=%d", members, endpoints), func(b *testing.B) {
+				benchmarkExchange(b, members, endpoints)
+			})
+		}
+	}
+}
+
+func benchmarkExchange(b *testing.B, members, endpoints int) {
+	w := newWorld(endpoints, 16)
+	var bytes atomic.Int64
+	urls := map[string]string{}
+	settings := setting.Defaults()
+	settings.ID, settings.Secret = "bench", "a secret of the fleet"
+	client := fleet.NewClient(settings)
+	call := Call(client)
+	for i := range members {
+		n := w.join(fmt.Sprintf("instance-%d", i))
+		for a := range 8 {
+			n.queued = append(n.queued, Queued{Model: "tagger", Account: fmt.Sprintf("account-%d", a), Requests: 3, Weight: 1})
+		}
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		server := httptest.NewUnstartedServer(fleet.Guard(settings.Secret, meter.NewSet(), n.pool.Server()))
+		server.Listener = countedListener{listener, &bytes}
+		server.Start()
+		b.Cleanup(server.Close)
+		urls[n.id] = listener.Addr().String()
+	}
+	w.carry = func(to string, r *Report) (*Answer, error) {
+		return call(context.Background(), member.Instance{ID: to, Peer: urls[to]}, r)
+	}
+	for range 30 {
+		w.period()
+		w.work()
+	}
+	var spent time.Duration
+	bytes.Store(0)
+	periods := 0
+	for b.Loop() {
+		w.driver.Advance(time.Second)
+		periods++
+		w.report(periods)
+		w.work()
+		at := time.Now()
+		for _, n := range w.nodes {
+			n.checked = w.timers.Now()
+			n.pool.reconcile()
+			for _, id := range n.pool.targets(w.timers.Now()) {
+				n.pool.Exchange(context.Background(), id)
+			}
+		}
+		spent += time.Since(at)
+	}
+	client.CloseIdleConnections()
+	http.DefaultClient.CloseIdleConnections()
+	// Every byte is sent by one instance and received by another one.
+	b.ReportMetric(2*float64(bytes.Load())/float64(periods*members), "B/instance")
+	b.ReportMetric(float64(spent.Microseconds())/float64(periods*members), "us/instance")
+}
+
+// work lets each instance take a slot on a part of the endpoints and end its
+// oldest ones.
+func (w *world) work() {
+	for i, id := range w.ids() {
+		n := w.nodes[id]
+		for len(n.slots) > len(w.backs)/2 {
+			w.finish(n, Outcome{FirstToken: 50 * time.Millisecond})
+		}
+		for j := range len(w.backs) {
+			if j%2 == i%2 {
+				w.take(n, fmt.Sprintf("e-%d", j), fmt.Sprintf("account-%d", j%8))
+			}
+		}
+	}
+}
+
+// report gives the home instances new load reports of a fifth of the endpoints.
+func (w *world) report(period int) {
+	for i := range len(w.backs) {
+		if (i+period)%5 != 0 {
+			continue
+		}
+		id := fmt.Sprintf("e-%d", i)
+		for _, n := range w.nodes {
+			if s, ok := n.pool.stakes[id]; ok && s.home == n.id {
+				n.learn(id, roster.Load{Running: w.backs[id].running, Limit: w.limit, At: w.timers.Now()})
+			}
+		}
+	}
+	for _, n := range w.nodes {
+		w.snapshot(n)
+	}
+}
--- a/internal/fleet/share/exchange.go
+++ b/internal/fleet/share/exchange.go
@@ -139,7 +139,7 @@
 	if p.layout == nil || p.layout.listed != p.seams.Listed() {
 		p.reconcileLocked(now)
 	}
-	x.busy = true
+	x.busy, x.sent = true, now
 	x.sequence++
 	report := &Report{
 		Member: p.self, Incarnation: p.incarnation, Sequence: x.sequence, HomeIncarnation: x.incarnation,
--- a/internal/fleet/share/stake.go
+++ b/internal/fleet/share/stake.go
@@ -31,6 +31,10 @@
 	usable bool
 }
 
+// quietEvery is the period of the exchange with a member of the cell that is
+// home instance of no endpoint.
+const quietEvery = 3 * time.Second
+
 // peer is what this instance knows of its exchange with another one.
 type peer struct {
 	sequence    uint64
@@ -38,6 +42,7 @@
 	token       uint64
 	tokenAt     time.Time
 	busy        bool
+	sent        time.Time
 	asked       time.Time
 }
 
@@ -252,16 +257,19 @@
 	p.confirmed = later(p.confirmed, at)
 }
 
-// targets returns the instances to exchange with in a period: the members of
-// the own cell, and the home instances of endpoints that this instance uses.
+// targets returns the instances to exchange with in a period: the home
+// instances of the cell's endpoints and of others that this instance uses, and
+// now and then the other members of the cell, for the running cost.
 func (p *Pool) targets(now time.Time) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var ids []string
-	for _, s := range p.stakes {
-		if s.inCell {
-			ids = append(ids, s.cell...)
+	for _, id := range p.seat.cell {
+		if now.Sub(p.peer(id).sent) >= quietEvery {
+			ids = append(ids, id)
 		}
+	}
+	for _, s := range p.stakes {
 		if p.concerns(s, s.home, now) {
 			ids = append(ids, s.home)
 		}
--- a/internal/fleet/share/world_test.go
+++ b/internal/fleet/share/world_test.go
@@ -28,6 +28,8 @@
 	late   []func()
 	limit  int
 	size   int
+	// carry, if set, carries the reports instead of a direct call.
+	carry func(to string, r *Report) (*Answer, error)
 	// highs holds the ramps of the home instances over time, by endpoint.
 	highs map[string][]high
 	// exceeded describes the first time at which an endpoint ran too much.
@@ -134,6 +136,9 @@
 		w.late = append(w.late, func() { _, _ = n.pool.Serve(r) })
 		return nil, errLost
 	}
+	if w.carry != nil {
+		return w.carry(to, r)
+	}
 	return n.pool.Serve(r)
 }
 
