--- a/internal/control/roster/roster.go
+++ b/internal/control/roster/roster.go
@@ -78,6 +78,7 @@
 	failures map[string]failure
 	loads    map[string]Load
 	out      map[string]bool
+	soon     map[string]bool
 	changed  chan struct{}
 }
 
@@ -92,7 +93,7 @@
 	r := &Roster{
 		settings: settings, timers: timers, seams: seams, log: log,
 		all: map[string]Endpoint{}, gone: map[string]time.Time{}, failures: map[string]failure{},
-		loads: map[string]Load{}, out: map[string]bool{}, changed: make(chan struct{}),
+		loads: map[string]Load{}, out: map[string]bool{}, soon: map[string]bool{}, changed: make(chan struct{}),
 	}
 	r.current.Store(emptySnapshot())
 	return r
@@ -255,6 +256,14 @@
 	r.publish(false)
 }
 
+// Probe asks the endpoint for its load in the next round, if it is this
+// instance that asks it.
+func (r *Roster) Probe(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.soon[id] = true
+}
+
 // probe asks the endpoints of this instance for their load, lifts failure
 // marks and follows the zones of the table.
 func (r *Roster) probe(ctx context.Context) error {
@@ -277,12 +286,19 @@
 // snapshot. Endpoints without a report and failed ones are asked every round.
 func (r *Roster) ask(ctx context.Context, round int) {
 	now := r.timers.Now()
+	r.mu.Lock()
+	soon := r.soon
+	r.soon = map[string]bool{}
+	r.mu.Unlock()
 	var group errgroup.Group
 	group.SetLimit(probesAtOnce)
 	for place, e := range r.Endpoints().All() {
 		f, failed := r.failure(e.ID)
 		_, known := r.Endpoints().Load(e.ID)
-		due := (known && !failed && (round+place)%loadEvery == 0) || !known || (failed && !now.Before(f.until))
+		due := !known || soon[e.ID] || (round+place)%loadEvery == 0
+		if failed {
+			due = !now.Before(f.until)
+		}
 		if due && e.State != StateStarting && r.seams.Mine(e) {
 			group.Go(func() error { r.askOne(ctx, e); return nil })
 		}
@@ -316,10 +332,17 @@
 // lift ends the marks whose time has passed on endpoints that this instance
 // does not ask, forgets failures in a row after a quiet time, and publishes.
 func (r *Roster) lift(now time.Time) {
+	// The seam is called without the lock: it may lead to other components
+	// that call this one.
+	mine := map[string]bool{}
+	for id := range r.Endpoints().failed {
+		e, ok := r.Endpoints().Get(id)
+		mine[id] = ok && r.seams.Mine(e)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for id, f := range r.failures {
-		if f.marked && !now.Before(f.until) && !r.seams.Mine(r.all[id]) {
+		if f.marked && !now.Before(f.until) && !mine[id] {
 			f.marked = false
 			r.failures[id] = f
 		}
--- a/internal/control/roster/snapshot.go
+++ b/internal/control/roster/snapshot.go
@@ -81,5 +81,8 @@
 // ids. The slice must not be changed.
 func (x *index) In(model, zone string) []Endpoint { return x.byPlace[place{model, zone}] }
 
+// SameList reports whether both snapshots differ in nothing but load reports.
+func (s *Snapshot) SameList(other *Snapshot) bool { return other != nil && s.index == other.index }
+
 // Load returns the last load report of an endpoint.
 func (s *Snapshot) Load(id string) (Load, bool) { l, ok := s.loads[id]; return l, ok }
--- a/internal/fleet/share/bench_test.go
+++ b/internal/fleet/share/bench_test.go
@@ -140,11 +140,8 @@
 		id := fmt.Sprintf("e-%d", i)
 		for _, n := range w.nodes {
 			if s, ok := n.pool.stakes[id]; ok && s.home == n.id {
-				n.learn(id, roster.Load{Running: w.backs[id].running, Limit: w.limit, At: w.timers.Now()})
+				n.roster.Learn(id, roster.Load{Running: w.backs[id].running, Limit: w.limit, At: w.timers.Now()})
 			}
 		}
 	}
-	for _, n := range w.nodes {
-		w.snapshot(n)
-	}
 }
--- a/internal/fleet/share/exchange.go
+++ b/internal/fleet/share/exchange.go
@@ -101,6 +101,9 @@
 	if p.finish(id, report, covered, answer, sent) {
 		p.notice.tell()
 	}
+	if answer != nil && id != p.self {
+		p.learn(covered, answer)
+	}
 	return stale && err == nil
 }
 
@@ -128,6 +131,9 @@
 
 // prepare builds the report for a peer. It marks the peer as busy.
 func (p *Pool) prepare(id string) (*Report, []*stake, bool) {
+	// The queue may call this pool under its lock, so that it is asked before
+	// the pool's own is taken.
+	queued := p.seams.Queued()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	x, now := p.peer(id), p.timers.Now()
@@ -155,7 +161,7 @@
 		p.describe(report, s, id, now)
 		models[s.endpoint.Model] = map[string]*Demand{}
 	}
-	p.describeDemand(report, models)
+	p.describeDemand(report, models, queued)
 	return report, covered, true
 }
 
@@ -197,7 +203,7 @@
 }
 
 // describeDemand adds the queued and running work for the report's models.
-func (p *Pool) describeDemand(report *Report, models map[string]map[string]*Demand) {
+func (p *Pool) describeDemand(report *Report, models map[string]map[string]*Demand, queued []Queued) {
 	add := func(model, account string) *Demand {
 		byAccount, ok := models[model]
 		if !ok {
@@ -226,7 +232,7 @@
 		}
 		return true
 	})
-	for _, q := range p.seams.Queued() {
+	for _, q := range queued {
 		if d := add(q.Model, q.Account); d != nil {
 			d.Queued += uint32(q.Requests)
 			d.Weight = float32(q.Weight)
@@ -261,15 +267,20 @@
 			freed = true
 		}
 	}
+	return freed
+}
+
+// learn passes on the load reports of an answer.
+func (p *Pool) learn(covered []*stake, answer *Answer) {
+	now := p.timers.Now()
 	for _, l := range answer.Loads {
-		if int(l.Index) < len(covered) && id != p.self {
-			p.seams.Learn(covered[l.Index].endpoint.ID, roster.Load{
+		if int(l.Index) < len(covered) {
+			p.seams.Learn(covered[l.Index].id, roster.Load{
 				Running: int(l.Running), Waiting: int(l.Waiting), Limit: int(l.Limit), Version: int(l.Version),
 				At: now.Add(-time.Duration(l.AgeMs) * time.Millisecond),
 			})
 		}
 	}
-	return freed
 }
 
 func (p *Pool) takeGrant(s *stake, id string, i int, answer *Answer, now, sent time.Time) bool {
--- a/internal/fleet/share/hold.go
+++ b/internal/fleet/share/hold.go
@@ -26,7 +26,8 @@
 	// FirstToken is the time to the first token or byte, 0 when none came.
 	FirstToken time.Duration
 	Took       time.Duration
-	// Failed: the endpoint failed. A caller that gave up is no failure.
+	// Failed: the endpoint failed. A caller that gave up is no failure, and no
+	// success unless a time is given.
 	Failed bool
 	Cost   int64
 }
@@ -137,6 +138,9 @@
 		h.cold, h.ramp, h.rampAt = true, 1, s.pool.timers.Now()
 		return
 	}
+	if outcome.FirstToken <= 0 && outcome.Took <= 0 {
+		return
+	}
 	h.good++
 	if outcome.FirstToken > 0 {
 		h.learn(outcome.FirstToken)
--- a/internal/fleet/share/ledger.go
+++ b/internal/fleet/share/ledger.go
@@ -177,7 +177,7 @@
 	}
 	load, ok := p.seams.Endpoints().Load(s.endpoint.ID)
 	if !ok || load.At.Before(l.shared) {
-		p.seams.Probe(s.endpoint.ID)
+		p.probes = append(p.probes, s.endpoint.ID)
 		return -1
 	}
 	known := 0
@@ -190,7 +190,7 @@
 		l.explained = true
 		return 0
 	}
-	p.seams.Probe(s.endpoint.ID)
+	p.probes = append(p.probes, s.endpoint.ID)
 	return max(load.Running-known, 0)
 }
 
--- a/internal/fleet/share/pool.go
+++ b/internal/fleet/share/pool.go
@@ -32,6 +32,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -93,6 +94,7 @@
 	lag         time.Duration
 
 	holds  sync.Map // endpoint id to *hold
+	costs  atomic.Pointer[map[string]int64]
 	notice notice
 	kicks  chan string
 
@@ -104,6 +106,10 @@
 	// confirmed is the time up to which this instance knew the list.
 	confirmed time.Time
 	layout    *layout
+	alive     *member.View
+	snapshot  *roster.Snapshot
+	ours      []*stake // those of the own cell
+	probes    []string
 	seat      seat
 	stakes    map[string]*stake
 	peers     map[string]*peer
@@ -125,6 +131,7 @@
 		members: map[string]*reporter{}, byHash: map[uint64]string{}, addresses: map[string]member.Instance{},
 	}
 	p.notice.changed = make(chan struct{})
+	p.costs.Store(&map[string]int64{})
 	return p
 }
 
@@ -203,16 +210,30 @@
 }
 
 // Running returns the running cost of the account on the cell's other members.
-func (p *Pool) Running(account string) int64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now, sum := p.timers.Now(), int64(0)
+// It takes no lock, so that a queue may call it under its own.
+func (p *Pool) Running(account string) int64 { return (*p.costs.Load())[account] }
+
+// addCosts publishes the running cost by account of the other members.
+func (p *Pool) addCosts(now time.Time) {
+	sum := map[string]int64{}
 	for id, m := range p.members {
-		if id != p.self && now.Sub(m.heard) < p.lapse() {
-			sum += m.costs[account]
+		if id == p.self || now.Sub(m.heard) >= p.lapse() {
+			continue
+		}
+		for account, cost := range m.costs {
+			sum[account] += cost
 		}
 	}
-	return sum
+	p.costs.Store(&sum)
+}
+
+// Home reports whether this instance is the endpoint's home instance. It is the
+// one that asks the endpoint for its load.
+func (p *Pool) Home(endpoint roster.Endpoint) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, ok := p.stakes[endpoint.ID]
+	return ok && s.home == p.self
 }
 
 // Leave ends all delegations of this instance. Slots can be taken until the
--- a/internal/fleet/share/pool_test.go
+++ b/internal/fleet/share/pool_test.go
@@ -112,7 +112,7 @@
 	w := climbed(16)
 	w.backs["e-0"].endpoint.State = roster.StateLeaving
 	for _, n := range w.nodes {
-		n.cached = nil
+		n.current = false
 		if n.pool.Free("e-0") != 0 || w.take(n, "e-0", "acme") {
 			t.Fatalf("%s starts work on a leaving endpoint", n.id)
 		}
--- a/internal/fleet/share/stake.go
+++ b/internal/fleet/share/stake.go
@@ -12,6 +12,7 @@
 // stake is this instance's view of one endpoint: the members that own shares,
 // the home instance and the delegation.
 type stake struct {
+	id       string
 	endpoint roster.Endpoint
 	hash     uint64
 	cell     []string
@@ -31,9 +32,9 @@
 	usable bool
 }
 
-// quietEvery is the period of the exchange with a member of the cell that is
-// home instance of no endpoint.
-const quietEvery = 3 * time.Second
+// quietTerms is the period, in terms, of the exchange with a member of the cell
+// that is home instance of no endpoint.
+const quietTerms = 2
 
 // peer is what this instance knows of its exchange with another one.
 type peer struct {
@@ -58,8 +59,15 @@
 // reconcile follows the lists of instances and endpoints.
 func (p *Pool) reconcile() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.reconcileLocked(p.timers.Now())
+	now := p.timers.Now()
+	p.reconcileLocked(now)
+	p.addCosts(now)
+	probes := p.probes
+	p.probes = nil
+	p.mu.Unlock()
+	for _, id := range probes {
+		p.seams.Probe(id)
+	}
 }
 
 func (p *Pool) reconcileLocked(now time.Time) {
@@ -70,6 +78,16 @@
 		p.sit(now)
 		p.remember(listed)
 	}
+	if before == p.layout && alive == p.alive && snapshot.SameList(p.snapshot) {
+		// Only the members that left the own cell need a look. The fleet's
+		// other endpoints stay as they are.
+		for _, s := range p.ours {
+			p.follow(s, alive, now)
+		}
+		p.sweepLedgers(now)
+		return
+	}
+	p.alive, p.snapshot, p.ours = alive, snapshot, nil
 	for _, e := range snapshot.All() {
 		s, known := p.stakes[e.ID]
 		if !known {
@@ -84,8 +102,12 @@
 			p.recell(s, now)
 		}
 		p.follow(s, alive, now)
+		if s.inCell {
+			p.ours = append(p.ours, s)
+		}
 	}
 	p.sweep(snapshot, now)
+	p.sweepLedgers(now)
 }
 
 // seat is the cell of this instance: its place among the zone's cells, and who
@@ -129,7 +151,7 @@
 }
 
 func (p *Pool) newStake(e roster.Endpoint, now time.Time) *stake {
-	s := &stake{endpoint: e, hash: hashOf(e.ID), since: now, retained: map[string]time.Time{}, former: map[string]bool{}}
+	s := &stake{id: e.ID, endpoint: e, hash: hashOf(e.ID), since: now, retained: map[string]time.Time{}, former: map[string]bool{}}
 	s.cell = p.layout.cell(e.Zone, e.ID)
 	if e.Zone == p.zone && slices.Contains(s.cell, p.self) {
 		s.inCell, s.since, s.retained = true, p.seat.since, maps.Clone(p.seat.retained)
@@ -185,6 +207,10 @@
 			p.holds.Delete(id)
 		}
 	}
+}
+
+// sweepLedgers drops entries and ledgers that are not needed any more.
+func (p *Pool) sweepLedgers(now time.Time) {
 	for id, m := range p.members {
 		if _, ok := p.layout.listed.Instance(id); !ok && now.Sub(m.heard) > p.settling() && len(m.entries) == 0 {
 			delete(p.members, id)
@@ -265,7 +291,7 @@
 	defer p.mu.Unlock()
 	var ids []string
 	for _, id := range p.seat.cell {
-		if now.Sub(p.peer(id).sent) >= quietEvery {
+		if now.Sub(p.peer(id).sent) >= quietTerms*p.term {
 			ids = append(ids, id)
 		}
 	}
--- a/internal/fleet/share/world_test.go
+++ b/internal/fleet/share/world_test.go
@@ -49,9 +49,11 @@
 	checked time.Time // when listed was the platform's list for the last time
 	queued  []Queued
 	slots   []*Slot
-	learned map[string]roster.Load
 	refused map[string]bool
-	cached  *roster.Snapshot
+	roster  *roster.Roster
+	// current: the roster has the endpoints of the world.
+	current  bool
+	revision uint64
 }
 
 // back is an endpoint.
@@ -88,7 +90,8 @@
 	delete(w.dead, id)
 	settings := setting.Defaults()
 	settings.ID, settings.Zone, settings.CellSize = id, zone, w.size
-	n := &node{id: id, listed: w.listed, checked: w.timers.Now(), learned: map[string]roster.Load{}, refused: map[string]bool{}}
+	n := &node{id: id, listed: w.listed, checked: w.timers.Now(), refused: map[string]bool{}}
+	n.roster = roster.New(settings, w.timers, roster.Seams{ZoneOut: func(string) bool { return false }}, logs.Discard())
 	n.pool = New(settings, w.timers, Seams{
 		Listed:  func() *member.View { return n.listed },
 		ListAge: func() time.Duration { return w.timers.Since(n.checked) },
@@ -98,7 +101,7 @@
 			n.refused[peer] = errors.Is(err, errRefused)
 		},
 		Endpoints: func() *roster.Snapshot { return w.snapshot(n) },
-		Learn:     func(e string, l roster.Load) { n.learn(e, l) },
+		Learn:     n.roster.Learn,
 		Probe:     func(string) {},
 		Slots:     func(string) int { return w.limit },
 		Queued:    func() []Queued { return n.queued },
@@ -111,7 +114,7 @@
 // alive is the view without the instances that this one cannot reach.
 func (n *node) alive(w *world) *member.View {
 	view := n.listed
-	for _, id := range view.IDs() {
+	for _, id := range n.listed.IDs() {
 		if id != n.id && (w.dead[id] || w.cut[[2]string{n.id, id}]) {
 			view = view.Without(id)
 		}
@@ -142,35 +145,26 @@
 	return n.pool.Serve(r)
 }
 
-// snapshot is the roster of an instance: all endpoints live, with the load
-// that each reported at its last poll.
+// snapshot is the roster of an instance: all endpoints, with the load that each
+// reported at its last poll.
 func (w *world) snapshot(n *node) *roster.Snapshot {
-	if n.cached != nil {
-		return n.cached
-	}
-	r := roster.New(setting.Settings{}, w.timers, roster.Seams{ZoneOut: func(string) bool { return false }}, logs.Discard())
-	page := roster.Page{Revision: 1, Full: true}
-	for _, b := range w.backs {
-		page.Endpoints = append(page.Endpoints, b.endpoint)
-	}
-	r.Merge(page)
-	for id, load := range n.learned {
-		r.Learn(id, load)
-	}
-	n.cached = r.Endpoints()
-	return n.cached
-}
-
-func (n *node) learn(endpoint string, load roster.Load) {
-	if load.At.After(n.learned[endpoint].At) {
-		n.learned[endpoint], n.cached = load, nil
+	if !n.current {
+		n.current = true
+		n.revision++
+		page := roster.Page{Revision: n.revision, Full: true}
+		for _, b := range w.backs {
+			b.endpoint.Revision = n.revision
+			page.Endpoints = append(page.Endpoints, b.endpoint)
+		}
+		n.roster.Merge(page)
 	}
+	return n.roster.Endpoints()
 }
 
 // poll lets an instance ask the endpoints for their load.
 func (n *node) poll(w *world) {
 	for id, b := range w.backs {
-		n.learn(id, roster.Load{Running: b.running, Limit: w.limit, At: w.timers.Now()})
+		n.roster.Learn(id, roster.Load{Running: b.running, Limit: w.limit, At: w.timers.Now()})
 	}
 }
 
