--- a/internal/training/step/steps.go
+++ b/internal/training/step/steps.go
@@ -23,7 +23,8 @@
 const (
 	sweepInterval = 10 * time.Second
 	// callWait is the longest wait of one call to a home instance. A home that
-	// does not answer callGrace later is passed over for avoidTime.
+	// has not answered callGrace after the end of the pull, or twice that after
+	// the call's wait, is passed over for avoidTime.
 	callWait  = 2 * time.Second
 	callGrace = time.Second
 	avoidTime = 10 * time.Second
@@ -278,7 +279,7 @@
 	if c.to.ID == s.settings.ID {
 		result.response, result.err = s.home.Run(ctx, r)
 	} else {
-		callCtx, cancel := s.timers.WithTimeout(ctx, wait+callGrace)
+		callCtx, cancel := s.timers.WithTimeout(ctx, wait+2*callGrace)
 		result.response, result.err = s.seams.Call(callCtx, c.to, r)
 		result.lost = result.err != nil && !c.again && callCtx.Err() == nil && !fleet.Refused(result.err)
 		cancel()
