--- /dev/null
+++ b/internal/billing/usage/bench_test.go
@@ -0,0 +1,129 @@
+package usage_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/base/meter"
+	"github.com/wigeonpin/wigeonpin/internal/base/setting"
+	"github.com/wigeonpin/wigeonpin/internal/billing/usage"
+	"github.com/wigeonpin/wigeonpin/internal/control/member"
+	"github.com/wigeonpin/wigeonpin/internal/peer/fleet"
+)
+
+// countingListener counts the bytes of all accepted connections.
+type countingListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return countingConn{conn, l.bytes}, err
+}
+
+func (c countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// BenchmarkSecondCopy measures the time of an Append and the bytes to and from
+// the second holder, over loopback, at a constant rate of records.
+func BenchmarkSecondCopy(b *testing.B) {
+	for _, rate := range []int{10, 100, 1000, 5000, 20000} {
+		b.Run(fmt.Sprintf("records/s=%d", rate), func(b *testing.B) {
+			timers := clock.NewSystem()
+			start := func(id string, view func() *member.View) (*usage.Log, setting.Settings, *meter.Set) {
+				settings := setting.Defaults()
+				settings.ID, settings.Zone, settings.Secret = id, id, "0123456789abcdef"
+				meters := meter.NewSet()
+				log, err := usage.New(settings, timers, usage.Seams{View: view, Client: fleet.NewClient(settings), Create: (&store{}).create}, meters, logs.Discard())
+				if err != nil {
+					b.Fatal(err)
+				}
+				return log, settings, meters
+			}
+			var bytes atomic.Int64
+			holder, settings, meters := start("i-1", func() *member.View { return member.NewView(nil) })
+			server := httptest.NewUnstartedServer(fleet.Guard(settings.Secret, meters, http.Handler(holder.Server())))
+			server.Listener = countingListener{server.Listener, &bytes}
+			server.Start()
+			defer server.Close()
+			view := member.NewView([]member.Instance{{ID: "i-1", Zone: "i-1", State: member.StateLive, Peer: server.Listener.Addr().String()}})
+			log, _, meters := start("i-0", func() *member.View { return view })
+			ctx, cancel := context.WithCancel(b.Context())
+			go func() { _ = log.Run(ctx) }()
+			var mu sync.Mutex
+			took := hdrhistogram.New(1, 10_000_000, 3)
+			var pending sync.WaitGroup
+			begin := time.Now()
+			for i := range b.N {
+				time.Sleep(time.Until(begin.Add(time.Duration(i) * time.Second / time.Duration(rate))))
+				pending.Go(func() {
+					at := time.Now()
+					_ = log.Append(ctx, usage.Record{Account: fmt.Sprint("account-", i%8), Class: "generate", Requests: 1, TokensIn: 700, TokensOut: 300, Cost: 387})
+					mu.Lock()
+					defer mu.Unlock()
+					_ = took.RecordValue(time.Since(at).Microseconds())
+				})
+			}
+			pending.Wait()
+			seconds := time.Since(begin).Seconds()
+			cancel()
+			b.ReportMetric(float64(took.ValueAtQuantile(50)), "p50_us")
+			b.ReportMetric(float64(took.ValueAtQuantile(99)), "p99_us")
+			b.ReportMetric(float64(bytes.Load())/float64(b.N), "B/record")
+			b.ReportMetric(float64(bytes.Load())/seconds, "B/s")
+			b.ReportMetric(float64(meters.Counter("usage_copies").Value(""))/seconds, "calls/s")
+			b.ReportMetric(float64(meters.Counter("usage_single_copy").Value("")), "single")
+		})
+	}
+}
+
+// BenchmarkSegment measures the sealing of one window and the size of its
+// segment, for 1,320 records (22 a second in a window of 60 s) or two for each
+// account and class, if that is more.
+func BenchmarkSegment(b *testing.B) {
+	for _, accounts := range []int{8, 64, 512, 2048} {
+		b.Run(fmt.Sprintf("accounts=%d", accounts), func(b *testing.B) {
+			size := 0
+			for b.Loop() {
+				b.StopTimer()
+				w := newWorld(b, 1)
+				for i := range max(1320, 4*accounts) {
+					w.nodes["i-0"].AddForTest(usage.Record{
+						Account: fmt.Sprint("account-", i%accounts), Class: []string{"generate", "training"}[i/accounts%2],
+						Requests: 1, TokensIn: 700, TokensOut: 300, Cost: 387,
+					})
+				}
+				b.StartTimer()
+				w.nodes["i-0"].SealAllForTest(b.Context())
+				size = len(w.store.objects[0].Value)
+			}
+			b.ReportMetric(float64(size), "B/segment")
+		})
+	}
+}
