Encode segment totals as rows and judge owners by confirmations only

A reporter reads one segment of each instance in each window; objects with field names made that about three times as large. Leaving instances are no home of new groups, and calls report their outcome to the directory.

--- a/internal/billing/usage/bench_test.go
+++ b/internal/billing/usage/bench_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -50,6 +51,12 @@
 	return n, err
 }
 
+func cpuTime() time.Duration {
+	var used syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &used)
+	return time.Duration(used.Utime.Nano() + used.Stime.Nano())
+}
+
 // BenchmarkSecondCopy measures the time of an Append and the bytes to and from
 // the second holder, over loopback, at a constant rate of records.
 func BenchmarkSecondCopy(b *testing.B) {
@@ -79,7 +86,7 @@
 			var mu sync.Mutex
 			took := hdrhistogram.New(1, 10_000_000, 3)
 			var pending sync.WaitGroup
-			begin := time.Now()
+			begin, cpu := time.Now(), cpuTime()
 			for i := range b.N {
 				time.Sleep(time.Until(begin.Add(time.Duration(i) * time.Second / time.Duration(rate))))
 				pending.Go(func() {
@@ -95,6 +102,7 @@
 			cancel()
 			b.ReportMetric(float64(took.ValueAtQuantile(50)), "p50_us")
 			b.ReportMetric(float64(took.ValueAtQuantile(99)), "p99_us")
+			b.ReportMetric(float64((cpuTime()-cpu).Microseconds())/float64(b.N), "cpu_us/record")
 			b.ReportMetric(float64(bytes.Load())/float64(b.N), "B/record")
 			b.ReportMetric(float64(bytes.Load())/seconds, "B/s")
 			b.ReportMetric(float64(meters.Counter("usage_copies").Value(""))/seconds, "calls/s")
--- a/internal/billing/usage/copy.go
+++ b/internal/billing/usage/copy.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
+	"maps"
 	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/twitchtv/twirp"
 
 	"github.com/wigeonpin/wigeonpin/internal/base/logs"
 	"github.com/wigeonpin/wigeonpin/internal/base/setting"
@@ -67,13 +70,14 @@
 		return best, true
 	}
 	l.chosenFrom, l.chosenAt = view, now
+	maps.DeleteFunc(l.failed, func(_ string, at time.Time) bool { return now.Sub(at) > avoidTime })
 	bestRank := -1
 	if listed {
-		bestRank = l.rank(best, now)
+		bestRank = l.rank(best)
 	}
 	for _, id := range member.Rank(l.settings.ID, view.IDs()) {
 		candidate, _ := view.Instance(id)
-		if rank := l.rank(candidate, now); rank > bestRank {
+		if rank := l.rank(candidate); rank > bestRank {
 			best, bestRank = candidate, rank
 		}
 	}
@@ -83,12 +87,12 @@
 	return best, bestRank >= 0
 }
 
-func (l *Log) rank(candidate member.Instance, now time.Time) int {
+func (l *Log) rank(candidate member.Instance) int {
 	if candidate.ID == l.settings.ID {
 		return -1
 	}
 	rank := 0
-	if at, failed := l.failed[candidate.ID]; !failed || now.Sub(at) > avoidTime {
+	if _, failed := l.failed[candidate.ID]; !failed {
 		rank += 4
 	}
 	if candidate.State == member.StateLive {
@@ -107,6 +111,9 @@
 		callCtx, cancel := l.timers.WithTimeout(ctx, setting.Milliseconds(l.settings.CopyMS)/2)
 		response, err := l.seams.Hold(callCtx, target, request)
 		cancel()
+		if ctx.Err() == nil {
+			l.seams.Report(target.ID, answered(err), fleet.Refused(err))
+		}
 		if err != nil {
 			return eris.Wrap(err, "hold")
 		}
@@ -121,6 +128,12 @@
 	return nil
 }
 
+// answered reports whether the instance answered, be it that it has no room.
+func answered(err error) bool {
+	var coded twirp.Error
+	return err == nil || (errors.As(err, &coded) && coded.Code() == twirp.ResourceExhausted)
+}
+
 // request returns the next copy call, or nil when the target needs none.
 func (l *Log) request() *HoldRequest {
 	l.mu.Lock()
--- a/internal/billing/usage/holder.go
+++ b/internal/billing/usage/holder.go
@@ -40,12 +40,11 @@
 
 	mu      sync.Mutex
 	chains  map[ownerKey]*heldChain
-	newest  map[string]string // the newest incarnation seen of each owner
 	entries int
 }
 
 func newHolder(l *Log) *holder {
-	return &holder{log: l, chains: map[ownerKey]*heldChain{}, newest: map[string]string{}}
+	return &holder{log: l, chains: map[ownerKey]*heldChain{}}
 }
 
 func (h *holder) size() int {
@@ -66,13 +65,12 @@
 		return nil, twirp.NewError(twirp.ResourceExhausted, "the instance holds too many unsealed records")
 	}
 	key := ownerKey{r.Owner, r.Incarnation}
-	h.newest[r.Owner] = max(h.newest[r.Owner], r.Incarnation)
 	c, ok := h.chains[key]
 	if !ok {
 		c = &heldChain{chain: chain{owner: r.Owner, incarnation: r.Incarnation, base: r.Base}}
 		h.chains[key] = c
 	}
-	c.heard = h.log.timers.Now()
+	h.hear(c)
 	before := len(c.entries)
 	c.trim(r.Base - 1)
 	if next := c.through() + 1; r.From <= next && next-r.From < uint64(len(r.Entries)) {
@@ -86,20 +84,35 @@
 	return &HoldResponse{Through: through}, nil
 }
 
+// hear notes that the owner is alive and that its earlier incarnations are not.
+// Records of this instance itself come from an earlier incarnation's file. The
+// caller holds mu.
+func (h *holder) hear(c *heldChain) {
+	if c.owner == h.log.settings.ID {
+		return
+	}
+	c.heard = h.log.timers.Now()
+	for key, other := range h.chains {
+		if key.owner == c.owner && key.incarnation < c.incarnation {
+			other.heard = time.Time{}
+		}
+	}
+}
+
 func (h *holder) dropEmpty(key ownerKey) {
 	if c := h.chains[key]; c != nil && len(c.entries) == 0 {
 		delete(h.chains, key)
 	}
 }
 
-// sealDead seals the records of owners that are silent or were replaced by a
-// newer incarnation, and records that are overdue. An owner that is alive
+// sealDead seals the records of owners that are silent or have a newer
+// incarnation, and records that are overdue. An owner that is alive
 // after all loses nothing: it continues after the last index sealed.
 func (h *holder) sealDead(ctx context.Context) {
 	now, current := h.log.timers.Now(), h.log.currentWindow()
 	for key, c := range h.snapshot() {
 		before := current - overdueWindows
-		if now.Sub(c.heard) >= silentTime || h.superseded(key) {
+		if now.Sub(c.heard) >= silentTime {
 			before = math.MaxInt64
 		}
 		if !h.sealChain(ctx, key, c.chain, before) {
@@ -127,15 +140,6 @@
 	return out
 }
 
-func (h *holder) superseded(key ownerKey) bool {
-	if key.owner == h.log.settings.ID {
-		return key.incarnation != h.log.chain.incarnation
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.newest[key.owner] > key.incarnation
-}
-
 // sealChain seals one owner's records and reports whether the store answered.
 func (h *holder) sealChain(ctx context.Context, key ownerKey, c chain, before int64) bool {
 	through, err := c.seal(ctx, h.log.seams.Create, h.log.settings.ID, before)
--- a/internal/billing/usage/log.go
+++ b/internal/billing/usage/log.go
@@ -38,6 +38,8 @@
 	// Client carries calls to other instances.
 	Client *http.Client
 	Create Create
+	// Report tells the outcome of a call to an instance; may be nil.
+	Report func(id string, alive, refused bool)
 	// Hold calls an instance's Hold method; nil calls it with Client.
 	Hold func(ctx context.Context, to member.Instance, request *HoldRequest) (*HoldResponse, error)
 }
@@ -91,6 +93,9 @@
 	if l.seams.Hold == nil {
 		l.seams.Hold = holdOver(seams.Client)
 	}
+	if l.seams.Report == nil {
+		l.seams.Report = func(string, bool, bool) {}
+	}
 	l.held = newHolder(l)
 	meters.Gauge("usage_unsealed", func() any { return l.unsealed() })
 	if settings.Data == "" {
--- a/internal/billing/usage/segment.go
+++ b/internal/billing/usage/segment.go
@@ -67,16 +67,50 @@
 	return out
 }
 
+// Rows are totals in a compact form: each is an array of account, class,
+// requests, tokens in and out, and cost. A reporter reads a segment of each
+// instance in each window, and objects would be three times as large.
+type Rows []Record
+
+// MarshalJSON encodes the rows as arrays.
+func (r Rows) MarshalJSON() ([]byte, error) {
+	out := make([][6]any, 0, len(r))
+	for _, t := range r {
+		out = append(out, [6]any{t.Account, t.Class, t.Requests, t.TokensIn, t.TokensOut, t.Cost})
+	}
+	return json.Marshal(out)
+}
+
+// UnmarshalJSON decodes rows that are arrays of six values.
+func (r *Rows) UnmarshalJSON(raw []byte) error {
+	var rows []json.RawMessage
+	if err := json.Unmarshal(raw, &rows); err != nil {
+		return err
+	}
+	*r = make(Rows, len(rows))
+	for i, row := range rows {
+		t := &(*r)[i]
+		fields := []any{&t.Account, &t.Class, &t.Requests, &t.TokensIn, &t.TokensOut, &t.Cost}
+		if err := json.Unmarshal(row, &fields); err != nil {
+			return err
+		}
+		if len(fields) != 6 {
+			return eris.Errorf("a row has %d values, must have 6", len(fields))
+		}
+	}
+	return nil
+}
+
 // Segment is the value of a sealed object: the records First to Last of one
 // incarnation of an instance, all of one window.
 type Segment struct {
-	Instance    string   `json:"instance"`
-	Incarnation string   `json:"incarnation"`
-	Window      int64    `json:"window"`
-	First       uint64   `json:"first"`
-	Last        uint64   `json:"last"`
-	Sealer      string   `json:"sealer"`
-	Totals      []Record `json:"totals"`
+	Instance    string `json:"instance"`
+	Incarnation string `json:"incarnation"`
+	Window      int64  `json:"window"`
+	First       uint64 `json:"first"`
+	Last        uint64 `json:"last"`
+	Sealer      string `json:"sealer"`
+	Totals      Rows   `json:"totals"`
 }
 
 // Name returns the name of the object for the range that starts at first.
--- a/internal/training/step/home.go
+++ b/internal/training/step/home.go
@@ -20,8 +20,10 @@
 	groupLimit = 32_768
 	byteLimit  = 64 << 20
 	// parallelLimit bounds the generations that one instance has started and
-	// that run or wait in the queue.
-	parallelLimit = 512
+	// that run or wait in the queue. It is above the share of a step of 4,096
+	// samples on one of 6 instances, so that steps of several trainers meet in
+	// the queue, which is fair, and not here.
+	parallelLimit = 2048
 	// groupOverhead is the accounted size of a group and of a sample besides
 	// its text.
 	groupOverhead = 512
--- a/internal/training/step/steps.go
+++ b/internal/training/step/steps.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"sync"
@@ -9,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
+	"github.com/twitchtv/twirp"
 
 	"github.com/wigeonpin/wigeonpin/internal/base/clock"
 	"github.com/wigeonpin/wigeonpin/internal/base/code"
@@ -52,6 +54,8 @@
 	// revision is the given one, 0 when it does not exist.
 	Get func(ctx context.Context, kind, name string) (value []byte, revision uint64, found bool, err error)
 	Put func(ctx context.Context, kind, name string, value []byte, revision uint64) (done bool, err error)
+	// Report tells the outcome of a call to an instance; may be nil.
+	Report func(id string, alive, refused bool)
 	// Call calls an instance's Run method; nil calls it with Client.
 	Call func(ctx context.Context, to member.Instance, request *RunRequest) (*RunResponse, error)
 }
@@ -85,6 +89,9 @@
 	}
 	s.base, s.stop = context.WithCancel(context.Background())
 	s.home = newHome(s)
+	if s.seams.Report == nil {
+		s.seams.Report = func(string, bool, bool) {}
+	}
 	if s.seams.Call == nil {
 		s.seams.Call = func(ctx context.Context, to member.Instance, r *RunRequest) (*RunResponse, error) {
 			return NewHomesProtobufClient(fleet.URL(to.Peer), seams.Client).Run(ctx, r)
@@ -237,7 +244,7 @@
 // did not answer lately as long as there are others.
 func (p *pulling) assign(groups []int) []call {
 	view := p.steps.seams.View()
-	ids := p.steps.responsive(view.IDs())
+	ids := p.steps.responsive(view)
 	byHome := map[string]int{}
 	var calls []call
 	for _, g := range groups {
@@ -283,6 +290,9 @@
 		result.response, result.err = s.seams.Call(callCtx, c.to, r)
 		result.lost = result.err != nil && !c.again && callCtx.Err() == nil && !fleet.Refused(result.err)
 		cancel()
+		if result.err == nil || ctx.Err() == nil {
+			s.seams.Report(c.to.ID, answered(result.err), fleet.Refused(result.err))
+		}
 		if result.err != nil && !result.lost && ctx.Err() == nil {
 			s.avoid(c.to.ID)
 		}
@@ -293,6 +303,12 @@
 	}
 }
 
+// answered reports whether the instance answered, be it that it has no room.
+func answered(err error) bool {
+	var coded twirp.Error
+	return err == nil || (errors.As(err, &coded) && coded.Code() == twirp.ResourceExhausted)
+}
+
 // next returns the calls that follow a call: elsewhere when it failed, with
 // the prompts that the home instance lacks, or again while there is time.
 func (p *pulling) next(r callResult) []call {
@@ -362,9 +378,10 @@
 	s.failed[id] = s.timers.Now()
 }
 
-// responsive returns the ids without those that did not answer lately, or all
-// ids when none is left.
-func (s *Steps) responsive(ids []string) []string {
+// responsive returns the ids without those that did not answer lately or are
+// leaving, or all ids when none is left. A leaving instance would lose the
+// groups that it starts.
+func (s *Steps) responsive(view *member.View) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.timers.Now()
@@ -373,14 +390,15 @@
 			delete(s.failed, id)
 		}
 	}
-	out := make([]string, 0, len(ids))
-	for _, id := range ids {
-		if _, failed := s.failed[id]; !failed {
+	out := make([]string, 0, len(view.IDs()))
+	for _, id := range view.IDs() {
+		_, failed := s.failed[id]
+		if i, _ := view.Instance(id); !failed && i.State == member.StateLive {
 			out = append(out, id)
 		}
 	}
 	if len(out) == 0 {
-		return ids
+		return view.IDs()
 	}
 	return out
 }
