--- a/internal/billing/usage/bench_test.go
+++ b/internal/billing/usage/bench_test.go
@@ -67,7 +67,7 @@
 				settings := setting.Defaults()
 				settings.ID, settings.Zone, settings.Secret = id, id, "0123456789abcdef"
 				meters := meter.NewSet()
-				log, err := usage.New(settings, timers, usage.Seams{View: view, Client: fleet.NewClient(settings), Create: (&store{}).create}, meters, logs.Discard())
+				log, err := usage.New(settings, timers, usage.Seams{View: view, Client: fleet.NewClient(settings, meter.NewSet()), Create: (&store{}).create}, meters, logs.Discard())
 				if err != nil {
 					b.Fatal(err)
 				}
--- a/internal/training/step/bench_test.go
+++ b/internal/training/step/bench_test.go
@@ -28,7 +28,7 @@
 		meters := meter.NewSet()
 		s := New(settings, clock.NewSystem(), Seams{
 			View:   func() *member.View { return member.NewView(list) },
-			Client: fleet.NewClient(settings), Generate: generate,
+			Client: fleet.NewClient(settings, meter.NewSet()), Generate: generate,
 		}, meters, logs.Discard())
 		server := httptest.NewServer(fleet.Guard(settings.Secret, meters, s.Server()))
 		t.Cleanup(server.Close)
