--- a/internal/fleet/order/order.go
+++ b/internal/fleet/order/order.go
@@ -154,10 +154,24 @@
 			now: o.timers.Now(), row: row, need: needs[name], have: have[name], lead: coldStart, partial: partial,
 		}))
 	}
+	models = append(models, unlisted(current, have)...)
 	slices.SortFunc(models, func(a, b capacity.Model) int { return cmp.Compare(a.Model, b.Model) })
 	return models
 }
 
+// unlisted orders what there is of models without a row. An order states the
+// whole zone, so a model that it leaves out would be turned off, and a row may
+// be missing only because the table is new or not yet known.
+func unlisted(current *table.Table, have map[string]present) []capacity.Model {
+	var models []capacity.Model
+	for name, c := range have {
+		if _, ok := current.Model(name); !ok {
+			models = append(models, capacity.Model{Model: name, Standard: c.standard, Cheap: c.cheap})
+		}
+	}
+	return models
+}
+
 // count counts the zone's endpoints, and the cheap ones that left since the
 // last decision although they were ordered.
 func (o *Orders) count() map[string]present {
