--- a/internal/fleet/rollout/rollout_test.go
+++ b/internal/fleet/rollout/rollout_test.go
@@ -7,9 +7,12 @@
 	"fmt"
 	"runtime"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
+
 	"github.com/wigeonpin/wigeonpin/internal/base/clock"
 	"github.com/wigeonpin/wigeonpin/internal/base/logs"
 	"github.com/wigeonpin/wigeonpin/internal/base/setting"
@@ -46,7 +49,7 @@
 	calls    int
 	held     bool
 	missing  bool
-	list     *roster.Snapshot
+	roster   *roster.Roster
 }
 
 func newFixture(engines int) *fixture {
@@ -63,13 +66,13 @@
 		page.Endpoints = append(page.Endpoints, roster.Endpoint{ID: id, Kind: roster.KindEngine, Model: "m", State: roster.StateLive})
 	}
 	r.Merge(page)
-	f.list = r.Endpoints()
+	f.roster = r
 	trainer := json.RawMessage(`{"account":"acme","model":"m"}`)
 	rows := table.Load(1, []table.Row{{Table: table.Trainers, Name: "t", Revision: 1, Value: trainer}})
 	f.rollout = New(setting.Defaults(), timers, Seams{
 		View:      func() *member.View { return member.NewView(nil) },
 		Table:     func() *table.Table { return rows },
-		Endpoints: func() *roster.Snapshot { return f.list },
+		Endpoints: r.Endpoints,
 		Stored: func(context.Context, string, int) error {
 			if f.missing {
 				return errLimited
@@ -258,3 +261,59 @@
 		})
 	}
 }
+
+// Guards against a later version that waits for an earlier one, engines that
+// come back with old weights, and goroutines that stay behind, with Run itself.
+func TestRunFollowsAnnouncements(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	f := newFixture(30)
+	f.loadTime = 0
+	f.engines["e-0003"].failLoads = 1 << 30 // The first roll-out never ends.
+	var version atomic.Int64
+	version.Store(2)
+	seams := f.rollout.seams
+	seams.View = func() *member.View { return member.NewView([]member.Instance{{ID: "a", Zone: "z"}}) }
+	seams.Hold = func(context.Context, string) Lease {
+		return Lease{Held: func() (uint64, bool) { return 7, true }}
+	}
+	seams.Version = func(string) (int, bool) { return int(version.Load()), true }
+	seams.Changed = func() <-chan struct{} { return nil }
+	settings := setting.Defaults()
+	settings.ID, settings.ExchangeMS = "a", 50
+	rollout := New(settings, clock.NewSystem(), seams, logs.Discard())
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { _ = rollout.Run(ctx) })
+	wait := func(version, engines int) {
+		for deadline := time.Now().Add(time.Minute); ; time.Sleep(10 * time.Millisecond) {
+			f.mu.Lock()
+			count, _, _ := f.counts(version)
+			f.mu.Unlock()
+			if count == engines {
+				return
+			}
+			if time.Now().After(deadline) {
+				t.Fatalf("%d engines run version %d, want %d", count, version, engines)
+			}
+		}
+	}
+	f.mu.Lock()
+	f.driver.Advance(time.Second)
+	f.mu.Unlock()
+	wait(2, 29)
+	f.mu.Lock()
+	f.engines["e-0003"].failLoads = 0
+	f.mu.Unlock()
+	version.Store(3)
+	wait(3, 30)
+	if p := rollout.Progress()["t"]; p.Version != 3 || p.Engines != 30 {
+		t.Fatalf("progress %+v, want version 3 of 30 engines", p)
+	}
+	f.mu.Lock()
+	f.engines["e-0005"].status = Status{Active: 1}
+	f.mu.Unlock()
+	f.roster.Learn("e-0005", roster.Load{Version: 1, At: time.Now()})
+	wait(3, 30)
+	cancel()
+	running.Wait()
+}
