--- a/cmd/wigeonpin/main.go
+++ b/cmd/wigeonpin/main.go
@@ -50,6 +50,33 @@
 	run(ctx context.Context) error
 }
 
+// chosen returns the command that was given, or nil.
+func (c *commands) chosen() command {
+	switch {
+	case c.Check != nil:
+		return c.Check
+	case c.Version != nil:
+		return c.Version
+	case c.Account != nil:
+		return c.Account
+	case c.Key != nil:
+		return c.Key
+	case c.Trainer != nil:
+		return c.Trainer
+	case c.Route != nil:
+		return c.Route
+	case c.Model != nil:
+		return c.Model
+	case c.Zone != nil:
+		return c.Zone
+	case c.Row != nil:
+		return c.Row
+	case c.Status != nil:
+		return c.Status
+	}
+	return nil
+}
+
 func main() {
 	var args commands
 	parser, err := arg.NewParser(arg.Config{Program: "wigeonpin"}, &args)
@@ -57,14 +84,19 @@
 		fail(err)
 	}
 	parser.MustParse(os.Args[1:])
-	chosen, ok := parser.Subcommand().(command)
-	if !ok {
+	chosen := args.chosen()
+	if chosen == nil {
 		parser.WriteHelp(os.Stderr)
 		os.Exit(2)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := chosen.run(ctx); err != nil {
+	err = chosen.run(ctx)
+	if errors.Is(err, errSubcommand) {
+		_ = parser.WriteHelpForSubcommand(os.Stderr, parser.SubcommandNames()...)
+		os.Exit(2)
+	}
+	if err != nil {
 		fail(err)
 	}
 }
--- a/internal/control/config/commit.go
+++ b/internal/control/config/commit.go
@@ -316,6 +316,7 @@
 	c.platformAnswered(m.sent, true)
 	c.state.head, c.state.revision = next, o.Revision
 	if c.adopt(next.Sequence, rows) {
+		c.located(o.Revision)
 		c.pushAll("")
 	}
 	c.proven(m.sent)
--- a/internal/control/config/config.go
+++ b/internal/control/config/config.go
@@ -135,6 +135,8 @@
 	revision uint64
 	// store is the store's revision in the latest answer.
 	store uint64
+	// at is the revision of the head with the table's sequence; 0 when unknown.
+	at uint64
 	// behind is set while the platform returns older data than was accepted;
 	// old is the head that it returned.
 	behind      bool
@@ -200,6 +202,36 @@
 // Sequence returns the sequence of the current table.
 func (c *Config) Sequence() uint64 { return c.Table().Sequence() }
 
+// Status is what operators see of the configuration of one instance.
+type Status struct {
+	Sequence uint64 `json:"sequence"`
+	Ready    bool   `json:"ready"`
+	Fresh    bool   `json:"fresh"`
+	// AgeMS is the age of the time up to which the table was complete, -1 when
+	// unknown.
+	AgeMS int64 `json:"age_ms"`
+	// Platform is set when the latest call to the platform was answered. Only
+	// relays call it while all is well.
+	Platform bool `json:"platform"`
+	// Behind is set while the platform returns older data than was accepted.
+	Behind bool `json:"behind"`
+	// Relay is set when this instance is a relay of its zone.
+	Relay bool `json:"relay"`
+}
+
+// Status returns the state for the operator API.
+func (c *Config) Status() Status {
+	fresh, _ := c.Fresh()
+	out := Status{Sequence: c.Sequence(), Ready: c.Ready(), Fresh: fresh, AgeMS: -1, Relay: c.seams.Directory.Relay()}
+	if at := c.Complete(); !at.IsZero() {
+		out.AgeMS = c.timers.Since(at).Milliseconds()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out.Platform, out.Behind = c.state.reached, c.state.behind
+	return out
+}
+
 // Server returns the handler for calls of other instances, to be mounted at
 // FeedPathPrefix.
 func (c *Config) Server() http.Handler { return NewFeedServer(&server{config: c}) }
@@ -253,16 +285,19 @@
 	return true
 }
 
-// reload takes over a whole table of another history than the own one. mu is
-// held.
+// reload takes over a whole table, which may belong to another history than the
+// own one. mu is held.
 func (c *Config) reload(sequence uint64, rows []table.Row) bool {
 	own := c.state.table.Sequence()
 	if sequence <= own {
 		return false
 	}
 	c.log.WithField(logs.Sequence, sequence).WithField("own_sequence", own).
-		Warn("the table belongs to another history and is read as a whole")
-	c.state.lost = append(c.state.lost, c.state.head.Changes...)
+		Info("the table is read as a whole")
+	for _, r := range c.state.recent {
+		id := fmt.Sprintf("merge-%x", hash(r))
+		c.state.lost = append(c.state.lost, change{Sequence: r.Revision, EditID: id, Row: r})
+	}
 	c.state.recent, c.state.last = nil, 0
 	next := table.Load(sequence, rows)
 	if all := next.Rows(); len(all) > 0 && all[len(all)-1].Revision == sequence {
@@ -300,9 +335,17 @@
 	return xxhash.Sum64String(fmt.Sprintf("%s/%s %d %v %v", r.Table, r.Name, r.Revision, r.Deleted, value))
 }
 
+// located records the revision of the head that holds the table's sequence.
+// Polls ask for what changed after it, so that the platform does not send a head
+// whose rows have come from another instance. mu is held.
+func (c *Config) located(revision uint64) {
+	c.state.at = revision
+	c.state.store = max(c.state.store, revision)
+}
+
 // replace publishes a table with a higher sequence. mu is held.
 func (c *Config) replace(next *table.Table) {
-	c.state.table = next
+	c.state.table, c.state.at = next, 0
 	c.state.found = true
 	c.publish()
 	c.log.WithField(logs.Sequence, next.Sequence()).Debug("table advanced")
--- a/internal/control/config/feed.go
+++ b/internal/control/config/feed.go
@@ -60,6 +60,7 @@
 		Instance: c.settings.ID, Zone: c.settings.Zone, Sequence: c.state.table.Sequence(),
 		Ready: c.Ready(), ListAgeUs: -1, NextUs: max(0, c.nextAt.Sub(now).Microseconds()),
 	}
+	out.Revision = c.state.at
 	if out.Ready {
 		own := c.lastAt(in.Sequence)
 		if out.Whole = in.Last != 0 && own != 0 && in.Last != own; out.Whole {
@@ -112,6 +113,7 @@
 	own := c.lastAt(in.After)
 	foreign := in.Last != 0 && own != 0 && in.Last != own
 	if !foreign && in.After <= c.state.table.Sequence() && c.adopt(in.Sequence, tableRows(in.Rows)) {
+		c.located(in.Revision)
 		c.pushAll(in.Instance)
 	}
 	return &FeedAck{Sequence: c.state.table.Sequence()}, nil
@@ -205,6 +207,7 @@
 			take = c.reload
 		}
 		if take(out.Sequence, tableRows(out.Rows)) {
+			c.located(out.Revision)
 			c.pushAll(out.Instance)
 		}
 		c.acknowledged(out.Sequence)
@@ -247,7 +250,7 @@
 			c.mu.Unlock()
 			return
 		}
-		in := &FeedPush{Instance: c.settings.ID, After: after, Sequence: own, Rows: feedRows(c.delta(after)), Last: c.lastAt(after)}
+		in := &FeedPush{Instance: c.settings.ID, After: after, Sequence: own, Rows: feedRows(c.delta(after)), Last: c.lastAt(after), Revision: c.state.at}
 		c.mu.Unlock()
 		ack, err := c.pushOnce(ctx, client, in)
 		c.report(peer.ID, err)
--- a/internal/control/config/head.go
+++ b/internal/control/config/head.go
@@ -33,7 +33,7 @@
 	pageBytes = 512 << 10
 	// fullReadPolls is the number of polls between full reads of the head. They
 	// find a store that went back and has since passed its earlier revision.
-	fullReadPolls = 32
+	fullReadPolls = 128
 )
 
 // head is the value of the object config/head. Changes are those after base,
@@ -188,7 +188,8 @@
 	foreign := c.foreign(h)
 	c.mu.Unlock()
 	rows, whole := h.rowsAfter(m.own)
-	if h.Sequence > m.own && (!whole || foreign) {
+	full := h.Sequence > m.own && (!whole || foreign)
+	if full {
 		snapshot, err := c.readSnapshot(ctx, h.Base)
 		if err != nil {
 			return err
@@ -208,13 +209,14 @@
 		return nil
 	}
 	take := c.adopt
-	if foreign {
+	if full {
 		take = c.reload
 	}
 	if take(h.Sequence, rows) {
 		if s.recent == nil {
 			s.recent = h.rows()
 		}
+		s.at = o.Revision
 		c.pushAll("")
 	}
 	s.behind, s.found = false, true
@@ -326,7 +328,11 @@
 	base, extra, revision := s.head, s.lost, s.revision
 	if s.behind {
 		own := s.table.Sequence()
-		base, revision = head{Sequence: own, Base: own, Changes: tail(s.head.Changes)}, s.oldRevision
+		base, revision = head{Sequence: own, Base: own}, s.oldRevision
+		// A tail with a gap would make edits look as if they had not been accepted.
+		if s.head.Sequence == own {
+			base.Changes = tail(s.head.Changes)
+		}
 		extra = append(slices.Clone(s.lost), s.old.Changes...)
 	}
 	next, merged := mergeHeads(base, s.table, extra)
@@ -363,6 +369,7 @@
 	// the new one.
 	c.state.revision, c.state.store = o.Revision, o.Revision
 	if c.adopt(next.Sequence, merged) {
+		c.state.at = o.Revision
 		c.pushAll("")
 	}
 	c.proven(m.sent)
@@ -485,7 +492,8 @@
 	due := !c.state.triedPlatform || c.state.suspect.After(now) || now.Sub(c.state.direct) > c.bound*2/3
 	c.mu.Unlock()
 	relay := c.seams.Directory.Relay()
-	if !relay && !due {
+	// In an outage all instances ask, those that are no relays half as often.
+	if !relay && (!due || turn%2 == 1) {
 		return
 	}
 	c.poll(ctx, turn%fullReadPolls == 0)
--- a/internal/control/member/directory.go
+++ b/internal/control/member/directory.go
@@ -19,6 +19,9 @@
 const (
 	// probesPerTick bounds the calls to instances that stopped answering.
 	probesPerTick = 4
+	// staleTurns is the number of exchange periods after which an instance that is
+	// no relay asks the platform for the list itself.
+	staleTurns = 5
 	// silencePeriods is the number of exchange periods after which an instance
 	// that does not answer counts as silent (2 s with the default period).
 	silencePeriods = 2
@@ -115,15 +118,22 @@
 	if !at.After(d.roll.At) {
 		return
 	}
-	digest := Digest(list)
-	same := digest == d.roll.Digest
-	if !same {
-		d.roll.Instances = slices.Clone(list)
+	// This instance runs, so a list that loses all of its entries is no list but
+	// a fault of the platform.
+	if len(list) == 0 && len(d.roll.Instances) > 0 {
+		d.log.Warn("the instance list came back empty and is not used")
+		return
 	}
-	d.roll.Digest, d.roll.At = digest, at
-	if !same {
-		d.publish()
+	d.roll.At = at
+	if len(list) > 0 && slices.Equal(list, d.roll.Instances) {
+		return
+	}
+	digest := Digest(list)
+	if digest == d.roll.Digest {
+		return
 	}
+	d.roll.Digest, d.roll.Instances = digest, slices.Clone(list)
+	d.publish()
 }
 
 // Report records the outcome of a call to an instance. Refused means that
@@ -308,15 +318,19 @@
 
 // Step does the work of one exchange period.
 func (d *Directory) Step(ctx context.Context, turn int) {
-	// An instance that the relays do not reach asks for the list itself.
-	stale := d.timers.Since(d.Roll().At) > 5*d.period
+	// An instance that the relays do not reach asks for the list itself, seldom,
+	// since in an outage all instances do.
+	stale := turn%staleTurns == 0 && d.timers.Since(d.Roll().At) > staleTurns*d.period
 	if d.Relay() || stale {
 		d.fetch(ctx)
 	}
 	d.probe(ctx, turn)
 	d.mu.Lock()
-	d.publish()
-	d.mu.Unlock()
+	defer d.mu.Unlock()
+	// Only failing instances change the view by the mere passing of time.
+	if len(d.failing) > 0 {
+		d.publish()
+	}
 }
 
 func (d *Directory) fetch(ctx context.Context) {
--- a/internal/control/member/directory_test.go
+++ b/internal/control/member/directory_test.go
@@ -73,6 +73,10 @@
 	if !live("a3") {
 		t.Error("an older list replaced a later one")
 	}
+	d.Learn(nil, timers.Now().Add(time.Second))
+	if !live("a3") {
+		t.Error("an empty list replaced the fleet")
+	}
 }
 
 // Guards against instances that no path of the control tree reaches, and
