--- /dev/null
+++ b/cmd/loadgen/compare.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonpin/wigeonpin/internal/load/balance"
+)
+
+type compareCommand struct {
+	First  string `arg:"positional,required" help:"folder with the figures of one build or setting, SCENARIO-SEED.json each"`
+	Second string `arg:"positional,required" help:"folder with the figures of the other"`
+}
+
+// pair holds both sides' figures of one scenario and seed.
+type pair struct{ first, second balance.Figures }
+
+func (c *compareCommand) run(context.Context) error {
+	paths, err := filepath.Glob(filepath.Join(c.First, "*-*.json"))
+	if err != nil {
+		return eris.Wrap(err, "compare")
+	}
+	scenarios := map[string][]pair{}
+	var names []string
+	for _, path := range paths {
+		file := filepath.Base(path)
+		other := filepath.Join(c.Second, file)
+		if _, err := os.Stat(other); err != nil {
+			fmt.Fprintf(os.Stderr, "%s has no partner in %s\n", file, c.Second)
+			continue
+		}
+		var p pair
+		if err := readJSON(path, &p.first); err != nil {
+			return err
+		}
+		if err := readJSON(other, &p.second); err != nil {
+			return err
+		}
+		name := file[:strings.LastIndex(file, "-")]
+		if scenarios[name] == nil {
+			names = append(names, name)
+		}
+		scenarios[name] = append(scenarios[name], p)
+	}
+	if len(names) == 0 {
+		return eris.Errorf("%s and %s have no pair of figures in common", c.First, c.Second)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		showPairs(name, scenarios[name])
+	}
+	return nil
+}
+
+// showPairs prints the mean of each figure on both sides and in how many pairs
+// the second side is better or worse.
+func showPairs(name string, pairs []pair) {
+	fmt.Printf("%s, %d pairs\n", name, len(pairs))
+	t := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "figure\tfirst\tsecond\tdifference\tsecond better\tsecond worse\t")
+	for _, d := range balance.Directions() {
+		var first, second float64
+		better, worse := 0, 0
+		for _, p := range pairs {
+			a, b := d.Of(p.first), d.Of(p.second)
+			first, second = first+a/float64(len(pairs)), second+b/float64(len(pairs))
+			switch {
+			case a == b:
+			case (b > a) == d.Higher:
+				better++
+			default:
+				worse++
+			}
+		}
+		fmt.Fprintf(t, "%s\t%.4g\t%.4g\t%+.4g\t%d\t%d\t\n", d.Name, first, second, second-first, better, worse)
+	}
+	_ = t.Flush()
+}
--- a/cmd/loadgen/main.go
+++ b/cmd/loadgen/main.go
@@ -14,6 +14,7 @@
 type arguments struct {
 	Run     *runCommand     `arg:"subcommand:run" help:"send a plan's load and measure the answers"`
 	Summary *summaryCommand `arg:"subcommand:summary" help:"compare what was served with what was reported"`
+	Compare *compareCommand `arg:"subcommand:compare" help:"compare the figures of two builds or settings in pairs"`
 }
 
 type command interface {
--- a/cmd/loadgen/summary.go
+++ b/cmd/loadgen/summary.go
@@ -26,9 +26,11 @@
 	Load     []string `arg:"--load,separate" help:"JSON results of loadgen run"`
 	Trainer  []string `arg:"--trainer,separate" help:"ACCOUNT=FILE with a trainer's JSON summary"`
 	Service  []string `arg:"--service,separate" help:"addresses of service stand-ins, whose runs are checked"`
+	Engine   []string `arg:"--engine,separate" help:"addresses of engine stand-ins, which bound the reported tokens"`
 	Ignore   []string `arg:"--ignore,separate" help:"accounts that are not compared"`
 	WaitMS   int      `arg:"--wait-ms" default:"30000" help:"how long to wait for the reports to be complete"`
 	Changes  int      `arg:"--changes" default:"0" help:"weight changes that each trainer must have made"`
+	Out      string   `arg:"--out" help:"file for the run's figures as JSON; faults then do not fail the command"`
 	Share    float64  `arg:"--share" default:"0.95" help:"smallest share of whole answers"`
 }
 
@@ -38,12 +40,14 @@
 	served := balance.Served{}
 	var faults []string
 	sent, whole := 0, 0
+	var loads []*generator.Result
 	for _, path := range c.Load {
 		var r generator.Result
 		if err := readJSON(path, &r); err != nil {
 			return err
 		}
 		served.AddLoad(&r)
+		loads = append(loads, &r)
 		whole += r.Whole()
 		for name, a := range r.Accounts {
 			sent += a.Sent
@@ -71,6 +75,13 @@
 	if err != nil {
 		return err
 	}
+	generated, err := c.generated(ctx)
+	if err != nil {
+		return err
+	}
+	if len(c.Engine) > 0 && reported.Tokens() > generated {
+		differences = append(differences, fmt.Sprintf("%d tokens reported, only %d generated", reported.Tokens(), generated))
+	}
 	faults = append(faults, differences...)
 	spend, err := fetch[spending](ctx, c.Platform, "/fake/spend")
 	if err != nil {
@@ -80,6 +91,12 @@
 		faults = append(faults, "no endpoint time was paid for")
 	}
 	show(os.Stdout, served, reported, trainers, spend, whole, sent)
+	if c.Out != "" {
+		for _, fault := range faults {
+			fmt.Println("fault:", fault)
+		}
+		return writeJSON(c.Out, balance.Measure(loads, trainers, len(differences), spend.Total, spend.Seconds))
+	}
 	if len(faults) == 0 {
 		fmt.Println("all figures agree")
 		return nil
@@ -177,6 +194,23 @@
 	return out, nil
 }
 
+type engineState struct {
+	Tokens int64 `json:"tokens"`
+}
+
+// generated returns the tokens that all engines have generated.
+func (c *summaryCommand) generated(ctx context.Context) (int64, error) {
+	sum := int64(0)
+	for _, address := range c.Engine {
+		state, err := fetch[engineState](ctx, address, "/fake/state")
+		if err != nil {
+			return 0, err
+		}
+		sum += state.Tokens
+	}
+	return sum, nil
+}
+
 type spending struct {
 	Total   float64            `json:"total"`
 	Class   map[string]float64 `json:"class"`
--- a/internal/load/balance/balance.go
+++ b/internal/load/balance/balance.go
@@ -30,6 +30,9 @@
 	TokensOut int64 `json:"tokens_out"`
 	TokensIn  int64 `json:"tokens_in"`
 	Cost      int64 `json:"cost"`
+	// Trainer marks an account with a trainer. More may be reported for it than
+	// it received: the tokens of attempts that were hedged or made again.
+	Trainer bool `json:"trainer"`
 }
 
 // Served holds the sums that callers saw, by client account.
@@ -50,9 +53,19 @@
 	sum := s[account]
 	sum.Requests += int64(t.Samples)
 	sum.TokensOut += t.Tokens
+	sum.Trainer = true
 	s[account] = sum
 }
 
+// Tokens returns the tokens reported for all accounts.
+func (r Reported) Tokens() int64 {
+	sum := int64(0)
+	for _, a := range r.Accounts {
+		sum += a.TokensOut
+	}
+	return sum
+}
+
 // Reported is what came to the usage intake.
 type Reported struct {
 	Accounts map[string]Sum
@@ -141,10 +154,10 @@
 	slices.Sort(names)
 	for _, name := range names {
 		a, b := served[name], reported.Accounts[name]
-		if a.Requests != b.Requests {
+		if a.Requests != b.Requests && (!a.Trainer || b.Requests < a.Requests) {
 			out = append(out, fmt.Sprintf("account %s: %d requests served, %d reported", name, a.Requests, b.Requests))
 		}
-		if a.TokensOut != b.TokensOut {
+		if a.TokensOut != b.TokensOut && (!a.Trainer || b.TokensOut < a.TokensOut) {
 			out = append(out, fmt.Sprintf("account %s: %d tokens served, %d reported", name, a.TokensOut, b.TokensOut))
 		}
 	}
--- /dev/null
+++ b/internal/load/balance/figures.go
@@ -0,0 +1,96 @@
+package balance
+
+import (
+	"github.com/wigeonpin/wigeonpin/internal/load/generator"
+	"github.com/wigeonpin/wigeonpin/internal/standin/trainer"
+)
+
+// Figures are the measured values of one run, by which two builds or settings
+// are compared.
+type Figures struct {
+	// Whole is the share of requests with a whole answer, Worst that of the
+	// worst-served client account.
+	Whole float64 `json:"whole"`
+	Worst float64 `json:"worst"`
+	// P99MS is the highest p99 latency of an account's whole answers.
+	P99MS float64 `json:"p99_ms"`
+	// RefusalMS is the highest p99 latency of an account's refusals.
+	RefusalMS float64 `json:"refusal_ms"`
+	Wrong     float64 `json:"wrong"`
+	// Idle is the trainers' idle share, Age the mean age of their samples.
+	Idle    float64 `json:"idle"`
+	Age     float64 `json:"age"`
+	Samples float64 `json:"samples"`
+	Faulty  float64 `json:"faulty_samples"`
+	// Price is the endpoint spend per million tokens served.
+	Price float64 `json:"price"`
+	// Cheap is the share of endpoint time on cheap endpoints.
+	Cheap float64 `json:"cheap"`
+	// Unreported is the number of figures in which usage differs from what
+	// was served.
+	Unreported float64 `json:"unreported"`
+}
+
+// Direction says whether a higher figure is better.
+type Direction struct {
+	Name   string
+	Higher bool
+	Of     func(Figures) float64
+}
+
+// Directions lists the figures in the order in which they are shown.
+func Directions() []Direction {
+	return []Direction{
+		{"whole", true, func(f Figures) float64 { return f.Whole }},
+		{"worst", true, func(f Figures) float64 { return f.Worst }},
+		{"p99_ms", false, func(f Figures) float64 { return f.P99MS }},
+		{"refusal_ms", false, func(f Figures) float64 { return f.RefusalMS }},
+		{"wrong", false, func(f Figures) float64 { return f.Wrong }},
+		{"idle", false, func(f Figures) float64 { return f.Idle }},
+		{"age", false, func(f Figures) float64 { return f.Age }},
+		{"samples", true, func(f Figures) float64 { return f.Samples }},
+		{"faulty_samples", false, func(f Figures) float64 { return f.Faulty }},
+		{"price", false, func(f Figures) float64 { return f.Price }},
+		{"cheap", true, func(f Figures) float64 { return f.Cheap }},
+		{"unreported", false, func(f Figures) float64 { return f.Unreported }},
+	}
+}
+
+// Measure returns the figures of a run. Spend is the price of all endpoint
+// time, seconds that time by class.
+func Measure(loads []*generator.Result, trainers []trainer.Summary, differences int, spend float64, seconds map[string]float64) Figures {
+	f := Figures{Worst: 1, Unreported: float64(differences)}
+	sent, whole, tokens := 0, 0, int64(0)
+	for _, r := range loads {
+		for _, c := range r.Accounts {
+			sent, whole, tokens = sent+c.Sent, whole+c.Whole, tokens+int64(c.Tokens)
+			if c.Sent > 0 {
+				f.Worst = min(f.Worst, float64(c.Whole)/float64(c.Sent))
+			}
+			f.P99MS, f.RefusalMS = max(f.P99MS, c.P99MS), max(f.RefusalMS, c.RefusalP99MS)
+		}
+		f.Wrong += float64(r.Faults())
+	}
+	f.Whole = share(float64(whole), float64(sent))
+	for _, t := range trainers {
+		tokens += t.Tokens
+		f.Idle += t.IdleShare / float64(len(trainers))
+		f.Age += t.MeanAge / float64(len(trainers))
+		f.Samples += float64(t.Samples)
+		f.Faulty += float64(t.Faults())
+	}
+	f.Price = share(spend*1e6, float64(tokens))
+	total := 0.0
+	for _, s := range seconds {
+		total += s
+	}
+	f.Cheap = share(seconds["cheap"], total)
+	return f
+}
+
+func share(part, whole float64) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return part / whole
+}
