--- a/internal/standin/contract/contract_test.go
+++ b/internal/standin/contract/contract_test.go
@@ -113,6 +113,9 @@
 		})
 		go p.Run(w.ctx)
 		o.Handler = p.Handler()
+		if shown, ok := options["view"]; ok {
+			o.Handler = p.View(platform.View{Addresses: map[string]string{w.addresses[shown]: "192.0.2.1:1", "192.0.2.2:2": "192.0.2.3:3"}})
+		}
 	case "engine":
 		e := w.engine(options, number, ms, &o)
 		defer func() {
--- a/internal/standin/platform/instances.go
+++ b/internal/standin/platform/instances.go
@@ -158,8 +158,13 @@
 	return instanceList{list}
 }
 
-func (p *Platform) listInstances(w http.ResponseWriter, _ *http.Request) {
-	codec.Write(w, http.StatusOK, p.instances.list())
+func (p *Platform) listInstances(w http.ResponseWriter, r *http.Request) {
+	found := p.instances.list()
+	found.Instances = slices.Clone(found.Instances)
+	for i := range found.Instances {
+		found.Instances[i].Peer = seen(r, found.Instances[i].Peer)
+	}
+	codec.Write(w, http.StatusOK, found)
 }
 
 func (p *Platform) registerInstance(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/platform/orders.go
+++ b/internal/standin/platform/orders.go
@@ -46,6 +46,9 @@
 	defer timer.Stop()
 	for {
 		found, changed := p.pool.list(after)
+		for i := range found.Endpoints {
+			found.Endpoints[i].Address = seen(r, found.Endpoints[i].Address)
+		}
 		if len(found.Endpoints) > 0 || wait <= 0 {
 			codec.Write(w, http.StatusOK, found)
 			return
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -7,6 +7,9 @@
 //	go p.Run(ctx) // probes instances and carries out orders
 //	http.Serve(listener, p.Handler())
 //
+// p.View serves the same platform to one availability zone with the addresses
+// of relays, so that zones can be cut from each other.
+//
 // Switches under /fake/, each with a JSON body: outage, slow, lose, rollback,
 // limit, reclaim and fence. GET /fake/orders, /fake/usage, /fake/spend and
 // /fake/calls show what came in.
