--- a/internal/standin/cut/cut.go
+++ b/internal/standin/cut/cut.go
@@ -88,7 +88,7 @@
 type cutBody struct {
 	On       bool     `json:"on"`
 	MS       int64    `json:"ms"`
-	DelayMS  int64    `json:"delay_ms"`
+	DelayMS  float64  `json:"delay_ms"`
 	Existing bool     `json:"existing"`
 	Pairs    []string `json:"pairs"`
 }
@@ -117,7 +117,7 @@
 		defer l.mu.Unlock()
 		l.delay = 0
 		if b.On {
-			l.delay = time.Duration(b.DelayMS) * time.Millisecond
+			l.delay = time.Duration(b.DelayMS * float64(time.Millisecond))
 		}
 	})
 	return router
