--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -63,6 +63,7 @@
 	crash    crashBody
 	slowness float64
 	slowTill time.Time
+	status   int
 
 	crossed host.Count
 }
@@ -71,7 +72,7 @@
 func New(options Options) *Service {
 	return &Service{
 		options: options, slots: make(chan struct{}, max(options.Slots, 1)),
-		runs: map[string]int{}, paths: map[string]int{}, powered: true, slowness: 1,
+		runs: map[string]int{}, paths: map[string]int{}, powered: true, slowness: 1, status: http.StatusOK,
 	}
 }
 
@@ -89,6 +90,11 @@
 	MS     int64   `json:"ms"`
 }
 
+type statusBody struct {
+	// Status is the status of all answers from now on.
+	Status int `json:"status"`
+}
+
 type powerBody struct {
 	On     bool  `json:"on"`
 	ColdMS int64 `json:"cold_ms"`
@@ -107,6 +113,9 @@
 	r.HandleFunc("/fake/power", func(w http.ResponseWriter, r *http.Request) {
 		host.Switch(w, r, powerBody{On: true}, s.setPower)
 	}).Methods(http.MethodPost)
+	r.HandleFunc("/fake/status", func(w http.ResponseWriter, r *http.Request) {
+		host.Switch(w, r, statusBody{http.StatusInternalServerError}, s.setStatus)
+	}).Methods(http.MethodPost)
 	r.HandleFunc("/fake/crossed", func(w http.ResponseWriter, r *http.Request) {
 		host.Switch(w, r, host.CountBody{Count: 1}, func(b host.CountBody) (any, error) { s.crossed.Set(b.Count); return b, nil })
 	}).Methods(http.MethodPost)
@@ -156,6 +165,16 @@
 	return b, nil
 }
 
+func (s *Service) setStatus(b statusBody) (any, error) {
+	if b.Status < 200 || b.Status > 599 {
+		return nil, code.New(code.OutOfRange, "field \"status\" has value %d, must be from 200 to 599", b.Status)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.status = b.Status
+	return b, nil
+}
+
 // crashAt crashes the call if it was asked to at this point.
 func (s *Service) crashAt(r *http.Request, point string) {
 	s.mu.Lock()
@@ -206,6 +225,7 @@
 	s.mu.Lock()
 	s.runs[id]++
 	s.paths[r.URL.Path]++
+	status := s.status
 	s.mu.Unlock()
 	time.Sleep(s.work(r))
 	<-s.slots
@@ -222,7 +242,7 @@
 	if s.armed(midResponse) {
 		s.breakOff(w, r)
 	}
-	codec.Write(w, http.StatusOK, answer)
+	codec.Write(w, status, answer)
 }
 
 func (s *Service) armed(point string) bool {
