--- a/internal/load/balance/balance_test.go
+++ b/internal/load/balance/balance_test.go
@@ -49,3 +49,24 @@
 		return fmt.Sprintln(reported.Windows, "windows") + strings.Join(append(Compare(served, reported), ""), "\n")
 	})
 }
+
+// Guards against figures that hide the worst-served account behind the others,
+// or that count endpoint time without work as free.
+func TestMeasure(t *testing.T) {
+	var r generator.Result
+	if err := json.Unmarshal([]byte(`{"accounts":{
+		"large":{"sent":90,"whole":90,"tokens":900,"p99_ms":10},
+		"small":{"sent":10,"whole":5,"tokens":50,"p99_ms":80,"refusal_p99_ms":2,"wrong":{"damaged":1}},
+		"absent":{}}}`), &r); err != nil {
+		t.Fatal(err)
+	}
+	trainers := []trainer.Summary{{IdleShare: 0.5, MeanAge: 1, Samples: 4, Tokens: 50, Twice: 1}, {IdleShare: 0.1}}
+	f := Measure([]*generator.Result{&r}, trainers, 3, 0.002, map[string]float64{"cheap": 25, "standard": 75})
+	want := Figures{
+		Whole: 0.95, Worst: 0.5, P99MS: 80, RefusalMS: 2, Wrong: 1, Idle: 0.3, Age: 0.5, Samples: 4, Faulty: 1,
+		Price: 2, Cheap: 0.25, Unreported: 3,
+	}
+	if fmt.Sprintf("%.6v", f) != fmt.Sprintf("%.6v", want) {
+		t.Fatalf("got %+v, want %+v", f, want)
+	}
+}
