--- a/cmd/loadgen/summary.go
+++ b/cmd/loadgen/summary.go
@@ -66,7 +66,7 @@
 	for _, t := range trainers {
 		faults = append(faults, c.judge(t)...)
 	}
-	twice, err := c.ranTwice(ctx)
+	twice, err := c.wrongRuns(ctx, loads)
 	if err != nil {
 		return err
 	}
@@ -172,9 +172,10 @@
 	Paths map[string]int `json:"paths"`
 }
 
-// ranTwice returns a sentence for each non-repeatable call that ran more than
-// once on all services together.
-func (c *summaryCommand) ranTwice(ctx context.Context) ([]string, error) {
+// wrongRuns returns a sentence for each non-repeatable call that ran more than
+// once on all services together, and for each call that ran although the answer
+// said that it did not.
+func (c *summaryCommand) wrongRuns(ctx context.Context, loads []*generator.Result) ([]string, error) {
 	all := map[string]int{}
 	for _, address := range c.Service {
 		found, err := fetch[runs](ctx, address, "/fake/runs")
@@ -186,6 +187,13 @@
 		}
 	}
 	var out []string
+	for _, r := range loads {
+		for _, path := range r.NotRun {
+			if all[path] > 0 {
+				out = append(out, fmt.Sprintf("call %s ran and was refused as not run", path))
+			}
+		}
+	}
 	for path, n := range all {
 		if n > 1 && strings.HasPrefix(path, generator.OncePath) {
 			out = append(out, fmt.Sprintf("call %s ran %d times", path, n))
--- a/internal/load/generator/result.go
+++ b/internal/load/generator/result.go
@@ -28,6 +28,8 @@
 	Accounts map[string]*Counts `json:"accounts"`
 	// Timeline holds the outcome by the second of the intended start.
 	Timeline []Second `json:"timeline"`
+	// NotRun holds the paths of calls that were refused as not run.
+	NotRun []string `json:"not_run"`
 
 	mu    sync.Mutex
 	names []string
@@ -112,6 +114,9 @@
 		record(c.first, o.first)
 		return
 	case refused:
+		if o.notRun != "" {
+			r.NotRun = append(r.NotRun, o.notRun)
+		}
 		c.Refused[o.code]++
 		second.Refused++
 		record(c.refusal, o.took)
--- a/internal/load/generator/send.go
+++ b/internal/load/generator/send.go
@@ -36,6 +36,9 @@
 	took   time.Duration
 	run    string
 	retry  time.Duration
+	// notRun is the path of a call of which every answer said that it did not
+	// run.
+	notRun string
 }
 
 const answerLimit = 64 << 20
@@ -50,8 +53,13 @@
 // send sends a request, and sends an idempotent call again with the same id
 // while its outcome is not known.
 func (g *generator) send(ctx context.Context, j job) outcome {
+	notRun := true
 	for n := 0; ; n++ {
 		out := g.sendOnce(ctx, j)
+		notRun = notRun && out.run == "not_run"
+		if notRun && j.account.Kind == KindCall {
+			out.notRun = callPath(j)
+		}
 		if n >= j.account.Resend || (out.kind != refused && out.kind != broken) || out.run == "ran" {
 			return out
 		}
@@ -95,11 +103,7 @@
 	a := j.account
 	url, body := fmt.Sprintf("http://%s/v1/generate", g.address()), []byte(nil)
 	if a.Kind == KindCall {
-		path := RepeatablePath
-		if a.Idempotent {
-			path = OncePath
-		}
-		url = fmt.Sprintf("http://%s/s/%s%s%s?work_ms=%d", g.address(), a.Route, path, j.id, a.WorkMS)
+		url = fmt.Sprintf("http://%s/s/%s%s?work_ms=%d", g.address(), a.Route, callPath(j), a.WorkMS)
 		body = []byte(j.prompt)
 	} else {
 		var err error
@@ -124,6 +128,13 @@
 	return req, nil
 }
 
+func callPath(j job) string {
+	if j.account.Idempotent {
+		return OncePath + j.id
+	}
+	return RepeatablePath + j.id
+}
+
 // errorKind names a failure of the connection.
 func errorKind(ctx context.Context, err error) string {
 	if ctx.Err() != nil {
