Test overdue records and the stopping of running groups

Seen to fail without the overdue rule, without the watch of the trainer's permission, without the watch of the deadline, and when dropping a group does not cancel it.

--- a/internal/training/step/step_test.go
+++ b/internal/training/step/step_test.go
@@ -376,3 +376,43 @@
 		}
 	}
 }
+
+// Guards against streams that go on after the trainer may no longer generate,
+// after the step's deadline, or two versions later.
+func TestRunningGroupsStop(t *testing.T) {
+	for _, reason := range []string{"revoked", "deadline", "version"} {
+		t.Run(reason, func(t *testing.T) {
+			w := newWorld(t, 1)
+			s := w.nodes["i-0"]
+			var revoked atomic.Bool
+			s.seams.Allowed = func(string) error {
+				if revoked.Load() {
+					return code.New(code.KeyForbidden, "the trainer was removed")
+				}
+				return nil
+			}
+			started, stopped := make(chan struct{}, 1), make(chan struct{}, 1)
+			w.gen.chunk = func(ctx context.Context, _ Job, _ int, c Chunk) (Chunk, error) {
+				started <- struct{}{}
+				<-ctx.Done()
+				stopped <- struct{}{}
+				return c, ctx.Err()
+			}
+			p := pullOf(1, 1, 1)
+			p.WaitMS = 0
+			if reason == "deadline" {
+				p.DeadlineMS = 1000
+			}
+			if _, err := s.Pull(t.Context(), testTrainer, p); err != nil {
+				t.Fatal(err)
+			}
+			<-started
+			revoked.Store(reason == "revoked")
+			if reason == "version" {
+				s.Observe("t", 3)
+				s.home.sweep()
+			}
+			<-stopped
+		})
+	}
+}
