Test the zone of second copies, early age checks and the hedge limit

Seen to fail without the preference for other zones, without the age check of running streams and without the limit of hedged attempts.

--- a/internal/billing/usage/bench_test.go
+++ b/internal/billing/usage/bench_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 	"net"
-	"net/http"
-	"net/http/httptest"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -15,12 +13,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/wigeonpin/wigeonpin/internal/base/clock"
-	"github.com/wigeonpin/wigeonpin/internal/base/logs"
-	"github.com/wigeonpin/wigeonpin/internal/base/meter"
-	"github.com/wigeonpin/wigeonpin/internal/base/setting"
 	"github.com/wigeonpin/wigeonpin/internal/billing/usage"
-	"github.com/wigeonpin/wigeonpin/internal/control/member"
-	"github.com/wigeonpin/wigeonpin/internal/peer/fleet"
 )
 
 // countingListener counts the bytes of all accepted connections.
@@ -62,25 +55,10 @@
 func BenchmarkSecondCopy(b *testing.B) {
 	for _, rate := range []int{10, 100, 1000, 5000, 20000} {
 		b.Run(fmt.Sprintf("records/s=%d", rate), func(b *testing.B) {
-			timers := clock.NewSystem()
-			start := func(id string, view func() *member.View) (*usage.Log, setting.Settings, *meter.Set) {
-				settings := setting.Defaults()
-				settings.ID, settings.Zone, settings.Secret = id, id, "0123456789abcdef"
-				meters := meter.NewSet()
-				log, err := usage.New(settings, timers, usage.Seams{View: view, Client: fleet.NewClient(settings), Create: (&store{}).create}, meters, logs.Discard())
-				if err != nil {
-					b.Fatal(err)
-				}
-				return log, settings, meters
-			}
 			var bytes atomic.Int64
-			holder, settings, meters := start("i-1", func() *member.View { return member.NewView(nil) })
-			server := httptest.NewUnstartedServer(fleet.Guard(settings.Secret, meters, http.Handler(holder.Server())))
-			server.Listener = countingListener{server.Listener, &bytes}
-			server.Start()
-			defer server.Close()
-			view := member.NewView([]member.Instance{{ID: "i-1", Zone: "i-1", State: member.StateLive, Peer: server.Listener.Addr().String()}})
-			log, _, meters := start("i-0", func() *member.View { return view })
+			log, meters, _ := networked(b, clock.NewSystem(), func(l net.Listener) net.Listener {
+				return countingListener{l, &bytes}
+			})
 			ctx, cancel := context.WithCancel(b.Context())
 			go func() { _ = log.Run(ctx) }()
 			var mu sync.Mutex
--- a/internal/billing/usage/usage_test.go
+++ b/internal/billing/usage/usage_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -157,29 +158,63 @@
 	w.check(t, w.sealed(t))
 }
 
-// Guards against a response that waits longer than the copy time when no
-// second holder answers, and against calls that do not reach a second holder
-// over the network.
-func TestAppendOverTheNetwork(t *testing.T) {
-	timers, driver := clock.NewDriven(time.Unix(1_700_000_000, 0))
-	start := func(id, zone string, view func() *member.View) (*usage.Log, *meter.Set, *httptest.Server) {
+// Guards against second copies in the owner's own availability zone while
+// there are instances in others.
+func TestSecondCopyIsInAnotherZone(t *testing.T) {
+	w := newWorld(t, 10)
+	for _, id := range w.ids {
+		w.append(id)
+		w.nodes[id].CommitForTest(t.Context())
+	}
+	w.driver.Advance(10 * time.Second)
+	for _, id := range w.ids {
+		w.nodes[id].SealForTest(t.Context())
+	}
+	segments := w.store.segments(t)
+	for _, s := range segments {
+		if w.zone(s.Instance) == w.zone(s.Sealer) {
+			t.Errorf("the records of %s were held by %s in the same zone", s.Instance, s.Sealer)
+		}
+	}
+	if len(segments) != len(w.ids) {
+		t.Errorf("%d segments, want %d", len(segments), len(w.ids))
+	}
+}
+
+// networked starts an instance whose only peer is a holder in another zone,
+// which it reaches over loopback.
+func networked(t testing.TB, timers *clock.Service, listen func(net.Listener) net.Listener) (*usage.Log, *meter.Set, *httptest.Server) {
+	start := func(id string, view *member.View) (*usage.Log, *meter.Set) {
 		settings := setting.Defaults()
-		settings.ID, settings.Zone, settings.Secret = id, zone, "0123456789abcdef"
+		settings.ID, settings.Zone, settings.Secret = id, id, secret
 		meters := meter.NewSet()
-		log, err := usage.New(settings, timers, usage.Seams{View: view, Client: fleet.NewClient(settings), Create: (&store{}).create}, meters, logs.Discard())
+		log, err := usage.New(settings, timers, usage.Seams{
+			View: func() *member.View { return view }, Client: fleet.NewClient(settings), Create: (&store{}).create,
+		}, meters, logs.Discard())
 		if err != nil {
 			t.Fatal(err)
 		}
-		server := httptest.NewServer(fleet.Guard(settings.Secret, meters, log.Server()))
-		t.Cleanup(server.Close)
-		return log, meters, server
+		return log, meters
 	}
-	_, _, holder := start("i-1", "b", func() *member.View { return member.NewView(nil) })
-	view := member.NewView([]member.Instance{
-		{ID: "i-0", Zone: "a", State: member.StateLive},
-		{ID: "i-1", Zone: "b", State: member.StateLive, Peer: holder.Listener.Addr().String()},
-	})
-	log, meters, _ := start("i-0", "a", func() *member.View { return view })
+	holder, meters := start("i-1", member.NewView(nil))
+	server := httptest.NewUnstartedServer(fleet.Guard(secret, meters, holder.Server()))
+	server.Listener = listen(server.Listener)
+	server.Start()
+	t.Cleanup(server.Close)
+	log, meters := start("i-0", member.NewView([]member.Instance{
+		{ID: "i-1", Zone: "i-1", State: member.StateLive, Peer: server.Listener.Addr().String()},
+	}))
+	return log, meters, server
+}
+
+const secret = "0123456789abcdef"
+
+// Guards against a response that waits longer than the copy time when no
+// second holder answers, and against calls that do not reach a second holder
+// over the network.
+func TestAppendOverTheNetwork(t *testing.T) {
+	timers, driver := clock.NewDriven(time.Unix(1_700_000_000, 0))
+	log, meters, holder := networked(t, timers, func(l net.Listener) net.Listener { return l })
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error)
 	go func() { done <- log.Run(ctx) }()
--- a/internal/training/step/step_test.go
+++ b/internal/training/step/step_test.go
@@ -83,9 +83,10 @@
 
 // Guards against samples above the age bound, at each of the three checks: the
 // trainer moves from version 1 to 3 while a job waits, while other samples of
-// the group are scored, and between the end of the group and its delivery.
+// the group are scored, and between the end of the group and its delivery. A
+// stream whose beginning is too old must not go on.
 func TestAgeBound(t *testing.T) {
-	for _, point := range []string{"admission", "completion", "delivery"} {
+	for _, point := range []string{"admission", "stream", "completion", "delivery"} {
 		t.Run(point, func(t *testing.T) {
 			w := newWorld(t, 1)
 			steps := w.nodes["i-0"]
@@ -102,6 +103,16 @@
 						move()
 					}
 				}
+			case "stream":
+				p = pullOf(1, 1, 1)
+				w.gen.chunk = func(_ context.Context, j Job, n int, c Chunk) (Chunk, error) {
+					if firstTry(j) && n == 1 {
+						move()
+					} else if firstTry(j) && n == 2 {
+						t.Errorf("%s goes on", j.Request)
+					}
+					return c, nil
+				}
 			case "completion":
 				w.score = func(samples []scorer.Sample) ([]float64, error) {
 					if !once.Swap(true) {
@@ -246,6 +257,9 @@
 					}
 				}
 			}
+			if hedges > 3 {
+				t.Errorf("%d of 4 samples are hedged at a time", hedges)
+			}
 			if hedges == 0 || len(w.gen.jobs) != 4+hedges {
 				t.Errorf("%d attempts, %d of them hedged", len(w.gen.jobs), hedges)
 			}
