Try copies again within the copy time; start no group after Close

The retry was seen to be needed: without it a record keeps a single copy until the next confirmation.

--- a/internal/billing/usage/copy.go
+++ b/internal/billing/usage/copy.go
@@ -34,8 +34,9 @@
 }
 
 // commit brings the second copy up to date: at the current holder, otherwise at
-// another instance, otherwise in the data folder.
-func (l *Log) commit(ctx context.Context) {
+// another instance, otherwise in the data folder. It reports whether one of
+// them has everything.
+func (l *Log) commit(ctx context.Context) bool {
 	for range attemptLimit {
 		target, ok := l.choose()
 		if !ok {
@@ -43,7 +44,7 @@
 		}
 		err := l.copyTo(ctx, target)
 		if err == nil {
-			return
+			return true
 		}
 		l.log.WithField(logs.Peer, target.ID).WithField(logs.Cause, err.Error()).Debug("usage copy failed")
 		l.mu.Lock()
@@ -52,8 +53,11 @@
 		l.mu.Unlock()
 	}
 	if l.folder != nil {
-		l.commitToFolder()
+		return l.commitToFolder()
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.chain.entries) == 0
 }
 
 // choose returns the instance that takes the copies: one that did not fail
@@ -163,18 +167,19 @@
 	return through+1 >= request.From+uint64(len(request.Entries)) && len(request.Entries) < entriesPerCall
 }
 
-func (l *Log) commitToFolder() {
+func (l *Log) commitToFolder() bool {
 	l.mu.Lock()
 	c := l.chain
 	l.mu.Unlock()
 	through, err := l.folder.append(c)
 	if err != nil {
 		l.log.WithField(logs.Cause, err.Error()).Error("usage records could not be written to the data folder")
-		return
+		return false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.acknowledge(through)
+	return true
 }
 
 func wire(e entry) *Entry {
--- a/internal/billing/usage/log.go
+++ b/internal/billing/usage/log.go
@@ -22,6 +22,9 @@
 	// commitInterval is the shortest time between two copies. A record that
 	// comes after an idle time is copied at once.
 	commitInterval = 5 * time.Millisecond
+	// retryInterval is the pause after no second holder took a copy. Several
+	// attempts fit into the copy time, in which a response waits.
+	retryInterval = 50 * time.Millisecond
 	// confirmInterval is how often a holder of unsealed records is asked
 	// whether it still has them; it bounds the time with a single copy after
 	// the holder has restarted.
@@ -146,11 +149,15 @@
 	l.chain.entries = append(l.chain.entries, entry{l.window, record})
 	w := waiter{l.chain.through(), make(chan struct{})}
 	l.waiters = append(l.waiters, w)
+	l.wakeUp()
+	return w.index, w.done
+}
+
+func (l *Log) wakeUp() {
 	select {
 	case l.wake <- struct{}{}:
 	default:
 	}
-	return w.index, w.done
 }
 
 func (l *Log) currentWindow() int64 { return l.timers.Now().UnixMilli() / l.settings.WindowMS }
@@ -186,8 +193,12 @@
 		case <-confirm.C:
 		}
 		start := l.timers.Now()
-		l.commit(ctx)
-		if l.timers.Sleep(ctx, commitInterval-l.timers.Since(start)) != nil {
+		pause := commitInterval - l.timers.Since(start)
+		if !l.commit(ctx) {
+			pause = retryInterval
+			l.wakeUp()
+		}
+		if l.timers.Sleep(ctx, pause) != nil {
 			return
 		}
 	}
@@ -239,10 +250,7 @@
 			l.folder.clear(base)
 		}
 		// The copy loop tells the holder, which then drops what is sealed.
-		select {
-		case l.wake <- struct{}{}:
-		default:
-		}
+		l.wakeUp()
 	}
 	return err
 }
--- a/internal/billing/usage/usage_test.go
+++ b/internal/billing/usage/usage_test.go
@@ -240,3 +240,42 @@
 		}
 	}
 }
+
+// Guards against a response with a single copy although a holder is back
+// within the copy time.
+func TestAppendTriesAgainWithinTheCopyTime(t *testing.T) {
+	w := newWorld(t, 2)
+	settings := setting.Defaults()
+	// Shorter than the interval of confirmations, which copy as well.
+	settings.ID, settings.CopyMS = "i-9", 900
+	meters, tries := meter.NewSet(), 0
+	log, err := usage.New(settings, w.timers, usage.Seams{
+		View: w.view, Create: w.store.create,
+		Hold: func(_ context.Context, _ member.Instance, r *usage.HoldRequest) (*usage.HoldResponse, error) {
+			if tries++; tries <= 4 {
+				return nil, errCut
+			}
+			return &usage.HoldResponse{Through: r.From + uint64(len(r.Entries)) - 1}, nil
+		},
+	}, meters, logs.Discard())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended, done := make(chan struct{}), make(chan error, 1)
+	go func() { _ = log.Run(ctx); close(ended) }()
+	go func() { done <- log.Append(ctx, usage.Record{Account: "acme"}) }()
+	for {
+		select {
+		case <-done:
+			cancel()
+			<-ended
+			if n := meters.Counter("usage_single_copy").Value(""); n != 0 {
+				t.Errorf("the record has a single copy after %d tries", tries)
+			}
+			return
+		case <-time.After(time.Millisecond):
+			w.driver.Advance(time.Millisecond)
+		}
+	}
+}
--- a/internal/training/step/group.go
+++ b/internal/training/step/group.go
@@ -60,6 +60,9 @@
 
 // start runs the group in the background. The caller holds mu.
 func (h *home) start(g *group) {
+	if h.steps.base.Err() != nil {
+		return
+	}
 	ctx, cancel := context.WithCancel(h.steps.base)
 	g.running, g.cancel = true, cancel
 	r := &run{home: h, group: g, samples: make([]*Sample, len(g.samples)), attempts: map[*attempt]struct{}{}}
--- a/internal/training/step/steps.go
+++ b/internal/training/step/steps.go
@@ -118,9 +118,11 @@
 	}
 }
 
-// Close stops all groups and waits for them.
+// Close stops all groups and waits for them. None is started afterwards.
 func (s *Steps) Close() {
+	s.home.mu.Lock()
 	s.stop()
+	s.home.mu.Unlock()
 	s.runs.Wait()
 }
 
