Add the plain policy as a baseline and connect the serve command again

The plain policy takes endpoints in turn, has one queue, no grants, no hedged attempts and no orders.

--- a/cmd/wigeonpin/main.go
+++ b/cmd/wigeonpin/main.go
@@ -54,6 +54,8 @@
 // chosen returns the command that was given, or nil.
 func (c *commands) chosen() command {
 	switch {
+	case c.Serve != nil:
+		return c.Serve
 	case c.Check != nil:
 		return c.Check
 	case c.Version != nil:
--- a/internal/base/setting/setting.go
+++ b/internal/base/setting/setting.go
@@ -41,6 +41,8 @@
 	// Data is the data folder; empty on instances without a disk.
 	Data string `json:"data"`
 	Log  string `json:"log" validate:"oneof=debug info warning error"`
+	// Policy is "fair", or "plain" for a baseline to measure against.
+	Policy string `json:"policy" validate:"oneof=fair plain"`
 
 	FreshnessMS    int64 `json:"freshness_ms" validate:"min=500,max=60000"`
 	ExchangeMS     int64 `json:"exchange_ms" validate:"min=50,max=10000"`
@@ -67,10 +69,16 @@
 	SuspectCrashes int   `json:"suspect_crashes" validate:"min=1,max=10"`
 }
 
+// The policies.
+const (
+	PolicyFair  = "fair"
+	PolicyPlain = "plain"
+)
+
 // Defaults returns settings with every default filled in.
 func Defaults() Settings {
 	return Settings{
-		Log:         "info",
+		Log: "info", Policy: PolicyFair,
 		FreshnessMS: 3000, ExchangeMS: 1000, ListLagMS: 5000, ShareMS: 1500,
 		ResendMS: 60_000, LeaseMS: 5000, LeaseDrainMS: 2000, WindowMS: 60_000, CopyMS: 200,
 		SilenceMS: 3000, IdleMS: 20_000, DrainDelayMS: 2000, DrainLimitMS: 600_000,
--- a/internal/control/serve/build.go
+++ b/internal/control/serve/build.go
@@ -137,12 +137,9 @@
 }
 
 func (i *instance) buildTraffic() {
-	i.queue = queue.New(i.timers, i.meters, queue.Seams{Running: i.pool.Running, Changed: i.pool.Changed})
-	i.dispatcher = dispatch.New(i.settings, i.timers, i.meters, i.log, i.engines, i.services, dispatch.Seams{
-		Endpoints: i.endpoints, Load: i.load, Failed: i.roster.Failed, Free: i.free, Take: i.take, Wait: i.queue.Wait,
-		Table: i.config.Table, Admit: i.suspects.Admit, Suspect: i.suspects.Suspect, Enter: i.suspects.Enter, Crashed: i.suspects.Crashed,
-		Completed: i.suspects.Completed, Record: i.record,
-	})
+	seams, queues := i.seams()
+	i.queue = queue.New(i.timers, i.meters, queues)
+	i.dispatcher = dispatch.New(i.settings, i.timers, i.meters, i.log, i.engines, i.services, seams)
 	i.once = once.New(i.settings, i.timers, i.meters, once.Seams{
 		View: i.directory.Listed, Peer: i.oncePeer, Refused: fleet.Refused, Report: i.directory.Report, Current: i.fresh,
 	})
@@ -159,6 +156,26 @@
 	})
 }
 
+// seams returns what dispatch and queue need under the policy of the settings.
+func (i *instance) seams() (dispatch.Seams, queue.Seams) {
+	seams := dispatch.Seams{
+		Endpoints: i.endpoints, Load: i.load, Failed: i.roster.Failed, Free: i.free, Take: i.take, Wait: i.wait,
+		Table: i.config.Table, Admit: i.suspects.Admit, Suspect: i.suspects.Suspect, Enter: i.suspects.Enter, Crashed: i.suspects.Crashed,
+		Completed: i.suspects.Completed, Record: i.record,
+	}
+	queues := queue.Seams{Running: i.pool.Running, Changed: i.pool.Changed}
+	if i.settings.Policy == setting.PolicyPlain {
+		p := newPlain(i)
+		seams.Endpoints, seams.Free, seams.Take, seams.Wait = p.endpoints, p.free, p.take, p.wait
+		queues = queue.Seams{Running: func(string) int64 { return 0 }, Changed: p.changes}
+	}
+	return seams, queues
+}
+
+func (i *instance) wait(ctx context.Context, item queue.Item) (*queue.Turn, error) {
+	return i.queue.Wait(ctx, item)
+}
+
 func (i *instance) buildBilling() error {
 	var err error
 	i.usage, err = usage.New(i.settings, i.timers, usage.Seams{
--- a/internal/control/serve/fleet.go
+++ b/internal/control/serve/fleet.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wigeonpin/wigeonpin/internal/base/code"
+	"github.com/wigeonpin/wigeonpin/internal/base/setting"
 	"github.com/wigeonpin/wigeonpin/internal/control/lease"
 	"github.com/wigeonpin/wigeonpin/internal/control/member"
 	"github.com/wigeonpin/wigeonpin/internal/control/roster"
@@ -127,9 +128,10 @@
 	return ok && row.Kind == roster.KindService && !row.Cheap
 }
 
-// runOrders orders endpoints unless the settings name no capacity interface.
+// runOrders orders endpoints unless the settings name no capacity interface or
+// the plain policy.
 func (i *instance) runOrders(ctx context.Context) error {
-	if i.settings.Capacity == "" {
+	if i.settings.Capacity == "" || i.settings.Policy == setting.PolicyPlain {
 		return nil
 	}
 	return i.orders.Run(ctx)
--- /dev/null
+++ b/internal/control/serve/plain.go
@@ -0,0 +1,82 @@
+package serve
+
+import (
+	"context"
+	"sync"
+
+	"github.com/wigeonpin/wigeonpin/internal/control/roster"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/dispatch"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/queue"
+)
+
+// plain holds the state of the plain policy, which measurements compare with:
+// endpoints in turn, one queue for all client accounts, each instance filling
+// each endpoint up to its limit on its own, no hedged attempts and all endpoints
+// always on. The guarantees about keys, samples, calls and usage hold under it
+// as well.
+type plain struct {
+	instance *instance
+	mu       sync.Mutex
+	next     map[string]int
+	running  map[string]int
+	changed  chan struct{}
+}
+
+func newPlain(i *instance) *plain {
+	return &plain{instance: i, next: map[string]int{}, running: map[string]int{}, changed: make(chan struct{})}
+}
+
+// endpoints returns the one endpoint of the model whose turn it is.
+func (p *plain) endpoints(model string) []roster.Endpoint {
+	all := p.instance.endpoints(model)
+	if len(all) == 0 {
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.next[model]++
+	return all[p.next[model]%len(all):][:1]
+}
+
+func (p *plain) limit(id string) int {
+	e, _ := p.instance.roster.Endpoints().Get(id)
+	return p.instance.slots(e.Model)
+}
+
+func (p *plain) free(id string) int {
+	limit := p.limit(id)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return limit - p.running[id]
+}
+
+func (p *plain) take(id, _ string) (dispatch.Slot, bool) {
+	if p.free(id) <= 0 {
+		return dispatch.Slot{}, false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.running[id]++
+	return dispatch.Slot{Release: func(dispatch.Outcome) { p.release(id) }}, true
+}
+
+// wait puts all accounts into one queue in the order of arrival.
+func (p *plain) wait(ctx context.Context, item queue.Item) (*queue.Turn, error) {
+	item.Account, item.Weight, item.Limit, item.Running = "", 1, 0, 0
+	return p.instance.queue.Wait(ctx, item)
+}
+
+// changes returns a channel that is closed when a slot becomes free.
+func (p *plain) changes() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.changed
+}
+
+func (p *plain) release(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.running[id]--
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
--- a/internal/training/step/attempt.go
+++ b/internal/training/step/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/wigeonpin/wigeonpin/internal/base/code"
+	"github.com/wigeonpin/wigeonpin/internal/base/setting"
 )
 
 const (
@@ -226,6 +227,9 @@
 // hedgeStragglers starts second attempts of samples that would not be complete
 // well before the deadline or that run much slower than the group's others.
 func (r *run) hedgeStragglers(now, deadline time.Time) {
+	if r.home.steps.settings.Policy == setting.PolicyPlain {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	rates := slices.Clone(r.rates)
