--- a/internal/load/generator/generator_test.go
+++ b/internal/load/generator/generator_test.go
@@ -73,6 +73,9 @@
 		if c.Whole == c.Sent {
 			seen = append(seen, fmt.Sprintf("whole, tokens %v", c.Tokens > 0))
 		}
+		if n := len(result.NotRun); n > 0 {
+			seen = append(seen, fmt.Sprintf("noted as not run, all %v", n == c.Sent))
+		}
 		for name, counts := range map[string]map[string]int{"refused": c.Refused, "wrong": c.Wrong, "broken": c.Broken} {
 			for code, n := range counts {
 				seen = append(seen, fmt.Sprintf("%s %s, all %v", name, code, n == c.Sent))
