--- a/internal/load/balance/balance.go
+++ b/internal/load/balance/balance.go
@@ -43,7 +43,8 @@
 	for name, c := range r.Accounts {
 		sum := s[name]
 		sum.Requests += int64(c.Whole)
-		sum.TokensOut += int64(c.Tokens)
+		// Tokens that were delivered before a stream ended early are reported.
+		sum.TokensOut += int64(c.Tokens + c.CutTokens)
 		s[name] = sum
 	}
 }
