Bound slow callers, test planned stops and measure the entry

A slow caller whose body was refused or timed out held its handler forever, because the server reads the rest of the body before it answers; the read bound now stays in force until the body has come. The test hung without that. The drain test fails without the wait for running requests and without the refusal of new ones. BenchmarkEntry compares calls through the entry with direct ones.

--- a/internal/traffic/entry/entry.go
+++ b/internal/traffic/entry/entry.go
@@ -115,6 +115,7 @@
 // turns errors into answers and keeps a fault of one request from the others.
 func (e *Entry) work(next handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.limitRead(w)
 		leave, err := e.drain.enter()
 		if err != nil {
 			w.Header().Set("Connection", "close")
--- a/internal/traffic/entry/input.go
+++ b/internal/traffic/entry/input.go
@@ -42,13 +42,17 @@
 	return time.Now().Add(setting.Milliseconds(e.settings.HeaderMS))
 }
 
-// slowRead limits the time for the request's body. The returned function ends
-// the limit, since the server also reads while the request runs to notice that
-// the caller has gone.
-func (e *Entry) slowRead(w http.ResponseWriter) (end func()) {
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(e.patience())
-	return func() { _ = control.SetReadDeadline(time.Time{}) }
+// limitRead bounds the time for the request's body. The bound stays in force
+// when the body was not read to its end: the server reads the rest of it before
+// it sends the answer, and would otherwise wait for a silent caller forever.
+func (e *Entry) limitRead(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetReadDeadline(e.patience())
+}
+
+// unlimitRead ends the bound once the body has come, since the server goes on
+// reading while the request runs, to notice that the caller has gone.
+func unlimitRead(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 }
 
 // readJSON reads and decodes the body of a request.
@@ -63,11 +67,12 @@
 
 // readBody reads the body of a request.
 func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
-	defer e.slowRead(w)()
 	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	if err == nil {
+		unlimitRead(w)
 		return raw, nil
 	}
+	w.Header().Set("Connection", "close")
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
--- /dev/null
+++ b/internal/traffic/entry/stop_test.go
@@ -0,0 +1,181 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/codec"
+)
+
+// A planned stop must interrupt no request: the instance becomes not ready
+// while it still serves, then refuses new work truthfully and waits.
+func TestDrain(t *testing.T) {
+	arrived, proceed := make(chan struct{}), make(chan struct{})
+	i := newInstance(t, startService(t, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/held" {
+			close(arrived)
+			<-proceed
+		}
+	}))
+	held := make(chan int)
+	go func() {
+		resp, _ := i.do(t, "POST", "/s/send/held", "")
+		held <- resp.StatusCode
+	}()
+	<-arrived
+	i.entry.Unready()
+	if resp, _ := i.do(t, "GET", "/readyz", ""); resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("ready with status %d", resp.StatusCode)
+	}
+	if resp, body := i.do(t, "POST", "/s/send/new", ""); resp.StatusCode != http.StatusOK {
+		t.Errorf("not served while only unready: %d %s", resp.StatusCode, body)
+	}
+	drained := make(chan error)
+	go func() { drained <- i.entry.Drain(context.Background()) }()
+	for {
+		resp, body := i.do(t, "POST", "/s/send/new", "")
+		if resp.StatusCode == http.StatusOK {
+			continue // The drain has not begun yet.
+		}
+		if !strings.Contains(body, `"draining"`) || !strings.Contains(body, "not_run") {
+			t.Error(body)
+		}
+		break
+	}
+	select {
+	case err := <-drained:
+		t.Errorf("drained while a request ran: %v", err)
+	default:
+	}
+	close(proceed)
+	if status := <-held; status != http.StatusOK {
+		t.Errorf("the running request got status %d", status)
+	}
+	if err := <-drained; err != nil {
+		t.Error(err)
+	}
+}
+
+// raw opens a connection and sends part of a request.
+func (i *instance) raw(t *testing.T, text, key string) net.Conn {
+	c, err := net.Dial("tcp", strings.TrimPrefix(i.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: 100\r\n\r\n{", text, key)
+	return c
+}
+
+// A caller that sends its body too slowly or goes away must be counted, must
+// reach no endpoint and must not disturb others.
+func TestSlowAndCutCallers(t *testing.T) {
+	i := newInstance(t, startService(t, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/good" {
+			t.Errorf("%s reached the service", r.URL.Path)
+		}
+	}))
+	_ = i.raw(t, "/s/send/cut", testKey).Close()
+	// A refused request's body is not read, which must not let it hang.
+	for key, want := range map[string]string{testKey: "slow_caller", "nonsense": "key_malformed"} {
+		resp, err := http.ReadResponse(bufio.NewReader(i.raw(t, "/s/send/slow", key)), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if body, _ := io.ReadAll(resp.Body); !strings.Contains(string(body), want) {
+			t.Errorf("slow caller got %d %s, want %s", resp.StatusCode, body, want)
+		}
+	}
+	for i.meters.Counter("requests_refused").Value("acme/bad_request") != 1 {
+		time.Sleep(time.Millisecond)
+	}
+	if resp, body := i.do(t, "POST", "/s/send/good", ""); resp.StatusCode != http.StatusOK {
+		t.Errorf("status %d %s", resp.StatusCode, body)
+	}
+}
+
+// A caller that leaves in the middle of its stream must free the slot.
+func TestCallerLeavesStream(t *testing.T) {
+	i := newInstance(t, startEngine(t, &testEngine{hold: func(int) { time.Sleep(100 * time.Microsecond) }}))
+	ctx, cancel := context.WithCancel(context.Background())
+	req, err := http.NewRequestWithContext(ctx, "POST", i.url+"/v1/generate",
+		strings.NewReader(`{"model":"tagger","prompt":"p","max_tokens":100000,"stream":true}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if n := i.slots.Load(); n != 7 {
+		t.Errorf("%d free slots while the stream runs", n)
+	}
+	cancel()
+	for i.slots.Load() != 8 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// processorTime returns the processor time that the process has used.
+func processorTime(b *testing.B) time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// BenchmarkEntry compares a small service call through the entry with the same
+// call to the service itself, one at a time. The processor time includes the
+// client and the service, which run in the same process; the difference between
+// the two is the instance's part.
+func BenchmarkEntry(b *testing.B) {
+	endpoint := startService(b, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "ok") })
+	engineEndpoint := startEngine(b, &testEngine{})
+	i := newInstance(b, endpoint, engineEndpoint)
+	for _, c := range []struct{ name, url, body string }{
+		{"direct", "http://" + endpoint.Address + "/x", "pay"},
+		{"repeatable", i.url + "/s/look/x", "pay"},
+		{"once", i.url + "/s/send/x", "pay"},
+		{"direct-generate", "http://" + engineEndpoint.Address + "/v1/generate", `{"request":"r","max_tokens":16}`},
+		{"generate", i.url + "/v1/generate", `{"model":"tagger","prompt":"p","max_tokens":16}`},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			took := hdrhistogram.New(1, int64(time.Minute), 3)
+			before := processorTime(b)
+			for b.Loop() {
+				req, err := http.NewRequest("POST", c.url, strings.NewReader(c.body))
+				if err != nil {
+					b.Fatal(err)
+				}
+				req.Header.Set("Authorization", "Bearer "+testKey)
+				req.Header.Set(codec.HeaderRequest, "r")
+				began := time.Now()
+				resp, err := http.DefaultClient.Do(req)
+				if err != nil {
+					b.Fatal(err)
+				}
+				if _, err = io.Copy(io.Discard, resp.Body); err != nil || resp.StatusCode != http.StatusOK {
+					b.Fatal(resp.StatusCode, err)
+				}
+				_ = resp.Body.Close()
+				_ = took.RecordValue(int64(time.Since(began)))
+			}
+			b.ReportMetric(float64(took.ValueAtQuantile(50))/1000, "p50-us")
+			b.ReportMetric(float64(took.ValueAtQuantile(99))/1000, "p99-us")
+			b.ReportMetric(float64((processorTime(b)-before).Microseconds())/float64(b.N), "cpu-us/op")
+		})
+	}
+}
