Let claimed calls outlive their callers and test silent connections

A call with an idempotency key goes on when its caller loses the connection, so that the resend finds the stored answer; cancelled with the caller, the test gets "may have run" instead. Silent connections cost no more than the silence timeout: the test hangs without the second sending of repeatable calls and without the second attempt of streams. The remaining time is passed on to services.

--- a/internal/traffic/dispatch/dispatch_test.go
+++ b/internal/traffic/dispatch/dispatch_test.go
@@ -49,17 +49,18 @@
 	seen   []string
 	usage  Usage
 	out    map[string]bool
+	silent chan struct{}
 }
 
 func (b *bench) find(id string) *back {
 	return b.backs[slices.IndexFunc(b.backs, func(e *back) bool { return e.ID == id })]
 }
 
-func newBench() *bench {
-	b := &bench{out: map[string]bool{}}
+func newBench(timers *clock.Service) *bench {
+	b := &bench{out: map[string]bool{}, silent: make(chan struct{}, 1)}
 	settings := setting.Defaults()
 	settings.ID, settings.Zone = "i-1", "a"
-	timers, meters := clock.NewSystem(), meter.NewSet()
+	meters := meter.NewSet()
 	waiting := queue.New(timers, meters, queue.Seams{Running: func(string) int64 { return 0 }})
 	b.runner = New(settings, timers, meters, logs.Discard(), engine.New(settings, timers), service.New(settings), Seams{
 		Endpoints: func(string) (out []roster.Endpoint) {
@@ -114,6 +115,11 @@
 	case e.fault == "busy":
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
+	case e.fault == "silent":
+		e.fault = ""
+		b.silent <- struct{}{}
+		<-r.Context().Done()
+		return
 	case e.fault == "drop":
 		panic(http.ErrAbortHandler)
 	case json.Unmarshal(raw, &in) != nil:
@@ -185,7 +191,7 @@
 		var b *bench
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			if d.Cmd == "endpoints" {
-				b = newBench()
+				b = newBench(clock.NewSystem())
 				b.endpoints(t, d)
 				return ""
 			}
@@ -276,3 +282,42 @@
 		t.Errorf("45 successes on the endpoint allow %d attempts, want 4", n)
 	}
 }
+
+// A connection that goes silent must cost no more than the silence timeout:
+// streams and repeatable calls are tried again on a new connection to the same
+// endpoint, and only those.
+func TestSilentConnection(t *testing.T) {
+	for _, kind := range []string{"stream", "repeatable"} {
+		timers, driver := clock.NewDriven(time.Now())
+		b := newBench(timers)
+		b.add(t, &back{Endpoint: roster.Endpoint{ID: "e1", Zone: "a", State: roster.StateLive}, free: 1, fault: "silent"})
+		go func() {
+			<-b.silent
+			driver.Advance(setting.Milliseconds(setting.Defaults().SilenceMS))
+		}()
+		var text string
+		var err error
+		if kind == "stream" {
+			var result Result
+			result, err = b.runner.Generate(context.Background(), Job{
+				Request: "r", Account: "acme", Model: "m", MaxTokens: 2, Deadline: timers.Now().Add(time.Minute),
+			}, func(Chunk) error { return nil })
+			text = result.Text
+		} else {
+			var answer *Answer
+			answer, err = b.runner.Forward(context.Background(), ServiceCall{
+				Request: "r", Account: "acme", Model: "m", Method: "GET", Path: "/x", Repeatable: true, Deadline: timers.Now().Add(time.Minute),
+			})
+			if err == nil {
+				text = string(answer.Body)
+				answer.Close()
+			}
+		}
+		if err != nil || text == "" || len(b.seen) != 2 {
+			t.Errorf("%s: %q, error %v, endpoints %v", kind, text, err, b.seen)
+		}
+		if b.backs[0].taken != 0 {
+			t.Errorf("%s: %d slots still taken", kind, b.backs[0].taken)
+		}
+	}
+}
--- a/internal/traffic/dispatch/forward.go
+++ b/internal/traffic/dispatch/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/wigeonpin/wigeonpin/internal/base/code"
@@ -11,6 +12,9 @@
 	"github.com/wigeonpin/wigeonpin/internal/traffic/queue"
 )
 
+// headerDeadline tells the service how many milliseconds are left.
+const headerDeadline = "Wigeonpin-Deadline-Ms"
+
 // The expected cost of a service call in endpoint milliseconds, used until it
 // is known how long the call took.
 const serviceCost = 50
@@ -108,9 +112,15 @@
 }
 
 func (f *forwarding) send(ctx context.Context, chosen picked) (*Answer, error) {
+	header := http.Header(f.call.Header).Clone()
+	if header == nil {
+		header = http.Header{}
+	}
+	left := f.call.Deadline.Sub(f.d.timers.Now())
+	header.Set(headerDeadline, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
 	request := service.Request{
 		ID: f.call.Request, Method: f.call.Method, Path: f.call.Path, RawQuery: f.call.RawQuery,
-		Header: http.Header(f.call.Header), Body: f.call.Body,
+		Header: header, Body: f.call.Body,
 	}
 	if f.call.Repeatable {
 		return f.hedged(ctx, chosen, request)
--- a/internal/traffic/dispatch/hedge.go
+++ b/internal/traffic/dispatch/hedge.go
@@ -31,9 +31,9 @@
 			results <- sent{answer, err, number}
 		}()
 	}
-	start(f.d.services.Pooled)
 	timer := f.d.timers.After(setting.Milliseconds(f.d.settings.SilenceMS))
 	defer timer.Stop()
+	start(f.d.services.Pooled)
 	var first error
 	for finished := 0; finished < len(cancels); {
 		select {
--- a/internal/traffic/entry/entry_test.go
+++ b/internal/traffic/entry/entry_test.go
@@ -1,10 +1,12 @@
 package entry
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/wigeonpin/wigeonpin/internal/base/codec"
@@ -66,3 +68,52 @@
 		}
 	}
 }
+
+// A non-repeatable call whose caller loses its connection must run once: the
+// resend gets "running" first and the stored answer afterwards.
+func TestResendAfterLostConnection(t *testing.T) {
+	var runs atomic.Int64
+	arrived, proceed := make(chan struct{}), make(chan struct{})
+	i := newInstance(t, startService(t, func(w http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		close(arrived)
+		<-proceed
+		fmt.Fprint(w, "paid")
+	}))
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		req, err := http.NewRequestWithContext(ctx, "POST", i.url+"/s/send/pay", strings.NewReader("1"))
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		req.Header.Set("Authorization", "Bearer "+testKey)
+		req.Header.Set("Idempotency-Key", "order-1")
+		if resp, err := http.DefaultClient.Do(req); err == nil {
+			_ = resp.Body.Close()
+		}
+	}()
+	<-arrived
+	cancel()
+	resend := func() (int, string) {
+		resp, body := i.do(t, "POST", "/s/send/pay", "1", "Idempotency-Key", "order-1")
+		return resp.StatusCode, body
+	}
+	if status, body := resend(); status != http.StatusConflict || !strings.Contains(body, "already_running") {
+		t.Errorf("while running: %d %s", status, body)
+	}
+	close(proceed)
+	for {
+		status, body := resend()
+		if status == http.StatusConflict {
+			continue // The answer is not recorded yet.
+		}
+		if status != http.StatusOK || body != "paid" || runs.Load() != 1 {
+			t.Errorf("afterwards: %d %s, %d runs", status, body, runs.Load())
+		}
+		break
+	}
+	if resp, body := i.do(t, "POST", "/s/send/pay", "2", "Idempotency-Key", "order-1"); resp.StatusCode != http.StatusUnprocessableEntity {
+		t.Errorf("other content: %d %s", resp.StatusCode, body)
+	}
+}
--- a/internal/traffic/entry/fixture_test.go
+++ b/internal/traffic/entry/fixture_test.go
@@ -102,12 +102,15 @@
 		Running: func(string) int64 { return 0 }, Changed: func() <-chan struct{} { return nil },
 	})
 	runner := dispatch.New(settings, timers, i.meters, log, engines, services, i.dispatchSeams())
-	records := once.New(settings, timers, i.meters, once.Seams{
+	// The homes have been responsible for longer than the resend window.
+	driven, driver := clock.NewDriven(time.Now())
+	records := once.New(settings, driven, i.meters, once.Seams{
 		View: func() *member.View {
 			return member.NewView([]member.Instance{{ID: "i-1", Zone: "a"}})
 		},
 		Refused: func(error) bool { return false }, Report: func(string, bool, bool) {}, Current: func() bool { return true },
 	})
+	driver.Advance(time.Hour)
 	i.entry = New(settings, timers, i.meters, log, Seams{
 		Table: i.current, Fresh: func() (bool, time.Duration) { return !i.stale.Load(), time.Second },
 		Changed: i.next, Ready: func() error { return nil },
--- a/internal/traffic/entry/service.go
+++ b/internal/traffic/entry/service.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"io"
@@ -43,7 +44,7 @@
 	}
 	id := r.Header.Get(headerIdempotency)
 	if route.Repeatable || id == "" {
-		return e.forward(w, r, c, call, nil)
+		return e.forward(w, r, c, call)
 	}
 	return e.forwardOnce(w, r, c, call, name, id)
 }
@@ -112,7 +113,23 @@
 		_, _ = w.Write(replay.Body)
 		return nil
 	}
-	return e.forward(w, r, c, call, claim)
+	outcome := once.Stored{Run: code.MaybeRun}
+	defer func() { claim.Done(r.Context(), outcome) }()
+	// A caller that resends has often lost its connection. The call goes on
+	// without it, so that the resend finds the answer.
+	answer, err := e.seams.Forward(context.WithoutCancel(r.Context()), call)
+	if err != nil {
+		outcome.Run = code.Of(err).Run
+		return err
+	}
+	defer answer.Close()
+	outcome = stored(answer)
+	if c.permitted != nil {
+		if err := c.allowed(e.seams.Table()); err != nil {
+			return code.Of(err).WithRun(code.Ran)
+		}
+	}
+	return e.answer(w, r, c, answer)
 }
 
 // callDigest identifies a call's content across resends.
@@ -125,19 +142,18 @@
 	return hex.EncodeToString(hash.Sum(nil))
 }
 
-// forward runs the call and settles the claim, if there is one.
-func (e *Entry) forward(w http.ResponseWriter, r *http.Request, c *caller, call dispatch.ServiceCall, claim *once.Claim) error {
+// forward runs a call without a claim.
+func (e *Entry) forward(w http.ResponseWriter, r *http.Request, c *caller, call dispatch.ServiceCall) error {
 	answer, err := e.seams.Forward(r.Context(), call)
 	if err != nil {
-		if claim != nil {
-			claim.Done(r.Context(), once.Stored{Run: code.Of(err).Run})
-		}
 		return err
 	}
 	defer answer.Close()
-	if claim != nil {
-		defer claim.Done(r.Context(), stored(answer))
-	}
+	return e.answer(w, r, c, answer)
+}
+
+// answer passes a service's answer on to the caller.
+func (e *Entry) answer(w http.ResponseWriter, r *http.Request, c *caller, answer *dispatch.Answer) error {
 	header := answerHeader(answer.Header)
 	if answer.Rest == nil && r.Method != http.MethodHead {
 		header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
