Let groups wait for memory instead of failing the whole call

With more than the memory limit in demand, finished groups were dropped before they were delivered and the call failed for all groups, so that a step of 100 prompts of 1 MB never completed on one core (test run with -cpu 1). Groups that a pull asked for lately are now kept, and others wait for room.

--- a/internal/training/step/home.go
+++ b/internal/training/step/home.go
@@ -24,6 +24,9 @@
 	// samples on one of 6 instances, so that steps of several trainers meet in
 	// the queue, which is fair, and not here.
 	parallelLimit = 2048
+	// evictAge is how long a finished group stays at least since a pull asked
+	// for it, more than the interval at which a waiting pull asks again.
+	evictAge = 2 * callWait
 	// groupOverhead is the accounted size of a group and of a sample besides
 	// its text.
 	groupOverhead = 512
@@ -82,9 +85,9 @@
 	defer limit.Stop()
 	first := true
 	for {
-		response, changed, err := h.collect(r, first)
-		if err != nil || len(response.Groups) > 0 || len(response.Unknown) > 0 {
-			return response, err
+		response, changed := h.collect(r, first)
+		if len(response.Groups) > 0 || len(response.Unknown) > 0 {
+			return response, nil
 		}
 		first = false
 		select {
@@ -99,23 +102,20 @@
 
 // collect returns the finished groups and a channel that is closed when
 // another group of the step finishes. Groups that are neither running nor
-// finished are started.
-func (h *home) collect(r *RunRequest, extend bool) (*RunResponse, <-chan struct{}, error) {
+// finished are started as far as there is room; the others wait, since an error
+// would withhold the groups that are finished.
+func (h *home) collect(r *RunRequest, extend bool) (*RunResponse, <-chan struct{}) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.observe(r.Trainer, int(r.Version))
 	response := &RunResponse{}
-	size := int64(0)
+	size, full := int64(0), false
 	for _, p := range r.Groups {
-		g, err := h.join(r, p, extend)
-		if err != nil {
-			return nil, nil, err
-		}
-		if g == nil {
+		g := h.join(r, p, extend, &full)
+		if g == nil && p.Prompt == nil {
 			response.Unknown = append(response.Unknown, p.Group)
-			continue
 		}
-		if !g.done || (size > 0 && size+g.size() > r.Limit) {
+		if g == nil || !g.done || (size > 0 && size+g.size() > r.Limit) {
 			continue
 		}
 		size += g.size()
@@ -125,21 +125,22 @@
 	if h.finished[key] == nil {
 		h.finished[key] = make(chan struct{})
 	}
-	return response, h.finished[key], nil
+	return response, h.finished[key]
 }
 
 // join returns the group, which is running or finished afterwards, or nil when
-// the group is unknown and the request has no prompt for it. The caller holds
-// mu.
-func (h *home) join(r *RunRequest, p *Prompt, extend bool) (*group, error) {
+// the group is unknown and the request has no prompt for it or there is no
+// room. It sets full in the last case, because looking for room goes through
+// all groups. The caller holds mu.
+func (h *home) join(r *RunRequest, p *Prompt, extend bool, full *bool) *group {
 	key := groupKey{r.Trainer, r.Step, int(p.Group)}
 	g := h.groups[key]
 	if g == nil {
-		if p.Prompt == nil {
-			return nil, nil
+		if p.Prompt == nil || *full {
+			return nil
 		}
-		if err := h.makeRoom(); err != nil {
-			return nil, err
+		if *full = !h.makeRoom(); *full {
+			return nil
 		}
 		g = newGroup(key, r, p.GetPrompt())
 		h.groups[key] = g
@@ -158,7 +159,7 @@
 	if !g.done && !g.running && now.Before(g.deadline) {
 		h.start(g)
 	}
-	return g, nil
+	return g
 }
 
 // discardOld drops the samples that are too old to be delivered to a pull at
@@ -179,23 +180,26 @@
 // age bound for a trainer at the given version.
 func tooOld(oldest, version, maxAge int) bool { return version-oldest > maxAge }
 
-// makeRoom drops the finished group that was not asked for the longest while
-// the limits are reached. The caller holds mu.
-func (h *home) makeRoom() error {
+// makeRoom drops the finished groups that were not asked for the longest while
+// the limits are reached, and reports whether there is room. The caller holds
+// mu.
+func (h *home) makeRoom() bool {
+	now := h.steps.timers.Now()
 	for len(h.groups) >= groupLimit || h.bytes >= byteLimit {
 		var oldest *group
 		for _, g := range h.groups {
-			if !g.running && (oldest == nil || g.touched.Before(oldest.touched)) {
+			if !g.running && now.Sub(g.touched) >= evictAge && (oldest == nil || g.touched.Before(oldest.touched)) {
 				oldest = g
 			}
 		}
 		if oldest == nil {
-			return twirp.NewError(twirp.ResourceExhausted, "the instance runs too many groups")
+			h.steps.refused.Add("", 1)
+			return false
 		}
 		h.drop(oldest)
 		h.steps.dropped.Add("memory", 1)
 	}
-	return nil
+	return true
 }
 
 // drop removes a group and stops it if it runs. The caller holds mu.
--- a/internal/training/step/steps.go
+++ b/internal/training/step/steps.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"strconv"
 	"sync"
@@ -10,7 +9,6 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
-	"github.com/twitchtv/twirp"
 
 	"github.com/wigeonpin/wigeonpin/internal/base/clock"
 	"github.com/wigeonpin/wigeonpin/internal/base/code"
@@ -76,7 +74,7 @@
 	mu     sync.Mutex
 	failed map[string]time.Time // home instances that did not answer
 
-	delivered, discarded, dropped, hedged, scoreFailed *meter.Counter
+	delivered, discarded, dropped, refused, hedged, scoreFailed *meter.Counter
 }
 
 // New returns steps without any group.
@@ -84,7 +82,7 @@
 	s := &Steps{
 		settings: settings, timers: timers, seams: seams, log: log, failed: map[string]time.Time{},
 		delivered: meters.Counter("samples_delivered"), discarded: meters.Counter("samples_discarded"),
-		dropped: meters.Counter("groups_dropped"), hedged: meters.Counter("samples_hedged"),
+		dropped: meters.Counter("groups_dropped"), refused: meters.Counter("groups_refused"), hedged: meters.Counter("samples_hedged"),
 		scoreFailed: meters.Counter("score_failures"),
 	}
 	s.base, s.stop = context.WithCancel(context.Background())
@@ -293,7 +291,7 @@
 		result.lost = result.err != nil && !c.again && callCtx.Err() == nil && !fleet.Refused(result.err)
 		cancel()
 		if result.err == nil || ctx.Err() == nil {
-			s.seams.Report(c.to.ID, answered(result.err), fleet.Refused(result.err))
+			s.seams.Report(c.to.ID, result.err == nil, fleet.Refused(result.err))
 		}
 		if result.err != nil && !result.lost && ctx.Err() == nil {
 			s.avoid(c.to.ID)
@@ -305,12 +303,6 @@
 	}
 }
 
-// answered reports whether the instance answered, be it that it has no room.
-func answered(err error) bool {
-	var coded twirp.Error
-	return err == nil || (errors.As(err, &coded) && coded.Code() == twirp.ResourceExhausted)
-}
-
 // next returns the calls that follow a call: elsewhere when it failed, with
 // the prompts that the home instance lacks, or again while there is time.
 func (p *pulling) next(r callResult) []call {
