--- a/internal/control/config/commit.go
+++ b/internal/control/config/commit.go
@@ -131,7 +131,7 @@
 		return unavailable("this instance cannot prove that its table is complete").(*code.Error).WithRetryAfter(wait)
 	}
 	if c.isolated() {
-		return unavailable("this instance has no contact with the others of its zone")
+		return isolated()
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -144,6 +144,10 @@
 	return nil
 }
 
+func isolated() error {
+	return unavailable("this instance has no contact with the others of its zone")
+}
+
 func behind() error {
 	return code.New(code.PlatformBehind, "the platform returns older data than was accepted").
 		WithRun(code.NotRun).WithRetryAfter(retryAfter)
@@ -297,6 +301,11 @@
 	if err != nil {
 		return err
 	}
+	// The contact may have been lost since the edit came in. Without it nothing
+	// is written; the next attempt still looks for a write that was sent before.
+	if c.isolated() {
+		return isolated()
+	}
 	m := c.mark()
 	c.polls.Add("put", 1)
 	o, err := c.seams.Store.Put(ctx, kind, headName, revision, value)
--- a/internal/control/config/commit_test.go
+++ b/internal/control/config/commit_test.go
@@ -110,6 +110,34 @@
 	})
 }
 
+// Guards against an edit that is written after its instance has lost contact
+// with its zone, which may state meanwhile that it accepts none.
+func TestContactLostBeforeTheWrite(t *testing.T) {
+	f := newFleet(t)
+	n := f.start("a1", "a")
+	f.start("a2", "a")
+	for range 3 {
+		f.step()
+	}
+	f.sever("a1", "a2", true)
+	f.step()
+	f.step()
+	f.step()
+	p := &pendingEdit{id: "e1", row: table.Row{Table: table.Accounts, Name: "acme", Value: rawOf("{}")}, outcome: make(chan outcome, 1)}
+	n.mu.Lock()
+	n.pending = append(n.pending, p)
+	n.mu.Unlock()
+	n.wake <- struct{}{}
+	f.drive(func() {
+		if o := <-p.outcome; code.Of(o.err) == nil || code.Of(o.err).Run != code.NotRun {
+			t.Errorf("the edit ended with %+v", o)
+		}
+	})
+	if n.Sequence() != 0 {
+		t.Error("the edit was written")
+	}
+}
+
 // Guards against a head that grows without bound, snapshots that nobody
 // removes, and instances that cannot start from a snapshot of several pages.
 func TestCheckpointBoundsTheHead(t *testing.T) {
@@ -153,7 +181,7 @@
 	if h.Base < edits-checkpointChanges-batchEdits || len(h.Changes) > checkpointChanges+tailChanges {
 		t.Errorf("head has base %d and %d changes after %d edits", h.Base, len(h.Changes), edits)
 	}
-	f.cuts[[2]string{"zone-a", "zone-b"}] = true // leaves only the platform to start from
+	f.sever("zone-a", "zone-b", true) // leaves only the platform to start from
 	late := f.start("i1", "zone-b")
 	f.step()
 	f.step()
--- a/internal/control/config/config.go
+++ b/internal/control/config/config.go
@@ -4,9 +4,15 @@
 //
 // # Usage
 //
-//	conf := config.New(settings, timers, config.Seams{
-//		Store: store, Peers: fleet.NewClient(settings), Directory: directory,
+//	var conf *config.Config
+//	directory := member.NewDirectory(settings, timers, member.Seams{
+//		Fetch: store.Instances, Refused: fleet.Refused,
+//		Ping: func(ctx context.Context, i member.Instance) error { return conf.Ping(ctx, i) },
 //	}, log)
+//	conf = config.New(settings, timers, config.Seams{
+//		Store: config.StoreOf(store), Peers: fleet.NewClient(settings), Directory: directory,
+//	}, log)
+//	go directory.Run(ctx)
 //	go conf.Run(ctx)
 //	router.PathPrefix(config.FeedPathPrefix).Handler(conf.Server())
 //	if ok, wait := conf.Fresh(); !ok {
--- a/internal/control/config/feed.go
+++ b/internal/control/config/feed.go
@@ -185,6 +185,13 @@
 	return microseconds(out.NextUs), nil
 }
 
+// Ping exchanges with an instance. Directories use it to find out whether one
+// that stopped answering is back.
+func (c *Config) Ping(ctx context.Context, instance member.Instance) error {
+	_, err := c.exchange(ctx, instance)
+	return err
+}
+
 // absorbState takes over the answer to an exchange sent at the given time. All
 // ages count from then, so that a delay of the answer makes them only larger.
 func (c *Config) absorbState(sent time.Time, roll member.Roll, out *FeedState) {
--- a/internal/control/config/fleet_test.go
+++ b/internal/control/config/fleet_test.go
@@ -198,6 +198,13 @@
 	<-n.done
 }
 
+// sever cuts, or heals, the paths between two names.
+func (f *testFleet) sever(a, b string, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cuts[[2]string{a, b}] = cut
+}
+
 func (f *testFleet) cut(a, b *node) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -411,9 +418,4 @@
 	return out.String()
 }
 
-func rawOf(value string) json.RawMessage {
-	if value == "" {
-		return nil
-	}
-	return json.RawMessage(value)
-}
+func rawOf(value string) json.RawMessage { return json.RawMessage(value) }
--- a/internal/control/config/freshness_test.go
+++ b/internal/control/config/freshness_test.go
@@ -17,7 +17,7 @@
 			f.step()
 		}
 		for id := range f.nodes {
-			f.cuts[[2]string{id, "platform"}] = id != reaching
+			f.sever(id, "platform", id != reaching)
 		}
 		for range 6 {
 			f.step()
--- a/internal/control/config/script_test.go
+++ b/internal/control/config/script_test.go
@@ -65,9 +65,7 @@
 		}
 		return f.describe()
 	case "cut", "heal":
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		f.cuts[[2]string{words[0], words[1]}] = d.Cmd == "cut"
+		f.sever(words[0], words[1], d.Cmd == "cut")
 		return ""
 	case "platform":
 		return f.fault(words)
--- a/internal/control/lease/lease_test.go
+++ b/internal/control/lease/lease_test.go
@@ -13,6 +13,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/wigeonpin/wigeonpin/internal/base/clock"
 	"github.com/wigeonpin/wigeonpin/internal/base/codec"
 	"github.com/wigeonpin/wigeonpin/internal/base/logs"
@@ -371,3 +373,17 @@
 		t.Errorf("%v of the term are left after a renewal that took 3 s", left)
 	}
 }
+
+func userTimeout(t *testing.T, conn *net.TCPConn) int {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	value := 0
+	if err := raw.Control(func(fd uintptr) {
+		value, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+	}); err != nil {
+		t.Fatal(err)
+	}
+	return value
+}
