--- a/internal/control/config/bench_test.go
+++ b/internal/control/config/bench_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
@@ -28,22 +27,20 @@
 	}
 	n := f.nodes[f.order[0]]
 	for from := 0; from < rows; from += batchEdits {
-		f.drive(func() {
-			done := make(chan error)
-			count := min(batchEdits, rows-from)
-			for i := range count {
-				row := table.Row{Table: table.Accounts, Name: fmt.Sprintf("account-%06d", from+i), Value: json.RawMessage(`{"weight":1.5,"queue":200}`)}
-				go func() {
-					_, err := n.Edit(context.Background(), "fill-"+row.Name, row)
-					done <- err
-				}()
-			}
-			for range count {
-				if err := <-done; err != nil {
-					b.Error(err)
-				}
+		done := make(chan error)
+		count := min(batchEdits, rows-from)
+		for i := range count {
+			row := table.Row{Table: table.Accounts, Name: fmt.Sprintf("account-%06d", from+i), Value: rawOf(`{"weight":1.5,"queue":200}`)}
+			go func() {
+				_, err := n.Edit(context.Background(), "fill-"+row.Name, row)
+				done <- err
+			}()
+		}
+		for range count {
+			if err := <-done; err != nil {
+				b.Error(err)
 			}
-		})
+		}
 		f.settle()
 		f.step()
 	}
@@ -56,9 +53,7 @@
 // cpu returns the processor time that the process has used.
 func cpu() time.Duration {
 	var usage unix.Rusage
-	if unix.Getrusage(unix.RUSAGE_SELF, &usage) != nil {
-		return 0
-	}
+	_ = unix.Getrusage(unix.RUSAGE_SELF, &usage)
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
@@ -137,7 +132,7 @@
 				start, edits := cpu(), 0
 				for b.Loop() {
 					edits++
-					row := table.Row{Table: table.Accounts, Name: fmt.Sprintf("new-%d", edits), Value: json.RawMessage(`{"weight":1.5,"queue":200}`)}
+					row := table.Row{Table: table.Accounts, Name: fmt.Sprintf("new-%d", edits), Value: rawOf(`{"weight":1.5,"queue":200}`)}
 					if _, err := n.Edit(context.Background(), row.Name, row); err != nil {
 						b.Fatal(err)
 					}
--- a/internal/control/config/fleet_test.go
+++ b/internal/control/config/fleet_test.go
@@ -101,7 +101,7 @@
 	}
 	key := kind + "/" + name
 	if held := p.objects[key]; held.Revision != revision {
-		return objects.Object{}, conflictWith(held)
+		return objects.Object{}, objects.Refusal(held)
 	}
 	p.revision++
 	o := objects.Object{Kind: kind, Name: name, Revision: p.revision, Value: slices.Clone(value)}
@@ -137,18 +137,6 @@
 	p.history[p.revision] = all
 }
 
-// conflictWith makes the error of a refused write through the real client.
-func conflictWith(held objects.Object) error {
-	answer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		codec.Write(w, http.StatusConflict, held)
-	}))
-	defer answer.Close()
-	client := objects.New(strings.TrimPrefix(answer.URL, "http://"), clock.NewSystem())
-	defer client.Close()
-	_, err := client.Put(context.Background(), held.Kind, held.Name, 0, []byte("{}"))
-	return err
-}
-
 // node is one instance of a test fleet.
 type node struct {
 	*Config
--- a/internal/control/config/run_test.go
+++ b/internal/control/config/run_test.go
@@ -6,9 +6,9 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
-	"time"
 
 	"go.uber.org/goleak"
 
@@ -83,18 +83,9 @@
 	}
 	wait := func(what string, ok func(c *Config) bool) {
 		t.Helper()
-		for limit := time.Now().Add(30 * time.Second); ; time.Sleep(5 * time.Millisecond) {
-			all := true
-			for _, c := range nodes {
-				all = all && ok(c)
-			}
-			if all {
-				return
-			}
-			if time.Now().After(limit) {
-				t.Fatalf("not all instances %s", what)
-			}
-		}
+		(&testFleet{t: t}).await("all instances "+what, func() bool {
+			return !slices.ContainsFunc(nodes, func(c *Config) bool { return !ok(c) })
+		})
 	}
 	wait("become fresh and see the others", func(c *Config) bool {
 		ok, _ := c.Fresh()
--- a/internal/peer/objects/objects.go
+++ b/internal/peer/objects/objects.go
@@ -88,6 +88,10 @@
 	return fmt.Sprintf("object %s/%s has revision %d", e.current.Kind, e.current.Name, e.current.Revision)
 }
 
+// Refusal returns the error of a conditional write that found another object,
+// for functions that take the place of a client's.
+func Refusal(current Object) error { return &conflictError{current: current} }
+
 // Conflict reports whether err is a refused conditional write, and returns the
 // object as it was then. Its revision is 0 when there was no such object.
 func Conflict(err error) (Object, bool) {
