--- a/internal/control/config/fleet_test.go
+++ b/internal/control/config/fleet_test.go
@@ -101,7 +101,7 @@
 	}
 	key := kind + "/" + name
 	if held := p.objects[key]; held.Revision != revision {
-		return objects.Object{}, conflictWith(held)
+		return objects.Object{}, objects.Refusal(held)
 	}
 	p.revision++
 	o := objects.Object{Kind: kind, Name: name, Revision: p.revision, Value: slices.Clone(value)}
@@ -137,18 +137,6 @@
 	p.history[p.revision] = all
 }
 
-// conflictWith makes the error of a refused write through the real client.
-func conflictWith(held objects.Object) error {
-	answer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		codec.Write(w, http.StatusConflict, held)
-	}))
-	defer answer.Close()
-	client := objects.New(strings.TrimPrefix(answer.URL, "http://"), clock.NewSystem())
-	defer client.Close()
-	_, err := client.Put(context.Background(), held.Kind, held.Name, 0, []byte("{}"))
-	return err
-}
-
 // node is one instance of a test fleet.
 type node struct {
 	*Config
@@ -198,6 +186,13 @@
 	<-n.done
 }
 
+// sever cuts, or heals, the paths between two names.
+func (f *testFleet) sever(a, b string, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cuts[[2]string{a, b}] = cut
+}
+
 func (f *testFleet) cut(a, b *node) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -411,9 +406,4 @@
 	return out.String()
 }
 
-func rawOf(value string) json.RawMessage {
-	if value == "" {
-		return nil
-	}
-	return json.RawMessage(value)
-}
+func rawOf(value string) json.RawMessage { return json.RawMessage(value) }
