--- a/internal/standin/trainer/trainer.go
+++ b/internal/standin/trainer/trainer.go
@@ -141,7 +141,8 @@
 	}
 }
 
-// trainSteps consumes steps; the time spent waiting for one is idle time.
+// trainSteps consumes steps; the time spent waiting for one, or for the
+// announcement of new weights, is idle time.
 func (t *Trainer) trainSteps(ctx context.Context, tickets, steps chan struct{}) error {
 	for done := 1; ; done++ {
 		waited := time.Now()
@@ -160,7 +161,11 @@
 		version := t.version
 		t.mu.Unlock()
 		if t.options.Change > 0 && done%t.options.Change == 0 {
-			if err := t.announce(ctx, version+1); err != nil && ctx.Err() == nil {
+			// A trainer that cannot announce its weights does not train either.
+			waited := time.Now()
+			err := t.announce(ctx, version+1)
+			t.count(func(s *Summary) { s.IdleMS += time.Since(waited).Milliseconds() })
+			if err != nil && ctx.Err() == nil {
 				return err
 			}
 		}
