--- a/internal/fleet/share/exchange.go
+++ b/internal/fleet/share/exchange.go
@@ -211,7 +211,7 @@
 		}
 		d, ok := byAccount[account]
 		if !ok {
-			d = &Demand{Model: model, Account: account, Weight: 1}
+			d = &Demand{Model: model, Account: account}
 			byAccount[account] = d
 			report.Demand = append(report.Demand, d)
 		}
@@ -235,7 +235,9 @@
 	for _, q := range queued {
 		if d := add(q.Model, q.Account); d != nil {
 			d.Queued += uint32(q.Requests)
-			d.Weight = float32(q.Weight)
+			if q.Weight != 1 {
+				d.Weight = float32(q.Weight)
+			}
 		}
 	}
 	for account, cost := range costs {
@@ -389,12 +391,19 @@
 	m.demands = map[string][]demand{}
 	for _, d := range report.Demand {
 		m.demands[d.Model] = append(m.demands[d.Model], demand{
-			account: d.Account, member: report.Member, requests: int(d.Queued) + int(d.Running), weight: float64(d.Weight),
+			account: d.Account, member: report.Member, requests: int(d.Queued) + int(d.Running), weight: weightOf(d),
 		})
 	}
 	return m, nil
 }
 
+func weightOf(d *Demand) float64 {
+	if d.Weight == 0 {
+		return 1
+	}
+	return float64(d.Weight)
+}
+
 func (p *Pool) serveEndpoint(m *reporter, report *Report, i int, id string, d *Detail, fresh bool, answer *Answer, now time.Time) {
 	s := p.stakes[id]
 	uses := report.Parts[i] > 0 || report.Running[i] > 0 || report.Held[i] > 0
