--- a/internal/billing/usage/segment.go
+++ b/internal/billing/usage/segment.go
@@ -69,7 +69,8 @@
 
 // Rows are totals in a compact form: each is an array of account, class,
 // requests, tokens in and out, and cost. A reporter reads a segment of each
-// instance in each window, and objects would be three times as large.
+// instance in each window, and as objects the totals of 8 accounts took 2.1
+// times the bytes.
 type Rows []Record
 
 // MarshalJSON encodes the rows as arrays.
