--- a/internal/training/step/step_test.go
+++ b/internal/training/step/step_test.go
@@ -330,9 +330,13 @@
 	for i := range p.Prompts {
 		p.Prompts[i] = large
 	}
+	count := w.gen.count()
 	if got := w.pullAll(t, p, "i-0"); len(got) != 100 || s.home.bytes > byteLimit+2<<20 {
 		t.Errorf("%d samples, %d bytes are held, the limit is %d", len(got), s.home.bytes, byteLimit)
 	}
+	if n := w.gen.count() - count; n != 100 {
+		t.Errorf("%d generations of 100 samples: finished ones were dropped before their delivery", n)
+	}
 }
 
 // Guards against a version that goes back, and against an announcement that
