--- a/internal/billing/usage/copy.go
+++ b/internal/billing/usage/copy.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"math"
 	"net/http"
 	"time"
 
@@ -25,6 +26,9 @@
 	// entriesPerCall bounds the size of one copy call; a new holder gets
 	// everything unsealed in several calls.
 	entriesPerCall = 4096
+	// aloneInterval bounds the objects that an instance without a second holder
+	// writes.
+	aloneInterval = time.Second
 )
 
 func holdOver(client *http.Client) func(context.Context, member.Instance, *HoldRequest) (*HoldResponse, error) {
@@ -39,6 +43,9 @@
 func (l *Log) commit(ctx context.Context) bool {
 	for range attemptLimit {
 		target, ok := l.choose()
+		if !ok && l.folder == nil {
+			return l.sealAlone(ctx)
+		}
 		if !ok {
 			break
 		}
@@ -60,6 +67,28 @@
 	return len(l.chain.entries) == 0
 }
 
+// sealAlone seals the records of an instance that is the only live one, the
+// window under way included: acknowledged records whose holders died one after
+// another would otherwise be lost with it. It reports whether none is left.
+func (l *Log) sealAlone(ctx context.Context) bool {
+	l.mu.Lock()
+	empty, due := len(l.chain.entries) == 0, l.timers.Since(l.aloneAt) >= aloneInterval
+	if !empty && due {
+		l.aloneAt = l.timers.Now()
+	}
+	l.mu.Unlock()
+	if empty || !due {
+		return empty
+	}
+	l.sealing.Lock()
+	defer l.sealing.Unlock()
+	if err := l.sealOwn(ctx, math.MaxInt64); err != nil {
+		l.log.WithField(logs.Cause, err.Error()).Warn("usage records have no second holder and could not be sealed")
+		return false
+	}
+	return true
+}
+
 // choose returns the instance that takes the copies: one that did not fail
 // lately, is not leaving and is in another zone, as far as there is one. The
 // current one is kept unless a better one is there.
--- a/internal/billing/usage/log.go
+++ b/internal/billing/usage/log.go
@@ -69,6 +69,7 @@
 	// chosenFrom and chosenAt say when target was chosen.
 	chosenFrom *member.View
 	chosenAt   time.Time
+	aloneAt    time.Time
 	waiters    []waiter
 	wake       chan struct{}
 
--- a/internal/billing/usage/usage_test.go
+++ b/internal/billing/usage/usage_test.go
@@ -56,6 +56,10 @@
 		reporters := []*report.Reporter{w.reporter("r-1", 1, intake), w.reporter("r-2", 2, intake)}
 		settled := true
 		node := func(rt *rapid.T) string {
+			if len(w.nodes) == 0 {
+				w.driver.Advance(time.Millisecond)
+				w.start(t, w.ids[0])
+			}
 			running := slices.DeleteFunc(slices.Clone(w.ids), func(id string) bool { return w.nodes[id] == nil })
 			return rapid.SampledFrom(running).Draw(rt, "instance")
 		}
--- a/internal/traffic/dispatch/generate.go
+++ b/internal/traffic/dispatch/generate.go
@@ -6,9 +6,11 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -329,7 +331,7 @@
 	ctx, cancel := g.d.timers.WithTimeout(context.Background(), backgroundLimit)
 	defer cancel()
 	e := chosen.endpoint
-	if _, probe := g.d.engines.Load(ctx, e.Address); fleet.Refused(probe) {
+	if _, probe := g.d.engines.Load(ctx, e.Address); died(probe) {
 		g.d.seams.Failed(e.ID, err)
 		if digests := g.d.flights.crashed(e.ID); len(digests) > 0 {
 			g.d.seams.Crashed(e.ID, digests)
@@ -337,6 +339,13 @@
 	}
 }
 
+// died reports whether a probe's error shows that the process at the address
+// died: nothing listens, or the connection was ended while it started again. A
+// probe without any answer proves nothing, since the network may be cut.
+func died(probe error) bool {
+	return fleet.Refused(probe) || errors.Is(probe, syscall.ECONNRESET) || errors.Is(probe, syscall.EPIPE) || errors.Is(probe, io.EOF)
+}
+
 // decide returns the final error after a failed attempt, or nil when another
 // attempt may follow.
 func (g *generation) decide(ctx context.Context, chosen picked, err error) error {
