--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -95,6 +95,7 @@
 	falls    int
 	started  int
 	tokens   int64
+	replaced int
 	role     string
 	adapters []string
 
@@ -306,6 +307,8 @@
 	Tokens int64 `json:"tokens"`
 	// Started is the number of requests that came since the start.
 	Started int `json:"started"`
+	// Replaced is the number of running requests that one with the same id ended.
+	Replaced int `json:"replaced"`
 }
 
 func (e *Engine) state() engineState {
@@ -313,7 +316,7 @@
 	defer e.mu.Unlock()
 	return engineState{
 		Running: e.running, Waiting: len(e.waiting), Powered: e.powered,
-		Cold: e.cold.is(time.Now()), Bears: e.bears(), Falls: e.falls, Active: e.versions.active, Tokens: e.tokens,
+		Cold: e.cold.is(time.Now()), Bears: e.bears(), Falls: e.falls, Active: e.versions.active, Tokens: e.tokens, Replaced: e.replaced,
 		Started: e.started,
 	}
 }
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -140,6 +140,7 @@
 	if old, ok := e.streams[s.body.Request]; ok {
 		// The caller has lost the older connection and resumes on this one.
 		old.end(errCancelled)
+		e.replaced++
 	}
 	e.streams[s.body.Request] = s
 	e.waiting = append(e.waiting, s)
