--- a/internal/control/config/feed.go
+++ b/internal/control/config/feed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -253,7 +254,7 @@
 			after = own - 1
 		}
 		if after >= own || round == pushRounds {
-			c.pushing[peer.ID] = false
+			delete(c.pushing, peer.ID)
 			c.mu.Unlock()
 			return
 		}
@@ -263,7 +264,7 @@
 		c.report(peer.ID, err)
 		c.mu.Lock()
 		if err != nil {
-			c.pushing[peer.ID] = false
+			delete(c.pushing, peer.ID)
 			c.mu.Unlock()
 			c.log.WithField(logs.Peer, peer.ID).WithError(err).Debug("push failed")
 			return
@@ -366,11 +367,8 @@
 // forget drops what is remembered of instances that are no longer listed.
 // mu is held.
 func (c *Config) forget() {
-	listed := c.seams.Directory.Listed().IDs()
-	for id := range c.known {
-		if !slices.Contains(listed, id) {
-			delete(c.known, id)
-			delete(c.contacts, id)
-		}
-	}
+	listed := c.seams.Directory.Listed()
+	gone := func(id string) bool { _, ok := listed.Instance(id); return !ok }
+	maps.DeleteFunc(c.known, func(id string, _ uint64) bool { return gone(id) })
+	maps.DeleteFunc(c.contacts, func(id string, _ time.Time) bool { return gone(id) })
 }
