Admit a generation anew after each failed engine

A request that crashed its engine has become suspect and was resumed on the next one without being admitted again. The script sees it reach a third engine without the new admission.

--- a/internal/traffic/dispatch/dispatch_test.go
+++ b/internal/traffic/dispatch/dispatch_test.go
@@ -50,6 +50,7 @@
 	usage  Usage
 	out    map[string]bool
 	silent chan struct{}
+	admit  int // admissions left
 }
 
 func (b *bench) find(id string) *back {
@@ -57,7 +58,7 @@
 }
 
 func newBench(timers *clock.Service) *bench {
-	b := &bench{out: map[string]bool{}, silent: make(chan struct{}, 1)}
+	b := &bench{out: map[string]bool{}, silent: make(chan struct{}, 1), admit: 1000}
 	settings := setting.Defaults()
 	settings.ID, settings.Zone = "i-1", "a"
 	meters := meter.NewSet()
@@ -84,7 +85,12 @@
 			}
 			return table.Load(1, rows)
 		},
-		Admit:   func(string) (func(), error) { return func() {}, nil },
+		Admit: func(string) (func(), error) {
+			if b.admit--; b.admit < 0 {
+				return nil, code.New(code.SuspectRequest, "refused")
+			}
+			return func() {}, nil
+		},
 		Suspect: func(string) bool { return false }, Completed: func(string) {},
 		Crashed: func(id string, digests []string) { b.find(id).crashed = digests },
 		Record:  func(_ context.Context, u Usage) error { b.usage = u; return nil },
@@ -215,6 +221,7 @@
 			if d.MaybeScanArgs(t, "credit", &credit) {
 				b.runner.budgets.credits["account/acme"] = float64(credit)
 			}
+			d.MaybeScanArgs(t, "admit", &b.admit)
 			deadline := time.Now().Add(time.Minute)
 			var text string
 			var err error
--- a/internal/traffic/dispatch/generate.go
+++ b/internal/traffic/dispatch/generate.go
@@ -64,13 +64,8 @@
 	ctx, cancel := d.timers.WithTimeout(ctx, job.Deadline.Sub(d.timers.Now()))
 	defer cancel()
 	digest := ContentDigest(job.Model, job.Prompt)
-	release, err := d.seams.Admit(digest)
-	if err != nil {
-		return Result{}, code.Of(err).WithRun(code.NotRun)
-	}
-	defer release()
 	g := &generation{d: d, job: job, digest: digest, sink: sink, interval: newInterval()}
-	err = g.run(ctx)
+	err := g.run(ctx)
 	g.result.Text = g.text.String()
 	return g.result, g.record(ctx, err)
 }
@@ -105,15 +100,13 @@
 // run makes attempts until one completes the job.
 func (g *generation) run(ctx context.Context) error {
 	for {
-		turn, chosen, err := g.begin(ctx)
-		if err != nil {
-			return g.runOf(err)
-		}
-		err = g.hold(ctx, chosen)
-		turn.Done()
+		chosen, err := g.once(ctx)
 		if err == nil {
 			return nil
 		}
+		if chosen.slot.Release == nil {
+			return g.runOf(err)
+		}
 		if final := g.decide(ctx, chosen, err); final != nil {
 			return final
 		}
@@ -123,7 +116,24 @@
 	}
 }
 
-// runOf states in an error of the queue whether earlier attempts ran.
+// once makes attempts on one endpoint. Without an endpoint its error is final.
+// A request that has become suspect by the crash of its engine needs admission
+// anew, so that one that crashes engines is not passed from one to the next.
+func (g *generation) once(ctx context.Context) (picked, error) {
+	release, err := g.d.seams.Admit(g.digest)
+	if err != nil {
+		return picked{}, err
+	}
+	defer release()
+	turn, chosen, err := g.begin(ctx)
+	if err != nil {
+		return picked{}, err
+	}
+	defer turn.Done()
+	return chosen, g.hold(ctx, chosen)
+}
+
+// runOf states in an error of the admission or the queue whether earlier attempts ran.
 func (g *generation) runOf(err error) error { return code.Of(err).WithRun(g.ran()) }
 
 func (g *generation) ran() code.Run {
