Resume running work while the view of the keys is not fresh

The check at dispatch also refused the continuation of a broken stream during an outage, though running work goes on then. A withdrawn key still ends it.

--- a/internal/traffic/dispatch/forward.go
+++ b/internal/traffic/dispatch/forward.go
@@ -78,7 +78,7 @@
 	turn, err := f.d.seams.Wait(ctx, queue.Item{
 		Account: f.call.Account, Model: f.call.Model, Weight: account.Weight,
 		Limit: account.Queue, Running: account.Running,
-		Cost: serviceCost, Deadline: f.call.Deadline, Front: len(f.failed) > 0, Check: f.call.Check,
+		Cost: serviceCost, Deadline: f.call.Deadline, Front: len(f.failed) > 0, Check: checkFor(f.call.Check, f.sent),
 		Start: func() (ok bool, err error) {
 			chosen, ok, err = f.d.pick(n)
 			return ok, err
--- a/internal/traffic/dispatch/generate.go
+++ b/internal/traffic/dispatch/generate.go
@@ -152,7 +152,7 @@
 		Account: g.job.Account, Model: g.job.Model, Weight: account.Weight,
 		Limit: account.Queue, Running: account.Running,
 		Cost: generationCost(g.job.Prompt, g.job.MaxTokens-g.result.Tokens), Deadline: g.job.Deadline,
-		Front: g.attempts > 0, Check: g.job.Check,
+		Front: g.attempts > 0, Check: checkFor(g.job.Check, g.sent),
 		Start: func() (ok bool, err error) {
 			chosen, ok, err = g.d.pick(n)
 			return ok, err
@@ -161,6 +161,20 @@
 	return turn, chosen, err
 }
 
+// checkFor returns the check for the next dispatch. Work that already runs goes
+// on while the view of the keys is not fresh; a withdrawn key still ends it.
+func checkFor(check func() error, running bool) func() error {
+	if check == nil || !running {
+		return check
+	}
+	return func() error {
+		if err := check(); !code.Is(err, code.KeysStale) {
+			return err
+		}
+		return nil
+	}
+}
+
 func (g *generation) need() need {
 	return need{
 		account: g.job.Account, model: g.job.Model, cheap: true, minVersion: g.job.MinVersion,
