Bound the time for writing whole answers to callers

A caller that does not read its answer held the handler without limit; streams had a limit already. No test covers a caller that does not read.

--- a/internal/traffic/entry/entry.go
+++ b/internal/traffic/entry/entry.go
@@ -156,6 +156,7 @@
 func (e *Entry) refuse(w http.ResponseWriter, account string, err error) {
 	coded := code.Of(err)
 	e.refused.Add(account+"/"+coded.Code.String(), 1)
+	e.limitWrite(w)
 	codec.WriteError(w, coded)
 }
 
--- a/internal/traffic/entry/generate.go
+++ b/internal/traffic/entry/generate.go
@@ -61,6 +61,7 @@
 	if err != nil {
 		return err
 	}
+	e.limitWrite(w)
 	w.Header().Set(codec.HeaderRun, string(code.Ran))
 	codec.Write(w, http.StatusOK, generateAnswer{Text: result.Text, generateDone: doneOf(job, result)})
 	return nil
--- a/internal/traffic/entry/input.go
+++ b/internal/traffic/entry/input.go
@@ -55,6 +55,13 @@
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 }
 
+// limitWrite bounds the time for writing an answer that is sent at once. It is
+// longer than the limit for reads, up to which the server may first wait for
+// the rest of a body that was not read.
+func (e *Entry) limitWrite(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(e.patience().Add(setting.Milliseconds(e.settings.HeaderMS)))
+}
+
 // readJSON reads and decodes the body of a request.
 func readJSON[T any](e *Entry, w http.ResponseWriter, r *http.Request, limit int64) (T, error) {
 	var value T
--- a/internal/traffic/entry/service.go
+++ b/internal/traffic/entry/service.go
@@ -109,6 +109,7 @@
 	}
 	if replay, ok := claim.Replay(); ok {
 		c.begun = true
+		e.limitWrite(w)
 		writeHead(w, replay.Status, replay.Header, code.Ran)
 		_, _ = w.Write(replay.Body)
 		return nil
@@ -158,6 +159,7 @@
 	if answer.Rest == nil && r.Method != http.MethodHead {
 		header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
 	}
+	e.limitWrite(w)
 	writeHead(w, answer.Status, header, code.Ran)
 	if answer.Rest == nil {
 		c.begun = true
--- a/internal/traffic/entry/trainer.go
+++ b/internal/traffic/entry/trainer.go
@@ -77,6 +77,7 @@
 	if err := e.seams.Announce(r.Context(), row, request.Version); err != nil {
 		return err
 	}
+	e.limitWrite(w)
 	w.Header().Set(codec.HeaderRun, string(code.Ran))
 	codec.Write(w, http.StatusOK, request)
 	return nil
@@ -95,6 +96,7 @@
 	if err != nil {
 		return err
 	}
+	e.limitWrite(w)
 	w.Header().Set(codec.HeaderRun, string(code.Ran))
 	codec.Write(w, http.StatusOK, groups)
 	return nil
