--- a/internal/traffic/dispatch/generate.go
+++ b/internal/traffic/dispatch/generate.go
@@ -6,11 +6,9 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -19,7 +17,6 @@
 	"github.com/wigeonpin/wigeonpin/internal/base/codec"
 	"github.com/wigeonpin/wigeonpin/internal/base/logs"
 	"github.com/wigeonpin/wigeonpin/internal/peer/engine"
-	"github.com/wigeonpin/wigeonpin/internal/peer/fleet"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/queue"
 )
 
@@ -45,12 +42,8 @@
 	started  time.Time
 	first    time.Duration
 	interval *backoff.ExponentialBackOff
-	// release ends the admission of the content, and admitted and suspect say
-	// whether there is one and whether it is that of a suspect.
-	release           func()
-	admitted, suspect bool
 	// occupied is the endpoint on which another suspect was met last.
-	occupied []string
+	occupied string
 }
 
 // ContentDigest identifies a request's content across resends.
@@ -73,11 +66,8 @@
 func (d *Dispatcher) Generate(ctx context.Context, job Job, sink func(Chunk) error) (Result, error) {
 	ctx, cancel := d.timers.WithTimeout(ctx, job.Deadline.Sub(d.timers.Now()))
 	defer cancel()
-	g := &generation{
-		d: d, job: job, digest: ContentDigest(job.Model, job.Prompt), sink: sink, interval: newInterval(),
-		release: func() {},
-	}
-	defer func() { g.release() }()
+	digest := ContentDigest(job.Model, job.Prompt)
+	g := &generation{d: d, job: job, digest: digest, sink: sink, interval: newInterval()}
 	err := g.run(ctx)
 	g.result.Text = g.text.String()
 	return g.result, g.record(ctx, err)
@@ -113,23 +103,15 @@
 // run makes attempts until one completes the job.
 func (g *generation) run(ctx context.Context) error {
 	for {
-		if err := g.admit(); err != nil {
-			return g.runOf(err)
-		}
-		turn, chosen, err := g.begin(ctx)
-		if err != nil {
-			return g.runOf(err)
-		}
-		entered, err := g.enter(ctx, chosen)
-		turn.Done()
-		if entered && err == nil {
+		chosen, err := g.once(ctx)
+		if err == nil {
 			return nil
 		}
-		if entered {
-			err = g.decide(ctx, chosen, err)
+		if chosen.slot.Release == nil {
+			return g.runOf(err)
 		}
-		if err != nil {
-			return err
+		if final := g.decide(ctx, chosen, err); final != nil {
+			return final
 		}
 		if g.d.timers.Sleep(ctx, g.interval.NextBackOff()) != nil {
 			return ended(ctx, g.ran())
@@ -137,38 +119,35 @@
 	}
 }
 
-// admit asks whether the content may run. It asks again once the content has
-// become suspect by a crash, since the same job would otherwise go on to take
-// down one endpoint after another.
-func (g *generation) admit() error {
-	suspect := g.d.seams.Suspect(g.digest)
-	if g.admitted && !suspect && !g.suspect {
-		return nil
-	}
-	g.release()
-	g.release = func() {}
+// once makes attempts on one endpoint. Without an endpoint its error is final.
+// A request that has become suspect by the crash of its engine needs admission
+// anew, so that one that crashes engines is not passed from one to the next.
+func (g *generation) once(ctx context.Context) (picked, error) {
 	release, err := g.d.seams.Admit(g.digest)
 	if err != nil {
-		return err
+		return picked{}, err
 	}
-	g.release, g.admitted, g.suspect = release, true, suspect
-	return nil
-}
-
-// enter runs the job on the chosen endpoint unless another suspect runs there.
-func (g *generation) enter(ctx context.Context, chosen picked) (entered bool, err error) {
+	defer release()
+	turn, chosen, err := g.begin(ctx)
+	if err != nil {
+		return picked{}, err
+	}
+	defer turn.Done()
 	leave, err := g.d.seams.Enter(chosen.endpoint.ID, g.digest)
 	if err != nil {
 		chosen.slot.Release(Outcome{})
-		g.occupied = []string{chosen.endpoint.ID}
-		return false, nil
+		g.occupied = chosen.endpoint.ID
+		return chosen, errOccupied
 	}
 	defer leave()
-	g.occupied = nil
-	return true, g.hold(ctx, chosen)
+	g.occupied = ""
+	return chosen, g.hold(ctx, chosen)
 }
 
-// runOf states in an error of the queue whether earlier attempts ran.
+// errOccupied means that another suspect runs on the chosen endpoint.
+var errOccupied = errors.New("another suspect runs on the endpoint")
+
+// runOf states in an error of the admission or the queue whether earlier attempts ran.
 func (g *generation) runOf(err error) error { return code.Of(err).WithRun(g.ran()) }
 
 func (g *generation) ran() code.Run {
@@ -187,7 +166,7 @@
 		Account: g.job.Account, Model: g.job.Model, Weight: account.Weight,
 		Limit: account.Queue, Running: account.Running,
 		Cost: generationCost(g.job.Prompt, g.job.MaxTokens-g.result.Tokens), Deadline: g.job.Deadline,
-		Front: g.attempts > 0, Check: g.job.Check,
+		Front: g.attempts > 0, Check: checkFor(g.job.Check, g.sent),
 		Start: func() (ok bool, err error) {
 			chosen, ok, err = g.d.pick(n)
 			return ok, err
@@ -196,10 +175,24 @@
 	return turn, chosen, err
 }
 
+// checkFor returns the check for the next dispatch. Work that already runs goes
+// on while the view of the keys is not fresh; a withdrawn key still ends it.
+func checkFor(check func() error, running bool) func() error {
+	if check == nil || !running {
+		return check
+	}
+	return func() error {
+		if err := check(); !code.Is(err, code.KeysStale) {
+			return err
+		}
+		return nil
+	}
+}
+
 func (g *generation) need() need {
 	return need{
 		account: g.job.Account, model: g.job.Model, cheap: true, minVersion: g.job.MinVersion,
-		never: slices.Concat(g.job.Avoid, g.occupied), failed: g.failed, suspect: g.d.seams.Suspect(g.digest),
+		never: slices.Concat(g.job.Avoid, []string{g.occupied}), failed: g.failed, suspect: g.d.seams.Suspect(g.digest),
 		prompt: g.job.Prompt, prefixes: hashPrefixes(g.job.Prompt),
 	}
 }
@@ -331,7 +324,7 @@
 	ctx, cancel := g.d.timers.WithTimeout(context.Background(), backgroundLimit)
 	defer cancel()
 	e := chosen.endpoint
-	if _, probe := g.d.engines.Load(ctx, e.Address); died(probe) {
+	if g.d.engines.Dead(ctx, e.Address) {
 		g.d.seams.Failed(e.ID, err)
 		if digests := g.d.flights.crashed(e.ID); len(digests) > 0 {
 			g.d.seams.Crashed(e.ID, digests)
@@ -339,16 +332,12 @@
 	}
 }
 
-// died reports whether a probe's error shows that the process at the address
-// died: nothing listens, or the connection was ended while it started again. A
-// probe without any answer proves nothing, since the network may be cut.
-func died(probe error) bool {
-	return fleet.Refused(probe) || errors.Is(probe, syscall.ECONNRESET) || errors.Is(probe, syscall.EPIPE) || errors.Is(probe, io.EOF)
-}
-
 // decide returns the final error after a failed attempt, or nil when another
 // attempt may follow.
 func (g *generation) decide(ctx context.Context, chosen picked, err error) error {
+	if errors.Is(err, errOccupied) {
+		return nil
+	}
 	var sunk *sinkError
 	if errors.As(err, &sunk) {
 		return code.Of(sunk.err).WithRun(g.ran())
