--- a/internal/fleet/share/pool_test.go
+++ b/internal/fleet/share/pool_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/wigeonpin/wigeonpin/internal/control/member"
 	"github.com/wigeonpin/wigeonpin/internal/control/roster"
 )
 
@@ -193,3 +194,53 @@
 		t.Fatalf("%d requests run, limit 12: %s", running, w.exceeded)
 	}
 }
+
+// Guards against a new home instance that grants slots which a member that it
+// cannot hear still uses, by grants of the earlier home instance that died.
+func TestNewHomeChargesWorkOfSilentMember(t *testing.T) {
+	w := newWorld(1, 12)
+	for _, id := range []string{"a", "b", "c", "d"} {
+		w.join(id)
+	}
+	for range 60 {
+		w.period()
+		for _, id := range w.ids() {
+			w.load(w.nodes[id], 50)
+			w.freeAll(w.nodes[id])
+		}
+	}
+	first := w.nodes["a"].pool.stakes["e-0"].home
+	others := member.Rank("e-0", []string{"a", "b", "c", "d"})
+	next, silent := others[1], w.nodes[others[3]]
+	for _, n := range w.nodes {
+		n.queued = nil
+	}
+	for range 5 {
+		w.period()
+		w.load(silent, 50)
+	}
+	held := len(silent.slots)
+	if held < 8 || others[0] != first {
+		t.Fatalf("the member holds %d of 12 slots, want most; home instance %s", held, first)
+	}
+	w.die(first)
+	w.cut[[2]string{silent.id, next}], w.cut[[2]string{next, silent.id}] = true, true
+	for range 30 {
+		w.period()
+		w.loadAll()
+	}
+	if w.exceeded != "" {
+		t.Fatal(w.exceeded)
+	}
+	w.freeAll(silent)
+	silent.queued, w.nodes[others[2]].queued = nil, nil
+	for range 10 {
+		w.period()
+		w.load(w.nodes[next], 50)
+	}
+	// Two of four shares are delegated to the new home instance; the list still
+	// holds the dead one.
+	if got := w.backs["e-0"].running; got < 5 || w.exceeded != "" {
+		t.Fatalf("%d requests run after the silent work ended, want 6 but for rounding; %s", got, w.exceeded)
+	}
+}
--- a/internal/fleet/share/stake.go
+++ b/internal/fleet/share/stake.go
@@ -137,7 +137,7 @@
 }
 
 // retain notes the members that are no longer in the cell. Such a member
-// learns within the lag bound that it has left, or stops for its list's age;
+// learns within the bound of the list's age that it has left, or is fenced;
 // after that its delegations lapse.
 func (p *Pool) retain(retained map[string]time.Time, before, after []string, now time.Time) {
 	for _, id := range before {
@@ -148,6 +148,7 @@
 	for _, id := range after {
 		delete(retained, id)
 	}
+	maps.DeleteFunc(retained, func(_ string, until time.Time) bool { return !now.Before(until) })
 }
 
 func (p *Pool) newStake(e roster.Endpoint, now time.Time) *stake {
@@ -212,6 +213,7 @@
 // sweepLedgers drops entries and ledgers that are not needed any more.
 func (p *Pool) sweepLedgers(now time.Time) {
 	for id, m := range p.members {
+		maps.DeleteFunc(m.entries, func(endpoint string, _ bool) bool { return p.ledgers[endpoint] == nil })
 		if _, ok := p.layout.listed.Instance(id); !ok && now.Sub(m.heard) > p.settling() && len(m.entries) == 0 {
 			delete(p.members, id)
 		}
