Send the whole endpoint list to peers with an older one

An instance that started with the whole list has no tombstones of what ended before, so a peer could keep an endpoint that is gone.

--- a/internal/control/roster/roster.go
+++ b/internal/control/roster/roster.go
@@ -203,6 +203,9 @@
 		}
 	}
 	if page.Full {
+		// What ended before this page is not known here, so that peers with an
+		// older list need the whole one.
+		r.horizon = max(r.horizon, page.Revision)
 		for id := range r.all {
 			if !listed[id] {
 				changed = true
--- a/internal/control/roster/roster_test.go
+++ b/internal/control/roster/roster_test.go
@@ -89,6 +89,12 @@
 	if g.roster.Endpoints().Usable("a1") || !g.roster.Endpoints().Usable("a2") {
 		t.Fatal("the peer's list differs")
 	}
+	// An instance that started later has no tombstone to pass on.
+	late := newFixture()
+	late.roster.Merge(g.roster.Since(0))
+	if page := late.roster.Since(2); !page.Full {
+		t.Fatalf("page of an instance that knows no older endpoints: %+v, want the whole list", page)
+	}
 	// Once the tombstone is dropped, only the whole list tells of the end.
 	f.ask(tombstoneAge + time.Second)
 	if page := f.roster.Since(1); !page.Full || len(page.Endpoints) != 1 {
