--- a/internal/fleet/share/bench_test.go
+++ b/internal/fleet/share/bench_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net"
-	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
@@ -109,7 +108,6 @@
 		spent += time.Since(at)
 	}
 	client.CloseIdleConnections()
-	http.DefaultClient.CloseIdleConnections()
 	// Every byte is sent by one instance and received by another one.
 	b.ReportMetric(2*float64(bytes.Load())/float64(periods*members), "B/instance")
 	b.ReportMetric(float64(spent.Microseconds())/float64(periods*members), "us/instance")
--- a/internal/fleet/share/pool_test.go
+++ b/internal/fleet/share/pool_test.go
@@ -134,9 +134,6 @@
 			for w.take(w.nodes[id], "e-0", id) {
 			}
 		}
-		for _, n := range w.nodes {
-			t.Logf("%s runs %d", n.id, len(n.slots))
-		}
 		if len(w.nodes["a"].slots) == 5 && len(w.nodes["c"].slots) == 5 && len(w.nodes["b"].slots) == 2 {
 			return
 		}
--- a/internal/fleet/share/world_test.go
+++ b/internal/fleet/share/world_test.go
@@ -202,7 +202,6 @@
 		}
 		if shares > 1+1e-9 && w.exceeded == "" {
 			w.exceeded = fmt.Sprintf("the shares of %s that home instances hold add up to %.2f", endpoint, shares)
-			w.exceeded += w.dump(endpoint)
 		}
 	}
 }
@@ -286,19 +285,3 @@
 		w.exchange(w.nodes[id])
 	}
 }
-
-func (w *world) dump(endpoint string) string {
-	out := fmt.Sprintf("\nplatform %v now %v", w.listed.Zone(zone), w.timers.Now())
-	for _, id := range w.ids() {
-		n := w.nodes[id]
-		s := n.pool.stakes[endpoint]
-		out += fmt.Sprintf("\n%s listed %v stake %+v", id, n.listed.Zone(zone), s)
-		if l, ok := n.pool.ledgers[endpoint]; ok {
-			out += fmt.Sprintf("\n   ramp %+v settled %v explained %v", l.ramp, l.settled, l.explained)
-			for m, e := range l.entries {
-				out += fmt.Sprintf("\n   entry %s %+v", m, e)
-			}
-		}
-	}
-	return out
-}
