--- a/internal/training/step/step_test.go
+++ b/internal/training/step/step_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/wigeonpin/wigeonpin/internal/base/code"
+	"github.com/wigeonpin/wigeonpin/internal/control/member"
 	"github.com/wigeonpin/wigeonpin/internal/peer/scorer"
 )
 
@@ -204,6 +205,19 @@
 	}
 }
 
+// Guards against new groups on an instance that is leaving.
+func TestLeavingInstanceIsNoHome(t *testing.T) {
+	w := newWorld(t, 2)
+	s := w.nodes["i-0"]
+	left, _ := s.seams.View().Instance("i-1")
+	left.State = member.StateLeaving
+	view := s.seams.View().With(left)
+	s.seams.View = func() *member.View { return view }
+	if got := w.pullAll(t, pullOf(1, 16, 1), "i-0"); len(got) != 16 || len(w.nodes["i-1"].home.groups) != 0 {
+		t.Errorf("%d samples, %d groups are on the leaving instance", len(got), len(w.nodes["i-1"].home.groups))
+	}
+}
+
 // Guards against a home instance that takes calls and never answers.
 func TestFrozenHomeInstance(t *testing.T) {
 	w := newWorld(t, 2)
--- a/internal/training/step/world_test.go
+++ b/internal/training/step/world_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
+
 	"github.com/wigeonpin/wigeonpin/internal/base/clock"
 	"github.com/wigeonpin/wigeonpin/internal/base/logs"
 	"github.com/wigeonpin/wigeonpin/internal/base/meter"
@@ -22,6 +24,13 @@
 	testTrainer = table.Trainer{Name: "t", Account: "acme", Model: "m", MaxAge: 1}
 )
 
+// Guards against goroutines that outlive their group, call or instance. Idle
+// connections of the HTTP client may stay.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("net/http.(*persistConn).readLoop"),
+		goleak.IgnoreAnyFunction("net/http.(*persistConn).writeLoop"))
+}
+
 // generator stands for dispatch: it produces chunks of one token each.
 type generator struct {
 	mu      sync.Mutex
