--- a/internal/training/step/group.go
+++ b/internal/training/step/group.go
@@ -47,6 +47,12 @@
 	}
 }
 
+// describes reports whether the group is the one that a request means.
+func (g *group) describes(r *RunRequest, p *Prompt) bool {
+	return len(g.samples) == int(r.GroupSize) && g.maxTokens == int(r.MaxTokens) && g.model == r.Model &&
+		(p.Prompt == nil || p.GetPrompt() == g.prompt)
+}
+
 // size returns the accounted memory.
 func (g *group) size() int64 {
 	size := groupOverhead + len(g.prompt)
--- a/internal/training/step/home.go
+++ b/internal/training/step/home.go
@@ -135,6 +135,11 @@
 func (h *home) join(r *RunRequest, p *Prompt, extend bool, full *bool) *group {
 	key := groupKey{r.Trainer, r.Step, int(p.Group)}
 	g := h.groups[key]
+	if g != nil && !g.describes(r, p) {
+		// The trainer uses the step's name again, for instance after a restart.
+		h.drop(g)
+		g = nil
+	}
 	if g == nil {
 		if p.Prompt == nil || *full {
 			return nil
--- a/internal/training/step/step_test.go
+++ b/internal/training/step/step_test.go
@@ -205,6 +205,25 @@
 	}
 }
 
+// Guards against kept results of other prompts or sizes when a trainer uses the
+// name of a step again.
+func TestStepNameIsUsedAgain(t *testing.T) {
+	w := newWorld(t, 2)
+	p := pullOf(1, 8, 1)
+	w.pullAll(t, p, "i-0")
+	for name, change := range map[string]func(p *Pull){
+		"prompt": func(p *Pull) { p.Prompts[3] = "other" }, "size": func(p *Pull) { p.GroupSize = 2 },
+		"tokens": func(p *Pull) { p.MaxTokens = 3 },
+	} {
+		again, count := pullOf(1, 8, 1), w.gen.count()
+		change(&again)
+		got := w.pullAll(t, again, "i-1")
+		if len(got) != 8*again.GroupSize || w.gen.count() == count {
+			t.Errorf("other %s: %d samples, none of them new", name, len(got))
+		}
+	}
+}
+
 // Guards against new groups on an instance that is leaving.
 func TestLeavingInstanceIsNoHome(t *testing.T) {
 	w := newWorld(t, 2)
--- a/internal/training/step/steps.go
+++ b/internal/training/step/steps.go
@@ -31,8 +31,8 @@
 	// gatherTime is how long a pull waits for groups of other home instances
 	// after the first.
 	gatherTime = 20 * time.Millisecond
-	// answerLimit bounds the size of the texts in one answer. The rest comes
-	// with the next pull.
+	// answerLimit bounds the size of the texts in one answer, but for one group
+	// of each home instance. The rest comes with the next pull.
 	answerLimit = 8 << 20
 )
 
@@ -154,6 +154,7 @@
 	deadline time.Time
 	results  chan callResult
 	pending  map[string]int // calls without result by instance
+	limit    int64          // the size of the texts in one response
 }
 
 type call struct {
@@ -197,7 +198,9 @@
 		p.pending[c.to.ID]++
 		calls.Go(func() { p.call(ctx, c) })
 	}
-	for _, c := range p.assign(missing) {
+	first := p.assign(missing)
+	p.limit = answerLimit / int64(max(1, len(first)))
+	for _, c := range first {
 		begin(c)
 	}
 	if len(p.pending) == 0 {
@@ -273,7 +276,7 @@
 		Trainer: p.trainer.Name, Account: p.trainer.Account, Model: p.trainer.Model, MaxAge: int32(p.trainer.MaxAge),
 		Step: p.request.Step, Version: int32(p.request.Version), GroupSize: int32(p.request.GroupSize),
 		MaxTokens: int32(p.request.MaxTokens), WaitMs: wait.Milliseconds(),
-		DeadlineMs: p.deadline.Sub(now).Milliseconds(), Limit: answerLimit,
+		DeadlineMs: p.deadline.Sub(now).Milliseconds(), Limit: p.limit,
 	}
 	for _, g := range c.groups {
 		prompt := &Prompt{Group: int32(g)}
