--- a/internal/control/serve/build.go
+++ b/internal/control/serve/build.go
@@ -121,7 +121,7 @@
 	}, i.log)
 	i.pool = share.New(i.settings, i.timers, share.Seams{
 		Listed: i.directory.Listed, ListAge: i.listAge, Alive: i.directory.View, Dead: i.dead, Outcome: i.outcome,
-		Endpoints: i.roster.Endpoints, Learn: i.roster.Learn, Probe: i.probe, Slots: i.slots, Queued: i.queued,
+		Endpoints: i.roster.Endpoints, Learn: i.roster.Learn, Probe: i.roster.Probe, Slots: i.slots, Queued: i.queued,
 		Call: share.Call(i.peers),
 	}, i.log)
 	i.orders = order.New(i.settings, i.timers, order.Seams{
@@ -145,7 +145,7 @@
 	})
 	i.steps = step.New(i.settings, i.timers, step.Seams{
 		View: i.directory.View, Client: i.peers, Generate: i.generateSample, Score: i.scorer.Score,
-		Allowed: i.trainerAllowed, Get: i.getValue, Put: i.putValue,
+		Allowed: i.trainerAllowed, Get: i.getValue, Put: i.putValue, Report: i.directory.Report,
 	}, i.meters, i.log)
 	i.versions = version.New(i.timers, version.Seams{
 		List: i.listVersions, Post: i.board.Post, Subscribe: i.board.Subscribe, Relay: i.directory.Relay, Observe: i.steps.Observe,
@@ -179,7 +179,7 @@
 func (i *instance) buildBilling() error {
 	var err error
 	i.usage, err = usage.New(i.settings, i.timers, usage.Seams{
-		View: i.directory.View, Client: i.peers, Create: i.create,
+		View: i.directory.View, Client: i.peers, Create: i.create, Report: i.directory.Report,
 	}, i.meters, i.log)
 	return err
 }
--- a/internal/control/serve/control.go
+++ b/internal/control/serve/control.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"net/http"
 	"slices"
 	"time"
 
 	"github.com/wigeonpin/wigeonpin/internal/base/code"
-	"github.com/wigeonpin/wigeonpin/internal/base/codec"
 	"github.com/wigeonpin/wigeonpin/internal/control/member"
 	"github.com/wigeonpin/wigeonpin/internal/control/roster"
 	"github.com/wigeonpin/wigeonpin/internal/peer/fleet"
@@ -19,13 +17,12 @@
 	// bounds the reads of the lease object, and leaves two successors.
 	leaseCandidates = 3
 	peerCallLimit   = 2 * time.Second
-	pingPath        = "/ping"
 )
 
-// ping calls another instance to learn whether it answers.
+// ping exchanges configuration with another instance to learn whether it
+// answers. The directory is built before the configuration.
 func (i *instance) ping(ctx context.Context, peer member.Instance) error {
-	_, err := codec.Exchange(ctx, i.peers, http.MethodGet, fleet.URL(peer.Peer)+pingPath, nil, nil)
-	return err
+	return i.config.Ping(ctx, peer)
 }
 
 // eligible reports whether this instance campaigns for a lease: it is among the
--- a/internal/control/serve/fleet.go
+++ b/internal/control/serve/fleet.go
@@ -52,21 +52,6 @@
 	}, nil
 }
 
-// probe asks an endpoint for its load outside the usual period.
-func (i *instance) probe(id string) {
-	e, ok := i.roster.Endpoints().Get(id)
-	if !ok {
-		return
-	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), probeLimit)
-		defer cancel()
-		if load, err := i.askLoad(ctx, e); err == nil {
-			i.roster.Learn(id, load)
-		}
-	}()
-}
-
 // slots is the highest number of requests on one endpoint of the model. A model
 // without a row is tried with a single slot.
 func (i *instance) slots(model string) int {
@@ -215,6 +200,7 @@
 			return ctx.Err()
 		case <-ticks.C:
 		}
+		i.forget(read)
 		for _, e := range i.roster.Endpoints().All() {
 			if e.Kind == roster.KindEngine && e.State == roster.StateLive && i.mine(e) {
 				read[e.ID] = i.readCache(ctx, e, read[e.ID])
@@ -223,6 +209,16 @@
 	}
 }
 
+// forget drops what is kept about engines that are gone.
+func (i *instance) forget(read map[string]uint64) {
+	for id := range read {
+		if _, ok := i.roster.Endpoints().Get(id); !ok {
+			delete(read, id)
+			i.dispatcher.Forget(id)
+		}
+	}
+}
+
 func (i *instance) readCache(ctx context.Context, e roster.Endpoint, after uint64) uint64 {
 	limited, cancel := context.WithTimeout(ctx, probeLimit)
 	defer cancel()
--- a/internal/control/serve/handler.go
+++ b/internal/control/serve/handler.go
@@ -35,7 +35,6 @@
 	} {
 		router.PathPrefix(prefix).Handler(handler)
 	}
-	router.HandleFunc(pingPath, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 	return fleet.Guard(i.settings.Secret, i.meters, router)
 }
 
--- a/internal/peer/fleet/fleet.go
+++ b/internal/peer/fleet/fleet.go
@@ -66,6 +66,11 @@
 	signed := r.Clone(r.Context())
 	signed.Header.Set("Authorization", "Bearer "+s.secret)
 	signed.Header.Set(HeaderInstance, s.self)
+	// Most calls carry a few dozen bytes, so headers that nobody reads would be
+	// a good part of the control traffic.
+	signed.Header.Del("Accept")
+	signed.Header.Del("Twirp-Version")
+	signed.Header.Set("User-Agent", "")
 	return s.next.RoundTrip(signed)
 }
 
@@ -79,6 +84,7 @@
 			codec.WriteError(w, code.New(code.PeerRefused, "the fleet's secret is missing or wrong").WithRun(code.NotRun))
 			return
 		}
+		w.Header()["Date"] = nil
 		next.ServeHTTP(w, r)
 	})
 }
