--- a/internal/control/serve/control.go
+++ b/internal/control/serve/control.go
@@ -75,19 +75,9 @@
 	return roster.Page{}, code.New(code.PlatformUnavailable, "no instance passed the endpoint list on")
 }
 
-// mine reports whether this instance asks the endpoint for its load on behalf
-// of its cell.
-func (i *instance) mine(e roster.Endpoint) bool {
-	if e.Zone != i.settings.Zone {
-		return false
-	}
-	alive := i.directory.View()
-	cell := slices.DeleteFunc(i.directory.Listed().CellOf(e.Zone, e.ID, i.settings.CellSize), func(id string) bool {
-		_, ok := alive.Instance(id)
-		return !ok
-	})
-	return member.First(e.ID, cell) == i.settings.ID
-}
+// mine reports whether this instance asks the endpoint for its load: its home
+// instance does so on behalf of the cell. The pool is built after the roster.
+func (i *instance) mine(e roster.Endpoint) bool { return i.pool.Home(e) }
 
 // listAge is the time for which the platform's list may have changed without
 // this instance's knowledge. While no instance reaches the platform, none can
