--- a/internal/traffic/dispatch/dispatch_test.go
+++ b/internal/traffic/dispatch/dispatch_test.go
@@ -50,6 +50,7 @@
 	usage  Usage
 	out    map[string]bool
 	silent chan struct{}
+	admit  int // admissions left
 }
 
 func (b *bench) find(id string) *back {
@@ -57,7 +58,7 @@
 }
 
 func newBench(timers *clock.Service) *bench {
-	b := &bench{out: map[string]bool{}, silent: make(chan struct{}, 1)}
+	b := &bench{out: map[string]bool{}, silent: make(chan struct{}, 1), admit: 1000}
 	settings := setting.Defaults()
 	settings.ID, settings.Zone = "i-1", "a"
 	meters := meter.NewSet()
@@ -84,7 +85,12 @@
 			}
 			return table.Load(1, rows)
 		},
-		Admit:   func(string) (func(), error) { return func() {}, nil },
+		Admit: func(string) (func(), error) {
+			if b.admit--; b.admit < 0 {
+				return nil, code.New(code.SuspectRequest, "refused")
+			}
+			return func() {}, nil
+		},
 		Suspect: func(string) bool { return false }, Enter: func(string, string) (func(), error) { return func() {}, nil }, Completed: func(string) {},
 		Crashed: func(id string, digests []string) { b.find(id).crashed = digests },
 		Record:  func(_ context.Context, u Usage) error { b.usage = u; return nil },
@@ -98,6 +104,9 @@
 	e.Address = strings.TrimPrefix(e.server.URL, "http://")
 	if e.fault == "refuse" {
 		e.server.Close()
+	} else if _, err := b.runner.engines.Load(context.Background(), e.Address); err != nil {
+		// Load reports leave a pooled connection behind, as in operation.
+		t.Fatal(err)
 	}
 	b.backs = append(b.backs, e)
 }
@@ -106,6 +115,7 @@
 	var in engine.Request
 	raw, _ := io.ReadAll(r.Body)
 	if r.URL.Path == "/v1/load" || r.Method == http.MethodDelete {
+		fmt.Fprint(w, "{}")
 		return
 	}
 	b.mu.Lock()
@@ -138,6 +148,7 @@
 		if n == cut {
 			if strings.HasPrefix(e.fault, "die") {
 				_ = e.server.Listener.Close()
+				e.server.CloseClientConnections()
 			}
 			panic(http.ErrAbortHandler)
 		}
@@ -210,6 +221,18 @@
 			if d.MaybeScanArgs(t, "credit", &credit) {
 				b.runner.budgets.credits["account/acme"] = float64(credit)
 			}
+			d.MaybeScanArgs(t, "admit", &b.admit)
+			checks, refusal := 1000, code.KeysStale
+			d.MaybeScanArgs(t, "checks", &checks)
+			if d.HasArg("withdrawn") {
+				refusal = code.KeyWithdrawn
+			}
+			check := func() error {
+				if checks--; checks < 0 {
+					return code.New(refusal, "refused")
+				}
+				return nil
+			}
 			deadline := time.Now().Add(time.Minute)
 			var text string
 			var err error
@@ -217,14 +240,14 @@
 				var result Result
 				result, err = b.runner.Generate(context.Background(), Job{
 					Request: "r", Account: "acme", Model: "m", Prompt: strings.Repeat(prompt, 100), MaxTokens: 4,
-					Deadline: deadline, MinVersion: version, Avoid: []string{avoid},
+					Deadline: deadline, MinVersion: version, Avoid: []string{avoid}, Check: check,
 				}, func(Chunk) error { return nil })
 				text = fmt.Sprintf("%q versions=%v", result.Text, result.Ranges)
 			} else {
 				var answer *Answer
 				answer, err = b.runner.Forward(context.Background(), ServiceCall{
 					Request: "r", Account: "acme", Model: "m", Method: "POST", Path: "/x", Body: []byte("pay"),
-					Repeatable: d.HasArg("repeatable"), Deadline: deadline,
+					Repeatable: d.HasArg("repeatable"), Deadline: deadline, Check: check,
 				})
 				if err == nil {
 					text = string(answer.Body)
