Treat cancelled streams as cut, and let suspects wait for other engines' deaths

The id now names the instance, and a cancelled stream is not whole.

Cause of innocent requests being refused (cottonmouth cold: crash counts 1, 2, 3 within 35 ms): engines of one zone died together, and a resumed request met each of them. It now pauses 1 s after the crash of its engine.

--- a/internal/peer/engine/stream.go
+++ b/internal/peer/engine/stream.go
@@ -23,6 +23,9 @@
 	ErrSilent = errors.New("the connection is silent")
 	// ErrIncomplete means that the stream ended without its last line.
 	ErrIncomplete = errors.New("the stream ended early")
+	// ErrCancelled means that the engine ended the request on somebody's order.
+	// The text so far is not whole.
+	ErrCancelled = errors.New("the engine cancelled the request")
 	// ErrCrossed means that the stream carried lines of another request.
 	ErrCrossed = errors.New("the stream belongs to another request")
 	// ErrUnsent means that no connection could be made, so nothing was sent.
@@ -171,9 +174,16 @@
 	return nil, l.receive(Chunk{Text: next.Text, Tokens: next.Tokens, Version: next.Version})
 }
 
+// reasonCancelled ends a stream that was cancelled, or replaced by a request
+// with the same id.
+const reasonCancelled = "cancelled"
+
 // finish compares the total with the chunks received. The protocol leaves open
 // whether the total includes the resumed tokens, so both are accepted.
 func (l *lineReader) finish(next line) (*Done, error) {
+	if next.Reason == reasonCancelled {
+		return nil, ErrCancelled
+	}
 	if next.Tokens != l.tokens && next.Tokens != l.tokens+l.request.ResumeTokens {
 		return nil, ErrIncomplete
 	}
--- a/internal/traffic/dispatch/generate.go
+++ b/internal/traffic/dispatch/generate.go
@@ -42,6 +42,8 @@
 	started  time.Time
 	first    time.Duration
 	interval *backoff.ExponentialBackOff
+	// crashed is when the job's engine last died.
+	crashed time.Time
 	// occupied is the endpoint on which another suspect was met last.
 	occupied string
 }
@@ -123,6 +125,13 @@
 // A request that has become suspect by the crash of its engine needs admission
 // anew, so that one that crashes engines is not passed from one to the next.
 func (g *generation) once(ctx context.Context) (picked, error) {
+	// Engines that die together, as in a zone's loss, must not look like the work
+	// of this request: it waits until the others' deaths are known.
+	if pause := suspectPause - g.d.timers.Since(g.crashed); !g.crashed.IsZero() && pause > 0 {
+		if g.d.timers.Sleep(ctx, pause) != nil {
+			return picked{}, ended(ctx, g.ran())
+		}
+	}
 	release, err := g.d.seams.Admit(g.digest)
 	if err != nil {
 		return picked{}, err
@@ -144,6 +153,11 @@
 	return chosen, g.hold(ctx, chosen)
 }
 
+// suspectPause is the time between the crash of a request's engine and its next
+// attempt. It exceeds the time in which instances learn of each other's failed
+// engines.
+const suspectPause = time.Second
+
 // errOccupied means that another suspect runs on the chosen endpoint.
 var errOccupied = errors.New("another suspect runs on the endpoint")
 
@@ -240,8 +254,10 @@
 	end := g.d.flights.start(e.ID, one)
 	defer end()
 	// Each attempt has its own id, so that late lines of an earlier one on the
-	// same engine are recognised.
-	id := fmt.Sprintf("%s.%d", g.job.Request, g.attempts)
+	// same engine are recognised. The instance is part of it because two home
+	// instances of a sample in diverging views may run the same job.
+	// A slash would not match the path of the engine's cancel call.
+	id := strings.ReplaceAll(fmt.Sprintf("%s.%s.%d", g.d.settings.ID, g.job.Request, g.attempts), "/", "-")
 	if g.result.Tokens > 0 {
 		g.result.Resumed++
 		g.d.counts.resumed.Add(g.job.Account, 1)
@@ -325,6 +341,7 @@
 	defer cancel()
 	e := chosen.endpoint
 	if g.d.engines.Dead(ctx, e.Address) {
+		g.crashed = g.d.timers.Now()
 		g.d.seams.Failed(e.ID, err)
 		if digests := g.d.flights.crashed(e.ID); len(digests) > 0 {
 			g.d.seams.Crashed(e.ID, digests)
