--- a/internal/base/setting/setting.go
+++ b/internal/base/setting/setting.go
@@ -28,6 +28,7 @@
 	Peer     string `json:"peer" validate:"required,tcp_addr"`
 	Operator string `json:"operator" validate:"required,tcp_addr"`
 	Platform string `json:"platform" validate:"required,tcp_addr"`
+	// Capacity is where endpoints are ordered; empty is the platform's address.
 	Capacity string `json:"capacity" validate:"omitempty,tcp_addr"`
 	Intake   string `json:"intake" validate:"omitempty,tcp_addr"`
 	Weights  string `json:"weights" validate:"omitempty,tcp_addr"`
@@ -106,11 +107,28 @@
 	if err := Check(settings); err != nil {
 		return Settings{}, eris.Wrap(err, "settings")
 	}
-	if settings.DeadlineMS > settings.DeadlineMaxMS {
-		return Settings{}, eris.Errorf("settings: field %q has value %d, must be at most deadline_max_ms (%d)",
-			"deadline_ms", settings.DeadlineMS, settings.DeadlineMaxMS)
+	if settings.Capacity == "" {
+		settings.Capacity = settings.Platform
 	}
-	return settings, nil
+	return settings, settings.crossCheck()
+}
+
+// crossCheck checks fields against each other.
+func (s Settings) crossCheck() error {
+	for _, one := range []struct {
+		low, high           string
+		lowValue, highValue int64
+	}{
+		{"deadline_ms", "deadline_max_ms", s.DeadlineMS, s.DeadlineMaxMS},
+		// Freshness must survive one lost exchange.
+		{"exchange_ms", "half of freshness_ms", s.ExchangeMS, s.FreshnessMS / 2},
+	} {
+		if one.lowValue > one.highValue {
+			return eris.Errorf("settings: field %q has value %d, must be at most %s (%d)",
+				one.low, one.lowValue, one.high, one.highValue)
+		}
+	}
+	return nil
 }
 
 // Milliseconds converts a settings field to a duration.
--- a/internal/control/serve/handler.go
+++ b/internal/control/serve/handler.go
@@ -41,10 +41,13 @@
 func (i *instance) operatorHandler() http.Handler {
 	return operator.New(i.settings.OperatorDigest, operator.Seams{
 		Table: i.config.Table, Edit: i.config.Edit, Status: i.status,
-		Drain: func() { i.drainOnce.Do(func() { close(i.drain) }) },
+		Drain: i.startDrain,
 	}, i.log)
 }
 
+// startDrain starts the planned shutdown.
+func (i *instance) startDrain() { i.drainOnce.Do(func() { close(i.drain) }) }
+
 type instanceStatus struct {
 	Instance  string                      `json:"instance"`
 	Zone      string                      `json:"zone"`
--- a/internal/control/serve/serve.go
+++ b/internal/control/serve/serve.go
@@ -96,10 +96,13 @@
 	return nil
 }
 
+// runPart runs one part. An instance that lost a part shuts down, so that it is
+// replaced instead of serving without it.
 func (i *instance) runPart(ctx context.Context, name string, part func(context.Context) error) error {
 	err := part(ctx)
 	if err != nil && ctx.Err() == nil {
 		i.log.WithFields(logrus.Fields{"part": name, logs.Cause: err.Error()}).Error("a part of the instance ended")
+		i.startDrain()
 	}
 	return err
 }
