--- a/cmd/loadgen/summary.go
+++ b/cmd/loadgen/summary.go
@@ -29,6 +29,7 @@
 	Engine   []string `arg:"--engine,separate" help:"addresses of engine stand-ins, which bound the reported tokens"`
 	Ignore   []string `arg:"--ignore,separate" help:"accounts that are not compared"`
 	WaitMS   int      `arg:"--wait-ms" default:"30000" help:"how long to wait for the reports to be complete"`
+	Spent    string   `arg:"--spent" help:"JSON file with the endpoint spend at the start, which is taken off"`
 	Changes  int      `arg:"--changes" default:"0" help:"weight changes that each trainer must have made"`
 	Out      string   `arg:"--out" help:"file for the run's figures as JSON; faults then do not fail the command"`
 	Share    float64  `arg:"--share" default:"0.95" help:"smallest share of whole answers"`
@@ -87,6 +88,13 @@
 	if err != nil {
 		return err
 	}
+	if c.Spent != "" {
+		var before spending
+		if err := readJSON(c.Spent, &before); err != nil {
+			return err
+		}
+		spend = spend.since(before)
+	}
 	if spend.Total <= 0 {
 		faults = append(faults, "no endpoint time was paid for")
 	}
@@ -229,6 +237,18 @@
 	return codec.Call[T](ctx, http.DefaultClient, http.MethodGet, "http://"+address+path, nil, nil)
 }
 
+// since returns the spending after an earlier state.
+func (s spending) since(before spending) spending {
+	out := spending{Total: s.Total - before.Total, Class: map[string]float64{}, Seconds: map[string]float64{}}
+	for class, n := range s.Class {
+		out.Class[class] = n - before.Class[class]
+	}
+	for class, n := range s.Seconds {
+		out.Seconds[class] = n - before.Seconds[class]
+	}
+	return out
+}
+
 func show(w io.Writer, served balance.Served, reported balance.Reported, trainers []trainer.Summary, spend spending, whole, sent int) {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(t, "account\trequests served\treported\ttokens served\treported\t")
--- a/internal/fleet/order/plan.go
+++ b/internal/fleet/order/plan.go
@@ -43,14 +43,17 @@
 // plan is the state of the decisions for one model. Its zero value starts from
 // the endpoints that are present.
 type plan struct {
-	started  bool
-	at       time.Time
-	served   int64
-	speed    float64 // cost per second of one slot in use
-	slots    float64 // smoothed demand in slots
-	trend    float64 // change of the demand per second
-	enough   time.Time
-	peak     int // highest need since enough
+	started bool
+	at      time.Time
+	served  int64
+	speed   float64 // cost per second of one slot in use
+	slots   float64 // smoothed demand in slots
+	trend   float64 // change of the demand per second
+	enough  time.Time
+	peak    int // highest need since enough
+	// total is the number of endpoints needed. While cheap ones have not come,
+	// more are ordered in sum.
+	total    int
 	standard int
 	cheap    int
 	losses   []loss
@@ -76,7 +79,7 @@
 func (p *plan) decide(in inputs) capacity.Model {
 	if !p.started {
 		p.started, p.at, p.served = true, in.now, in.need.served
-		p.standard, p.cheap = in.have.standard, in.have.cheap
+		p.standard, p.cheap, p.total = in.have.standard, in.have.cheap, in.have.standard+in.have.cheap
 		p.slots, p.enough = p.demand(in), in.now
 	}
 	p.follow(in)
@@ -129,7 +132,7 @@
 
 // steady applies the limits and the hysteresis to the number of endpoints.
 func (p *plan) steady(in inputs, total int) int {
-	now := p.standard + p.cheap
+	now := p.total
 	if total >= now || in.partial {
 		p.enough, p.peak = in.now, 0
 		return min(max(total, now), now+max(now, growLeast))
@@ -159,19 +162,25 @@
 	p.losses = kept
 	floor := max(in.row.Floor, endpoints(float64(in.need.fixed), in.row))
 	total = min(max(total, floor), in.row.Ceiling)
+	p.total = total
 	if !in.row.Cheap {
 		p.standard, p.cheap = total, 0
 		return
 	}
-	standard := min(floor+lost, total)
+	least := min(floor+lost, total)
+	// Standard endpoints stay until the cheap ones that replace them are there:
+	// the platform may have none left.
+	standard := max(total-in.have.cheap, least)
 	if less := p.standard - standard; less > 0 {
-		// Cheap endpoints take over step by step, and only while those ordered
-		// before have come.
 		step := max(int(float64(p.standard)*shrinkPart), 1)
-		if in.partial || in.have.cheap < p.cheap {
+		if in.partial {
 			step = 0
 		}
 		standard = min(p.standard-min(less, step), total)
 	}
-	p.standard, p.cheap = standard, total-standard
+	p.standard, p.cheap = standard, total-least
+	if lost > 0 {
+		// After a reclaim no further cheap endpoints are ordered for a time.
+		p.cheap = min(p.cheap, in.have.cheap)
+	}
 }
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -135,6 +135,7 @@
 	budgets  *budgets
 	prefixes *prefixes
 	flights  *flights
+	inflight *inflight
 	counts   counts
 	// background are cancellations and probes that outlive their requests.
 	background sync.WaitGroup
@@ -151,7 +152,7 @@
 ) *Dispatcher {
 	return &Dispatcher{
 		settings: settings, timers: timers, log: log, engines: engines, services: services, seams: seams,
-		budgets: newBudgets(settings.RetryPercent), prefixes: newPrefixes(), flights: newFlights(),
+		budgets: newBudgets(settings.RetryPercent), prefixes: newPrefixes(), flights: newFlights(), inflight: newInflight(),
 		counts: counts{
 			resumed: meters.Counter("streams_resumed"), retried: meters.Counter("attempts_repeated"),
 			failed: meters.Counter("attempts_failed"), served: meters.Counter("requests_served"),
@@ -169,7 +170,10 @@
 }
 
 // Forget removes what is kept about an endpoint that is gone.
-func (d *Dispatcher) Forget(endpoint string) { d.budgets.forget(endpoint) }
+func (d *Dispatcher) Forget(endpoint string) {
+	d.budgets.forget(endpoint)
+	d.inflight.forget(endpoint)
+}
 
 // The time that a call which nobody waits for may take.
 const backgroundLimit = time.Second
--- a/internal/traffic/dispatch/generate.go
+++ b/internal/traffic/dispatch/generate.go
@@ -208,6 +208,7 @@
 		account: g.job.Account, model: g.job.Model, cheap: true, minVersion: g.job.MinVersion,
 		never: slices.Concat(g.job.Avoid, []string{g.occupied}), failed: g.failed, suspect: g.d.seams.Suspect(g.digest),
 		prompt: g.job.Prompt, prefixes: hashPrefixes(g.job.Prompt),
+		prefill: float64(PromptTokens(g.job.Prompt)) / promptDivisor / float64(generationCost(g.job.Prompt, g.job.MaxTokens)),
 	}
 }
 
--- a/internal/traffic/dispatch/pick.go
+++ b/internal/traffic/dispatch/pick.go
@@ -17,7 +17,6 @@
 // endpoint.
 const (
 	zoneWeight   = 0.25
-	prefixWeight = 0.5
 	priceWeight  = 0.2
 	randomWeight = 0.05
 	unknownLoad  = 0.5
@@ -40,6 +39,8 @@
 	suspect  bool
 	prompt   string
 	prefixes []prefixHash
+	// prefill is the prompt's part of the request's cost.
+	prefill float64
 }
 
 type picked struct {
@@ -57,7 +58,7 @@
 	}
 	for _, e := range d.ranked(n, usable) {
 		if slot, ok := d.seams.Take(e.ID, n.account); ok {
-			return picked{e, slot}, true, nil
+			return picked{e, d.inflight.track(e.ID, slot)}, true, nil
 		}
 	}
 	return picked{}, false, nil
@@ -115,7 +116,7 @@
 func (d *Dispatcher) score(n need, e roster.Endpoint, load roster.Load, known bool, highest float64) float64 {
 	score := unknownLoad
 	if known && load.Limit > 0 {
-		score = float64(load.Running+load.Waiting) / float64(load.Limit)
+		score = d.inflight.load(e.ID, load)
 	}
 	if e.Zone != d.settings.Zone {
 		score += zoneWeight
@@ -124,7 +125,7 @@
 		score += priceWeight * e.PricePerHour / highest
 	}
 	if len(n.prefixes) > 0 {
-		score -= prefixWeight * d.prefixes.match(e.ID, n.prefixes, len(n.prompt))
+		score -= n.prefill * d.prefixes.match(e.ID, n.prefixes, len(n.prompt))
 	}
 	return score + randomWeight*rand.Float64()
 }
