--- a/internal/control/serve/build.go
+++ b/internal/control/serve/build.go
@@ -144,7 +144,7 @@
 		View: i.directory.Listed, Peer: i.oncePeer, Refused: fleet.Refused, Report: i.directory.Report, Current: i.fresh,
 	})
 	i.steps = step.New(i.settings, i.timers, step.Seams{
-		View: i.directory.View, Client: i.peers, Generate: i.generateSample, Score: i.scorer.Score,
+		View: i.directory.View, Client: i.peers, Generate: i.dispatcher.Generate, Score: i.scorer.Score,
 		Allowed: i.trainerAllowed, Get: i.getValue, Put: i.putValue, Report: i.directory.Report,
 	}, i.meters, i.log)
 	i.versions = version.New(i.timers, version.Seams{
--- a/internal/control/serve/traffic.go
+++ b/internal/control/serve/traffic.go
@@ -41,19 +41,6 @@
 	return nil
 }
 
-func (i *instance) generateSample(ctx context.Context, job step.Job, sink func(step.Chunk) error) (step.Result, error) {
-	result, err := i.dispatcher.Generate(ctx, dispatch.Job(job), func(c dispatch.Chunk) error {
-		return sink(step.Chunk{Text: c.Text, Tokens: c.Tokens, Version: c.Version})
-	})
-	ranges := make([]step.Range, 0, len(result.Ranges))
-	for _, r := range result.Ranges {
-		ranges = append(ranges, step.Range(r))
-	}
-	return step.Result{
-		Text: result.Text, Tokens: result.Tokens, Ranges: ranges, Endpoint: result.Endpoint, Resumed: result.Resumed,
-	}, err
-}
-
 func (i *instance) announce(ctx context.Context, trainer table.Trainer, number int) error {
 	if err := i.steps.Announce(ctx, trainer.Name, number); err != nil {
 		return err
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -51,6 +51,8 @@
 	Text    string
 	Tokens  int
 	Version int
+	// Endpoint is the engine that generated the chunk.
+	Endpoint string
 }
 
 // Range says that one weight version generated the tokens [From, To).
--- a/internal/traffic/dispatch/generate.go
+++ b/internal/traffic/dispatch/generate.go
@@ -42,6 +42,8 @@
 	started  time.Time
 	first    time.Duration
 	interval *backoff.ExponentialBackOff
+	// endpoint is the engine of the current attempt.
+	endpoint string
 	// crashed is when the job's engine last died.
 	crashed time.Time
 	// occupied is the endpoint on which another suspect was met last.
@@ -263,7 +265,7 @@
 		g.result.Resumed++
 		g.d.counts.resumed.Add(g.job.Account, 1)
 	}
-	g.started = g.d.timers.Now()
+	g.started, g.endpoint = g.d.timers.Now(), e.ID
 	done, err := g.d.engines.Generate(ctx, e.Address, engine.Request{
 		Request: id, Model: g.job.Model, Prompt: g.job.Prompt, MaxTokens: g.job.MaxTokens,
 		Priority: g.job.Priority, Seed: g.job.Seed, Resume: g.text.String(), ResumeTokens: g.result.Tokens,
@@ -285,7 +287,7 @@
 	g.sent = true
 	g.text.WriteString(c.Text)
 	g.label(c)
-	if err := g.sink(Chunk(c)); err != nil {
+	if err := g.sink(Chunk{Text: c.Text, Tokens: c.Tokens, Version: c.Version, Endpoint: g.endpoint}); err != nil {
 		return &sinkError{err}
 	}
 	return nil
--- a/internal/traffic/entry/generate.go
+++ b/internal/traffic/entry/generate.go
@@ -111,7 +111,7 @@
 		if cause := context.Cause(r.Context()); cause != nil {
 			return cause
 		}
-		return out.line(generateChunk(chunk))
+		return out.line(generateChunk{Text: chunk.Text, Tokens: chunk.Tokens, Version: chunk.Version})
 	})
 	if err == nil {
 		// A failed write means that the caller is gone; nobody is left to tell.
--- a/internal/training/step/label.go
+++ b/internal/training/step/label.go
@@ -35,7 +35,7 @@
 	if n := len(l.ranges); n > 0 && l.ranges[n-1].Version == c.Version {
 		l.ranges[n-1].To += c.Tokens
 	} else {
-		l.ranges = append(l.ranges, Range{c.Version, l.tokens, l.tokens + c.Tokens})
+		l.ranges = append(l.ranges, Range{Version: c.Version, From: l.tokens, To: l.tokens + c.Tokens})
 	}
 	l.tokens += c.Tokens
 	return nil
--- a/internal/training/step/step_test.go
+++ b/internal/training/step/step_test.go
@@ -27,7 +27,7 @@
 		return c, nil
 	}
 	for id, s := range w.pullAll(t, pullOf(7, 2, 2), "i-0") {
-		if want := []Range{{7, 0, 3}, {8, 3, 4}}; !slices.Equal(s.Versions, want) {
+		if want := []Range{{Version: 7, From: 0, To: 3}, {Version: 8, From: 3, To: 4}}; !slices.Equal(s.Versions, want) {
 			t.Errorf("sample %s has the versions %v, want %v", id, s.Versions, want)
 		}
 	}
@@ -63,7 +63,7 @@
 		"too many tokens":     chunk(func(c *Chunk) { c.Tokens = 9 }),
 		"other token total":   result(func(r *Result) { r.Tokens++ }),
 		"other text":          result(func(r *Result) { r.Text += "y" }),
-		"other ranges":        result(func(r *Result) { r.Ranges = []Range{{1, 0, 2}, {2, 2, 4}} }),
+		"other ranges":        result(func(r *Result) { r.Ranges = []Range{{Version: 1, From: 0, To: 2}, {Version: 2, From: 2, To: 4}} }),
 	}
 	for name, fault := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -74,7 +74,7 @@
 				t.Errorf("%d samples from %d attempts, want 4 from 8", len(got), w.gen.count())
 			}
 			for id, s := range got {
-				if !slices.Equal(s.Versions, []Range{{1, 0, 4}}) || s.Text != "xxxx" {
+				if !slices.Equal(s.Versions, []Range{{Version: 1, From: 0, To: 4}}) || s.Text != "xxxx" {
 					t.Errorf("sample %s is %q with the versions %v", id, s.Text, s.Versions)
 				}
 			}
--- a/internal/training/step/steps.go
+++ b/internal/training/step/steps.go
@@ -345,7 +345,7 @@
 		for _, m := range f.Samples {
 			s := Sample{ID: m.Id, Text: m.Text, Score: m.Score, Tokens: int(m.Tokens)}
 			for _, v := range m.Versions {
-				s.Versions = append(s.Versions, Range{int(v.Version), int(v.From), int(v.To)})
+				s.Versions = append(s.Versions, Range{Version: int(v.Version), From: int(v.From), To: int(v.To)})
 			}
 			young = young && len(s.Versions) > 0 && !tooOld(s.oldest(), p.request.Version, p.trainer.MaxAge)
 			g.Samples = append(g.Samples, s)
--- a/internal/training/step/types.go
+++ b/internal/training/step/types.go
@@ -15,54 +15,22 @@
 
 import (
 	"strings"
-	"time"
 
 	"github.com/wigeonpin/wigeonpin/internal/base/code"
 	"github.com/wigeonpin/wigeonpin/internal/base/setting"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/dispatch"
 )
 
 // Class is the class of all jobs of trainers.
 const Class = "training"
 
-// Job is one generation.
-type Job struct {
-	Request, Account, Model, Class, Prompt string
-	MaxTokens, Priority                    int
-	Seed                                   int64
-	Deadline                               time.Time
-	// MinVersion is the lowest active version of an engine that may start it.
-	MinVersion int
-	// Avoid lists endpoints that are not to be used.
-	Avoid []string
-	// Check is called before the job is started; its error refuses the job.
-	Check func() error
-}
-
-// Chunk is a part of the generated text. Endpoint names the engine where it is
-// known, so that a second attempt goes to another one.
-type Chunk struct {
-	Text            string
-	Tokens, Version int
-	Endpoint        string
-}
-
-// Range says that a version produced the tokens from From up to, not
-// including, To.
-type Range struct {
-	Version int `json:"version"`
-	From    int `json:"from"`
-	To      int `json:"to"`
-}
-
-// Result is a complete generation. Empty Ranges are not compared with the
-// labels of the chunks.
-type Result struct {
-	Text     string
-	Tokens   int
-	Ranges   []Range
-	Endpoint string
-	Resumed  int
-}
+// The types of a generation are those of the dispatcher.
+type (
+	Job    = dispatch.Job
+	Chunk  = dispatch.Chunk
+	Range  = dispatch.Range
+	Result = dispatch.Result
+)
 
 // Pull is a trainer's request for finished groups. It describes the whole step.
 type Pull struct {
