--- a/internal/training/step/types.go
+++ b/internal/training/step/types.go
@@ -24,13 +24,18 @@
 // Class is the class of all jobs of trainers.
 const Class = "training"
 
-// The types of a generation are those of the dispatcher.
-type (
-	Job    = dispatch.Job
-	Chunk  = dispatch.Chunk
-	Range  = dispatch.Range
-	Result = dispatch.Result
-)
+// Job is one generation.
+type Job = dispatch.Job
+
+// Chunk is a part of the generated text.
+type Chunk = dispatch.Chunk
+
+// Range says that a version produced the tokens From up to, not including, To.
+type Range = dispatch.Range
+
+// Result is a complete generation. Empty Ranges are not compared with the
+// labels of the chunks.
+type Result = dispatch.Result
 
 // Pull is a trainer's request for finished groups. It describes the whole step.
 type Pull struct {
