Sharpen the process proofs by what a check with mechanisms switched off showed

Without claims TestCallsRunOnceWhenInstancesDie passed, since calls ended too quickly to be under way when an instance was killed; they now run for 400 ms, and a new test sends each call through all instances at once. The streams of the planned stop now outlast the closing of the servers, and a woken lease holder now finds a row that changed while it was frozen.

--- a/proof/call_test.go
+++ b/proof/call_test.go
@@ -56,7 +56,7 @@
 	for _, p := range f.instances {
 		f.charges(p, key)
 	}
-	const calls = 300
+	const calls, path = 300, "/s/charge/%s?work_ms=400"
 	answers := make([][]answer, calls)
 	var wg sync.WaitGroup
 	for c := range calls {
@@ -66,7 +66,7 @@
 			time.Sleep(time.Duration(c) * 10 * time.Millisecond)
 			id := fmt.Sprintf("call-%d", c)
 			for attempt := range 3 {
-				a := f.call(f.instances[(c+attempt)%len(f.instances)], key, "/s/charge/"+id, id, 3*time.Second)
+				a := f.call(f.instances[(c+attempt)%len(f.instances)], key, fmt.Sprintf(path, id), id, 3*time.Second)
 				answers[c] = append(answers[c], a)
 				if a.status == http.StatusOK {
 					return
@@ -81,6 +81,40 @@
 	f.instances[4].kill()
 	wg.Wait()
 	f.judgeCalls(answers)
+	lost := 0
+	for _, all := range answers {
+		if all[0].err != nil {
+			lost++
+		}
+	}
+	if lost == 0 {
+		t.Error("no call was under way when an instance was killed")
+	}
+}
+
+// Guards against a second run of a call that its caller sends through two
+// instances at once.
+func TestSameCallThroughTwoInstances(t *testing.T) {
+	f := start(t, shape{zones: 3, perZone: 1, services: 1, settings: map[string]any{"resend_ms": 10_000}})
+	key := f.account("acme")
+	for _, p := range f.instances {
+		f.charges(p, key)
+	}
+	for c := range 20 {
+		id := fmt.Sprintf("twice-%d", c)
+		var wg sync.WaitGroup
+		for _, p := range f.instances {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				f.call(p, key, "/s/charge/"+id+"?work_ms=50", id, 5*time.Second)
+			}()
+		}
+		wg.Wait()
+		if ran := f.runs()["/"+id]; ran != 1 {
+			t.Errorf("call %d ran %d times", c, ran)
+		}
+	}
 }
 
 func (f *fleet) judgeCalls(answers [][]answer) {
@@ -140,7 +174,7 @@
 
 // Guards against a planned stop that cuts a request.
 func TestPlannedStopCutsNothing(t *testing.T) {
-	f := start(t, shape{zones: 1, perZone: 2, engines: 2, engine: []string{"--rate", "50"}})
+	f := start(t, shape{zones: 1, perZone: 2, engines: 2, engine: []string{"--rate", "10"}})
 	key := f.account("acme")
 	for _, p := range f.instances {
 		f.generates(p, key)
@@ -153,6 +187,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
+			// Longer than the time that closing the servers may take.
 			answers[i] = f.generate(leaving, key, fmt.Sprintf("prompt %d", i), 150, patience)
 		}()
 	}
--- a/proof/config_test.go
+++ b/proof/config_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sync"
 	"testing"
+	"time"
 )
 
 // Guards against an accepted edit that is lost or reverted when the platform
@@ -27,7 +28,9 @@
 	f.fake(f.platform, "outage", map[string]any{"on": false})
 	sequence := f.edit("zone", "zone-y", map[string]any{"state": "in"})
 	f.fake(f.platform, "rollback", map[string]any{"on": true, "back": 3})
-	for range 20 {
+	for range 30 {
+		// Several exchange periods pass.
+		time.Sleep(pollEvery)
 		for _, p := range f.instances {
 			if got := f.state(p).Sequence; got < sequence {
 				t.Fatalf("%s went back from sequence %d to %d", p.name, sequence, got)
@@ -36,7 +39,7 @@
 	}
 	f.fake(f.platform, "rollback", map[string]any{"on": false})
 	f.inForce(f.edit("zone", "zone-z", map[string]any{"state": "in"}), f.instances...)
-	if f.row("zone", "zone-y").Value["state"] != "in" {
+	if f.row("zone", "zone-y", f.instances[0]).Value["state"] != "in" {
 		t.Error("the accepted row is gone")
 	}
 }
@@ -47,7 +50,7 @@
 	f := start(t, shape{zones: 3, perZone: 1})
 	f.edit("account", "acme", map[string]any{"weight": 1})
 	for round := range 10 {
-		row := f.row("account", "acme")
+		row := f.row("account", "acme", f.instances[0])
 		if round%3 == 0 {
 			f.fake(f.platform, "lose", map[string]any{"count": 1})
 		}
@@ -78,7 +81,7 @@
 			t.Fatalf("round %d: statuses %v", round, statuses)
 		}
 		f.inForce(row.Revision+1, f.instances...)
-		if weight := f.row("account", "acme").Value["weight"]; weight != float64(2+winner) {
+		if weight := f.row("account", "acme", f.instances[0]).Value["weight"]; weight != float64(2+winner) {
 			t.Fatalf("round %d: weight %v, the winner wrote %d", round, weight, 2+winner)
 		}
 	}
--- a/proof/key_test.go
+++ b/proof/key_test.go
@@ -35,7 +35,7 @@
 	if !lines.Scan() {
 		t.Fatal("the stream did not start")
 	}
-	row := f.row("key", keyID(key))
+	row := f.row("key", keyID(key), f.instances[0])
 	row.Value["withdrawn"] = true
 	sequence := f.change(f.instances[0], "key", row.Name, row.Revision, row.Value)
 	f.inForce(sequence, f.instances...)
@@ -44,7 +44,7 @@
 			Done bool `json:"done"`
 		}
 		if json.Unmarshal(lines.Bytes(), &last) == nil && last.Done {
-			t.Fatal("the stream of a withdrawn key came to its end")
+			t.Error("the stream of a withdrawn key came to its end")
 		}
 	}
 	for _, p := range f.instances {
@@ -78,13 +78,13 @@
 	}
 }
 
-// row reads a row at the first instance.
-func (f *fleet) row(table, name string) editRow {
+// row reads a row at an instance.
+func (f *fleet) row(table, name string, p *process) editRow {
 	f.t.Helper()
 	var all struct {
 		Rows []editRow `json:"rows"`
 	}
-	f.ask(f.instances[0].oper, http.MethodGet, "/v1/table", bearer(operatorKey), nil, &all)
+	f.ask(p.oper, http.MethodGet, "/v1/table", bearer(operatorKey), nil, &all)
 	for _, r := range all.Rows {
 		if r.Table == table && r.Name == name {
 			return r
--- a/proof/lease_test.go
+++ b/proof/lease_test.go
@@ -27,12 +27,18 @@
 // has begun. The platform does not check fencing tokens here.
 func TestFrozenHolderOrdersNothing(t *testing.T) {
 	f := start(t, shape{zones: 1, perZone: 3, engines: 1})
+	floor := 1
 	for range 3 {
 		f.eventually("orders come", func() bool { return len(f.orders()) > 0 })
 		all := f.orders()
 		last := all[len(all)-1]
 		holder := f.named(last.Holder)
 		holder.signal(syscall.SIGSTOP)
+		// The woken holder finds a new row, so that it has something to order.
+		floor++
+		row := f.row("model", "tagger", f.other(holder))
+		row.Value["floor"] = floor
+		f.change(f.other(holder), "model", row.Name, row.Revision, row.Value)
 		f.eventually("a successor orders", func() bool {
 			now := f.orders()
 			return now[len(now)-1].Fence > last.Fence
@@ -50,6 +56,14 @@
 	}
 }
 
+// other returns an instance that is not the given one.
+func (f *fleet) other(p *process) *process {
+	if f.instances[0] == p {
+		return f.instances[1]
+	}
+	return f.instances[0]
+}
+
 func (f *fleet) named(name string) *process {
 	f.t.Helper()
 	for _, p := range f.instances {
@@ -89,7 +103,7 @@
 	if a := <-running; a.status != http.StatusOK {
 		t.Errorf("running work was cut: status %d %s", a.status, a.body)
 	}
-	row := f.row("zone", zoneName(0))
+	row := f.row("zone", zoneName(0), f.instances[0])
 	f.inForce(f.change(f.instances[1], "zone", row.Name, row.Revision, map[string]any{"state": "in"}), f.instances...)
 	f.generates(f.instances[0], key)
 }
--- a/proof/partition_test.go
+++ b/proof/partition_test.go
@@ -33,7 +33,7 @@
 	if a := f.call(cut, "", "/s/open/x", "", 10*time.Second); a.status != http.StatusOK {
 		t.Errorf("an open route in the cut zone: status %d %s", a.status, a.body)
 	}
-	row := f.row("key", keyID(key))
+	row := f.row("key", keyID(key), f.instances[0])
 	row.Value["withdrawn"] = true
 	sequence := f.change(f.instances[0], "key", row.Name, row.Revision, row.Value)
 	f.inForce(sequence, f.instances[1])
