--- a/internal/control/config/commit.go
+++ b/internal/control/config/commit.go
@@ -138,7 +138,7 @@
 	switch {
 	case c.state.behind:
 		return behind()
-	case c.blind():
+	case c.unreachable():
 		return unavailable("the platform does not answer")
 	}
 	return nil
--- a/internal/control/config/feed.go
+++ b/internal/control/config/feed.go
@@ -162,7 +162,7 @@
 	c.mu.Lock()
 	in := &FeedExchange{
 		Instance: c.settings.ID, Zone: c.settings.Zone, Sequence: c.state.table.Sequence(),
-		List: roll.Digest, Outage: c.blind(), Peer: c.settings.Peer,
+		List: roll.Digest, Outage: c.unreachable(), Peer: c.settings.Peer,
 		Last: c.state.last,
 	}
 	c.mu.Unlock()
--- a/internal/control/config/freshness.go
+++ b/internal/control/config/freshness.go
@@ -60,9 +60,9 @@
 	}
 }
 
-// blind reports whether the latest call to the platform failed, not long ago.
+// unreachable reports whether the latest call to the platform failed, not long ago.
 // mu is held.
-func (c *Config) blind() bool {
+func (c *Config) unreachable() bool {
 	return c.state.triedPlatform && !c.state.reached && c.timers.Since(c.state.asked) <= suspectPeriods*c.period
 }
 
@@ -74,9 +74,9 @@
 func (c *Config) census(ctx context.Context) {
 	order := slices.DeleteFunc(c.seams.Directory.Listed().Tree(c.settings.Zone), c.excluded)
 	c.mu.Lock()
-	blind := c.blind()
+	unreachable := c.unreachable()
 	c.mu.Unlock()
-	if !blind || len(order) == 0 || order[0] != c.settings.ID {
+	if !unreachable || len(order) == 0 || order[0] != c.settings.ID {
 		return
 	}
 	c.exchanges.Add("census", 1)
@@ -90,7 +90,7 @@
 		answer, err := c.ask(ctx, order, at)
 		if err != nil {
 			if !c.excluded(id) {
-				contact.Blind = false
+				contact.Unreachable = false
 			}
 			missing = append(missing, member.ChildrenOf(order, at)...)
 			continue
@@ -110,7 +110,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if contact.Blind {
+	if contact.Unreachable {
 		c.learn(c.settings.Zone, statement{at: sent, sequence: contact.Sequence})
 	}
 	if contact.AgeUs != nil && contact.Sequence <= c.state.table.Sequence() {
@@ -156,7 +156,7 @@
 	defer c.mu.Unlock()
 	c.state.suspect = c.timers.Now().Add(suspectPeriods * c.period)
 	return &FeedContact{
-		Members: 1, Blind: c.blind(), Sequence: c.state.table.Sequence(), Holder: c.settings.ID, AgeUs: c.age(),
+		Members: 1, Unreachable: c.unreachable(), Sequence: c.state.table.Sequence(), Holder: c.settings.ID, AgeUs: c.age(),
 	}
 }
 
@@ -172,7 +172,7 @@
 
 func merge(total, answer *FeedContact) {
 	total.Members += answer.Members
-	total.Blind = total.Blind && answer.Blind
+	total.Unreachable = total.Unreachable && answer.Unreachable
 	if answer.Sequence > total.Sequence {
 		total.Sequence, total.Holder = answer.Sequence, answer.Holder
 	}
--- a/internal/control/config/freshness_test.go
+++ b/internal/control/config/freshness_test.go
@@ -7,7 +7,7 @@
 
 // Guards against a zone that claims to accept no edits while one of its
 // members, here each in turn, still reaches the platform.
-func TestStatementNeedsEveryMemberBlind(t *testing.T) {
+func TestStatementNeedsEveryMemberUnreachable(t *testing.T) {
 	for _, reaching := range []string{"a1", "a2", "a3", "a4", "a5", "a6", "a7"} {
 		f := newFleet(t)
 		for _, id := range []string{"a1", "a2", "a3", "a4", "a5", "a6", "a7"} {
--- a/internal/control/config/head.go
+++ b/internal/control/config/head.go
@@ -471,10 +471,10 @@
 	defer ticks.Stop()
 	for turn := 0; ; turn++ {
 		c.mu.Lock()
-		blind := c.blind()
+		unreachable := c.unreachable()
 		c.mu.Unlock()
 		// Spreads the calls of many instances that wait for the end of an outage.
-		if blind && c.timers.Sleep(ctx, jitter(c.period/2)) != nil {
+		if unreachable && c.timers.Sleep(ctx, jitter(c.period/2)) != nil {
 			return
 		}
 		c.pollTurn(ctx, turn)
--- a/internal/fleet/share/bench_test.go
+++ b/internal/fleet/share/bench_test.go
@@ -137,7 +137,7 @@
 		}
 		id := fmt.Sprintf("e-%d", i)
 		for _, n := range w.nodes {
-			if s, ok := n.pool.stakes[id]; ok && s.home == n.id {
+			if s, ok := n.pool.delegations[id]; ok && s.home == n.id {
 				n.roster.Learn(id, roster.Load{Running: w.backs[id].running, Limit: w.limit, At: w.timers.Now()})
 			}
 		}
--- a/internal/fleet/share/stake.go
+++ b/internal/fleet/share/delegation.go
@@ -9,9 +9,9 @@
 	"github.com/wigeonpin/wigeonpin/internal/control/roster"
 )
 
-// stake is this instance's view of one endpoint: the members that own shares,
+// delegation is this instance's view of one endpoint: the members that own shares,
 // the home instance and the delegation.
-type stake struct {
+type delegation struct {
 	id       string
 	endpoint roster.Endpoint
 	hash     uint64
@@ -75,7 +75,7 @@
 	before := p.layout
 	if before == nil || before.listed != listed {
 		p.layout = newLayout(listed, p.settings.CellSize)
-		p.sit(now)
+		p.followCell(now)
 		p.remember(listed)
 	}
 	if before == p.layout && alive == p.alive && snapshot.SameList(p.snapshot) {
@@ -89,9 +89,9 @@
 	}
 	p.alive, p.snapshot, p.ours = alive, snapshot, nil
 	for _, e := range snapshot.All() {
-		s, known := p.stakes[e.ID]
+		s, known := p.delegations[e.ID]
 		if !known {
-			s = p.newStake(e, now)
+			s = p.newDelegation(e, now)
 		}
 		restarted := known && (s.endpoint.Address != e.Address || !s.usable && snapshot.Usable(e.ID))
 		s.endpoint, s.usable = e, snapshot.Usable(e.ID)
@@ -110,30 +110,30 @@
 	p.sweepLedgers(now)
 }
 
-// seat is the cell of this instance: its place among the zone's cells, and who
+// ownCell is the cell of this instance: its place among the zone's cells, and who
 // has been in it.
-type seat struct {
+type ownCell struct {
 	place, count int
 	cell         []string
 	since        time.Time
 	retained     map[string]time.Time
 }
 
-// sit follows this instance's own cell, so that an endpoint that is new here
+// followCell follows this instance's own cell, so that an endpoint that is new here
 // starts with the right members.
-func (p *Pool) sit(now time.Time) {
+func (p *Pool) followCell(now time.Time) {
 	cells := p.layout.zone(p.zone).cells
 	place := slices.IndexFunc(cells, func(cell []string) bool { return slices.Contains(cell, p.self) })
 	if place < 0 {
-		p.seat = seat{place: -1}
+		p.ownCell = ownCell{place: -1}
 		return
 	}
-	next := seat{place: place, count: len(cells), cell: cells[place], since: now, retained: map[string]time.Time{}}
-	if next.place == p.seat.place && next.count == p.seat.count {
-		next.since, next.retained = p.seat.since, p.seat.retained
-		p.retain(next.retained, p.seat.cell, next.cell, now)
+	next := ownCell{place: place, count: len(cells), cell: cells[place], since: now, retained: map[string]time.Time{}}
+	if next.place == p.ownCell.place && next.count == p.ownCell.count {
+		next.since, next.retained = p.ownCell.since, p.ownCell.retained
+		p.retain(next.retained, p.ownCell.cell, next.cell, now)
 	}
-	p.seat = next
+	p.ownCell = next
 }
 
 // retain notes the members that are no longer in the cell. Such a member
@@ -151,19 +151,19 @@
 	maps.DeleteFunc(retained, func(_ string, until time.Time) bool { return !now.Before(until) })
 }
 
-func (p *Pool) newStake(e roster.Endpoint, now time.Time) *stake {
-	s := &stake{id: e.ID, endpoint: e, hash: hashOf(e.ID), since: now, retained: map[string]time.Time{}, former: map[string]bool{}}
+func (p *Pool) newDelegation(e roster.Endpoint, now time.Time) *delegation {
+	s := &delegation{id: e.ID, endpoint: e, hash: hashOf(e.ID), since: now, retained: map[string]time.Time{}, former: map[string]bool{}}
 	s.cell = p.layout.cell(e.Zone, e.ID)
 	if e.Zone == p.zone && slices.Contains(s.cell, p.self) {
-		s.inCell, s.since, s.retained = true, p.seat.since, maps.Clone(p.seat.retained)
+		s.inCell, s.since, s.retained = true, p.ownCell.since, maps.Clone(p.ownCell.retained)
 	}
-	p.stakes[e.ID] = s
+	p.delegations[e.ID] = s
 	p.byHash[s.hash] = e.ID
 	return s
 }
 
 // recell follows a new list of instances.
-func (p *Pool) recell(s *stake, now time.Time) {
+func (p *Pool) recell(s *delegation, now time.Time) {
 	cell := p.layout.cell(s.endpoint.Zone, s.endpoint.ID)
 	if slices.Equal(cell, s.cell) {
 		return
@@ -177,7 +177,7 @@
 }
 
 // follow chooses the home instance and drops members that cannot delegate.
-func (p *Pool) follow(s *stake, alive *member.View, now time.Time) {
+func (p *Pool) follow(s *delegation, alive *member.View, now time.Time) {
 	for id, until := range s.retained {
 		if p.seams.Dead(id) {
 			until = earlier(until, now.Add(p.lapse()))
@@ -200,9 +200,9 @@
 
 // sweep drops what belongs to endpoints and instances that are gone.
 func (p *Pool) sweep(snapshot *roster.Snapshot, now time.Time) {
-	for id, s := range p.stakes {
+	for id, s := range p.delegations {
 		if _, ok := snapshot.Get(id); !ok && !now.Before(s.lapse) {
-			delete(p.stakes, id)
+			delete(p.delegations, id)
 			delete(p.byHash, s.hash)
 			delete(p.ledgers, id)
 			p.holds.Delete(id)
@@ -219,7 +219,7 @@
 		}
 	}
 	for id, l := range p.ledgers {
-		s, ok := p.stakes[id]
+		s, ok := p.delegations[id]
 		if !ok {
 			continue
 		}
@@ -239,7 +239,7 @@
 
 // parts returns n where this instance may delegate 1/n of the endpoint to the
 // peer now, or 0.
-func (p *Pool) parts(s *stake, id string, now time.Time) uint32 {
+func (p *Pool) parts(s *delegation, id string, now time.Time) uint32 {
 	if !s.inCell || p.leaving || s.home != id {
 		return 0
 	}
@@ -262,7 +262,7 @@
 // member knows that it joined or is fenced, and the larger shares that they
 // delegated before have lapsed; so have those of members that left the list
 // before this one came and that it does not know.
-func (p *Pool) settled(s *stake, now time.Time) bool {
+func (p *Pool) settled(s *delegation, now time.Time) bool {
 	return now.Sub(s.since) >= p.settling()
 }
 
@@ -275,8 +275,8 @@
 	p.fenced = age > bound
 	at := now.Add(-age)
 	if !p.confirmed.IsZero() && at.Sub(p.confirmed) > bound {
-		p.seat.since = now
-		for _, s := range p.stakes {
+		p.ownCell.since = now
+		for _, s := range p.delegations {
 			if s.inCell {
 				s.since = now
 			}
@@ -292,12 +292,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var ids []string
-	for _, id := range p.seat.cell {
+	for _, id := range p.ownCell.cell {
 		if now.Sub(p.peer(id).sent) >= quietTerms*p.term {
 			ids = append(ids, id)
 		}
 	}
-	for _, s := range p.stakes {
+	for _, s := range p.delegations {
 		if p.concerns(s, s.home, now) {
 			ids = append(ids, s.home)
 		}
@@ -342,7 +342,7 @@
 }
 
 // concerns reports whether a report to the peer says something of an endpoint.
-func (p *Pool) concerns(s *stake, id string, now time.Time) bool {
+func (p *Pool) concerns(s *delegation, id string, now time.Time) bool {
 	if s.former[id] {
 		return true
 	}
--- a/internal/fleet/share/exchange.go
+++ b/internal/fleet/share/exchange.go
@@ -62,7 +62,7 @@
 func (p *Pool) askable(endpoint string) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s, ok := p.stakes[endpoint]
+	s, ok := p.delegations[endpoint]
 	if !ok || s.home == "" {
 		return ""
 	}
@@ -99,7 +99,7 @@
 		p.seams.Outcome(id, err)
 	}
 	if p.finish(id, report, covered, answer, sent) {
-		p.notice.tell()
+		p.notice.notify()
 	}
 	if answer != nil && id != p.self {
 		p.learn(covered, answer)
@@ -130,7 +130,7 @@
 }
 
 // prepare builds the report for a peer. It marks the peer as busy.
-func (p *Pool) prepare(id string) (*Report, []*stake, bool) {
+func (p *Pool) prepare(id string) (*Report, []*delegation, bool) {
 	// The queue may call this pool under its lock, so that it is asked before
 	// the pool's own is taken.
 	queued := p.seams.Queued()
@@ -151,9 +151,9 @@
 		Member: p.self, Incarnation: p.incarnation, Sequence: x.sequence, HomeIncarnation: x.incarnation,
 		Token: x.token, Leaving: p.leaving,
 	}
-	var covered []*stake
+	var covered []*delegation
 	models := map[string]map[string]*Demand{}
-	for _, s := range p.stakes {
+	for _, s := range p.delegations {
 		if !p.concerns(s, id, now) {
 			continue
 		}
@@ -166,12 +166,12 @@
 }
 
 // describe adds one endpoint to a report.
-func (p *Pool) describe(report *Report, s *stake, id string, now time.Time) {
+func (p *Pool) describe(report *Report, s *delegation, id string, now time.Time) {
 	x := p.peer(id)
 	var state holding
 	if h, ok := p.hold(s.endpoint.ID); ok {
-		if state = h.state(now); state.stretch.home != id && s.home == id && state.held > 0 {
-			h.surrender()
+		if state = h.state(now); state.rampPeriod.home != id && s.home == id && state.held > 0 {
+			h.dropGrant()
 			state.held = 0
 		}
 	}
@@ -192,8 +192,8 @@
 	report.Running = append(report.Running, uint32(state.total))
 	report.Held = append(report.Held, uint32(state.held))
 	d := &Detail{Index: uint32(len(report.Endpoints) - 1)}
-	if state.stretch.home == id && state.stretch.incarnation == x.incarnation {
-		d.Epoch, d.Good, d.Cold = state.stretch.epoch, state.good, state.cold
+	if state.rampPeriod.home == id && state.rampPeriod.incarnation == x.incarnation {
+		d.Epoch, d.Good, d.Cold = state.rampPeriod.epoch, state.good, state.cold
 	} else if state.ramp > 0 {
 		d.Ramp, d.RampAgeMs = uint32(state.ramp), uint32(state.rampAge.Milliseconds())
 	}
@@ -247,7 +247,7 @@
 
 // finish takes the answer in; without one the peer is only no longer busy. It
 // reports whether slots have become free.
-func (p *Pool) finish(id string, report *Report, covered []*stake, answer *Answer, sent time.Time) bool {
+func (p *Pool) finish(id string, report *Report, covered []*delegation, answer *Answer, sent time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	x, now := p.peer(id), p.timers.Now()
@@ -273,7 +273,7 @@
 }
 
 // learn passes on the load reports of an answer.
-func (p *Pool) learn(covered []*stake, answer *Answer) {
+func (p *Pool) learn(covered []*delegation, answer *Answer) {
 	now := p.timers.Now()
 	for _, l := range answer.Loads {
 		if int(l.Index) < len(covered) {
@@ -285,7 +285,7 @@
 	}
 }
 
-func (p *Pool) takeGrant(s *stake, id string, i int, answer *Answer, now, sent time.Time) bool {
+func (p *Pool) takeGrant(s *delegation, id string, i int, answer *Answer, now, sent time.Time) bool {
 	allotment := int(answer.Allotments[i])
 	h, ok := p.hold(s.endpoint.ID)
 	if allotment == 0 && !ok {
@@ -294,7 +294,7 @@
 	if !ok {
 		h = p.addHold(s.endpoint)
 	}
-	at := stretch{home: id, incarnation: answer.Incarnation, epoch: answer.Epochs[i]}
+	at := rampPeriod{home: id, incarnation: answer.Incarnation, epoch: answer.Epochs[i]}
 	return h.grant(max(allotment-1, 0), int(answer.Ramps[i]), at, now, sent.Add(p.term))
 }
 
@@ -405,7 +405,7 @@
 }
 
 func (p *Pool) serveEndpoint(m *reporter, report *Report, i int, id string, d *Detail, fresh bool, answer *Answer, now time.Time) {
-	s := p.stakes[id]
+	s := p.delegations[id]
 	uses := report.Parts[i] > 0 || report.Running[i] > 0 || report.Held[i] > 0
 	if _, ok := p.ledgers[id]; !ok && s.home != p.self && !uses {
 		return
@@ -442,7 +442,7 @@
 }
 
 // climb moves the ramp by what the member reports.
-func (p *Pool) climb(s *stake, l *ledger, e *entry, d *Detail, load roster.Load, same bool) {
+func (p *Pool) climb(s *delegation, l *ledger, e *entry, d *Detail, load roster.Load, same bool) {
 	limit := p.seams.Slots(s.endpoint.Model)
 	if load.Limit > 0 {
 		limit = min(limit, load.Limit)
--- a/internal/fleet/share/hold.go
+++ b/internal/fleet/share/hold.go
@@ -34,16 +34,16 @@
 
 // Slot is the right to run one request on an endpoint.
 type Slot struct {
-	pool    *Pool
-	hold    *hold
-	account string
-	cost    int64
-	stretch stretch
-	once    sync.Once
+	pool       *Pool
+	hold       *hold
+	account    string
+	cost       int64
+	rampPeriod rampPeriod
+	once       sync.Once
 }
 
-// stretch identifies a run of the ramp without degradation.
-type stretch struct {
+// rampPeriod identifies a run of the ramp without degradation.
+type rampPeriod struct {
 	home        string
 	incarnation uint64
 	epoch       uint32
@@ -54,20 +54,20 @@
 type hold struct {
 	endpoint, model string
 
-	mu        sync.Mutex
-	total     int
-	running   map[string]int
-	costs     map[string]int64
-	allotment int
-	until     time.Time
-	wanted    time.Time
-	stretch   stretch
-	ramp      int
-	rampAt    time.Time
-	good      uint64
-	cold      bool
-	baseline  float64
-	answers   int
+	mu         sync.Mutex
+	total      int
+	running    map[string]int
+	costs      map[string]int64
+	allotment  int
+	until      time.Time
+	wanted     time.Time
+	rampPeriod rampPeriod
+	ramp       int
+	rampAt     time.Time
+	good       uint64
+	cold       bool
+	baseline   float64
+	answers    int
 }
 
 func (h *hold) free(now time.Time) int {
@@ -94,7 +94,7 @@
 	h.total++
 	h.running[account]++
 	h.costs[account]++
-	return &Slot{pool: p, hold: h, account: account, cost: 1, stretch: h.stretch}, true
+	return &Slot{pool: p, hold: h, account: account, cost: 1, rampPeriod: h.rampPeriod}, true
 }
 
 func (h *hold) want(until time.Time) {
@@ -115,7 +115,7 @@
 func (s *Slot) Release(outcome Outcome) {
 	s.once.Do(func() {
 		s.hold.release(s, outcome)
-		s.pool.notice.tell()
+		s.pool.notice.notify()
 	})
 }
 
@@ -131,7 +131,7 @@
 	}
 	// Work that started before the last degradation says nothing about the
 	// endpoint since: counting it would degrade the endpoint again and again.
-	if s.stretch != h.stretch || h.cold {
+	if s.rampPeriod != h.rampPeriod || h.cold {
 		return
 	}
 	if outcome.Failed || h.degraded(outcome.FirstToken) {
@@ -163,7 +163,7 @@
 type holding struct {
 	total, held, ramp int
 	rampAge           time.Duration
-	stretch           stretch
+	rampPeriod        rampPeriod
 	good              uint64
 	cold, wanted      bool
 }
@@ -171,7 +171,7 @@
 func (h *hold) state(now time.Time) holding {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	s := holding{total: h.total, ramp: h.ramp, stretch: h.stretch, good: h.good, cold: h.cold, wanted: now.Before(h.wanted)}
+	s := holding{total: h.total, ramp: h.ramp, rampPeriod: h.rampPeriod, good: h.good, cold: h.cold, wanted: now.Before(h.wanted)}
 	s.rampAge = now.Sub(h.rampAt)
 	if now.Before(h.until) {
 		s.held = h.allotment
@@ -179,21 +179,21 @@
 	return s
 }
 
-// surrender ends the grant of an earlier home instance.
-func (h *hold) surrender() {
+// dropGrant ends the grant of an earlier home instance.
+func (h *hold) dropGrant() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.allotment, h.until = 0, time.Time{}
 }
 
 // grant takes over an allotment and reports whether it frees slots.
-func (h *hold) grant(allotment, ramp int, s stretch, now, until time.Time) bool {
+func (h *hold) grant(allotment, ramp int, s rampPeriod, now, until time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	before := h.freeLocked(now)
 	h.allotment, h.until = allotment, until
-	if s != h.stretch {
-		h.stretch, h.good, h.cold = s, 0, false
+	if s != h.rampPeriod {
+		h.rampPeriod, h.good, h.cold = s, 0, false
 	}
 	if ramp > 0 && !h.cold {
 		h.ramp, h.rampAt = ramp, now
--- a/internal/fleet/share/ledger.go
+++ b/internal/fleet/share/ledger.go
@@ -86,14 +86,14 @@
 }
 
 // expire drops entries that charge and own nothing any more.
-func (p *Pool) expire(s *stake, l *ledger, now time.Time) {
+func (p *Pool) expire(s *delegation, l *ledger, now time.Time) {
 	for id, e := range l.entries {
 		_, listed := p.layout.listed.Instance(id)
 		dead := id != p.self && p.seams.Dead(id)
 		if dead {
 			e.running, e.held, e.granted = 0, 0, 0
 		} else if !listed && now.Sub(e.heard) > p.settling() {
-			p.bury(s, l, e, now)
+			p.chargeDeparted(s, l, e, now)
 		}
 		if e.charge() == 0 && !now.Before(e.partsUntil) && (dead || now.Sub(e.heard) > p.settling()) {
 			delete(l.entries, id)
@@ -104,10 +104,10 @@
 	}
 }
 
-// bury lowers the charge of a member that left the list in silence. Its grants
+// chargeDeparted lowers the charge of a member that left the list in silence. Its grants
 // have ended, so it runs at most what the endpoint reports beyond the work of
 // the others; and no request outlives the highest deadline.
-func (p *Pool) bury(s *stake, l *ledger, gone *entry, now time.Time) {
+func (p *Pool) chargeDeparted(s *delegation, l *ledger, gone *entry, now time.Time) {
 	most := gone.charge()
 	load, ok := p.seams.Endpoints().Load(s.endpoint.ID)
 	if ok && load.At.Sub(gone.heard) > p.settling() {
@@ -148,7 +148,7 @@
 
 // settle decides whether this instance knows enough of the endpoint's running
 // work to grant slots.
-func (p *Pool) settle(s *stake, l *ledger, now time.Time) bool {
+func (p *Pool) settle(s *delegation, l *ledger, now time.Time) bool {
 	if l.settled {
 		return true
 	}
@@ -171,7 +171,7 @@
 // share arrives only after all grants based on its earlier delegation have
 // ended, so from then on such work can only shrink, and one load report that
 // shows none settles it. The result is -1 while no load report says.
-func (p *Pool) unknown(s *stake, l *ledger) int {
+func (p *Pool) unknown(s *delegation, l *ledger) int {
 	if l.explained || s.endpoint.Kind != roster.KindEngine {
 		return 0
 	}
@@ -205,7 +205,7 @@
 }
 
 // allot decides how many slots the member may run on the endpoint from now.
-func (p *Pool) allot(s *stake, l *ledger, id string, now time.Time) (int, bool) {
+func (p *Pool) allot(s *delegation, l *ledger, id string, now time.Time) (int, bool) {
 	if !s.usable || !p.settle(s, l, now) {
 		return 0, false
 	}
@@ -232,7 +232,7 @@
 // wanted is the member's fair part of the budget. Half of what nobody asks for
 // is spread over the cell, so that a request finds a slot without asking; the
 // other half stays for members that do ask.
-func (p *Pool) wanted(s *stake, l *ledger, id string, budget int) int {
+func (p *Pool) wanted(s *delegation, l *ledger, id string, budget int) int {
 	if budget <= 0 {
 		return 0
 	}
--- a/internal/fleet/share/pool.go
+++ b/internal/fleet/share/pool.go
@@ -104,18 +104,18 @@
 	// joined, without its knowledge.
 	fenced bool
 	// confirmed is the time up to which this instance knew the list.
-	confirmed time.Time
-	layout    *layout
-	alive     *member.View
-	snapshot  *roster.Snapshot
-	ours      []*stake // those of the own cell
-	probes    []string
-	seat      seat
-	stakes    map[string]*stake
-	peers     map[string]*peer
-	ledgers   map[string]*ledger
-	members   map[string]*reporter
-	byHash    map[uint64]string
+	confirmed   time.Time
+	layout      *layout
+	alive       *member.View
+	snapshot    *roster.Snapshot
+	ours        []*delegation // those of the own cell
+	probes      []string
+	ownCell     ownCell
+	delegations map[string]*delegation
+	peers       map[string]*peer
+	ledgers     map[string]*ledger
+	members     map[string]*reporter
+	byHash      map[uint64]string
 	// addresses holds the instances that are listed or still charged.
 	addresses map[string]member.Instance
 }
@@ -126,8 +126,8 @@
 		settings: settings, timers: timers, seams: seams, log: log,
 		self: settings.ID, zone: settings.Zone, incarnation: rand.Uint64(), started: timers.Now(),
 		term: setting.Milliseconds(settings.ShareMS), lag: setting.Milliseconds(settings.ListLagMS),
-		kicks:  make(chan string, 64),
-		stakes: map[string]*stake{}, peers: map[string]*peer{}, ledgers: map[string]*ledger{},
+		kicks:       make(chan string, 64),
+		delegations: map[string]*delegation{}, peers: map[string]*peer{}, ledgers: map[string]*ledger{},
 		members: map[string]*reporter{}, byHash: map[uint64]string{}, addresses: map[string]member.Instance{},
 	}
 	p.notice.changed = make(chan struct{})
@@ -163,7 +163,7 @@
 	return n.changed
 }
 
-func (n *notice) tell() {
+func (n *notice) notify() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	close(n.changed)
@@ -232,7 +232,7 @@
 func (p *Pool) Home(endpoint roster.Endpoint) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s, ok := p.stakes[endpoint.ID]
+	s, ok := p.delegations[endpoint.ID]
 	return ok && s.home == p.self
 }
 
--- a/internal/fleet/share/pool_test.go
+++ b/internal/fleet/share/pool_test.go
@@ -100,7 +100,7 @@
 
 func (w *world) epoch() uint32 {
 	for _, n := range w.nodes {
-		if l, ok := n.pool.ledgers["e-0"]; ok && n.pool.stakes["e-0"].home == n.id {
+		if l, ok := n.pool.ledgers["e-0"]; ok && n.pool.delegations["e-0"].home == n.id {
 			return l.ramp.epoch
 		}
 	}
@@ -206,7 +206,7 @@
 			w.freeAll(w.nodes[id])
 		}
 	}
-	first := w.nodes["a"].pool.stakes["e-0"].home
+	first := w.nodes["a"].pool.delegations["e-0"].home
 	others := member.Rank("e-0", []string{"a", "b", "c", "d"})
 	next, silent := others[1], w.nodes[others[3]]
 	for _, n := range w.nodes {
--- a/internal/fleet/share/status.go
+++ b/internal/fleet/share/status.go
@@ -16,7 +16,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now, out := p.timers.Now(), map[string]Status{}
-	for id, s := range p.stakes {
+	for id, s := range p.delegations {
 		one := Status{Home: s.home, Delegates: s.inCell && !p.leaving && !p.fenced && p.settled(s, now)}
 		if h, ok := p.hold(id); ok {
 			h.mu.Lock()
