--- a/internal/fleet/share/exchange.go
+++ b/internal/fleet/share/exchange.go
@@ -22,7 +22,7 @@
 	callLimit = 500 * time.Millisecond
 	// askEvery is the shortest time between two exchanges on demand with one
 	// peer.
-	askEvery = 50 * time.Millisecond
+	askEvery = 10 * time.Millisecond
 )
 
 // Run exchanges with the other members until ctx ends.
