Weigh own running requests more than load reports in the endpoint choice

Cause: load reports are seconds old, and all instances followed the same one; the running requests of an engine swung between 0 and 15 of 16 within seconds. Ruled out: missing engines (9 of 9 were on) and the grants' period.

--- a/internal/control/serve/build.go
+++ b/internal/control/serve/build.go
@@ -159,7 +159,7 @@
 // seams returns what dispatch and queue need under the policy of the settings.
 func (i *instance) seams() (dispatch.Seams, queue.Seams) {
 	seams := dispatch.Seams{
-		Endpoints: i.endpoints, Load: i.load, Failed: i.roster.Failed, Free: i.free, Take: i.take, Wait: i.wait,
+		Endpoints: i.endpoints, Load: i.load, Instances: i.instancesIn, Failed: i.roster.Failed, Free: i.free, Take: i.take, Wait: i.wait,
 		Table: i.config.Table, Admit: i.suspects.Admit, Suspect: i.suspects.Suspect, Enter: i.suspects.Enter, Crashed: i.suspects.Crashed,
 		Completed: i.suspects.Completed, Record: i.record,
 	}
--- a/internal/control/serve/fleet.go
+++ b/internal/control/serve/fleet.go
@@ -166,6 +166,8 @@
 
 func (i *instance) load(id string) (roster.Load, bool) { return i.roster.Endpoints().Load(id) }
 
+func (i *instance) instancesIn(zone string) int { return len(i.directory.View().Zone(zone)) }
+
 func (i *instance) free(id string) int {
 	free := i.pool.Free(id)
 	if free == 0 {
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -109,6 +109,8 @@
 	// Endpoints returns all endpoints of a model, whatever their state.
 	Endpoints func(model string) []roster.Endpoint
 	Load      func(endpoint string) (roster.Load, bool)
+	// Instances returns the number of live instances in an availability zone.
+	Instances func(zone string) int
 	Failed    func(endpoint string, err error)
 	Free      func(endpoint string) int
 	Take      func(endpoint, account string) (Slot, bool)
--- a/internal/traffic/dispatch/dispatch_test.go
+++ b/internal/traffic/dispatch/dispatch_test.go
@@ -91,7 +91,8 @@
 			}
 			return func() {}, nil
 		},
-		Suspect: func(string) bool { return false }, Enter: func(string, string) (func(), error) { return func() {}, nil }, Completed: func(string) {},
+		Instances: func(string) int { return 1 },
+		Suspect:   func(string) bool { return false }, Enter: func(string, string) (func(), error) { return func() {}, nil }, Completed: func(string) {},
 		Crashed: func(id string, digests []string) { b.find(id).crashed = digests },
 		Record:  func(_ context.Context, u Usage) error { b.usage = u; return nil },
 	})
--- a/internal/traffic/dispatch/inflight.go
+++ b/internal/traffic/dispatch/inflight.go
@@ -7,10 +7,13 @@
 	"github.com/wigeonpin/wigeonpin/internal/control/roster"
 )
 
-// inflight counts this instance's running requests by endpoint. Load reports
-// are seconds old, so what has been started or has ended here since a report is
-// added to it; otherwise all requests go to the endpoint that was the least
-// loaded at its last report.
+// reportWeight is the weight of the load report in an endpoint's estimated load.
+// Reports are seconds old: with their weight alone the running requests of an
+// engine swung between 0 and 15 of 16, as all instances followed the same report.
+const reportWeight = 0.25
+
+// inflight counts this instance's running requests by endpoint. They are known
+// at once, and the other instances of the zone are taken to run as many.
 type inflight struct {
 	mu        sync.Mutex
 	endpoints map[string]*started
@@ -55,14 +58,16 @@
 	delete(f.endpoints, endpoint)
 }
 
-// load estimates the endpoint's present load relative to its limit.
-func (f *inflight) load(endpoint string, report roster.Load) float64 {
+// load estimates the endpoint's present load relative to its limit, where the
+// given number of instances share it.
+func (f *inflight) load(endpoint string, report roster.Load, instances int) float64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.get(endpoint)
 	if !s.report.Equal(report.At) {
 		s.report, s.atReport = report.At, s.running
 	}
-	now := max(report.Running+report.Waiting+s.running-s.atReport, s.running)
-	return float64(now) / float64(report.Limit)
+	reported := max(report.Running+report.Waiting+s.running-s.atReport, s.running)
+	alike := s.running * max(instances, 1)
+	return (reportWeight*float64(reported) + (1-reportWeight)*float64(alike)) / float64(report.Limit)
 }
--- a/internal/traffic/dispatch/pick.go
+++ b/internal/traffic/dispatch/pick.go
@@ -116,7 +116,7 @@
 func (d *Dispatcher) score(n need, e roster.Endpoint, load roster.Load, known bool, highest float64) float64 {
 	score := unknownLoad
 	if known && load.Limit > 0 {
-		score = d.inflight.load(e.ID, load)
+		score = d.inflight.load(e.ID, load, d.seams.Instances(e.Zone))
 	}
 	if e.Zone != d.settings.Zone {
 		score += zoneWeight
--- a/internal/traffic/entry/fixture_test.go
+++ b/internal/traffic/entry/fixture_test.go
@@ -162,8 +162,9 @@
 			return dispatch.Slot{Release: func(dispatch.Outcome) { i.slots.Add(1) }}, true
 		},
 		Wait: i.queue.Wait, Table: i.current,
-		Admit:   func(string) (func(), error) { return func() {}, nil },
-		Suspect: func(string) bool { return false }, Enter: func(string, string) (func(), error) { return func() {}, nil }, Crashed: func(string, []string) {}, Completed: func(string) {},
+		Admit:     func(string) (func(), error) { return func() {}, nil },
+		Instances: func(string) int { return 1 },
+		Suspect:   func(string) bool { return false }, Enter: func(string, string) (func(), error) { return func() {}, nil }, Crashed: func(string, []string) {}, Completed: func(string) {},
 		Record: func(_ context.Context, usage dispatch.Usage) error {
 			i.mu.Lock()
 			defer i.mu.Unlock()
