--- a/internal/control/serve/build.go
+++ b/internal/control/serve/build.go
@@ -71,7 +71,7 @@
 	versions *version.Versions
 	usage    *usage.Log
 
-	guarded   sync.Map // trainer to *lease.Lease
+	guarded   sync.Map // name of the weights' lease to *lease.Lease
 	drain     chan struct{}
 	drainOnce sync.Once
 }
--- a/internal/control/serve/fleet.go
+++ b/internal/control/serve/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
@@ -127,8 +126,6 @@
 	return order.Lease{Held: held.Held, Client: held.Client()}
 }
 
-const weightsLease = "weights-"
-
 func (i *instance) holdWeights(ctx context.Context, name string) rollout.Lease {
 	held := i.leases.Hold(ctx, name)
 	i.guarded.Store(name, held)
@@ -146,13 +143,12 @@
 // orderVersion sends a version order over the guarded connections of the
 // trainer's lease.
 func (i *instance) orderVersion(ctx context.Context, e roster.Endpoint, o engine.Order) error {
-	held, ok := i.guarded.Load(weightsLease + o.Trainer)
+	held, ok := i.guarded.Load(rollout.LeaseName(o.Trainer))
 	if !ok {
 		return code.New(code.LeaseLost, "the lease for the weights of trainer %s is not held", o.Trainer)
 	}
 	o.Holder = i.settings.ID
-	var client *http.Client = held.(*lease.Lease).Client()
-	return i.engines.Order(ctx, client, e.Address, o)
+	return i.engines.Order(ctx, held.(*lease.Lease).Client(), e.Address, o)
 }
 
 func (i *instance) engineStatus(ctx context.Context, e roster.Endpoint) (rollout.Status, error) {
--- a/internal/fleet/rollout/rollout.go
+++ b/internal/fleet/rollout/rollout.go
@@ -161,7 +161,7 @@
 	out := map[string]bool{}
 	ids := r.seams.View().IDs()
 	for name := range r.seams.Table().Trainers() {
-		for place, id := range member.Rank(leaseName(name), ids) {
+		for place, id := range member.Rank(LeaseName(name), ids) {
 			if place < candidates && id == r.settings.ID {
 				out[name] = true
 			}
@@ -170,12 +170,13 @@
 	return out
 }
 
-func leaseName(trainer string) string { return "weights-" + trainer }
+// LeaseName returns the name of the lease for the weights of a trainer.
+func LeaseName(trainer string) string { return "weights-" + trainer }
 
 // trainer runs the roll-outs of one trainer, one version after the other. A
 // roll-out ends when a later version is announced or the lease is lost.
 func (r *Rollout) trainer(ctx context.Context, name string) {
-	lease := r.seams.Hold(ctx, leaseName(name))
+	lease := r.seams.Hold(ctx, LeaseName(name))
 	ticks := r.timers.Subscribe(watchEvery)
 	defer ticks.Stop()
 	var current *run
--- a/internal/traffic/queue/queue.go
+++ b/internal/traffic/queue/queue.go
@@ -478,21 +478,3 @@
 	}
 	return out
 }
-
-// Demand returns the waiting cost by model and account.
-func (q *Queue) Demand() map[string]map[string]int64 {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	out := map[string]map[string]int64{}
-	for name, m := range q.models {
-		for _, f := range m.flows {
-			if f.cost > 0 {
-				if out[name] == nil {
-					out[name] = map[string]int64{}
-				}
-				out[name][f.account] += f.cost
-			}
-		}
-	}
-	return out
-}
