--- a/cmd/wigeonpin/main.go
+++ b/cmd/wigeonpin/main.go
@@ -16,6 +16,8 @@
 
 type commands struct {
 	Serve   *serveCommand   `arg:"subcommand:serve" help:"run an instance"`
+	Entry   *entryCommand   `arg:"subcommand:entry" help:"run an entry process on the platform"`
+	Worker  *workerCommand  `arg:"subcommand:worker" help:"run a worker process on the platform"`
 	Check   *checkCommand   `arg:"subcommand:check" help:"check a settings file and show the result with all defaults"`
 	Version *versionCommand `arg:"subcommand:version" help:"show the version of this program"`
 	Account *accountCommand `arg:"subcommand:account" help:"add, change or remove client accounts"`
@@ -56,6 +58,10 @@
 	switch {
 	case c.Serve != nil:
 		return c.Serve
+	case c.Entry != nil:
+		return c.Entry
+	case c.Worker != nil:
+		return c.Worker
 	case c.Check != nil:
 		return c.Check
 	case c.Version != nil:
--- /dev/null
+++ b/internal/billing/window/reporter.go
@@ -0,0 +1,140 @@
+package window
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/control/leader"
+	"github.com/wigeonpin/wigeonpin/internal/peer/records"
+)
+
+const (
+	// gathering is how long after the end of a window its parts are summed.
+	// It is in the middle of the time until the report is due.
+	gathering = 0.4
+	// sendRetry is the pause after a report that was not taken.
+	sendRetry = 700 * time.Millisecond
+	// backlog is the number of past windows that a new holder looks after.
+	backlog = 4
+)
+
+// Options configure a reporter. Due is how long after the end of a window its
+// report must have arrived. Encode makes the bytes of a report, and Send
+// delivers them; it returns nil once the report was taken.
+type Options struct {
+	Length time.Duration
+	Due    time.Duration
+	Encode func(number int64, counts map[string]int64) ([]byte, error)
+	Send   func(ctx context.Context, epoch uint64, body []byte) error
+}
+
+// Reporter reports windows.
+type Reporter struct {
+	store   records.Store
+	options Options
+	timers  *clock.Service
+	log     *logrus.Entry
+}
+
+// NewReporter returns a reporter.
+func NewReporter(store records.Store, options Options, timers *clock.Service, log *logrus.Entry) *Reporter {
+	return &Reporter{store: store, options: options, timers: timers, log: log}
+}
+
+// Run reports each window while the turn is held, until ctx ends.
+func (r *Reporter) Run(ctx context.Context, turn *leader.Turn) {
+	wait := time.Duration(gathering * float64(r.options.Due))
+	number := Number(r.timers.Now().Add(-wait), r.options.Length) - backlog
+	for ctx.Err() == nil {
+		due := end(number, r.options.Length).Add(wait)
+		if r.timers.Sleep(ctx, due.Sub(r.timers.Now())) != nil {
+			return
+		}
+		for ctx.Err() == nil {
+			err := r.report(ctx, turn, number)
+			if err == nil {
+				break
+			}
+			r.log.WithFields(logrus.Fields{logs.Window: number, logs.Cause: err.Error()}).Warn("window not reported")
+			if r.timers.Now().After(end(number, r.options.Length).Add(2 * r.options.Due)) {
+				break
+			}
+			_ = r.timers.Sleep(ctx, sendRetry)
+		}
+		number++
+	}
+}
+
+type sealed struct {
+	Report []byte `json:"report"`
+	Epoch  uint64 `json:"epoch"`
+}
+
+// report sends the window's report, which is made when there is none yet.
+func (r *Reporter) report(ctx context.Context, turn *leader.Turn, number int64) error {
+	name := fmt.Sprintf("%d", number)
+	found, err := r.store.Get(ctx, kindReports, name)
+	if errors.Is(err, records.ErrMissing) {
+		found, err = r.seal(ctx, name, number, turn.Epoch)
+	}
+	if err != nil {
+		return err
+	}
+	var s sealed
+	if err := json.Unmarshal(found.Body, &s); err != nil {
+		return err
+	}
+	if !turn.Held() {
+		return errors.New("the role is no longer held")
+	}
+	if err := r.options.Send(ctx, turn.Epoch, s.Report); err != nil {
+		return err
+	}
+	r.log.WithFields(logrus.Fields{logs.Window: number, logs.Fence: turn.Epoch, "report": string(s.Report)}).Info("window reported")
+	return nil
+}
+
+// seal sums the parts of a window and fixes the bytes of its report.
+func (r *Reporter) seal(ctx context.Context, name string, number int64, epoch uint64) (records.Record, error) {
+	prefix := name + "."
+	parts, err := r.store.ListFrom(ctx, kindCounts, prefix, func(p records.Record) bool {
+		return strings.HasPrefix(p.Name, prefix)
+	})
+	if err != nil {
+		return records.Record{}, err
+	}
+	total := map[string]int64{}
+	for _, part := range parts.Records {
+		var counts map[string]int64
+		if err := json.Unmarshal(part.Body, &counts); err != nil {
+			return records.Record{}, err
+		}
+		for account, count := range counts {
+			total[account] += count
+		}
+	}
+	report, err := r.options.Encode(number, total)
+	if err != nil {
+		return records.Record{}, err
+	}
+	body, err := json.Marshal(sealed{Report: report, Epoch: epoch})
+	if err != nil {
+		return records.Record{}, err
+	}
+	record := records.Record{Kind: kindReports, Name: name, Body: body}
+	if _, err := r.store.Create(ctx, record); err != nil {
+		if errors.Is(err, records.ErrConflict) {
+			return r.store.Get(ctx, kindReports, name)
+		}
+		return records.Record{}, err
+	}
+	return record, nil
+}
--- /dev/null
+++ b/internal/billing/window/window.go
@@ -0,0 +1,140 @@
+// Package window counts the requests of client accounts by windows of the wall
+// clock, gathers the counts of all entry processes through the store, and
+// reports each window once.
+//
+// # Usage
+//
+//	counter := window.NewCounter(store, "entry-1", 5*time.Second, timers, log)
+//	counter.Add("acme")
+//	go counter.Run(ctx)
+//
+//	reporter := window.NewReporter(store, options, timers, log)
+//	reporter.Run(ctx, turn)
+//
+// # Records
+//
+// Kind "counts" holds the part of one process in one window, "WINDOW.PROCESS",
+// and kind "reports" the bytes of the report, "WINDOW". Both are created once
+// and never changed, so that a window has one report whoever sends it.
+package window
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/peer/records"
+)
+
+const (
+	kindCounts  = "counts"
+	kindReports = "reports"
+	// closing is how long after the end of a window its count is complete:
+	// requests that began in it have been noted by then.
+	closing = 400 * time.Millisecond
+	// writeRetry is the pause after a count that could not be written.
+	writeRetry = 500 * time.Millisecond
+)
+
+// Number returns the window that holds the time.
+func Number(at time.Time, length time.Duration) int64 {
+	return at.UnixNano() / int64(length)
+}
+
+// end returns when the window ends.
+func end(number int64, length time.Duration) time.Time {
+	return time.Unix(0, (number+1)*int64(length))
+}
+
+// Counter counts the requests of one process.
+type Counter struct {
+	store  records.Store
+	part   string // names this life of the process
+	length time.Duration
+	timers *clock.Service
+	log    *logrus.Entry
+
+	mu     sync.Mutex
+	counts map[int64]map[string]int64
+}
+
+// NewCounter returns a counter for windows of the given length.
+func NewCounter(store records.Store, self string, length time.Duration, timers *clock.Service, log *logrus.Entry) *Counter {
+	return &Counter{
+		store: store, part: fmt.Sprintf("%s.%d", self, timers.Now().UnixMilli()), length: length, timers: timers, log: log,
+		counts: map[int64]map[string]int64{},
+	}
+}
+
+// Add counts a request of an account that an endpoint began now.
+func (c *Counter) Add(account string) {
+	number := Number(c.timers.Now(), c.length)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.counts[number] == nil {
+		c.counts[number] = map[string]int64{}
+	}
+	c.counts[number][account]++
+}
+
+// Run writes the count of each window after its end, until ctx ends. It then
+// writes what is left.
+func (c *Counter) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		now := c.timers.Now()
+		due := end(Number(now.Add(-closing), c.length), c.length).Add(closing)
+		if c.timers.Sleep(ctx, due.Sub(now)) != nil {
+			break
+		}
+		c.write(ctx, Number(c.timers.Now().Add(-closing), c.length))
+	}
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
+	defer cancel()
+	c.write(last, Number(c.timers.Now(), c.length)+1)
+}
+
+// write stores the counts of all windows before the given one.
+func (c *Counter) write(ctx context.Context, before int64) {
+	c.mu.Lock()
+	var due []int64
+	for number := range c.counts {
+		if number < before {
+			due = append(due, number)
+		}
+	}
+	c.mu.Unlock()
+	for _, number := range due {
+		c.mu.Lock()
+		counts := maps.Clone(c.counts[number])
+		c.mu.Unlock()
+		if err := c.writeOne(ctx, number, counts); err != nil {
+			c.log.WithFields(logrus.Fields{logs.Window: number, logs.Cause: err.Error()}).Warn("count not written")
+			_ = c.timers.Sleep(ctx, writeRetry)
+			continue
+		}
+		c.mu.Lock()
+		delete(c.counts, number)
+		c.mu.Unlock()
+	}
+}
+
+func (c *Counter) writeOne(ctx context.Context, number int64, counts map[string]int64) error {
+	body, err := json.Marshal(counts)
+	if err != nil {
+		return err
+	}
+	name := fmt.Sprintf("%d.%s", number, c.part)
+	_, err = c.store.Create(ctx, records.Record{Kind: kindCounts, Name: name, Body: body})
+	if errors.Is(err, records.ErrConflict) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/control/leader/leader.go
@@ -0,0 +1,238 @@
+// Package leader lets one process at a time hold a role. The holder and its
+// epoch stand in one record of the store; the epoch rises with each holder.
+//
+// # Usage
+//
+//	l := leader.New(store, leader.Options{Self: "worker-1", Term: 3 * time.Second}, timers, log)
+//	l.Run(ctx, func(ctx context.Context, turn *leader.Turn) {
+//		if turn.Held() { order(turn.Epoch) }
+//	})
+//
+// # Safety
+//
+// The holder counts its term from before it sent the renewal, on a clock that
+// also counts the time in which the machine is suspended. A successor takes
+// the role only by replacing the revision that it has seen unchanged for the
+// term and a margin, so that a holder that was frozen finds its term over
+// before another one can begin. A holder never gives the role up early after
+// a short turn, so that two holders cannot alternate within one term.
+package leader
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/peer/records"
+)
+
+const (
+	kind = "leases"
+	name = "worker"
+	// renewals is the number of renewals in a term; two may fail.
+	renewals = 4
+	// margin is added to the term by a successor and taken off by the holder.
+	margin = 250 * time.Millisecond
+	// watchPeriod is how often a process that does not hold the role reads it.
+	watchPeriod = 700 * time.Millisecond
+	// settled is the number of terms after which a holder may give the role up
+	// before its term ends.
+	settled = 2
+)
+
+// Options configure a candidate. Self names the machine.
+type Options struct {
+	Self string
+	Term time.Duration
+}
+
+type lease struct {
+	Holder string `json:"holder"`
+	Epoch  uint64 `json:"epoch"`
+	Count  uint64 `json:"count"`
+	Free   bool   `json:"free"`
+}
+
+// Turn is one time of holding the role.
+type Turn struct {
+	Epoch  uint64
+	until  atomic.Int64 // nanoseconds on the uptime clock
+	uptime func() time.Duration
+}
+
+// Held reports whether the role is held now. Callers check it right before
+// each step that only the holder may take.
+func (t *Turn) Held() bool { return t.uptime() < time.Duration(t.until.Load()) }
+
+// Leader campaigns for the role.
+type Leader struct {
+	store   records.Store
+	options Options
+	timers  *clock.Service
+	log     *logrus.Entry
+	uptime  func() time.Duration
+
+	seen  records.Record // the record that was read last
+	since time.Duration  // when seen was first read with its revision
+}
+
+// New returns a candidate.
+func New(store records.Store, options Options, timers *clock.Service, log *logrus.Entry) *Leader {
+	return &Leader{store: store, options: options, timers: timers, log: log, uptime: Uptime}
+}
+
+// WithUptime returns a copy that reads the time from the given clock.
+func (l *Leader) WithUptime(uptime func() time.Duration) *Leader {
+	c := *l
+	c.uptime = uptime
+	return &c
+}
+
+// Uptime is the time since the machine started, suspensions included.
+func Uptime() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		panic(err) // the clock exists since Linux 2.6.39
+	}
+	return time.Duration(t.Nano())
+}
+
+// Run campaigns until ctx ends and calls lead for each turn. The context that
+// lead gets ends with the turn.
+func (l *Leader) Run(ctx context.Context, lead func(ctx context.Context, turn *Turn)) {
+	for ctx.Err() == nil {
+		turn, err := l.campaign(ctx)
+		if err != nil {
+			l.log.WithField(logs.Cause, err.Error()).Debug("campaign failed")
+		}
+		if turn == nil {
+			_ = l.timers.Sleep(ctx, watchPeriod)
+			continue
+		}
+		l.log.WithField(logs.Fence, turn.Epoch).Info("role taken")
+		l.hold(ctx, turn, lead)
+	}
+}
+
+// campaign reads the record and takes the role when it is free.
+func (l *Leader) campaign(ctx context.Context) (*Turn, error) {
+	r, err := l.store.Get(ctx, kind, name)
+	if errors.Is(err, records.ErrMissing) {
+		return l.first(ctx)
+	}
+	if err != nil {
+		return nil, err
+	}
+	now := l.uptime()
+	if r.Revision != l.seen.Revision {
+		l.seen, l.since = r, now
+	}
+	var held lease
+	if err := json.Unmarshal(r.Body, &held); err != nil {
+		return nil, err
+	}
+	if !held.Free && held.Holder != l.options.Self && now-l.since < l.options.Term+margin {
+		return nil, nil
+	}
+	return l.write(ctx, r, lease{Holder: l.options.Self, Epoch: held.Epoch + 1}, l.store.Put)
+}
+
+func (l *Leader) first(ctx context.Context) (*Turn, error) {
+	r := records.Record{Kind: kind, Name: name}
+	return l.write(ctx, r, lease{Holder: l.options.Self, Epoch: 1}, l.store.Create)
+}
+
+// write stores the holder and returns its turn, counted from before the call.
+func (l *Leader) write(ctx context.Context, r records.Record, next lease, call func(context.Context, records.Record) (records.Record, error)) (*Turn, error) {
+	body, err := json.Marshal(next)
+	if err != nil {
+		return nil, err
+	}
+	start := l.uptime()
+	written, err := call(ctx, r.WithBody(body))
+	if err != nil {
+		return nil, err
+	}
+	l.seen, l.since = written, start
+	turn := &Turn{Epoch: next.Epoch, uptime: l.uptime}
+	turn.until.Store(int64(start + l.options.Term - margin))
+	return turn, nil
+}
+
+// hold renews the turn until it is lost or ctx ends.
+func (l *Leader) hold(ctx context.Context, turn *Turn, lead func(context.Context, *Turn)) {
+	began := l.uptime()
+	inner, cancel := context.WithCancel(ctx)
+	finished := make(chan struct{})
+	go func() { defer close(finished); lead(inner, turn) }()
+	held := lease{Holder: l.options.Self, Epoch: turn.Epoch}
+	for ctx.Err() == nil && turn.Held() {
+		_ = l.timers.Sleep(ctx, l.options.Term/renewals)
+		held.Count++
+		if ctx.Err() == nil && !l.renew(ctx, turn, held) {
+			break
+		}
+	}
+	cancel()
+	<-finished
+	if l.uptime()-began > settled*l.options.Term && turn.Held() {
+		l.free(held)
+	}
+	turn.until.Store(0)
+	l.log.WithField(logs.Fence, turn.Epoch).Info("role given up")
+}
+
+// renew extends the turn and reports whether it may still be held.
+func (l *Leader) renew(ctx context.Context, turn *Turn, held lease) bool {
+	body, err := json.Marshal(held)
+	if err != nil {
+		return false
+	}
+	start := l.uptime()
+	written, err := l.store.Put(ctx, l.seen.WithBody(body))
+	if err == nil {
+		l.seen, l.since = written, start
+		turn.until.Store(int64(start + l.options.Term - margin))
+		return true
+	}
+	l.log.WithField(logs.Cause, err.Error()).Warn("renewal failed")
+	if !errors.Is(err, records.ErrConflict) && !errors.Is(err, records.ErrUnsure) {
+		return true
+	}
+	return l.reread(ctx, held)
+}
+
+// reread finds out whether a renewal whose answer is unknown was carried out.
+func (l *Leader) reread(ctx context.Context, held lease) bool {
+	r, err := l.store.Get(ctx, kind, name)
+	if err != nil {
+		return true // the term tells when it is over
+	}
+	var current lease
+	if json.Unmarshal(r.Body, &current) != nil || current.Holder != held.Holder || current.Epoch != held.Epoch {
+		return false
+	}
+	l.seen, l.since = r, l.uptime()
+	return true
+}
+
+// free lets a successor take the role at once.
+func (l *Leader) free(held lease) {
+	held.Free = true
+	body, err := json.Marshal(held)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if _, err := l.store.Put(ctx, l.seen.WithBody(body)); err != nil {
+		l.log.WithField(logs.Cause, err.Error()).Warn("role not freed")
+	}
+}
--- /dev/null
+++ b/internal/control/manifest/manifest.go
@@ -0,0 +1,194 @@
+// Package manifest is the operators' configuration in force: routes, services,
+// client accounts and limits. A manifest is immutable.
+//
+// # Usage
+//
+//	m := manifest.New(version, routes, services, accounts, limits)
+//	route, found := m.Route("shop.example", "/stock/7")
+//	account, found := m.Account(key)
+package manifest
+
+import (
+	"crypto/sha256"
+	"sort"
+	"strings"
+	"time"
+)
+
+// Kind says how often a route's requests may run and what they return.
+type Kind int
+
+// The kinds of routes.
+const (
+	Once       Kind = iota // at most one run for each request
+	Idempotent             // may run any number of times
+	Stream                 // events, at most one run unless resumable
+	Rollout                // batches of items
+)
+
+// Target is one service of a route with its share of the traffic.
+type Target struct {
+	Service string
+	Weight  float64
+}
+
+// Route maps a host and a path prefix to services.
+type Route struct {
+	Name, Host, Prefix string
+	Kind               Kind
+	Targets            []Target
+	Timeout            time.Duration // longest wait of a request
+	Aim                time.Duration // latency objective
+	Attempts           int           // endpoints that one request may be sent to
+	Priority           int           // 0 is the most urgent
+	Open               bool          // needs no key
+	Resumable          bool
+	Pure               bool          // one weight version for each sample
+	Due                time.Duration // from a batch's acceptance to its results
+	Patience           time.Duration // from a batch's acceptance to giving up an item
+}
+
+// Repeatable tells whether a request that may have run can be sent again.
+func (r Route) Repeatable() bool {
+	return r.Kind == Idempotent || r.Kind == Rollout || r.Resumable
+}
+
+// Target picks a service by a number in [0, 1).
+func (r Route) Target(point float64) string {
+	total := 0.0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	point *= total
+	for _, t := range r.Targets {
+		if point -= t.Weight; point < 0 {
+			return t.Service
+		}
+	}
+	if len(r.Targets) == 0 {
+		return ""
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
+
+// Scale bounds the orders for endpoints of a service in each availability zone.
+type Scale struct {
+	Min, Max int
+	Boot     time.Duration
+	Prices   map[string]float64
+}
+
+// Service is a group of interchangeable endpoints.
+type Service struct {
+	Name     string
+	Health   string        // path of the health check
+	Channels int           // connections that one endpoint accepts
+	ColdFor  time.Duration // slow start of a fresh endpoint
+	ColdRate float64       // requests a second that a cold endpoint bears
+	Models   []string
+	Scale    *Scale
+}
+
+// Account is a client account.
+type Account struct {
+	Name     string
+	Priority int
+	Keys     []string
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	Body int64 // bytes
+	Idle time.Duration
+}
+
+// Manifest is one version of the configuration.
+type Manifest struct {
+	Version  int64
+	Limits   Limits
+	Accounts int
+	routes   map[string][]Route
+	services map[string]Service
+	keys     map[[sha256.Size]byte]Account
+}
+
+// New returns the manifest of the given rows.
+func New(version int64, routes []Route, services []Service, accounts []Account, limits Limits) *Manifest {
+	m := &Manifest{
+		Version: version, Limits: limits, Accounts: len(accounts),
+		routes: map[string][]Route{}, services: map[string]Service{}, keys: map[[sha256.Size]byte]Account{},
+	}
+	for _, r := range routes {
+		m.routes[r.Host] = append(m.routes[r.Host], r)
+	}
+	for _, list := range m.routes {
+		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
+	}
+	for _, s := range services {
+		m.services[s.Name] = s
+	}
+	for _, a := range accounts {
+		for _, key := range a.Keys {
+			m.keys[sha256.Sum256([]byte(key))] = Account{Name: a.Name, Priority: a.Priority}
+		}
+	}
+	return m
+}
+
+// Route returns the route with the longest prefix that begins the path.
+func (m *Manifest) Route(host, path string) (Route, bool) {
+	for _, r := range m.routes[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
+
+// Batches reports whether the host has a route for batches.
+func (m *Manifest) Batches(host string) bool {
+	for _, r := range m.routes[host] {
+		if r.Kind == Rollout {
+			return true
+		}
+	}
+	return false
+}
+
+// Service returns the service with this name.
+func (m *Manifest) Service(name string) (Service, bool) {
+	s, found := m.services[name]
+	return s, found
+}
+
+// Services returns all services in the order of their names.
+func (m *Manifest) Services() []Service {
+	list := make([]Service, 0, len(m.services))
+	for _, s := range m.services {
+		list = append(list, s)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	return list
+}
+
+// Account returns the client account that holds the key. Keys are compared by
+// their digests, so that the time of a look-up tells nothing about them.
+func (m *Manifest) Account(key string) (Account, bool) {
+	a, found := m.keys[sha256.Sum256([]byte(key))]
+	return a, found
+}
+
+// Pure reports whether a route to the service wants each sample to be made
+// under one weight version.
+func (m *Manifest) Pure(service string) bool {
+	for _, routes := range m.routes {
+		for _, r := range routes {
+			for _, t := range r.Targets {
+				if r.Pure && t.Service == service {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/control/mirror/mirror.go
@@ -0,0 +1,159 @@
+// Package mirror follows one kind of record in the store. It lists the kind
+// once, watches it from there, and lists it again when the history is gone. A
+// record never steps back to an earlier revision within one process.
+//
+// # Usage
+//
+//	m := mirror.New(store, "routes", mirror.Options{Wait: 3 * time.Second, Apply: apply}, timers, log)
+//	go m.Run(ctx)
+//	if m.Synced() { ... }
+package mirror
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/peer/records"
+)
+
+// The pauses after a failed call, which double from the first to the last.
+const (
+	firstPause = 100 * time.Millisecond
+	lastPause  = 800 * time.Millisecond
+)
+
+// Options configure a mirror. Wait is how long one watch may wait. Rest is a
+// pause between watches, so that changes that come in quick succession arrive
+// together. Apply gets each new version of a record, in order of revisions for
+// each name, from a single goroutine.
+type Options struct {
+	Wait  time.Duration
+	Rest  time.Duration
+	Apply func(record records.Record)
+}
+
+// Mirror is a followed kind.
+type Mirror struct {
+	kind    string
+	store   records.Store
+	options Options
+	timers  *clock.Service
+	log     *logrus.Entry
+
+	seen     map[string]uint64 // revisions by name; owned by Run
+	synced   atomic.Bool
+	contact  atomic.Int64 // Unix nanoseconds of the last answer
+	regained atomic.Int64 // Unix nanoseconds at which the store came back
+}
+
+// New returns a mirror that Run fills.
+func New(store records.Store, kind string, options Options, timers *clock.Service, log *logrus.Entry) *Mirror {
+	return &Mirror{
+		kind: kind, store: store, options: options, timers: timers,
+		log: log.WithField("kind", kind), seen: map[string]uint64{},
+	}
+}
+
+// Synced reports whether the kind was listed completely.
+func (m *Mirror) Synced() bool { return m.synced.Load() }
+
+// Contact returns the time of the store's last answer.
+func (m *Mirror) Contact() time.Time { return time.Unix(0, m.contact.Load()) }
+
+// Regained returns when the store answered again after an interruption; the
+// zero Unix time when there was none.
+func (m *Mirror) Regained() time.Time { return time.Unix(0, m.regained.Load()) }
+
+// Run follows the kind until ctx ends.
+func (m *Mirror) Run(ctx context.Context) {
+	pause, lost := firstPause, false
+	var revision uint64
+	for ctx.Err() == nil {
+		next, err := m.follow(ctx, revision)
+		if err == nil {
+			if lost {
+				m.regained.Store(m.timers.Now().UnixNano())
+				m.log.WithField("revision", next).Info("store regained")
+			}
+			revision, pause, lost = next, firstPause, false
+			m.contact.Store(m.timers.Now().UnixNano())
+			if m.options.Rest > 0 {
+				_ = m.timers.Sleep(ctx, m.options.Rest)
+			}
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, records.ErrHistory) {
+			revision = 0
+			continue
+		}
+		if !lost {
+			m.log.WithField(logs.Cause, err.Error()).Warn("store lost")
+		}
+		lost = true
+		_ = m.timers.Sleep(ctx, pause/2+rand.N(pause/2+1))
+		pause = min(2*pause, lastPause)
+	}
+}
+
+// follow makes one call: a listing when there is no revision to go on from,
+// otherwise a watch.
+func (m *Mirror) follow(ctx context.Context, revision uint64) (uint64, error) {
+	if revision == 0 {
+		return m.relist(ctx)
+	}
+	changes, err := m.store.Watch(ctx, m.kind, revision, m.options.Wait)
+	if err != nil {
+		return 0, err
+	}
+	for _, r := range changes.Records {
+		m.apply(r)
+	}
+	return max(revision, changes.Revision), nil
+}
+
+func (m *Mirror) relist(ctx context.Context) (uint64, error) {
+	page, err := m.store.ListAll(ctx, m.kind)
+	if err != nil {
+		return 0, err
+	}
+	present := make(map[string]bool, len(page.Records))
+	for _, r := range page.Records {
+		present[r.Name] = true
+		m.apply(r)
+	}
+	for name, revision := range m.seen {
+		if !present[name] && revision <= page.Revision {
+			m.apply(records.Record{Kind: m.kind, Name: name, Revision: page.Revision, Gone: true})
+		}
+	}
+	m.synced.Store(true)
+	return page.Revision, nil
+}
+
+// apply passes a record on unless a newer version of it was seen.
+func (m *Mirror) apply(r records.Record) {
+	if r.Name == "" {
+		m.log.Warn("record without a name passed over")
+		return
+	}
+	last, known := m.seen[r.Name]
+	if known && (r.Revision < last || r.Revision == last && !r.Gone) && r.Revision != 0 {
+		return
+	}
+	if r.Gone {
+		delete(m.seen, r.Name)
+	} else {
+		m.seen[r.Name] = r.Revision
+	}
+	m.options.Apply(r)
+}
--- /dev/null
+++ b/internal/fleet/replica/pick.go
@@ -0,0 +1,156 @@
+package replica
+
+import (
+	"time"
+)
+
+// Want describes the endpoint that a request needs. Version is the lowest
+// weight version of Model. Near names an endpoint that is preferred while it
+// is not busier than others.
+type Want struct {
+	Service string
+	Model   string
+	Version int64
+	Avoid   map[string]bool
+	Near    string
+}
+
+// nearBonus is the load, as a share of the slots, that an endpoint with a
+// cached prompt may have above the least loaded one.
+const nearBonus = 0.25
+
+// Slot is a place at an endpoint. Done must be called once.
+type Slot struct {
+	Entry Entry
+	fleet *Fleet
+	done  bool
+}
+
+// Pick takes a place at the endpoint with the lowest load. Endpoints that
+// failed lately are taken only when no other is left.
+func (f *Fleet) Pick(want Want) (*Slot, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.timers.Now()
+	var best *state
+	bestScore, bestResting := 0.0, false
+	for _, s := range f.states {
+		if !f.fits(s, want) || !f.bears(s, now) {
+			continue
+		}
+		resting := now.Before(s.restTill)
+		score := f.score(s, want, now)
+		if best == nil || (bestResting && !resting) || (bestResting == resting && score < bestScore) {
+			best, bestScore, bestResting = s, score, resting
+		}
+	}
+	if best == nil {
+		return nil, false
+	}
+	best.sent++
+	if now.Before(best.coldTill) {
+		best.budget--
+	}
+	return &Slot{Entry: best.Entry, fleet: f}, true
+}
+
+// Possible reports whether any endpoint could take such a request now or
+// after others have ended.
+func (f *Fleet) Possible(want Want) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.states {
+		if f.fits(s, want) {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *Fleet) fits(s *state, want Want) bool {
+	if s.Service != want.Service || want.Avoid[s.ID] || !f.usable(s) {
+		return false
+	}
+	if want.Model == "" {
+		return true
+	}
+	return s.loading != want.Model && s.Models[want.Model] >= want.Version
+}
+
+// bears reports whether the endpoint takes one more request of this process.
+func (f *Fleet) bears(s *state, now time.Time) bool {
+	if s.sent >= max(1, int(float64(s.Slots)*f.options.Ceiling)) {
+		return false
+	}
+	if !now.Before(s.coldTill) {
+		return true
+	}
+	s.budget = min(coldBurst, s.budget+s.coldRate*now.Sub(s.filledAt).Seconds())
+	s.filledAt = now
+	return s.budget >= 1
+}
+
+// score is the endpoint's load as a share of its slots, with the preferences
+// of the request added.
+func (f *Fleet) score(s *state, want Want, now time.Time) float64 {
+	busy := s.sent
+	if now.Sub(s.loadAt) < loadAge {
+		busy = max(busy, s.load.Running+s.load.Waiting)
+	}
+	score := float64(busy) / float64(max(1, s.Slots))
+	if f.options.Zone != "" && s.Zone != f.options.Zone {
+		score += zonePenalty
+	}
+	if want.Near != "" && s.ID == want.Near {
+		score -= nearBonus
+	}
+	return score
+}
+
+// Report notes the load that an endpoint told.
+func (s *Slot) Report(load Load) {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	if st, known := s.fleet.states[s.Entry.ID]; known {
+		st.load, st.loadAt = load, s.fleet.timers.Now()
+	}
+}
+
+// Cold notes that an endpoint told that it starts slowly for some time.
+func (s *Slot) Cold(left time.Duration) {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	if st, known := s.fleet.states[s.Entry.ID]; known {
+		s.fleet.chill(st, left)
+	}
+}
+
+// Done gives the place back and notes how the request ended.
+func (s *Slot) Done(outcome Outcome) {
+	f := s.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s.done {
+		return
+	}
+	s.done = true
+	st, known := f.states[s.Entry.ID]
+	if !known || st.Born != s.Entry.Born {
+		return
+	}
+	st.sent = max(0, st.sent-1)
+	now := f.timers.Now()
+	switch outcome {
+	case Answered:
+		st.failures, st.restTill = 0, time.Time{}
+	case Rejected:
+		st.restTill = now.Add(fullRest)
+	case Failed:
+		st.restTill = now.Add(min(lastRest, firstRest<<min(st.failures, 4)))
+		st.failures++
+	case Misplaced:
+		st.restTill = now.Add(lastRest)
+	case Abandoned:
+	}
+	f.notify()
+}
--- /dev/null
+++ b/internal/fleet/replica/replica.go
@@ -0,0 +1,255 @@
+// Package replica keeps what this process knows about the endpoints: their
+// entries, how much it sends them, what they say of their load, and whether
+// they are cold, failing or out of service. It picks the endpoint for a
+// request.
+//
+// # Usage
+//
+//	fleet := replica.NewFleet(timers, replica.Options{Zone: "a", ColdShare: 0.1})
+//	fleet.Put(entry)
+//	slot, found := fleet.Pick(replica.Want{Service: "catalog"})
+//	...
+//	slot.Done(replica.Answered)
+package replica
+
+import (
+	"sync"
+	"time"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+)
+
+// Entry is what an endpoint says of itself.
+type Entry struct {
+	ID, Service, Address, Zone string
+	Slots                      int
+	Draining                   bool
+	Cold                       time.Duration // how much longer it starts slowly
+	Born                       int64         // Unix milliseconds
+	Spot                       bool          // may be reclaimed on short notice
+	Models                     map[string]int64
+}
+
+// Load is an endpoint's own report of its load.
+type Load struct {
+	Running, Waiting, Slots int
+}
+
+// Outcome is how a request at an endpoint ended.
+type Outcome int
+
+// The outcomes.
+const (
+	Answered  Outcome = iota // a complete answer came
+	Rejected                 // the endpoint said that it did not run the request
+	Failed                   // no answer, or a broken one
+	Abandoned                // this side gave up without a verdict
+	Misplaced                // another endpoint has the address
+)
+
+const (
+	// firstRest and lastRest bound how long a failing endpoint is avoided; the
+	// time doubles with each failure in a row.
+	firstRest = 500 * time.Millisecond
+	lastRest  = 4 * time.Second
+	// fullRest is how long an endpoint that rejected a request is avoided.
+	fullRest = 60 * time.Millisecond
+	// loadAge is the age up to which a load report counts.
+	loadAge = 400 * time.Millisecond
+	// zonePenalty is the load, as a share of the slots, that a request bears
+	// before it goes to another availability zone.
+	zonePenalty = 0.3
+	// coldBurst is how many requests a cold endpoint takes at once.
+	coldBurst = 2
+	// lapseGrace is how long entries that vanished while the store was away
+	// are kept after its return, in which endpoints that live register again.
+	lapseGrace = 2300 * time.Millisecond
+)
+
+// Options configure a fleet. Zone is this process's availability zone; empty
+// prefers none. ColdShare is this process's part of what a cold endpoint bears.
+// Ceiling multiplies the slots up to which this process sends to an endpoint.
+type Options struct {
+	Zone      string
+	ColdShare float64
+	Ceiling   float64
+}
+
+type state struct {
+	Entry
+	sent     int // running requests of this process
+	load     Load
+	loadAt   time.Time
+	failures int
+	restTill time.Time
+	coldTill time.Time
+	coldRate float64
+	budget   float64 // requests that may go to it now while it is cold
+	filledAt time.Time
+	loading  string // model whose weights are being changed
+	goneAt   time.Time
+}
+
+// Fleet is the set of known endpoints. It is safe for concurrent use.
+type Fleet struct {
+	timers  *clock.Service
+	options Options
+
+	mu      sync.Mutex
+	states  map[string]*state
+	out     map[string]bool // availability zones out of service
+	cold    map[string]Warmup
+	changed chan struct{}
+}
+
+// Warmup is how endpoints of a service start.
+type Warmup struct {
+	For  time.Duration
+	Rate float64 // requests a second
+}
+
+// NewFleet returns an empty fleet.
+func NewFleet(timers *clock.Service, options Options) *Fleet {
+	return &Fleet{
+		timers: timers, options: options, states: map[string]*state{},
+		out: map[string]bool{}, cold: map[string]Warmup{}, changed: make(chan struct{}, 1),
+	}
+}
+
+// Changed receives a value after changes that can make room for requests.
+func (f *Fleet) Changed() <-chan struct{} { return f.changed }
+
+func (f *Fleet) notify() {
+	select {
+	case f.changed <- struct{}{}:
+	default:
+	}
+}
+
+// SetWarmups sets how the endpoints of each service start.
+func (f *Fleet) SetWarmups(warmups map[string]Warmup) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cold = warmups
+}
+
+// SetOut takes an availability zone out of service or puts it back. Endpoints
+// of a returning zone count as cold.
+func (f *Fleet) SetOut(zone string, out bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.out[zone] && !out {
+		for _, s := range f.states {
+			if s.Zone == zone {
+				f.chill(s, f.cold[s.Service].For)
+			}
+		}
+	}
+	f.out[zone] = out
+	f.notify()
+}
+
+// Put adds or replaces an entry.
+func (f *Fleet) Put(e Entry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, known := f.states[e.ID]
+	if !known || s.Born != e.Born || s.Address != e.Address {
+		s = &state{}
+		f.states[e.ID] = s
+	}
+	models := merge(s.Models, e.Models)
+	s.Entry = e
+	s.Models = models
+	s.goneAt = time.Time{}
+	if e.Cold > 0 {
+		f.chill(s, e.Cold)
+	}
+	f.notify()
+}
+
+// merge keeps the higher version of each model: within one life of an endpoint
+// versions only rise, and a list lags behind its answers.
+func merge(known, listed map[string]int64) map[string]int64 {
+	merged := make(map[string]int64, len(listed))
+	for model, version := range listed {
+		merged[model] = max(version, known[model])
+	}
+	return merged
+}
+
+func (f *Fleet) chill(s *state, left time.Duration) {
+	now := f.timers.Now()
+	if till := now.Add(left); till.After(s.coldTill) {
+		s.coldTill = till
+	}
+	s.coldRate = f.cold[s.Service].Rate * f.options.ColdShare
+	s.budget, s.filledAt = min(1, coldBurst), now
+}
+
+// Remove drops an endpoint whose entry is gone. When the store has just come
+// back, the endpoint is kept for the time in which it registers again.
+func (f *Fleet) Remove(id string, regained time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, known := f.states[id]
+	if !known {
+		return
+	}
+	if now := f.timers.Now(); now.Sub(regained) < lapseGrace {
+		s.goneAt = regained.Add(lapseGrace)
+		return
+	}
+	delete(f.states, id)
+}
+
+// Learn notes the weight version of a model that an endpoint answered with.
+func (f *Fleet) Learn(id, model string, version int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s, known := f.states[id]; known {
+		models := merge(s.Models, s.Models)
+		models[model] = version
+		s.Models = models
+		f.notify()
+	}
+}
+
+// SetLoading marks an endpoint that changes the weights of a model; empty ends
+// it.
+func (f *Fleet) SetLoading(id, model string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s, known := f.states[id]; known {
+		s.loading = model
+		f.notify()
+	}
+}
+
+// Entries returns the endpoints of a service that are in service, or of all
+// services when it is empty.
+func (f *Fleet) Entries(service string) []Entry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []Entry
+	for _, s := range f.states {
+		if (service == "" || s.Service == service) && f.usable(s) {
+			list = append(list, s.Entry)
+		}
+	}
+	return list
+}
+
+func (f *Fleet) usable(s *state) bool {
+	if s.Draining || f.out[s.Zone] {
+		return false
+	}
+	return s.goneAt.IsZero() || f.timers.Now().Before(s.goneAt)
+}
+
+// Count returns the number of known endpoints.
+func (f *Fleet) Count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.states)
+}
--- /dev/null
+++ b/internal/node/entry/entry.go
@@ -0,0 +1,150 @@
+// Package entry is the process that callers connect to. It keeps nothing that
+// must last: what it knows it follows in the store, and what it accepts it
+// writes there.
+//
+// # Usage
+//
+//	e := entry.New(profile, parts, timers, log)
+//	err := e.Run(ctx) // until ctx ends, then a planned stop
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/meter"
+	"github.com/wigeonpin/wigeonpin/internal/billing/window"
+	"github.com/wigeonpin/wigeonpin/internal/fleet/replica"
+	"github.com/wigeonpin/wigeonpin/internal/node/profile"
+	"github.com/wigeonpin/wigeonpin/internal/node/view"
+	"github.com/wigeonpin/wigeonpin/internal/peer/exchange"
+	"github.com/wigeonpin/wigeonpin/internal/peer/records"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/forward"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/front"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/headers"
+	"github.com/wigeonpin/wigeonpin/internal/training/batch"
+)
+
+const (
+	// coldShare is this process's part of what a cold endpoint bears. It leaves
+	// room for ten processes in all.
+	coldShare = 0.1
+	// ceiling is the multiple of an endpoint's slots up to which one process
+	// sends to it.
+	ceiling = 1.5
+	// idleLimit exceeds the longest idle time of callers' connections.
+	idleLimit = 90 * time.Second
+	// headLimit bounds the head of a request in bytes.
+	headLimit = 64 << 10
+	// headTime bounds the time in which a request's head must arrive.
+	headTime = 10 * time.Second
+	// stopMargin is kept between the end of a planned stop and the kill.
+	stopMargin = 1200 * time.Millisecond
+	// leaveTime is how long the load balancer may take to notice that the
+	// process is not ready.
+	leaveTime = 3 * time.Second
+)
+
+// Parts are what an entry process gets from the platform's adapter. Open makes
+// the client of the store over a pool.
+type Parts struct {
+	Open    func(pool *exchange.Pool) records.Store
+	Formats view.Formats
+	Names   headers.Names
+	Calls   front.Calls
+}
+
+// Entry is an entry process.
+type Entry struct {
+	profile profile.Profile
+	front   *front.Front
+	view    *view.View
+	counter *window.Counter
+	log     *logrus.Entry
+}
+
+// New wires the parts of an entry process.
+func New(p profile.Profile, parts Parts, timers *clock.Service, log *logrus.Entry) *Entry {
+	store := parts.Open(exchange.New(exchange.Options{}))
+	meters := meter.NewSet()
+	meters.Publish("wigeonpin")
+	opened := meters.Counter("connections_opened")
+	pool := exchange.New(exchange.Options{
+		Match: parts.Names.Request, Opened: func(address string) { opened.Add(address, 1) },
+	})
+	fleet := replica.NewFleet(timers, replica.Options{Zone: p.Zone, ColdShare: coldShare, Ceiling: ceiling})
+	v := view.New(store, parts.Formats, fleet, timers, log)
+	counter := window.NewCounter(store, p.Name, p.Window, timers, log)
+	shelf := batch.NewShelf(store)
+	forwarder := forward.New(forward.Seams{Fleet: fleet, Pool: pool, Names: parts.Names, Began: counter.Add}, timers, log)
+	f := front.New(front.Seams{
+		Manifest: v.Manifest, Ready: v.Known, Forwarder: forwarder, Shelf: shelf,
+		Reader: batch.NewReader(shelf, timers), Names: parts.Names, Calls: parts.Calls, Meters: meters,
+	}, timers, log)
+	return &Entry{profile: p, front: f, view: v, counter: counter, log: log}
+}
+
+// Run serves until ctx ends, and then finishes what has begun within the
+// profile's grace.
+func (e *Entry) Run(ctx context.Context) error {
+	lasting, finish := context.WithCancel(context.WithoutCancel(ctx))
+	defer finish()
+	go e.view.Run(lasting)
+	counted := make(chan struct{})
+	go func() { defer close(counted); e.counter.Run(lasting) }()
+	server := &http.Server{
+		Handler: e.front, IdleTimeout: idleLimit, ReadHeaderTimeout: headTime, MaxHeaderBytes: headLimit,
+	}
+	checks := &http.Server{Handler: e.front.Readiness(), ReadHeaderTimeout: headTime}
+	failed := make(chan error, 2)
+	if err := listen(server, e.profile.Front, failed); err != nil {
+		return err
+	}
+	if err := listen(checks, e.profile.Readiness, failed); err != nil {
+		return err
+	}
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	e.stop(server)
+	finish()
+	<-counted
+	return nil
+}
+
+func listen(server *http.Server, address string, failed chan<- error) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return eris.Wrap(err, "listen")
+	}
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			failed <- eris.Wrapf(err, "serve %s", address)
+		}
+	}()
+	return nil
+}
+
+// stop makes the process unready, serves on while the load balancer notices,
+// and then waits for running requests.
+func (e *Entry) stop(server *http.Server) {
+	e.front.Stop()
+	e.log.Info("stopping")
+	end := time.Now().Add(e.profile.Grace - stopMargin)
+	time.Sleep(min(leaveTime, e.profile.Grace/2))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		e.log.WithField("cause", err.Error()).Warn("requests cut by the end of the grace time")
+		_ = server.Close()
+	}
+}
--- /dev/null
+++ b/internal/node/profile/profile.go
@@ -0,0 +1,83 @@
+// Package profile holds what a process is told about itself and its
+// surroundings at start: name, zone, addresses, limits and time bounds.
+//
+// # Usage
+//
+//	p := profile.Profile{Name: "edge-1", Zone: "a", Store: "10.0.0.1:8000"}.WithDefaults()
+//	if err := p.Check(); err != nil { ... }
+package profile
+
+import (
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Profile describes one process. Addresses are IP:PORT. MemoryBytes is the
+// limit at which the process is killed; 0 means none is known.
+type Profile struct {
+	Name, IP, Zone   string
+	Front, Readiness string
+	Store, Cloud     string
+	FirstPort        int
+	LastPort         int
+	ValueBytes       int
+	MemoryBytes      int64
+	Grace            time.Duration // from SIGTERM to SIGKILL
+	Lease            time.Duration // a holder's turn without renewal
+	Window           time.Duration // one usage window
+	ReportDue        time.Duration // from a window's end to its report
+	ResultsKept      time.Duration // from acceptance of a batch
+}
+
+// The defaults stand in for settings that are left out.
+const (
+	defaultGrace   = 8 * time.Second
+	defaultLease   = 3 * time.Second
+	defaultWindow  = 5 * time.Second
+	defaultDue     = 10 * time.Second
+	defaultKept    = 2 * time.Minute
+	defaultValue   = 1 << 20
+	shortestLease  = 500 * time.Millisecond
+	shortestWindow = time.Second
+)
+
+// WithDefaults returns a copy in which zero values are replaced by defaults.
+func (p Profile) WithDefaults() Profile {
+	fill(&p.Grace, defaultGrace)
+	fill(&p.Lease, defaultLease)
+	fill(&p.Window, defaultWindow)
+	fill(&p.ReportDue, defaultDue)
+	fill(&p.ResultsKept, defaultKept)
+	fill(&p.ValueBytes, defaultValue)
+	return p
+}
+
+func fill[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Check returns an error that names the field, its value and the allowed range
+// of the first setting that is out of range.
+func (p Profile) Check() error {
+	if p.Name == "" {
+		return eris.New("settings: the node's name is empty; it must be given")
+	}
+	if p.Zone == "" {
+		return eris.New("settings: the zone is empty; it must be given")
+	}
+	if _, _, err := net.SplitHostPort(p.Store); err != nil {
+		return eris.Errorf("settings: store address %q: must be IP:PORT", p.Store)
+	}
+	if p.Lease < shortestLease {
+		return eris.Errorf("settings: lease %s: must be at least %s", p.Lease, shortestLease)
+	}
+	if p.Window < shortestWindow {
+		return eris.Errorf("settings: usage window %s: must be at least %s", p.Window, shortestWindow)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/node/view/view.go
@@ -0,0 +1,122 @@
+// Package view is what a process knows about its surroundings: the manifest in
+// force and the endpoints, both followed in the store.
+//
+// # Usage
+//
+//	v := view.New(store, formats, fleet, timers, log)
+//	v.Run(ctx)
+//	if v.Known() { route, found := v.Manifest().Route(host, path) }
+package view
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/control/manifest"
+	"github.com/wigeonpin/wigeonpin/internal/control/mirror"
+	"github.com/wigeonpin/wigeonpin/internal/fleet/replica"
+	"github.com/wigeonpin/wigeonpin/internal/peer/records"
+)
+
+// watchTime is how long one watch waits. A connection that has gone silent is
+// noticed after it.
+const watchTime = 2 * time.Second
+
+// Formats says where the manifest and the entries of endpoints lie in the
+// store and how they are decoded.
+type Formats struct {
+	ManifestKind, ManifestName string
+	EndpointKind, ZoneKind     string
+	Manifest                   func(records.Record) (*manifest.Manifest, error)
+	Endpoint                   func(records.Record) (replica.Entry, error)
+}
+
+// View follows the manifest and the endpoints.
+type View struct {
+	formats   Formats
+	fleet     *replica.Fleet
+	log       *logrus.Entry
+	manifest  atomic.Pointer[manifest.Manifest]
+	config    *mirror.Mirror
+	endpoints *mirror.Mirror
+	zones     *mirror.Mirror
+}
+
+// New returns a view that Run fills.
+func New(store records.Store, formats Formats, fleet *replica.Fleet, timers *clock.Service, log *logrus.Entry) *View {
+	v := &View{formats: formats, fleet: fleet, log: log}
+	options := func(apply func(records.Record)) mirror.Options {
+		return mirror.Options{Wait: watchTime, Apply: apply}
+	}
+	v.config = mirror.New(store, formats.ManifestKind, options(v.applyManifest), timers, log)
+	v.endpoints = mirror.New(store, formats.EndpointKind, options(v.applyEndpoint), timers, log)
+	v.zones = mirror.New(store, formats.ZoneKind, options(v.applyZone), timers, log)
+	return v
+}
+
+// Run follows the store until ctx ends.
+func (v *View) Run(ctx context.Context) {
+	go v.config.Run(ctx)
+	go v.zones.Run(ctx)
+	v.endpoints.Run(ctx)
+}
+
+// Manifest returns the manifest in force, or nil while none is known.
+func (v *View) Manifest() *manifest.Manifest { return v.manifest.Load() }
+
+// Known reports whether the manifest, the endpoints and the zones out of
+// service are known.
+func (v *View) Known() bool {
+	return v.Manifest() != nil && v.endpoints.Synced() && v.zones.Synced()
+}
+
+func (v *View) applyManifest(r records.Record) {
+	if r.Name != v.formats.ManifestName || r.Gone {
+		return
+	}
+	m, err := v.formats.Manifest(r)
+	if err != nil {
+		v.log.WithField(logs.Cause, err.Error()).Error("manifest not understood; the former one stays in force")
+		return
+	}
+	if current := v.manifest.Load(); current != nil && m.Version < current.Version {
+		v.log.WithFields(logrus.Fields{"manifest": m.Version, "current": current.Version}).Warn("older manifest passed over")
+		return
+	}
+	v.manifest.Store(m)
+	warmups := map[string]replica.Warmup{}
+	for _, s := range m.Services() {
+		warmups[s.Name] = replica.Warmup{For: s.ColdFor, Rate: s.ColdRate}
+	}
+	v.fleet.SetWarmups(warmups)
+	v.log.WithFields(logrus.Fields{"manifest": m.Version, "revision": r.Revision}).Info("manifest in force")
+}
+
+func (v *View) applyEndpoint(r records.Record) {
+	if r.Gone {
+		v.log.WithField(logs.Endpoint, r.Name).Info("endpoint entry gone")
+		v.fleet.Remove(r.Name, v.endpoints.Regained())
+		return
+	}
+	e, err := v.formats.Endpoint(r)
+	if err != nil {
+		v.log.WithFields(logrus.Fields{logs.Endpoint: r.Name, logs.Cause: err.Error()}).Warn("endpoint entry passed over")
+		v.fleet.Remove(r.Name, time.Time{})
+		return
+	}
+	v.fleet.Put(e)
+	v.log.WithFields(logrus.Fields{
+		logs.Endpoint: e.ID, "service": e.Service, "address": e.Address, logs.Zone: e.Zone,
+		"draining": e.Draining, "cold_ms": e.Cold.Milliseconds(), "revision": r.Revision, "versions": e.Models,
+	}).Info("endpoint entry")
+}
+
+func (v *View) applyZone(r records.Record) {
+	v.fleet.SetOut(r.Name, !r.Gone)
+	v.log.WithFields(logrus.Fields{logs.Zone: r.Name, "out": !r.Gone, "revision": r.Revision}).Info("availability zone")
+}
--- /dev/null
+++ b/internal/peer/exchange/exchange.go
@@ -0,0 +1,298 @@
+// Package exchange makes HTTP/1.1 calls over kept connections, one exchange at
+// a time on each connection. Unlike net/http's transport it never sends a
+// request twice, checks that a kept connection is silent before it is used
+// again, and tells for each failure whether the request can have left.
+//
+// # Usage
+//
+//	pool := exchange.New(exchange.Options{Match: "X-Request-Id"})
+//	answer, err := pool.Do(ctx, "10.0.0.7:8000", exchange.Request{Method: "GET", Path: "/healthz"})
+//	if err != nil { ... exchange.NotSent(err) ... }
+//	defer answer.Close()
+//	body, err := answer.ReadAll(1 << 20)
+//
+// # Errors
+//
+// All errors of Do are *Error. An answer whose end cannot be told from a cut
+// has Framed false; reads of its body fail when the connection is reset.
+package exchange
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// dialTimeout covers one lost SYN, whose retransmission follows after 1 s.
+	dialTimeout = 1300 * time.Millisecond
+	// userTimeout ends a connection whose written data stays unacknowledged.
+	userTimeout = 2500 * time.Millisecond
+	// probePeriod and probeCount end a connection whose peer has vanished
+	// within about 3 s.
+	probePeriod = time.Second
+	probeCount  = 2
+	// keepMargin is how long before the peer's announced idle timeout a
+	// connection is given up, to cover the network delay.
+	keepMargin = 400 * time.Millisecond
+	// defaultKeep applies to peers that announce no idle timeout.
+	defaultKeep = 20 * time.Second
+	// inlineBody is the size in bytes up to which a body fits the socket
+	// buffers, so that it is written before the answer is read.
+	inlineBody = 16 << 10
+	// strayAnswers is how many answers to other requests are skipped.
+	strayAnswers = 2
+)
+
+// Request is one call. Path is the escaped path as it goes on the wire.
+type Request struct {
+	Method, Path, Query, Host string
+	Header                    http.Header
+	Body                      []byte
+}
+
+// Error is a failed exchange. Sent tells that bytes of the request can have
+// left this process. Dialed is false when no connection was made. Reused tells
+// that the connection had served an earlier request.
+type Error struct {
+	Sent, Dialed, Reused bool
+	cause                error
+}
+
+// Error returns the text of the cause.
+func (e *Error) Error() string { return "exchange: " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.cause }
+
+// NotSent reports whether the request of a failed exchange never left.
+func NotSent(err error) bool {
+	var failed *Error
+	return errors.As(err, &failed) && !failed.Sent
+}
+
+// Options configure a pool. Match names the header that an answer must echo
+// from its request; empty disables the check. Opened is called after each new
+// connection.
+type Options struct {
+	Match  string
+	Opened func(address string)
+}
+
+// Pool keeps idle connections by address. It is safe for concurrent use.
+type Pool struct {
+	options Options
+	dialer  net.Dialer
+	mu      sync.Mutex
+	idle    map[string][]*channel
+}
+
+type channel struct {
+	net.Conn
+	reader  *bufio.Reader
+	address string
+	expires time.Time
+}
+
+// New returns an empty pool.
+func New(options Options) *Pool {
+	p := &Pool{options: options, idle: map[string][]*channel{}}
+	p.dialer = net.Dialer{
+		Timeout: dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: probePeriod, Interval: probePeriod, Count: probeCount,
+		},
+		Control: setUserTimeout,
+	}
+	return p
+}
+
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	return errors.Join(err, failed)
+}
+
+// Forget closes the idle connections to an address.
+func (p *Pool) Forget(address string) {
+	p.mu.Lock()
+	dropped := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	for _, c := range dropped {
+		_ = c.Close()
+	}
+}
+
+// Do sends the request once and reads the head of its answer. The caller
+// closes the answer. When ctx ends, the connection is closed.
+func (p *Pool) Do(ctx context.Context, address string, request Request) (*Answer, error) {
+	c, reused, err := p.take(ctx, address)
+	if err != nil {
+		return nil, &Error{cause: err}
+	}
+	fail := func(sent bool, err error) (*Answer, error) {
+		_ = c.Close()
+		if ctx.Err() != nil {
+			err = context.Cause(ctx)
+		}
+		return nil, &Error{Sent: sent, Dialed: true, Reused: reused, cause: err}
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	message := encode(request)
+	written := make(chan error, 1)
+	if len(message) <= inlineBody {
+		if n, err := c.Write(message); err != nil {
+			stop()
+			return fail(n > 0, err)
+		}
+		written <- nil
+	} else {
+		go func() { _, err := c.Write(message); written <- err }()
+	}
+	response, err := p.readHead(c, request)
+	if err != nil {
+		stop()
+		return fail(true, err)
+	}
+	return newAnswer(p, c, response, stop, written), nil
+}
+
+// encode returns the bytes of the request.
+func encode(request Request) []byte {
+	header := request.Header
+	if header == nil {
+		header = http.Header{}
+	}
+	if header["User-Agent"] == nil {
+		header["User-Agent"] = []string{""}
+	}
+	r := &http.Request{
+		Method: request.Method, Host: request.Host, Header: header,
+		URL:           &url.URL{Scheme: "http", Opaque: request.Path, RawQuery: request.Query},
+		ContentLength: int64(len(request.Body)),
+	}
+	if len(request.Body) > 0 {
+		r.Body = io.NopCloser(bytes.NewReader(request.Body))
+	} else if request.Method != http.MethodGet && request.Method != http.MethodHead {
+		r.Body = http.NoBody
+	}
+	var out bytes.Buffer
+	_ = r.Write(&out) // a bytes.Buffer does not fail
+	return out.Bytes()
+}
+
+// readHead reads the head of the answer to the request and skips interim
+// answers and late answers to earlier requests.
+func (p *Pool) readHead(c *channel, request Request) (*http.Response, error) {
+	sent := &http.Request{Method: request.Method}
+	for strays := 0; ; {
+		response, err := http.ReadResponse(c.reader, sent)
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode < 200 {
+			continue
+		}
+		if p.matches(request, response) {
+			return response, nil
+		}
+		if strays++; strays > strayAnswers || !framed(response) {
+			return nil, errors.New("answer to another request")
+		}
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			return nil, err
+		}
+	}
+}
+
+func (p *Pool) matches(request Request, response *http.Response) bool {
+	if p.options.Match == "" || request.Header.Get(p.options.Match) == "" {
+		return true
+	}
+	echo := response.Header.Get(p.options.Match)
+	return echo == request.Header.Get(p.options.Match)
+}
+
+func framed(r *http.Response) bool {
+	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0
+}
+
+func (p *Pool) take(ctx context.Context, address string) (*channel, bool, error) {
+	for {
+		p.mu.Lock()
+		kept := p.idle[address]
+		if len(kept) == 0 {
+			p.mu.Unlock()
+			break
+		}
+		c := kept[len(kept)-1]
+		p.idle[address] = kept[:len(kept)-1]
+		p.mu.Unlock()
+		if time.Now().Before(c.expires) && silent(c.Conn) {
+			return c, true, nil
+		}
+		_ = c.Close()
+	}
+	conn, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, false, err
+	}
+	if p.options.Opened != nil {
+		p.options.Opened(address)
+	}
+	return &channel{Conn: conn, reader: bufio.NewReaderSize(conn, 4096), address: address}, false, nil
+}
+
+// silent reports whether the connection is open and holds no unread bytes.
+func silent(conn net.Conn) bool {
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	var one [1]byte
+	err = raw.Read(func(fd uintptr) bool {
+		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = errors.Is(err, unix.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+func (p *Pool) put(c *channel, keep time.Duration) {
+	c.expires = time.Now().Add(keep - keepMargin)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := p.idle[c.address]
+	for len(kept) > 0 && time.Now().After(kept[0].expires) {
+		_ = kept[0].Close()
+		kept = kept[1:]
+	}
+	p.idle[c.address] = append(kept, c)
+}
+
+// keepFor returns how long the peer keeps the connection of the answer open.
+func keepFor(r *http.Response) time.Duration {
+	for _, part := range strings.Split(r.Header.Get("Keep-Alive"), ",") {
+		value, found := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if seconds, err := strconv.Atoi(value); found && err == nil {
+			return time.Duration(seconds) * time.Second
+		}
+	}
+	return defaultKeep
+}
--- /dev/null
+++ b/internal/traffic/forward/forward.go
@@ -0,0 +1,329 @@
+// Package forward sends a caller's request to endpoints: it picks them, spends
+// the attempts that the route allows, and returns the first usable answer.
+//
+// # Usage
+//
+//	f := forward.New(forward.Seams{Fleet: fleet, Pool: pool, Names: names}, timers, log)
+//	answer, err := f.Send(ctx, forward.Call{Route: route, Service: "catalog", ...})
+//	defer answer.Close()
+//
+// # Errors
+//
+// Errors are *code.Error. Run is NotRun only when no endpoint can have begun
+// to work on the request.
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/code"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/control/manifest"
+	"github.com/wigeonpin/wigeonpin/internal/fleet/replica"
+	"github.com/wigeonpin/wigeonpin/internal/peer/exchange"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/headers"
+)
+
+const (
+	// WholeLimit is the size in bytes up to which an answer is read completely
+	// before it is passed on, so that a broken one can be replaced.
+	WholeLimit = 1 << 20
+	// tryShare is the part of the remaining time that one attempt may take
+	// while others are left, and leastTry its lower bound.
+	tryShare = 0.4
+	leastTry = 350 * time.Millisecond
+	// retryPause is the wait before the endpoints that refused are asked again.
+	retryPause = 25 * time.Millisecond
+	// comeBack is what a refused caller is told to wait.
+	comeBack = 250 * time.Millisecond
+	// spareTime is kept back for the way of the answer to the caller.
+	spareTime = 15 * time.Millisecond
+)
+
+// Call is one request of a caller. Header is what the endpoint gets, without
+// the fields that are set for each attempt.
+type Call struct {
+	ID, Account string
+	Route       manifest.Route
+	Service     string
+	Request     exchange.Request
+	Deadline    time.Time
+}
+
+// Answer is an endpoint's answer. Body holds its start, or all of it when Rest
+// is nil. Reading Rest fails when the endpoint breaks off.
+type Answer struct {
+	Status   int
+	Header   http.Header
+	Body     []byte
+	Rest     io.Reader
+	Endpoint replica.Entry
+	Errors   int // answers of 500 that the call got, this one included
+	Attempts int // endpoints that may have run the request
+	close    func()
+}
+
+// Close ends the exchange behind the answer.
+func (a *Answer) Close() {
+	if a.close != nil {
+		a.close()
+	}
+}
+
+// Seams are the functions and parts that a forwarder needs.
+type Seams struct {
+	Fleet *replica.Fleet
+	Pool  *exchange.Pool
+	Names headers.Names
+	// Began is called once for each request that an endpoint may have begun.
+	Began func(account string)
+}
+
+// Forwarder sends requests to endpoints.
+type Forwarder struct {
+	seams  Seams
+	timers *clock.Service
+	log    *logrus.Entry
+}
+
+// New returns a forwarder.
+func New(seams Seams, timers *clock.Service, log *logrus.Entry) *Forwarder {
+	return &Forwarder{seams: seams, timers: timers, log: log}
+}
+
+// progress is what the attempts for a call have shown so far.
+type progress struct {
+	tried  map[string]bool // endpoints that the request was sent to
+	runs   int             // attempts that may have run
+	errors int             // answers of 500
+	last   *Answer         // the latest failure that an endpoint answered
+	reason string
+}
+
+// Send tries endpoints until one gives an answer that is final.
+func (f *Forwarder) Send(ctx context.Context, call Call) (*Answer, error) {
+	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
+	answer, err := f.send(ctx, call)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	inner := answer.close
+	answer.close = func() {
+		if inner != nil {
+			inner()
+		}
+		cancel()
+	}
+	return answer, nil
+}
+
+func (f *Forwarder) send(ctx context.Context, call Call) (*Answer, error) {
+	p := &progress{tried: map[string]bool{}}
+	for ctx.Err() == nil {
+		slot, found := f.seams.Fleet.Pick(replica.Want{Service: call.Service, Avoid: p.tried})
+		if !found {
+			if !f.again(ctx, p) {
+				break
+			}
+			continue
+		}
+		answer, verdict := f.attempt(ctx, call, slot, p)
+		if verdict == final {
+			return answer, nil
+		}
+		if verdict == spent || p.runs >= call.Route.Attempts {
+			break
+		}
+	}
+	if p.last != nil {
+		return p.last, nil
+	}
+	return nil, f.failure(ctx, call, p)
+}
+
+// again decides whether a request for which no endpoint is free waits for one.
+// Endpoints that only refused it may be asked again after a moment.
+func (f *Forwarder) again(ctx context.Context, p *progress) bool {
+	if p.runs > 0 || p.reason == "" {
+		return false
+	}
+	deadline, _ := ctx.Deadline()
+	if len(p.tried) == 0 || time.Until(deadline) < 4*retryPause || p.reason == "asked twice" {
+		return false
+	}
+	clear(p.tried)
+	p.reason = "asked twice"
+	return f.timers.Sleep(ctx, retryPause) == nil
+}
+
+type verdict int
+
+const (
+	final  verdict = iota // the answer goes to the caller
+	repeat                // another endpoint may be tried
+	spent                 // the request must not be sent again
+)
+
+// attempt sends the request to one endpoint.
+func (f *Forwarder) attempt(ctx context.Context, call Call, slot *replica.Slot, p *progress) (*Answer, verdict) {
+	deadline, _ := ctx.Deadline()
+	left := time.Until(deadline)
+	limit := left
+	if call.Route.Repeatable() && call.Route.Kind == manifest.Idempotent && p.runs+1 < call.Route.Attempts {
+		limit = min(left, max(leastTry, time.Duration(tryShare*float64(left))))
+	}
+	attempt, cancel := context.WithTimeout(ctx, limit)
+	request := call.Request
+	request.Header = call.Request.Header.Clone()
+	names := f.seams.Names
+	request.Header.Set(names.Endpoint, slot.Entry.ID)
+	headers.SetMillis(request.Header, names.Deadline, left-spareTime)
+	p.tried[slot.Entry.ID] = true
+	answer, err := f.seams.Pool.Do(attempt, slot.Entry.Address, request)
+	if err != nil {
+		cancel()
+		return nil, f.broken(call, slot, p, err, ctx)
+	}
+	return f.judge(call, slot, p, answer, cancel)
+}
+
+// broken judges an attempt that brought no answer.
+func (f *Forwarder) broken(call Call, slot *replica.Slot, p *progress, err error, ctx context.Context) verdict {
+	if ctx.Err() != nil {
+		slot.Done(replica.Abandoned)
+	} else {
+		slot.Done(replica.Failed)
+		f.seams.Pool.Forget(slot.Entry.Address)
+	}
+	p.reason = err.Error()
+	if exchange.NotSent(err) {
+		return repeat
+	}
+	f.began(call, p)
+	if !call.Route.Repeatable() {
+		return spent
+	}
+	return repeat
+}
+
+func (f *Forwarder) began(call Call, p *progress) {
+	if p.runs == 0 && f.seams.Began != nil && call.Account != "" {
+		f.seams.Began(call.Account)
+	}
+	p.runs++
+}
+
+// judge decides whether an answer goes to the caller.
+func (f *Forwarder) judge(call Call, slot *replica.Slot, p *progress, answer *exchange.Answer, cancel context.CancelFunc) (*Answer, verdict) {
+	names := f.seams.Names
+	f.observe(slot, answer.Header)
+	if answer.Header.Get(names.Rejected) != "" || answer.Status == http.StatusMisdirectedRequest {
+		f.discard(answer, cancel)
+		p.reason = "rejected"
+		outcome := replica.Rejected
+		if answer.Status == http.StatusMisdirectedRequest {
+			outcome = replica.Misplaced
+		}
+		slot.Done(outcome)
+		return nil, repeat
+	}
+	f.began(call, p)
+	if answer.Header.Get(names.Stamp) == "" {
+		answer.Close()
+		cancel()
+		slot.Done(replica.Failed)
+		p.reason = "answer without a stamp"
+		return nil, f.repeatable(call)
+	}
+	result, err := f.receive(call, slot, answer, cancel)
+	if err != nil {
+		cancel()
+		slot.Done(replica.Failed)
+		p.reason = err.Error()
+		return nil, f.repeatable(call)
+	}
+	if result.Status == http.StatusInternalServerError {
+		p.errors++
+	}
+	result.Errors, result.Attempts = p.errors, p.runs
+	if result.Status >= 500 && call.Route.Repeatable() && p.runs < call.Route.Attempts {
+		p.last = result
+		return nil, repeat
+	}
+	return result, final
+}
+
+func (f *Forwarder) repeatable(call Call) verdict {
+	if call.Route.Repeatable() {
+		return repeat
+	}
+	return spent
+}
+
+func (f *Forwarder) discard(answer *exchange.Answer, cancel context.CancelFunc) {
+	_, _ = answer.ReadAll(WholeLimit) // the status says enough; a failed read only costs the connection
+	cancel()
+}
+
+// observe notes what the endpoint tells of itself.
+func (f *Forwarder) observe(slot *replica.Slot, h http.Header) {
+	if load, told := f.seams.Names.ReadLoad(h); told {
+		slot.Report(load)
+	}
+	if left, told := headers.Millis(h, f.seams.Names.Cold); told && left > 0 {
+		slot.Cold(left)
+	}
+}
+
+// receive reads a plain answer up to WholeLimit. The answer of a stream is
+// handed on unread.
+func (f *Forwarder) receive(call Call, slot *replica.Slot, answer *exchange.Answer, cancel context.CancelFunc) (*Answer, error) {
+	result := &Answer{Status: answer.Status, Header: answer.Header, Endpoint: slot.Entry}
+	if call.Route.Kind != manifest.Stream || answer.Status >= 300 {
+		body, err := io.ReadAll(io.LimitReader(answer, WholeLimit+1))
+		if err != nil {
+			answer.Close()
+			return nil, errors.New("the answer ended early")
+		}
+		result.Body = body
+		if len(body) <= WholeLimit {
+			answer.Close()
+			cancel()
+			slot.Done(replica.Answered)
+			return result, nil
+		}
+	}
+	result.Rest = answer
+	result.close = func() {
+		answer.Close()
+		cancel()
+		slot.Done(replica.Answered)
+	}
+	return result, nil
+}
+
+// failure is the answer for a request that no endpoint answered.
+func (f *Forwarder) failure(ctx context.Context, call Call, p *progress) error {
+	f.log.WithFields(logrus.Fields{
+		logs.Request: call.ID, logs.Cause: p.reason, "runs": p.runs, "tried": len(p.tried),
+		"service": call.Service, "left_ms": time.Until(call.Deadline).Milliseconds(),
+	}).Warn("request failed")
+	if p.runs == 0 {
+		return code.New(code.NoEndpoint, "no endpoint can take the request").WithRun(code.NotRun).WithRetryAfter(comeBack)
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return code.New(code.DeadlinePast, "the deadline passed").WithRun(code.MaybeRun)
+	}
+	if !call.Route.Repeatable() {
+		return code.New(code.MayHaveRun, "the endpoint did not answer; the request may have run").WithRun(code.MaybeRun)
+	}
+	return code.New(code.EndpointFailed, "the endpoints failed").WithRun(code.MaybeRun)
+}
--- /dev/null
+++ b/internal/traffic/front/front.go
@@ -0,0 +1,309 @@
+// Package front serves the callers of an entry process: it finds the route and
+// the client account, forwards plain requests and streams, takes batches and
+// reads them back.
+//
+// # Usage
+//
+//	f := front.New(front.Seams{...}, timers, log)
+//	server := &http.Server{Handler: f}
+//	readiness := &http.Server{Handler: f.Readiness()}
+//	f.Stop() // at the start of a planned stop
+package front
+
+import (
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/code"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/base/meter"
+	"github.com/wigeonpin/wigeonpin/internal/control/manifest"
+	"github.com/wigeonpin/wigeonpin/internal/peer/exchange"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/forward"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/headers"
+	"github.com/wigeonpin/wigeonpin/internal/training/batch"
+)
+
+const (
+	// defaultTime bounds requests that name no time limit.
+	defaultTime = 30 * time.Second
+	// largestBody bounds the memory for one body, whatever the manifest allows.
+	largestBody = 16 << 20 // bytes
+	// comeBack is what a caller is told to wait when this process does not
+	// know the configuration yet.
+	comeBack = 500 * time.Millisecond
+)
+
+// Operation is a call about a batch.
+type Operation int
+
+// The operations.
+const (
+	NoBatch Operation = iota
+	ReadResults
+	ReadItem
+	EndBatch
+)
+
+// Calls is how callers speak of batches.
+type Calls struct {
+	Parse  func(method, path string) (Operation, string)
+	Decode func(body []byte) (*batch.Batch, error)
+	Encode func(total, next int, results []batch.Result) ([]byte, error)
+	Ready  string // path of the readiness check
+}
+
+// Seams are the parts that a front works with.
+type Seams struct {
+	Manifest  func() *manifest.Manifest
+	Ready     func() bool
+	Forwarder *forward.Forwarder
+	Shelf     *batch.Shelf
+	Reader    *batch.Reader
+	Names     headers.Names
+	Calls     Calls
+	Meters    *meter.Set
+}
+
+// Front is the HTTP handler for callers.
+type Front struct {
+	seams   Seams
+	timers  *clock.Service
+	log     *logrus.Entry
+	stopped atomic.Bool
+	served  *meter.Counter
+	failed  *meter.Counter
+	latency *meter.Histogram
+}
+
+// New returns a front.
+func New(seams Seams, timers *clock.Service, log *logrus.Entry) *Front {
+	return &Front{
+		seams: seams, timers: timers, log: log,
+		served:  seams.Meters.Counter("requests_served"),
+		failed:  seams.Meters.Counter("requests_failed"),
+		latency: seams.Meters.Histogram("request_us"),
+	}
+}
+
+// Stop makes the process unready. Requests are still served, and callers are
+// asked to leave their connections.
+func (f *Front) Stop() { f.stopped.Store(true) }
+
+// Readiness answers the load balancer's check.
+func (f *Front) Readiness() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header()["Date"] = nil
+		if r.URL.Path != f.seams.Calls.Ready {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		if f.stopped.Load() || !f.seams.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+}
+
+// inquiry is one request of a caller as far as it has been understood.
+type inquiry struct {
+	id, host, path, query string
+	began                 time.Time
+	manifest              *manifest.Manifest
+	route                 manifest.Route
+	account               manifest.Account
+	operation             Operation
+	batch                 string
+}
+
+// ServeHTTP answers one request.
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header()["Date"] = nil
+	if f.stopped.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	q := f.understand(r)
+	if err := f.admit(r, q); err != nil {
+		f.refuse(w, q, err)
+		return
+	}
+	switch {
+	case q.operation != NoBatch:
+		f.batchCall(w, r, q)
+	case q.route.Kind == manifest.Rollout:
+		f.submit(w, r, q)
+	default:
+		f.forward(w, r, q)
+	}
+}
+
+func (f *Front) understand(r *http.Request) *inquiry {
+	path, query, _ := strings.Cut(r.RequestURI, "?")
+	if !strings.HasPrefix(path, "/") {
+		path = r.URL.EscapedPath()
+	}
+	return &inquiry{
+		id: r.Header.Get(f.seams.Names.Request), host: r.Host, path: path, query: query,
+		began: f.timers.Now(), manifest: f.seams.Manifest(),
+	}
+}
+
+// admit finds the route and the client account.
+func (f *Front) admit(r *http.Request, q *inquiry) error {
+	if q.manifest == nil {
+		return code.New(code.NotReady, "the configuration is not known yet").WithRun(code.NotRun).WithRetryAfter(comeBack)
+	}
+	if q.manifest.Batches(q.host) {
+		q.operation, q.batch = f.seams.Calls.Parse(r.Method, q.path)
+	}
+	if q.operation == NoBatch {
+		route, found := q.manifest.Route(q.host, q.path)
+		if !found {
+			return code.New(code.UnknownRoute, "no route for %s%s", q.host, q.path).WithRun(code.NotRun)
+		}
+		q.route = route
+	}
+	if q.route.Open || q.manifest.Accounts == 0 {
+		return nil
+	}
+	key, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !found || key == "" {
+		return code.New(code.KeyMissing, "the route needs a key").WithRun(code.NotRun)
+	}
+	q.account, found = q.manifest.Account(key)
+	if !found {
+		return code.New(code.KeyUnknown, "no client account has this key").WithRun(code.NotRun)
+	}
+	return nil
+}
+
+// deadline returns when the caller or the route stops waiting.
+func (f *Front) deadline(r *http.Request, q *inquiry) time.Time {
+	limit, told := headers.Millis(r.Header, f.seams.Names.Deadline)
+	if !told || limit <= 0 {
+		limit = defaultTime
+	}
+	if q.route.Timeout > 0 && q.route.Kind != manifest.Rollout {
+		limit = min(limit, q.route.Timeout)
+	}
+	return q.began.Add(limit)
+}
+
+// body reads the whole body of a request.
+func (f *Front) body(w http.ResponseWriter, r *http.Request, q *inquiry) ([]byte, error) {
+	limit := int64(largestBody)
+	if allowed := q.manifest.Limits.Body; allowed > 0 {
+		limit = min(limit, allowed)
+	}
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return nil, code.New(code.BodyTooLarge, "the body exceeds %d bytes", limit).WithRun(code.NotRun)
+	}
+	if err != nil {
+		return nil, code.New(code.CallerGone, "the body did not arrive").WithRun(code.NotRun)
+	}
+	return text, nil
+}
+
+func (f *Front) forward(w http.ResponseWriter, r *http.Request, q *inquiry) {
+	text, err := f.body(w, r, q)
+	if err != nil {
+		f.refuse(w, q, err)
+		return
+	}
+	names := f.seams.Names
+	header := names.Forward(r.Header)
+	if q.account.Name != "" {
+		header.Set(names.Account, q.account.Name)
+	}
+	call := forward.Call{
+		ID: q.id, Account: q.account.Name, Route: q.route, Service: q.route.Target(rand.Float64()),
+		Deadline: f.deadline(r, q),
+		Request: exchange.Request{
+			Method: r.Method, Path: q.path, Query: q.query, Host: q.host, Header: header, Body: text,
+		},
+	}
+	answer, err := f.seams.Forwarder.Send(r.Context(), call)
+	if err != nil {
+		f.refuse(w, q, err)
+		return
+	}
+	defer answer.Close()
+	f.deliver(w, r, q, call, answer)
+}
+
+// deliver passes an endpoint's answer on unchanged.
+func (f *Front) deliver(w http.ResponseWriter, r *http.Request, q *inquiry, call forward.Call, answer *forward.Answer) {
+	out := w.Header()
+	for name, values := range f.seams.Names.Return(answer.Header) {
+		out[name] = values
+	}
+	if out["Content-Type"] == nil {
+		out["Content-Type"] = nil // keeps net/http from guessing one
+	}
+	if answer.Rest != nil && q.route.Kind == manifest.Stream && answer.Status < 300 {
+		f.stream(w, r, q, call, answer)
+		return
+	}
+	if answer.Rest == nil && r.Method != http.MethodHead {
+		out.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	}
+	w.WriteHeader(answer.Status)
+	_, err := w.Write(answer.Body)
+	if err == nil && answer.Rest != nil {
+		_, err = io.Copy(w, answer.Rest)
+	}
+	if err != nil {
+		f.note(q, "answer broke off", err)
+		panic(http.ErrAbortHandler) // closes the connection, so that the answer does not look complete
+	}
+	f.count(q, answer.Status)
+}
+
+func (f *Front) count(q *inquiry, status int) {
+	label := q.account.Name
+	if label == "" {
+		label = "open"
+	}
+	f.served.Add(label, 1)
+	f.latency.Record(label, f.timers.Since(q.began).Microseconds())
+	if status >= 500 {
+		f.failed.Add(label, 1)
+	}
+}
+
+func (f *Front) note(q *inquiry, what string, err error) {
+	f.log.WithFields(logrus.Fields{
+		logs.Request: q.id, logs.Account: q.account.Name, "route": q.route.Name, logs.Cause: err.Error(),
+		"batch": q.batch, "took_ms": f.timers.Since(q.began).Milliseconds(), "manifest": version(q.manifest),
+	}).Warn(what)
+}
+
+func version(m *manifest.Manifest) int64 {
+	if m == nil {
+		return 0
+	}
+	return m.Version
+}
+
+// refuse answers with an error of this process.
+func (f *Front) refuse(w http.ResponseWriter, q *inquiry, err error) {
+	f.note(q, "request refused", err)
+	f.failed.Add(code.Of(err).Code.String(), 1)
+	coded := code.Of(err)
+	if coded.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(coded.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	writeJSON(w, coded.Code.Status(), errorBody{Code: int(coded.Code), Name: coded.Code.String(), Message: coded.Message, Run: string(coded.Run)})
+}
--- /dev/null
+++ b/internal/traffic/front/stream.go
@@ -0,0 +1,96 @@
+package front
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/wigeonpin/wigeonpin/internal/traffic/event"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/forward"
+)
+
+type errorBody struct {
+	Code    int    `json:"code"`
+	Name    string `json:"name"`
+	Message string `json:"message"`
+	Run     string `json:"run,omitempty"`
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		status, body = http.StatusInternalServerError, nil
+	}
+	writeBytes(w, status, body)
+}
+
+func writeBytes(w http.ResponseWriter, status int, body []byte) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	_, _ = w.Write(body) // a caller that has left gets nothing
+}
+
+// stream passes events on as they come. A resumable stream that breaks off
+// goes on at another endpoint after the last whole event.
+func (f *Front) stream(w http.ResponseWriter, r *http.Request, q *inquiry, call forward.Call, answer *forward.Answer) {
+	w.WriteHeader(answer.Status)
+	last := int64(0)
+	for attempts := answer.Attempts; ; {
+		var err error
+		last, err = f.passEvents(w, answer, last)
+		if err == nil {
+			f.count(q, answer.Status)
+			return
+		}
+		answer.Close()
+		if errors.Is(err, errCaller) || !q.route.Resumable || r.Context().Err() != nil || attempts >= q.route.Attempts {
+			f.note(q, "stream broke off", err)
+			panic(http.ErrAbortHandler) // the caller sees that the stream is not complete
+		}
+		f.note(q, "stream resumed", err)
+		if last > 0 {
+			call.Request.Header.Set("Last-Event-Id", strconv.FormatInt(last, 10))
+		}
+		call.Route.Attempts = q.route.Attempts - attempts
+		next, err := f.seams.Forwarder.Send(r.Context(), call)
+		if err != nil || next.Rest == nil || next.Status >= 300 {
+			f.note(q, "stream broke off", errors.Join(err, errNoResume))
+			panic(http.ErrAbortHandler)
+		}
+		attempts += next.Attempts
+		answer = next
+		defer next.Close()
+	}
+}
+
+var (
+	errCaller   = errors.New("the caller does not read")
+	errNoResume = errors.New("the stream cannot be resumed")
+)
+
+// passEvents copies whole events until the end of the answer.
+func (f *Front) passEvents(w http.ResponseWriter, answer *forward.Answer, last int64) (int64, error) {
+	control := http.NewResponseController(w)
+	reader := event.NewReader(answer.Rest, f.seams.Names.VersionKey)
+	for {
+		e, err := reader.Next()
+		if errors.Is(err, io.EOF) {
+			return last, nil
+		}
+		if err != nil {
+			return last, err
+		}
+		if _, err := w.Write(e.Raw); err != nil {
+			return last, errCaller
+		}
+		if err := control.Flush(); err != nil {
+			return last, errCaller
+		}
+		if e.ID > 0 {
+			last = e.ID
+		}
+	}
+}
--- /dev/null
+++ b/internal/training/runner/schedule.go
@@ -0,0 +1,226 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/control/manifest"
+	"github.com/wigeonpin/wigeonpin/internal/fleet/replica"
+	"github.com/wigeonpin/wigeonpin/internal/peer/exchange"
+	"github.com/wigeonpin/wigeonpin/internal/peer/records"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/forward"
+	"github.com/wigeonpin/wigeonpin/internal/training/batch"
+)
+
+const (
+	// rewardTime bounds one scoring call with all its attempts.
+	rewardTime = 4 * time.Second
+	// pageShare is the part of the largest record that a page may take; the
+	// rest covers the encoding.
+	pageShare = 0.6
+)
+
+// schedule sends pending items to engines, the oldest batch first. An item
+// whose engine is busy holds back the later ones of its batch only.
+func (r *Runner) schedule() {
+	now := r.timers.Now()
+	for _, j := range r.jobs {
+		for _, t := range j.tasks {
+			if t.state != statePending || now.Before(t.notBefore) {
+				continue
+			}
+			if t.text.complete {
+				r.score(t)
+				continue
+			}
+			if t.breaks >= barrenBreaks {
+				continue
+			}
+			if !r.place(t) {
+				break
+			}
+		}
+	}
+}
+
+// place starts the item at an engine and reports whether there was room.
+func (r *Runner) place(t *task) bool {
+	route, found := r.route(t.job.batch.Host, t.item.Path)
+	if !found {
+		return false
+	}
+	if route.Pure && len(t.text.pieces) > 0 {
+		t.text = text{}
+	}
+	slot, found := r.seams.Fleet.Pick(replica.Want{
+		Service: route.Target(rand.Float64()), Model: t.job.batch.Model, Version: t.job.batch.Oldest,
+		Near: t.job.near[t.item.Group],
+	})
+	if !found {
+		return false
+	}
+	r.start(t, slot, t.job.batch.Host)
+	return true
+}
+
+// expire ends runs whose engine is silent, and gives up items whose time is
+// over.
+func (r *Runner) expire() {
+	now := r.timers.Now()
+	for _, j := range r.jobs {
+		for _, t := range j.tasks {
+			if t.state == stateRunning && now.UnixNano()-t.heard.Load() > int64(stallTime) {
+				t.cancel(errStalled)
+			}
+			if (t.state == statePending || t.state == stateRunning) && r.timeLeft(t) <= 0 {
+				if t.cancel != nil {
+					t.cancel(nil)
+				}
+				r.giveUp(t, "time over")
+			}
+		}
+	}
+}
+
+// score has a complete text scored.
+func (r *Runner) score(t *task) {
+	if route, found := r.route(t.job.batch.Host, t.item.Path); found && route.Pure && len(t.text.versions) > 1 {
+		t.text = text{}
+		return
+	}
+	t.state = stateScoring
+	result := batch.Result{
+		ID: t.item.ID, Done: true,
+		Output: strings.Join(t.text.pieces, "\n"), Versions: t.text.versions,
+	}
+	if t.item.Reward == nil {
+		r.complete(t, result)
+		return
+	}
+	jobCtx := t.job.ctx
+	go func() {
+		answer, err := r.reward(jobCtx, t.item.Reward)
+		r.post(jobCtx, func(context.Context) { r.scored(t, result, answer, err) })
+	}()
+}
+
+func (r *Runner) complete(t *task, result batch.Result) {
+	t.state = stateReady
+	t.job.ready = append(t.job.ready, result)
+}
+
+// reward makes the scoring call and returns its answer.
+func (r *Runner) reward(ctx context.Context, w *batch.Reward) (*forward.Answer, error) {
+	path, query, _ := strings.Cut(w.Path, "?")
+	route, found := r.route(w.Host, path)
+	if !found {
+		return nil, errors.New("no route for the scoring call")
+	}
+	names := r.seams.Names
+	answer, err := r.seams.Forwarder.Send(ctx, forward.Call{
+		ID: w.ID, Route: scoring(route), Service: route.Target(rand.Float64()),
+		Deadline: r.timers.Now().Add(rewardTime),
+		Request: exchange.Request{
+			Method: http.MethodPost, Path: path, Query: query, Host: w.Host, Body: w.Body,
+			Header: http.Header{http.CanonicalHeaderKey(names.Request): {w.ID}},
+		},
+	})
+	if err != nil {
+		return nil, err
+	}
+	answer.Close()
+	return answer, nil
+}
+
+// scoring returns the route as a scoring call uses it: it may be repeated.
+func scoring(route manifest.Route) manifest.Route {
+	route.Kind = manifest.Idempotent
+	return route
+}
+
+// scored takes the end of a scoring call into account.
+func (r *Runner) scored(t *task, result batch.Result, answer *forward.Answer, err error) {
+	if t.state != stateScoring {
+		return
+	}
+	names := r.seams.Names
+	if err == nil && answer.Status < 300 {
+		result.Score = answer.Header.Get(names.Stamp)
+		r.complete(t, result)
+		return
+	}
+	t.state = statePending
+	t.notBefore = r.timers.Now().Add(longRetry)
+	cause := "status"
+	if err != nil {
+		cause = err.Error()
+	} else {
+		t.rewards += answer.Errors
+	}
+	r.log.WithFields(logrus.Fields{
+		logs.Request: t.item.ID, "batch": t.job.batch.ID, logs.Cause: cause, "errors": t.rewards,
+	}).Info("scoring failed")
+	if route, found := r.route(t.item.Reward.Host, t.item.Reward.Path); found && t.rewards >= route.Attempts {
+		r.giveUp(t, "scoring answered 500")
+	}
+}
+
+// writePages writes the ready results of each batch.
+func (r *Runner) writePages(ctx context.Context) {
+	now := r.timers.Now()
+	for _, j := range r.jobs {
+		if j.writing || len(j.ready) == 0 || now.Before(j.nextPage) {
+			continue
+		}
+		page := j.nextResults(int(pageShare * float64(r.seams.ValueBytes)))
+		number := j.pages
+		j.writing = true
+		go func() {
+			err := r.seams.Shelf.Append(ctx, j.batch.ID, number, page)
+			if errors.Is(err, records.ErrConflict) || errors.Is(err, records.ErrUnsure) {
+				page, err = r.seams.Shelf.Page(ctx, j.batch.ID, number)
+			}
+			r.post(ctx, func(context.Context) { r.written(j, number, page, err) })
+		}()
+	}
+}
+
+// nextResults returns a page of ready results of at most limit bytes, but at
+// least one.
+func (j *job) nextResults(limit int) batch.Page {
+	size, count := 0, 0
+	for _, result := range j.ready {
+		size += len(result.Output) + len(result.ID)
+		if count > 0 && size > limit {
+			break
+		}
+		count++
+	}
+	return batch.Page{Start: j.listed, Results: append([]batch.Result(nil), j.ready[:count]...)}
+}
+
+// written takes the page that stands under the number into account, whoever
+// wrote it.
+func (r *Runner) written(j *job, number int, page batch.Page, err error) {
+	j.writing = false
+	if err != nil {
+		j.nextPage = r.timers.Now().Add(pageRetry)
+		r.log.WithFields(logrus.Fields{"batch": j.batch.ID, "page": number, logs.Cause: err.Error()}).Warn("page not written")
+		return
+	}
+	j.nextPage = r.timers.Now().Add(pageRest)
+	j.merge(page)
+	if j.listed >= len(j.tasks) {
+		r.log.WithFields(logrus.Fields{
+			"batch": j.batch.ID, "age_ms": r.timers.Since(j.batch.Time).Milliseconds(),
+		}).Info("batch complete")
+		r.drop(j)
+	}
+}
--- /dev/null
+++ b/internal/training/runner/task.go
@@ -0,0 +1,278 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/control/manifest"
+	"github.com/wigeonpin/wigeonpin/internal/fleet/replica"
+	"github.com/wigeonpin/wigeonpin/internal/peer/exchange"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/event"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/headers"
+	"github.com/wigeonpin/wigeonpin/internal/training/batch"
+)
+
+type taskState int
+
+const (
+	statePending taskState = iota
+	stateRunning
+	stateScoring
+	stateReady // the result waits for its page
+	stateListed
+)
+
+// task is one item of a batch. Its fields belong to the runner's goroutine,
+// except live and heard, which the goroutine of the run writes.
+type task struct {
+	item      *batch.Item
+	job       *job
+	state     taskState
+	text      text
+	gaveUp    bool
+	notBefore time.Time
+	errors    int // answers of 500
+	breaks    int // runs in a row that brought no event
+	rewards   int // answers of 500 to the scoring call
+	cancel    context.CancelCauseFunc
+	endpoint  string
+	began     time.Time
+	live      atomic.Pointer[text]
+	heard     atomic.Int64 // Unix nanoseconds of the latest sign of the engine
+}
+
+// snapshot returns the text as far as it has come.
+func (t *task) snapshot() text {
+	current := t.text
+	if live := t.live.Load(); live != nil && t.state == stateRunning {
+		current = *live
+	}
+	// The run may still append to the same array.
+	current.pieces = slices.Clip(current.pieces)
+	return current
+}
+
+const (
+	// stallTime is how long an engine may be silent before the text goes on at
+	// another one. It exceeds the pause of a change of weights.
+	stallTime = 2200 * time.Millisecond
+	// firstEvent allows for the wait in an engine's queue.
+	firstEvent = 3 * time.Second
+	// shortRetry and longRetry are the pauses before an item is sent again,
+	// after a rejection and after a failure.
+	shortRetry = 30 * time.Millisecond
+	longRetry  = 150 * time.Millisecond
+	// barrenBreaks is the number of runs without any event, all broken, after
+	// which an item counts as one that crashes engines and waits for its end.
+	barrenBreaks = 4
+	answerLimit  = 1 << 20
+)
+
+// The ways in which a run ends.
+var (
+	errRejected = errors.New("the engine did not run the item")
+	errMisplace = errors.New("another endpoint has the address")
+	errAttempt  = errors.New("the engine answered with status 500")
+	errNever    = errors.New("the item can never be done")
+	errOld      = errors.New("the engine's weights are older than the batch allows")
+	errGap      = errors.New("an event is missing")
+	errStalled  = errors.New("the engine is silent")
+	errStatus   = errors.New("unexpected status")
+)
+
+// start sends a task to an engine.
+func (r *Runner) start(t *task, slot *replica.Slot, host string) {
+	ctx, cancel := context.WithCancelCause(t.job.ctx)
+	t.state, t.cancel, t.endpoint = stateRunning, cancel, slot.Entry.ID
+	t.began = r.timers.Now()
+	t.heard.Store(t.began.Add(firstEvent - stallTime).UnixNano())
+	t.job.near[t.item.Group] = slot.Entry.ID
+	live := t.text
+	t.live.Store(&live)
+	request := r.request(t, slot, host)
+	go func() {
+		made, version, err := r.generate(ctx, t, slot, request)
+		slot.Done(outcome(ctx, err))
+		cancel(nil)
+		r.post(t.job.ctx, func(context.Context) { r.finished(t, slot.Entry, made, version, err) })
+	}()
+}
+
+func outcome(ctx context.Context, err error) replica.Outcome {
+	switch {
+	case err == nil, errors.Is(err, errAttempt), errors.Is(err, errNever), errors.Is(err, errOld):
+		return replica.Answered
+	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStalled):
+		return replica.Abandoned
+	case errors.Is(err, errRejected):
+		return replica.Rejected
+	case errors.Is(err, errMisplace):
+		return replica.Misplaced
+	}
+	return replica.Failed
+}
+
+func (r *Runner) request(t *task, slot *replica.Slot, host string) exchange.Request {
+	names := r.seams.Names
+	header := http.Header{}
+	for name, value := range t.item.Header {
+		header.Set(name, value)
+	}
+	header.Set(names.Request, t.item.ID)
+	header.Set(names.Account, t.job.batch.Account)
+	header.Set(names.Endpoint, slot.Entry.ID)
+	headers.SetMillis(header, names.Deadline, r.timeLeft(t))
+	if t.text.last > 0 {
+		header.Set("Last-Event-Id", strconv.FormatInt(t.text.last, 10))
+	}
+	path, query, _ := strings.Cut(t.item.Path, "?")
+	return exchange.Request{Method: http.MethodPost, Path: path, Query: query, Host: host, Header: header, Body: t.item.Body}
+}
+
+// timeLeft returns how long the item may still take.
+func (r *Runner) timeLeft(t *task) time.Duration {
+	patience := 30 * time.Second
+	if route, found := r.route(t.job.batch.Host, t.item.Path); found && route.Patience > 0 {
+		patience = route.Patience
+	}
+	return t.job.batch.Time.Add(patience).Sub(r.timers.Now())
+}
+
+func (r *Runner) route(host, path string) (manifest.Route, bool) {
+	m := r.seams.Manifest()
+	if m == nil {
+		return manifest.Route{}, false
+	}
+	path, _, _ = strings.Cut(path, "?")
+	return m.Route(host, path)
+}
+
+// generate reads the item's events from one engine. It returns the text with
+// what was read, and the weight version that the engine told last.
+func (r *Runner) generate(ctx context.Context, t *task, slot *replica.Slot, request exchange.Request) (text, int64, error) {
+	made, oldest := t.text, t.job.batch.Oldest
+	answer, err := r.seams.Pool.Do(ctx, slot.Entry.Address, request)
+	if err != nil {
+		return made, 0, err
+	}
+	defer answer.Close()
+	version, _ := r.seams.Names.ReadVersion(answer.Header)
+	if err := r.verdict(answer); err != nil {
+		return made, version, err
+	}
+	if version < oldest {
+		return made, version, errOld
+	}
+	reader := event.NewReader(answer, r.seams.Names.VersionKey)
+	for {
+		e, err := reader.Next()
+		if errors.Is(err, io.EOF) {
+			made.complete = true
+			return made, version, nil
+		}
+		if err != nil {
+			return made, version, err
+		}
+		if e.Version != 0 {
+			version = e.Version
+		}
+		if made.last > 0 && e.ID != made.last+1 {
+			return made, version, fmt.Errorf("%w: event %d after %d", errGap, e.ID, made.last)
+		}
+		if version < oldest {
+			return made, version, errOld
+		}
+		made = made.with(e.ID, string(e.Data), version)
+		current := made
+		t.live.Store(&current)
+		t.heard.Store(r.timers.Now().UnixNano())
+	}
+}
+
+// verdict translates an answer that is no stream of events.
+func (r *Runner) verdict(answer *exchange.Answer) error {
+	names := r.seams.Names
+	if answer.Status == http.StatusOK && answer.Header.Get(names.Stamp) != "" {
+		return nil
+	}
+	rejected := answer.Header.Get(names.Rejected) != ""
+	stamped := answer.Header.Get(names.Stamp) != ""
+	status := answer.Status
+	_, _ = answer.ReadAll(answerLimit) // the status says enough; a failed read only costs the connection
+	switch {
+	case status == http.StatusMisdirectedRequest:
+		return errMisplace
+	case rejected:
+		return errRejected
+	case stamped && status == http.StatusInternalServerError:
+		return errAttempt
+	case stamped && status == http.StatusUnprocessableEntity:
+		return errNever
+	}
+	return fmt.Errorf("%w: %d", errStatus, status)
+}
+
+// finished takes the end of a run into account.
+func (r *Runner) finished(t *task, e replica.Entry, made text, version int64, err error) {
+	if t.state != stateRunning {
+		return
+	}
+	now := r.timers.Now()
+	if len(made.pieces) > len(t.text.pieces) {
+		t.breaks = 0
+	}
+	t.text, t.state, t.cancel = made, statePending, nil
+	if version > 0 {
+		r.seams.Fleet.Learn(e.ID, t.job.batch.Model, version)
+	}
+	if err == nil {
+		r.score(t)
+		return
+	}
+	switch {
+	case errors.Is(err, errRejected), errors.Is(err, errMisplace), exchange.NotSent(err):
+		t.notBefore = now.Add(shortRetry)
+		return
+	case errors.Is(err, errOld):
+		if !t.text.allows(t.job.batch.Oldest) {
+			t.text = text{}
+		}
+	case errors.Is(err, errNever):
+		r.giveUp(t, "status 422")
+	case errors.Is(err, errAttempt):
+		t.errors++
+		t.notBefore = now.Add(longRetry)
+		if route, found := r.route(t.job.batch.Host, t.item.Path); found && t.errors >= route.Attempts {
+			r.giveUp(t, "status 500")
+		}
+	default:
+		t.breaks++
+		t.notBefore = now.Add(longRetry * time.Duration(t.breaks))
+	}
+	r.log.WithFields(logrus.Fields{
+		logs.Request: t.item.ID, "batch": t.job.batch.ID, logs.Endpoint: e.ID, logs.Cause: err.Error(),
+		"events": len(made.pieces), "breaks": t.breaks, "errors": t.errors,
+		"ran_ms": now.Sub(t.began).Milliseconds(),
+	}).Info("run ended early")
+}
+
+// giveUp lists an item that will not be completed.
+func (r *Runner) giveUp(t *task, reason string) {
+	r.log.WithFields(logrus.Fields{
+		logs.Request: t.item.ID, "batch": t.job.batch.ID, logs.Cause: reason,
+	}).Warn("item given up")
+	t.gaveUp = true
+	t.state = stateReady
+	t.job.ready = append(t.job.ready, batch.Result{ID: t.item.ID})
+}
--- /dev/null
+++ b/internal/training/runner/text.go
@@ -0,0 +1,63 @@
+package runner
+
+import (
+	"slices"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+)
+
+// text is what engines have generated for an item so far. It is immutable.
+// Last is the id of the latest event. Complete tells that nothing follows.
+type text struct {
+	pieces   []string
+	last     int64
+	versions []int64
+	complete bool
+}
+
+// with returns a copy with one more event.
+func (t text) with(id int64, data string, version int64) text {
+	t.pieces = append(t.pieces, data)
+	t.last = id
+	if !slices.Contains(t.versions, version) {
+		t.versions = append(slices.Clone(t.versions), version)
+		slices.Sort(t.versions)
+	}
+	return t
+}
+
+// allows reports whether all of the text was made under versions from oldest
+// on.
+func (t text) allows(oldest int64) bool {
+	return len(t.versions) == 0 || t.versions[0] >= oldest
+}
+
+// textCache keeps unfinished texts by item.
+type textCache struct{ kept *lru.Cache[string, text] }
+
+func newTextCache(size int) *textCache {
+	kept, err := lru.New[string, text](size)
+	if err != nil {
+		panic(err) // the size is a positive constant
+	}
+	return &textCache{kept: kept}
+}
+
+func (c *textCache) put(id string, t text) {
+	if len(t.pieces) > 0 {
+		c.kept.Add(id, t)
+	}
+}
+
+// take removes and returns the text of an item if its versions fit.
+func (c *textCache) take(id string, oldest int64) text {
+	t, found := c.kept.Get(id)
+	if !found {
+		return text{}
+	}
+	c.kept.Remove(id)
+	if !t.allows(oldest) {
+		return text{}
+	}
+	return t
+}
