Reach the store through peers, follow changed settings and count calls

Ruled out: slow engines alone. Change: a call to the store that fails directly is made through another process; settings are read again on SIGHUP and when the file changes.

--- /dev/null
+++ b/cmd/wigeonpin/node.go
@@ -0,0 +1,122 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/base/meter"
+	"github.com/wigeonpin/wigeonpin/internal/node/members"
+	"github.com/wigeonpin/wigeonpin/internal/node/profile"
+	"github.com/wigeonpin/wigeonpin/internal/node/view"
+	"github.com/wigeonpin/wigeonpin/internal/peer/exchange"
+	"github.com/wigeonpin/wigeonpin/internal/peer/records"
+	"github.com/wigeonpin/wigeonpin/internal/peer/relay"
+	"github.com/wigeonpin/wigeonpin/platform"
+)
+
+const (
+	// memoryShare is the part of a process's memory limit that the Go heap may
+	// take before the collector works harder.
+	memoryShare = 0.7
+	// storeCalls is the counter of calls to the store.
+	storeCalls = "store_calls"
+	// summaryPeriod is how often the counters are logged. Successes show only
+	// there, so that the volume of the log does not follow the load.
+	summaryPeriod = 10 * time.Second
+	// headTime bounds the time in which a peer's request head must arrive.
+	headTime = 5 * time.Second
+)
+
+// node is what the processes on the platform have in common.
+type node struct {
+	source *profile.Source
+	log    *logrus.Entry
+	timers *clock.Service
+	meters *meter.Set
+	store  records.Store
+}
+
+// startNode reads the settings and starts what each process needs.
+func startNode(ctx context.Context, role string) (*node, error) {
+	source, err := profile.NewSource(platform.LoadProfile)
+	if err != nil {
+		return nil, err
+	}
+	p := source.Current()
+	if p.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(p.MemoryBytes)))
+	}
+	log, err := logs.New(logs.NewBounded(os.Stdout), "info", p.Name, p.Zone)
+	if err != nil {
+		return nil, err
+	}
+	n := &node{source: source, log: log, timers: clock.NewSystem(), meters: meter.NewSet()}
+	n.meters.Publish("wigeonpin")
+	log.WithFields(logrus.Fields{"role": role, "store": p.Store}).Info("started")
+	go source.Follow(ctx, n.timers, log)
+	go n.summarize(ctx)
+	return n, n.connect(ctx, role)
+}
+
+// connect makes the client of the store and serves as a relay for peers.
+func (n *node) connect(ctx context.Context, role string) error {
+	p := n.source.Current()
+	listener, err := p.Listen()
+	if err != nil {
+		return err
+	}
+	calls := n.meters.Counter(storeCalls)
+	direct := platform.Direct(n.source.Store, exchange.New(exchange.Options{}), func(call string) { calls.Add(call, 1) })
+	var list *members.Members
+	route := relay.NewRoute(relay.Seams{
+		Direct: direct, Ask: relay.NewAsk(),
+		Peers: func() []string { return list.Addresses() },
+	}, n.timers, n.log)
+	n.store = platform.NewStore(route.Call)
+	self := members.Member{Name: p.Name, Address: listener.Addr().String(), Zone: p.Zone, Role: role}
+	list = members.New(n.store, self, n.timers, n.log)
+	go list.Run(ctx)
+	server := &http.Server{Handler: relay.NewServer(direct), ReadHeaderTimeout: headTime}
+	go func() { n.log.WithField(logs.Cause, server.Serve(listener).Error()).Error("relay stopped") }()
+	return nil
+}
+
+// stopped logs the end of the process.
+func (n *node) stopped() {
+	n.log.WithField("calls", n.meters.Counter(storeCalls).Values()).Info("stopped")
+}
+
+// summarize logs the counters until ctx ends.
+func (n *node) summarize(ctx context.Context) {
+	ticks := n.timers.Subscribe(summaryPeriod)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks.C:
+			fields := logrus.Fields{}
+			for _, name := range []string{storeCalls, "requests_served", "requests_failed", "connections_opened"} {
+				fields[name] = n.meters.Counter(name).Values()
+			}
+			n.log.WithFields(fields).Info("summary")
+		}
+	}
+}
+
+// formats says where the adapter finds and how it decodes what processes
+// follow in the store.
+func formats() view.Formats {
+	return view.Formats{
+		ManifestKind: platform.KindConfig, ManifestName: platform.NameConfig,
+		EndpointKind: platform.KindServers, ZoneKind: platform.KindEvacuations,
+		Manifest: platform.Manifest, Endpoint: platform.Endpoint,
+	}
+}
--- a/internal/fleet/replica/pick.go
+++ b/internal/fleet/replica/pick.go
@@ -32,6 +32,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.timers.Now()
+	fastest := f.fastest(want.Service, now)
 	var best *state
 	bestScore, bestResting := 0.0, false
 	for _, s := range f.states {
@@ -39,7 +40,7 @@
 			continue
 		}
 		resting := now.Before(s.restTill)
-		score := f.score(s, want, now)
+		score := f.score(s, want, now) + paceWeight*(f.slowness(s, fastest, now)-1)
 		if best == nil || (bestResting && !resting) || (bestResting == resting && score < bestScore) {
 			best, bestScore, bestResting = s, score, resting
 		}
@@ -107,6 +108,68 @@
 	return score
 }
 
+// fastest returns the shortest time for an event at the service's endpoints,
+// or 0 when none was measured lately.
+func (f *Fleet) fastest(service string, now time.Time) time.Duration {
+	var best time.Duration
+	for _, s := range f.states {
+		if s.Service != service || s.pace == 0 || now.Sub(s.pacedAt) > paceAge || !f.usable(s) {
+			continue
+		}
+		if best == 0 || s.pace < best {
+			best = s.pace
+		}
+	}
+	return best
+}
+
+// slowness returns how many times longer than the fastest an endpoint takes
+// for an event; 1 when that is unknown.
+func (f *Fleet) slowness(s *state, fastest time.Duration, now time.Time) float64 {
+	if fastest == 0 || s.pace == 0 || now.Sub(s.pacedAt) > paceAge {
+		return 1
+	}
+	return max(1, float64(s.pace)/float64(fastest))
+}
+
+// Slowness returns how many times longer than the fastest endpoint with room
+// for such a request the named one takes for an event.
+func (f *Fleet) Slowness(id string, want Want) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.timers.Now()
+	current, known := f.states[id]
+	if !known || current.pace == 0 {
+		return 1
+	}
+	worst := 1.0
+	for _, s := range f.states {
+		if s == current || s.pace == 0 || now.Sub(s.pacedAt) > paceAge || now.Before(s.restTill) {
+			continue
+		}
+		if f.fits(s, want) && f.bears(s, now) {
+			worst = max(worst, float64(current.pace)/float64(s.pace))
+		}
+	}
+	return worst
+}
+
+// Paced notes how long the endpoint took for one event.
+func (s *Slot) Paced(took time.Duration) {
+	f := s.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	st, known := f.states[s.Entry.ID]
+	if !known || took <= 0 {
+		return
+	}
+	if st.pace == 0 {
+		st.pace = took
+	}
+	st.pace += time.Duration(paceShare * float64(took-st.pace))
+	st.pacedAt = f.timers.Now()
+}
+
 // Report notes the load that an endpoint told.
 func (s *Slot) Report(load Load) {
 	s.fleet.mu.Lock()
--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -59,6 +59,14 @@
 	// zonePenalty is the load, as a share of the slots, that a request bears
 	// before it goes to another availability zone.
 	zonePenalty = 0.3
+	// paceWeight is the load, as a share of the slots, that an endpoint of half
+	// the best speed is put behind by.
+	paceWeight = 1.0
+	// paceAge is the age at which a measured speed counts no more, so that a
+	// slow endpoint is tried again.
+	paceAge = 8 * time.Second
+	// paceShare is the part of a new measurement in the mean.
+	paceShare = 0.2
 	// coldBurst is how many requests a cold endpoint takes at once.
 	coldBurst = 2
 	// lapseGrace is how long entries that vanished while the store was away
@@ -86,6 +94,8 @@
 	coldRate float64
 	budget   float64 // requests that may go to it now while it is cold
 	filledAt time.Time
+	pace     time.Duration // mean time for one event; 0 while unknown
+	pacedAt  time.Time
 	loading  string // model whose weights are being changed
 	goneAt   time.Time
 }
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -52,13 +52,13 @@
 	leaveTime = 3 * time.Second
 )
 
-// Parts are what an entry process gets from the platform's adapter. Open makes
-// the client of the store over a pool.
+// Parts are what an entry process gets from the platform's adapter.
 type Parts struct {
-	Open    func(pool *exchange.Pool) records.Store
+	Store   records.Store
 	Formats view.Formats
 	Names   headers.Names
 	Calls   front.Calls
+	Meters  *meter.Set
 }
 
 // Entry is an entry process.
@@ -72,10 +72,8 @@
 
 // New wires the parts of an entry process.
 func New(p profile.Profile, parts Parts, timers *clock.Service, log *logrus.Entry) *Entry {
-	store := parts.Open(exchange.New(exchange.Options{}))
-	meters := meter.NewSet()
-	meters.Publish("wigeonpin")
-	opened := meters.Counter("connections_opened")
+	store := parts.Store
+	opened := parts.Meters.Counter("connections_opened")
 	pool := exchange.New(exchange.Options{
 		Match: parts.Names.Request, Opened: func(address string) { opened.Add(address, 1) },
 	})
@@ -86,7 +84,7 @@
 	forwarder := forward.New(forward.Seams{Fleet: fleet, Pool: pool, Names: parts.Names, Began: counter.Add}, timers, log)
 	f := front.New(front.Seams{
 		Manifest: v.Manifest, Ready: v.Known, Forwarder: forwarder, Shelf: shelf,
-		Reader: batch.NewReader(shelf, timers), Names: parts.Names, Calls: parts.Calls, Meters: meters,
+		Reader: batch.NewReader(shelf, timers), Names: parts.Names, Calls: parts.Calls, Meters: parts.Meters,
 	}, timers, log)
 	return &Entry{profile: p, front: f, view: v, counter: counter, log: log}
 }
--- /dev/null
+++ b/internal/node/members/members.go
@@ -0,0 +1,112 @@
+// Package members lists the processes of the system, so that each can reach
+// the others. Every process writes one record when it starts.
+//
+// # Usage
+//
+//	m := members.New(store, self, timers, log)
+//	go m.Run(ctx)
+//	addresses := m.Addresses()
+package members
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/control/mirror"
+	"github.com/wigeonpin/wigeonpin/internal/peer/records"
+)
+
+const (
+	kind = "nodes"
+	// watchTime is how long one watch for other processes waits. A list that is
+	// some seconds old does no harm.
+	watchTime = 20 * time.Second
+	// writeRetry is the pause after a record that could not be written.
+	writeRetry = time.Second
+)
+
+// Member is one process.
+type Member struct {
+	Name    string `json:"name"`
+	Address string `json:"address"` // IP:PORT for calls of peers
+	Zone    string `json:"zone"`
+	Role    string `json:"role"`
+}
+
+// Members is the list of processes.
+type Members struct {
+	store  records.Store
+	self   Member
+	timers *clock.Service
+	log    *logrus.Entry
+
+	mu     sync.RWMutex
+	others map[string]Member
+}
+
+// New returns a list that Run fills.
+func New(store records.Store, self Member, timers *clock.Service, log *logrus.Entry) *Members {
+	return &Members{store: store, self: self, timers: timers, log: log, others: map[string]Member{}}
+}
+
+// Run registers this process and follows the others until ctx ends.
+func (m *Members) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := m.register(ctx)
+		if err == nil {
+			break
+		}
+		m.log.WithField(logs.Cause, err.Error()).Warn("process not registered")
+		_ = m.timers.Sleep(ctx, writeRetry)
+	}
+	mirror.New(m.store, kind, mirror.Options{Wait: watchTime, Apply: m.apply}, m.timers, m.log).Run(ctx)
+}
+
+func (m *Members) register(ctx context.Context) error {
+	body, err := json.Marshal(m.self)
+	if err != nil {
+		return err
+	}
+	record := records.Record{Kind: kind, Name: m.self.Name, Body: body}
+	_, err = m.store.Create(ctx, record)
+	if errors.Is(err, records.ErrConflict) {
+		_, err = m.store.Put(ctx, record)
+	}
+	return err
+}
+
+func (m *Members) apply(r records.Record) {
+	if r.Name == m.self.Name {
+		return
+	}
+	var other Member
+	if err := json.Unmarshal(r.Body, &other); err != nil && !r.Gone {
+		m.log.WithFields(logrus.Fields{logs.Peer: r.Name, logs.Cause: err.Error()}).Warn("process record passed over")
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if r.Gone {
+		delete(m.others, r.Name)
+		return
+	}
+	m.others[r.Name] = other
+}
+
+// Addresses returns the addresses of the other processes.
+func (m *Members) Addresses() []string {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	list := make([]string, 0, len(m.others))
+	for _, other := range m.others {
+		list = append(list, other.Address)
+	}
+	return list
+}
--- a/internal/node/profile/profile.go
+++ b/internal/node/profile/profile.go
@@ -9,6 +9,7 @@
 
 import (
 	"net"
+	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -61,6 +62,19 @@
 	}
 }
 
+// Listen opens the first free port for calls of peers.
+func (p Profile) Listen() (net.Listener, error) {
+	var failed error
+	for port := p.FirstPort; port <= p.LastPort; port++ {
+		listener, err := net.Listen("tcp", net.JoinHostPort(p.IP, strconv.Itoa(port)))
+		if err == nil {
+			return listener, nil
+		}
+		failed = err
+	}
+	return nil, eris.Wrapf(failed, "no free port from %d to %d for peers", p.FirstPort, p.LastPort)
+}
+
 // Check returns an error that names the field, its value and the allowed range
 // of the first setting that is out of range.
 func (p Profile) Check() error {
--- a/internal/node/worker/worker.go
+++ b/internal/node/worker/worker.go
@@ -51,8 +51,8 @@
 
 // Parts are what a worker gets from the platform's adapter.
 type Parts struct {
-	Open           func(pool *exchange.Pool) records.Store
-	Duties         func(pool *exchange.Pool) Duties
+	Store          records.Store
+	Duties         Duties
 	Formats        view.Formats
 	Names          headers.Names
 	VersionKind    string
@@ -77,9 +77,8 @@
 func New(p profile.Profile, parts Parts, timers *clock.Service, log *logrus.Entry) *Worker {
 	return &Worker{
 		profile: p, parts: parts, timers: timers, log: log,
-		store:  parts.Open(exchange.New(exchange.Options{})),
-		duties: parts.Duties(exchange.New(exchange.Options{})),
-		pool:   exchange.New(exchange.Options{Match: parts.Names.Request}),
+		store: parts.Store, duties: parts.Duties,
+		pool: exchange.New(exchange.Options{Match: parts.Names.Request}),
 	}
 }
 
@@ -87,7 +86,6 @@
 func (w *Worker) Run(ctx context.Context) {
 	l := leader.New(w.store, leader.Options{Self: w.profile.Name, Term: w.profile.Lease}, w.timers, w.log)
 	l.Run(ctx, w.lead)
-	w.log.Info("stopped")
 }
 
 // lead does the work of the role for one turn.
--- /dev/null
+++ b/internal/peer/relay/server.go
@@ -0,0 +1,69 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/twitchtv/twirp"
+)
+
+const (
+	// connectLimit bounds a connection attempt to a peer.
+	connectLimit = 300 * time.Millisecond
+	// largestLimit bounds the time that a peer may ask for.
+	largestLimit = 40 * time.Second
+	idlePeers    = 4
+)
+
+type server struct{ direct Direct }
+
+// NewServer returns the handler that makes calls for peers. It uses only its
+// own way to the store, so that calls do not wander from peer to peer.
+func NewServer(direct Direct) http.Handler { return NewRelayServer(&server{direct: direct}) }
+
+// Call serves one call of a peer.
+func (s *server) Call(ctx context.Context, request *CallRequest) (*CallReply, error) {
+	limit := time.Duration(request.GetLimit()) * time.Millisecond
+	if limit <= 0 || limit > largestLimit {
+		return nil, twirp.InvalidArgumentError("limit", "must be above 0 and at most 40000")
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	reply, err := s.direct(ctx, Call{
+		Method: request.GetMethod(), Path: request.GetPath(), Query: request.GetQuery(), Body: request.GetBody(),
+	})
+	if err != nil {
+		return &CallReply{Sent: sentBy(err)}, nil
+	}
+	return &CallReply{Status: int32(reply.Status), Body: reply.Body}, nil
+}
+
+// NewAsk returns the function that asks a peer.
+func NewAsk() func(ctx context.Context, address string, call Call, limit time.Duration) (Reply, error) {
+	dialer := &net.Dialer{Timeout: connectLimit}
+	client := &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePeers, IdleConnTimeout: time.Minute,
+	}}
+	return func(ctx context.Context, address string, call Call, limit time.Duration) (Reply, error) {
+		peer := NewRelayProtobufClient("http://"+address, client)
+		reply, err := peer.Call(ctx, &CallRequest{
+			Method: call.Method, Path: call.Path, Query: call.Query, Body: call.Body, Limit: limit.Milliseconds(),
+		})
+		if err != nil {
+			return Reply{}, NewError(!unreached(err), err)
+		}
+		if reply.GetStatus() == 0 {
+			return Reply{}, NewError(reply.GetSent(), errStore)
+		}
+		return Reply{Status: int(reply.GetStatus()), Body: reply.GetBody()}, nil
+	}
+}
+
+// unreached reports whether no connection to the peer was made.
+func unreached(err error) bool {
+	var failed *net.OpError
+	return errors.As(err, &failed) && failed.Op == "dial"
+}
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -190,13 +190,13 @@
 	answer, err := f.seams.Pool.Do(attempt, slot.Entry.Address, request)
 	if err != nil {
 		cancel()
-		return nil, f.broken(call, slot, p, err, ctx)
+		return nil, f.broken(ctx, call, slot, p, err)
 	}
 	return f.judge(call, slot, p, answer, cancel)
 }
 
 // broken judges an attempt that brought no answer.
-func (f *Forwarder) broken(call Call, slot *replica.Slot, p *progress, err error, ctx context.Context) verdict {
+func (f *Forwarder) broken(ctx context.Context, call Call, slot *replica.Slot, p *progress, err error) verdict {
 	if ctx.Err() != nil {
 		slot.Done(replica.Abandoned)
 	} else {
--- a/internal/training/runner/schedule.go
+++ b/internal/training/runner/schedule.go
@@ -25,8 +25,20 @@
 	// pageShare is the part of the largest record that a page may take; the
 	// rest covers the encoding.
 	pageShare = 0.6
+	// mostMoves bounds how often one item changes to a faster engine.
+	mostMoves = 3
 )
 
+// moveRules say when a run goes on at a faster engine: after some time at an
+// engine that is that many times slower.
+var moveRules = []struct {
+	after time.Duration
+	ratio float64
+}{
+	{300 * time.Millisecond, 1.8},
+	{1500 * time.Millisecond, 1.2},
+}
+
 // schedule sends pending items to engines, the oldest batch first. An item
 // whose engine is busy holds back the later ones of its batch only.
 func (r *Runner) schedule() {
@@ -70,6 +82,31 @@
 	return true
 }
 
+// slow reports whether the item would come further at another engine.
+func (r *Runner) slow(t *task, now time.Time) bool {
+	if t.moves >= mostMoves {
+		return false
+	}
+	route, found := r.route(t.job.batch.Host, t.item.Path)
+	if !found || route.Pure {
+		return false
+	}
+	want := replica.Want{Service: route.Target(0), Model: t.job.batch.Model, Version: t.job.batch.Oldest}
+	slowness := 0.0
+	for _, rule := range moveRules {
+		if now.Sub(t.began) < rule.after {
+			break
+		}
+		if slowness == 0 {
+			slowness = r.seams.Fleet.Slowness(t.endpoint, want)
+		}
+		if slowness >= rule.ratio {
+			return true
+		}
+	}
+	return false
+}
+
 // expire ends runs whose engine is silent, and gives up items whose time is
 // over.
 func (r *Runner) expire() {
@@ -79,6 +116,9 @@
 			if t.state == stateRunning && now.UnixNano()-t.heard.Load() > int64(stallTime) {
 				t.cancel(errStalled)
 			}
+			if t.state == stateRunning && r.slow(t, now) {
+				t.cancel(errSlow)
+			}
 			if (t.state == statePending || t.state == stateRunning) && r.timeLeft(t) <= 0 {
 				if t.cancel != nil {
 					t.cancel(nil)
--- a/internal/training/runner/task.go
+++ b/internal/training/runner/task.go
@@ -45,6 +45,7 @@
 	errors    int // answers of 500
 	breaks    int // runs in a row that brought no event
 	rewards   int // answers of 500 to the scoring call
+	moves     int // runs that were ended to go on at a faster engine
 	cancel    context.CancelCauseFunc
 	endpoint  string
 	began     time.Time
@@ -88,6 +89,7 @@
 	errOld      = errors.New("the engine's weights are older than the batch allows")
 	errGap      = errors.New("an event is missing")
 	errStalled  = errors.New("the engine is silent")
+	errSlow     = errors.New("another engine is faster")
 	errStatus   = errors.New("unexpected status")
 )
 
@@ -103,6 +105,9 @@
 	request := r.request(t, slot, host)
 	go func() {
 		made, version, err := r.generate(ctx, t, slot, request)
+		if cause := context.Cause(ctx); err != nil && cause != nil {
+			err = cause
+		}
 		slot.Done(outcome(ctx, err))
 		cancel(nil)
 		r.post(t.job.ctx, func(context.Context) { r.finished(t, slot.Entry, made, version, err) })
@@ -175,6 +180,7 @@
 		return made, version, errOld
 	}
 	reader := event.NewReader(answer, r.seams.Names.VersionKey)
+	pace := &pacer{slot: slot}
 	for {
 		e, err := reader.Next()
 		if errors.Is(err, io.EOF) {
@@ -196,10 +202,33 @@
 		made = made.with(e.ID, string(e.Data), version)
 		current := made
 		t.live.Store(&current)
+		pace.event(r.timers.Now())
 		t.heard.Store(r.timers.Now().UnixNano())
 	}
 }
 
+// paceEvents is how many events are timed together, since several may arrive
+// at once.
+const paceEvents = 4
+
+// pacer measures the time between events of one run.
+type pacer struct {
+	slot  *replica.Slot
+	start time.Time
+	count int
+}
+
+func (p *pacer) event(now time.Time) {
+	if p.start.IsZero() {
+		p.start = now
+		return
+	}
+	if p.count++; p.count == paceEvents {
+		p.slot.Paced(now.Sub(p.start) / paceEvents)
+		p.start, p.count = now, 0
+	}
+}
+
 // verdict translates an answer that is no stream of events.
 func (r *Runner) verdict(answer *exchange.Answer) error {
 	names := r.seams.Names
@@ -241,6 +270,9 @@
 		return
 	}
 	switch {
+	case errors.Is(err, errSlow):
+		t.moves++
+		return
 	case errors.Is(err, errRejected), errors.Is(err, errMisplace), exchange.NotSent(err):
 		t.notBefore = now.Add(shortRetry)
 		return
