--- a/cmd/wigeonpin/entry.go
+++ b/cmd/wigeonpin/entry.go
@@ -10,12 +10,13 @@
 type entryCommand struct{}
 
 func (entryCommand) run(ctx context.Context) error {
-	n, err := startNode(context.WithoutCancel(ctx), "entry")
+	n, err := startNode(context.WithoutCancel(ctx), roleEntry)
 	if err != nil {
 		return err
 	}
 	e := entry.New(n.source.Current(), entry.Parts{
 		Store: n.store, Formats: formats(), Names: platform.Headers(), Calls: platform.Calls(), Meters: n.meters,
+		Isolated: n.isolated, Workers: func() []string { return n.peers.Role(roleWorker) },
 	}, n.timers, n.log)
 	err = e.Run(ctx)
 	n.stopped()
--- a/cmd/wigeonpin/node.go
+++ b/cmd/wigeonpin/node.go
@@ -41,8 +41,18 @@
 	timers *clock.Service
 	meters *meter.Set
 	store  records.Store
+	peers  *members.Members
+	mux    *http.ServeMux // calls of peers
+	// isolated tells that neither the store nor another zone is reached.
+	isolated func() bool
 }
 
+// The roles of processes on the platform.
+const (
+	roleEntry  = "entry"
+	roleWorker = "worker"
+)
+
 // startNode reads the settings and starts what each process needs.
 func startNode(ctx context.Context, role string) (*node, error) {
 	source, err := profile.NewSource(platform.LoadProfile)
@@ -74,20 +84,32 @@
 	}
 	calls := n.meters.Counter(storeCalls)
 	direct := platform.Direct(n.source.Store, exchange.New(exchange.Options{}), func(call string) { calls.Add(call, 1) })
-	var list *members.Members
 	route := relay.NewRoute(relay.Seams{
-		Direct: direct, Ask: relay.NewAsk(),
-		Peers: func() []string { return list.Addresses() },
+		Direct: direct, Ask: relay.NewAsk(), Probe: platform.Probe(),
+		Peers: n.relays,
 	}, n.timers, n.log)
+	n.isolated = route.Isolated
 	n.store = platform.NewStore(route.Call)
 	self := members.Member{Name: p.Name, Address: listener.Addr().String(), Zone: p.Zone, Role: role}
-	list = members.New(n.store, self, n.timers, n.log)
-	go list.Run(ctx)
-	server := &http.Server{Handler: relay.NewServer(direct), ReadHeaderTimeout: headTime}
+	n.peers = members.New(n.store, self, n.timers, n.log)
+	go n.peers.Run(ctx)
+	n.mux = http.NewServeMux()
+	n.mux.Handle(relay.RelayPathPrefix, relay.NewServer(direct))
+	server := &http.Server{Handler: n.mux, ReadHeaderTimeout: headTime}
 	go func() { n.log.WithField(logs.Cause, server.Serve(listener).Error()).Error("relay stopped") }()
 	return nil
 }
 
+// relays returns the processes through which the store can be reached.
+func (n *node) relays() []relay.Peer {
+	zone := n.source.Current().Zone
+	var peers []relay.Peer
+	for _, other := range n.peers.All() {
+		peers = append(peers, relay.Peer{Address: other.Address, Far: other.Zone != zone})
+	}
+	return peers
+}
+
 // stopped logs the end of the process.
 func (n *node) stopped() {
 	n.log.WithField("calls", n.meters.Counter(storeCalls).Values()).Info("stopped")
--- a/cmd/wigeonpin/worker.go
+++ b/cmd/wigeonpin/worker.go
@@ -11,7 +11,7 @@
 type workerCommand struct{}
 
 func (workerCommand) run(ctx context.Context) error {
-	n, err := startNode(context.WithoutCancel(ctx), "worker")
+	n, err := startNode(context.WithoutCancel(ctx), roleWorker)
 	if err != nil {
 		return err
 	}
@@ -19,11 +19,13 @@
 	d := platform.Duties{Pool: exchange.New(exchange.Options{}), Holder: p.Name, Address: n.source.Cloud}
 	w := worker.New(p, worker.Parts{
 		Store:   n.store,
+		Peers:   func() []string { return n.peers.Role(roleWorker) },
 		Duties:  worker.Duties{Report: d.Report, Order: d.Order, Encode: platform.EncodeUsage, Usage: d.SendUsage},
 		Formats: formats(), Names: platform.Headers(),
 		VersionKind: platform.KindVersions, Version: platform.Named,
 		RetirementKind: platform.KindRetirements, Retired: platform.Retired, Retire: platform.RetirementDone,
 	}, n.timers, n.log)
+	w.Handle(ctx, n.mux)
 	w.Run(ctx)
 	n.stopped()
 	return nil
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -15,7 +15,10 @@
 // the role only by replacing the revision that it has seen unchanged for the
 // term and a margin, so that a holder that was frozen finds its term over
 // before another one can begin. A holder never gives the role up early after
-// a short turn, so that two holders cannot alternate within one term.
+// a short turn, so that two holders take turns in no less than two terms.
+//
+// A turn that is not renewed in time is not held, but it is not over either: it
+// goes on when the store shows that nobody else has taken the role meanwhile.
 package leader
 
 import (
@@ -36,12 +39,12 @@
 const (
 	kind = "leases"
 	name = "worker"
-	// renewals is the number of renewals in a term; two may fail.
-	renewals = 4
+	// renewals is the number of renewals in a term; one may fail.
+	renewals = 3
 	// margin is added to the term by a successor and taken off by the holder.
-	margin = 250 * time.Millisecond
+	margin = 100 * time.Millisecond
 	// watchPeriod is how often a process that does not hold the role reads it.
-	watchPeriod = 700 * time.Millisecond
+	watchPeriod = 600 * time.Millisecond
 	// settled is the number of terms after which a holder may give the role up
 	// before its term ends.
 	settled = 2
@@ -121,9 +124,14 @@
 	}
 }
 
-// campaign reads the record and takes the role when it is free.
+// campaign reads the record and takes the role when it is free. While the
+// holder's term cannot be over, a cheap look is enough.
 func (l *Leader) campaign(ctx context.Context) (*Turn, error) {
-	r, err := l.store.Get(ctx, kind, name)
+	read := l.store.Get
+	if l.seen.Revision != 0 && l.uptime()-l.since < l.options.Term {
+		read = l.store.GetStale
+	}
+	r, err := read(ctx, kind, name)
 	if errors.Is(err, records.ErrMissing) {
 		return l.first(ctx)
 	}
@@ -131,17 +139,17 @@
 		return nil, err
 	}
 	now := l.uptime()
-	if r.Revision != l.seen.Revision {
+	if r.Revision > l.seen.Revision {
 		l.seen, l.since = r, now
 	}
 	var held lease
-	if err := json.Unmarshal(r.Body, &held); err != nil {
+	if err := json.Unmarshal(l.seen.Body, &held); err != nil {
 		return nil, err
 	}
 	if !held.Free && held.Holder != l.options.Self && now-l.since < l.options.Term+margin {
 		return nil, nil
 	}
-	return l.write(ctx, r, lease{Holder: l.options.Self, Epoch: held.Epoch + 1}, l.store.Put)
+	return l.write(ctx, l.seen, lease{Holder: l.options.Self, Epoch: held.Epoch + 1}, l.store.Put)
 }
 
 func (l *Leader) first(ctx context.Context) (*Turn, error) {
@@ -166,17 +174,16 @@
 	return turn, nil
 }
 
-// hold renews the turn until it is lost or ctx ends.
+// hold renews the turn until another process has the role or ctx ends.
 func (l *Leader) hold(ctx context.Context, turn *Turn, lead func(context.Context, *Turn)) {
 	began := l.uptime()
 	inner, cancel := context.WithCancel(ctx)
 	finished := make(chan struct{})
 	go func() { defer close(finished); lead(inner, turn) }()
 	held := lease{Holder: l.options.Self, Epoch: turn.Epoch}
-	for ctx.Err() == nil && turn.Held() {
-		_ = l.timers.Sleep(ctx, l.options.Term/renewals)
+	for l.timers.Sleep(ctx, l.options.Term/renewals) == nil {
 		held.Count++
-		if ctx.Err() == nil && !l.renew(ctx, turn, held) {
+		if !l.renew(ctx, turn, held) {
 			break
 		}
 	}
@@ -189,7 +196,7 @@
 	l.log.WithField(logs.Fence, turn.Epoch).Info("role given up")
 }
 
-// renew extends the turn and reports whether it may still be held.
+// renew extends the turn and reports whether nobody else has the role.
 func (l *Leader) renew(ctx context.Context, turn *Turn, held lease) bool {
 	body, err := json.Marshal(held)
 	if err != nil {
@@ -213,7 +220,7 @@
 func (l *Leader) reread(ctx context.Context, held lease) bool {
 	r, err := l.store.Get(ctx, kind, name)
 	if err != nil {
-		return true // the term tells when it is over
+		return true // the term tells when the turn is not held
 	}
 	var current lease
 	if json.Unmarshal(r.Body, &current) != nil || current.Holder != held.Holder || current.Epoch != held.Epoch {
--- a/internal/control/mirror/mirror.go
+++ b/internal/control/mirror/mirror.go
@@ -29,6 +29,17 @@
 	lastPause  = 800 * time.Millisecond
 )
 
+// waitShare is the part of the time in which a change must take effect that one
+// watch may wait. A store that drops its history may leave a waiting watch
+// without the change.
+const waitShare = 0.55
+
+// WaitFor returns how long a watch may wait when changes must take effect
+// within the given time.
+func WaitFor(due time.Duration) time.Duration {
+	return time.Duration(waitShare * float64(due))
+}
+
 // Options configure a mirror. Wait is how long one watch may wait. Rest is a
 // pause between watches, so that changes that come in quick succession arrive
 // together. Apply gets each new version of a record, in order of revisions for
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -30,6 +30,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/traffic/front"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/headers"
 	"github.com/wigeonpin/wigeonpin/internal/training/batch"
+	"github.com/wigeonpin/wigeonpin/internal/training/runner"
 )
 
 const (
@@ -59,6 +60,10 @@
 	Names   headers.Names
 	Calls   front.Calls
 	Meters  *meter.Set
+	Workers func() []string // addresses of the workers
+	// Isolated tells that neither the store nor another availability zone is
+	// reached. Callers are then better served by other zones.
+	Isolated func() bool
 }
 
 // Entry is an entry process.
@@ -78,13 +83,13 @@
 		Match: parts.Names.Request, Opened: func(address string) { opened.Add(address, 1) },
 	})
 	fleet := replica.NewFleet(timers, replica.Options{Zone: p.Zone, ColdShare: coldShare, Ceiling: ceiling})
-	v := view.New(store, parts.Formats, fleet, timers, log)
+	v := view.New(store, parts.Formats, p, fleet, timers, log)
 	counter := window.NewCounter(store, p.Name, p.Window, timers, log)
 	shelf := batch.NewShelf(store)
 	forwarder := forward.New(forward.Seams{Fleet: fleet, Pool: pool, Names: parts.Names, Began: counter.Add}, timers, log)
 	f := front.New(front.Seams{
-		Manifest: v.Manifest, Ready: v.Known, Forwarder: forwarder, Shelf: shelf,
-		Reader: batch.NewReader(shelf, timers), Names: parts.Names, Calls: parts.Calls, Meters: parts.Meters,
+		Manifest: v.Manifest, Ready: func() bool { return v.Known() && !parts.Isolated() }, Forwarder: forwarder, Shelf: shelf,
+		Reader: batch.NewReader(shelf, runner.NewFollower(parts.Workers), timers), Names: parts.Names, Calls: parts.Calls, Meters: parts.Meters,
 	}, timers, log)
 	return &Entry{profile: p, front: f, view: v, counter: counter, log: log}
 }
--- a/internal/node/members/members.go
+++ b/internal/node/members/members.go
@@ -5,13 +5,15 @@
 //
 //	m := members.New(store, self, timers, log)
 //	go m.Run(ctx)
-//	addresses := m.Addresses()
+//	addresses := m.Role("worker")
 package members
 
 import (
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
+	"sort"
 	"sync"
 	"time"
 
@@ -100,13 +102,30 @@
 	m.others[r.Name] = other
 }
 
-// Addresses returns the addresses of the other processes.
-func (m *Members) Addresses() []string {
+// All returns the other processes.
+func (m *Members) All() []Member {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	list := make([]string, 0, len(m.others))
+	list := make([]Member, 0, len(m.others))
 	for _, other := range m.others {
-		list = append(list, other.Address)
+		list = append(list, other)
 	}
 	return list
 }
+
+// Role returns the addresses of the other processes with a role, those in
+// other availability zones first.
+func (m *Members) Role(role string) []string {
+	list := slices.DeleteFunc(m.All(), func(other Member) bool { return other.Role != role })
+	sort.Slice(list, func(i, j int) bool {
+		if (list[i].Zone == m.self.Zone) != (list[j].Zone == m.self.Zone) {
+			return list[j].Zone == m.self.Zone
+		}
+		return list[i].Name < list[j].Name
+	})
+	addresses := make([]string, 0, len(list))
+	for _, other := range list {
+		addresses = append(addresses, other.Address)
+	}
+	return addresses
+}
--- a/internal/node/profile/profile.go
+++ b/internal/node/profile/profile.go
@@ -30,6 +30,10 @@
 	Window           time.Duration // one usage window
 	ReportDue        time.Duration // from a window's end to its report
 	ResultsKept      time.Duration // from acceptance of a batch
+	ConfigDue        time.Duration // from a new manifest to its effect
+	DrainDue         time.Duration // from an endpoint's leaving to its last request
+	ZoneDue          time.Duration // from taking a zone out to its last request
+	CancelDue        time.Duration // from the end of a batch to its last request
 }
 
 // The defaults stand in for settings that are left out.
@@ -40,6 +44,7 @@
 	defaultDue     = 10 * time.Second
 	defaultKept    = 2 * time.Minute
 	defaultValue   = 1 << 20
+	defaultBound   = 2 * time.Second
 	shortestLease  = 500 * time.Millisecond
 	shortestWindow = time.Second
 )
@@ -51,6 +56,10 @@
 	fill(&p.Window, defaultWindow)
 	fill(&p.ReportDue, defaultDue)
 	fill(&p.ResultsKept, defaultKept)
+	fill(&p.ConfigDue, defaultBound)
+	fill(&p.DrainDue, defaultBound)
+	fill(&p.ZoneDue, defaultBound)
+	fill(&p.CancelDue, defaultBound)
 	fill(&p.ValueBytes, defaultValue)
 	return p
 }
--- a/internal/node/view/view.go
+++ b/internal/node/view/view.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	v := view.New(store, formats, fleet, timers, log)
+//	v := view.New(store, formats, profile, fleet, timers, log)
 //	v.Run(ctx)
 //	if v.Known() { route, found := v.Manifest().Route(host, path) }
 package view
@@ -20,12 +20,12 @@
 	"github.com/wigeonpin/wigeonpin/internal/control/manifest"
 	"github.com/wigeonpin/wigeonpin/internal/control/mirror"
 	"github.com/wigeonpin/wigeonpin/internal/fleet/replica"
+	"github.com/wigeonpin/wigeonpin/internal/node/profile"
 	"github.com/wigeonpin/wigeonpin/internal/peer/records"
 )
 
-// watchTime is how long one watch waits. A connection that has gone silent is
-// noticed after it.
-const watchTime = 2 * time.Second
+// endpointRest lets changes of several endpoints arrive together.
+const endpointRest = 300 * time.Millisecond
 
 // Formats says where the manifest and the entries of endpoints lie in the
 // store and how they are decoded.
@@ -48,14 +48,17 @@
 }
 
 // New returns a view that Run fills.
-func New(store records.Store, formats Formats, fleet *replica.Fleet, timers *clock.Service, log *logrus.Entry) *View {
+func New(store records.Store, formats Formats, p profile.Profile, fleet *replica.Fleet, timers *clock.Service, log *logrus.Entry) *View {
 	v := &View{formats: formats, fleet: fleet, log: log}
-	options := func(apply func(records.Record)) mirror.Options {
-		return mirror.Options{Wait: watchTime, Apply: apply}
-	}
-	v.config = mirror.New(store, formats.ManifestKind, options(v.applyManifest), timers, log)
-	v.endpoints = mirror.New(store, formats.EndpointKind, options(v.applyEndpoint), timers, log)
-	v.zones = mirror.New(store, formats.ZoneKind, options(v.applyZone), timers, log)
+	v.config = mirror.New(store, formats.ManifestKind, mirror.Options{
+		Wait: mirror.WaitFor(p.ConfigDue), Apply: v.applyManifest,
+	}, timers, log)
+	v.endpoints = mirror.New(store, formats.EndpointKind, mirror.Options{
+		Wait: mirror.WaitFor(p.DrainDue), Rest: endpointRest, Apply: v.applyEndpoint,
+	}, timers, log)
+	v.zones = mirror.New(store, formats.ZoneKind, mirror.Options{
+		Wait: mirror.WaitFor(p.ZoneDue), Apply: v.applyZone,
+	}, timers, log)
 	return v
 }
 
--- a/internal/node/worker/worker.go
+++ b/internal/node/worker/worker.go
@@ -4,12 +4,15 @@
 // # Usage
 //
 //	w := worker.New(profile, parts, timers, log)
+//	w.Handle(ctx, mux)
 //	w.Run(ctx)
 package worker
 
 import (
 	"context"
+	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -35,8 +38,13 @@
 	// coldShare is the part of what a cold engine bears that the worker sends;
 	// the entry processes have the rest.
 	coldShare = 0.7
-	// watchTime is how long one watch waits.
-	watchTime = 2 * time.Second
+	// workTime is how long one watch for batches or versions waits, and
+	// retireTime one for machines that are to be emptied.
+	workTime   = 2 * time.Second
+	retireTime = 5 * time.Second
+	// termShare is the part of the time in which two holders may not take turns
+	// that one term takes. Holders can alternate in no less than two terms.
+	termShare = 2
 	// syncPeriod is how often a starting holder looks whether it knows enough.
 	syncPeriod = 20 * time.Millisecond
 )
@@ -52,6 +60,7 @@
 // Parts are what a worker gets from the platform's adapter.
 type Parts struct {
 	Store          records.Store
+	Peers          func() []string // addresses of the other workers
 	Duties         Duties
 	Formats        view.Formats
 	Names          headers.Names
@@ -62,66 +71,80 @@
 	Retire         func(records.Record) records.Record
 }
 
-// Worker is a worker process.
+// Worker is a worker process. It follows batches, versions and endpoints at all
+// times, so that it knows everything when it takes the role.
 type Worker struct {
-	profile profile.Profile
-	parts   Parts
-	timers  *clock.Service
-	log     *logrus.Entry
-	store   records.Store
-	duties  Duties
-	pool    *exchange.Pool
+	profile  profile.Profile
+	parts    Parts
+	timers   *clock.Service
+	log      *logrus.Entry
+	store    records.Store
+	duties   Duties
+	view     *view.View
+	planner  *weights.Planner
+	runner   *runner.Runner
+	reporter *window.Reporter
+	turn     atomic.Pointer[leader.Turn]
 }
 
 // New returns a worker.
 func New(p profile.Profile, parts Parts, timers *clock.Service, log *logrus.Entry) *Worker {
-	return &Worker{
-		profile: p, parts: parts, timers: timers, log: log,
-		store: parts.Store, duties: parts.Duties,
-		pool: exchange.New(exchange.Options{Match: parts.Names.Request}),
-	}
+	w := &Worker{profile: p, parts: parts, timers: timers, log: log, store: parts.Store, duties: parts.Duties}
+	fleet := replica.NewFleet(timers, replica.Options{ColdShare: coldShare, Ceiling: 1})
+	pool := exchange.New(exchange.Options{Match: parts.Names.Request})
+	w.view = view.New(w.store, parts.Formats, p, fleet, timers, log)
+	w.planner = weights.New(weights.Seams{
+		Fleet: fleet, Manifest: w.view.Manifest, Report: w.duties.Report, Send: w.duties.Order,
+	}, timers, log)
+	w.runner = runner.New(runner.Seams{
+		Shelf: batch.NewShelf(w.store), Fleet: fleet, Pool: pool, Names: parts.Names,
+		Forwarder: forward.New(forward.Seams{Fleet: fleet, Pool: pool, Names: parts.Names}, timers, log),
+		Manifest:  w.view.Manifest, ValueBytes: p.ValueBytes,
+	}, timers, log)
+	w.reporter = window.NewReporter(w.store, window.Options{
+		Length: p.Window, Due: p.ReportDue, Encode: w.duties.Encode, Send: w.duties.Usage,
+	}, timers, log)
+	return w
+}
+
+// Handle mounts the handler for calls of other workers.
+func (w *Worker) Handle(ctx context.Context, mux *http.ServeMux) {
+	w.runner.Mount(ctx, mux, func() bool {
+		turn := w.turn.Load()
+		return turn != nil && turn.Held()
+	})
 }
 
 // Run campaigns for the role until ctx ends.
 func (w *Worker) Run(ctx context.Context) {
-	l := leader.New(w.store, leader.Options{Self: w.profile.Name, Term: w.profile.Lease}, w.timers, w.log)
+	go w.view.Run(ctx)
+	go w.runner.Run(ctx)
+	go w.runner.Copies(ctx, w.parts.Peers)
+	go w.follow(w.parts.VersionKind, workTime, w.named).Run(ctx)
+	go w.batches(ctx)
+	l := leader.New(w.store, leader.Options{Self: w.profile.Name, Term: w.profile.Lease / termShare}, w.timers, w.log)
 	l.Run(ctx, w.lead)
 }
 
 // lead does the work of the role for one turn.
 func (w *Worker) lead(ctx context.Context, turn *leader.Turn) {
-	fleet := replica.NewFleet(w.timers, replica.Options{ColdShare: coldShare, Ceiling: 1})
-	v := view.New(w.store, w.parts.Formats, fleet, w.timers, w.log)
-	planner := weights.New(weights.Seams{
-		Fleet: fleet, Manifest: v.Manifest, Report: w.duties.Report, Send: w.duties.Order,
-	}, w.timers, w.log)
-	shelf := batch.NewShelf(w.store)
-	forwarder := forward.New(forward.Seams{Fleet: fleet, Pool: w.pool, Names: w.parts.Names}, w.timers, w.log)
-	r := runner.New(runner.Seams{
-		Shelf: shelf, Fleet: fleet, Pool: w.pool, Forwarder: forwarder, Names: w.parts.Names,
-		Manifest: v.Manifest, ValueBytes: w.profile.ValueBytes,
-	}, w.timers, w.log)
-	reporter := window.NewReporter(w.store, window.Options{
-		Length: w.profile.Window, Due: w.profile.ReportDue, Encode: w.duties.Encode, Send: w.duties.Usage,
-	}, w.timers, w.log)
-
+	w.turn.Store(turn)
 	var running sync.WaitGroup
-	running.Go(func() { v.Run(ctx) })
-	running.Go(func() { w.follow(ctx, w.parts.VersionKind, w.named(planner)).Run(ctx) })
-	running.Go(func() { w.follow(ctx, w.parts.RetirementKind, w.retire(ctx, turn)).Run(ctx) })
-	running.Go(func() { reporter.Run(ctx, turn) })
+	running.Go(func() { w.follow(w.parts.RetirementKind, retireTime, w.retire(ctx, turn)).Run(ctx) })
+	running.Go(func() { w.reporter.Run(ctx, turn) })
 	running.Go(func() {
-		if w.await(ctx, v.Known) {
-			running.Go(func() { r.Run(ctx) })
-			running.Go(func() { planner.Run(ctx, turn) })
-			w.batches(ctx, r)
+		w.runner.Recall(ctx, w.parts.Peers())
+		if w.await(ctx, w.view.Known) {
+			w.runner.SetActive(ctx, true)
+			w.planner.Run(ctx, turn)
 		}
 	})
 	running.Wait()
+	w.runner.SetActive(context.WithoutCancel(ctx), false)
 }
 
-func (w *Worker) follow(_ context.Context, kind string, apply func(records.Record)) *mirror.Mirror {
-	return mirror.New(w.store, kind, mirror.Options{Wait: watchTime, Apply: apply}, w.timers, w.log)
+func (w *Worker) follow(kind string, wait time.Duration, apply func(records.Record)) *mirror.Mirror {
+	return mirror.New(w.store, kind, mirror.Options{Wait: wait, Apply: apply}, w.timers, w.log)
 }
 
 // await waits until the condition holds or ctx ends.
@@ -136,10 +159,10 @@
 
 // batches follows the batches and their endings. The endings are known first,
 // so that an ended batch is not started.
-func (w *Worker) batches(ctx context.Context, r *runner.Runner) {
-	endings := w.follow(ctx, batch.KindEndings, func(record records.Record) {
+func (w *Worker) batches(ctx context.Context) {
+	endings := w.follow(batch.KindEndings, mirror.WaitFor(w.profile.CancelDue), func(record records.Record) {
 		if !record.Gone {
-			r.End(ctx, record.Name)
+			w.runner.End(ctx, record.Name)
 		}
 	})
 	go endings.Run(ctx)
@@ -147,7 +170,7 @@
 		return
 	}
 	var accepted *mirror.Mirror
-	accepted = w.follow(ctx, batch.KindBatches, func(record records.Record) {
+	accepted = w.follow(batch.KindBatches, workTime, func(record records.Record) {
 		if record.Gone {
 			return
 		}
@@ -156,24 +179,23 @@
 			w.log.WithField(logs.Cause, err.Error()).Error("batch not understood")
 			return
 		}
-		r.Add(ctx, b, accepted.Synced())
+		w.runner.Add(ctx, b, accepted.Synced())
 	})
 	accepted.Run(ctx)
 }
 
-func (w *Worker) named(planner *weights.Planner) func(records.Record) {
-	return func(record records.Record) {
-		if record.Gone {
-			return
-		}
-		model, version, err := w.parts.Version(record)
-		if err != nil {
-			w.log.WithField(logs.Cause, err.Error()).Warn("version passed over")
-			return
-		}
-		w.log.WithFields(logrus.Fields{logs.Model: model, "version": version, "revision": record.Revision}).Info("version named")
-		planner.Name(model, version)
+// named passes a version that a trainer has named to the planner.
+func (w *Worker) named(record records.Record) {
+	if record.Gone {
+		return
+	}
+	model, version, err := w.parts.Version(record)
+	if err != nil {
+		w.log.WithField(logs.Cause, err.Error()).Warn("version passed over")
+		return
 	}
+	w.log.WithFields(logrus.Fields{logs.Model: model, "version": version, "revision": record.Revision}).Info("version named")
+	w.planner.Name(model, version)
 }
 
 // retire answers requests to empty a machine with a disk. Nothing that lasts
--- a/internal/peer/records/records.go
+++ b/internal/peer/records/records.go
@@ -71,6 +71,7 @@
 // Create fails with ErrConflict when the name is taken.
 type Store struct {
 	Get       func(ctx context.Context, kind, name string) (Record, error)
+	GetStale  func(ctx context.Context, kind, name string) (Record, error) // cheap; may be seconds old
 	List      func(ctx context.Context, kind, after string) (Page, error)
 	Watch     func(ctx context.Context, kind string, after uint64, wait time.Duration) (Changes, error)
 	Create    func(ctx context.Context, record Record) (Record, error)
--- a/internal/peer/relay/route.go
+++ b/internal/peer/relay/route.go
@@ -34,16 +34,25 @@
 	directLimit = 450 * time.Millisecond
 	// peerLimit is added to the time that a call may take at the peer.
 	peerLimit = 200 * time.Millisecond
-	// detour is how long calls go through peers before the direct way is tried
-	// again.
-	detour = time.Second
+	// probePeriod is how often the direct way is tried while it is lost, and
+	// probeLimit how long one trial may take.
+	probePeriod = 700 * time.Millisecond
+	probeLimit  = 350 * time.Millisecond
 	// outage is how long no peer is asked after one did not reach the store
 	// either. It keeps the number of calls low while the store is down.
 	outage = 600 * time.Millisecond
-	// peerTries is the number of peers that are asked for one call.
-	peerTries = 2
+	// farTries and nearTries are the numbers of peers in other availability
+	// zones and in this one that are asked for one call.
+	farTries  = 2
+	nearTries = 1
 )
 
+// Peer is another process. Far tells that it is in another availability zone.
+type Peer struct {
+	Address string
+	Far     bool
+}
+
 // Call is one call to the store. Wait is the time that the store may take on
 // purpose.
 type Call struct {
@@ -82,11 +91,12 @@
 // Direct makes a call on this process's own connection to the store.
 type Direct func(ctx context.Context, call Call) (Reply, error)
 
-// Seams are the functions that a route needs. Peers returns the addresses of
-// other processes.
+// Seams are the functions that a route needs. Peers returns the other
+// processes. Probe is a cheap call that shows whether the store answers.
 type Seams struct {
 	Direct Direct
-	Peers  func() []string
+	Probe  Call
+	Peers  func() []Peer
 	Ask    func(ctx context.Context, address string, call Call, limit time.Duration) (Reply, error)
 }
 
@@ -97,30 +107,28 @@
 	log    *logrus.Entry
 
 	mu       sync.Mutex
-	lost     time.Time // when the direct way last failed
-	downTill time.Time // until when no peer is asked
-	helper   string    // the peer that helped last
+	lost     time.Time     // when the direct way failed; zero while it works
+	broken   chan struct{} // closed when the direct way fails
+	downTill time.Time     // until when no peer is asked
+	helper   string        // the peer that helped last
+	helped   bool          // a peer has helped since the direct way was lost
+	isolated bool          // neither the store nor another zone was reached
 }
 
 // NewRoute returns a route.
 func NewRoute(seams Seams, timers *clock.Service, log *logrus.Entry) *Route {
-	return &Route{seams: seams, timers: timers, log: log}
+	return &Route{seams: seams, timers: timers, log: log, broken: make(chan struct{})}
 }
 
-// Call makes the call directly, or through peers when that fails.
+// Call makes the call directly, or through peers while the direct way is lost.
 func (r *Route) Call(ctx context.Context, call Call) (Reply, error) {
-	if r.detouring() {
+	broken, lost := r.state()
+	if lost {
 		if reply, err := r.throughPeers(ctx, call); err == nil {
 			return reply, nil
 		}
 	}
-	limit := call.Wait + directLimit
-	if len(r.seams.Peers()) == 0 {
-		limit *= 2
-	}
-	direct, cancel := context.WithTimeout(ctx, limit)
-	reply, err := r.seams.Direct(direct, call)
-	cancel()
+	reply, err := r.direct(ctx, call, broken)
 	if err == nil && !reply.refused() {
 		r.found()
 		return reply, nil
@@ -129,10 +137,6 @@
 		return reply, err
 	}
 	r.missed(reply, err)
-	if call.Wait > 0 && err != nil {
-		// The time of a watch is over; the next call takes the other way.
-		return reply, err
-	}
 	helped, peerErr := r.throughPeers(ctx, call)
 	if peerErr == nil {
 		return helped, nil
@@ -140,6 +144,38 @@
 	return reply, combine(err, peerErr)
 }
 
+// direct makes the call on this process's own connection. A watch ends early
+// when another call finds the direct way lost.
+func (r *Route) direct(ctx context.Context, call Call, broken <-chan struct{}) (Reply, error) {
+	limit := call.Wait + directLimit
+	if len(r.seams.Peers()) == 0 {
+		limit *= 2
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	if call.Wait > 0 {
+		finished := make(chan struct{})
+		defer close(finished)
+		go func() {
+			select {
+			case <-broken:
+				cancel()
+			case <-finished:
+			}
+		}()
+	}
+	return r.seams.Direct(ctx, call)
+}
+
+func (r *Route) state() (broken <-chan struct{}, lost bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.lost.IsZero() {
+		return nil, true
+	}
+	return r.broken, false
+}
+
 // combine returns an error that admits that the call was carried out if either
 // way may have done so.
 func combine(direct, peer error) error {
@@ -159,32 +195,56 @@
 	return errors.As(err, &failed) && failed.Sent
 }
 
-func (r *Route) detouring() bool {
+// found notes that the direct way works.
+func (r *Route) found() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return !r.lost.IsZero() && r.timers.Since(r.lost) < detour
+	if r.lost.IsZero() {
+		return
+	}
+	r.log.WithField("lost_ms", r.timers.Since(r.lost).Milliseconds()).Info("direct way to the store regained")
+	r.lost, r.broken, r.isolated = time.Time{}, make(chan struct{}), false
 }
 
-func (r *Route) found() {
+// Isolated reports whether neither the store nor any process in another
+// availability zone can be reached.
+func (r *Route) Isolated() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.lost.IsZero() {
-		r.log.WithField("lost_ms", r.timers.Since(r.lost).Milliseconds()).Info("direct way to the store regained")
-	}
-	r.lost = time.Time{}
+	return r.isolated
 }
 
+// missed notes that the direct way failed, and starts to try it.
 func (r *Route) missed(reply Reply, err error) {
 	r.mu.Lock()
-	first := r.lost.IsZero()
-	r.lost = r.timers.Now()
-	r.mu.Unlock()
-	if first {
-		entry := r.log.WithField("status", reply.Status)
-		if err != nil {
-			entry = entry.WithField(logs.Cause, err.Error())
+	defer r.mu.Unlock()
+	if !r.lost.IsZero() {
+		return
+	}
+	r.lost, r.helped = r.timers.Now(), false
+	close(r.broken)
+	entry := r.log.WithField("status", reply.Status)
+	if err != nil {
+		entry = entry.WithField(logs.Cause, err.Error())
+	}
+	entry.Warn("direct way to the store lost")
+	go r.probe()
+}
+
+// probe tries the direct way until it works.
+func (r *Route) probe() {
+	for {
+		_ = r.timers.Sleep(context.Background(), probePeriod)
+		if _, lost := r.state(); !lost {
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), probeLimit)
+		reply, err := r.seams.Direct(ctx, r.seams.Probe)
+		cancel()
+		if err == nil && !reply.refused() {
+			r.found()
+			return
 		}
-		entry.Warn("direct way to the store lost")
 	}
 }
 
@@ -198,48 +258,73 @@
 	if down {
 		return Reply{}, errNoPeer
 	}
-	sent := false
-	for _, address := range r.candidates() {
-		reply, err := r.ask(ctx, address, call)
+	sent, asked, reached := false, false, false
+	for _, peer := range r.candidates() {
+		reply, err := r.ask(ctx, peer.Address, call)
 		if err == nil {
-			r.remember(address)
+			r.remember(peer.Address)
 			return reply, nil
 		}
 		sent = sent || sentBy(err)
-		r.remember("")
-		if errors.Is(err, errStore) {
-			r.mu.Lock()
-			r.downTill = r.timers.Now().Add(outage)
-			r.mu.Unlock()
+		asked = asked || peer.Far
+		if errors.Is(err, errStore) && peer.Far {
+			reached = true
 			break
 		}
 	}
+	if ctx.Err() == nil {
+		r.alone(asked && !reached)
+	}
 	return Reply{}, NewError(sent, errNoPeer)
 }
 
+// alone notes that no peer helped, and whether none was reached.
+func (r *Route) alone(isolated bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.helper = ""
+	r.downTill = r.timers.Now().Add(outage)
+	if r.lost.IsZero() || r.isolated == isolated {
+		return
+	}
+	r.isolated = isolated
+	r.log.WithField("isolated", isolated).Warn("no peer reaches the store")
+}
+
 func (r *Route) remember(address string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.helper != address && address != "" {
+	if !r.helped {
+		r.helped = true
 		r.log.WithField(logs.Peer, address).Info("store reached through a peer")
 	}
-	r.helper = address
+	r.helper, r.isolated = address, false
 }
 
-// candidates returns the peers to ask: the one that helped last, then others
-// in random order.
-func (r *Route) candidates() []string {
-	peers := append([]string(nil), r.seams.Peers()...)
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+// candidates returns the peers to ask: the one that helped last, then some of
+// other availability zones, then some of this one.
+func (r *Route) candidates() []Peer {
 	r.mu.Lock()
 	helper := r.helper
 	r.mu.Unlock()
-	for i, address := range peers {
-		if address == helper {
-			peers[0], peers[i] = peers[i], peers[0]
+	var last, far, near []Peer
+	for _, peer := range r.seams.Peers() {
+		switch {
+		case peer.Address == helper:
+			last = append(last, peer)
+		case peer.Far:
+			far = append(far, peer)
+		default:
+			near = append(near, peer)
 		}
 	}
-	return peers[:min(peerTries, len(peers))]
+	return append(last, append(some(far, farTries), some(near, nearTries)...)...)
+}
+
+// some returns count peers at random.
+func some(peers []Peer, count int) []Peer {
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers[:min(count, len(peers))]
 }
 
 // errStore marks the failure of a call that reached a peer but not the store.
--- a/internal/training/batch/batch.go
+++ b/internal/training/batch/batch.go
@@ -44,12 +44,15 @@
 }
 
 // Item is one generation. Header holds the fields that the endpoint gets.
+// Length is the caller's estimate of the tokens that it will generate, 0 when
+// there is none.
 type Item struct {
 	ID     string            `json:"id"`
 	Path   string            `json:"path"`
 	Header map[string]string `json:"header"`
 	Body   []byte            `json:"body"`
 	Tokens int64             `json:"tokens"`
+	Length int64             `json:"length"`
 	Group  string            `json:"group"`
 	Reward *Reward           `json:"reward,omitempty"`
 }
@@ -156,7 +159,17 @@
 
 // Page returns a page, or records.ErrMissing when it was not written yet.
 func (s *Shelf) Page(ctx context.Context, id string, number int) (Page, error) {
-	r, err := s.store.Get(ctx, KindPages, PageName(id, number))
+	return readPage(ctx, s.store.Get, id, number)
+}
+
+// PageStale returns a page from a copy of the store that may be seconds old.
+// That the page is missing there says nothing.
+func (s *Shelf) PageStale(ctx context.Context, id string, number int) (Page, error) {
+	return readPage(ctx, s.store.GetStale, id, number)
+}
+
+func readPage(ctx context.Context, get func(context.Context, string, string) (records.Record, error), id string, number int) (Page, error) {
+	r, err := get(ctx, KindPages, PageName(id, number))
 	if err != nil {
 		return Page{}, err
 	}
--- a/internal/training/batch/reader.go
+++ b/internal/training/batch/reader.go
@@ -23,11 +23,16 @@
 // Reader serves batches and results from the store and keeps what it has read.
 type Reader struct {
 	shelf  *Shelf
+	follow Follow
 	timers *clock.Service
 	mu     sync.Mutex
 	kept   *lru.Cache[string, *shelved]
 }
 
+// Follow asks the worker that carries out a batch for the pages after the known
+// ones, and waits for the first of them. It reports false when no worker knows.
+type Follow func(ctx context.Context, id string, known int, wait time.Duration) ([]Page, bool)
+
 // shelved is a batch with the results that were read so far.
 type shelved struct {
 	batch   *Batch
@@ -37,12 +42,12 @@
 }
 
 // NewReader returns a reader.
-func NewReader(shelf *Shelf, timers *clock.Service) *Reader {
+func NewReader(shelf *Shelf, follow Follow, timers *clock.Service) *Reader {
 	kept, err := lru.New[string, *shelved](keptBatches)
 	if err != nil {
 		panic(err) // the size is a positive constant
 	}
-	return &Reader{shelf: shelf, timers: timers, kept: kept}
+	return &Reader{shelf: shelf, follow: follow, timers: timers, kept: kept}
 }
 
 func (r *Reader) find(ctx context.Context, id string) (*shelved, error) {
@@ -84,9 +89,31 @@
 	}
 	deadline := r.timers.Now().Add(wait)
 	for {
-		results, err := s.from(ctx, r.shelf, after)
-		if err != nil || len(results) > 0 || after >= len(s.batch.Items) {
-			return results, err
+		results, pages := s.known(after)
+		if len(results) > 0 || after >= len(s.batch.Items) {
+			return results, nil
+		}
+		more, told := r.follow(ctx, id, pages, max(0, deadline.Sub(r.timers.Now())))
+		if !told {
+			return r.poll(ctx, s, after, deadline)
+		}
+		if len(more) == 0 {
+			return nil, nil
+		}
+		s.add(pages, more)
+	}
+}
+
+// poll looks for results in the store until the deadline. The first look is
+// exact, so that the answer is at most as old as the wait. The looks that
+// follow may be stale, since these are cheap.
+func (r *Reader) poll(ctx context.Context, s *shelved, after int, deadline time.Time) ([]Result, error) {
+	for look := r.shelf.Page; ; look = r.shelf.PageStale {
+		if err := s.refresh(ctx, look); err != nil {
+			return nil, err
+		}
+		if results, _ := s.known(after); len(results) > 0 {
+			return results, nil
 		}
 		left := deadline.Sub(r.timers.Now())
 		if left <= 0 {
@@ -98,26 +125,38 @@
 	}
 }
 
-// from returns the known results from a position on, and looks for further
-// pages when there are none.
-func (s *shelved) from(ctx context.Context, shelf *Shelf, after int) ([]Result, error) {
+// lookup reads one page of a batch.
+type lookup func(ctx context.Context, id string, number int) (Page, error)
+
+// known returns the results from a position on that were read, and the number
+// of pages that were.
+func (s *shelved) known(after int) ([]Result, int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if after >= len(s.results) {
+		return nil, s.pages
+	}
+	return s.results[after:len(s.results):len(s.results)], s.pages
+}
+
+// add takes pages from the given number on.
+func (s *shelved) add(number int, pages []Page) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.results) <= after {
-		if err := s.refresh(ctx, shelf); err != nil {
-			return nil, err
+	for i, page := range pages {
+		if number+i == s.pages {
+			s.results = append(s.results, page.Results...)
+			s.pages++
 		}
 	}
-	if after >= len(s.results) {
-		return nil, nil
-	}
-	return s.results[after:len(s.results):len(s.results)], nil
 }
 
 // refresh reads the pages that were written since the last look.
-func (s *shelved) refresh(ctx context.Context, shelf *Shelf) error {
+func (s *shelved) refresh(ctx context.Context, look lookup) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for len(s.results) < len(s.batch.Items) {
-		page, err := shelf.Page(ctx, s.batch.ID, s.pages)
+		page, err := look(ctx, s.batch.ID, s.pages)
 		if errors.Is(err, records.ErrMissing) {
 			return nil
 		}
--- /dev/null
+++ b/internal/training/runner/progress.go
@@ -0,0 +1,99 @@
+package runner
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+	"time"
+
+	"github.com/wigeonpin/wigeonpin/internal/training/batch"
+)
+
+const (
+	// longestWait bounds how long a caller waits for a page.
+	longestWait = 2 * time.Second
+	// askLimit is added to the wait of a call to a worker.
+	askLimit = 300 * time.Millisecond
+	// askPause is how long no worker is asked after none was active.
+	askPause = 500 * time.Millisecond
+)
+
+// Pages returns the pages of a batch that the caller does not know. Only the
+// worker that holds the role knows that there are no others.
+func (s *keeper) Pages(ctx context.Context, request *PagesRequest) (*PagesReply, error) {
+	wait := min(time.Duration(request.GetWait())*time.Millisecond, longestWait)
+	timer := s.runner.timers.After(wait)
+	defer timer.Stop()
+	for {
+		var written <-chan struct{}
+		reply := &PagesReply{}
+		err := s.do(ctx, func() {
+			j := s.runner.readable(request.GetBatch())
+			if j == nil {
+				return
+			}
+			reply.Active, written = true, j.written
+			if known := int(request.GetKnown()); known < len(j.content) {
+				reply.Pages = j.content[max(0, known):]
+			}
+		})
+		if err != nil || !reply.Active {
+			return reply, err
+		}
+		if len(reply.Pages) > 0 {
+			return reply, nil
+		}
+		select {
+		case <-written:
+		case <-timer.C:
+			reply.Active = s.held()
+			return reply, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// NewFollower returns a function that asks the worker that carries out a batch
+// for the pages after the known ones. It reports false when no worker knows.
+func NewFollower(peers func() []string) batch.Follow {
+	client := newPeerClient()
+	var active atomic.Pointer[string]
+	var paused atomic.Int64 // Unix nanoseconds until which no worker is asked
+	return func(ctx context.Context, id string, known int, wait time.Duration) ([]batch.Page, bool) {
+		if time.Now().UnixNano() < paused.Load() {
+			return nil, false
+		}
+		addresses := peers()
+		if last := active.Load(); last != nil {
+			addresses = append([]string{*last}, addresses...)
+		}
+		for _, address := range addresses {
+			limited, cancel := context.WithTimeout(ctx, wait+askLimit)
+			reply, err := NewProgressProtobufClient("http://"+address, client).Pages(limited, &PagesRequest{
+				Batch: id, Known: int64(known), Wait: wait.Milliseconds(),
+			})
+			cancel()
+			if err == nil && reply.GetActive() {
+				active.Store(&address)
+				return decodePages(reply.GetPages())
+			}
+			if ctx.Err() != nil {
+				return nil, false
+			}
+		}
+		active.Store(nil)
+		paused.Store(time.Now().Add(askPause).UnixNano())
+		return nil, false
+	}
+}
+
+func decodePages(encoded [][]byte) ([]batch.Page, bool) {
+	pages := make([]batch.Page, len(encoded))
+	for i, text := range encoded {
+		if err := json.Unmarshal(text, &pages[i]); err != nil {
+			return nil, false
+		}
+	}
+	return pages, true
+}
--- a/internal/training/runner/schedule.go
+++ b/internal/training/runner/schedule.go
@@ -44,6 +44,9 @@
 func (r *Runner) schedule() {
 	now := r.timers.Now()
 	for _, j := range r.jobs {
+		if !j.loaded {
+			continue
+		}
 		for _, t := range j.tasks {
 			if t.state != statePending || now.Before(t.notBefore) {
 				continue
@@ -112,6 +115,9 @@
 func (r *Runner) expire() {
 	now := r.timers.Now()
 	for _, j := range r.jobs {
+		if !j.loaded {
+			continue
+		}
 		for _, t := range j.tasks {
 			if t.state == stateRunning && now.UnixNano()-t.heard.Load() > int64(stallTime) {
 				t.cancel(errStalled)
@@ -147,11 +153,27 @@
 	jobCtx := t.job.ctx
 	go func() {
 		answer, err := r.reward(jobCtx, t.item.Reward)
-		r.post(jobCtx, func(context.Context) { r.scored(t, result, answer, err) })
+		r.post(jobCtx, func(context.Context) {
+			if jobCtx.Err() == nil {
+				r.scored(t, result, answer, err)
+			}
+		})
 	}()
 }
 
+// lateAge is the age at which a result is logged by itself. Results in time
+// show in the summary of their batch only.
+const lateAge = 5 * time.Second
+
 func (r *Runner) complete(t *task, result batch.Result) {
+	if age := r.timers.Since(t.job.batch.Time); age > lateAge {
+		r.log.WithFields(logrus.Fields{
+			logs.Request: t.item.ID, "batch": t.job.batch.ID, "age_ms": age.Milliseconds(),
+			"events": len(t.text.pieces), "runs": t.runs, "moves": t.moves, "group": t.item.Group,
+			"waited_ms": t.first.Sub(t.job.batch.Time).Milliseconds(), logs.Endpoint: t.endpoint,
+			"run_ms": r.timers.Since(t.began).Milliseconds(), "expected": t.item.Length,
+		}).Info("late result")
+	}
 	t.state = stateReady
 	t.job.ready = append(t.job.ready, result)
 }
@@ -216,18 +238,22 @@
 func (r *Runner) writePages(ctx context.Context) {
 	now := r.timers.Now()
 	for _, j := range r.jobs {
-		if j.writing || len(j.ready) == 0 || now.Before(j.nextPage) {
+		if !j.loaded || j.writing || len(j.ready) == 0 || now.Before(j.nextPage) {
 			continue
 		}
 		page := j.nextResults(int(pageShare * float64(r.seams.ValueBytes)))
-		number := j.pages
+		number, jobCtx := j.pages, j.ctx
 		j.writing = true
 		go func() {
 			err := r.seams.Shelf.Append(ctx, j.batch.ID, number, page)
 			if errors.Is(err, records.ErrConflict) || errors.Is(err, records.ErrUnsure) {
 				page, err = r.seams.Shelf.Page(ctx, j.batch.ID, number)
 			}
-			r.post(ctx, func(context.Context) { r.written(j, number, page, err) })
+			r.post(jobCtx, func(context.Context) {
+				if jobCtx.Err() == nil {
+					r.written(j, number, page, err)
+				}
+			})
 		}()
 	}
 }
--- /dev/null
+++ b/internal/training/runner/standby.go
@@ -0,0 +1,236 @@
+package runner
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+)
+
+const (
+	// copyPeriod is how often the standby gets what was generated. It bounds
+	// what is generated again after the loss of the active worker.
+	copyPeriod = 400 * time.Millisecond
+	// copyEvents is the number of events from which on a text is copied. Short
+	// texts are generated again faster than they are missed.
+	copyEvents = 20
+	// copyLimit bounds one call to the standby, and recallLimit the calls of a
+	// worker that becomes active.
+	copyLimit   = 600 * time.Millisecond
+	recallLimit = 400 * time.Millisecond
+	dialLimit   = 250 * time.Millisecond
+)
+
+// Mount mounts the handlers for calls of other processes. held tells whether
+// this worker holds the role.
+func (r *Runner) Mount(ctx context.Context, mux *http.ServeMux, held func() bool) {
+	k := &keeper{runner: r, ctx: ctx, held: held}
+	mux.Handle(StandbyPathPrefix, NewStandbyServer(k))
+	mux.Handle(ProgressPathPrefix, NewProgressServer(k))
+}
+
+type keeper struct {
+	runner *Runner
+	ctx    context.Context
+	held   func() bool
+}
+
+// Keep stores texts of the active worker.
+func (s *keeper) Keep(ctx context.Context, request *KeepRequest) (*KeepReply, error) {
+	reply := &KeepReply{}
+	err := s.do(ctx, func() {
+		for _, part := range request.GetTexts() {
+			if !s.runner.keep(part) {
+				reply.Missing = append(reply.Missing, part.GetItem())
+			}
+		}
+	})
+	return reply, err
+}
+
+// Recall returns the stored texts.
+func (s *keeper) Recall(ctx context.Context, _ *RecallRequest) (*RecallReply, error) {
+	reply := &RecallReply{}
+	err := s.do(ctx, func() {
+		for _, t := range s.runner.openTasks() {
+			if current := t.snapshot(); len(current.pieces) >= copyEvents {
+				reply.Texts = append(reply.Texts, part(t.item.ID, current, 0))
+			}
+		}
+	})
+	return reply, err
+}
+
+// do runs f in the runner's goroutine and waits for it.
+func (s *keeper) do(ctx context.Context, f func()) error {
+	finished := make(chan struct{})
+	s.runner.post(ctx, func(context.Context) { f(); close(finished) })
+	select {
+	case <-finished:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-s.ctx.Done():
+		return s.ctx.Err()
+	}
+}
+
+// openTasks returns the items that are not listed.
+func (r *Runner) openTasks() []*task {
+	var open []*task
+	for _, j := range r.jobs {
+		for _, t := range j.tasks {
+			if t.state != stateListed && !t.gaveUp {
+				open = append(open, t)
+			}
+		}
+	}
+	return open
+}
+
+func (r *Runner) findTask(id string) *task {
+	for _, j := range r.jobs {
+		if t, known := j.byID[id]; known {
+			return t
+		}
+	}
+	return nil
+}
+
+func part(id string, t text, from int) *Text {
+	return &Text{
+		Item: id, From: int64(from), Pieces: t.pieces[from:], Last: t.last,
+		Versions: t.versions, Complete: t.complete,
+	}
+}
+
+// keep adds a part of a text to what is known of an item that does not run
+// here. It reports whether the earlier parts are there.
+func (r *Runner) keep(p *Text) bool {
+	t := r.findTask(p.GetItem())
+	if t == nil || t.state != statePending {
+		return t != nil
+	}
+	from := int(p.GetFrom())
+	if from > len(t.text.pieces) {
+		return false
+	}
+	if from+len(p.GetPieces()) < len(t.text.pieces) || !(text{versions: p.GetVersions()}).allows(t.job.batch.Oldest) {
+		return true
+	}
+	pieces := append([]string(nil), t.text.pieces[:from]...)
+	t.text = text{
+		pieces: append(pieces, p.GetPieces()...), last: p.GetLast(),
+		versions: p.GetVersions(), complete: p.GetComplete(),
+	}
+	return true
+}
+
+// Copies sends the texts of the active worker to a standby until ctx ends.
+// peers returns the addresses of the other workers, the preferred one first.
+func (r *Runner) Copies(ctx context.Context, peers func() []string) {
+	ticks := r.timers.Subscribe(copyPeriod)
+	defer ticks.Stop()
+	client := newPeerClient()
+	current, failures := "", 0
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks.C:
+		}
+		addresses := peers()
+		if len(addresses) == 0 {
+			continue
+		}
+		next := addresses[failures%len(addresses)]
+		if current != next {
+			current = next
+			r.post(ctx, func(context.Context) { clear(r.copied) })
+		}
+		if err := r.copyTo(ctx, NewStandbyProtobufClient("http://"+current, client)); err != nil {
+			failures++
+			r.log.WithFields(logrus.Fields{logs.Peer: current, logs.Cause: err.Error()}).Warn("texts not copied")
+		}
+	}
+}
+
+func newPeerClient() *http.Client {
+	dialer := &net.Dialer{Timeout: dialLimit}
+	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: time.Minute}}
+}
+
+// copyTo sends what was generated since the last call.
+func (r *Runner) copyTo(ctx context.Context, standby Standby) error {
+	collected := make(chan []*Text, 1)
+	r.post(ctx, func(context.Context) { collected <- r.collect() })
+	var texts []*Text
+	select {
+	case texts = <-collected:
+	case <-ctx.Done():
+		return nil
+	}
+	if len(texts) == 0 {
+		return nil
+	}
+	limited, cancel := context.WithTimeout(ctx, copyLimit)
+	defer cancel()
+	reply, err := standby.Keep(limited, &KeepRequest{Texts: texts})
+	r.post(ctx, func(context.Context) {
+		if err != nil {
+			clear(r.copied)
+			return
+		}
+		for _, id := range reply.GetMissing() {
+			delete(r.copied, id)
+		}
+	})
+	return err
+}
+
+// collect returns the parts of texts that the standby does not have.
+func (r *Runner) collect() []*Text {
+	if !r.active {
+		return nil
+	}
+	var texts []*Text
+	for _, t := range r.openTasks() {
+		current := t.snapshot()
+		sent := r.copied[t.item.ID]
+		if len(current.pieces) < copyEvents || len(current.pieces) <= sent {
+			continue
+		}
+		texts = append(texts, part(t.item.ID, current, sent))
+		r.copied[t.item.ID] = len(current.pieces)
+	}
+	return texts
+}
+
+// Recall asks the other workers for texts and adds them to what is known.
+func (r *Runner) Recall(ctx context.Context, peers []string) {
+	limited, cancel := context.WithTimeout(ctx, recallLimit)
+	defer cancel()
+	client := newPeerClient()
+	var asked sync.WaitGroup
+	for _, address := range peers {
+		asked.Go(func() {
+			reply, err := NewStandbyProtobufClient("http://"+address, client).Recall(limited, &RecallRequest{})
+			if err != nil {
+				r.log.WithFields(logrus.Fields{logs.Peer: address, logs.Cause: err.Error()}).Info("texts not recalled")
+				return
+			}
+			r.post(ctx, func(context.Context) {
+				for _, part := range reply.GetTexts() {
+					r.keep(part)
+				}
+			})
+			r.log.WithFields(logrus.Fields{logs.Peer: address, "texts": len(reply.GetTexts())}).Info("texts recalled")
+		})
+	}
+	asked.Wait()
+}
--- a/internal/training/runner/task.go
+++ b/internal/training/runner/task.go
@@ -49,6 +49,8 @@
 	cancel    context.CancelCauseFunc
 	endpoint  string
 	began     time.Time
+	first     time.Time // start of the first run
+	runs      int
 	live      atomic.Pointer[text]
 	heard     atomic.Int64 // Unix nanoseconds of the latest sign of the engine
 }
@@ -64,6 +66,15 @@
 	return current
 }
 
+// eventTokens is the assumed number of tokens in an event, which turns the
+// events of a text into the unit of the estimate.
+const eventTokens = 50
+
+// remaining returns the estimate of the tokens that are still to be made.
+func (t *task) remaining() int64 {
+	return t.item.Length - eventTokens*int64(len(t.text.pieces))
+}
+
 const (
 	// stallTime is how long an engine may be silent before the text goes on at
 	// another one. It exceeds the pause of a change of weights.
@@ -95,9 +106,13 @@
 
 // start sends a task to an engine.
 func (r *Runner) start(t *task, slot *replica.Slot, host string) {
-	ctx, cancel := context.WithCancelCause(t.job.ctx)
+	jobCtx := t.job.ctx
+	ctx, cancel := context.WithCancelCause(jobCtx)
 	t.state, t.cancel, t.endpoint = stateRunning, cancel, slot.Entry.ID
 	t.began = r.timers.Now()
+	if t.runs++; t.runs == 1 {
+		t.first = t.began
+	}
 	t.heard.Store(t.began.Add(firstEvent - stallTime).UnixNano())
 	t.job.near[t.item.Group] = slot.Entry.ID
 	live := t.text
@@ -110,7 +125,11 @@
 		}
 		slot.Done(outcome(ctx, err))
 		cancel(nil)
-		r.post(t.job.ctx, func(context.Context) { r.finished(t, slot.Entry, made, version, err) })
+		r.post(jobCtx, func(context.Context) {
+			if jobCtx.Err() == nil {
+				r.finished(t, slot.Entry, made, version, err)
+			}
+		})
 	}()
 }
 
