Test the parts of the platform's path without the bench

The stand-in of the store is a ledger in memory with refusals, lost answers and dropped history. Each test names the failure that it guards against.

--- /dev/null
+++ b/internal/control/mirror/mirror_test.go
@@ -0,0 +1,112 @@
+package mirror
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/peer/records"
+	"github.com/wigeonpin/wigeonpin/internal/standin/ledger"
+)
+
+// follower is a mirror that runs against a ledger and notes what it applies.
+type follower struct {
+	mirror *Mirror
+	mu     sync.Mutex
+	state  map[string]string
+}
+
+func (f *follower) apply(r records.Record) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if r.Gone {
+		delete(f.state, r.Name)
+		return
+	}
+	f.state[r.Name] = string(r.Body)
+}
+
+func (f *follower) text() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var lines []string
+	for _, name := range []string{"a", "b", "c"} {
+		if body, known := f.state[name]; known {
+			lines = append(lines, name+"="+body)
+		}
+	}
+	return strings.Join(lines, " ")
+}
+
+// TestScripts guards against records that are missed, kept though they are
+// gone, or stepped back, through outages and lost history. "shows" waits for a
+// state.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		l := ledger.New()
+		f := &follower{state: map[string]string{}}
+		f.mirror = New(l.Store(), "things", Options{Wait: 50 * time.Millisecond, Apply: f.apply}, clock.NewSystem(), logs.Discard())
+		ctx, cancel := context.WithCancel(context.Background())
+		finished := make(chan struct{})
+		go func() { defer close(finished); f.mirror.Run(ctx) }()
+		defer func() { cancel(); <-finished }()
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			return step(t, l, f, d)
+		})
+	})
+}
+
+func step(t *testing.T, l *ledger.Ledger, f *follower, d *datadriven.TestData) string {
+	store := l.Store()
+	switch d.Cmd {
+	case "put":
+		for _, arg := range d.CmdArgs {
+			r := records.Record{Kind: "things", Name: arg.Key, Body: []byte(arg.Vals[0])}
+			if _, err := store.Create(context.Background(), r); err != nil {
+				if _, err = store.Put(context.Background(), r); err != nil {
+					return err.Error()
+				}
+			}
+		}
+	case "delete":
+		if err := store.Delete(context.Background(), "things", d.CmdArgs[0].Key); err != nil {
+			return err.Error()
+		}
+	case "compact":
+		l.Compact()
+	case "outage":
+		l.Fail(ledger.Refuse)
+	case "return":
+		l.Fail(ledger.None)
+	case "shows":
+		want := strings.TrimSpace(d.Input)
+		for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+			if f.text() == want {
+				return "yes"
+			}
+		}
+		return "no: " + f.text()
+	default:
+		t.Fatalf("unknown command %s", d.Cmd)
+	}
+	return "ok"
+}
+
+// Guards against a step back: an older version that arrives late is ignored.
+func TestNeverStepsBack(t *testing.T) {
+	f := &follower{state: map[string]string{}}
+	m := New(records.Store{}, "things", Options{Apply: f.apply}, clock.NewSystem(), logs.Discard())
+	for _, revision := range []uint64{5, 7, 6, 7, 5} {
+		m.apply(records.Record{Kind: "things", Name: "a", Revision: revision, Body: fmt.Append(nil, revision)})
+	}
+	if got := f.text(); got != "a=7" {
+		t.Errorf("state %q, want a=7", got)
+	}
+}
--- /dev/null
+++ b/internal/fleet/replica/replica_test.go
@@ -0,0 +1,136 @@
+package replica
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+)
+
+// script drives a fleet in driven time.
+type script struct {
+	fleet  *Fleet
+	driver *clock.Driver
+	timers *clock.Service
+	slots  map[string][]*Slot
+}
+
+// TestScripts guards against requests to endpoints that are leaving, out of
+// service, cold, loading or failing, and against entries that are dropped
+// though the store was only away.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		s := &script{slots: map[string][]*Slot{}}
+		s.timers, s.driver = clock.NewDriven(time.Unix(1000, 0))
+		s.fleet = NewFleet(s.timers, Options{Zone: "a", ColdShare: 1, Ceiling: 1})
+		s.fleet.SetWarmups(map[string]Warmup{"svc": {For: 3 * time.Second, Rate: 4}})
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string { return s.run(t, d) })
+	})
+}
+
+func (s *script) run(t *testing.T, d *datadriven.TestData) string {
+	switch d.Cmd {
+	case "put":
+		s.fleet.Put(entry(t, d))
+	case "remove":
+		var id string
+		var regained int
+		d.ScanArgs(t, "id", &id)
+		if d.HasArg("regained-ms") {
+			d.ScanArgs(t, "regained-ms", &regained)
+			s.fleet.Remove(id, s.timers.Now().Add(-time.Duration(regained)*time.Millisecond))
+			break
+		}
+		s.fleet.Remove(id, time.Time{})
+	case "out", "back":
+		s.fleet.SetOut(d.CmdArgs[0].Key, d.Cmd == "out")
+	case "wait":
+		var ms int
+		d.ScanArgs(t, "ms", &ms)
+		s.driver.Advance(time.Duration(ms) * time.Millisecond)
+	case "loading":
+		var id, model string
+		d.ScanArgs(t, "id", &id)
+		d.ScanArgs(t, "model", &model)
+		s.fleet.SetLoading(id, model)
+	case "pick":
+		return s.pick(t, d)
+	case "done":
+		return s.done(t, d)
+	case "pace":
+		var id string
+		var ms int
+		d.ScanArgs(t, "id", &id)
+		d.ScanArgs(t, "ms", &ms)
+		(&Slot{Entry: Entry{ID: id}, fleet: s.fleet}).Paced(time.Duration(ms) * time.Millisecond)
+	default:
+		t.Fatalf("unknown command %s", d.Cmd)
+	}
+	return "ok"
+}
+
+func entry(t *testing.T, d *datadriven.TestData) Entry {
+	e := Entry{Service: "svc", Zone: "a", Slots: 2, Models: map[string]int64{}}
+	d.ScanArgs(t, "id", &e.ID)
+	e.Address = e.ID + ":1"
+	var cold int
+	for key, target := range map[string]any{
+		"zone": &e.Zone, "slots": &e.Slots, "born": &e.Born, "draining": &e.Draining, "cold-ms": &cold,
+	} {
+		if d.HasArg(key) {
+			d.ScanArgs(t, key, target)
+		}
+	}
+	e.Cold = time.Duration(cold) * time.Millisecond
+	if d.HasArg("version") {
+		var version int64
+		d.ScanArgs(t, "version", &version)
+		e.Models["m"] = version
+	}
+	return e
+}
+
+// pick takes places and returns how many each endpoint got.
+func (s *script) pick(t *testing.T, d *datadriven.TestData) string {
+	count := 1
+	want := Want{Service: "svc"}
+	if d.HasArg("count") {
+		d.ScanArgs(t, "count", &count)
+	}
+	if d.HasArg("oldest") {
+		want.Model = "m"
+		d.ScanArgs(t, "oldest", &want.Version)
+	}
+	got := map[string]int{}
+	for range count {
+		slot, found := s.fleet.Pick(want)
+		if !found {
+			got["none"]++
+			continue
+		}
+		got[slot.Entry.ID]++
+		s.slots[slot.Entry.ID] = append(s.slots[slot.Entry.ID], slot)
+	}
+	var parts []string
+	for id, n := range got {
+		parts = append(parts, fmt.Sprintf("%s:%d", id, n))
+	}
+	sort.Strings(parts)
+	return strings.Join(parts, " ")
+}
+
+func (s *script) done(t *testing.T, d *datadriven.TestData) string {
+	var id, outcome string
+	d.ScanArgs(t, "id", &id)
+	d.ScanArgs(t, "as", &outcome)
+	for _, slot := range s.slots[id] {
+		slot.Done(map[string]Outcome{"answered": Answered, "rejected": Rejected, "failed": Failed}[outcome])
+	}
+	s.slots[id] = nil
+	return "ok"
+}
--- /dev/null
+++ b/internal/peer/relay/relay_test.go
@@ -0,0 +1,191 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+)
+
+// way is a scripted way to the store.
+type way struct {
+	mode  atomic.Value // "ok", "refuse", "unsent", "silent"
+	calls atomic.Int64
+}
+
+func newWay(mode string) *way {
+	w := &way{}
+	w.mode.Store(mode)
+	return w
+}
+
+func (w *way) direct(ctx context.Context, _ Call) (Reply, error) {
+	w.calls.Add(1)
+	switch w.mode.Load() {
+	case "refuse":
+		return Reply{Status: http.StatusServiceUnavailable}, nil
+	case "unsent":
+		return Reply{}, NewError(false, errors.New("no connection"))
+	case "silent":
+		<-ctx.Done()
+		return Reply{}, NewError(true, ctx.Err())
+	}
+	return Reply{Status: http.StatusOK, Body: []byte("answer")}, nil
+}
+
+// serve starts a peer that uses the given way.
+func serve(t *testing.T, w *way, far bool) Peer {
+	t.Helper()
+	mux := http.NewServeMux()
+	mux.Handle(RelayPathPrefix, NewServer(w.direct))
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return Peer{Address: strings.TrimPrefix(server.URL, "http://"), Far: far}
+}
+
+func newTestRoute(own *way, peers ...Peer) *Route {
+	return NewRoute(Seams{
+		Direct: own.direct, Ask: NewAsk(), Peers: func() []Peer { return peers },
+	}, clock.NewSystem(), logs.Discard())
+}
+
+// Each way in which the direct call fails leads to a peer; what the call may
+// have done is told truly.
+func TestWays(t *testing.T) {
+	cases := []struct {
+		name, own, peer string
+		answered        bool
+		sent            bool
+	}{
+		{"direct works", "ok", "unsent", true, false},
+		{"store refuses this process", "refuse", "ok", true, false},
+		{"store is silent to this process", "silent", "ok", true, false},
+		{"no connection", "unsent", "ok", true, false},
+		{"nobody reaches the store", "unsent", "unsent", false, false},
+		{"silent to both", "silent", "unsent", false, true},
+		{"peer may have done it", "unsent", "silent", false, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			route := newTestRoute(newWay(c.own), serve(t, newWay(c.peer), true))
+			reply, err := route.Call(context.Background(), Call{Method: http.MethodPut})
+			if answered := err == nil && reply.Status == http.StatusOK; answered != c.answered {
+				t.Fatalf("reply %d, error %v", reply.Status, err)
+			}
+			if err != nil && sentBy(err) != c.sent {
+				t.Errorf("sent %v, want %v", sentBy(err), c.sent)
+			}
+		})
+	}
+}
+
+// A refusal of the store is passed on when no peer helps, since it proves that
+// nothing was done.
+func TestRefusalIsPassedOn(t *testing.T) {
+	route := newTestRoute(newWay("refuse"), serve(t, newWay("refuse"), true))
+	reply, err := route.Call(context.Background(), Call{})
+	if err != nil || !reply.refused() {
+		t.Errorf("reply %d, error %v", reply.Status, err)
+	}
+}
+
+// While the store is down for all, peers are not asked for each call, since
+// every call is priced.
+func TestOutageDoesNotMultiplyCalls(t *testing.T) {
+	peer := newWay("refuse")
+	route := newTestRoute(newWay("refuse"), serve(t, peer, true))
+	for range 20 {
+		_, _ = route.Call(context.Background(), Call{})
+	}
+	if calls := peer.calls.Load(); calls > 3 {
+		t.Errorf("the peer was asked %d times", calls)
+	}
+}
+
+// A watch that waits on a silent connection leaves it as soon as another call
+// finds the direct way lost.
+func TestWatchLeavesLostWay(t *testing.T) {
+	own := newWay("silent")
+	route := newTestRoute(own, serve(t, newWay("ok"), true))
+	watched := make(chan error, 1)
+	go func() {
+		_, err := route.Call(context.Background(), Call{Wait: 39 * time.Second})
+		watched <- err
+	}()
+	for own.calls.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if _, err := route.Call(context.Background(), Call{}); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case err := <-watched:
+		if err != nil {
+			t.Errorf("the watch failed: %v", err)
+		}
+	case <-time.After(30 * time.Second):
+		t.Error("the watch still waits")
+	}
+}
+
+// The direct way is used again once its probe works.
+func TestDirectWayComesBack(t *testing.T) {
+	own := newWay("unsent")
+	peer := newWay("ok")
+	route := newTestRoute(own, serve(t, peer, true))
+	if _, err := route.Call(context.Background(), Call{}); err != nil {
+		t.Fatal(err)
+	}
+	own.mode.Store("ok")
+	for deadline := time.Now().Add(30 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		if _, lost := route.state(); !lost {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("the direct way was never tried again")
+		}
+	}
+	before := peer.calls.Load()
+	if _, err := route.Call(context.Background(), Call{}); err != nil || peer.calls.Load() != before {
+		t.Errorf("error %v; the peer was asked though the direct way works", err)
+	}
+}
+
+// A process is isolated when it reaches neither the store nor another
+// availability zone. A store that is down for all does not isolate.
+func TestIsolated(t *testing.T) {
+	closed := httptest.NewServer(http.NotFoundHandler())
+	closed.Close()
+	gone := Peer{Address: strings.TrimPrefix(closed.URL, "http://"), Far: true}
+	cases := []struct {
+		name     string
+		peers    func(t *testing.T) []Peer
+		isolated bool
+	}{
+		{"other zones unreachable", func(t *testing.T) []Peer { return []Peer{gone, serve(t, newWay("unsent"), false)} }, true},
+		{"store down for all", func(t *testing.T) []Peer { return []Peer{serve(t, newWay("unsent"), true)} }, false},
+		{"only one zone", func(t *testing.T) []Peer { return []Peer{serve(t, newWay("unsent"), false)} }, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			own := newWay("unsent")
+			route := newTestRoute(own, c.peers(t)...)
+			_, _ = route.Call(context.Background(), Call{})
+			if got := route.Isolated(); got != c.isolated {
+				t.Errorf("isolated %v, want %v", got, c.isolated)
+			}
+			own.mode.Store("ok")
+			route.found()
+			if route.Isolated() {
+				t.Error("isolated though the store answers")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/traffic/forward/forward_test.go
@@ -0,0 +1,184 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/code"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/control/manifest"
+	"github.com/wigeonpin/wigeonpin/internal/fleet/replica"
+	"github.com/wigeonpin/wigeonpin/internal/peer/exchange"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/headers"
+)
+
+var names = headers.Names{
+	Request: "X-Request", Deadline: "X-Deadline", Endpoint: "X-Endpoint", Account: "X-Account",
+	Stamp: "X-Stamp", Rejected: "X-Rejected", Load: "X-Load", Cold: "X-Cold",
+}
+
+// endpoint behaves as its mode says: "ok", "500", "reject", "moved", "unstamped",
+// "cut" (in the body), "break" (before the answer), "hang".
+type endpoint struct {
+	mode string
+	runs atomic.Int64
+}
+
+func (e *endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(names.Request, r.Header.Get(names.Request))
+	switch e.mode {
+	case "reject":
+		w.Header().Set(names.Rejected, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case "moved":
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	e.runs.Add(1)
+	switch e.mode {
+	case "break":
+		panic(http.ErrAbortHandler)
+	case "hang":
+		// The server notices that the caller has left only once the body is read.
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+		return
+	case "unstamped":
+		_, _ = fmt.Fprint(w, "no stamp")
+		return
+	}
+	w.Header().Set(names.Stamp, "proof")
+	if e.mode == "cut" {
+		w.Header().Set("Content-Length", "100")
+		_, _ = fmt.Fprint(w, "half")
+		panic(http.ErrAbortHandler)
+	}
+	if e.mode == "500" {
+		w.WriteHeader(http.StatusInternalServerError)
+	}
+	_, _ = fmt.Fprint(w, "whole")
+}
+
+// TestAttempts guards the promises of answers: a request that may run once runs
+// at most once, "not run" is said only when nothing ran, and a repeatable
+// request uses no more attempts than its route allows.
+func TestAttempts(t *testing.T) {
+	once := manifest.Route{Kind: manifest.Once, Attempts: 3}
+	idempotent := manifest.Route{Kind: manifest.Idempotent, Attempts: 2}
+	cases := []struct {
+		name   string
+		route  manifest.Route
+		modes  []string
+		status int       // of the answer, 0 for an error
+		code   code.Code // of the error
+		run    code.Run
+		runs   int64
+	}{
+		{"served", once, []string{"ok"}, 200, 0, "", 1},
+		{"rejected, then served", once, []string{"reject", "ok"}, 200, 0, "", 1},
+		{"address of another, then served", once, []string{"moved", "ok"}, 200, 0, "", 1},
+		{"all reject", once, []string{"reject", "reject"}, 0, code.NoEndpoint, code.NotRun, 0},
+		{"once: broken", once, []string{"break", "break"}, 0, code.MayHaveRun, code.MaybeRun, 1},
+		{"once: cut", once, []string{"cut", "cut"}, 0, code.MayHaveRun, code.MaybeRun, 1},
+		{"once: 500 is its answer", once, []string{"500", "500"}, 500, 0, "", 1},
+		{"idempotent: broken, then served", idempotent, []string{"break", "ok"}, 200, 0, "", -1},
+		{"idempotent: no stamp twice", idempotent, []string{"unstamped", "unstamped", "unstamped"}, 0, code.EndpointFailed, code.MaybeRun, 2},
+		{"idempotent: 500 twice", idempotent, []string{"500", "500", "500"}, 500, 0, "", 2},
+		{"idempotent: silent, then served", idempotent, []string{"hang", "ok"}, 200, 0, "", -1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f, endpoints := newForwarder(t, c.modes)
+			answer, err := f.Send(context.Background(), call(c.route))
+			checkOutcome(t, answer, err, c.status, c.code, c.run)
+			runs := int64(0)
+			for _, e := range endpoints {
+				runs += e.runs.Load()
+			}
+			if c.runs >= 0 && runs != c.runs {
+				t.Errorf("%d runs, want %d", runs, c.runs)
+			}
+		})
+	}
+}
+
+func checkOutcome(t *testing.T, answer *Answer, err error, status int, want code.Code, run code.Run) {
+	t.Helper()
+	if status == 0 {
+		if got := code.Of(err); err == nil || got.Code != want || got.Run != run {
+			t.Errorf("answer %+v, error %v (run %q), want %v (run %q)", answer, err, code.Of(err).Run, want, run)
+		}
+		return
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer answer.Close()
+	if answer.Status != status || string(answer.Body) != "whole" {
+		t.Errorf("status %d body %q, want %d", answer.Status, answer.Body, status)
+	}
+}
+
+func newForwarder(t *testing.T, modes []string) (*Forwarder, []*endpoint) {
+	t.Helper()
+	timers := clock.NewSystem()
+	fleet := replica.NewFleet(timers, replica.Options{Ceiling: 1})
+	var endpoints []*endpoint
+	for i, mode := range modes {
+		e := &endpoint{mode: mode}
+		server := httptest.NewServer(e)
+		t.Cleanup(server.Close)
+		endpoints = append(endpoints, e)
+		fleet.Put(replica.Entry{
+			ID: fmt.Sprint("e", i), Service: "svc", Slots: 4, Address: strings.TrimPrefix(server.URL, "http://"),
+		})
+	}
+	seams := Seams{Fleet: fleet, Pool: exchange.New(exchange.Options{Match: names.Request}), Names: names}
+	return New(seams, timers, logs.Discard()), endpoints
+}
+
+func call(route manifest.Route) Call {
+	return Call{
+		ID: "r1", Route: route, Service: "svc", Deadline: time.Now().Add(3 * time.Second),
+		Request: exchange.Request{
+			Method: http.MethodPost, Path: "/x", Host: "h", Body: []byte("b"), Header: http.Header{"X-Request": {"r1"}},
+		},
+	}
+}
+
+// A request for which there is no endpoint at all is refused at once, and the
+// caller is told when to come back.
+func TestNoEndpointIsRefusedAtOnce(t *testing.T) {
+	f, _ := newForwarder(t, nil)
+	c := call(manifest.Route{Kind: manifest.Idempotent, Attempts: 3})
+	c.Deadline = time.Now().Add(time.Hour)
+	_, err := f.Send(context.Background(), c)
+	if got := code.Of(err); got.Run != code.NotRun || got.RetryAfter <= 0 {
+		t.Errorf("error %+v", got)
+	}
+}
+
+// Requests are counted once for each that an endpoint may have begun, rejected
+// ones not at all.
+func TestBeganIsCountedOnce(t *testing.T) {
+	f, _ := newForwarder(t, []string{"reject", "500", "500"})
+	var began atomic.Int64
+	f.seams.Began = func(string) { began.Add(1) }
+	c := call(manifest.Route{Kind: manifest.Idempotent, Attempts: 2})
+	c.Account = "acme"
+	if _, err := f.Send(context.Background(), c); err != nil {
+		t.Fatal(err)
+	}
+	if began.Load() != 1 {
+		t.Errorf("counted %d times, want 1", began.Load())
+	}
+}
--- /dev/null
+++ b/internal/training/batch/batch_test.go
@@ -0,0 +1,144 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/peer/records"
+	"github.com/wigeonpin/wigeonpin/internal/standin/ledger"
+)
+
+func sample(account string) *Batch {
+	return &Batch{ID: "b1", Account: account, Items: []Item{{ID: "i1"}, {ID: "i2"}, {ID: "i3"}}}
+}
+
+// A batch is accepted once, whatever happens to the answers, and a refusal is
+// told only when the batch was not stored.
+func TestAccept(t *testing.T) {
+	cases := []struct {
+		name   string
+		fault  ledger.Fault
+		before *Batch
+		want   error
+		stored bool
+	}{
+		{"new", ledger.None, nil, nil, true},
+		{"again", ledger.None, sample("acme"), nil, true},
+		{"of another account", ledger.None, sample("other"), ErrOther, true},
+		{"answer lost", ledger.LoseWrite, nil, nil, true},
+		{"swallowed", ledger.Swallow, nil, records.ErrUnsure, false},
+		{"refused", ledger.Refuse, nil, records.ErrRefused, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l := ledger.New()
+			shelf := NewShelf(l.Store())
+			if c.before != nil {
+				if err := shelf.Accept(context.Background(), c.before); err != nil {
+					t.Fatal(err)
+				}
+			}
+			l.Fail(c.fault)
+			err := shelf.Accept(context.Background(), sample("acme"))
+			if !errors.Is(err, c.want) || (c.want == nil && err != nil) {
+				t.Errorf("error %v, want %v", err, c.want)
+			}
+			l.Fail(ledger.None)
+			if _, err := shelf.Read(context.Background(), "b1"); (err == nil) != c.stored {
+				t.Errorf("stored %v, want %v", err == nil, c.stored)
+			}
+		})
+	}
+}
+
+// The end of a batch may be told any number of times.
+func TestEndTwice(t *testing.T) {
+	shelf := NewShelf(ledger.New().Store())
+	for range 2 {
+		if err := shelf.End(context.Background(), "b1"); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// Only the first page under a number counts, so that a position never changes.
+func TestPageIsWrittenOnce(t *testing.T) {
+	shelf := NewShelf(ledger.New().Store())
+	first := Page{Results: []Result{{ID: "i1", Output: "x"}}}
+	if err := shelf.Append(context.Background(), "b1", 0, first); err != nil {
+		t.Fatal(err)
+	}
+	other := Page{Results: []Result{{ID: "i2"}}}
+	if err := shelf.Append(context.Background(), "b1", 0, other); !errors.Is(err, records.ErrConflict) {
+		t.Fatalf("error %v, want a conflict", err)
+	}
+	page, err := shelf.Page(context.Background(), "b1", 0)
+	if err != nil || page.Results[0].ID != "i1" {
+		t.Errorf("page %+v, %v", page, err)
+	}
+}
+
+func nobody(context.Context, string, int, time.Duration) ([]Page, bool) { return nil, false }
+
+// Results are read from any position, by the worker's word or from the store,
+// and a position shows the same result whichever way was taken.
+func TestReaderPositions(t *testing.T) {
+	l := ledger.New()
+	shelf := NewShelf(l.Store())
+	ctx := context.Background()
+	if err := shelf.Accept(ctx, sample("acme")); err != nil {
+		t.Fatal(err)
+	}
+	pages := []Page{
+		{Start: 0, Results: []Result{{ID: "i2"}}},
+		{Start: 1, Results: []Result{{ID: "i1"}, {ID: "i3"}}},
+	}
+	for number, page := range pages {
+		if err := shelf.Append(ctx, "b1", number, page); err != nil {
+			t.Fatal(err)
+		}
+	}
+	worker := func(_ context.Context, _ string, known int, _ time.Duration) ([]Page, bool) { return pages[known:], true }
+	for name, follow := range map[string]Follow{"store": nobody, "worker": worker} {
+		t.Run(name, func(t *testing.T) {
+			reader := NewReader(shelf, follow, clock.NewSystem())
+			for after, want := range []string{"i2", "i1", "i3"} {
+				results, err := reader.Results(ctx, "b1", after, 0)
+				if err != nil || len(results) == 0 || results[0].ID != want {
+					t.Errorf("position %d: %+v, %v, want %s", after, results, err, want)
+				}
+			}
+			if results, err := reader.Results(ctx, "b1", 3, 0); err != nil || len(results) != 0 {
+				t.Errorf("past the end: %+v, %v", results, err)
+			}
+		})
+	}
+}
+
+// A reader that cannot be sure says so instead of claiming that a batch or a
+// result does not exist.
+func TestReaderIsNotSure(t *testing.T) {
+	l := ledger.New()
+	shelf := NewShelf(l.Store())
+	ctx := context.Background()
+	if err := shelf.Accept(ctx, sample("acme")); err != nil {
+		t.Fatal(err)
+	}
+	known := NewReader(shelf, nobody, clock.NewSystem())
+	if _, err := known.Batch(ctx, "b1"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := known.Batch(ctx, "b2"); !errors.Is(err, records.ErrMissing) {
+		t.Errorf("error %v, want missing", err)
+	}
+	l.Fail(ledger.Refuse)
+	if _, err := NewReader(shelf, nobody, clock.NewSystem()).Batch(ctx, "b1"); errors.Is(err, records.ErrMissing) || err == nil {
+		t.Errorf("error %v for a batch that cannot be looked up", err)
+	}
+	if _, err := known.Results(ctx, "b1", 0, 0); err == nil {
+		t.Error("an empty answer though the store is away")
+	}
+}
--- a/internal/training/runner/runner.go
+++ b/internal/training/runner/runner.go
@@ -283,10 +283,12 @@
 	if j == nil {
 		return
 	}
-	r.log.WithFields(logrus.Fields{
-		"batch": id, "listed": j.listed, "items": len(j.tasks),
-		"age_ms": r.timers.Since(j.batch.Time).Milliseconds(),
-	}).Info("batch ended")
+	if r.active {
+		r.log.WithFields(logrus.Fields{
+			"batch": id, "listed": j.listed, "items": len(j.tasks),
+			"age_ms": r.timers.Since(j.batch.Time).Milliseconds(),
+		}).Info("batch ended")
+	}
 	r.keepTexts(j)
 	r.drop(j)
 }
