Reset given-up connections and never join texts of different runs

Copies carried a position but not the run that they belong to. Each text now has an origin, and parts join only within it. The worker had closed the connection in order, so that the kernel delivered the held-up request when the cut healed. Connections of given-up exchanges are now reset. TestGivenUpRequestIsReset fails with an orderly close.

--- a/internal/peer/exchange/answer.go
+++ b/internal/peer/exchange/answer.go
@@ -64,7 +64,11 @@
 func (a *Answer) Close() {
 	a.release.Do(func() {
 		stopped := a.stop()
-		if !stopped || !a.reusable() {
+		if !stopped || !a.whole {
+			a.channel.abort()
+			return
+		}
+		if !a.reusable() {
 			_ = a.channel.Close()
 			return
 		}
@@ -73,7 +77,7 @@
 }
 
 func (a *Answer) reusable() bool {
-	if !a.whole || !a.Framed || a.response.Close || a.channel.reader.Buffered() > 0 {
+	if !a.Framed || a.response.Close || a.channel.reader.Buffered() > 0 {
 		return false
 	}
 	select {
--- a/internal/peer/exchange/exchange.go
+++ b/internal/peer/exchange/exchange.go
@@ -106,6 +106,16 @@
 	expires time.Time
 }
 
+// abort closes the connection and discards what the kernel has not delivered.
+// Otherwise a request that was given up could still arrive seconds later, when
+// a partition ends.
+func (c *channel) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only on a closed connection
+	}
+	_ = c.Close()
+}
+
 // New returns an empty pool.
 func New(options Options) *Pool {
 	p := &Pool{options: options, idle: map[string][]*channel{}}
@@ -146,13 +156,13 @@
 		return nil, &Error{cause: err}
 	}
 	fail := func(sent bool, err error) (*Answer, error) {
-		_ = c.Close()
+		c.abort()
 		if ctx.Err() != nil {
 			err = context.Cause(ctx)
 		}
 		return nil, &Error{Sent: sent, Dialed: true, Reused: reused, cause: err}
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	stop := context.AfterFunc(ctx, c.abort)
 	message := encode(request)
 	written := make(chan error, 1)
 	if len(message) <= inlineBody {
--- a/internal/peer/exchange/exchange_test.go
+++ b/internal/peer/exchange/exchange_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -226,3 +227,34 @@
 		t.Errorf("%q, %v", body, err)
 	}
 }
+
+// A request that is given up must not arrive later, so its connection is reset
+// and not closed in order.
+func TestGivenUpRequestIsReset(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			ended <- err
+			return
+		}
+		defer conn.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			ended <- err
+			return
+		}
+		cancel()
+		_, err = io.Copy(io.Discard, conn)
+		ended <- err
+	}()
+	_, _ = New(Options{}).Do(ctx, listener.Addr().String(), Request{Method: "GET", Path: "/", Host: "h"})
+	if err := <-ended; !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the peer saw %v, want a reset", err)
+	}
+}
--- a/internal/training/batch/batch_test.go
+++ b/internal/training/batch/batch_test.go
@@ -101,7 +101,9 @@
 			t.Fatal(err)
 		}
 	}
-	worker := func(_ context.Context, _ string, known int, _ time.Duration) ([]Page, bool) { return pages[known:], true }
+	worker := func(_ context.Context, _ string, known int, _ time.Duration) ([]Page, bool) {
+		return pages[known:], true
+	}
 	for name, follow := range map[string]Follow{"store": nobody, "worker": worker} {
 		t.Run(name, func(t *testing.T) {
 			reader := NewReader(shelf, follow, clock.NewSystem())
--- a/internal/training/runner/runner.go
+++ b/internal/training/runner/runner.go
@@ -69,8 +69,10 @@
 	jobs   []*job // in the order of acceptance
 	ended  map[string]bool
 	texts  *textCache
-	copied map[string]int // events of each item that the standby has
-	done   *lru.Cache[string, *job]
+	copied map[string]copied // what the standby has of each item
+	// session counts the times that the runner became active.
+	session int
+	done    *lru.Cache[string, *job]
 }
 
 // job is a batch that is not done.
@@ -99,7 +101,7 @@
 	}
 	return &Runner{
 		done: done, seams: seams, timers: timers, log: log, mail: make(chan func(context.Context), 64),
-		ended: map[string]bool{}, texts: newTextCache(keptTexts), copied: map[string]int{},
+		ended: map[string]bool{}, texts: newTextCache(keptTexts), copied: map[string]copied{},
 	}
 }
 
@@ -165,6 +167,9 @@
 			return
 		}
 		r.active = active
+		if active {
+			r.session++
+		}
 		r.log.WithFields(logrus.Fields{"active": active, "batches": len(r.jobs)}).Info("runner switched")
 		for _, j := range r.jobs {
 			if active {
--- /dev/null
+++ b/internal/training/runner/runner_test.go
@@ -0,0 +1,326 @@
+package runner
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/control/manifest"
+	"github.com/wigeonpin/wigeonpin/internal/fleet/replica"
+	"github.com/wigeonpin/wigeonpin/internal/peer/exchange"
+	"github.com/wigeonpin/wigeonpin/internal/standin/ledger"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/forward"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/headers"
+	"github.com/wigeonpin/wigeonpin/internal/training/batch"
+)
+
+const (
+	host    = "h.example"
+	events  = 4
+	waiting = 30 * time.Second
+)
+
+var names = headers.Names{
+	Request: "X-Request", Deadline: "X-Deadline", Endpoint: "X-Endpoint", Account: "X-Account", Stamp: "X-Stamp",
+	Rejected: "X-Rejected", Versions: "X-Versions", VersionKey: "versions", Load: "X-Load", Cold: "X-Cold",
+}
+
+// engine generates "ITEM-RUN-EVENT" texts and scores. The first word of an
+// item's id says what goes wrong with its first run.
+type engine struct {
+	mu      sync.Mutex
+	version int64
+	runs    map[string]int
+	asked   map[string][]string // Last-Event-Id of each run
+}
+
+func newEngine() *engine {
+	return &engine{version: 5, runs: map[string]int{}, asked: map[string][]string{}}
+}
+
+func (e *engine) begin(id, last string) (run int, version int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.runs[id]++
+	e.asked[id] = append(e.asked[id], last)
+	return e.runs[id], e.version
+}
+
+func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(names.Request)
+	w.Header().Set(names.Request, id)
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	run, version := e.begin(id, r.Header.Get("Last-Event-Id"))
+	fault := strings.SplitN(id, "-", 2)[0]
+	if fault == "rejected" && run == 1 {
+		w.Header().Set(names.Rejected, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set(names.Stamp, "stamp-"+id)
+	switch {
+	case fault == "failing" || (fault == "unscored" && strings.HasSuffix(id, "-reward")):
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	case fault == "never":
+		w.WriteHeader(http.StatusUnprocessableEntity)
+		return
+	case strings.HasSuffix(id, "-reward"):
+		return
+	}
+	if fault == "old" && run == 1 {
+		version = 1
+	}
+	w.Header().Set(names.Versions, fmt.Sprint(version))
+	for n := last + 1; n <= events; n++ {
+		if fault == "cut" && run == 1 && n == 3 {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s.%d\n\n", n, id, n)
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+// world is a runner with its surroundings.
+type world struct {
+	engine *engine
+	ledger *ledger.Ledger
+	shelf  *batch.Shelf
+	runner *Runner
+}
+
+func newWorld(t *testing.T) *world {
+	t.Helper()
+	w := &world{engine: newEngine(), ledger: ledger.New()}
+	server := httptest.NewServer(w.engine)
+	t.Cleanup(server.Close)
+	w.shelf = batch.NewShelf(w.ledger.Store())
+	w.runner = w.newRunner(t, strings.TrimPrefix(server.URL, "http://"))
+	return w
+}
+
+func (w *world) newRunner(t *testing.T, address string) *Runner {
+	timers := clock.NewSystem()
+	fleet := replica.NewFleet(timers, replica.Options{Ceiling: 1})
+	for _, id := range []string{"e1", "e2"} {
+		fleet.Put(replica.Entry{ID: id, Service: "llm", Slots: 8, Address: address, Models: map[string]int64{"m": 5}})
+	}
+	fleet.Put(replica.Entry{ID: "s1", Service: "scorer", Slots: 8, Address: address})
+	m := manifest.New(1, []manifest.Route{
+		{Host: host, Prefix: "/gen/", Kind: manifest.Rollout, Attempts: 2, Patience: time.Minute, Targets: []manifest.Target{{Service: "llm", Weight: 1}}},
+		{Host: host, Prefix: "/score/", Kind: manifest.Idempotent, Attempts: 1, Open: true, Targets: []manifest.Target{{Service: "scorer", Weight: 1}}},
+	}, nil, nil, manifest.Limits{})
+	pool := exchange.New(exchange.Options{Match: names.Request})
+	r := New(Seams{
+		Shelf: w.shelf, Fleet: fleet, Pool: pool, Names: names, ValueBytes: 1 << 20,
+		Manifest:  func() *manifest.Manifest { return m },
+		Forwarder: forward.New(forward.Seams{Fleet: fleet, Pool: pool, Names: names}, timers, logs.Discard()),
+	}, timers, logs.Discard())
+	ctx, cancel := context.WithCancel(context.Background())
+	finished := make(chan struct{})
+	go func() { defer close(finished); r.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-finished })
+	return r
+}
+
+func sample(ids ...string) *batch.Batch {
+	b := &batch.Batch{ID: "b1", Account: "acme", Host: host, Model: "m", Oldest: 3, Time: time.Now()}
+	for _, id := range ids {
+		b.Items = append(b.Items, batch.Item{
+			ID: id, Path: "/gen/x", Group: id,
+			Reward: &batch.Reward{ID: id + "-reward", Host: host, Path: "/score/y"},
+		})
+	}
+	return b
+}
+
+// results waits until all items of the batch are listed in the store.
+func (w *world) results(t *testing.T, b *batch.Batch) map[string]batch.Result {
+	t.Helper()
+	for deadline := time.Now().Add(waiting); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		pages, err := w.shelf.Pages(context.Background(), b.ID)
+		if err != nil {
+			continue
+		}
+		listed := map[string]batch.Result{}
+		count := 0
+		for _, page := range pages {
+			if page.Start != count {
+				t.Fatalf("a page starts at %d, want %d", page.Start, count)
+			}
+			count += len(page.Results)
+			for _, result := range page.Results {
+				listed[result.ID] = result
+			}
+		}
+		if count > len(b.Items) {
+			t.Fatalf("%d results for %d items", count, len(b.Items))
+		}
+		if count == len(b.Items) {
+			return listed
+		}
+	}
+	t.Fatal("the results did not come")
+	return nil
+}
+
+func wholeText(id string) string {
+	var lines []string
+	for n := 1; n <= events; n++ {
+		lines = append(lines, fmt.Sprintf("%s.%d", id, n))
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Guards the content of results: whole texts with the versions that made them
+// and a score, and items given up only for a reason that allows it.
+func TestResults(t *testing.T) {
+	w := newWorld(t)
+	b := sample("plain-1", "cut-1", "rejected-1", "old-1", "failing-1", "never-1", "unscored-1")
+	ctx := context.Background()
+	w.runner.SetActive(ctx, true)
+	w.runner.Add(ctx, b, true)
+	listed := w.results(t, b)
+	for _, item := range b.Items {
+		result := listed[item.ID]
+		switch strings.SplitN(item.ID, "-", 2)[0] {
+		case "failing", "never", "unscored":
+			if result.Done {
+				t.Errorf("%s counts as done", item.ID)
+			}
+		default:
+			if !result.Done || result.Output != wholeText(item.ID) || result.Score != "stamp-"+item.ID+"-reward" ||
+				len(result.Versions) != 1 || result.Versions[0] != 5 {
+				t.Errorf("%s: %+v", item.ID, result)
+			}
+		}
+	}
+	w.engine.mu.Lock()
+	defer w.engine.mu.Unlock()
+	if asked := w.engine.asked["cut-1"]; len(asked) != 2 || asked[1] != "2" {
+		t.Errorf("the cut text was taken up with %q, want after event 2", asked)
+	}
+	if w.engine.runs["failing-1"] != 2 {
+		t.Errorf("an item that fails ran %d times, want 2", w.engine.runs["failing-1"])
+	}
+}
+
+// Two workers that both carry out a batch agree on the positions, since the
+// first page under a number counts.
+func TestTwoRunnersAgree(t *testing.T) {
+	w := newWorld(t)
+	server := httptest.NewServer(w.engine)
+	defer server.Close()
+	other := w.newRunner(t, strings.TrimPrefix(server.URL, "http://"))
+	b := sample("plain-1", "plain-2", "plain-3", "cut-1", "rejected-1")
+	ctx := context.Background()
+	for _, r := range []*Runner{w.runner, other} {
+		r.SetActive(ctx, true)
+		r.Add(ctx, b, true)
+	}
+	if listed := w.results(t, b); len(listed) != len(b.Items) {
+		t.Errorf("%d different items are listed, want %d", len(listed), len(b.Items))
+	}
+}
+
+// A page whose answer was lost stands once.
+func TestLostAnswerOfAPage(t *testing.T) {
+	w := newWorld(t)
+	w.ledger.Fail(ledger.LoseWrite)
+	b := sample("plain-1", "plain-2")
+	w.runner.SetActive(context.Background(), true)
+	w.runner.Add(context.Background(), b, true)
+	if listed := w.results(t, b); len(listed) != 2 {
+		t.Errorf("%d items are listed, want 2", len(listed))
+	}
+}
+
+// An ended batch runs nothing more, also when it comes again.
+func TestEndedBatchDoesNotRun(t *testing.T) {
+	w := newWorld(t)
+	ctx := context.Background()
+	w.runner.SetActive(ctx, true)
+	w.runner.End(ctx, "b1")
+	w.runner.Add(ctx, sample("plain-1"), true)
+	other := sample("plain-2")
+	other.ID = "b2"
+	w.runner.Add(ctx, other, true)
+	w.results(t, other)
+	w.engine.mu.Lock()
+	defer w.engine.mu.Unlock()
+	if w.engine.runs["plain-1"] != 0 {
+		t.Error("an item of an ended batch ran")
+	}
+}
+
+// Parts of texts that different runs made are never joined: the hunt found a
+// text that mixed an older copy with a later run (ORDER, cmw-rollout trouble-3,
+// seed 423259462139).
+func TestCopiesOfDifferentRunsDoNotMix(t *testing.T) {
+	r := New(Seams{}, clock.NewSystem(), logs.Discard())
+	r.add(context.Background(), sample("plain-1"), true)
+	long := func(origin string, from, to int) *Text {
+		p := &Text{Item: "plain-1", Origin: origin, From: int64(from), Last: int64(to), Versions: []int64{5}}
+		for n := from + 1; n <= to; n++ {
+			p.Pieces = append(p.Pieces, fmt.Sprintf("%s%d", origin, n))
+		}
+		return p
+	}
+	steps := []struct {
+		part *Text
+		kept bool
+		want string
+	}{
+		{long("a", 0, 2), true, "a1 a2"},
+		{long("a", 2, 4), true, "a1 a2 a3 a4"},
+		{long("b", 3, 6), false, "a1 a2 a3 a4"},
+		{long("b", 0, 3), true, "b1 b2 b3"},
+		{long("a", 4, 5), false, "b1 b2 b3"},
+		{long("b", 5, 6), false, "b1 b2 b3"},
+		{long("b", 3, 4), true, "b1 b2 b3 b4"},
+	}
+	for i, s := range steps {
+		if kept := r.keep(s.part); kept != s.kept {
+			t.Errorf("step %d: kept %v, want %v", i, kept, s.kept)
+		}
+		if got := strings.Join(r.findTask("plain-1").text.pieces, " "); got != s.want {
+			t.Errorf("step %d: text %q, want %q", i, got, s.want)
+		}
+	}
+}
+
+// A copy that was made under weights that the batch does not allow is not used.
+func TestOldCopyIsNotUsed(t *testing.T) {
+	r := New(Seams{}, clock.NewSystem(), logs.Discard())
+	r.add(context.Background(), sample("plain-1"), true)
+	r.keep(&Text{Item: "plain-1", Origin: "a", Pieces: []string{"x"}, Last: 1, Versions: []int64{2}})
+	if pieces := r.findTask("plain-1").text.pieces; len(pieces) != 0 {
+		t.Errorf("the copy was kept: %q", pieces)
+	}
+}
+
+// A worker that becomes active goes on with the text that it was sent.
+func TestStandbyGoesOn(t *testing.T) {
+	w := newWorld(t)
+	ctx := context.Background()
+	b := sample("plain-1")
+	w.runner.Add(ctx, b, true)
+	w.runner.post(ctx, func(context.Context) {
+		w.runner.keep(&Text{
+			Item: "plain-1", Origin: "a", Pieces: []string{"plain-1.1", "plain-1.2"}, Last: 2, Versions: []int64{4},
+		})
+	})
+	w.runner.SetActive(ctx, true)
+	result := w.results(t, b)["plain-1"]
+	if result.Output != wholeText("plain-1") || fmt.Sprint(result.Versions) != "[4 5]" {
+		t.Errorf("result %+v", result)
+	}
+}
--- a/internal/training/runner/standby.go
+++ b/internal/training/runner/standby.go
@@ -105,32 +105,48 @@
 func part(id string, t text, from int) *Text {
 	return &Text{
 		Item: id, From: int64(from), Pieces: t.pieces[from:], Last: t.last,
-		Versions: t.versions, Complete: t.complete,
+		Versions: t.versions, Complete: t.complete, Origin: t.origin,
 	}
 }
 
+// copied is what the standby has of a text.
+type copied struct {
+	origin string
+	events int
+}
+
 // keep adds a part of a text to what is known of an item that does not run
-// here. It reports whether the earlier parts are there.
+// here. It reports whether the part could be joined.
 func (r *Runner) keep(p *Text) bool {
 	t := r.findTask(p.GetItem())
 	if t == nil || t.state != statePending {
 		return t != nil
 	}
 	from := int(p.GetFrom())
-	if from > len(t.text.pieces) {
+	if from > 0 && (p.GetOrigin() != t.text.origin || from > len(t.text.pieces)) {
 		return false
 	}
-	if from+len(p.GetPieces()) < len(t.text.pieces) || !(text{versions: p.GetVersions()}).allows(t.job.batch.Oldest) {
-		return true
-	}
 	pieces := append([]string(nil), t.text.pieces[:from]...)
-	t.text = text{
-		pieces: append(pieces, p.GetPieces()...), last: p.GetLast(),
+	joined := text{
+		origin: p.GetOrigin(), pieces: append(pieces, p.GetPieces()...), last: p.GetLast(),
 		versions: p.GetVersions(), complete: p.GetComplete(),
 	}
+	if joined.allows(t.job.batch.Oldest) {
+		t.text = joined
+	}
 	return true
 }
 
+// recall takes a whole text of another worker if it goes further than what is
+// known.
+func (r *Runner) recall(p *Text) {
+	t := r.findTask(p.GetItem())
+	if t == nil || t.state != statePending || len(p.GetPieces()) <= len(t.text.pieces) {
+		return
+	}
+	r.keep(p)
+}
+
 // Copies sends the texts of the active worker to a standby until ctx ends.
 // peers returns the addresses of the other workers, the preferred one first.
 func (r *Runner) Copies(ctx context.Context, peers func() []string) {
@@ -201,12 +217,15 @@
 	var texts []*Text
 	for _, t := range r.openTasks() {
 		current := t.snapshot()
-		sent := r.copied[t.item.ID]
+		sent := 0
+		if known := r.copied[t.item.ID]; known.origin == current.origin {
+			sent = known.events
+		}
 		if len(current.pieces) < copyEvents || len(current.pieces) <= sent {
 			continue
 		}
 		texts = append(texts, part(t.item.ID, current, sent))
-		r.copied[t.item.ID] = len(current.pieces)
+		r.copied[t.item.ID] = copied{origin: current.origin, events: len(current.pieces)}
 	}
 	return texts
 }
@@ -226,7 +245,7 @@
 			}
 			r.post(ctx, func(context.Context) {
 				for _, part := range reply.GetTexts() {
-					r.keep(part)
+					r.recall(part)
 				}
 			})
 			r.log.WithFields(logrus.Fields{logs.Peer: address, "texts": len(reply.GetTexts())}).Info("texts recalled")
--- a/internal/training/runner/task.go
+++ b/internal/training/runner/task.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"errors"
 	"fmt"
 	"io"
@@ -45,6 +46,7 @@
 	errors    int // answers of 500
 	breaks    int // runs in a row that brought no event
 	rewards   int // answers of 500 to the scoring call
+	session   int // activation of the runner in which the text got its origin
 	moves     int // runs that were ended to go on at a faster engine
 	cancel    context.CancelCauseFunc
 	endpoint  string
@@ -115,6 +117,9 @@
 	}
 	t.heard.Store(t.began.Add(firstEvent - stallTime).UnixNano())
 	t.job.near[t.item.Group] = slot.Entry.ID
+	if t.text.origin == "" || t.session != r.session {
+		t.text.origin, t.session = rand.Text(), r.session
+	}
 	live := t.text
 	t.live.Store(&live)
 	request := r.request(t, slot, host)
--- a/internal/training/runner/text.go
+++ b/internal/training/runner/text.go
@@ -7,8 +7,11 @@
 )
 
 // text is what engines have generated for an item so far. It is immutable.
-// Last is the id of the latest event. Complete tells that nothing follows.
+// Origin names the runs that made it: it changes when a text begins anew and
+// when another worker goes on with it. Last is the id of the latest event.
+// Complete tells that nothing follows.
 type text struct {
+	origin   string
 	pieces   []string
 	last     int64
 	versions []int64
