Make both jobs of the age bound's test wait for the trainer's move

Cause: the test lets the first job of a group move the trainer while the second runs beside it. A second job that passed its check before the move was noted is allowed to start, but the test counted it. Ruled out: a job that starts below the lowest allowed version. With the job's check switched off the new test fails.

--- a/internal/training/step/step_test.go
+++ b/internal/training/step/step_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -99,11 +100,10 @@
 			var once atomic.Bool
 			switch point {
 			case "admission":
-				w.gen.before = func(Job) {
-					if !once.Swap(true) {
-						move()
-					}
-				}
+				// Both jobs of the group come here at the same time. Each waits until
+				// the trainer has moved, so that neither may start.
+				var moved sync.Once
+				w.gen.before = func(Job) { moved.Do(move) }
 			case "stream":
 				p = pullOf(1, 1, 1)
 				w.gen.chunk = func(_ context.Context, j Job, n int, c Chunk) (Chunk, error) {
