Make watches of entry processes once for all of them

Change: entry processes let a worker make their watches; equal watches at one worker are one call. A worker that does not answer is left for the direct way and asked again after 2 s to 30 s. Ruled out: longer watches, which a dropped history makes miss a bound.

--- a/cmd/wigeonpin/node.go
+++ b/cmd/wigeonpin/node.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -83,10 +84,12 @@
 		return err
 	}
 	calls := n.meters.Counter(storeCalls)
-	direct := platform.Direct(n.source.Store, exchange.New(exchange.Options{}), func(call string) { calls.Add(call, 1) })
+	direct := relay.NewShared(
+		platform.Direct(n.source.Store, exchange.New(exchange.Options{}), func(call string) { calls.Add(call, 1) }),
+	).Call
 	route := relay.NewRoute(relay.Seams{
 		Direct: direct, Ask: relay.NewAsk(), Probe: platform.Probe(),
-		Peers: n.relays,
+		Peers: n.relays, Hosts: n.hosts(role),
 	}, n.timers, n.log)
 	n.isolated = route.Isolated
 	n.store = platform.NewStore(route.Call)
@@ -100,6 +103,20 @@
 	return nil
 }
 
+// hosts returns the function that lists the processes that make watches for
+// this one: the workers, those of the same availability zone first. Workers
+// make their own.
+func (n *node) hosts(role string) func() []string {
+	if role == roleWorker {
+		return nil
+	}
+	return func() []string {
+		addresses := n.peers.Role(roleWorker)
+		slices.Reverse(addresses)
+		return addresses
+	}
+}
+
 // relays returns the processes through which the store can be reached.
 func (n *node) relays() []relay.Peer {
 	zone := n.source.Current().Zone
--- a/internal/peer/relay/relay_test.go
+++ b/internal/peer/relay/relay_test.go
@@ -189,3 +189,73 @@
 		})
 	}
 }
+
+// Watches of many processes cost the store one call, and a host that does not
+// reach the store is left for the direct way.
+func TestHostedWatches(t *testing.T) {
+	store := &way{}
+	store.mode.Store("ok")
+	release := make(chan struct{})
+	shared := NewShared(func(ctx context.Context, call Call) (Reply, error) {
+		reply, err := store.direct(ctx, call)
+		select {
+		case <-release:
+		case <-ctx.Done():
+		}
+		return reply, err
+	})
+	mux := http.NewServeMux()
+	mux.Handle(RelayPathPrefix, NewServer(shared.Call))
+	host := httptest.NewServer(mux)
+	defer host.Close()
+	own := newWay("ok")
+	const followers = 20
+	results := make(chan error, followers)
+	for range followers {
+		route := NewRoute(Seams{
+			Direct: own.direct, Ask: NewAsk(), Peers: func() []Peer { return nil },
+			Hosts: func() []string { return []string{strings.TrimPrefix(host.URL, "http://")} },
+		}, clock.NewSystem(), logs.Discard())
+		go func() {
+			_, err := route.Call(context.Background(), Call{Method: "GET", Path: "/k", Query: "watch=1", Wait: 30 * time.Second})
+			results <- err
+		}()
+	}
+	for deadline := time.Now().Add(20 * time.Second); store.calls.Load() == 0 && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	time.AfterFunc(300*time.Millisecond, func() { close(release) })
+	for range followers {
+		if err := <-results; err != nil {
+			t.Error(err)
+		}
+	}
+	if own.calls.Load() != 0 || store.calls.Load() > followers/2 {
+		t.Errorf("%d own calls and %d of the host for %d watches", own.calls.Load(), store.calls.Load(), followers)
+	}
+}
+
+// A host that is gone is not asked again at once.
+func TestLostHostIsShunned(t *testing.T) {
+	closed := httptest.NewServer(http.NotFoundHandler())
+	closed.Close()
+	var asked atomic.Int64
+	ask := NewAsk()
+	own := newWay("ok")
+	route := NewRoute(Seams{
+		Direct: own.direct, Peers: func() []Peer { return nil },
+		Hosts: func() []string { return []string{strings.TrimPrefix(closed.URL, "http://")} },
+		Ask: func(ctx context.Context, address string, call Call, limit time.Duration) (Reply, error) {
+			asked.Add(1)
+			return ask(ctx, address, call, limit)
+		},
+	}, clock.NewSystem(), logs.Discard())
+	for range 5 {
+		if _, err := route.Call(context.Background(), Call{Wait: time.Second}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if asked.Load() != 1 || own.calls.Load() != 5 {
+		t.Errorf("the host was asked %d times, the store %d times", asked.Load(), own.calls.Load())
+	}
+}
--- a/internal/peer/relay/route.go
+++ b/internal/peer/relay/route.go
@@ -41,6 +41,12 @@
 	// outage is how long no peer is asked after one did not reach the store
 	// either. It keeps the number of calls low while the store is down.
 	outage = 600 * time.Millisecond
+	// hostSlack is added to the time that a host may wait with a shared watch.
+	hostSlack = 300 * time.Millisecond
+	// firstShun and lastShun bound how long a host that failed is not asked; the
+	// time doubles with each failure in a row.
+	firstShun = 2 * time.Second
+	lastShun  = 30 * time.Second
 	// farTries and nearTries are the numbers of peers in other availability
 	// zones and in this one that are asked for one call.
 	farTries  = 2
@@ -97,7 +103,10 @@
 	Direct Direct
 	Probe  Call
 	Peers  func() []Peer
-	Ask    func(ctx context.Context, address string, call Call, limit time.Duration) (Reply, error)
+	// Hosts returns the addresses of processes that make watches for others, the
+	// preferred one first.
+	Hosts func() []string
+	Ask   func(ctx context.Context, address string, call Call, limit time.Duration) (Reply, error)
 }
 
 // Route makes calls by the way that works.
@@ -113,15 +122,27 @@
 	helper   string        // the peer that helped last
 	helped   bool          // a peer has helped since the direct way was lost
 	isolated bool          // neither the store nor another zone was reached
+	shunned  map[string]shun
+}
+
+// shun is until when a host is not asked.
+type shun struct {
+	till time.Time
+	last time.Duration
 }
 
 // NewRoute returns a route.
 func NewRoute(seams Seams, timers *clock.Service, log *logrus.Entry) *Route {
-	return &Route{seams: seams, timers: timers, log: log, broken: make(chan struct{})}
+	return &Route{seams: seams, timers: timers, log: log, broken: make(chan struct{}), shunned: map[string]shun{}}
 }
 
 // Call makes the call directly, or through peers while the direct way is lost.
 func (r *Route) Call(ctx context.Context, call Call) (Reply, error) {
+	if call.Wait > 0 {
+		if reply, served := r.hosted(ctx, call); served {
+			return reply, nil
+		}
+	}
 	broken, lost := r.state()
 	if lost {
 		if reply, err := r.throughPeers(ctx, call); err == nil {
@@ -144,6 +165,46 @@
 	return reply, combine(err, peerErr)
 }
 
+// hosted lets a host make a watch, so that many processes cost the store one
+// call.
+func (r *Route) hosted(ctx context.Context, call Call) (Reply, bool) {
+	address := r.host()
+	if address == "" {
+		return Reply{}, false
+	}
+	limit := call.Wait + hostSlack
+	limited, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	reply, err := r.seams.Ask(limited, address, call, limit)
+	if ctx.Err() != nil {
+		return Reply{}, false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err == nil && !reply.refused() {
+		delete(r.shunned, address)
+		return reply, true
+	}
+	last := min(lastShun, max(firstShun, 2*r.shunned[address].last))
+	r.shunned[address] = shun{till: r.timers.Now().Add(last), last: last}
+	return Reply{}, false
+}
+
+// host returns the preferred host that did not fail lately.
+func (r *Route) host() string {
+	if r.seams.Hosts == nil {
+		return ""
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, address := range r.seams.Hosts() {
+		if !r.timers.Now().Before(r.shunned[address].till) {
+			return address
+		}
+	}
+	return ""
+}
+
 // direct makes the call on this process's own connection. A watch ends early
 // when another call finds the direct way lost.
 func (r *Route) direct(ctx context.Context, call Call, broken <-chan struct{}) (Reply, error) {
--- a/internal/peer/relay/server.go
+++ b/internal/peer/relay/server.go
@@ -34,6 +34,7 @@
 	defer cancel()
 	reply, err := s.direct(ctx, Call{
 		Method: request.GetMethod(), Path: request.GetPath(), Query: request.GetQuery(), Body: request.GetBody(),
+		Wait: time.Duration(request.GetWait()) * time.Millisecond,
 	})
 	if err != nil {
 		return &CallReply{Sent: sentBy(err)}, nil
@@ -51,6 +52,7 @@
 		peer := NewRelayProtobufClient("http://"+address, client)
 		reply, err := peer.Call(ctx, &CallRequest{
 			Method: call.Method, Path: call.Path, Query: call.Query, Body: call.Body, Limit: limit.Milliseconds(),
+			Wait: call.Wait.Milliseconds(),
 		})
 		if err != nil {
 			return Reply{}, NewError(!unreached(err), err)
--- /dev/null
+++ b/internal/peer/relay/shared.go
@@ -0,0 +1,67 @@
+package relay
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Shared makes equal watches once for all callers that wait for them at the
+// same time. Other calls are made one by one.
+type Shared struct {
+	direct Direct
+
+	mu      sync.Mutex
+	flights map[string]*flight
+}
+
+// flight is a watch under way.
+type flight struct {
+	finished chan struct{}
+	reply    Reply
+	err      error
+}
+
+// NewShared returns a Shared that makes its calls by direct.
+func NewShared(direct Direct) *Shared {
+	return &Shared{direct: direct, flights: map[string]*flight{}}
+}
+
+// Call makes the call or joins an equal watch. A caller that joins late waits
+// the shorter.
+func (s *Shared) Call(ctx context.Context, call Call) (Reply, error) {
+	if call.Wait <= 0 {
+		return s.direct(ctx, call)
+	}
+	f := s.join(ctx, call)
+	select {
+	case <-f.finished:
+		return f.reply, f.err
+	case <-ctx.Done():
+		return Reply{}, NewError(true, ctx.Err())
+	}
+}
+
+// join returns the flight of an equal watch, which is started when there is
+// none. It outlives the caller that started it.
+func (s *Shared) join(ctx context.Context, call Call) *flight {
+	key := call.Path + "?" + call.Query + "#" + strconv.FormatInt(int64(call.Wait/time.Millisecond), 10)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if f, found := s.flights[key]; found {
+		return f
+	}
+	f := &flight{finished: make(chan struct{})}
+	s.flights[key] = f
+	go func() {
+		limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), call.Wait+directLimit)
+		defer cancel()
+		f.reply, f.err = s.direct(limited, call)
+		s.mu.Lock()
+		delete(s.flights, key)
+		s.mu.Unlock()
+		close(f.finished)
+	}()
+	return f
+}
