--- a/cmd/wigeonpin/main.go
+++ b/cmd/wigeonpin/main.go
@@ -18,6 +18,7 @@
 	Serve   *serveCommand   `arg:"subcommand:serve" help:"run an instance"`
 	Entry   *entryCommand   `arg:"subcommand:entry" help:"run an entry process on the platform"`
 	Worker  *workerCommand  `arg:"subcommand:worker" help:"run a worker process on the platform"`
+	History *historyCommand `arg:"subcommand:history" help:"gather the log lines that name an id from several logs"`
 	Check   *checkCommand   `arg:"subcommand:check" help:"check a settings file and show the result with all defaults"`
 	Version *versionCommand `arg:"subcommand:version" help:"show the version of this program"`
 	Account *accountCommand `arg:"subcommand:account" help:"add, change or remove client accounts"`
@@ -62,6 +63,8 @@
 		return c.Entry
 	case c.Worker != nil:
 		return c.Worker
+	case c.History != nil:
+		return c.History
 	case c.Check != nil:
 		return c.Check
 	case c.Version != nil:
--- a/cmd/wigeonpin/node.go
+++ b/cmd/wigeonpin/node.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"expvar"
+	"net"
 	"net/http"
 	"os"
 	"runtime/debug"
@@ -31,6 +33,9 @@
 	// summaryPeriod is how often the counters are logged. Successes show only
 	// there, so that the volume of the log does not follow the load.
 	summaryPeriod = 10 * time.Second
+	// metricsPort and metricsPath are named in the deploy file.
+	metricsPort = "9464"
+	metricsPath = "/metrics"
 	// headTime bounds the time in which a peer's request head must arrive.
 	headTime = 5 * time.Second
 )
@@ -73,6 +78,7 @@
 	log.WithFields(logrus.Fields{"role": role, "store": p.Store}).Info("started")
 	go source.Follow(ctx, n.timers, log)
 	go n.summarize(ctx)
+	go n.serveMetrics(p.IP)
 	return n, n.connect(ctx, role)
 }
 
@@ -127,6 +133,15 @@
 	return peers
 }
 
+// serveMetrics serves the counters and histograms as JSON. The process goes on
+// without them when the port is taken.
+func (n *node) serveMetrics(ip string) {
+	mux := http.NewServeMux()
+	mux.Handle(metricsPath, expvar.Handler())
+	server := &http.Server{Addr: net.JoinHostPort(ip, metricsPort), Handler: mux, ReadHeaderTimeout: headTime}
+	n.log.WithField(logs.Cause, server.ListenAndServe().Error()).Warn("metrics not served")
+}
+
 // stopped logs the end of the process.
 func (n *node) stopped() {
 	n.log.WithField("calls", n.meters.Counter(storeCalls).Values()).Info("stopped")
--- a/internal/billing/window/window.go
+++ b/internal/billing/window/window.go
@@ -94,15 +94,20 @@
 		if c.timers.Sleep(ctx, due.Sub(now)) != nil {
 			break
 		}
-		c.write(ctx, Number(c.timers.Now().Add(-closing), c.length))
+		for !c.write(ctx, Number(c.timers.Now().Add(-closing), c.length)) {
+			if c.timers.Sleep(ctx, writeRetry) != nil {
+				break
+			}
+		}
 	}
 	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
 	defer cancel()
 	c.write(last, Number(c.timers.Now(), c.length)+1)
 }
 
-// write stores the counts of all windows before the given one.
-func (c *Counter) write(ctx context.Context, before int64) {
+// write stores the counts of all windows before the given one and reports
+// whether none is left.
+func (c *Counter) write(ctx context.Context, before int64) bool {
 	c.mu.Lock()
 	var due []int64
 	for number := range c.counts {
@@ -111,19 +116,21 @@
 		}
 	}
 	c.mu.Unlock()
+	done := true
 	for _, number := range due {
 		c.mu.Lock()
 		counts := maps.Clone(c.counts[number])
 		c.mu.Unlock()
 		if err := c.writeOne(ctx, number, counts); err != nil {
 			c.log.WithFields(logrus.Fields{logs.Window: number, logs.Cause: err.Error()}).Warn("count not written")
-			_ = c.timers.Sleep(ctx, writeRetry)
+			done = false
 			continue
 		}
 		c.mu.Lock()
 		delete(c.counts, number)
 		c.mu.Unlock()
 	}
+	return done
 }
 
 func (c *Counter) writeOne(ctx context.Context, number int64, counts map[string]int64) error {
--- /dev/null
+++ b/internal/traffic/front/front_test.go
@@ -0,0 +1,277 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/base/meter"
+	"github.com/wigeonpin/wigeonpin/internal/control/manifest"
+	"github.com/wigeonpin/wigeonpin/internal/fleet/replica"
+	"github.com/wigeonpin/wigeonpin/internal/peer/exchange"
+	"github.com/wigeonpin/wigeonpin/internal/standin/ledger"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/forward"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/headers"
+	"github.com/wigeonpin/wigeonpin/internal/training/batch"
+)
+
+var names = headers.Names{
+	Request: "X-Request", Deadline: "X-Deadline", Endpoint: "X-Endpoint", Account: "X-Account",
+	Stamp: "X-Stamp", Rejected: "X-Rejected", Load: "X-Load", Cold: "X-Cold", Wait: "X-Wait", VersionKey: "versions",
+}
+
+// world is a front with one endpoint behind it and a ledger as the store.
+type world struct {
+	server   *httptest.Server
+	front    *Front
+	ledger   *ledger.Ledger
+	known    atomic.Bool
+	isolated atomic.Bool
+}
+
+func newWorld(t *testing.T, endpoint http.HandlerFunc) *world {
+	t.Helper()
+	back := httptest.NewServer(endpoint)
+	t.Cleanup(back.Close)
+	timers := clock.NewSystem()
+	fleet := replica.NewFleet(timers, replica.Options{Ceiling: 1})
+	for _, id := range []string{"e1", "e2"} {
+		fleet.Put(replica.Entry{ID: id, Service: "svc", Slots: 4, Address: strings.TrimPrefix(back.URL, "http://")})
+	}
+	target := []manifest.Target{{Service: "svc", Weight: 1}}
+	m := manifest.New(3, []manifest.Route{
+		{Host: "h", Prefix: "/keyed/", Kind: manifest.Idempotent, Attempts: 2, Timeout: 5 * time.Second, Targets: target},
+		{Host: "h", Prefix: "/open/", Kind: manifest.Idempotent, Attempts: 2, Open: true, Targets: target},
+		{Host: "h", Prefix: "/stream/", Kind: manifest.Stream, Attempts: 2, Open: true, Resumable: true, Targets: target},
+		{Host: "h", Prefix: "/batch/", Kind: manifest.Rollout, Attempts: 2, Targets: target},
+	}, nil, []manifest.Account{{Name: "acme", Keys: []string{"k1"}}, {Name: "blue", Keys: []string{"k2"}}}, manifest.Limits{Body: 1000})
+	w := &world{ledger: ledger.New()}
+	w.known.Store(true)
+	shelf := batch.NewShelf(w.ledger.Store())
+	nothing := func(context.Context, string) (*batch.Batch, bool) { return nil, false }
+	nobody := func(context.Context, string, int, time.Duration) ([]batch.Page, bool) { return nil, false }
+	w.front = New(Seams{
+		Manifest: func() *manifest.Manifest {
+			if w.known.Load() {
+				return m
+			}
+			return nil
+		},
+		Ready: func() bool { return w.known.Load() && !w.isolated.Load() },
+		Forwarder: forward.New(forward.Seams{
+			Fleet: fleet, Pool: exchange.New(exchange.Options{Match: names.Request}), Names: names,
+		}, timers, logs.Discard()),
+		Shelf: shelf, Reader: batch.NewReader(shelf, nothing, nobody, timers), Names: names, Meters: meter.NewSet(),
+		Calls: Calls{Parse: parse, Decode: decode, Encode: encode, Ready: "/ready"},
+	}, timers, logs.Discard())
+	w.server = httptest.NewServer(w.front)
+	t.Cleanup(w.server.Close)
+	return w
+}
+
+func parse(method, path string) (Operation, string) {
+	id, found := strings.CutPrefix(path, "/results/")
+	switch {
+	case found && method == http.MethodGet:
+		return ReadResults, id
+	case found && method == http.MethodDelete:
+		return EndBatch, id
+	}
+	return NoBatch, ""
+}
+
+func decode(body []byte) (*batch.Batch, error) {
+	if string(body) == "bad" {
+		return nil, errors.New("no batch")
+	}
+	return &batch.Batch{Items: []batch.Item{{ID: string(body)}}}, nil
+}
+
+func encode(total, next int, _ []batch.Result) ([]byte, error) {
+	return fmt.Appendf(nil, "%d/%d", next, total), nil
+}
+
+func (w *world) call(t *testing.T, method, path, key, body string) (int, http.Header, string, error) {
+	t.Helper()
+	r, err := http.NewRequest(method, w.server.URL+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "h"
+	r.Header.Set(names.Request, "id-"+body)
+	r.Header.Set(names.Account, "forged")
+	r.Header.Set(names.Deadline, "4000")
+	if key != "" {
+		r.Header.Set("Authorization", "Bearer "+key)
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, nil, "", err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return response.StatusCode, response.Header, string(text), err
+}
+
+// echo answers with the account and whether the key was passed on.
+func echo(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(names.Request, r.Header.Get(names.Request))
+	w.Header().Set(names.Stamp, "proof")
+	_, _ = fmt.Fprintf(w, "%s %s key=%q", r.RequestURI, r.Header.Get(names.Account), r.Header.Get("Authorization"))
+}
+
+// TestAdmission guards who may send what: routes, keys, the account that the
+// endpoint sees, and that no key reaches it.
+func TestAdmission(t *testing.T) {
+	w := newWorld(t, echo)
+	cases := []struct {
+		path, key string
+		status    int
+		body      string
+	}{
+		{"/keyed/a%2Fb?x=1", "k1", 200, `/keyed/a%2Fb?x=1 acme key=""`},
+		{"/keyed/a", "k2", 200, `/keyed/a blue key=""`},
+		{"/keyed/a", "k3", 401, ""},
+		{"/keyed/a", "", 401, ""},
+		{"/open/a", "", 200, `/open/a  key=""`},
+		{"/none/a", "k1", 404, ""},
+	}
+	for _, c := range cases {
+		status, _, body, err := w.call(t, http.MethodPost, c.path, c.key, "x")
+		if err != nil || status != c.status || (c.status == 200 && body != c.body) {
+			t.Errorf("%s with key %q: %d %q %v, want %d %q", c.path, c.key, status, body, err, c.status, c.body)
+		}
+	}
+	if status, _, _, _ := w.call(t, http.MethodPost, "/keyed/a", "k1", strings.Repeat("x", 1001)); status != http.StatusRequestEntityTooLarge {
+		t.Errorf("a body over the limit got %d", status)
+	}
+}
+
+// A process that does not know the configuration says so, and never that a
+// route or a key is unknown.
+func TestUnknownConfiguration(t *testing.T) {
+	w := newWorld(t, echo)
+	w.known.Store(false)
+	status, header, _, err := w.call(t, http.MethodPost, "/keyed/a", "k1", "x")
+	if err != nil || status != http.StatusServiceUnavailable || header.Get("Retry-After") == "" {
+		t.Errorf("%d %v %v", status, header, err)
+	}
+}
+
+// Readiness falls while the configuration is unknown, while the process is
+// isolated and during a planned stop; requests are served all the same.
+func TestReadiness(t *testing.T) {
+	w := newWorld(t, echo)
+	ready := func() int {
+		recorder := httptest.NewRecorder()
+		w.front.Readiness().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/ready", nil))
+		return recorder.Code
+	}
+	if ready() != 200 {
+		t.Error("not ready though all is known")
+	}
+	w.isolated.Store(true)
+	if ready() != 503 {
+		t.Error("ready though isolated")
+	}
+	w.isolated.Store(false)
+	w.front.Stop()
+	if ready() != 503 {
+		t.Error("ready during a planned stop")
+	}
+	if status, _, _, err := w.call(t, http.MethodPost, "/open/a", "", "x"); err != nil || status != 200 {
+		t.Errorf("a request during the stop got %d, %v", status, err)
+	}
+}
+
+// streamEndpoint breaks off in the middle of event 3 for the first run.
+func streamEndpoint(breaks bool) http.HandlerFunc {
+	var runs atomic.Int64
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(names.Request, r.Header.Get(names.Request))
+		w.Header().Set(names.Stamp, "proof")
+		run := runs.Add(1)
+		last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		for n := last + 1; n <= 4; n++ {
+			if breaks && run == 1 && n == 3 {
+				_, _ = fmt.Fprint(w, "id: 3\nda")
+				_ = http.NewResponseController(w).Flush()
+				panic(http.ErrAbortHandler)
+			}
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: x%d\n\n", n, n)
+			_ = http.NewResponseController(w).Flush()
+		}
+	}
+}
+
+// A stream reaches the caller whole, also when it breaks off on the way: no
+// event is missing, doubled or joined.
+func TestStreams(t *testing.T) {
+	want := "id: 1\ndata: x1\n\nid: 2\ndata: x2\n\nid: 3\ndata: x3\n\nid: 4\ndata: x4\n\n"
+	for name, breaks := range map[string]bool{"whole": false, "resumed": true} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, streamEndpoint(breaks))
+			status, _, body, err := w.call(t, http.MethodPost, "/stream/a", "", "x")
+			if err != nil || status != 200 || body != want {
+				t.Errorf("%d %q %v", status, body, err)
+			}
+		})
+	}
+}
+
+// A stream that cannot be finished does not look complete.
+func TestBrokenStreamIsNotComplete(t *testing.T) {
+	w := newWorld(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(names.Request, r.Header.Get(names.Request))
+		w.Header().Set(names.Stamp, "proof")
+		_, _ = fmt.Fprint(w, "id: 1\ndata: x1\n\n")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	})
+	if _, _, body, err := w.call(t, http.MethodPost, "/stream/a", "", "x"); err == nil {
+		t.Errorf("the caller saw a complete answer %q", body)
+	}
+}
+
+// TestBatchAnswers guards the promises about batches: 202 only for what is
+// stored, 503 only for what is not, 404 only for what does not exist.
+func TestBatchAnswers(t *testing.T) {
+	cases := []struct {
+		name, method, path, key, body string
+		fault                         ledger.Fault
+		status                        int
+	}{
+		{"accepted", http.MethodPost, "/batch/x", "k1", "i1", ledger.None, 202},
+		{"accepted again", http.MethodPost, "/batch/x", "k1", "i1", ledger.None, 202},
+		{"answer lost", http.MethodPost, "/batch/x", "k1", "i2", ledger.LoseWrite, 202},
+		{"store away", http.MethodPost, "/batch/x", "k1", "i3", ledger.Refuse, 503},
+		{"not known whether stored", http.MethodPost, "/batch/x", "k1", "i4", ledger.Swallow, 504},
+		{"no batch", http.MethodPost, "/batch/x", "k1", "bad", ledger.None, 400},
+		{"no results yet", http.MethodGet, "/results/id-i1", "k1", "", ledger.None, 200},
+		{"of another account", http.MethodGet, "/results/id-i1", "k2", "", ledger.None, 404},
+		{"unknown", http.MethodGet, "/results/id-i9", "k1", "", ledger.None, 404},
+		{"not sure", http.MethodGet, "/results/id-i9", "k1", "", ledger.Refuse, 503},
+		{"wrong position", http.MethodGet, "/results/id-i1?after=-1", "k1", "", ledger.None, 400},
+		{"ended", http.MethodDelete, "/results/id-i1", "k1", "", ledger.None, 200},
+		{"ended again", http.MethodDelete, "/results/id-i1", "k1", "", ledger.None, 200},
+	}
+	w := newWorld(t, echo)
+	for _, c := range cases {
+		w.ledger.Fail(c.fault)
+		status, _, body, err := w.call(t, c.method, c.path, c.key, c.body)
+		if err != nil || status != c.status {
+			t.Errorf("%s: %d %q %v, want %d", c.name, status, body, err, c.status)
+		}
+		w.ledger.Fail(ledger.None)
+	}
+}
--- a/internal/training/runner/task.go
+++ b/internal/training/runner/task.go
@@ -296,6 +296,10 @@
 	switch {
 	case errors.Is(err, errSlow):
 		t.moves++
+		r.log.WithFields(logrus.Fields{
+			logs.Request: t.item.ID, "batch": t.job.batch.ID, logs.Endpoint: e.ID, "events": len(made.pieces),
+			"ran_ms": now.Sub(t.began).Milliseconds(),
+		}).Info("run moved to a faster engine")
 		return
 	case errors.Is(err, errRejected), errors.Is(err, errMisplace), exchange.NotSent(err):
 		t.notBefore = now.Add(shortRetry)
