--- a/internal/control/mirror/mirror_test.go
+++ b/internal/control/mirror/mirror_test.go
@@ -81,8 +81,8 @@
 		}
 	case "compact":
 		l.Compact()
-	case "outage":
-		l.Fail(ledger.Refuse)
+	case "blind":
+		l.Fail(ledger.Blind)
 	case "return":
 		l.Fail(ledger.None)
 	case "shows":
--- a/internal/standin/ledger/ledger.go
+++ b/internal/standin/ledger/ledger.go
@@ -28,6 +28,7 @@
 	Refuse          // each call is refused
 	LoseWrite       // the next write is done, its answer is lost
 	Swallow         // the next write is neither done nor answered
+	Blind           // listings and watches fail, writes work
 )
 
 // Ledger is the stand-in.
@@ -82,7 +83,7 @@
 // begin counts a call and returns the error of a store that refuses it.
 func (l *Ledger) begin(operation string) error {
 	l.calls[operation]++
-	if l.fault == Refuse {
+	if l.fault == Refuse || l.fault == Blind && operation != "write" && operation != "get" {
 		return records.ErrRefused
 	}
 	return nil
@@ -133,6 +134,9 @@
 		}
 		select {
 		case <-changed:
+			if l.blind() {
+				return records.Changes{}, records.ErrUnsure
+			}
 		case <-timer.C:
 			return changes, nil
 		case <-ctx.Done():
@@ -141,6 +145,12 @@
 	}
 }
 
+func (l *Ledger) blind() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.fault == Blind
+}
+
 func (l *Ledger) since(kind string, after uint64) (records.Changes, <-chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
