Store batches that exceed one record in parts

The store holds values up to 1 MiB; a larger batch was refused for good. Its items now stand in several records that are written before the batch itself, so that a batch that is there is whole and a failed part means that nothing was accepted. TestLargeBatch failed before (the batch had one record).

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -85,7 +85,7 @@
 	fleet := replica.NewFleet(timers, replica.Options{Zone: p.Zone, ColdShare: coldShare, Ceiling: ceiling})
 	v := view.New(store, parts.Formats, p, fleet, timers, log)
 	counter := window.NewCounter(store, p.Name, p.Window, timers, log)
-	shelf := batch.NewShelf(store)
+	shelf := batch.NewShelf(store, p.ValueBytes)
 	forwarder := forward.New(forward.Seams{Fleet: fleet, Pool: pool, Names: parts.Names, Began: counter.Add}, timers, log)
 	f := front.New(front.Seams{
 		Manifest: v.Manifest, Ready: func() bool { return v.Known() && !parts.Isolated() }, Forwarder: forwarder, Shelf: shelf,
--- a/internal/node/worker/worker.go
+++ b/internal/node/worker/worker.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -45,6 +46,8 @@
 	// termShare is the part of the time in which two holders may not take turns
 	// that one term takes. Holders can alternate in no less than two terms.
 	termShare = 2
+	// readRetry is the pause after a batch that could not be read.
+	readRetry = 300 * time.Millisecond
 	// syncPeriod is how often a starting holder looks whether it knows enough.
 	syncPeriod = 20 * time.Millisecond
 )
@@ -85,6 +88,7 @@
 	runner   *runner.Runner
 	reporter *window.Reporter
 	turn     atomic.Pointer[leader.Turn]
+	shelf    *batch.Shelf
 }
 
 // New returns a worker.
@@ -96,8 +100,9 @@
 	w.planner = weights.New(weights.Seams{
 		Fleet: fleet, Manifest: w.view.Manifest, Report: w.duties.Report, Send: w.duties.Order,
 	}, timers, log)
+	w.shelf = batch.NewShelf(w.store, p.ValueBytes)
 	w.runner = runner.New(runner.Seams{
-		Shelf: batch.NewShelf(w.store), Fleet: fleet, Pool: pool, Names: parts.Names,
+		Shelf: w.shelf, Fleet: fleet, Pool: pool, Names: parts.Names,
 		Forwarder: forward.New(forward.Seams{Fleet: fleet, Pool: pool, Names: parts.Names}, timers, log),
 		Manifest:  w.view.Manifest, ValueBytes: p.ValueBytes,
 	}, timers, log)
@@ -140,7 +145,10 @@
 		}
 	})
 	running.Wait()
-	w.runner.SetActive(context.WithoutCancel(ctx), false)
+	// The runner may have ended with the process and read nothing more.
+	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
+	defer cancel()
+	w.runner.SetActive(limited, false)
 }
 
 func (w *Worker) follow(kind string, wait time.Duration, apply func(records.Record)) *mirror.Mirror {
@@ -174,16 +182,30 @@
 		if record.Gone {
 			return
 		}
-		b, err := batch.Decode(record)
-		if err != nil {
-			w.log.WithField(logs.Cause, err.Error()).Error("batch not understood")
-			return
+		if b := w.complete(ctx, record); b != nil {
+			w.runner.Add(ctx, b, accepted.Synced())
 		}
-		w.runner.Add(ctx, b, accepted.Synced())
 	})
 	accepted.Run(ctx)
 }
 
+// complete reads a batch with all its items. It tries again while the store is
+// away, and returns nil for a record that is no batch or when ctx ends.
+func (w *Worker) complete(ctx context.Context, record records.Record) *batch.Batch {
+	for ctx.Err() == nil {
+		b, err := w.shelf.Complete(ctx, record)
+		if err == nil {
+			return b
+		}
+		w.log.WithFields(logrus.Fields{"batch": record.Name, logs.Cause: err.Error()}).Error("batch not read")
+		if !errors.Is(err, records.ErrRefused) && !errors.Is(err, records.ErrUnsure) {
+			return nil
+		}
+		_ = w.timers.Sleep(ctx, readRetry)
+	}
+	return nil
+}
+
 // named passes a version that a trainer has named to the planner.
 func (w *Worker) named(record records.Record) {
 	if record.Gone {
--- a/internal/traffic/front/front_test.go
+++ b/internal/traffic/front/front_test.go
@@ -57,7 +57,7 @@
 	}, nil, []manifest.Account{{Name: "acme", Keys: []string{"k1"}}, {Name: "blue", Keys: []string{"k2"}}}, manifest.Limits{Body: 1000})
 	w := &world{ledger: ledger.New()}
 	w.known.Store(true)
-	shelf := batch.NewShelf(w.ledger.Store())
+	shelf := batch.NewShelf(w.ledger.Store(), 1<<20)
 	nothing := func(context.Context, string) (*batch.Batch, bool) { return nil, false }
 	nobody := func(context.Context, string, int, time.Duration) ([]batch.Page, bool) { return nil, false }
 	w.front = New(Seams{
--- a/internal/training/batch/batch.go
+++ b/internal/training/batch/batch.go
@@ -5,14 +5,16 @@
 //
 // # Usage
 //
-//	shelf := batch.NewShelf(store)
+//	shelf := batch.NewShelf(store, 1<<20)
 //	err := shelf.Accept(ctx, b)                  // a second time does nothing
 //	page, err := shelf.Append(ctx, b.ID, number, page)
 //
 // # Records
 //
 // Kind "batches" holds a batch under its id, "endings" the mark under the same
-// name, and "pages" the results under "ID.NUMBER".
+// name, and "pages" the results under "ID.NUMBER". Items beyond the size of one
+// record stand in kind "parts" under "ID.NUMBER"; they are written before the
+// batch, so that a batch that is there is whole.
 package batch
 
 import (
@@ -33,6 +35,7 @@
 	KindBatches = "batches"
 	KindEndings = "endings"
 	KindPages   = "pages"
+	KindParts   = "parts"
 )
 
 // Reward is the scoring call of an item.
@@ -70,6 +73,7 @@
 	Oldest  int64     `json:"oldest"`
 	Wanted  int       `json:"wanted"`
 	Items   []Item    `json:"items"`
+	Parts   int       `json:"parts,omitempty"` // records with further items
 }
 
 // Item returns the item with this id.
@@ -101,15 +105,35 @@
 var ErrOther = errors.New("batch: the id belongs to another account")
 
 // Shelf reads and writes batches.
-type Shelf struct{ store records.Store }
+type Shelf struct {
+	store records.Store
+	limit int // bytes of items in one record
+}
+
+// itemShare is the part of the largest record that items may take. The rest
+// covers the encoding and the other fields.
+const itemShare = 0.8
 
-// NewShelf returns a shelf in the store.
-func NewShelf(store records.Store) *Shelf { return &Shelf{store: store} }
+// NewShelf returns a shelf in a store whose records hold valueBytes at most.
+func NewShelf(store records.Store, valueBytes int) *Shelf {
+	return &Shelf{store: store, limit: int(itemShare * float64(valueBytes))}
+}
 
 // Accept makes the batch last. A batch that was accepted before is left as it
 // is. Errors are those of the store, or ErrOther.
 func (s *Shelf) Accept(ctx context.Context, b *Batch) error {
-	body, err := json.Marshal(b)
+	parts, err := split(b.Items, s.limit)
+	if err != nil {
+		return err
+	}
+	for number, part := range parts[1:] {
+		record := records.Record{Kind: KindParts, Name: PageName(b.ID, number), Body: part}
+		if _, err := s.store.Create(ctx, record); err != nil && !errors.Is(err, records.ErrConflict) {
+			// Without the batch its parts mean nothing, so nothing was accepted.
+			return fmt.Errorf("%w: %w", records.ErrRefused, err)
+		}
+	}
+	body, err := json.Marshal(head{fields: fields(*b), Items: parts[0], Parts: len(parts) - 1})
 	if err != nil {
 		return eris.Wrap(err, "batch")
 	}
@@ -127,17 +151,87 @@
 	return nil
 }
 
+// fields are those of a batch.
+type fields Batch
+
+// head is a batch as it is stored: its own items and number of parts stand in
+// for those of the fields.
+type head struct {
+	fields
+	Items json.RawMessage `json:"items"`
+	Parts int             `json:"parts,omitempty"`
+}
+
+// split encodes the items in one or more lists of at most limit bytes, unless a
+// single item is larger.
+func split(items []Item, limit int) ([]json.RawMessage, error) {
+	var lists []json.RawMessage
+	var list []json.RawMessage
+	size := 0
+	flush := func() error {
+		encoded, err := json.Marshal(list)
+		lists, list, size = append(lists, encoded), []json.RawMessage{}, 0
+		return err
+	}
+	for _, item := range items {
+		encoded, err := json.Marshal(item)
+		if err != nil {
+			return nil, eris.Wrap(err, "item")
+		}
+		if size > 0 && size+len(encoded) > limit {
+			if err := flush(); err != nil {
+				return nil, eris.Wrap(err, "items")
+			}
+		}
+		list = append(list, encoded)
+		size += len(encoded)
+	}
+	if err := flush(); err != nil {
+		return nil, eris.Wrap(err, "items")
+	}
+	return lists, nil
+}
+
 // Read returns a batch.
 func (s *Shelf) Read(ctx context.Context, id string) (*Batch, error) {
 	r, err := s.store.Get(ctx, KindBatches, id)
 	if err != nil {
 		return nil, err
 	}
-	return Decode(r)
+	return s.Complete(ctx, r)
+}
+
+// Complete reads a batch from its record and the records of its further items.
+func (s *Shelf) Complete(ctx context.Context, r records.Record) (*Batch, error) {
+	b, err := decode(r)
+	if err != nil {
+		return nil, err
+	}
+	for number := range b.Parts {
+		part, err := s.store.Get(ctx, KindParts, PageName(b.ID, number))
+		if err != nil {
+			return nil, fmt.Errorf("part %d: %w", number, unsure(err))
+		}
+		var items []Item
+		if err := json.Unmarshal(part.Body, &items); err != nil {
+			return nil, eris.Wrapf(err, "part %d of batch %s", number, r.Name)
+		}
+		b.Items = append(b.Items, items...)
+	}
+	b.Parts = 0
+	return b, nil
+}
+
+// unsure keeps a missing part from looking like a missing batch.
+func unsure(err error) error {
+	if errors.Is(err, records.ErrMissing) {
+		return records.ErrUnsure
+	}
+	return err
 }
 
-// Decode reads a batch from its record.
-func Decode(r records.Record) (*Batch, error) {
+// decode reads a batch from its record, without further items.
+func decode(r records.Record) (*Batch, error) {
 	var b Batch
 	if err := json.Unmarshal(r.Body, &b); err != nil {
 		return nil, eris.Wrapf(err, "batch %s", r.Name)
--- a/internal/training/batch/batch_test.go
+++ b/internal/training/batch/batch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -35,7 +36,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			l := ledger.New()
-			shelf := NewShelf(l.Store())
+			shelf := NewShelf(l.Store(), 1<<20)
 			if c.before != nil {
 				if err := shelf.Accept(context.Background(), c.before); err != nil {
 					t.Fatal(err)
@@ -56,7 +57,7 @@
 
 // The end of a batch may be told any number of times.
 func TestEndTwice(t *testing.T) {
-	shelf := NewShelf(ledger.New().Store())
+	shelf := NewShelf(ledger.New().Store(), 1<<20)
 	for range 2 {
 		if err := shelf.End(context.Background(), "b1"); err != nil {
 			t.Fatal(err)
@@ -66,7 +67,7 @@
 
 // Only the first page under a number counts, so that a position never changes.
 func TestPageIsWrittenOnce(t *testing.T) {
-	shelf := NewShelf(ledger.New().Store())
+	shelf := NewShelf(ledger.New().Store(), 1<<20)
 	first := Page{Results: []Result{{ID: "i1", Output: "x"}}}
 	if err := shelf.Append(context.Background(), "b1", 0, first); err != nil {
 		t.Fatal(err)
@@ -89,7 +90,7 @@
 // and a position shows the same result whichever way was taken.
 func TestReaderPositions(t *testing.T) {
 	l := ledger.New()
-	shelf := NewShelf(l.Store())
+	shelf := NewShelf(l.Store(), 1<<20)
 	ctx := context.Background()
 	if err := shelf.Accept(ctx, sample("acme")); err != nil {
 		t.Fatal(err)
@@ -126,7 +127,7 @@
 // result does not exist.
 func TestReaderIsNotSure(t *testing.T) {
 	l := ledger.New()
-	shelf := NewShelf(l.Store())
+	shelf := NewShelf(l.Store(), 1<<20)
 	ctx := context.Background()
 	if err := shelf.Accept(ctx, sample("acme")); err != nil {
 		t.Fatal(err)
@@ -146,3 +147,39 @@
 		t.Error("an empty answer though the store is away")
 	}
 }
+
+// A batch that is larger than one record is stored in parts and read whole. Its
+// head comes last, so that a batch whose parts failed was not accepted.
+func TestLargeBatch(t *testing.T) {
+	large := &Batch{ID: "b1", Account: "acme"}
+	for i := range 50 {
+		large.Items = append(large.Items, Item{ID: fmt.Sprint(i), Body: make([]byte, 300)})
+	}
+	const valueBytes = 4096
+	l := ledger.New()
+	shelf := NewShelf(l.Store(), valueBytes)
+	ctx := context.Background()
+	l.Fail(ledger.Swallow)
+	if err := shelf.Accept(ctx, large); !errors.Is(err, records.ErrRefused) {
+		t.Errorf("error %v for a lost part, want a refusal", err)
+	}
+	if _, err := shelf.Read(ctx, "b1"); !errors.Is(err, records.ErrMissing) {
+		t.Errorf("error %v, want a missing batch", err)
+	}
+	if err := shelf.Accept(ctx, large); err != nil {
+		t.Fatal(err)
+	}
+	read, err := shelf.Read(ctx, "b1")
+	if err != nil || len(read.Items) != len(large.Items) || read.Items[49].ID != "49" {
+		t.Fatalf("read %d items, %v", len(read.Items), err)
+	}
+	page, err := l.Store().List(ctx, KindParts, "")
+	if err != nil || len(page.Records) < 3 {
+		t.Errorf("%d parts, %v", len(page.Records), err)
+	}
+	for _, r := range page.Records {
+		if len(r.Body) > valueBytes {
+			t.Errorf("part %s has %d bytes", r.Name, len(r.Body))
+		}
+	}
+}
--- a/internal/training/runner/runner_test.go
+++ b/internal/training/runner/runner_test.go
@@ -102,7 +102,7 @@
 	w := &world{engine: newEngine(), ledger: ledger.New()}
 	server := httptest.NewServer(w.engine)
 	t.Cleanup(server.Close)
-	w.shelf = batch.NewShelf(w.ledger.Store())
+	w.shelf = batch.NewShelf(w.ledger.Store(), 1<<20)
 	w.runner = w.newRunner(t, strings.TrimPrefix(server.URL, "http://"))
 	return w
 }
