Notice a cut zone at once

Change: a worker that loses its way ends the watches that it makes for others; a process whose host failed tries the direct way once before it watches on it; readiness falls from the loss on until a peer has answered. Ruled out: the load balancer, which leaves after two unready answers.

--- a/cmd/wigeonpin/node.go
+++ b/cmd/wigeonpin/node.go
@@ -90,11 +90,11 @@
 		return err
 	}
 	calls := n.meters.Counter(storeCalls)
-	direct := relay.NewShared(
+	shared := relay.NewShared(
 		platform.Direct(n.source.Store, exchange.New(exchange.Options{}), func(call string) { calls.Add(call, 1) }),
-	).Call
+	)
 	route := relay.NewRoute(relay.Seams{
-		Direct: direct, Ask: relay.NewAsk(), Probe: platform.Probe(),
+		Direct: shared.Call, Ask: relay.NewAsk(), Probe: platform.Probe(), Lost: shared.Drop,
 		Peers: n.relays, Hosts: n.hosts(role),
 	}, n.timers, n.log)
 	n.isolated = route.Isolated
@@ -103,7 +103,7 @@
 	n.peers = members.New(n.store, self, n.timers, n.log)
 	go n.peers.Run(ctx)
 	n.mux = http.NewServeMux()
-	n.mux.Handle(relay.RelayPathPrefix, relay.NewServer(direct))
+	n.mux.Handle(relay.RelayPathPrefix, relay.NewServer(shared.Call))
 	server := &http.Server{Handler: n.mux, ReadHeaderTimeout: headTime}
 	go func() { n.log.WithField(logs.Cause, server.Serve(listener).Error()).Error("relay stopped") }()
 	return nil
--- a/internal/peer/relay/route.go
+++ b/internal/peer/relay/route.go
@@ -106,7 +106,9 @@
 	// Hosts returns the addresses of processes that make watches for others, the
 	// preferred one first.
 	Hosts func() []string
-	Ask   func(ctx context.Context, address string, call Call, limit time.Duration) (Reply, error)
+	// Lost is called when the direct way is found lost; it may be nil.
+	Lost func()
+	Ask  func(ctx context.Context, address string, call Call, limit time.Duration) (Reply, error)
 }
 
 // Route makes calls by the way that works.
@@ -121,6 +123,7 @@
 	downTill time.Time     // until when no peer is asked
 	helper   string        // the peer that helped last
 	helped   bool          // a peer has helped since the direct way was lost
+	settled  bool          // it is known whether peers reach the store
 	isolated bool          // neither the store nor another zone was reached
 	shunned  map[string]shun
 }
@@ -139,9 +142,13 @@
 // Call makes the call directly, or through peers while the direct way is lost.
 func (r *Route) Call(ctx context.Context, call Call) (Reply, error) {
 	if call.Wait > 0 {
-		if reply, served := r.hosted(ctx, call); served {
+		reply, served, failed := r.hosted(ctx, call)
+		if served {
 			return reply, nil
 		}
+		if failed {
+			r.check(ctx)
+		}
 	}
 	broken, lost := r.state()
 	if lost {
@@ -166,28 +173,41 @@
 }
 
 // hosted lets a host make a watch, so that many processes cost the store one
-// call.
-func (r *Route) hosted(ctx context.Context, call Call) (Reply, bool) {
+// call. It reports whether the host served it, or failed.
+func (r *Route) hosted(ctx context.Context, call Call) (reply Reply, served, failed bool) {
 	address := r.host()
 	if address == "" {
-		return Reply{}, false
+		return Reply{}, false, false
 	}
 	limit := call.Wait + hostSlack
 	limited, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	reply, err := r.seams.Ask(limited, address, call, limit)
 	if ctx.Err() != nil {
-		return Reply{}, false
+		return Reply{}, false, false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err == nil && !reply.refused() {
 		delete(r.shunned, address)
-		return reply, true
+		return reply, true, false
 	}
 	last := min(lastShun, max(firstShun, 2*r.shunned[address].last))
 	r.shunned[address] = shun{till: r.timers.Now().Add(last), last: last}
-	return Reply{}, false
+	return Reply{}, false, true
+}
+
+// check tries the direct way once, before a watch would wait on it.
+func (r *Route) check(ctx context.Context) {
+	if _, lost := r.state(); lost {
+		return
+	}
+	limited, cancel := context.WithTimeout(ctx, probeLimit)
+	defer cancel()
+	reply, err := r.seams.Direct(limited, r.seams.Probe)
+	if ctx.Err() == nil && (err != nil || reply.refused()) {
+		r.missed(reply, err)
+	}
 }
 
 // host returns the preferred host that did not fail lately.
@@ -268,11 +288,12 @@
 }
 
 // Isolated reports whether neither the store nor any process in another
-// availability zone can be reached.
+// availability zone can be reached. It is assumed from the loss of the direct
+// way until a peer has answered.
 func (r *Route) Isolated() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.isolated
+	return r.isolated || !r.lost.IsZero() && !r.settled
 }
 
 // missed notes that the direct way failed, and starts to try it.
@@ -282,13 +303,16 @@
 	if !r.lost.IsZero() {
 		return
 	}
-	r.lost, r.helped = r.timers.Now(), false
+	r.lost, r.helped, r.settled = r.timers.Now(), false, false
 	close(r.broken)
 	entry := r.log.WithField("status", reply.Status)
 	if err != nil {
 		entry = entry.WithField(logs.Cause, err.Error())
 	}
 	entry.Warn("direct way to the store lost")
+	if r.seams.Lost != nil {
+		go r.seams.Lost()
+	}
 	go r.probe()
 }
 
@@ -345,6 +369,7 @@
 	defer r.mu.Unlock()
 	r.helper = ""
 	r.downTill = r.timers.Now().Add(outage)
+	r.settled = true
 	if r.lost.IsZero() || r.isolated == isolated {
 		return
 	}
@@ -359,7 +384,7 @@
 		r.helped = true
 		r.log.WithField(logs.Peer, address).Info("store reached through a peer")
 	}
-	r.helper, r.isolated = address, false
+	r.helper, r.isolated, r.settled = address, false, true
 }
 
 // candidates returns the peers to ask: the one that helped last, then some of
--- a/internal/peer/relay/shared.go
+++ b/internal/peer/relay/shared.go
@@ -18,6 +18,7 @@
 
 // flight is a watch under way.
 type flight struct {
+	cancel   context.CancelFunc
 	finished chan struct{}
 	reply    Reply
 	err      error
@@ -52,10 +53,10 @@
 	if f, found := s.flights[key]; found {
 		return f
 	}
-	f := &flight{finished: make(chan struct{})}
+	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), call.Wait+directLimit)
+	f := &flight{cancel: cancel, finished: make(chan struct{})}
 	s.flights[key] = f
 	go func() {
-		limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), call.Wait+directLimit)
 		defer cancel()
 		f.reply, f.err = s.direct(limited, call)
 		s.mu.Lock()
@@ -65,3 +66,13 @@
 	}()
 	return f
 }
+
+// Drop ends the watches under way, so that those who wait for them look for
+// another way.
+func (s *Shared) Drop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, f := range s.flights {
+		f.cancel()
+	}
+}
