--- a/internal/control/manifest/manifest.go
+++ b/internal/control/manifest/manifest.go
@@ -71,22 +71,12 @@
 	return r.Targets[len(r.Targets)-1].Service
 }
 
-// Scale bounds the orders for endpoints of a service in each availability zone.
-type Scale struct {
-	Min, Max int
-	Boot     time.Duration
-	Prices   map[string]float64
-}
-
 // Service is a group of interchangeable endpoints.
 type Service struct {
 	Name     string
-	Health   string        // path of the health check
-	Channels int           // connections that one endpoint accepts
 	ColdFor  time.Duration // slow start of a fresh endpoint
 	ColdRate float64       // requests a second that a cold endpoint bears
 	Models   []string
-	Scale    *Scale
 }
 
 // Account is a client account.
@@ -99,7 +89,6 @@
 // Limits bound what a caller may send.
 type Limits struct {
 	Body int64 // bytes
-	Idle time.Duration
 }
 
 // Manifest is one version of the configuration.
--- a/internal/control/mirror/mirror.go
+++ b/internal/control/mirror/mirror.go
@@ -61,7 +61,6 @@
 
 	seen     map[string]uint64 // revisions by name; owned by Run
 	synced   atomic.Bool
-	contact  atomic.Int64 // Unix nanoseconds of the last answer
 	regained atomic.Int64 // Unix nanoseconds at which the store came back
 }
 
@@ -76,9 +75,6 @@
 // Synced reports whether the kind was listed completely.
 func (m *Mirror) Synced() bool { return m.synced.Load() }
 
-// Contact returns the time of the store's last answer.
-func (m *Mirror) Contact() time.Time { return time.Unix(0, m.contact.Load()) }
-
 // Regained returns when the store answered again after an interruption; the
 // zero Unix time when there was none.
 func (m *Mirror) Regained() time.Time { return time.Unix(0, m.regained.Load()) }
@@ -95,7 +91,6 @@
 				m.log.WithField("revision", next).Info("store regained")
 			}
 			revision, pause, lost = next, firstPause, false
-			m.contact.Store(m.timers.Now().UnixNano())
 			if rest := m.options.Rest; rest > 0 {
 				_ = m.timers.Sleep(ctx, rest-time.Duration(m.timers.Now().UnixNano())%rest)
 			}
--- a/internal/fleet/replica/pick.go
+++ b/internal/fleet/replica/pick.go
@@ -55,19 +55,6 @@
 	return &Slot{Entry: best.Entry, fleet: f}, true
 }
 
-// Possible reports whether any endpoint could take such a request now or
-// after others have ended.
-func (f *Fleet) Possible(want Want) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, s := range f.states {
-		if f.fits(s, want) {
-			return true
-		}
-	}
-	return false
-}
-
 func (f *Fleet) fits(s *state, want Want) bool {
 	if s.Service != want.Service || want.Avoid[s.ID] || !f.usable(s) {
 		return false
--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -26,7 +26,6 @@
 	Draining                   bool
 	Cold                       time.Duration // how much longer it starts slowly
 	Born                       int64         // Unix milliseconds
-	Spot                       bool          // may be reclaimed on short notice
 	Models                     map[string]int64
 }
 
@@ -256,10 +255,3 @@
 	}
 	return s.goneAt.IsZero() || f.timers.Now().Before(s.goneAt)
 }
-
-// Count returns the number of known endpoints.
-func (f *Fleet) Count() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return len(f.states)
-}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -72,6 +72,7 @@
 	front   *front.Front
 	view    *view.View
 	counter *window.Counter
+	timers  *clock.Service
 	log     *logrus.Entry
 }
 
@@ -91,7 +92,7 @@
 		Manifest: v.Manifest, Ready: func() bool { return v.Known() && !parts.Isolated() }, Forwarder: forwarder, Shelf: shelf,
 		Reader: batch.NewReader(shelf, runner.NewFinder(parts.Workers), runner.NewFollower(parts.Workers), timers), Names: parts.Names, Calls: parts.Calls, Meters: parts.Meters,
 	}, timers, log)
-	return &Entry{profile: p, front: f, view: v, counter: counter, log: log}
+	return &Entry{profile: p, front: f, view: v, counter: counter, timers: timers, log: log}
 }
 
 // Run serves until ctx ends, and then finishes what has begun within the
@@ -142,10 +143,9 @@
 func (e *Entry) stop(server *http.Server) {
 	e.front.Stop()
 	e.log.Info("stopping")
-	end := time.Now().Add(e.profile.Grace - stopMargin)
-	time.Sleep(min(leaveTime, e.profile.Grace/2))
-	ctx, cancel := context.WithDeadline(context.Background(), end)
+	ctx, cancel := e.timers.WithTimeout(context.Background(), e.profile.Grace-stopMargin)
 	defer cancel()
+	_ = e.timers.Sleep(ctx, min(leaveTime, e.profile.Grace/2))
 	if err := server.Shutdown(ctx); err != nil {
 		e.log.WithField("cause", err.Error()).Warn("requests cut by the end of the grace time")
 		_ = server.Close()
--- a/internal/peer/relay/route.go
+++ b/internal/peer/relay/route.go
@@ -17,7 +17,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -32,33 +31,12 @@
 	// directLimit is how long a call that does not wait may take before it is
 	// tried through a peer. A slow store answers within a quarter of a second.
 	directLimit = 450 * time.Millisecond
-	// peerLimit is added to the time that a call may take at the peer.
-	peerLimit = 200 * time.Millisecond
 	// probePeriod is how often the direct way is tried while it is lost, and
 	// probeLimit how long one trial may take.
 	probePeriod = 700 * time.Millisecond
 	probeLimit  = 350 * time.Millisecond
-	// outage is how long no peer is asked after one did not reach the store
-	// either. It keeps the number of calls low while the store is down.
-	outage = 600 * time.Millisecond
-	// hostSlack is added to the time that a host may wait with a shared watch.
-	hostSlack = 300 * time.Millisecond
-	// firstShun and lastShun bound how long a host that failed is not asked; the
-	// time doubles with each failure in a row.
-	firstShun = 2 * time.Second
-	lastShun  = 30 * time.Second
-	// farTries and nearTries are the numbers of peers in other availability
-	// zones and in this one that are asked for one call.
-	farTries  = 2
-	nearTries = 1
 )
 
-// Peer is another process. Far tells that it is in another availability zone.
-type Peer struct {
-	Address string
-	Far     bool
-}
-
 // Call is one call to the store. Wait is the time that the store may take on
 // purpose.
 type Call struct {
@@ -128,12 +106,6 @@
 	shunned  map[string]shun
 }
 
-// shun is until when a host is not asked.
-type shun struct {
-	till time.Time
-	last time.Duration
-}
-
 // NewRoute returns a route.
 func NewRoute(seams Seams, timers *clock.Service, log *logrus.Entry) *Route {
 	return &Route{seams: seams, timers: timers, log: log, broken: make(chan struct{}), shunned: map[string]shun{}}
@@ -172,59 +144,6 @@
 	return reply, combine(err, peerErr)
 }
 
-// hosted lets a host make a watch, so that many processes cost the store one
-// call. It reports whether the host served it, or failed.
-func (r *Route) hosted(ctx context.Context, call Call) (reply Reply, served, failed bool) {
-	address := r.host()
-	if address == "" {
-		return Reply{}, false, false
-	}
-	limit := call.Wait + hostSlack
-	limited, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	reply, err := r.seams.Ask(limited, address, call, limit)
-	if ctx.Err() != nil {
-		return Reply{}, false, false
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if err == nil && !reply.refused() {
-		delete(r.shunned, address)
-		return reply, true, false
-	}
-	last := min(lastShun, max(firstShun, 2*r.shunned[address].last))
-	r.shunned[address] = shun{till: r.timers.Now().Add(last), last: last}
-	return Reply{}, false, true
-}
-
-// check tries the direct way once, before a watch would wait on it.
-func (r *Route) check(ctx context.Context) {
-	if _, lost := r.state(); lost {
-		return
-	}
-	limited, cancel := context.WithTimeout(ctx, probeLimit)
-	defer cancel()
-	reply, err := r.seams.Direct(limited, r.seams.Probe)
-	if ctx.Err() == nil && (err != nil || reply.refused()) {
-		r.missed(reply, err)
-	}
-}
-
-// host returns the preferred host that did not fail lately.
-func (r *Route) host() string {
-	if r.seams.Hosts == nil {
-		return ""
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, address := range r.seams.Hosts() {
-		if !r.timers.Now().Before(r.shunned[address].till) {
-			return address
-		}
-	}
-	return ""
-}
-
 // direct makes the call on this process's own connection. A watch ends early
 // when another call finds the direct way lost.
 func (r *Route) direct(ctx context.Context, call Call, broken <-chan struct{}) (Reply, error) {
@@ -332,97 +251,3 @@
 		}
 	}
 }
-
-var errNoPeer = NewError(false, errors.New("no peer reaches the store"))
-
-// throughPeers makes the call through another process.
-func (r *Route) throughPeers(ctx context.Context, call Call) (Reply, error) {
-	r.mu.Lock()
-	down := r.timers.Now().Before(r.downTill)
-	r.mu.Unlock()
-	if down {
-		return Reply{}, errNoPeer
-	}
-	sent, asked, reached := false, false, false
-	for _, peer := range r.candidates() {
-		reply, err := r.ask(ctx, peer.Address, call)
-		if err == nil {
-			r.remember(peer.Address)
-			return reply, nil
-		}
-		sent = sent || sentBy(err)
-		asked = asked || peer.Far
-		if errors.Is(err, errStore) && peer.Far {
-			reached = true
-			break
-		}
-	}
-	if ctx.Err() == nil {
-		r.alone(asked && !reached)
-	}
-	return Reply{}, NewError(sent, errNoPeer)
-}
-
-// alone notes that no peer helped, and whether none was reached.
-func (r *Route) alone(isolated bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.helper = ""
-	r.downTill = r.timers.Now().Add(outage)
-	r.settled = true
-	if r.lost.IsZero() || r.isolated == isolated {
-		return
-	}
-	r.isolated = isolated
-	r.log.WithField("isolated", isolated).Warn("no peer reaches the store")
-}
-
-func (r *Route) remember(address string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.helped {
-		r.helped = true
-		r.log.WithField(logs.Peer, address).Info("store reached through a peer")
-	}
-	r.helper, r.isolated, r.settled = address, false, true
-}
-
-// candidates returns the peers to ask: the one that helped last, then some of
-// other availability zones, then some of this one.
-func (r *Route) candidates() []Peer {
-	r.mu.Lock()
-	helper := r.helper
-	r.mu.Unlock()
-	var last, far, near []Peer
-	for _, peer := range r.seams.Peers() {
-		switch {
-		case peer.Address == helper:
-			last = append(last, peer)
-		case peer.Far:
-			far = append(far, peer)
-		default:
-			near = append(near, peer)
-		}
-	}
-	return append(last, append(some(far, farTries), some(near, nearTries)...)...)
-}
-
-// some returns count peers at random.
-func some(peers []Peer, count int) []Peer {
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	return peers[:min(count, len(peers))]
-}
-
-// errStore marks the failure of a call that reached a peer but not the store.
-var errStore = errors.New("the peer does not reach the store either")
-
-func (r *Route) ask(ctx context.Context, address string, call Call) (Reply, error) {
-	limit := call.Wait + directLimit
-	ctx, cancel := context.WithTimeout(ctx, limit+peerLimit)
-	defer cancel()
-	reply, err := r.seams.Ask(ctx, address, call, limit)
-	if err == nil && reply.refused() {
-		return reply, NewError(false, errStore)
-	}
-	return reply, err
-}
