Do not hold back cold endpoints of services that set no limit

An entry with a cold time of a service whose manifest names no rate would have got one request until it was warm. TestColdWithoutLimit fails without the change.

--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -187,13 +187,18 @@
 	return merged
 }
 
+// chill limits what a cold endpoint gets for some time. Endpoints of services
+// that set no limit are not held back.
 func (f *Fleet) chill(s *state, left time.Duration) {
+	if warmup, known := f.cold[s.Service]; known && warmup.Rate <= 0 {
+		return
+	}
 	now := f.timers.Now()
 	if till := now.Add(left); till.After(s.coldTill) {
 		s.coldTill = till
 	}
 	s.coldRate = f.cold[s.Service].Rate * f.options.ColdShare
-	s.budget, s.filledAt = min(1, coldBurst), now
+	s.budget, s.filledAt = 1, now
 }
 
 // Remove drops an endpoint whose entry is gone. When the store has just come
--- a/internal/fleet/replica/replica_test.go
+++ b/internal/fleet/replica/replica_test.go
@@ -134,3 +134,17 @@
 	s.slots[id] = nil
 	return "ok"
 }
+
+// A service that sets no limit for cold endpoints does not starve when one
+// starts.
+func TestColdWithoutLimit(t *testing.T) {
+	timers, _ := clock.NewDriven(time.Unix(1000, 0))
+	f := NewFleet(timers, Options{ColdShare: 0.1, Ceiling: 1})
+	f.SetWarmups(map[string]Warmup{"svc": {}})
+	f.Put(Entry{ID: "e1", Service: "svc", Slots: 4, Cold: time.Minute})
+	for i := range 4 {
+		if _, found := f.Pick(Want{Service: "svc"}); !found {
+			t.Fatalf("request %d found no endpoint", i)
+		}
+	}
+}
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -47,8 +47,8 @@
 	spareTime = 15 * time.Millisecond
 )
 
-// Call is one request of a caller. Header is what the endpoint gets, without
-// the fields that are set for each attempt.
+// Call is one request of a caller. Request is what the endpoint gets, without
+// the header fields that are set for each attempt.
 type Call struct {
 	ID, Account string
 	Route       manifest.Route
