--- a/internal/peer/relay/route.go
+++ b/internal/peer/relay/route.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	route := relay.NewRoute(relay.Seams{Direct: direct, Peers: members.Addresses}, timers, log)
+//	route := relay.NewRoute(relay.Seams{Direct: direct, Ask: relay.NewAsk(), Peers: peers}, timers, log)
 //	reply, err := route.Call(ctx, relay.Call{Method: "GET", Path: "/v1/things"})
 //	mux.Handle(relay.RelayPathPrefix, relay.NewServer(direct))
 //
@@ -82,7 +82,7 @@
 	Probe  Call
 	Peers  func() []Peer
 	// Hosts returns the addresses of processes that make watches for others, the
-	// preferred one first.
+	// preferred one first; it may be nil.
 	Hosts func() []string
 	// Lost is called when the direct way is found lost; it may be nil.
 	Lost func()
