Ask endpoints that reject a request twice

A request that could not be served was held instead of refused, and full endpoints got more calls. Change: the rounds are counted; after two the caller is told when to come back. TestRejectedByAllIsRefusedSoon failed before (111 calls to each of two endpoints within 3 s).

--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -39,6 +39,8 @@
 	// while others are left, and leastTry its lower bound.
 	tryShare = 0.4
 	leastTry = 350 * time.Millisecond
+	// askRounds is how often endpoints that only rejected a request are asked.
+	askRounds = 2
 	// retryPause is the wait before the endpoints that refused are asked again.
 	retryPause = 25 * time.Millisecond
 	// comeBack is what a refused caller is told to wait.
@@ -104,6 +106,7 @@
 	runs   int             // attempts that may have run
 	errors int             // answers of 500
 	last   *Answer         // the latest failure that an endpoint answered
+	rounds int             // times that all endpoints have rejected it
 	reason string
 }
 
@@ -150,17 +153,15 @@
 }
 
 // again decides whether a request for which no endpoint is free waits for one.
-// Endpoints that only refused it may be asked again after a moment.
+// Endpoints that only rejected it are asked once more after a moment.
 func (f *Forwarder) again(ctx context.Context, p *progress) bool {
-	if p.runs > 0 || p.reason == "" {
+	if p.runs > 0 || len(p.tried) == 0 {
 		return false
 	}
-	deadline, _ := ctx.Deadline()
-	if len(p.tried) == 0 || time.Until(deadline) < 4*retryPause || p.reason == "asked twice" {
+	if p.rounds++; p.rounds >= askRounds {
 		return false
 	}
 	clear(p.tried)
-	p.reason = "asked twice"
 	return f.timers.Sleep(ctx, retryPause) == nil
 }
 
--- a/internal/traffic/forward/forward_test.go
+++ b/internal/traffic/forward/forward_test.go
@@ -29,11 +29,13 @@
 // "cut" (in the body), "break" (before the answer), "hang".
 type endpoint struct {
 	mode string
+	asks atomic.Int64
 	runs atomic.Int64
 }
 
 func (e *endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(names.Request, r.Header.Get(names.Request))
+	e.asks.Add(1)
 	switch e.mode {
 	case "reject":
 		w.Header().Set(names.Rejected, "1")
@@ -182,3 +184,18 @@
 		t.Errorf("counted %d times, want 1", began.Load())
 	}
 }
+
+// Endpoints that all reject a request are asked once more and no further, so
+// that the caller learns at once that it cannot be served now.
+func TestRejectedByAllIsRefusedSoon(t *testing.T) {
+	f, endpoints := newForwarder(t, []string{"reject", "reject"})
+	_, err := f.Send(context.Background(), call(manifest.Route{Kind: manifest.Idempotent, Attempts: 3}))
+	if got := code.Of(err); got.Code != code.NoEndpoint || got.Run != code.NotRun {
+		t.Errorf("error %+v", got)
+	}
+	for i, e := range endpoints {
+		if asks := e.asks.Load(); asks > askRounds {
+			t.Errorf("endpoint %d was asked %d times, want at most %d", i, asks, askRounds)
+		}
+	}
+}
