Do not slow a roll-out down for one faulty engine

Cause, from a trace of the width every 250 ms: the first failed load ended the fast growth of the number of concurrent loads, whatever its reason. When one of the faulty engines was among the first eight, the width was 20 at the start and 36 after 0.25 s (125 otherwise), the store's rate stayed unused, and the switch came so late that engines whose switch failed had no second for another load.

Ruled out: the real machine's load (all times are driven; the order of calls and the jitter are the only differences between runs).

Change: a rate limit narrows as before. Other failed loads narrow only when more than one and more than a tenth of the loads in progress fail within 500 ms.

--- a/internal/fleet/rollout/rollout_test.go
+++ b/internal/fleet/rollout/rollout_test.go
@@ -46,6 +46,7 @@
 	tokens   float64
 	filled   time.Time
 	limited  int
+	first    int // loads that fail before any other
 	calls    int
 	held     bool
 	missing  bool
@@ -97,6 +98,10 @@
 		return errLimited
 	}
 	f.tokens--
+	if f.first > 0 {
+		f.first--
+		return errors.New("load failed")
+	}
 	if x.failLoads > 0 {
 		x.failLoads--
 		return errors.New("load failed")
@@ -195,6 +200,23 @@
 	}
 }
 
+// Guards against one faulty engine among the first loads that makes the
+// roll-out to all others slow, as if the weight store could not follow: the
+// five engines that fail later had no time left for their second load.
+func TestFaultyEngineAmongTheFirstLoads(t *testing.T) {
+	f := newFixture(1300)
+	f.rate, f.first = 300, 1
+	for _, id := range []string{"e-0000", "e-0100", "e-0200", "e-0300", "e-1299"} {
+		f.engines[id].failSwaps = 1
+	}
+	u := f.begin(2)
+	defer u.end()
+	f.steps(u, 10*time.Second)
+	if count, first, _ := f.counts(2); count != 1300 {
+		t.Fatalf("%d of 1300 engines switched within 10 s, the first after %v", count, first)
+	}
+}
+
 // Guards against one engine that never loads and holds up all others, and
 // against one that is given up.
 func TestFailingEngineDoesNotHoldUpTheOthers(t *testing.T) {
--- a/internal/fleet/rollout/run.go
+++ b/internal/fleet/rollout/run.go
@@ -34,6 +34,10 @@
 	// began together meet the rate limit together.
 	slowEvery  = 500 * time.Millisecond
 	slowFactor = 0.8
+	// failuresOfEngines is the share of the loads in progress that may fail
+	// within slowEvery for reasons of the engines. One faulty engine among the
+	// first loads must not narrow the roll-out of the other 1,299.
+	failuresOfEngines = 0.1
 	// limitedWait is the pause of an engine that met the rate limit, when the
 	// limit names none. It does not grow: the fewer loads already slow down.
 	limitedWait = 200 * time.Millisecond
@@ -90,6 +94,8 @@
 	calls    int
 	loads    int
 	slowed   time.Time
+	failures int       // loads that failed since failing
+	failing  time.Time // when the failures began to count
 	three    time.Time // when three quarters had loaded
 	together bool
 	stored   bool
@@ -297,6 +303,18 @@
 	u.width = min(u.width+grow, loadsAtMost)
 }
 
+// fail counts a load that failed without a rate limit. A few are faults of the
+// engines; more than that are taken for a store that cannot follow.
+func (u *run) fail(now time.Time) {
+	if now.Sub(u.failing) >= slowEvery {
+		u.failures, u.failing = 0, now
+	}
+	u.failures++
+	if u.failures > 1 && float64(u.failures) > failuresOfEngines*float64(u.loads) {
+		u.slow(now)
+	}
+}
+
 // slow lowers the number of loads at the same time.
 func (u *run) slow(now time.Time) {
 	if now.Sub(u.slowed) >= slowEvery {
@@ -347,7 +365,7 @@
 	default:
 		if e.counted {
 			u.ended(e)
-			u.slow(now)
+			u.fail(now)
 		}
 		e.phase, e.next = idle, now
 		if e.asked {
@@ -390,14 +408,19 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := u.rollout.timers.Now()
+	wait, limited := u.rollout.seams.Limited(err)
 	if call == "load" {
 		u.ended(e)
-		u.slow(now)
+		if limited {
+			u.slow(now)
+		} else {
+			u.fail(now)
+		}
 	}
 	if e.phase >= loaded {
 		e.phase = loading
 	}
-	if wait, limited := u.rollout.seams.Limited(err); limited {
+	if limited {
 		e.next = now.Add(max(wait, limitedWait) + rand.N(limitedWait))
 	} else {
 		e.next = now.Add(e.retry.NextBackOff())
