Do not leave an item aside for one engine that is not reached

Cause, from the logs: the only engine with weights that the batch allows was not reached, and its link reset each connection. Each item broke there four times within a second. Four runs in a row without an event counted as an item that crashes engines, and such items wait for the end of their batch.

Ruled out: the role (one holder all the time), versions (engines with new enough weights came 7 s later), the store.

Change: the engines at which such runs broke are counted, each start of an engine once, and the pause between two tries is at most 2 s. An item that crashes engines still stops after four of them.

Tests: TestUnreachedEnginesDoNotEndAnItem failed before (no result in 30 s), passes after; TestCrashingItemStops saw 3 engines hit before, 4 after.

The relay of the stand-ins learned to hold one direction.

--- a/internal/standin/cut/cut.go
+++ b/internal/standin/cut/cut.go
@@ -81,10 +81,43 @@
 func (r *Relay) Close() {
 	for _, l := range r.links {
 		l.hold(false, false)
+		l.holdBack(false)
 		l.drop(true)
 	}
 }
 
+// Drop resets the connections of a listen address and refuses new ones.
+func (r *Relay) Drop(listen string, on bool) {
+	r.each(cutBody{Pairs: []string{listen}}, func(l *link, _ cutBody) { l.drop(on) })
+}
+
+// Reset resets the connections of a listen address and accepts new ones.
+func (r *Relay) Reset(listen string) {
+	r.Drop(listen, true)
+	r.Drop(listen, false)
+}
+
+// Hold carries nothing, or nothing towards the caller if oneWay is set.
+func (r *Relay) Hold(listen string, on, oneWay bool) {
+	r.each(cutBody{Pairs: []string{listen}}, func(l *link, _ cutBody) {
+		if oneWay {
+			l.holdBack(on)
+			return
+		}
+		l.hold(on, false)
+	})
+}
+
+// Silence makes the connections that are open now carry nothing for good.
+func (r *Relay) Silence(listen string) {
+	r.each(cutBody{Pairs: []string{listen}}, func(l *link, _ cutBody) { l.hold(true, true) })
+}
+
+// Delay adds a time to each direction.
+func (r *Relay) Delay(listen string, delay time.Duration) {
+	r.each(cutBody{Pairs: []string{listen}}, func(l *link, _ cutBody) { l.slow(delay) })
+}
+
 type cutBody struct {
 	On       bool     `json:"on"`
 	MS       int64    `json:"ms"`
@@ -113,12 +146,11 @@
 	set("drop", func(l *link, b cutBody) { l.drop(b.On) })
 	set("hold", func(l *link, b cutBody) { l.hold(b.On, b.Existing) })
 	set("delay", func(l *link, b cutBody) {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		l.delay = 0
-		if b.On {
-			l.delay = time.Duration(b.DelayMS * float64(time.Millisecond))
+		if !b.On {
+			l.slow(0)
+			return
 		}
+		l.slow(time.Duration(b.DelayMS * float64(time.Millisecond)))
 	})
 	return router
 }
@@ -139,6 +171,7 @@
 	conns    map[*joined]struct{}
 	delay    time.Duration
 	held     chan struct{}
+	heldBack chan struct{} // holds only what goes to the caller
 }
 
 // joined is a relayed connection.
@@ -205,8 +238,8 @@
 	l.conns[j] = struct{}{}
 	l.mu.Unlock()
 	var group sync.WaitGroup
-	group.Go(func() { l.carry(j, near, far) })
-	group.Go(func() { l.carry(j, far, near) })
+	group.Go(func() { l.carry(j, near, far, l.gate) })
+	group.Go(func() { l.carry(j, far, near, l.backGate) })
 	group.Wait()
 	j.close(false)
 	l.mu.Lock()
@@ -220,7 +253,7 @@
 }
 
 // carry copies one direction; the end of the stream is carried on as well.
-func (l *link) carry(j *joined, from, to net.Conn) {
+func (l *link) carry(j *joined, from, to net.Conn, gate func() chan struct{}) {
 	queue := make(chan chunk, queuedChunks)
 	go func() {
 		defer close(queue)
@@ -243,7 +276,7 @@
 		}
 	}()
 	for c := range queue {
-		if !l.pass(j, c.due) {
+		if !l.pass(j, c.due, gate) {
 			return
 		}
 		if _, err := to.Write(c.bytes); err != nil {
@@ -251,7 +284,7 @@
 			return
 		}
 	}
-	if !l.pass(j, time.Time{}) {
+	if !l.pass(j, time.Time{}, gate) {
 		return
 	}
 	if tcp, ok := to.(*net.TCPConn); ok {
@@ -261,7 +294,7 @@
 
 // pass waits until bytes that are due may go on; false means that the
 // connection is gone.
-func (l *link) pass(j *joined, due time.Time) bool {
+func (l *link) pass(j *joined, due time.Time, held func() chan struct{}) bool {
 	timer := time.NewTimer(max(0, time.Until(due)))
 	defer timer.Stop()
 	select {
@@ -270,7 +303,7 @@
 		return false
 	}
 	for {
-		gate := l.gate()
+		gate := held()
 		select {
 		case <-j.silent:
 			<-j.gone
@@ -294,6 +327,34 @@
 	return l.held
 }
 
+// backGate returns the gate of what goes to the caller.
+func (l *link) backGate() chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.held != nil {
+		return l.held
+	}
+	return l.heldBack
+}
+
+func (l *link) slow(delay time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.delay = delay
+}
+
+func (l *link) holdBack(on bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case on && l.heldBack == nil:
+		l.heldBack = make(chan struct{})
+	case !on && l.heldBack != nil:
+		close(l.heldBack)
+		l.heldBack = nil
+	}
+}
+
 func (l *link) hold(on, existing bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/training/runner/runner_test.go
+++ b/internal/training/runner/runner_test.go
@@ -28,6 +28,9 @@
 	waiting = 30 * time.Second
 )
 
+// endpoints are the engines, which share one address.
+var endpoints = []string{"e1", "e2"}
+
 var names = headers.Names{
 	Request: "X-Request", Deadline: "X-Deadline", Endpoint: "X-Endpoint", Account: "X-Account", Stamp: "X-Stamp",
 	Rejected: "X-Rejected", Versions: "X-Versions", VersionKey: "versions", Load: "X-Load", Cold: "X-Cold",
@@ -40,10 +43,17 @@
 	version int64
 	runs    map[string]int
 	asked   map[string][]string // Last-Event-Id of each run
+	crashed map[string]int      // runs by endpoint that brought nothing
 }
 
 func newEngine() *engine {
-	return &engine{version: 5, runs: map[string]int{}, asked: map[string][]string{}}
+	return &engine{version: 5, runs: map[string]int{}, asked: map[string][]string{}, crashed: map[string]int{}}
+}
+
+func (e *engine) hit(endpoint string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.crashed[endpoint]++
 }
 
 func (e *engine) begin(id, last string) (run int, version int64) {
@@ -65,6 +75,10 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if fault == "resets" && run <= 5 || fault == "crashing" {
+		e.hit(r.Header.Get(names.Endpoint))
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set(names.Stamp, "stamp-"+id)
 	switch {
 	case fault == "failing" || (fault == "unscored" && strings.HasSuffix(id, "-reward")):
@@ -110,7 +124,7 @@
 func (w *world) newRunner(t *testing.T, address string) *Runner {
 	timers := clock.NewSystem()
 	fleet := replica.NewFleet(timers, replica.Options{Ceiling: 1})
-	for _, id := range []string{"e1", "e2"} {
+	for _, id := range endpoints {
 		fleet.Put(replica.Entry{ID: id, Service: "llm", Slots: 8, Address: address, Models: map[string]int64{"m": 5}})
 	}
 	fleet.Put(replica.Entry{ID: "s1", Service: "scorer", Slots: 8, Address: address})
@@ -213,6 +227,40 @@
 	}
 }
 
+// Guards against an item that is left aside, as if it crashed engines, because
+// the only engines with new enough weights were not reached for a second.
+func TestUnreachedEnginesDoNotEndAnItem(t *testing.T) {
+	w := newWorld(t)
+	b := sample("resets-1")
+	w.runner.SetActive(context.Background(), true)
+	w.runner.Add(context.Background(), b, true)
+	if result := w.results(t, b)["resets-1"]; !result.Done {
+		t.Errorf("%+v", result)
+	}
+}
+
+// Guards against an item that crashes one engine after the other.
+func TestCrashingItemStops(t *testing.T) {
+	endpoints = []string{"e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8"}
+	defer func() { endpoints = []string{"e1", "e2"} }()
+	w := newWorld(t)
+	b := sample("crashing-1")
+	w.runner.SetActive(context.Background(), true)
+	w.runner.Add(context.Background(), b, true)
+	hit, changed := 0, time.Now()
+	for time.Since(changed) < 3*time.Second {
+		time.Sleep(20 * time.Millisecond)
+		w.engine.mu.Lock()
+		if len(w.engine.crashed) != hit {
+			hit, changed = len(w.engine.crashed), time.Now()
+		}
+		w.engine.mu.Unlock()
+	}
+	if hit != 4 {
+		t.Errorf("%d engines were hit, want 4", hit)
+	}
+}
+
 // Two workers that both carry out a batch agree on the positions, since the
 // first page under a number counts.
 func TestTwoRunnersAgree(t *testing.T) {
--- a/internal/training/runner/schedule.go
+++ b/internal/training/runner/schedule.go
@@ -55,7 +55,7 @@
 				r.score(t)
 				continue
 			}
-			if t.breaks >= barrenBreaks {
+			if t.crashes() {
 				continue
 			}
 			if !r.place(t) {
--- a/internal/training/runner/task.go
+++ b/internal/training/runner/task.go
@@ -43,11 +43,12 @@
 	text      text
 	gaveUp    bool
 	notBefore time.Time
-	errors    int // answers of 500
-	breaks    int // runs in a row that brought no event
-	rewards   int // answers of 500 to the scoring call
-	session   int // activation of the runner in which the text got its origin
-	moves     int // runs that were ended to go on at a faster engine
+	errors    int           // answers of 500
+	breaks    int           // runs in a row that brought no event
+	crashed   map[life]bool // where these runs broke
+	rewards   int           // answers of 500 to the scoring call
+	session   int           // activation of the runner in which the text got its origin
+	moves     int           // runs that were ended to go on at a faster engine
 	cancel    context.CancelCauseFunc
 	endpoint  string
 	began     time.Time
@@ -87,12 +88,22 @@
 	// after a rejection and after a failure.
 	shortRetry = 30 * time.Millisecond
 	longRetry  = 150 * time.Millisecond
-	// barrenBreaks is the number of runs without any event, all broken, after
-	// which an item counts as one that crashes engines and waits for its end.
-	barrenBreaks = 4
-	answerLimit  = 1 << 20
+	// longestRetry bounds the pause after several failures in a row.
+	longestRetry = 2 * time.Second
+	// barrenLives is the number of engines at which runs without any event
+	// broke, after which an item counts as one that crashes engines and waits
+	// for its end. An engine that is not reached breaks each run, so it counts
+	// once until it starts anew.
+	barrenLives = 4
+	answerLimit = 1 << 20
 )
 
+// life is one start of an engine.
+type life struct {
+	endpoint string
+	born     int64
+}
+
 // The ways in which a run ends.
 var (
 	errRejected = errors.New("the engine did not run the item")
@@ -283,7 +294,7 @@
 	}
 	now := r.timers.Now()
 	if len(made.pieces) > len(t.text.pieces) {
-		t.breaks = 0
+		t.breaks, t.crashed = 0, nil
 	}
 	t.text, t.state, t.cancel = made, statePending, nil
 	if version > 0 {
@@ -317,8 +328,7 @@
 			r.giveUp(t, "status 500")
 		}
 	default:
-		t.breaks++
-		t.notBefore = now.Add(longRetry * time.Duration(t.breaks))
+		t.broke(life{e.ID, e.Born}, now)
 	}
 	r.log.WithFields(logrus.Fields{
 		logs.Request: t.item.ID, "batch": t.job.batch.ID, logs.Endpoint: e.ID, logs.Cause: err.Error(),
@@ -327,6 +337,19 @@
 	}).Info("run ended early")
 }
 
+// broke puts the next run off after one that brought nothing.
+func (t *task) broke(at life, now time.Time) {
+	if t.crashed == nil {
+		t.crashed = map[life]bool{}
+	}
+	t.crashed[at] = true
+	t.breaks++
+	t.notBefore = now.Add(min(longRetry*time.Duration(t.breaks), longestRetry))
+}
+
+// crashes reports whether the item counts as one that crashes engines.
+func (t *task) crashes() bool { return len(t.crashed) >= barrenLives }
+
 // giveUp lists an item that will not be completed.
 func (r *Runner) giveUp(t *task, reason string) {
 	r.log.WithFields(logrus.Fields{
