Let the first worker make the watches of all workers

Cause: on the grown sites calls to the store are the largest price.

Change: a worker lets the first by name make its watches, those of its followers among them. Each only asks those before it, so no circle arises when their lists differ. Its slack is 150 ms instead of 300 ms, so that it has found another way before its followers leave it. Calls for help are marked and made on the peer's own connection, as before.

--- a/cmd/wigeonpin/node.go
+++ b/cmd/wigeonpin/node.go
@@ -92,29 +92,45 @@
 	calls := n.meters.Counter(storeCalls)
 	shared := relay.NewShared(
 		platform.Direct(n.source.Store, exchange.New(exchange.Options{}), func(call string) { calls.Add(call, 1) }),
+		relay.DirectLimit,
 	)
+	slack := relay.HostSlack
+	if role == roleWorker {
+		slack = relay.ChainSlack
+	}
 	route := relay.NewRoute(relay.Seams{
 		Direct: shared.Call, Ask: relay.NewAsk(), Probe: platform.Probe(), Lost: shared.Drop,
-		Peers: n.relays, Hosts: n.hosts(role),
+		Peers: n.relays, Hosts: n.hosts(role), HostSlack: slack,
 	}, n.timers, n.log)
 	n.isolated = route.Isolated
-	n.store = platform.NewStore(route.Call)
+	watches := relay.NewShared(route.Call, slack+relay.DirectLimit)
+	n.store = platform.NewStore(watches.Call)
 	self := members.Member{Name: p.Name, Address: listener.Addr().String(), Zone: p.Zone, Role: role}
 	n.peers = members.New(n.store, self, n.timers, n.log)
 	go n.peers.Run(ctx)
 	n.mux = http.NewServeMux()
-	n.mux.Handle(relay.RelayPathPrefix, relay.NewServer(shared.Call))
+	n.mux.Handle(relay.RelayPathPrefix, relay.NewServer(shared.Call, n.watch(role, shared, watches)))
 	server := &http.Server{Handler: n.mux, ReadHeaderTimeout: headTime}
 	go func() { n.log.WithField(logs.Cause, server.Serve(listener).Error()).Error("relay stopped") }()
 	return nil
 }
 
+// watch returns the function that makes watches for peers. Only workers pass
+// them on.
+func (n *node) watch(role string, own, passed *relay.Shared) relay.Direct {
+	if role == roleWorker {
+		return passed.Call
+	}
+	return own.Call
+}
+
 // hosts returns the function that lists the processes that make watches for
 // this one: the workers, those of the same availability zone first. Workers
-// make their own.
+// let the first by name make theirs. As each only asks those before it, a watch
+// does not go round in a circle when their lists differ.
 func (n *node) hosts(role string) func() []string {
 	if role == roleWorker {
-		return nil
+		return func() []string { return n.peers.Before(roleWorker) }
 	}
 	return func() []string {
 		addresses := n.peers.Role(roleWorker)
--- a/internal/node/members/members.go
+++ b/internal/node/members/members.go
@@ -113,6 +113,14 @@
 	return list
 }
 
+// Before returns the addresses of the other processes with a role whose names
+// come before this one's, in order of the names.
+func (m *Members) Before(role string) []string {
+	list := slices.DeleteFunc(m.All(), func(other Member) bool { return other.Role != role || other.Name >= m.self.Name })
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	return addresses(list)
+}
+
 // Role returns the addresses of the other processes with a role, those in
 // other availability zones first.
 func (m *Members) Role(role string) []string {
@@ -123,9 +131,13 @@
 		}
 		return list[i].Name < list[j].Name
 	})
-	addresses := make([]string, 0, len(list))
-	for _, other := range list {
-		addresses = append(addresses, other.Address)
+	return addresses(list)
+}
+
+func addresses(list []Member) []string {
+	all := make([]string, 0, len(list))
+	for _, member := range list {
+		all = append(all, member.Address)
 	}
-	return addresses
+	return all
 }
--- a/internal/peer/relay/host.go
+++ b/internal/peer/relay/host.go
@@ -6,8 +6,11 @@
 )
 
 const (
-	// hostSlack is added to the time that a host may wait with a shared watch.
-	hostSlack = 300 * time.Millisecond
+	// HostSlack is the slack of processes that host no watches.
+	HostSlack = 300 * time.Millisecond
+	// ChainSlack is the slack of processes that host watches and let another
+	// make them. They find another way before those that they serve give up.
+	ChainSlack = 150 * time.Millisecond
 	// firstShun and lastShun bound how long a host that failed is not asked; the
 	// time doubles with each failure in a row.
 	firstShun = 2 * time.Second
@@ -27,7 +30,7 @@
 	if address == "" {
 		return Reply{}, false, false
 	}
-	limit := call.Wait + hostSlack
+	limit := call.Wait + r.seams.HostSlack
 	limited, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	reply, err := r.seams.Ask(limited, address, call, limit)
--- a/internal/peer/relay/peers.go
+++ b/internal/peer/relay/peers.go
@@ -34,6 +34,7 @@
 
 // throughPeers makes the call through another process.
 func (r *Route) throughPeers(ctx context.Context, call Call) (Reply, error) {
+	call.Own = true
 	r.mu.Lock()
 	down := r.timers.Now().Before(r.downTill)
 	r.mu.Unlock()
@@ -111,7 +112,7 @@
 }
 
 func (r *Route) ask(ctx context.Context, address string, call Call) (Reply, error) {
-	limit := call.Wait + directLimit
+	limit := call.Wait + DirectLimit
 	ctx, cancel := context.WithTimeout(ctx, limit+peerLimit)
 	defer cancel()
 	reply, err := r.seams.Ask(ctx, address, call, limit)
--- a/internal/peer/relay/relay_test.go
+++ b/internal/peer/relay/relay_test.go
@@ -44,7 +44,7 @@
 func serve(t *testing.T, w *way, far bool) Peer {
 	t.Helper()
 	mux := http.NewServeMux()
-	mux.Handle(RelayPathPrefix, NewServer(w.direct))
+	mux.Handle(RelayPathPrefix, NewServer(w.direct, w.direct))
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
 	return Peer{Address: strings.TrimPrefix(server.URL, "http://"), Far: far}
@@ -203,9 +203,9 @@
 		case <-ctx.Done():
 		}
 		return reply, err
-	})
+	}, DirectLimit)
 	mux := http.NewServeMux()
-	mux.Handle(RelayPathPrefix, NewServer(shared.Call))
+	mux.Handle(RelayPathPrefix, NewServer(shared.Call, shared.Call))
 	host := httptest.NewServer(mux)
 	defer host.Close()
 	own := newWay("ok")
@@ -214,7 +214,8 @@
 	for range followers {
 		route := NewRoute(Seams{
 			Direct: own.direct, Ask: NewAsk(), Peers: func() []Peer { return nil },
-			Hosts: func() []string { return []string{strings.TrimPrefix(host.URL, "http://")} },
+			Hosts:     func() []string { return []string{strings.TrimPrefix(host.URL, "http://")} },
+			HostSlack: HostSlack,
 		}, clock.NewSystem(), logs.Discard())
 		go func() {
 			_, err := route.Call(context.Background(), Call{Method: "GET", Path: "/k", Query: "watch=1", Wait: 30 * time.Second})
@@ -244,7 +245,8 @@
 	own := newWay("ok")
 	route := NewRoute(Seams{
 		Direct: own.direct, Peers: func() []Peer { return nil },
-		Hosts: func() []string { return []string{strings.TrimPrefix(closed.URL, "http://")} },
+		Hosts:     func() []string { return []string{strings.TrimPrefix(closed.URL, "http://")} },
+		HostSlack: HostSlack,
 		Ask: func(ctx context.Context, address string, call Call, limit time.Duration) (Reply, error) {
 			asked.Add(1)
 			return ask(ctx, address, call, limit)
@@ -264,17 +266,18 @@
 // a follower whose own way is lost too is isolated without waiting for a watch.
 func TestCutZoneIsNoticedAtOnce(t *testing.T) {
 	silent := newWay("silent")
-	shared := NewShared(silent.direct)
+	shared := NewShared(silent.direct, DirectLimit)
 	mux := http.NewServeMux()
-	mux.Handle(RelayPathPrefix, NewServer(shared.Call))
+	mux.Handle(RelayPathPrefix, NewServer(shared.Call, shared.Call))
 	host := httptest.NewServer(mux)
 	defer host.Close()
 	closed := httptest.NewServer(http.NotFoundHandler())
 	closed.Close()
 	follower := NewRoute(Seams{
 		Direct: newWay("unsent").direct, Ask: NewAsk(),
-		Peers: func() []Peer { return []Peer{{Address: strings.TrimPrefix(closed.URL, "http://"), Far: true}} },
-		Hosts: func() []string { return []string{strings.TrimPrefix(host.URL, "http://")} },
+		Peers:     func() []Peer { return []Peer{{Address: strings.TrimPrefix(closed.URL, "http://"), Far: true}} },
+		Hosts:     func() []string { return []string{strings.TrimPrefix(host.URL, "http://")} },
+		HostSlack: HostSlack,
 	}, clock.NewSystem(), logs.Discard())
 	watched := make(chan struct{})
 	go func() {
@@ -294,3 +297,75 @@
 		t.Error("the follower is not isolated")
 	}
 }
+
+// chain is a host that lets the hosts before it make its watches.
+type chain struct {
+	own     *way
+	server  *httptest.Server
+	watches *Shared
+}
+
+func newChain(t *testing.T, own *way, before ...*chain) *chain {
+	c := &chain{own: own}
+	shared := NewShared(own.direct, DirectLimit)
+	var hosts []string
+	for _, other := range before {
+		hosts = append(hosts, strings.TrimPrefix(other.server.URL, "http://"))
+	}
+	route := NewRoute(Seams{
+		Direct: shared.Call, Ask: NewAsk(), Peers: func() []Peer { return nil },
+		Hosts: func() []string { return hosts }, HostSlack: ChainSlack,
+	}, clock.NewSystem(), logs.Discard())
+	c.watches = NewShared(route.Call, ChainSlack+DirectLimit)
+	mux := http.NewServeMux()
+	mux.Handle(RelayPathPrefix, NewServer(shared.Call, c.watches.Call))
+	c.server = httptest.NewServer(mux)
+	t.Cleanup(c.server.Close)
+	return c
+}
+
+// Guards against hosts that each make the same watch, against a lost first host
+// that takes the second one's followers with it, and against calls for help
+// that are passed on.
+func TestHostsLetTheFirstWatch(t *testing.T) {
+	first := newChain(t, newWay("ok"))
+	second := newChain(t, newWay("ok"), first)
+	asked := newWay("ok")
+	follow := func() (Reply, error) {
+		route := NewRoute(Seams{
+			Direct: asked.direct, Ask: NewAsk(), Peers: func() []Peer { return nil }, HostSlack: HostSlack,
+			Hosts: func() []string { return []string{strings.TrimPrefix(second.server.URL, "http://")} },
+		}, clock.NewSystem(), logs.Discard())
+		return route.Call(context.Background(), Call{Method: "GET", Path: "/k", Query: "watch=1", Wait: time.Second})
+	}
+	if _, err := follow(); err != nil || first.own.calls.Load() != 1 || second.own.calls.Load() != 0 || asked.calls.Load() != 0 {
+		t.Errorf("watch: %v; calls of the first %d, the second %d, the follower %d; want 1, 0, 0",
+			err, first.own.calls.Load(), second.own.calls.Load(), asked.calls.Load())
+	}
+	call := Call{Method: "GET", Path: "/k", Wait: time.Second, Own: true}
+	if _, err := NewAsk()(context.Background(), strings.TrimPrefix(second.server.URL, "http://"), call, time.Second); err != nil || second.own.calls.Load() != 1 {
+		t.Errorf("call for help: %v; the second made %d calls, want 1", err, second.own.calls.Load())
+	}
+	first.server.Close()
+	if _, err := follow(); err != nil || asked.calls.Load() != 0 || second.own.calls.Load() == 1 {
+		t.Errorf("first host gone: %v; the follower made %d calls, want 0, the second %d", err, asked.calls.Load(), second.own.calls.Load())
+	}
+}
+
+// Guards against followers that leave a host while it waits for the first one,
+// which is silent.
+func TestSilentFirstHost(t *testing.T) {
+	released := make(chan struct{})
+	silent := &chain{server: httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-released }))}
+	defer silent.server.Close()
+	defer close(released)
+	second := newChain(t, newWay("ok"), silent)
+	asked := newWay("ok")
+	route := NewRoute(Seams{
+		Direct: asked.direct, Ask: NewAsk(), Peers: func() []Peer { return nil }, HostSlack: HostSlack,
+		Hosts: func() []string { return []string{strings.TrimPrefix(second.server.URL, "http://")} },
+	}, clock.NewSystem(), logs.Discard())
+	if _, err := route.Call(context.Background(), Call{Wait: 500 * time.Millisecond}); err != nil || asked.calls.Load() != 0 {
+		t.Errorf("%v; the follower made %d calls of its own, want 0", err, asked.calls.Load())
+	}
+}
--- a/internal/peer/relay/route.go
+++ b/internal/peer/relay/route.go
@@ -28,9 +28,9 @@
 )
 
 const (
-	// directLimit is how long a call that does not wait may take before it is
+	// DirectLimit is how long a call that does not wait may take before it is
 	// tried through a peer. A slow store answers within a quarter of a second.
-	directLimit = 450 * time.Millisecond
+	DirectLimit = 450 * time.Millisecond
 	// probePeriod is how often the direct way is tried while it is lost, and
 	// probeLimit how long one trial may take.
 	probePeriod = 700 * time.Millisecond
@@ -38,11 +38,12 @@
 )
 
 // Call is one call to the store. Wait is the time that the store may take on
-// purpose.
+// purpose. Own keeps a peer that is asked from asking others.
 type Call struct {
 	Method, Path, Query string
 	Body                []byte
 	Wait                time.Duration
+	Own                 bool
 }
 
 // Reply is the store's answer.
@@ -84,6 +85,9 @@
 	// Hosts returns the addresses of processes that make watches for others, the
 	// preferred one first; it may be nil.
 	Hosts func() []string
+	// HostSlack is added to the time that a host may wait with a shared watch.
+	// A process that hosts watches itself needs less than those that it serves.
+	HostSlack time.Duration
 	// Lost is called when the direct way is found lost; it may be nil.
 	Lost func()
 	Ask  func(ctx context.Context, address string, call Call, limit time.Duration) (Reply, error)
@@ -147,7 +151,7 @@
 // direct makes the call on this process's own connection. A watch ends early
 // when another call finds the direct way lost.
 func (r *Route) direct(ctx context.Context, call Call, broken <-chan struct{}) (Reply, error) {
-	limit := call.Wait + directLimit
+	limit := call.Wait + DirectLimit
 	if len(r.seams.Peers()) == 0 {
 		limit *= 2
 	}
--- a/internal/peer/relay/server.go
+++ b/internal/peer/relay/server.go
@@ -18,11 +18,14 @@
 	idlePeers    = 4
 )
 
-type server struct{ direct Direct }
+type server struct{ direct, watch Direct }
 
-// NewServer returns the handler that makes calls for peers. It uses only its
-// own way to the store, so that calls do not wander from peer to peer.
-func NewServer(direct Direct) http.Handler { return NewRelayServer(&server{direct: direct}) }
+// NewServer returns the handler that makes calls for peers. Calls that must be
+// made on the own connection use direct, so that they do not wander from peer
+// to peer; shared watches use watch.
+func NewServer(direct, watch Direct) http.Handler {
+	return NewRelayServer(&server{direct: direct, watch: watch})
+}
 
 // Call serves one call of a peer.
 func (s *server) Call(ctx context.Context, request *CallRequest) (*CallReply, error) {
@@ -32,7 +35,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	reply, err := s.direct(ctx, Call{
+	carry := s.direct
+	if request.GetWait() > 0 && !request.GetOwn() {
+		carry = s.watch
+	}
+	reply, err := carry(ctx, Call{
 		Method: request.GetMethod(), Path: request.GetPath(), Query: request.GetQuery(), Body: request.GetBody(),
 		Wait: time.Duration(request.GetWait()) * time.Millisecond,
 	})
@@ -52,7 +59,7 @@
 		peer := NewRelayProtobufClient("http://"+address, client)
 		reply, err := peer.Call(ctx, &CallRequest{
 			Method: call.Method, Path: call.Path, Query: call.Query, Body: call.Body, Limit: limit.Milliseconds(),
-			Wait: call.Wait.Milliseconds(),
+			Wait: call.Wait.Milliseconds(), Own: call.Own,
 		})
 		if err != nil {
 			return Reply{}, NewError(!unreached(err), err)
--- a/internal/peer/relay/shared.go
+++ b/internal/peer/relay/shared.go
@@ -11,6 +11,7 @@
 // same time. Other calls are made one by one.
 type Shared struct {
 	direct Direct
+	slack  time.Duration
 
 	mu      sync.Mutex
 	flights map[string]*flight
@@ -24,9 +25,10 @@
 	err      error
 }
 
-// NewShared returns a Shared that makes its calls by direct.
-func NewShared(direct Direct) *Shared {
-	return &Shared{direct: direct, flights: map[string]*flight{}}
+// NewShared returns a Shared that makes its calls by direct. A watch may take
+// slack longer than the store waits.
+func NewShared(direct Direct, slack time.Duration) *Shared {
+	return &Shared{direct: direct, slack: slack, flights: map[string]*flight{}}
 }
 
 // Call makes the call or joins an equal watch. A caller that joins late waits
@@ -53,7 +55,7 @@
 	if f, found := s.flights[key]; found {
 		return f
 	}
-	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), call.Wait+directLimit)
+	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), call.Wait+s.slack)
 	f := &flight{cancel: cancel, finished: make(chan struct{})}
 	s.flights[key] = f
 	go func() {
