Recall texts after a restart once peers and batches are known

It asked for copies of texts at once, before it had read the list of the other workers, so it asked nobody; copies that came would have been dropped, as the batches were not read before 25.2 s.

Ruled out: the copies (the standby had them).

Change: a new holder waits up to 1 s for the batches and the list of workers before it asks.

Test: TestRestartedHolderRecallsTexts, with the old order: nothing is listed in 20 s.

--- a/internal/node/members/members.go
+++ b/internal/node/members/members.go
@@ -49,15 +49,21 @@
 	timers *clock.Service
 	log    *logrus.Entry
 
+	list   *mirror.Mirror
 	mu     sync.RWMutex
 	others map[string]Member
 }
 
 // New returns a list that Run fills.
 func New(store records.Store, self Member, timers *clock.Service, log *logrus.Entry) *Members {
-	return &Members{store: store, self: self, timers: timers, log: log, others: map[string]Member{}}
+	m := &Members{store: store, self: self, timers: timers, log: log, others: map[string]Member{}}
+	m.list = mirror.New(store, kind, mirror.Options{Wait: watchTime, Apply: m.apply}, timers, log)
+	return m
 }
 
+// Known reports whether the others were read from the store.
+func (m *Members) Known() bool { return m.list.Synced() }
+
 // Run registers this process and follows the others until ctx ends.
 func (m *Members) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -68,7 +74,7 @@
 		m.log.WithField(logs.Cause, err.Error()).Warn("process not registered")
 		_ = m.timers.Sleep(ctx, writeRetry)
 	}
-	mirror.New(m.store, kind, mirror.Options{Wait: watchTime, Apply: m.apply}, m.timers, m.log).Run(ctx)
+	m.list.Run(ctx)
 }
 
 func (m *Members) register(ctx context.Context) error {
--- a/internal/node/worker/worker.go
+++ b/internal/node/worker/worker.go
@@ -48,6 +48,9 @@
 	termShare = 2
 	// readRetry is the pause after a batch that could not be read.
 	readRetry = 300 * time.Millisecond
+	// readTime is how long a new holder waits for the batches and the list of
+	// the other workers.
+	readTime = time.Second
 	// syncPeriod is how often a starting holder looks whether it knows enough.
 	syncPeriod = 20 * time.Millisecond
 )
@@ -64,6 +67,7 @@
 type Parts struct {
 	Store          records.Store
 	Peers          func() []string // addresses of the other workers
+	PeersKnown     func() bool     // the list of the others was read
 	Duties         Duties
 	Formats        view.Formats
 	Names          headers.Names
@@ -88,6 +92,7 @@
 	runner   *runner.Runner
 	reporter *window.Reporter
 	turn     atomic.Pointer[leader.Turn]
+	accepted atomic.Bool // all batches of the store were read
 	shelf    *batch.Shelf
 }
 
@@ -138,7 +143,7 @@
 	running.Go(func() { w.follow(w.parts.RetirementKind, retireTime, w.retire(ctx, turn)).Run(ctx) })
 	running.Go(func() { w.reporter.Run(ctx, turn) })
 	running.Go(func() {
-		w.runner.Recall(ctx, w.parts.Peers())
+		w.recall(ctx)
 		if w.await(ctx, w.view.Known) {
 			w.runner.SetActive(ctx, true)
 			w.planner.Run(ctx, turn)
@@ -151,6 +156,18 @@
 	w.runner.SetActive(limited, false)
 }
 
+// recall asks the other workers for the texts of open batches. A worker that
+// has just started takes the role before it has read the batches and the list
+// of the others; texts that came before would be dropped.
+func (w *Worker) recall(ctx context.Context) {
+	limited, cancel := w.timers.WithTimeout(ctx, readTime)
+	defer cancel()
+	if !w.await(limited, func() bool { return w.accepted.Load() && w.parts.PeersKnown() }) {
+		w.log.Warn("role taken without all batches or peers")
+	}
+	w.runner.Recall(ctx, w.parts.Peers())
+}
+
 func (w *Worker) follow(kind string, wait time.Duration, apply func(records.Record)) *mirror.Mirror {
 	return mirror.New(w.store, kind, mirror.Options{Wait: wait, Apply: apply}, w.timers, w.log)
 }
@@ -186,6 +203,7 @@
 			w.runner.Add(ctx, b, accepted.Synced())
 		}
 	})
+	go func() { w.accepted.Store(w.await(ctx, accepted.Synced)) }()
 	accepted.Run(ctx)
 }
 
--- /dev/null
+++ b/internal/node/worker/worker_test.go
@@ -0,0 +1,102 @@
+package worker
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/control/manifest"
+	"github.com/wigeonpin/wigeonpin/internal/fleet/replica"
+	"github.com/wigeonpin/wigeonpin/internal/node/profile"
+	"github.com/wigeonpin/wigeonpin/internal/node/view"
+	"github.com/wigeonpin/wigeonpin/internal/peer/records"
+	"github.com/wigeonpin/wigeonpin/internal/standin/ledger"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/headers"
+	"github.com/wigeonpin/wigeonpin/internal/training/batch"
+	"github.com/wigeonpin/wigeonpin/internal/training/runner"
+)
+
+// standby is another worker that holds the whole text of one item.
+type standby struct{ asked atomic.Int64 }
+
+func (s *standby) Keep(context.Context, *runner.KeepRequest) (*runner.KeepReply, error) {
+	return &runner.KeepReply{}, nil
+}
+
+func (s *standby) Recall(context.Context, *runner.RecallRequest) (*runner.RecallReply, error) {
+	s.asked.Add(1)
+	return &runner.RecallReply{Texts: []*runner.Text{
+		{Item: "i1", Pieces: []string{"one", "two"}, Last: 2, Versions: []int64{1}, Complete: true, Origin: "o"},
+	}}, nil
+}
+
+// Guards against a worker that starts again, takes the role at once and begins
+// all texts anew, since it asks for copies before it knows the other workers
+// and the batches. There is no engine here, so only the copy can be listed.
+func TestRestartedHolderRecallsTexts(t *testing.T) {
+	s := &standby{}
+	server := httptest.NewServer(runner.NewStandbyServer(s))
+	defer server.Close()
+	l := ledger.New()
+	store := l.Store()
+	b := &batch.Batch{ID: "b1", Account: "acme", Host: "h", Model: "m", Oldest: 1, Time: time.Now(), Items: []batch.Item{{ID: "i1", Path: "/gen/i1"}}}
+	if err := batch.NewShelf(store, 1<<20).Accept(context.Background(), b); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := store.Create(context.Background(), records.Record{Kind: "config", Name: "main"}); err != nil {
+		t.Fatal(err)
+	}
+	// The list of workers, and the batches, come later than the role.
+	slow := store
+	slow.List = func(ctx context.Context, kind, after string) (records.Page, error) {
+		if kind == batch.KindBatches {
+			time.Sleep(200 * time.Millisecond)
+		}
+		return store.List(ctx, kind, after)
+	}
+	began := time.Now()
+	known := func() bool { return time.Since(began) > 300*time.Millisecond }
+	route := manifest.Route{Host: "h", Prefix: "/gen/", Kind: manifest.Rollout, Attempts: 2, Patience: time.Minute, Targets: []manifest.Target{{Service: "llm", Weight: 1}}}
+	w := New(profile.Profile{Name: "w1", Zone: "a"}.WithDefaults(), Parts{
+		Store: slow, PeersKnown: known,
+		Peers: func() []string {
+			if !known() {
+				return nil
+			}
+			return []string{strings.TrimPrefix(server.URL, "http://")}
+		},
+		Formats: view.Formats{
+			ManifestKind: "config", ManifestName: "main", EndpointKind: "endpoints", ZoneKind: "zones",
+			Manifest: func(records.Record) (*manifest.Manifest, error) {
+				return manifest.New(1, []manifest.Route{route}, nil, nil, manifest.Limits{}), nil
+			},
+			Endpoint: func(records.Record) (replica.Entry, error) { return replica.Entry{}, nil },
+		},
+		Names: headers.Names{Request: "X-Request"}, VersionKind: "versions", RetirementKind: "retirements",
+		Duties: Duties{
+			Encode: func(int64, map[string]int64) ([]byte, error) { return []byte("{}"), nil },
+			Usage:  func(context.Context, uint64, []byte) error { return nil },
+		},
+	}, clock.NewSystem(), logs.Discard())
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { defer close(ended); w.Run(ctx) }()
+	defer func() { cancel(); <-ended }()
+	w.Handle(ctx, http.NewServeMux())
+	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		pages, err := batch.NewShelf(store, 1<<20).Pages(ctx, "b1")
+		if err == nil && len(pages) > 0 {
+			if got := pages[0].Results[0]; got.Output != "one\ntwo" || !got.Done {
+				t.Errorf("listed %+v, want the copy", got)
+			}
+			return
+		}
+	}
+	t.Errorf("nothing is listed; the standby was asked %d times", s.asked.Load())
+}
