Check the platform's settings as a whole

Only what cannot work is refused: a process that does not start is worse than one with an odd bound.

--- /dev/null
+++ b/internal/node/profile/check.go
@@ -0,0 +1,104 @@
+package profile
+
+import (
+	"fmt"
+	"net"
+	"time"
+)
+
+// Field names a setting in a Problem.
+type Field string
+
+// The fields that are checked.
+const (
+	FieldName      Field = "name"
+	FieldZone      Field = "zone"
+	FieldIP        Field = "ip"
+	FieldFront     Field = "front"
+	FieldReadiness Field = "readiness"
+	FieldStore     Field = "store"
+	FieldCloud     Field = "cloud"
+	FieldPorts     Field = "ports"
+	FieldValue     Field = "value"
+	FieldMemory    Field = "memory"
+	FieldGrace     Field = "grace"
+	FieldLease     Field = "lease"
+	FieldWindow    Field = "window"
+	FieldReportDue Field = "report due"
+	FieldConfigDue Field = "config due"
+	FieldDrainDue  Field = "drain due"
+	FieldZoneDue   Field = "zone due"
+	FieldCancelDue Field = "cancel due"
+)
+
+const (
+	shortestLease  = 500 * time.Millisecond
+	shortestWindow = time.Second
+	shortestBound  = 200 * time.Millisecond
+	shortestGrace  = time.Second
+	smallestValue  = 16 << 10 // bytes
+	largestPort    = 65_535
+)
+
+// Problem is a setting that is out of its range.
+type Problem struct {
+	Field Field
+	Value string
+	Want  string // the allowed range
+}
+
+// Problems returns all settings that are out of their ranges, in a fixed order.
+func (p Profile) Problems() []Problem {
+	var found []Problem
+	values := p.Values()
+	add := func(wrong bool, field Field, want string) {
+		if wrong {
+			found = append(found, Problem{Field: field, Value: values[field], Want: want})
+		}
+	}
+	add(p.Name == "", FieldName, "not empty")
+	add(p.Zone == "", FieldZone, "not empty")
+	add(p.IP != "" && net.ParseIP(p.IP) == nil, FieldIP, "an IP address")
+	add(!address(p.Store), FieldStore, "IP:PORT")
+	add(p.Front != "" && !address(p.Front), FieldFront, "IP:PORT, or left out")
+	add(p.Readiness != "" && !address(p.Readiness), FieldReadiness, "IP:PORT, or left out")
+	add(p.Cloud != "" && !address(p.Cloud), FieldCloud, "IP:PORT, or left out")
+	add(p.FirstPort < 0 || p.LastPort > largestPort || p.FirstPort > p.LastPort, FieldPorts,
+		"two ports, the first not above the second")
+	add(p.ValueBytes < smallestValue, FieldValue, fmt.Sprintf("at least %d", smallestValue))
+	add(p.MemoryBytes < 0, FieldMemory, "at least 0")
+	for _, bound := range []struct {
+		field Field
+		value time.Duration
+		least time.Duration
+	}{
+		{FieldGrace, p.Grace, shortestGrace},
+		{FieldLease, p.Lease, shortestLease},
+		{FieldWindow, p.Window, shortestWindow},
+		{FieldReportDue, p.ReportDue, shortestWindow},
+		{FieldConfigDue, p.ConfigDue, shortestBound},
+		{FieldDrainDue, p.DrainDue, shortestBound},
+		{FieldZoneDue, p.ZoneDue, shortestBound},
+		{FieldCancelDue, p.CancelDue, shortestBound},
+	} {
+		add(bound.value < bound.least, bound.field, fmt.Sprintf("at least %s", bound.least))
+	}
+	return found
+}
+
+// Values returns the settings as text.
+func (p Profile) Values() map[Field]string {
+	return map[Field]string{
+		FieldName: p.Name, FieldZone: p.Zone, FieldIP: p.IP, FieldFront: p.Front, FieldReadiness: p.Readiness,
+		FieldStore: p.Store, FieldCloud: p.Cloud, FieldPorts: fmt.Sprintf("%d to %d", p.FirstPort, p.LastPort),
+		FieldValue: fmt.Sprint(p.ValueBytes), FieldMemory: fmt.Sprintf("%d MB", p.MemoryBytes>>20),
+		FieldGrace: p.Grace.String(), FieldLease: p.Lease.String(), FieldWindow: p.Window.String(),
+		FieldReportDue: p.ReportDue.String(), FieldConfigDue: p.ConfigDue.String(), FieldDrainDue: p.DrainDue.String(),
+		FieldZoneDue: p.ZoneDue.String(), FieldCancelDue: p.CancelDue.String(),
+	}
+}
+
+func address(value string) bool {
+	host, port, err := net.SplitHostPort(value)
+	return err == nil && host != "" && port != ""
+}
--- /dev/null
+++ b/internal/node/profile/check_test.go
@@ -0,0 +1,39 @@
+package profile
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against a check that stops at the first setting, names the wrong one,
+// or refuses what a storage machine leaves out.
+func TestProblems(t *testing.T) {
+	good := Profile{Name: "w", Zone: "a", Store: "10.0.0.1:80"}.WithDefaults()
+	cases := []struct {
+		name   string
+		change func(*Profile)
+		want   []Field
+	}{
+		{"complete", func(*Profile) {}, nil},
+		{"nothing given", func(p *Profile) { *p = Profile{}.WithDefaults() }, []Field{FieldName, FieldZone, FieldStore}},
+		{"addresses", func(p *Profile) { p.IP, p.Front, p.Cloud = "x", ":80", "here" }, []Field{FieldIP, FieldFront, FieldCloud}},
+		{"ports", func(p *Profile) { p.FirstPort, p.LastPort = 70_000, 70_001 }, []Field{FieldPorts}},
+		{"bounds", func(p *Profile) { p.Lease, p.DrainDue = time.Millisecond, -time.Second }, []Field{FieldLease, FieldDrainDue}},
+		{"sizes", func(p *Profile) { p.ValueBytes, p.MemoryBytes = 1, -1 }, []Field{FieldValue, FieldMemory}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := good
+			c.change(&p)
+			found := p.Problems()
+			if len(found) != len(c.want) {
+				t.Fatalf("%+v, want %v", found, c.want)
+			}
+			for i, problem := range found {
+				if problem.Field != c.want[i] || problem.Want == "" {
+					t.Errorf("%+v, want %s with its range", problem, c.want[i])
+				}
+			}
+		})
+	}
+}
--- a/internal/node/profile/profile.go
+++ b/internal/node/profile/profile.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	p := profile.Profile{Name: "edge-1", Zone: "a", Store: "10.0.0.1:8000"}.WithDefaults()
-//	if err := p.Check(); err != nil { ... }
+//	for _, problem := range p.Problems() { ... }
 package profile
 
 import (
@@ -38,15 +38,13 @@
 
 // The defaults stand in for settings that are left out.
 const (
-	defaultGrace   = 8 * time.Second
-	defaultLease   = 3 * time.Second
-	defaultWindow  = 5 * time.Second
-	defaultDue     = 10 * time.Second
-	defaultKept    = 2 * time.Minute
-	defaultValue   = 1 << 20
-	defaultBound   = 2 * time.Second
-	shortestLease  = 500 * time.Millisecond
-	shortestWindow = time.Second
+	defaultGrace  = 8 * time.Second
+	defaultLease  = 3 * time.Second
+	defaultWindow = 5 * time.Second
+	defaultDue    = 10 * time.Second
+	defaultKept   = 2 * time.Minute
+	defaultValue  = 1 << 20
+	defaultBound  = 2 * time.Second
 )
 
 // WithDefaults returns a copy in which zero values are replaced by defaults.
@@ -83,24 +81,3 @@
 	}
 	return nil, eris.Wrapf(failed, "no free port from %d to %d for peers", p.FirstPort, p.LastPort)
 }
-
-// Check returns an error that names the field, its value and the allowed range
-// of the first setting that is out of range.
-func (p Profile) Check() error {
-	if p.Name == "" {
-		return eris.New("settings: the node's name is empty; it must be given")
-	}
-	if p.Zone == "" {
-		return eris.New("settings: the zone is empty; it must be given")
-	}
-	if _, _, err := net.SplitHostPort(p.Store); err != nil {
-		return eris.Errorf("settings: store address %q: must be IP:PORT", p.Store)
-	}
-	if p.Lease < shortestLease {
-		return eris.Errorf("settings: lease %s: must be at least %s", p.Lease, shortestLease)
-	}
-	if p.Window < shortestWindow {
-		return eris.Errorf("settings: usage window %s: must be at least %s", p.Window, shortestWindow)
-	}
-	return nil
-}
