Remove old records from the store

Cause: nothing expires in the store by itself, and the product removed nothing. A worker that starts reads every batch there ever was, and each reader's listing grows.

All workers know what is due from the watches that they have anyway, so that no call is made before.

Found on the way: the pages of a batch were listed by the prefix "ID.", which pages of a batch "ID.1" have too. Their results would have been read as those of the first.

--- a/internal/billing/window/reporter.go
+++ b/internal/billing/window/reporter.go
@@ -69,6 +69,9 @@
 			}
 			_ = r.timers.Sleep(ctx, sendRetry)
 		}
+		if number%sweepEvery == 0 && turn.Held() {
+			r.sweep(ctx, number)
+		}
 		number++
 	}
 }
--- /dev/null
+++ b/internal/billing/window/sweep.go
@@ -0,0 +1,52 @@
+package window
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"strings"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/peer/records"
+)
+
+const (
+	// keptWindows is the number of past windows whose records stay. It exceeds
+	// the backlog that a new holder looks after by far.
+	keptWindows = 120
+	// sweepEvery is the number of windows from one removal to the next.
+	sweepEvery = 60
+)
+
+// sweep removes the counts and reports of windows that are long past.
+func (r *Reporter) sweep(ctx context.Context, current int64) {
+	oldest := current - keptWindows
+	for _, kind := range []string{kindCounts, kindReports} {
+		// Names begin with the window's number, so that old ones come first.
+		listed, err := r.store.ListFrom(ctx, kind, "", func(p records.Record) bool {
+			window, known := windowOf(p.Name)
+			return !known || window < oldest
+		})
+		for _, old := range listed.Records {
+			if _, known := windowOf(old.Name); known && err == nil {
+				err = r.store.Delete(ctx, kind, old.Name)
+			}
+			if errors.Is(err, records.ErrMissing) {
+				err = nil
+			}
+		}
+		if err != nil {
+			r.log.WithFields(logrus.Fields{"kind": kind, logs.Cause: err.Error()}).Warn("old records not removed")
+		}
+	}
+}
+
+// windowOf returns the window that a record's name begins with; known is false
+// for a name of another writer.
+func windowOf(name string) (window int64, known bool) {
+	number, _, _ := strings.Cut(name, ".")
+	window, err := strconv.ParseInt(number, 10, 64)
+	return window, err == nil
+}
--- a/internal/billing/window/window_test.go
+++ b/internal/billing/window/window_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/wigeonpin/wigeonpin/internal/base/clock"
 	"github.com/wigeonpin/wigeonpin/internal/base/logs"
 	"github.com/wigeonpin/wigeonpin/internal/control/leader"
+	"github.com/wigeonpin/wigeonpin/internal/peer/records"
 	"github.com/wigeonpin/wigeonpin/internal/standin/ledger"
 )
 
@@ -125,3 +127,35 @@
 		t.Errorf("error %v, sent %q", err, b.sent)
 	}
 }
+
+// Guards against counts and reports that stay for ever, that go while a new
+// holder may still need them, and against names of other writers in the way.
+func TestOldRecordsGo(t *testing.T) {
+	b := newBench()
+	ctx, store := context.Background(), b.ledger.Store()
+	const current = 1000
+	for _, name := range []string{"!foreign", "100.a.x", "879.a.x", "880.a.x", "999.a.x"} {
+		if _, err := store.Create(ctx, records.Record{Kind: kindCounts, Name: name}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, name := range []string{"100", "880"} {
+		if _, err := store.Create(ctx, records.Record{Kind: kindReports, Name: name}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	b.reporter().sweep(ctx, current)
+	var left []string
+	for _, kind := range []string{kindCounts, kindReports} {
+		page, err := store.List(ctx, kind, "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, r := range page.Records {
+			left = append(left, kind+"/"+r.Name)
+		}
+	}
+	if want := []string{"counts/!foreign", "counts/880.a.x", "counts/999.a.x", "reports/880"}; !slices.Equal(left, want) {
+		t.Errorf("left are %v, want %v", left, want)
+	}
+}
--- a/internal/node/worker/worker.go
+++ b/internal/node/worker/worker.go
@@ -32,6 +32,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/traffic/forward"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/headers"
 	"github.com/wigeonpin/wigeonpin/internal/training/batch"
+	"github.com/wigeonpin/wigeonpin/internal/training/expiry"
 	"github.com/wigeonpin/wigeonpin/internal/training/runner"
 )
 
@@ -94,6 +95,7 @@
 	turn     atomic.Pointer[leader.Turn]
 	accepted atomic.Bool // all batches of the store were read
 	shelf    *batch.Shelf
+	expiry   *expiry.Expiry
 }
 
 // New returns a worker.
@@ -106,6 +108,7 @@
 		Fleet: fleet, Manifest: w.view.Manifest, Report: w.duties.Report, Send: w.duties.Order,
 	}, timers, log)
 	w.shelf = batch.NewShelf(w.store, p.ValueBytes)
+	w.expiry = expiry.New(w.shelf, p.ResultsKept, timers, log)
 	w.runner = runner.New(runner.Seams{
 		Shelf: w.shelf, Fleet: fleet, Pool: pool, Names: parts.Names,
 		Forwarder: forward.New(forward.Seams{Fleet: fleet, Pool: pool, Names: parts.Names}, timers, log),
@@ -142,6 +145,7 @@
 	var running sync.WaitGroup
 	running.Go(func() { w.follow(w.parts.RetirementKind, retireTime, w.retire(ctx, turn)).Run(ctx) })
 	running.Go(func() { w.reporter.Run(ctx, turn) })
+	running.Go(func() { w.expiry.Run(ctx, turn.Held) })
 	running.Go(func() {
 		w.recall(ctx)
 		if w.await(ctx, w.view.Known) {
@@ -186,9 +190,13 @@
 // so that an ended batch is not started.
 func (w *Worker) batches(ctx context.Context) {
 	endings := w.follow(batch.KindEndings, mirror.WaitFor(w.profile.CancelDue), func(record records.Record) {
-		if !record.Gone {
-			w.runner.End(ctx, record.Name)
+		if record.Gone {
+			w.expiry.Forgotten(record.Name)
+			w.runner.Forget(ctx, record.Name)
+			return
 		}
+		w.expiry.Ended(record.Name)
+		w.runner.End(ctx, record.Name)
 	})
 	go endings.Run(ctx)
 	if !w.await(ctx, endings.Synced) {
@@ -197,9 +205,11 @@
 	var accepted *mirror.Mirror
 	accepted = w.follow(batch.KindBatches, workTime, func(record records.Record) {
 		if record.Gone {
+			w.expiry.Removed(record.Name)
 			return
 		}
 		if b := w.complete(ctx, record); b != nil {
+			w.expiry.Accepted(b.ID, b.Time)
 			w.runner.Add(ctx, b, accepted.Synced())
 		}
 	})
--- a/internal/training/batch/batch.go
+++ b/internal/training/batch/batch.go
@@ -22,6 +22,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -270,17 +272,28 @@
 	return decodePage(r)
 }
 
-// Pages returns all pages of a batch.
-func (s *Shelf) Pages(ctx context.Context, id string) ([]Page, error) {
+// numbered returns the records of a kind that have the batch's id and a number
+// as their name. Those of a batch whose id begins with this one and a dot have
+// the same prefix and are left out.
+func (s *Shelf) numbered(ctx context.Context, kind, id string) ([]records.Record, error) {
 	prefix := id + "."
-	listed, err := s.store.ListFrom(ctx, KindPages, prefix, func(r records.Record) bool {
+	listed, err := s.store.ListFrom(ctx, kind, prefix, func(r records.Record) bool {
 		return strings.HasPrefix(r.Name, prefix)
 	})
+	return slices.DeleteFunc(listed.Records, func(r records.Record) bool {
+		number, err := strconv.Atoi(strings.TrimPrefix(r.Name, prefix))
+		return err != nil || r.Name != PageName(id, number)
+	}), err
+}
+
+// Pages returns all pages of a batch.
+func (s *Shelf) Pages(ctx context.Context, id string) ([]Page, error) {
+	listed, err := s.numbered(ctx, KindPages, id)
 	if err != nil {
 		return nil, err
 	}
-	pages := make([]Page, 0, len(listed.Records))
-	for _, r := range listed.Records {
+	pages := make([]Page, 0, len(listed))
+	for _, r := range listed {
 		page, err := decodePage(r)
 		if err != nil {
 			return nil, err
--- a/internal/training/batch/batch_test.go
+++ b/internal/training/batch/batch_test.go
@@ -183,3 +183,19 @@
 		}
 	}
 }
+
+// Guards against pages of a batch whose id begins with another one's and a dot:
+// they have the same prefix in the store.
+func TestPagesOfSimilarIDs(t *testing.T) {
+	s := NewShelf(ledger.New().Store(), 1<<20)
+	ctx := context.Background()
+	for _, id := range []string{"b", "b.1"} {
+		if err := s.Append(ctx, id, 0, Page{Results: []Result{{ID: "item of " + id}}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	pages, err := s.Pages(ctx, "b")
+	if err != nil || len(pages) != 1 || pages[0].Results[0].ID != "item of b" {
+		t.Errorf("pages %+v, error %v; want the page of b alone", pages, err)
+	}
+}
--- a/internal/training/runner/runner.go
+++ b/internal/training/runner/runner.go
@@ -139,6 +139,12 @@
 	r.post(ctx, func(context.Context) { r.end(id) })
 }
 
+// Forget drops what is known of an ended batch whose ending is gone from the
+// store.
+func (r *Runner) Forget(ctx context.Context, id string) {
+	r.post(ctx, func(context.Context) { delete(r.ended, id) })
+}
+
 // SetActive starts or stops the work.
 func (r *Runner) SetActive(ctx context.Context, active bool) {
 	r.post(ctx, func(ctx context.Context) {
