Take SIGHUP over before the settings are read

Cause: the process took SIGHUP over in a goroutine that starts after the settings, the log and the connections, so that a signal in the first milliseconds after a restart had its default effect and ended it.

Change: the handler stands before the settings are read for the first time; a signal that comes then leads to a reload later. TestHangupReloads sends one before Follow and no longer guards the test process; it died of the signal before.

--- a/internal/node/profile/source.go
+++ b/internal/node/profile/source.go
@@ -21,15 +21,18 @@
 type Source struct {
 	load    func() (Profile, error)
 	current atomic.Pointer[Profile]
+	hangups chan os.Signal
 }
 
-// NewSource loads the profile for the first time.
+// NewSource loads the profile for the first time. From its start SIGHUP no
+// longer ends the process, and one that comes before Follow is not lost.
 func NewSource(load func() (Profile, error)) (*Source, error) {
+	s := &Source{load: load, hangups: make(chan os.Signal, 1)}
+	signal.Notify(s.hangups, syscall.SIGHUP)
 	p, err := load()
 	if err != nil {
 		return nil, err
 	}
-	s := &Source{load: load}
 	s.current.Store(&p)
 	return s, nil
 }
@@ -46,16 +49,13 @@
 // Follow reloads the settings on SIGHUP and when they have changed, until ctx
 // ends. Settings that are wrong leave the former ones in force.
 func (s *Source) Follow(ctx context.Context, timers *clock.Service, log *logrus.Entry) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
 	ticks := timers.Subscribe(checkPeriod)
 	defer ticks.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-hangups:
+		case <-s.hangups:
 			s.reload(log.WithField("signal", "SIGHUP"))
 		case <-ticks.C:
 			s.reload(log)
--- a/internal/node/profile/source_test.go
+++ b/internal/node/profile/source_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"os"
-	"os/signal"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -52,10 +51,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	// The test process itself must outlive a signal that comes before Follow.
-	guard := make(chan os.Signal, 1)
-	signal.Notify(guard, syscall.SIGHUP)
-	defer signal.Stop(guard)
+	// A signal that comes before Follow must not end the process either, which
+	// here is the test's own.
+	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
 	// The periodic look never comes in a clock that stands still.
 	timers, _ := clock.NewDriven(time.Unix(1000, 0))
 	ctx, cancel := context.WithCancel(context.Background())
@@ -66,8 +66,5 @@
 		if time.Now().After(deadline) {
 			t.Fatal("the settings were not read again")
 		}
-		if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
-			t.Fatal(err)
-		}
 	}
 }
