--- a/internal/standin/cut/cut.go
+++ b/internal/standin/cut/cut.go
@@ -70,9 +70,7 @@
 func (r *Relay) Addresses() []string {
 	var all []string
 	for _, l := range r.links {
-		l.mu.Lock()
-		all = append(all, l.pair.Listen)
-		l.mu.Unlock()
+		all = append(all, l.address())
 	}
 	return all
 }
@@ -157,7 +155,7 @@
 
 func (r *Relay) each(b cutBody, apply func(*link, cutBody)) {
 	for _, l := range r.links {
-		if len(b.Pairs) == 0 || slices.Contains(b.Pairs, l.pair.Listen) {
+		if len(b.Pairs) == 0 || slices.Contains(b.Pairs, l.address()) {
 			apply(l, b)
 		}
 	}
@@ -195,6 +193,13 @@
 	})
 }
 
+// address returns the listen address, which listen may set anew.
+func (l *link) address() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.pair.Listen
+}
+
 func (l *link) listen() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
