Wait for the fourth engine in the test of crashing items

Cause: the test stopped 3 s after the last new engine, but the same engine may be picked again in between, with pauses of up to 2 s.

--- a/internal/training/runner/runner_test.go
+++ b/internal/training/runner/runner_test.go
@@ -247,17 +247,24 @@
 	b := sample("crashing-1")
 	w.runner.SetActive(context.Background(), true)
 	w.runner.Add(context.Background(), b, true)
-	hit, changed := 0, time.Now()
-	for time.Since(changed) < 3*time.Second {
-		time.Sleep(20 * time.Millisecond)
+	hits := func() (engines, runs int) {
 		w.engine.mu.Lock()
-		if len(w.engine.crashed) != hit {
-			hit, changed = len(w.engine.crashed), time.Now()
+		defer w.engine.mu.Unlock()
+		for _, n := range w.engine.crashed {
+			runs += n
 		}
-		w.engine.mu.Unlock()
+		return len(w.engine.crashed), runs
 	}
-	if hit != 4 {
-		t.Errorf("%d engines were hit, want 4", hit)
+	// The same engine may be picked again, which does not count.
+	for deadline := time.Now().Add(waiting); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		if engines, _ := hits(); engines >= barrenLives {
+			break
+		}
+	}
+	_, before := hits()
+	time.Sleep(longestRetry + 500*time.Millisecond)
+	if engines, runs := hits(); engines != barrenLives || runs != before {
+		t.Errorf("%d engines were hit, %d runs after %d; want %d engines and none after", engines, runs-before, before, barrenLives)
 	}
 }
 
