Admit a write when only the read after it was refused

A batch whose record was created, whose answer was lost, and which the store then refused to show was answered 503: the error wrapped the refused read, and a refusal counts as "nothing was done". The end of a batch that may have been stored was answered 503 as well, as if it were a read.

The error of such a read is named and not wrapped; the end of a batch is looked up after a lost answer, and what stays unknown is answered 504.

Tests: TestLostAnswerThenRefusedRead and three rows of TestBatchAnswers failed before.

--- a/internal/traffic/front/batches.go
+++ b/internal/traffic/front/batches.go
@@ -159,7 +159,7 @@
 
 func (f *Front) end(ctx context.Context, w http.ResponseWriter, q *inquiry) {
 	if err := f.seams.Shelf.End(ctx, q.batch); err != nil {
-		f.refuse(w, q, readError(err))
+		f.refuse(w, q, storeError(err))
 		return
 	}
 	f.log.WithFields(logrus.Fields{"batch": q.batch, logs.Account: q.account.Name}).Info("end of batch accepted")
--- a/internal/traffic/front/front_test.go
+++ b/internal/traffic/front/front_test.go
@@ -262,6 +262,9 @@
 		{"unknown", http.MethodGet, "/results/id-i9", "k1", "", ledger.None, 404},
 		{"not sure", http.MethodGet, "/results/id-i9", "k1", "", ledger.Refuse, 503},
 		{"wrong position", http.MethodGet, "/results/id-i1?after=-1", "k1", "", ledger.None, 400},
+		{"end refused", http.MethodDelete, "/results/id-i1", "k1", "", ledger.Refuse, 503},
+		{"end not known whether stored", http.MethodDelete, "/results/id-i1", "k1", "", ledger.Swallow, 504},
+		{"answer to the end lost", http.MethodDelete, "/results/id-i2", "k1", "", ledger.LoseWrite, 200},
 		{"ended", http.MethodDelete, "/results/id-i1", "k1", "", ledger.None, 200},
 		{"ended again", http.MethodDelete, "/results/id-i1", "k1", "", ledger.None, 200},
 	}
--- a/internal/training/batch/batch.go
+++ b/internal/training/batch/batch.go
@@ -145,7 +145,7 @@
 	}
 	known, readErr := s.Read(ctx, b.ID)
 	if readErr != nil {
-		return fmt.Errorf("%w: %w", records.ErrUnsure, readErr)
+		return doubt(readErr)
 	}
 	if known.Account != b.Account {
 		return ErrOther
@@ -241,13 +241,22 @@
 	return &b, nil
 }
 
-// End marks the batch as ended.
+// doubt is the error of a write of which a later read did not show whether it
+// was carried out. It does not wrap the cause: a refused read says nothing about
+// the write.
+func doubt(readErr error) error { return fmt.Errorf("%w: %v", records.ErrUnsure, readErr) }
+
+// End marks the batch as ended. When the answer of the store is lost, it looks
+// whether the mark is there.
 func (s *Shelf) End(ctx context.Context, id string) error {
 	_, err := s.store.Create(ctx, records.Record{Kind: KindEndings, Name: id, Body: []byte("{}")})
-	if errors.Is(err, records.ErrConflict) {
-		return nil
+	if err == nil || errors.Is(err, records.ErrRefused) {
+		return err
 	}
-	return err
+	if _, readErr := s.store.Get(ctx, KindEndings, id); readErr != nil {
+		return doubt(readErr)
+	}
+	return nil
 }
 
 // PageName returns the record name of a page. Names sort by number.
--- a/internal/training/batch/batch_test.go
+++ b/internal/training/batch/batch_test.go
@@ -199,3 +199,27 @@
 		t.Errorf("pages %+v, error %v; want the page of b alone", pages, err)
 	}
 }
+
+// Guards against a promise that a batch does not run, or that its end does not
+// hold, when the store carried the write out, its answer was lost, and the
+// store then refuses to be read.
+func TestLostAnswerThenRefusedRead(t *testing.T) {
+	store := ledger.New().Store()
+	create := store.Create
+	store.Create = func(ctx context.Context, r records.Record) (records.Record, error) {
+		_, err := create(ctx, r)
+		return r, errors.Join(records.ErrUnsure, err)
+	}
+	store.Get = func(context.Context, string, string) (records.Record, error) {
+		return records.Record{}, records.ErrRefused
+	}
+	s := NewShelf(store, 1<<20)
+	for what, err := range map[string]error{
+		"accept": s.Accept(context.Background(), &Batch{ID: "b", Account: "acme"}),
+		"end":    s.End(context.Background(), "b"),
+	} {
+		if !errors.Is(err, records.ErrUnsure) || errors.Is(err, records.ErrRefused) {
+			t.Errorf("%s: error %v, want one that admits the write", what, err)
+		}
+	}
+}
