Keep the model that an engine follows when there are two services

The plan of one service dropped what was noted of all other services' engines, so that theirs were shared out anew in each round and could change their model, which costs loads. The models are kept by service now. Pauses of engines and endpoints that vanished during an outage are dropped once they are over.

TestEnginesKeepTheirModel failed before.

--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -13,6 +13,7 @@
 package replica
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -210,7 +211,10 @@
 	if !known {
 		return
 	}
-	if now := f.timers.Now(); now.Sub(regained) < lapseGrace {
+	now := f.timers.Now()
+	// Entries that were kept so and did not come back.
+	maps.DeleteFunc(f.states, func(_ string, other *state) bool { return !other.goneAt.IsZero() && now.After(other.goneAt) })
+	if now.Sub(regained) < lapseGrace {
 		s.goneAt = regained.Add(lapseGrace)
 		return
 	}
--- a/internal/fleet/weights/weights.go
+++ b/internal/fleet/weights/weights.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"maps"
 	"math"
 	"sort"
 	"sync"
@@ -85,11 +86,12 @@
 	log    *logrus.Entry
 	wake   chan struct{}
 
-	mu      sync.Mutex
-	named   map[string]int64
-	busy    map[string]bool      // engines with a load under way
-	pauses  map[string]time.Time // engines that failed lately
-	follows map[string]string    // the model of each engine
+	mu     sync.Mutex
+	named  map[string]int64
+	busy   map[string]bool      // engines with a load under way
+	pauses map[string]time.Time // engines that failed lately
+	// follows holds the model of each engine, by service.
+	follows map[string]map[string]string
 }
 
 // New returns a planner.
@@ -97,7 +99,7 @@
 	return &Planner{
 		seams: seams, timers: timers, log: log, wake: make(chan struct{}, 1),
 		named: map[string]int64{}, busy: map[string]bool{},
-		pauses: map[string]time.Time{}, follows: map[string]string{},
+		pauses: map[string]time.Time{}, follows: map[string]map[string]string{},
 	}
 }
 
@@ -152,14 +154,16 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := p.timers.Now()
+	maps.DeleteFunc(p.pauses, func(_ string, till time.Time) bool { return now.After(till) })
 	var planned []step
 	for _, service := range m.Services() {
 		if len(service.Models) == 0 {
 			continue
 		}
 		entries := p.seams.Fleet.Entries(service.Name)
-		p.assign(service.Models, entries)
-		due := p.due(entries, !m.Pure(service.Name))
+		follows := p.assign(service, entries)
+		due := p.due(entries, follows, !m.Pure(service.Name))
 		for _, s := range due[:min(p.free(entries), len(due))] {
 			p.busy[s.entry.ID] = true
 			planned = append(planned, s)
@@ -170,12 +174,12 @@
 
 // due returns the loads that the engines need, those with the oldest weights
 // first.
-func (p *Planner) due(entries []replica.Entry, keep bool) []step {
+func (p *Planner) due(entries []replica.Entry, follows map[string]string, keep bool) []step {
 	var due []step
 	for _, e := range entries {
-		model := p.follows[e.ID]
+		model := follows[e.ID]
 		version := p.named[model]
-		if version > e.Models[model] && !p.busy[e.ID] && p.timers.Now().After(p.pauses[e.ID]) {
+		if version > e.Models[model] && !p.busy[e.ID] && p.pauses[e.ID].IsZero() {
 			due = append(due, step{entry: e, model: model, version: version, keep: keep})
 		}
 	}
@@ -196,8 +200,12 @@
 
 // assign lets each engine follow one model. Engines keep their model; new ones
 // follow the model with the fewest engines, and one engine moves when a model
-// has two more than another.
-func (p *Planner) assign(models []string, entries []replica.Entry) {
+// has two more than another. It returns the model of each of the service's
+// engines.
+func (p *Planner) assign(service manifest.Service, entries []replica.Entry) map[string]string {
+	models, former := service.Models, p.follows[service.Name]
+	follows := make(map[string]string, len(entries))
+	p.follows[service.Name] = follows
 	sort.Slice(entries, func(i, j int) bool {
 		if entries[i].Zone != entries[j].Zone {
 			return entries[i].Zone < entries[j].Zone
@@ -205,32 +213,28 @@
 		return entries[i].ID < entries[j].ID
 	})
 	count := map[string]int{}
-	present := map[string]bool{}
 	for _, e := range entries {
-		present[e.ID] = true
-		if model, known := p.follows[e.ID]; known {
-			count[model]++
-		} else if model := newest(e, models); model != "" {
-			p.follows[e.ID] = model
-			count[model]++
+		model, known := former[e.ID]
+		if !known {
+			model = newest(e, models)
 		}
-	}
-	for id := range p.follows {
-		if !present[id] {
-			delete(p.follows, id)
+		if model != "" {
+			follows[e.ID] = model
+			count[model]++
 		}
 	}
 	for _, e := range entries {
 		fewest, most := extremes(models, count)
-		current, known := p.follows[e.ID]
+		current, known := follows[e.ID]
 		if !known || (current == most && count[most] > count[fewest]+1) {
 			if known {
 				count[current]--
 			}
-			p.follows[e.ID] = fewest
+			follows[e.ID] = fewest
 			count[fewest]++
 		}
 	}
+	return follows
 }
 
 // newest returns the model of which an engine has a later version than of the
--- a/internal/fleet/weights/weights_test.go
+++ b/internal/fleet/weights/weights_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -70,6 +71,38 @@
 	}
 }
 
+// Guards against engines that change their model, which costs loads, when the
+// models of another service's engines are shared out.
+func TestEnginesKeepTheirModel(t *testing.T) {
+	f := newFixture(0)
+	m := manifest.New(1, nil, []manifest.Service{
+		{Name: "first", Models: []string{"a", "b"}}, {Name: "second", Models: []string{"c", "d"}},
+	}, nil, manifest.Limits{})
+	f.planner.seams.Manifest = func() *manifest.Manifest { return m }
+	put := func(service, id string, models ...string) {
+		f.fleet.Put(replica.Entry{ID: id, Service: service, Zone: "z", Slots: 8, Models: map[string]int64{models[0]: 1, models[1]: 1}})
+	}
+	for _, id := range []string{"1", "2"} {
+		put("first", "f"+id, "a", "b")
+		put("second", "s"+id, "c", "d")
+	}
+	model := func(id string) string {
+		f.planner.plan()
+		for _, follows := range f.planner.follows {
+			if model, known := follows[id]; known {
+				return model
+			}
+		}
+		return ""
+	}
+	before := []string{model("f1"), model("f2"), model("s1"), model("s2")}
+	put("first", "f0", "a", "b") // listed before the others
+	put("second", "s0", "c", "d")
+	if after := []string{model("f1"), model("f2"), model("s1"), model("s2")}; !slices.Equal(before, after) {
+		t.Errorf("the engines followed %v and follow %v", before, after)
+	}
+}
+
 // The engine that is furthest behind loads first, so that none falls below what
 // the batches allow.
 func TestOldestFirst(t *testing.T) {
