--- a/internal/billing/window/window.go
+++ b/internal/billing/window/window.go
@@ -13,9 +13,10 @@
 //
 // # Records
 //
-// Kind "counts" holds the part of one process in one window, "WINDOW.PROCESS",
-// and kind "reports" the bytes of the report, "WINDOW". Both are created once
-// and never changed, so that a window has one report whoever sends it.
+// Kind "counts" holds the part of one life of a process in one window,
+// "WINDOW.PROCESS.START" with the start in Unix milliseconds, and kind "reports"
+// the bytes of the report, "WINDOW". Both are created once and never changed, so
+// that a window has one report whoever sends it.
 package window
 
 import (
--- a/internal/control/mirror/mirror.go
+++ b/internal/control/mirror/mirror.go
@@ -42,9 +42,9 @@
 
 // Options configure a mirror. Wait is how long one watch may wait. Rest is the
 // period at which watches begin, so that changes that come in quick succession
-// arrive together. The period is aligned to the wall clock, so that processes
-// watch from the same revision and can share their watches. Apply gets each new version of a record, in order of revisions for
-// each name, from a single goroutine.
+// arrive together; it is aligned to the wall clock, so that processes watch from
+// the same revision and can share their watches. Apply gets each new version of
+// a record, in order of revisions for each name, from a single goroutine.
 type Options struct {
 	Wait  time.Duration
 	Rest  time.Duration
--- a/internal/peer/relay/relay_test.go
+++ b/internal/peer/relay/relay_test.go
@@ -190,6 +190,31 @@
 	}
 }
 
+// Guards against a process that stays ready until the first peer has answered:
+// with its zone cut off that takes as long as the peer's silence.
+func TestIsolatedUntilAPeerAnswers(t *testing.T) {
+	var route *Route
+	isolated := make(chan bool, 1)
+	mux := http.NewServeMux()
+	answer := func(context.Context, Call) (Reply, error) {
+		isolated <- route.Isolated()
+		return Reply{Status: http.StatusOK}, nil
+	}
+	mux.Handle(RelayPathPrefix, NewServer(answer, answer))
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	route = newTestRoute(newWay("unsent"), Peer{Address: strings.TrimPrefix(server.URL, "http://"), Far: true})
+	if _, err := route.Call(context.Background(), Call{}); err != nil {
+		t.Fatal(err)
+	}
+	if !<-isolated {
+		t.Error("not isolated while no peer has answered")
+	}
+	if route.Isolated() {
+		t.Error("isolated though a peer in another zone reaches the store")
+	}
+}
+
 // Watches of many processes cost the store one call, and a host that does not
 // reach the store is left for the direct way.
 func TestHostedWatches(t *testing.T) {
--- a/internal/training/expiry/expiry_test.go
+++ b/internal/training/expiry/expiry_test.go
@@ -125,3 +125,15 @@
 	f.pass(kept+Margin-2*period, with)
 	f.pass(4*period, slices.DeleteFunc(slices.Clone(with), func(name string) bool { return name == "endings/old" }))
 }
+
+// Guards against pages and items that stay for good when the process that
+// removes a batch ends in the midst of it.
+func TestRemovalCutShort(t *testing.T) {
+	f := newFixture(t)
+	f.end("b")
+	if err := f.store.Delete(context.Background(), batch.KindBatches, "b"); err != nil {
+		t.Fatal(err)
+	}
+	f.expiry.Removed("b") // as the watch tells the next holder
+	f.pass(kept+Margin+4*period, []string{"batches/b.1", "pages/b.1.000000", "parts/b.1.000000", "parts/b.1.000001"})
+}
--- a/internal/training/runner/runner_test.go
+++ b/internal/training/runner/runner_test.go
@@ -98,6 +98,9 @@
 		if fault == "cut" && run == 1 && n == 3 {
 			panic(http.ErrAbortHandler)
 		}
+		if fault == "older" && run == 1 && n == 3 {
+			_, _ = fmt.Fprint(w, "versions: 1\n") // the engine went back to weights that are too old
+		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s.%d\n\n", n, id, n)
 		_ = http.NewResponseController(w).Flush()
 	}
@@ -198,7 +201,7 @@
 // and a score, and items given up only for a reason that allows it.
 func TestResults(t *testing.T) {
 	w := newWorld(t)
-	b := sample("plain-1", "cut-1", "rejected-1", "old-1", "failing-1", "never-1", "unscored-1")
+	b := sample("plain-1", "cut-1", "rejected-1", "old-1", "older-1", "failing-1", "never-1", "unscored-1")
 	ctx := context.Background()
 	w.runner.SetActive(ctx, true)
 	w.runner.Add(ctx, b, true)
@@ -286,6 +289,24 @@
 	}
 }
 
+// Guards against a worker that does not take over a page which another one
+// wrote under the same number: it would try for ever, or list items twice.
+func TestPageOfAnotherWorkerStands(t *testing.T) {
+	w := newWorld(t)
+	b := sample("plain-1", "plain-2")
+	ctx := context.Background()
+	first := batch.Page{Results: []batch.Result{{ID: "plain-1", Done: true, Output: "of the other worker"}}}
+	if err := w.shelf.Append(ctx, b.ID, 0, first); err != nil {
+		t.Fatal(err)
+	}
+	w.runner.SetActive(ctx, true)
+	w.runner.Add(ctx, b, true) // fresh: the pages are not read
+	listed := w.results(t, b)
+	if listed["plain-1"].Output != "of the other worker" || listed["plain-2"].Output != wholeText("plain-2") {
+		t.Errorf("listed %+v", listed)
+	}
+}
+
 // A page whose answer was lost stands once.
 func TestLostAnswerOfAPage(t *testing.T) {
 	w := newWorld(t)
