--- a/internal/node/worker/worker_test.go
+++ b/internal/node/worker/worker_test.go
@@ -40,6 +40,12 @@
 // all texts anew, since it asks for copies before it knows the other workers
 // and the batches. There is no engine here, so only the copy can be listed.
 func TestRestartedHolderRecallsTexts(t *testing.T) {
+	t.Run("workers known late", func(t *testing.T) { recallsTexts(t, 300*time.Millisecond, 0) })
+	t.Run("batches known late", func(t *testing.T) { recallsTexts(t, 0, 300*time.Millisecond) })
+}
+
+func recallsTexts(t *testing.T, workers, batches time.Duration) {
+	t.Helper()
 	s := &standby{}
 	server := httptest.NewServer(runner.NewStandbyServer(s))
 	defer server.Close()
@@ -52,16 +58,15 @@
 	if _, err := store.Create(context.Background(), records.Record{Kind: "config", Name: "main"}); err != nil {
 		t.Fatal(err)
 	}
-	// The list of workers, and the batches, come later than the role.
 	slow := store
 	slow.List = func(ctx context.Context, kind, after string) (records.Page, error) {
 		if kind == batch.KindBatches {
-			time.Sleep(200 * time.Millisecond)
+			time.Sleep(batches)
 		}
 		return store.List(ctx, kind, after)
 	}
 	began := time.Now()
-	known := func() bool { return time.Since(began) > 300*time.Millisecond }
+	known := func() bool { return time.Since(began) >= workers }
 	route := manifest.Route{Host: "h", Prefix: "/gen/", Kind: manifest.Rollout, Attempts: 2, Patience: time.Minute, Targets: []manifest.Target{{Service: "llm", Weight: 1}}}
 	w := New(profile.Profile{Name: "w1", Zone: "a"}.WithDefaults(), Parts{
 		Store: slow, PeersKnown: known,
