Bound what is read of answers that never end

Cause: nothing bounded the head of an answer, its interim answers, the late answers to other requests that are skipped, or a line of an event. Calls between processes read bodies of any size.

Heads are limited to 64 KiB with their interim answers, skipped answers to 1 MiB, events to 256 KiB (1 MiB before, which hundreds of streams at once could not hold), calls between processes to 10 MiB both ways. Ruled out: chunk extensions and trailers, which net/http bounds itself.

A connection is also not used for a request whose id it served lately: a second copy of the first answer has the right id and could pass for the answer to the repetition, for example a late copy of "not run" while the repetition runs.

Comments of an endpoint are told apart from events that carry output, and an empty first data line is kept.

--- a/cmd/wigeonpin/node.go
+++ b/cmd/wigeonpin/node.go
@@ -18,6 +18,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/node/members"
 	"github.com/wigeonpin/wigeonpin/internal/node/profile"
 	"github.com/wigeonpin/wigeonpin/internal/node/view"
+	"github.com/wigeonpin/wigeonpin/internal/peer/conn"
 	"github.com/wigeonpin/wigeonpin/internal/peer/exchange"
 	"github.com/wigeonpin/wigeonpin/internal/peer/records"
 	"github.com/wigeonpin/wigeonpin/internal/peer/relay"
@@ -110,7 +111,7 @@
 	go n.peers.Run(ctx)
 	n.mux = http.NewServeMux()
 	n.mux.Handle(relay.RelayPathPrefix, relay.NewServer(shared.Call, n.watch(role, shared, watches)))
-	server := &http.Server{Handler: n.mux, ReadHeaderTimeout: headTime}
+	server := &http.Server{Handler: http.MaxBytesHandler(n.mux, conn.PeerLimit), ReadHeaderTimeout: headTime}
 	go func() { n.log.WithField(logs.Cause, server.Serve(listener).Error()).Error("relay stopped") }()
 	return nil
 }
--- a/internal/control/lease/guard.go
+++ b/internal/control/lease/guard.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/wigeonpin/wigeonpin/internal/base/code"
+	"github.com/wigeonpin/wigeonpin/internal/peer/conn"
 )
 
 const answerTimeout = 10 * time.Second
@@ -20,7 +21,7 @@
 func (l *Lease) newClient() *http.Client {
 	transport := &http.Transport{
 		DialContext: l.dial, DisableKeepAlives: true, DisableCompression: true,
-		ResponseHeaderTimeout: answerTimeout,
+		ResponseHeaderTimeout: answerTimeout, MaxResponseHeaderBytes: conn.HeadLimit,
 	}
 	return &http.Client{Transport: transport, Timeout: 2 * answerTimeout}
 }
--- a/internal/control/serve/handler.go
+++ b/internal/control/serve/handler.go
@@ -13,6 +13,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/fleet/order"
 	"github.com/wigeonpin/wigeonpin/internal/fleet/rollout"
 	"github.com/wigeonpin/wigeonpin/internal/fleet/share"
+	"github.com/wigeonpin/wigeonpin/internal/peer/conn"
 	"github.com/wigeonpin/wigeonpin/internal/peer/fleet"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/once"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/suspect"
@@ -35,7 +36,7 @@
 	} {
 		router.PathPrefix(prefix).Handler(handler)
 	}
-	return fleet.Guard(i.settings.Secret, i.meters, router)
+	return fleet.Guard(i.settings.Secret, i.meters, http.MaxBytesHandler(router, conn.PeerLimit))
 }
 
 func (i *instance) operatorHandler() http.Handler {
--- a/internal/peer/conn/conn.go
+++ b/internal/peer/conn/conn.go
@@ -61,6 +61,8 @@
 		MaxIdleConnsPerHost: idleConnsPerHost,
 		IdleConnTimeout:     setting.Milliseconds(settings.IdleMS),
 		DisableCompression:  true,
+		// A faulty endpoint must not fill the memory with its head.
+		MaxResponseHeaderBytes: HeadLimit,
 	}
 }
 
--- /dev/null
+++ b/internal/peer/conn/limited_test.go
@@ -0,0 +1,76 @@
+package conn
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+)
+
+// Guards against a server that takes the memory of its caller with a head or a
+// body that does not end.
+func TestBounded(t *testing.T) {
+	const limit = 1 << 16
+	client := &http.Client{Transport: Bounded(&http.Transport{}, limit)}
+	t.Run("body up to the limit", func(t *testing.T) {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, strings.Repeat("x", limit))
+		}))
+		defer server.Close()
+		resp, err := client.Get(server.URL)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		if body, err := io.ReadAll(resp.Body); err != nil || len(body) != limit {
+			t.Errorf("%d bytes, %v", len(body), err)
+		}
+	})
+	t.Run("endless body", func(t *testing.T) {
+		resp, err := client.Get("http://" + endless(t, "HTTP/1.1 200 OK\r\n\r\n"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		if body, err := io.ReadAll(resp.Body); !errors.Is(err, ErrEndless) || len(body) > limit {
+			t.Errorf("%d bytes, %v, want ErrEndless", len(body), err)
+		}
+	})
+	t.Run("endless head", func(t *testing.T) {
+		resp, err := client.Get("http://" + endless(t, "HTTP/1.1 200 OK\r\nX-Long: "))
+		if err == nil {
+			_ = resp.Body.Close()
+			t.Error("the endless head passed as an answer")
+		}
+	})
+}
+
+// endless returns the address of a server that writes start and then filler
+// until its caller closes.
+func endless(t *testing.T, start string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				_, err := io.WriteString(c, start)
+				for err == nil {
+					_, err = io.WriteString(c, strings.Repeat("x", 4096))
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
--- a/internal/peer/exchange/answer.go
+++ b/internal/peer/exchange/answer.go
@@ -10,6 +10,10 @@
 // ErrTooLarge is returned by ReadAll for a body over the limit.
 var ErrTooLarge = errors.New("exchange: the body is larger than the limit")
 
+// discardLimit is the size in bytes of the largest body that Discard reads to
+// keep the connection.
+const discardLimit = 64 << 10
+
 // Answer is an answer whose body is still being read. Framed tells that its
 // end is marked by a length or by chunks.
 type Answer struct {
@@ -17,20 +21,20 @@
 	Header http.Header
 	Framed bool
 
-	body     io.Reader
-	whole    bool
-	release  sync.Once
-	pool     *Pool
-	channel  *channel
-	response *http.Response
-	stop     func() bool
-	written  <-chan error
+	body       io.Reader
+	whole      bool
+	release    sync.Once
+	pool       *Pool
+	connection *connection
+	response   *http.Response
+	stop       func() bool
+	written    <-chan error
 }
 
-func newAnswer(p *Pool, c *channel, r *http.Response, stop func() bool, written <-chan error) *Answer {
+func newAnswer(p *Pool, c *connection, r *http.Response, stop func() bool, written <-chan error) *Answer {
 	return &Answer{
 		Status: r.StatusCode, Header: r.Header, Framed: framed(r),
-		body: r.Body, pool: p, channel: c, response: r, stop: stop, written: written,
+		body: r.Body, pool: p, connection: c, response: r, stop: stop, written: written,
 	}
 }
 
@@ -59,25 +63,35 @@
 	return body, nil
 }
 
+// Discard reads the rest of a body whose content does not matter, at most
+// discardLimit bytes, and closes the answer.
+func (a *Answer) Discard() {
+	defer a.Close()
+	_, _ = io.CopyN(io.Discard, a, discardLimit) // a failed read only costs the connection
+}
+
+// Whole reports whether the body was read to its end.
+func (a *Answer) Whole() bool { return a.whole }
+
 // Close ends the exchange. The connection is kept when the answer was read to
 // its marked end, nothing followed it and the whole request was written.
 func (a *Answer) Close() {
 	a.release.Do(func() {
 		stopped := a.stop()
 		if !stopped || !a.whole {
-			a.channel.abort()
+			a.connection.abort()
 			return
 		}
 		if !a.reusable() {
-			_ = a.channel.Close()
+			_ = a.connection.Close()
 			return
 		}
-		a.pool.put(a.channel, keepFor(a.response))
+		a.pool.put(a.connection, keepFor(a.response))
 	})
 }
 
 func (a *Answer) reusable() bool {
-	if !a.Framed || a.response.Close || a.channel.reader.Buffered() > 0 {
+	if !a.Framed || a.response.Close || a.connection.reader.Buffered() > 0 {
 		return false
 	}
 	select {
--- /dev/null
+++ b/internal/peer/exchange/endless_test.go
@@ -0,0 +1,150 @@
+package exchange
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// allocationLimit is what reading one faulty answer may allocate in bytes.
+const allocationLimit = 8 << 20
+
+// newEndless returns the address of a peer that writes start and then repeats
+// more until the caller closes.
+func newEndless(t *testing.T, start, more string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	block := strings.Repeat(more, 1+(32<<10)/len(more))
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				_, err := io.WriteString(c, start)
+				for err == nil {
+					_, err = io.WriteString(c, block)
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// Guards against a peer whose head never ends: it would hold the caller until
+// its deadline and take the memory of the process.
+func TestEndlessHead(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\n"
+	cases := map[string]struct{ start, more string }{
+		"status line":     {"HTTP/1.1 200 ", "O"},
+		"no HTTP":         {"", "garbage "},
+		"header value":    {head + "X-Long: ", "x"},
+		"header lines":    {head, "X-Line: value\r\n"},
+		"header name":     {head, "X"},
+		"interim answers": {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		"strays":          {"", whole("stray", "wrong")},
+		"body of a stray": {head + match + ": stray\r\nContent-Length: 1000000000000\r\n\r\n", "x"},
+		"chunks of a stray": {
+			head + match + ": stray\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n",
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			address := newEndless(t, c.start, c.more)
+			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+			defer cancel()
+			before := allocated()
+			_, err := New(Options{Match: match}).Do(ctx, address, Request{
+				Method: http.MethodGet, Path: "/", Host: "h", Header: http.Header{match: {"1"}},
+			})
+			if err == nil || ctx.Err() != nil {
+				t.Errorf("error %v, want one before the deadline", err)
+			}
+			if NotSent(err) {
+				t.Error("the request was sent, but the error says that it was not")
+			}
+			if grown := allocated() - before; grown > allocationLimit {
+				t.Errorf("%d bytes allocated, want at most %d", grown, allocationLimit)
+			}
+		})
+	}
+}
+
+func allocated() uint64 {
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.TotalAlloc
+}
+
+// Guards against a body without end: readers have a limit, and the connection
+// is closed behind it.
+func TestEndlessBody(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\n" + match + ": 1\r\n"
+	cases := map[string]struct{ start, more string }{
+		"framed":   {head + "Content-Length: 1000000000000\r\n\r\n", "x"},
+		"chunked":  {head + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+		"unframed": {head + "\r\n", "x"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			address := newEndless(t, c.start, c.more)
+			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+			defer cancel()
+			pool := New(Options{Match: match})
+			request := Request{Method: http.MethodGet, Path: "/", Host: "h", Header: http.Header{match: {"1"}}}
+			answer, err := pool.Do(ctx, address, request)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := answer.ReadAll(1 << 16); !errors.Is(err, ErrTooLarge) {
+				t.Errorf("ReadAll: %v, want ErrTooLarge", err)
+			}
+			if answer, err = pool.Do(ctx, address, request); err != nil {
+				t.Fatal(err)
+			}
+			answer.Discard()
+			if answer.Whole() || len(pool.idle[address]) > 0 {
+				t.Error("a connection in the middle of a body was kept")
+			}
+		})
+	}
+}
+
+// Guards against a second copy of an answer that comes late, when the same
+// request was sent again on the same connection: the copy has the right id but
+// belongs to the first sending.
+func TestRepeatedRequestChangesConnection(t *testing.T) {
+	var count atomic.Int64
+	p := newPeer(t, func(_ int, r *http.Request) (string, bool) {
+		id := r.Header.Get(match)
+		switch count.Add(1) {
+		case 1:
+			return whole(id, "first"), true
+		case 2:
+			return whole(id, "other"), true
+		}
+		return whole(id, "second"), true
+	})
+	pool := New(Options{Match: match})
+	for _, step := range []struct{ id, body string }{{"7", "first"}, {"8", "other"}, {"7", "second"}} {
+		if body, err := send(t, pool, p.address, step.id); err != nil || body != step.body {
+			t.Fatalf("request %s: %q, %v", step.id, body, err)
+		}
+	}
+	if p.accepted.Load() != 2 {
+		t.Errorf("%d connections, want 2: the repeated request needs another one", p.accepted.Load())
+	}
+}
--- a/internal/peer/exchange/exchange.go
+++ b/internal/peer/exchange/exchange.go
@@ -26,6 +26,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -33,6 +34,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/wigeonpin/wigeonpin/internal/peer/conn"
 )
 
 const (
@@ -56,6 +59,10 @@
 	inlineBody = 16 << 10
 	// strayAnswers is how many answers to other requests are skipped.
 	strayAnswers = 2
+	// strayLimit bounds the body of an answer that is skipped, in bytes.
+	strayLimit = 1 << 20
+	// recentIDs is how many requests a connection remembers by their ids.
+	recentIDs = 4
 )
 
 // Request is one call. Path is the escaped path as it goes on the wire.
@@ -98,20 +105,41 @@
 	options Options
 	dialer  net.Dialer
 	mu      sync.Mutex
-	idle    map[string][]*channel
+	idle    map[string][]*connection
 }
 
-type channel struct {
+type connection struct {
 	net.Conn
+	limited *conn.Limited
 	reader  *bufio.Reader
 	address string
 	expires time.Time
+	recent  []string // ids of the latest requests
+}
+
+func newConnection(c net.Conn, address string) *connection {
+	limited := conn.NewLimited(c)
+	return &connection{Conn: c, limited: limited, reader: bufio.NewReaderSize(limited, 4096), address: address}
+}
+
+// served reports whether a request with this id was sent here lately. A second
+// copy of its answer would be taken for the answer to a repetition.
+func (c *connection) served(id string) bool { return id != "" && slices.Contains(c.recent, id) }
+
+func (c *connection) remember(id string) {
+	if id == "" {
+		return
+	}
+	if len(c.recent) == recentIDs {
+		c.recent = slices.Delete(c.recent, 0, 1)
+	}
+	c.recent = append(c.recent, id)
 }
 
 // abort closes the connection and discards what the kernel has not delivered.
 // Otherwise a request that was given up could still arrive seconds later, when
 // a partition ends.
-func (c *channel) abort() {
+func (c *connection) abort() {
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0) // fails only on a closed connection
 	}
@@ -120,7 +148,7 @@
 
 // New returns an empty pool.
 func New(options Options) *Pool {
-	p := &Pool{options: options, idle: map[string][]*channel{}}
+	p := &Pool{options: options, idle: map[string][]*connection{}}
 	p.dialer = net.Dialer{
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -153,10 +181,12 @@
 // Do sends the request once and reads the head of its answer. The caller
 // closes the answer. When ctx ends, the connection is closed.
 func (p *Pool) Do(ctx context.Context, address string, request Request) (*Answer, error) {
-	c, reused, err := p.take(ctx, address)
+	id := p.id(request)
+	c, reused, err := p.take(ctx, address, id)
 	if err != nil {
 		return nil, &Error{cause: err}
 	}
+	c.remember(id)
 	fail := func(sent bool, err error) (*Answer, error) {
 		c.abort()
 		if ctx.Err() != nil {
@@ -208,71 +238,95 @@
 	return out.Bytes()
 }
 
-// readHead reads the head of the answer to the request and skips interim
-// answers and late answers to earlier requests.
-func (p *Pool) readHead(c *channel, request Request) (*http.Response, error) {
-	sent := &http.Request{Method: request.Method}
+// readHead reads the head of the answer to the request and skips late answers
+// to earlier requests.
+func (p *Pool) readHead(c *connection, request Request) (*http.Response, error) {
+	id := p.id(request)
 	for strays := 0; ; {
-		response, err := http.ReadResponse(c.reader, sent)
+		response, err := c.readHead(request.Method)
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode < 200 {
-			continue
-		}
-		if p.matches(request, response) {
+		if id == "" || response.Header.Get(p.options.Match) == id {
+			c.limited.AllowAll()
 			return response, nil
 		}
 		if strays++; strays > strayAnswers || !framed(response) {
 			return nil, errors.New("answer to another request")
 		}
+		c.limited.Allow(strayLimit)
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			return nil, err
 		}
 	}
 }
 
-func (p *Pool) matches(request Request, response *http.Response) bool {
-	if p.options.Match == "" || request.Header.Get(p.options.Match) == "" {
-		return true
+// readHead reads the next head that is not an interim answer.
+func (c *connection) readHead(method string) (*http.Response, error) {
+	c.limited.Allow(conn.HeadLimit)
+	for {
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= 200 {
+			return response, nil
+		}
+	}
+}
+
+// id returns the header value that the answer must echo, empty for none.
+func (p *Pool) id(request Request) string {
+	if p.options.Match == "" {
+		return ""
 	}
-	echo := response.Header.Get(p.options.Match)
-	return echo == request.Header.Get(p.options.Match)
+	return request.Header.Get(p.options.Match)
 }
 
 func framed(r *http.Response) bool {
 	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0
 }
 
-func (p *Pool) take(ctx context.Context, address string) (*channel, bool, error) {
+// take returns a kept connection that can serve the request, or a new one.
+func (p *Pool) take(ctx context.Context, address, id string) (c *connection, reused bool, err error) {
 	for {
-		p.mu.Lock()
-		kept := p.idle[address]
-		if len(kept) == 0 {
-			p.mu.Unlock()
+		c = p.kept(address, id)
+		if c == nil {
 			break
 		}
-		c := kept[len(kept)-1]
-		p.idle[address] = kept[:len(kept)-1]
-		p.mu.Unlock()
 		if time.Now().Before(c.expires) && silent(c.Conn) {
 			return c, true, nil
 		}
 		_ = c.Close()
 	}
-	conn, err := p.dialer.DialContext(ctx, "tcp", address)
+	dialed, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, false, err
 	}
 	if p.options.Opened != nil {
 		p.options.Opened(address)
 	}
-	return &channel{Conn: conn, reader: bufio.NewReaderSize(conn, 4096), address: address}, false, nil
+	return newConnection(dialed, address), false, nil
+}
+
+// kept removes and returns the idle connection that was used last and did not
+// serve the id, or nil.
+func (p *Pool) kept(address, id string) *connection {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := p.idle[address]
+	for i := len(kept) - 1; i >= 0; i-- {
+		if c := kept[i]; !c.served(id) {
+			p.idle[address] = slices.Delete(kept, i, i+1)
+			return c
+		}
+	}
+	return nil
 }
 
 // silent reports whether the connection is open and holds no unread bytes.
-func silent(conn net.Conn) bool {
-	raw, err := conn.(*net.TCPConn).SyscallConn()
+func silent(c net.Conn) bool {
+	raw, err := c.(*net.TCPConn).SyscallConn()
 	if err != nil {
 		return false
 	}
@@ -286,7 +340,7 @@
 	return err == nil && quiet
 }
 
-func (p *Pool) put(c *channel, keep time.Duration) {
+func (p *Pool) put(c *connection, keep time.Duration) {
 	c.expires = time.Now().Add(keep - keepMargin)
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/peer/fleet/fleet.go
+++ b/internal/peer/fleet/fleet.go
@@ -21,6 +21,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/base/codec"
 	"github.com/wigeonpin/wigeonpin/internal/base/meter"
 	"github.com/wigeonpin/wigeonpin/internal/base/setting"
+	"github.com/wigeonpin/wigeonpin/internal/peer/conn"
 )
 
 // HeaderInstance names the calling instance.
@@ -52,7 +53,7 @@
 		ResponseHeaderTimeout: answerHeaderLimit,
 		DisableCompression:    true,
 	}
-	return &http.Client{Transport: &signer{next: transport, secret: settings.Secret, self: settings.ID}}
+	return &http.Client{Transport: &signer{next: conn.Bounded(transport, conn.PeerLimit), secret: settings.Secret, self: settings.ID}}
 }
 
 type signer struct {
--- a/internal/peer/objects/objects.go
+++ b/internal/peer/objects/objects.go
@@ -33,6 +33,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/base/code"
 	"github.com/wigeonpin/wigeonpin/internal/base/codec"
 	"github.com/wigeonpin/wigeonpin/internal/control/member"
+	"github.com/wigeonpin/wigeonpin/internal/peer/conn"
 )
 
 const (
@@ -75,7 +76,7 @@
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: idleConns,
 		IdleConnTimeout: idleTimeout, DisableCompression: true,
 	}
-	return &Client{base: "http://" + address, http: &http.Client{Transport: transport}, timers: timers}
+	return &Client{base: "http://" + address, http: &http.Client{Transport: conn.Bounded(transport, conn.PeerLimit)}, timers: timers}
 }
 
 // Close drops the idle connections.
--- a/internal/peer/relay/server.go
+++ b/internal/peer/relay/server.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/twitchtv/twirp"
+
+	"github.com/wigeonpin/wigeonpin/internal/peer/conn"
 )
 
 const (
@@ -52,9 +54,9 @@
 // NewAsk returns the function that asks a peer.
 func NewAsk() func(ctx context.Context, address string, call Call, limit time.Duration) (Reply, error) {
 	dialer := &net.Dialer{Timeout: connectLimit}
-	client := &http.Client{Transport: &http.Transport{
+	client := &http.Client{Transport: conn.Bounded(&http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePeers, IdleConnTimeout: time.Minute,
-	}}
+	}, conn.PeerLimit)}
 	return func(ctx context.Context, address string, call Call, limit time.Duration) (Reply, error) {
 		peer := NewRelayProtobufClient("http://"+address, client)
 		reply, err := peer.Call(ctx, &CallRequest{
--- a/internal/peer/service/once.go
+++ b/internal/peer/service/once.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -53,18 +52,20 @@
 	if writeErr != nil && counted.Written() == 0 {
 		return nil, writeErr
 	}
-	reader := bufio.NewReader(counted)
+	limited := conn.NewLimited(counted)
+	limited.Allow(conn.HeadLimit)
+	reader := bufio.NewReader(limited)
 	for {
 		resp, err := http.ReadResponse(reader, req)
 		if err != nil {
 			return nil, errors.Join(err, writeErr)
 		}
 		if resp.StatusCode >= 200 {
+			limited.AllowAll()
 			return resp, nil
 		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
 			return nil, errors.New("the service switched protocols")
 		}
-		_, _ = io.Copy(io.Discard, resp.Body)
 	}
 }
--- a/internal/traffic/event/event.go
+++ b/internal/traffic/event/event.go
@@ -17,11 +17,12 @@
 	"strconv"
 )
 
-// maxEvent is the size in bytes of the largest event.
-const maxEvent = 1 << 20
+// maxEvent is the size in bytes of the largest event. A process reads hundreds
+// of streams at once.
+const maxEvent = 256 << 10
 
 // ErrTooLarge is returned for an event over the largest size.
-var ErrTooLarge = errors.New("event: larger than 1 MiB")
+var ErrTooLarge = errors.New("event: larger than 256 KiB")
 
 // Event is one whole event. Raw holds its bytes with the closing empty line.
 // Version is 0 unless the event carries a weight version.
@@ -32,6 +33,10 @@
 	Raw     []byte
 }
 
+// Progress reports whether the event carries output. Comments and blank lines
+// only keep the connection open.
+func (e Event) Progress() bool { return e.ID > 0 || e.Data != nil }
+
 // Reader splits a body into events.
 type Reader struct {
 	buffered   *bufio.Reader
@@ -50,18 +55,14 @@
 func (r *Reader) Next() (Event, error) {
 	var e Event
 	for {
-		line, err := r.buffered.ReadBytes('\n')
-		if err != nil {
-			if errors.Is(err, io.EOF) && len(line)+len(e.Raw) > 0 {
+		start := len(e.Raw)
+		if err := r.line(&e); err != nil {
+			if errors.Is(err, io.EOF) && len(e.Raw) > 0 {
 				err = io.ErrUnexpectedEOF
 			}
 			return Event{}, err
 		}
-		e.Raw = append(e.Raw, line...)
-		if len(e.Raw) > maxEvent {
-			return Event{}, ErrTooLarge
-		}
-		line = bytes.TrimRight(line, "\r\n")
+		line := bytes.TrimRight(e.Raw[start:], "\r\n")
 		if len(line) == 0 {
 			return e, nil
 		}
@@ -69,6 +70,20 @@
 	}
 }
 
+// line appends the next line to the bytes of the event.
+func (r *Reader) line(e *Event) error {
+	for {
+		part, err := r.buffered.ReadSlice('\n')
+		if len(e.Raw)+len(part) > maxEvent {
+			return ErrTooLarge
+		}
+		e.Raw = append(e.Raw, part...)
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return err
+		}
+	}
+}
+
 func (r *Reader) field(e *Event, line []byte) {
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	value = bytes.TrimPrefix(value, []byte(" "))
@@ -76,7 +91,9 @@
 	case "id":
 		e.ID, _ = strconv.ParseInt(string(value), 10, 64)
 	case "data":
-		if e.Data != nil {
+		if e.Data == nil {
+			e.Data = []byte{}
+		} else {
 			e.Data = append(e.Data, '\n')
 		}
 		e.Data = append(e.Data, value...)
