Send nothing to endpoints that say in their answers that they leave

Its life is remembered apart from its entry, which may be listed as ready, vanish and come again, or name another address; a new life serves. Items see it too.

Found on the way, each with a test that failed before: - A score was taken from an answer whose end was not seen, so that one that broke off after 1 MiB counted as whole.

Answers that are read whole share a budget; without room the rest is handed on unread. A 5xx that is replaced by a better answer is closed.

--- a/internal/base/code/code.go
+++ b/internal/base/code/code.go
@@ -48,6 +48,7 @@
 	NotReady     Code = 305
 	RetryBudget  Code = 306
 	CallerGone   Code = 307
+	MemoryFull   Code = 308
 
 	NoEndpoint       Code = 401
 	EndpointFailed   Code = 402
@@ -108,6 +109,7 @@
 	NotReady:            {"not_ready", http.StatusServiceUnavailable, "The instance has no configuration yet, or its zone is out."},
 	RetryBudget:         {"retry_budget", http.StatusServiceUnavailable, "The retry budget of the account or endpoint is used up."},
 	CallerGone:          {"caller_gone", 499, "The caller closed its connection."},
+	MemoryFull:          {"memory_full", http.StatusServiceUnavailable, "Bodies of other requests hold the memory that this one needs."},
 	NoEndpoint:          {"no_endpoint", http.StatusServiceUnavailable, "No endpoint can take the request."},
 	EndpointFailed:      {"endpoint_failed", http.StatusBadGateway, "The endpoint failed while it ran the request."},
 	AnswerIncomplete:    {"answer_incomplete", http.StatusBadGateway, "The endpoint's answer ended early."},
--- a/internal/fleet/replica/pick.go
+++ b/internal/fleet/replica/pick.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"maps"
 	"time"
 )
 
@@ -175,6 +176,21 @@
 	}
 }
 
+// Leave notes that the endpoint told that it leaves. It gets nothing more until
+// it starts anew, whatever its entry says. Leave reports whether this is new.
+func (s *Slot) Leave() bool {
+	f := s.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if d, told := f.left[s.Entry.ID]; told && d.born == s.Entry.Born {
+		return false
+	}
+	now := f.timers.Now()
+	maps.DeleteFunc(f.left, func(_ string, d departure) bool { return now.Sub(d.at) > departureKept })
+	f.left[s.Entry.ID] = departure{born: s.Entry.Born, at: now}
+	return true
+}
+
 // Done gives the place back and notes how the request ended.
 func (s *Slot) Done(outcome Outcome) {
 	f := s.fleet
--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -67,6 +67,9 @@
 	paceAge = 8 * time.Second
 	// paceShare is the part of a new measurement in the mean.
 	paceShare = 0.2
+	// departureKept is how long it is known that an endpoint leaves, which
+	// exceeds the time in which it exits.
+	departureKept = 10 * time.Minute
 	// coldBurst is how many requests a cold endpoint takes at once.
 	coldBurst = 2
 	// lapseGrace is how long entries that vanished while the store was away
@@ -100,6 +103,13 @@
 	goneAt   time.Time
 }
 
+// departure is one life of an endpoint that told that it leaves. It outlives
+// the endpoint's entry, which may still be listed as ready, or again.
+type departure struct {
+	born int64
+	at   time.Time
+}
+
 // Fleet is the set of known endpoints. It is safe for concurrent use.
 type Fleet struct {
 	timers  *clock.Service
@@ -107,7 +117,8 @@
 
 	mu      sync.Mutex
 	states  map[string]*state
-	out     map[string]bool // availability zones out of service
+	left    map[string]departure // endpoints that told that they leave, by id
+	out     map[string]bool      // availability zones out of service
 	cold    map[string]Warmup
 	changed chan struct{}
 }
@@ -121,7 +132,7 @@
 // NewFleet returns an empty fleet.
 func NewFleet(timers *clock.Service, options Options) *Fleet {
 	return &Fleet{
-		timers: timers, options: options, states: map[string]*state{},
+		timers: timers, options: options, states: map[string]*state{}, left: map[string]departure{},
 		out: map[string]bool{}, cold: map[string]Warmup{}, changed: make(chan struct{}, 1),
 	}
 }
@@ -262,5 +273,8 @@
 	if s.Draining || f.out[s.Zone] {
 		return false
 	}
+	if d, told := f.left[s.ID]; told && d.born == s.Born {
+		return false
+	}
 	return s.goneAt.IsZero() || f.timers.Now().Before(s.goneAt)
 }
--- a/internal/fleet/replica/replica_test.go
+++ b/internal/fleet/replica/replica_test.go
@@ -62,6 +62,12 @@
 		return s.pick(t, d)
 	case "done":
 		return s.done(t, d)
+	case "leave":
+		var id string
+		d.ScanArgs(t, "id", &id)
+		for _, slot := range s.slots[id] {
+			slot.Leave()
+		}
 	case "pace":
 		var id string
 		var ms int
@@ -80,7 +86,7 @@
 	e.Address = e.ID + ":1"
 	var cold int
 	for key, target := range map[string]any{
-		"zone": &e.Zone, "slots": &e.Slots, "born": &e.Born, "draining": &e.Draining, "cold-ms": &cold,
+		"zone": &e.Zone, "address": &e.Address, "slots": &e.Slots, "born": &e.Born, "draining": &e.Draining, "cold-ms": &cold,
 	} {
 		if d.HasArg(key) {
 			d.ScanArgs(t, key, target)
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -17,7 +17,9 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -29,6 +31,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/fleet/replica"
 	"github.com/wigeonpin/wigeonpin/internal/peer/exchange"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/headers"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/memory"
 )
 
 const (
@@ -70,13 +73,21 @@
 	Errors   int // answers of 500 that the call got, this one included
 	Attempts int // endpoints that may have run the request
 	close    func()
+	stop     context.CancelCauseFunc
 }
 
+// ErrStalled is the reason for which Break ends an answer.
+var ErrStalled = errors.New("the endpoint makes no progress")
+
 // Close ends the exchange behind the answer.
 func (a *Answer) Close() {
-	if a.close != nil {
-		a.close()
-	}
+	a.close()
+}
+
+// Break makes the pending read of Rest fail with ErrStalled, and counts the
+// endpoint as failed. It may be called while Rest is read.
+func (a *Answer) Break() {
+	a.stop(ErrStalled)
 }
 
 // Seams are the functions and parts that a forwarder needs.
@@ -86,6 +97,9 @@
 	Names headers.Names
 	// Began is called once for each request that an endpoint may have begun.
 	Began func(account string)
+	// Memory bounds what the answers that are read whole may hold; nil means no
+	// bound.
+	Memory *memory.Budget
 }
 
 // Forwarder sends requests to endpoints.
@@ -97,6 +111,9 @@
 
 // New returns a forwarder.
 func New(seams Seams, timers *clock.Service, log *logrus.Entry) *Forwarder {
+	if seams.Memory == nil {
+		seams.Memory = memory.NewBudget(math.MaxInt64)
+	}
 	return &Forwarder{seams: seams, timers: timers, log: log}
 }
 
@@ -110,6 +127,14 @@
 	reason string
 }
 
+// keep replaces the failure that is returned when no endpoint does better.
+func (p *progress) keep(answer *Answer) {
+	if p.last != nil {
+		p.last.Close()
+	}
+	p.last = answer
+}
+
 // Send tries endpoints until one gives an answer that is final.
 func (f *Forwarder) Send(ctx context.Context, call Call) (*Answer, error) {
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
@@ -119,12 +144,10 @@
 		return nil, err
 	}
 	inner := answer.close
-	answer.close = func() {
-		if inner != nil {
-			inner()
-		}
+	answer.close = sync.OnceFunc(func() {
+		inner()
 		cancel()
-	}
+	})
 	return answer, nil
 }
 
@@ -140,6 +163,7 @@
 		}
 		answer, verdict := f.attempt(ctx, call, slot, p)
 		if verdict == final {
+			p.keep(nil)
 			return answer, nil
 		}
 		if verdict == spent || p.runs >= call.Route.Attempts {
@@ -181,19 +205,19 @@
 	if call.Route.Repeatable() && call.Route.Kind == manifest.Idempotent && p.runs+1 < call.Route.Attempts {
 		limit = min(left, max(leastTry, time.Duration(tryShare*float64(left))))
 	}
-	attempt, cancel := context.WithTimeout(ctx, limit)
+	try := newTry(ctx, limit)
 	request := call.Request
 	request.Header = call.Request.Header.Clone()
 	names := f.seams.Names
 	request.Header.Set(names.Endpoint, slot.Entry.ID)
 	headers.SetMillis(request.Header, names.Deadline, left-spareTime)
 	p.tried[slot.Entry.ID] = true
-	answer, err := f.seams.Pool.Do(attempt, slot.Entry.Address, request)
+	answer, err := f.seams.Pool.Do(try.ctx, slot.Entry.Address, request)
 	if err != nil {
-		cancel()
+		try.end()
 		return nil, f.broken(ctx, call, slot, p, err)
 	}
-	return f.judge(call, slot, p, answer, cancel)
+	return f.judge(call, slot, p, answer, try)
 }
 
 // broken judges an attempt that brought no answer.
@@ -223,11 +247,12 @@
 }
 
 // judge decides whether an answer goes to the caller.
-func (f *Forwarder) judge(call Call, slot *replica.Slot, p *progress, answer *exchange.Answer, cancel context.CancelFunc) (*Answer, verdict) {
+func (f *Forwarder) judge(call Call, slot *replica.Slot, p *progress, answer *exchange.Answer, try *try) (*Answer, verdict) {
 	names := f.seams.Names
-	f.observe(slot, answer.Header)
+	f.observe(slot, answer)
 	if answer.Header.Get(names.Rejected) != "" || answer.Status == http.StatusMisdirectedRequest {
-		f.discard(answer, cancel)
+		answer.Discard()
+		try.end()
 		p.reason = "rejected"
 		outcome := replica.Rejected
 		if answer.Status == http.StatusMisdirectedRequest {
@@ -239,14 +264,14 @@
 	f.began(call, p)
 	if answer.Header.Get(names.Stamp) == "" {
 		answer.Close()
-		cancel()
+		try.end()
 		slot.Done(replica.Failed)
 		p.reason = "answer without a stamp"
 		return nil, f.repeatable(call)
 	}
-	result, err := f.receive(call, slot, answer, cancel)
+	result, err := f.receive(call, slot, answer, try)
 	if err != nil {
-		cancel()
+		try.end()
 		slot.Done(replica.Failed)
 		p.reason = err.Error()
 		return nil, f.repeatable(call)
@@ -256,7 +281,7 @@
 	}
 	result.Errors, result.Attempts = p.errors, p.runs
 	if result.Status >= 500 && call.Route.Repeatable() && p.runs < call.Route.Attempts {
-		p.last = result
+		p.keep(result)
 		return nil, repeat
 	}
 	return result, final
@@ -269,13 +294,16 @@
 	return spent
 }
 
-func (f *Forwarder) discard(answer *exchange.Answer, cancel context.CancelFunc) {
-	_, _ = answer.ReadAll(WholeLimit) // the status says enough; a failed read only costs the connection
-	cancel()
-}
-
-// observe notes what the endpoint tells of itself.
-func (f *Forwarder) observe(slot *replica.Slot, h http.Header) {
+// observe notes what the endpoint tells of itself. A misplaced request was
+// answered by another endpoint.
+func (f *Forwarder) observe(slot *replica.Slot, answer *exchange.Answer) {
+	if answer.Status == http.StatusMisdirectedRequest {
+		return
+	}
+	h := answer.Header
+	if f.seams.Names.IsLeaving(h) && slot.Leave() {
+		f.log.WithField(logs.Endpoint, slot.Entry.ID).Info("endpoint leaves")
+	}
 	if load, told := f.seams.Names.ReadLoad(h); told {
 		slot.Report(load)
 	}
@@ -284,29 +312,34 @@
 	}
 }
 
-// receive reads a plain answer up to WholeLimit. The answer of a stream is
-// handed on unread.
-func (f *Forwarder) receive(call Call, slot *replica.Slot, answer *exchange.Answer, cancel context.CancelFunc) (*Answer, error) {
-	result := &Answer{Status: answer.Status, Header: answer.Header, Endpoint: slot.Entry}
-	if call.Route.Kind != manifest.Stream || answer.Status >= 300 {
-		body, err := io.ReadAll(io.LimitReader(answer, WholeLimit+1))
-		if err != nil {
-			answer.Close()
-			return nil, errors.New("the answer ended early")
-		}
+// receive reads a plain answer up to WholeLimit, or less while other answers
+// hold the memory. The answer of a stream is handed on unread.
+func (f *Forwarder) receive(call Call, slot *replica.Slot, answer *exchange.Answer, try *try) (*Answer, error) {
+	result := &Answer{Status: answer.Status, Header: answer.Header, Endpoint: slot.Entry, stop: try.stop}
+	share := f.seams.Memory.Share()
+	if call.Route.Kind != manifest.Stream || answer.Status >= http.StatusMultipleChoices {
+		body, err := share.ReadAll(answer, -1, WholeLimit)
 		result.Body = body
-		if len(body) <= WholeLimit {
+		if err == nil {
 			answer.Close()
-			cancel()
+			try.end()
 			slot.Done(replica.Answered)
+			result.close = share.Release
 			return result, nil
 		}
+		if !errors.Is(err, memory.ErrTooLarge) && !errors.Is(err, memory.ErrFull) {
+			answer.Close()
+			share.Release()
+			return nil, errors.New("the answer ended early")
+		}
 	}
+	try.lift()
 	result.Rest = answer
 	result.close = func() {
 		answer.Close()
-		cancel()
-		slot.Done(replica.Answered)
+		share.Release()
+		slot.Done(try.outcome(answer.Whole()))
+		try.end()
 	}
 	return result, nil
 }
--- a/internal/traffic/forward/forward_test.go
+++ b/internal/traffic/forward/forward_test.go
@@ -18,13 +18,17 @@
 	"github.com/wigeonpin/wigeonpin/internal/fleet/replica"
 	"github.com/wigeonpin/wigeonpin/internal/peer/exchange"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/headers"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/memory"
 )
 
 var names = headers.Names{
 	Request: "X-Request", Deadline: "X-Deadline", Endpoint: "X-Endpoint", Account: "X-Account",
-	Stamp: "X-Stamp", Rejected: "X-Rejected", Load: "X-Load", Cold: "X-Cold",
+	Stamp: "X-Stamp", Rejected: "X-Rejected", Load: "X-Load", Cold: "X-Cold", Leaving: "X-Leaving",
 }
 
+// longAnswer is the size in bytes of an answer that is not read whole.
+const longAnswer = WholeLimit + 300_000
+
 // endpoint behaves as its mode says: "ok", "500", "reject", "moved", "unstamped",
 // "cut" (in the body), "break" (before the answer), "hang".
 type endpoint struct {
@@ -64,6 +68,20 @@
 		_, _ = fmt.Fprint(w, "half")
 		panic(http.ErrAbortHandler)
 	}
+	switch e.mode {
+	case "long":
+		_, _ = w.Write(make([]byte, WholeLimit+1))
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(1500 * time.Millisecond) // longer than the share of an attempt
+		_, _ = w.Write(make([]byte, longAnswer-WholeLimit-1))
+		return
+	case "broken rest":
+		_, _ = w.Write(make([]byte, WholeLimit+1))
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	case "leaving":
+		w.Header().Set(names.Leaving, "1")
+	}
 	if e.mode == "500" {
 		w.WriteHeader(http.StatusInternalServerError)
 	}
@@ -131,21 +149,31 @@
 }
 
 func newForwarder(t *testing.T, modes []string) (*Forwarder, []*endpoint) {
+	t.Helper()
+	var endpoints []*endpoint
+	for _, mode := range modes {
+		endpoints = append(endpoints, &endpoint{mode: mode})
+	}
+	f, _ := newForwarderOf(t, endpoints...)
+	return f, endpoints
+}
+
+func newForwarderOf(t *testing.T, endpoints ...*endpoint) (*Forwarder, *replica.Fleet) {
 	t.Helper()
 	timers := clock.NewSystem()
 	fleet := replica.NewFleet(timers, replica.Options{Ceiling: 1})
-	var endpoints []*endpoint
-	for i, mode := range modes {
-		e := &endpoint{mode: mode}
-		server := httptest.NewServer(e)
-		t.Cleanup(server.Close)
-		endpoints = append(endpoints, e)
-		fleet.Put(replica.Entry{
-			ID: fmt.Sprint("e", i), Service: "svc", Slots: 4, Address: strings.TrimPrefix(server.URL, "http://"),
-		})
+	for i, e := range endpoints {
+		put(t, fleet, fmt.Sprint("e", i), e)
 	}
 	seams := Seams{Fleet: fleet, Pool: exchange.New(exchange.Options{Match: names.Request}), Names: names}
-	return New(seams, timers, logs.Discard()), endpoints
+	return New(seams, timers, logs.Discard()), fleet
+}
+
+func put(t *testing.T, fleet *replica.Fleet, id string, e *endpoint) {
+	t.Helper()
+	server := httptest.NewServer(e)
+	t.Cleanup(server.Close)
+	fleet.Put(replica.Entry{ID: id, Service: "svc", Slots: 4, Address: strings.TrimPrefix(server.URL, "http://")})
 }
 
 func call(route manifest.Route) Call {
@@ -199,3 +227,76 @@
 		}
 	}
 }
+
+// Guards against a sound answer that is cut because its attempt has a share of
+// the time only: once the caller gets it, no other attempt follows.
+func TestLongAnswerIsNotCut(t *testing.T) {
+	e := &endpoint{mode: "long"}
+	f, fleet := newForwarderOf(t, e)
+	c := call(manifest.Route{Kind: manifest.Idempotent, Attempts: 2})
+	c.Deadline = time.Now().Add(3 * time.Second)
+	answer, err := f.Send(context.Background(), c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rest, err := io.ReadAll(answer.Rest)
+	if err != nil || len(answer.Body)+len(rest) != longAnswer {
+		t.Errorf("%d bytes, %v, want %d", len(answer.Body)+len(rest), err, longAnswer)
+	}
+	answer.Close()
+	if _, found := fleet.Pick(replica.Want{Service: "svc"}); !found {
+		t.Error("the endpoint is not free")
+	}
+}
+
+// Guards against an endpoint that is preferred again right after it broke off
+// an answer whose start the caller had already.
+func TestBrokenRestCountsAsFailure(t *testing.T) {
+	broken, sound := &endpoint{mode: "broken rest"}, &endpoint{mode: "ok"}
+	f, fleet := newForwarderOf(t, broken)
+	answer, err := f.Send(context.Background(), call(manifest.Route{Kind: manifest.Idempotent, Attempts: 2}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadAll(answer.Rest); err == nil {
+		t.Error("the cut answer passed as whole")
+	}
+	answer.Close()
+	put(t, fleet, "sound", sound)
+	for range 4 {
+		slot, found := fleet.Pick(replica.Want{Service: "svc"})
+		if !found || slot.Entry.ID != "sound" {
+			t.Errorf("picked %+v, want the sound endpoint", slot)
+		}
+	}
+}
+
+// Guards against requests to an endpoint that told in an answer that it leaves.
+func TestLeavingEndpointGetsNoMore(t *testing.T) {
+	leaving := &endpoint{mode: "leaving"}
+	f, _ := newForwarderOf(t, leaving)
+	if _, err := f.Send(context.Background(), call(manifest.Route{Kind: manifest.Idempotent, Attempts: 2})); err != nil {
+		t.Fatal(err)
+	}
+	_, err := f.Send(context.Background(), call(manifest.Route{Kind: manifest.Idempotent, Attempts: 2}))
+	if got := code.Of(err); got.Code != code.NoEndpoint || got.Run != code.NotRun || leaving.asks.Load() != 1 {
+		t.Errorf("error %v after %d requests, want a refusal after 1", err, leaving.asks.Load())
+	}
+}
+
+// Guards against memory that is not given back: the budget has room for one
+// answer, and each call needs it anew.
+func TestMemoryIsGivenBack(t *testing.T) {
+	f, _ := newForwarder(t, []string{"500", "ok"})
+	f.seams.Memory = memory.NewBudget(9000) // bytes, for the 500 and the answer after it
+	for range 20 {
+		answer, err := f.Send(context.Background(), call(manifest.Route{Kind: manifest.Idempotent, Attempts: 2}))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if answer.Rest != nil {
+			t.Fatal("the answer did not fit into the memory")
+		}
+		answer.Close()
+	}
+}
--- a/internal/traffic/headers/headers.go
+++ b/internal/traffic/headers/headers.go
@@ -21,7 +21,7 @@
 // at which the weight version changes.
 type Names struct {
 	Request, Deadline, Endpoint, Account string
-	Stamp, Rejected, Load, Cold          string
+	Stamp, Rejected, Load, Cold, Leaving string
 	Versions, VersionKey, Model, Wait    string
 }
 
@@ -92,6 +92,10 @@
 	return replica.Load{Running: numbers[0], Waiting: numbers[1], Slots: numbers[2]}, true
 }
 
+// IsLeaving reports whether an endpoint tells that it leaves and must get no
+// new work.
+func (n Names) IsLeaving(h http.Header) bool { return n.Leaving != "" && h.Get(n.Leaving) == "1" }
+
 // ReadVersion reads the weight version of an answer.
 func (n Names) ReadVersion(h http.Header) (int64, bool) {
 	version, err := strconv.ParseInt(strings.TrimSpace(h.Get(n.Versions)), 10, 64)
--- a/internal/training/runner/runner_test.go
+++ b/internal/training/runner/runner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -87,6 +88,10 @@
 	case fault == "never":
 		w.WriteHeader(http.StatusUnprocessableEntity)
 		return
+	case fault == "halfscored" && strings.HasSuffix(id, "-reward") && run == 1:
+		_, _ = w.Write(make([]byte, forward.WholeLimit+1))
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
 	case strings.HasSuffix(id, "-reward"):
 		return
 	}
@@ -94,7 +99,18 @@
 		version = 1
 	}
 	w.Header().Set(names.Versions, fmt.Sprint(version))
+	if fault == "endless" && run == 1 {
+		endless(w, id)
+		return
+	}
 	for n := last + 1; n <= events; n++ {
+		if fault == "stalled" && run == 1 && n == 3 {
+			comments(w, r, time.Minute)
+			return
+		}
+		if fault == "commented" {
+			comments(w, r, 10*time.Millisecond)
+		}
 		if fault == "cut" && run == 1 && n == 3 {
 			panic(http.ErrAbortHandler)
 		}
@@ -106,6 +122,23 @@
 	}
 }
 
+// endless sends events until its caller closes.
+func endless(w http.ResponseWriter, id string) {
+	var err error
+	for n := 1; err == nil; n++ {
+		_, err = fmt.Fprintf(w, "id: %d\ndata: %s.%d\n\n", n, id, n)
+	}
+}
+
+// comments keeps the stream open for some time without any event.
+func comments(w http.ResponseWriter, r *http.Request, limit time.Duration) {
+	_, _ = io.Copy(io.Discard, r.Body) // only then does the server notice that its caller has left
+	for start := time.Now(); time.Since(start) < limit && r.Context().Err() == nil; time.Sleep(5 * time.Millisecond) {
+		_, _ = fmt.Fprint(w, ": wait\n\n")
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
 // world is a runner with its surroundings.
 type world struct {
 	engine *engine
@@ -152,7 +185,7 @@
 	b := &batch.Batch{ID: "b1", Account: "acme", Host: host, Model: "m", Oldest: 3, Time: time.Now()}
 	for _, id := range ids {
 		b.Items = append(b.Items, batch.Item{
-			ID: id, Path: "/gen/x", Group: id,
+			ID: id, Path: "/gen/x", Group: id, Tokens: 1000,
 			Reward: &batch.Reward{ID: id + "-reward", Host: host, Path: "/score/y"},
 		})
 	}
@@ -201,7 +234,8 @@
 // and a score, and items given up only for a reason that allows it.
 func TestResults(t *testing.T) {
 	w := newWorld(t)
-	b := sample("plain-1", "cut-1", "rejected-1", "old-1", "older-1", "failing-1", "never-1", "unscored-1")
+	b := sample("plain-1", "cut-1", "rejected-1", "old-1", "older-1", "failing-1", "never-1", "unscored-1",
+		"endless-1", "stalled-1", "commented-1", "halfscored-1")
 	ctx := context.Background()
 	w.runner.SetActive(ctx, true)
 	w.runner.Add(ctx, b, true)
@@ -225,6 +259,12 @@
 	if asked := w.engine.asked["cut-1"]; len(asked) != 2 || asked[1] != "2" {
 		t.Errorf("the cut text was taken up with %q, want after event 2", asked)
 	}
+	if asked := w.engine.asked["stalled-1"]; len(asked) < 2 || asked[1] != "2" {
+		t.Errorf("the stalled text was taken up with %q, want after event 2", asked)
+	}
+	if runs := w.engine.runs["halfscored-1-reward"]; runs != 2 {
+		t.Errorf("%d scoring calls, want 2: the first answer broke off", runs)
+	}
 	if w.engine.runs["failing-1"] != 2 {
 		t.Errorf("an item that fails ran %d times, want 2", w.engine.runs["failing-1"])
 	}
--- a/internal/training/runner/schedule.go
+++ b/internal/training/runner/schedule.go
@@ -197,10 +197,18 @@
 	if err != nil {
 		return nil, err
 	}
-	answer.Close()
+	defer answer.Close()
+	if answer.Rest != nil {
+		answer.Break()
+		return nil, errLongScore
+	}
 	return answer, nil
 }
 
+// errLongScore is returned for a scoring answer whose end was not seen. Its
+// stamp alone does not show that the score was made.
+var errLongScore = errors.New("the answer to the scoring call is too long")
+
 // scoring returns the route as a scoring call uses it: it may be repeated.
 func scoring(route manifest.Route) manifest.Route {
 	route.Kind = manifest.Idempotent
--- a/internal/training/runner/standby.go
+++ b/internal/training/runner/standby.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/peer/conn"
 )
 
 const (
@@ -130,7 +131,7 @@
 	joined := text{
 		origin: p.GetOrigin(), pieces: append(pieces, p.GetPieces()...), last: p.GetLast(),
 		versions: p.GetVersions(), complete: p.GetComplete(),
-	}
+	}.sized()
 	if joined.allows(t.job.batch.Oldest) {
 		t.text = joined
 	}
@@ -178,7 +179,8 @@
 
 func newPeerClient() *http.Client {
 	dialer := &net.Dialer{Timeout: dialLimit}
-	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: time.Minute}}
+	transport := &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: time.Minute}
+	return &http.Client{Transport: conn.Bounded(transport, conn.PeerLimit)}
 }
 
 // copyTo sends what was generated since the last call.
--- a/internal/training/runner/task.go
+++ b/internal/training/runner/task.go
@@ -95,7 +95,6 @@
 	// for its end. An engine that is not reached breaks each run, so it counts
 	// once until it starts anew.
 	barrenLives = 4
-	answerLimit = 1 << 20
 )
 
 // life is one start of an engine.
@@ -114,6 +113,7 @@
 	errGap      = errors.New("an event is missing")
 	errStalled  = errors.New("the engine is silent")
 	errSlow     = errors.New("another engine is faster")
+	errTooLong  = errors.New("the text is longer than the item allows")
 	errStatus   = errors.New("unexpected status")
 )
 
@@ -207,6 +207,9 @@
 		return made, 0, err
 	}
 	defer answer.Close()
+	if answer.Status != http.StatusMisdirectedRequest && r.seams.Names.IsLeaving(answer.Header) && slot.Leave() {
+		r.log.WithField(logs.Endpoint, slot.Entry.ID).Info("engine leaves")
+	}
 	version, _ := r.seams.Names.ReadVersion(answer.Header)
 	if err := r.verdict(answer); err != nil {
 		return made, version, err
@@ -225,6 +228,9 @@
 		if err != nil {
 			return made, version, err
 		}
+		if !e.Progress() {
+			continue // a stalled engine may go on sending comments
+		}
 		if e.Version != 0 {
 			version = e.Version
 		}
@@ -235,6 +241,9 @@
 			return made, version, errOld
 		}
 		made = made.with(e.ID, string(e.Data), version)
+		if r.tooLong(t.item, made) {
+			return text{}, version, errTooLong
+		}
 		current := made
 		t.live.Store(&current)
 		pace.event(r.timers.Now())
@@ -242,6 +251,15 @@
 	}
 }
 
+// tooLong reports whether the text cannot be the item's: each event holds a
+// token at least, and a result must fit in a record.
+func (r *Runner) tooLong(item *batch.Item, made text) bool {
+	if item.Tokens > 0 && int64(len(made.pieces)) > item.Tokens {
+		return true
+	}
+	return made.size > int(pageShare*float64(r.seams.ValueBytes))
+}
+
 // paceEvents is how many events are timed together, since several may arrive
 // at once.
 const paceEvents = 4
@@ -273,7 +291,7 @@
 	rejected := answer.Header.Get(names.Rejected) != ""
 	stamped := answer.Header.Get(names.Stamp) != ""
 	status := answer.Status
-	_, _ = answer.ReadAll(answerLimit) // the status says enough; a failed read only costs the connection
+	answer.Discard()
 	switch {
 	case status == http.StatusMisdirectedRequest:
 		return errMisplace
--- a/internal/training/runner/text.go
+++ b/internal/training/runner/text.go
@@ -13,6 +13,7 @@
 type text struct {
 	origin   string
 	pieces   []string
+	size     int // bytes of the pieces with a separator each
 	last     int64
 	versions []int64
 	complete bool
@@ -21,6 +22,7 @@
 // with returns a copy with one more event.
 func (t text) with(id int64, data string, version int64) text {
 	t.pieces = append(t.pieces, data)
+	t.size += len(data) + 1
 	t.last = id
 	if !slices.Contains(t.versions, version) {
 		t.versions = append(slices.Clone(t.versions), version)
@@ -29,6 +31,15 @@
 	return t
 }
 
+// sized returns a copy whose size is that of its pieces.
+func (t text) sized() text {
+	t.size = 0
+	for _, piece := range t.pieces {
+		t.size += len(piece) + 1
+	}
+	return t
+}
+
 // allows reports whether all of the text was made under versions from oldest
 // on.
 func (t text) allows(oldest int64) bool {
