Bound callers' bodies, connections and unread answers; drain without cuts

Causes: a body was read before the deadline was looked at, with no bound on its time and none on the sum of all; answers waited for readers that never read; idle connections were bounded by nothing but descriptors. A planned stop used net/http's shutdown, which closes a kept connection from which a request has just been read (the test with a read that is held fails with it: the request runs, its answer is lost).

Bodies share a part of the memory limit and are refused with 503 memory_full when it is used up, and with 408 when they do not arrive in time. At the limit of connections the one unused the longest is ended. A connection is ended by waking its pending read: bytes that were read before are served.

Resumable streams go on elsewhere when no event comes for 2.2 s; comments do not count. Other streams are not cut for silence.

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -9,6 +9,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -19,6 +20,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
 	"github.com/wigeonpin/wigeonpin/internal/base/meter"
 	"github.com/wigeonpin/wigeonpin/internal/billing/window"
 	"github.com/wigeonpin/wigeonpin/internal/fleet/replica"
@@ -26,9 +28,11 @@
 	"github.com/wigeonpin/wigeonpin/internal/node/view"
 	"github.com/wigeonpin/wigeonpin/internal/peer/exchange"
 	"github.com/wigeonpin/wigeonpin/internal/peer/records"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/callers"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/forward"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/front"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/headers"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/memory"
 	"github.com/wigeonpin/wigeonpin/internal/training/batch"
 	"github.com/wigeonpin/wigeonpin/internal/training/runner"
 )
@@ -42,15 +46,27 @@
 	ceiling = 1.5
 	// idleLimit exceeds the longest idle time of callers' connections.
 	idleLimit = 90 * time.Second
-	// headLimit bounds the head of a request in bytes.
-	headLimit = 64 << 10
-	// headTime bounds the time in which a request's head must arrive.
+	// headTime bounds the time in which the head of a readiness check must
+	// arrive.
 	headTime = 10 * time.Second
 	// stopMargin is kept between the end of a planned stop and the kill.
 	stopMargin = 1200 * time.Millisecond
 	// leaveTime is how long the load balancer may take to notice that the
 	// process is not ready.
 	leaveTime = 3 * time.Second
+	// requestShare, answerShare and callerShare are the parts of the memory
+	// limit that bodies of requests, answers that are read whole and the
+	// connections of callers may take. The rest is for the process itself.
+	requestShare = 0.15
+	answerShare  = 0.15
+	callerShare  = 0.2
+	// callerBytes is the memory of one open connection: buffers and a goroutine.
+	callerBytes = 24 << 10
+	// defaultMemory stands in for an unknown memory limit, in bytes.
+	defaultMemory = 512 << 20
+	// callerDescriptors is the part of the file descriptors that connections of
+	// callers may take. Those to endpoints and peers need the rest.
+	callerDescriptors = 0.5
 )
 
 // Parts are what an entry process gets from the platform's adapter.
@@ -70,6 +86,7 @@
 type Entry struct {
 	profile profile.Profile
 	front   *front.Front
+	callers *callers.Server
 	view    *view.View
 	counter *window.Counter
 	timers  *clock.Service
@@ -87,12 +104,28 @@
 	v := view.New(store, parts.Formats, p, fleet, timers, log)
 	counter := window.NewCounter(store, p.Name, p.Window, timers, log)
 	shelf := batch.NewShelf(store, p.ValueBytes)
-	forwarder := forward.New(forward.Seams{Fleet: fleet, Pool: pool, Names: parts.Names, Began: counter.Add}, timers, log)
+	memoryLimit := float64(cmp.Or(p.MemoryBytes, defaultMemory))
+	forwarder := forward.New(forward.Seams{
+		Fleet: fleet, Pool: pool, Names: parts.Names, Began: counter.Add,
+		Memory: memory.NewBudget(int64(answerShare * memoryLimit)),
+	}, timers, log)
 	f := front.New(front.Seams{
 		Manifest: v.Manifest, Ready: func() bool { return v.Known() && !parts.Isolated() }, Forwarder: forwarder, Shelf: shelf,
 		Reader: batch.NewReader(shelf, runner.NewFinder(parts.Workers), runner.NewFollower(parts.Workers), timers), Names: parts.Names, Calls: parts.Calls, Meters: parts.Meters,
+		Memory: memory.NewBudget(int64(requestShare * memoryLimit)),
 	}, timers, log)
-	return &Entry{profile: p, front: f, view: v, counter: counter, timers: timers, log: log}
+	server := callers.New(f, callers.Options{Most: mostCallers(p), Idle: idleLimit}, timers, log)
+	return &Entry{profile: p, front: f, callers: server, view: v, counter: counter, timers: timers, log: log}
+}
+
+// mostCallers returns the number of connections of callers that the process's
+// memory and descriptors allow, 0 when neither limit is known.
+func mostCallers(p profile.Profile) int {
+	most := int(callerShare * float64(p.MemoryBytes) / callerBytes)
+	if descriptors := int(callerDescriptors * float64(p.Descriptors)); descriptors > 0 && (most == 0 || descriptors < most) {
+		most = descriptors
+	}
+	return most
 }
 
 // Run serves until ctx ends, and then finishes what has begun within the
@@ -103,15 +136,12 @@
 	go e.view.Run(lasting)
 	counted := make(chan struct{})
 	go func() { defer close(counted); e.counter.Run(lasting) }()
-	server := &http.Server{
-		Handler: e.front, IdleTimeout: idleLimit, ReadHeaderTimeout: headTime, MaxHeaderBytes: headLimit,
-	}
 	checks := &http.Server{Handler: e.front.Readiness(), ReadHeaderTimeout: headTime}
 	failed := make(chan error, 2)
-	if err := listen(server, e.profile.Front, failed); err != nil {
+	if err := listen(e.callers.Serve, e.profile.Front, failed); err != nil {
 		return err
 	}
-	if err := listen(checks, e.profile.Readiness, failed); err != nil {
+	if err := listen(checks.Serve, e.profile.Readiness, failed); err != nil {
 		return err
 	}
 	select {
@@ -119,19 +149,19 @@
 		return err
 	case <-ctx.Done():
 	}
-	e.stop(server)
+	e.stop()
 	finish()
 	<-counted
 	return nil
 }
 
-func listen(server *http.Server, address string, failed chan<- error) error {
+func listen(serve func(net.Listener) error, address string, failed chan<- error) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return eris.Wrap(err, "listen")
 	}
 	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			failed <- eris.Wrapf(err, "serve %s", address)
 		}
 	}()
@@ -139,15 +169,15 @@
 }
 
 // stop makes the process unready, serves on while the load balancer notices,
-// and then waits for running requests.
-func (e *Entry) stop(server *http.Server) {
+// and then ends the connections of callers as their requests are answered.
+func (e *Entry) stop() {
 	e.front.Stop()
 	e.log.Info("stopping")
 	ctx, cancel := e.timers.WithTimeout(context.Background(), e.profile.Grace-stopMargin)
 	defer cancel()
 	_ = e.timers.Sleep(ctx, min(leaveTime, e.profile.Grace/2))
-	if err := server.Shutdown(ctx); err != nil {
-		e.log.WithField("cause", err.Error()).Warn("requests cut by the end of the grace time")
-		_ = server.Close()
+	if err := e.callers.Drain(ctx); err != nil {
+		e.log.WithField(logs.Cause, err.Error()).Warn("requests cut by the end of the grace time")
 	}
+	_ = e.callers.Close() // the process ends
 }
--- a/internal/node/profile/check.go
+++ b/internal/node/profile/check.go
@@ -21,6 +21,7 @@
 	FieldPorts     Field = "ports"
 	FieldValue     Field = "value"
 	FieldMemory    Field = "memory"
+	FieldFiles     Field = "descriptors"
 	FieldGrace     Field = "grace"
 	FieldLease     Field = "lease"
 	FieldWindow    Field = "window"
@@ -67,6 +68,7 @@
 		"two ports, the first not above the second")
 	add(p.ValueBytes < smallestValue, FieldValue, fmt.Sprintf("at least %d", smallestValue))
 	add(p.MemoryBytes < 0, FieldMemory, "at least 0")
+	add(p.Descriptors < 0, FieldFiles, "at least 0")
 	for _, bound := range []struct {
 		field Field
 		value time.Duration
@@ -92,6 +94,7 @@
 		FieldName: p.Name, FieldZone: p.Zone, FieldIP: p.IP, FieldFront: p.Front, FieldReadiness: p.Readiness,
 		FieldStore: p.Store, FieldCloud: p.Cloud, FieldPorts: fmt.Sprintf("%d to %d", p.FirstPort, p.LastPort),
 		FieldValue: fmt.Sprint(p.ValueBytes), FieldMemory: fmt.Sprintf("%d MB", p.MemoryBytes>>20),
+		FieldFiles: fmt.Sprint(p.Descriptors),
 		FieldGrace: p.Grace.String(), FieldLease: p.Lease.String(), FieldWindow: p.Window.String(),
 		FieldReportDue: p.ReportDue.String(), FieldConfigDue: p.ConfigDue.String(), FieldDrainDue: p.DrainDue.String(),
 		FieldZoneDue: p.ZoneDue.String(), FieldCancelDue: p.CancelDue.String(),
--- a/internal/node/profile/profile.go
+++ b/internal/node/profile/profile.go
@@ -16,7 +16,8 @@
 )
 
 // Profile describes one process. Addresses are IP:PORT. MemoryBytes is the
-// limit at which the process is killed; 0 means none is known.
+// limit at which the process is killed, and Descriptors bounds its open files;
+// 0 means that none is known.
 type Profile struct {
 	Name, IP, Zone   string
 	Front, Readiness string
@@ -25,6 +26,7 @@
 	LastPort         int
 	ValueBytes       int
 	MemoryBytes      int64
+	Descriptors      int
 	Grace            time.Duration // from SIGTERM to SIGKILL
 	Lease            time.Duration // a holder's turn without renewal
 	Window           time.Duration // one usage window
--- /dev/null
+++ b/internal/traffic/callers/callers_test.go
@@ -0,0 +1,254 @@
+package callers
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+)
+
+const patience = 20 * time.Second
+
+// serve starts a server of the handler and returns it with its address.
+func serve(t *testing.T, handler http.Handler, options Options) (*Server, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := New(handler, options, clock.NewSystem(), logs.Discard())
+	go func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			t.Errorf("serve: %v", err)
+		}
+	}()
+	t.Cleanup(func() { _ = s.Close() })
+	return s, l.Addr().String()
+}
+
+// caller is one connection of a caller.
+type caller struct {
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+func dial(t *testing.T, address string) *caller {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(patience))
+	return &caller{conn: c, reader: bufio.NewReader(c)}
+}
+
+// ask sends one request and reads the whole answer.
+func (c *caller) ask(path string) (string, error) {
+	if _, err := fmt.Fprintf(c.conn, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path); err != nil {
+		return "", err
+	}
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return "", err
+	}
+	body, err := io.ReadAll(response.Body)
+	return string(body), err
+}
+
+var echo = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.URL.Path) })
+
+// Guards against callers that hold so many connections that others find none:
+// the one that was unused the longest makes room, one in use never does.
+func TestRoomForNewConnections(t *testing.T) {
+	entered, release := make(chan struct{}, 1), make(chan struct{})
+	_, address := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/busy" {
+			entered <- struct{}{}
+			<-release
+		}
+		echo(w, r)
+	}), Options{Most: 3, Idle: time.Minute})
+	busy, first, second := dial(t, address), dial(t, address), dial(t, address)
+	answered := make(chan error, 1)
+	go func() {
+		_, err := busy.ask("/busy")
+		answered <- err
+	}()
+	<-entered
+	for _, c := range []*caller{first, second} {
+		if _, err := c.ask("/"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if body, err := dial(t, address).ask("/new"); err != nil || body != "/new" {
+		t.Errorf("the new connection got %q, %v", body, err)
+	}
+	if _, err := first.reader.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("the connection unused the longest: %v, want its orderly end", err)
+	}
+	if body, err := second.ask("/again"); err != nil || body != "/again" {
+		t.Errorf("the other unused connection got %q, %v", body, err)
+	}
+	close(release)
+	if err := <-answered; err != nil {
+		t.Errorf("the request in progress: %v", err)
+	}
+}
+
+// Guards against callers that connect and send nothing: they count as well.
+func TestSilentConnectionsMakeRoom(t *testing.T) {
+	_, address := serve(t, echo, Options{Most: 2, Idle: time.Minute})
+	for range 20 {
+		dial(t, address)
+	}
+	if body, err := dial(t, address).ask("/new"); err != nil || body != "/new" {
+		t.Errorf("got %q, %v", body, err)
+	}
+}
+
+// Guards against requests that were read and get no answer because a planned
+// stop closes their connection at the same moment. net/http's shutdown does so
+// to a request that arrives on a kept connection while it looks for idle ones.
+func TestDrainCutsNothing(t *testing.T) {
+	const connections = 60
+	var began, answered atomic.Int64
+	s, address := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		began.Add(1)
+		echo(w, r)
+	}), Options{Idle: time.Minute})
+	var running sync.WaitGroup
+	for range connections {
+		c := dial(t, address)
+		running.Go(func() {
+			for {
+				if _, err := c.ask("/x"); err != nil {
+					return
+				}
+				answered.Add(1)
+			}
+		})
+	}
+	for answered.Load() < 20*connections {
+		time.Sleep(time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	if err := s.Drain(ctx); err != nil {
+		t.Fatal(err)
+	}
+	running.Wait()
+	if began.Load() != answered.Load() {
+		t.Errorf("%d requests began, %d were answered", began.Load(), answered.Load())
+	}
+}
+
+// heldListener hands out connections that hold the bytes they have read from
+// their second read on until release is closed, as a process does that is
+// paused in between.
+type heldListener struct {
+	net.Listener
+	taken, release chan struct{}
+}
+
+func (h *heldListener) Accept() (net.Conn, error) {
+	c, err := h.Listener.Accept()
+	return &heldConn{Conn: c, listener: h}, err
+}
+
+type heldConn struct {
+	net.Conn
+	listener *heldListener
+	reads    atomic.Int64
+}
+
+func (h *heldConn) Read(p []byte) (int, error) {
+	n, err := h.Conn.Read(p)
+	if n > 1 && h.reads.Add(1) == 2 {
+		close(h.listener.taken)
+		<-h.listener.release
+	}
+	return n, err
+}
+
+// Guards against a stop that closes a kept connection from which a request has
+// just been read: the request runs and its answer is lost.
+func TestDrainServesWhatWasRead(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	held := &heldListener{Listener: l, taken: make(chan struct{}), release: make(chan struct{})}
+	s := New(echo, Options{Idle: time.Minute}, clock.NewSystem(), logs.Discard())
+	go func() { _ = s.Serve(held) }() // ends with Close
+	defer s.Close()
+	c := dial(t, l.Addr().String())
+	if _, err := c.ask("/first"); err != nil {
+		t.Fatal(err)
+	}
+	answered := make(chan error, 1)
+	go func() {
+		body, err := c.ask("/second")
+		if err == nil && body != "/second" {
+			err = fmt.Errorf("answer %q", body)
+		}
+		answered <- err
+	}()
+	<-held.taken
+	short, cancel := context.WithTimeout(context.Background(), 3*drainPeriod)
+	defer cancel()
+	if err := s.Drain(short); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("drain with a request that was read: %v", err)
+	}
+	close(held.release)
+	if err := <-answered; err != nil {
+		t.Errorf("the request that was read got no answer: %v", err)
+	}
+}
+
+// A drain waits for the requests in progress and for a new connection's first
+// request, and ends with its context when they take longer.
+func TestDrainWaits(t *testing.T) {
+	entered, release := make(chan struct{}, 1), make(chan struct{})
+	s, address := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/long" {
+			entered <- struct{}{}
+			<-release
+		}
+		echo(w, r)
+	}), Options{Idle: time.Minute})
+	long, fresh := dial(t, address), dial(t, address)
+	answered := make(chan error, 1)
+	go func() {
+		_, err := long.ask("/long")
+		answered <- err
+	}()
+	<-entered
+	short, cancel := context.WithTimeout(context.Background(), 3*drainPeriod)
+	defer cancel()
+	if err := s.Drain(short); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("drain with a request in progress: %v", err)
+	}
+	if body, err := fresh.ask("/first"); err != nil || body != "/first" {
+		t.Errorf("the first request of a new connection got %q, %v", body, err)
+	}
+	close(release)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	if err := s.Drain(ctx); err != nil {
+		t.Errorf("drain: %v", err)
+	}
+	if err := <-answered; err != nil {
+		t.Errorf("the long request: %v", err)
+	}
+}
--- a/internal/traffic/front/batches.go
+++ b/internal/traffic/front/batches.go
@@ -36,7 +36,9 @@
 		f.refuse(w, q, code.New(code.BadRequest, "a batch is a POST with an id").WithRun(code.NotRun))
 		return
 	}
-	text, err := f.body(w, r, q)
+	share := f.seams.Memory.Share().WithFactor(batchFactor)
+	defer share.Release()
+	text, err := f.body(w, r, q, share)
 	if err != nil {
 		f.refuse(w, q, err)
 		return
--- /dev/null
+++ b/internal/traffic/front/body.go
@@ -0,0 +1,59 @@
+package front
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/code"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/memory"
+)
+
+const (
+	// bodyTime bounds the time in which a body must arrive.
+	bodyTime = 15 * time.Second
+	// batchFactor is how many copies of a batch's body are held while it is
+	// accepted: as text, decoded, and as records of the store.
+	batchFactor = 3
+	// memoryBack is what a caller is told to wait when other bodies hold the
+	// memory.
+	memoryBack = time.Second
+)
+
+// body reads the whole body of a request into memory that the share covers.
+func (f *Front) body(w http.ResponseWriter, r *http.Request, q *inquiry, share *memory.Share) ([]byte, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	limit := int64(largestBody)
+	if allowed := q.manifest.Limits.Body; allowed > 0 {
+		limit = min(limit, allowed)
+	}
+	control := http.NewResponseController(w)
+	latest := time.Now().Add(bodyTime)
+	if q.deadline.Before(latest) {
+		latest = q.deadline
+	}
+	_ = control.SetReadDeadline(latest) // a failure shows in the read
+	text, err := share.ReadAll(r.Body, r.ContentLength, limit)
+	if err != nil {
+		w.Header().Set("Connection", "close") // the rest of the body is not read
+		return nil, bodyError(err, limit)
+	}
+	_ = control.SetReadDeadline(time.Time{}) // else net/http would take its passing for the caller's leaving
+	return text, nil
+}
+
+func bodyError(err error, limit int64) error {
+	var timeout net.Error
+	switch {
+	case errors.Is(err, memory.ErrTooLarge):
+		return code.New(code.BodyTooLarge, "the body exceeds %d bytes", limit).WithRun(code.NotRun)
+	case errors.Is(err, memory.ErrFull):
+		return code.New(code.MemoryFull, "no memory is left for the body").WithRun(code.NotRun).WithRetryAfter(memoryBack)
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return code.New(code.SlowCaller, "the body did not arrive in time").WithRun(code.NotRun)
+	}
+	return code.New(code.CallerGone, "the body did not arrive").WithRun(code.NotRun)
+}
--- a/internal/traffic/front/front.go
+++ b/internal/traffic/front/front.go
@@ -11,7 +11,6 @@
 package front
 
 import (
-	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -30,6 +29,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/peer/exchange"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/forward"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/headers"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/memory"
 	"github.com/wigeonpin/wigeonpin/internal/training/batch"
 )
 
@@ -72,6 +72,7 @@
 	Names     headers.Names
 	Calls     Calls
 	Meters    *meter.Set
+	Memory    *memory.Budget // of the bodies of requests
 }
 
 // Front is the HTTP handler for callers.
@@ -124,10 +125,12 @@
 	account               manifest.Account
 	operation             Operation
 	batch                 string
+	deadline              time.Time // when the caller or the route stops waiting
 }
 
 // ServeHTTP answers one request.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w = newPacedWriter(w)
 	w.Header()["Date"] = nil
 	if f.stopped.Load() {
 		w.Header().Set("Connection", "close")
@@ -173,6 +176,7 @@
 		}
 		q.route = route
 	}
+	q.deadline = f.deadline(r, q)
 	if q.route.Open || q.manifest.Accounts == 0 {
 		return nil
 	}
@@ -199,25 +203,10 @@
 	return q.began.Add(limit)
 }
 
-// body reads the whole body of a request.
-func (f *Front) body(w http.ResponseWriter, r *http.Request, q *inquiry) ([]byte, error) {
-	limit := int64(largestBody)
-	if allowed := q.manifest.Limits.Body; allowed > 0 {
-		limit = min(limit, allowed)
-	}
-	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		return nil, code.New(code.BodyTooLarge, "the body exceeds %d bytes", limit).WithRun(code.NotRun)
-	}
-	if err != nil {
-		return nil, code.New(code.CallerGone, "the body did not arrive").WithRun(code.NotRun)
-	}
-	return text, nil
-}
-
 func (f *Front) forward(w http.ResponseWriter, r *http.Request, q *inquiry) {
-	text, err := f.body(w, r, q)
+	share := f.seams.Memory.Share()
+	defer share.Release()
+	text, err := f.body(w, r, q, share)
 	if err != nil {
 		f.refuse(w, q, err)
 		return
@@ -229,7 +218,7 @@
 	}
 	call := forward.Call{
 		ID: q.id, Account: q.account.Name, Route: q.route, Service: q.route.Target(rand.Float64()),
-		Deadline: f.deadline(r, q),
+		Deadline: q.deadline,
 		Request: exchange.Request{
 			Method: r.Method, Path: q.path, Query: q.query, Host: q.host, Header: header, Body: text,
 		},
--- a/internal/traffic/front/front_test.go
+++ b/internal/traffic/front/front_test.go
@@ -22,6 +22,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/standin/ledger"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/forward"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/headers"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/memory"
 	"github.com/wigeonpin/wigeonpin/internal/training/batch"
 )
 
@@ -30,6 +31,9 @@
 	Stamp: "X-Stamp", Rejected: "X-Rejected", Load: "X-Load", Cold: "X-Cold", Wait: "X-Wait", VersionKey: "versions",
 }
 
+// budget is the memory for the bodies of requests in bytes.
+const budget = 4 * 1001
+
 // world is a front with one endpoint behind it and a ledger as the store.
 type world struct {
 	server   *httptest.Server
@@ -72,7 +76,8 @@
 			Fleet: fleet, Pool: exchange.New(exchange.Options{Match: names.Request}), Names: names,
 		}, timers, logs.Discard()),
 		Shelf: shelf, Reader: batch.NewReader(shelf, nothing, nobody, timers), Names: names, Meters: meter.NewSet(),
-		Calls: Calls{Parse: parse, Decode: decode, Encode: encode, Ready: "/ready"},
+		Memory: memory.NewBudget(budget),
+		Calls:  Calls{Parse: parse, Decode: decode, Encode: encode, Ready: "/ready"},
 	}, timers, logs.Discard())
 	w.server = httptest.NewServer(w.front)
 	t.Cleanup(w.server.Close)
@@ -110,7 +115,7 @@
 	r.Host = "h"
 	r.Header.Set(names.Request, "id-"+body)
 	r.Header.Set(names.Account, "forged")
-	r.Header.Set(names.Deadline, "4000")
+	r.Header.Set(names.Deadline, "12000")
 	if key != "" {
 		r.Header.Set("Authorization", "Bearer "+key)
 	}
--- a/internal/traffic/front/stream.go
+++ b/internal/traffic/front/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/wigeonpin/wigeonpin/internal/traffic/event"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/forward"
@@ -40,7 +41,7 @@
 	last := int64(0)
 	for attempts := answer.Attempts; ; {
 		var err error
-		last, err = f.passEvents(w, answer, last)
+		last, err = f.passEvents(w, q, answer, last)
 		if err == nil {
 			f.count(q, answer.Status)
 			return
@@ -66,15 +67,26 @@
 	}
 }
 
+// stallTime is how long a stream may bring no event before it goes on at
+// another endpoint. It exceeds the pause of a change of weights.
+const stallTime = 2200 * time.Millisecond
+
 var (
 	errCaller   = errors.New("the caller does not read")
 	errNoResume = errors.New("the stream cannot be resumed")
 )
 
-// passEvents copies whole events until the end of the answer.
-func (f *Front) passEvents(w http.ResponseWriter, answer *forward.Answer, last int64) (int64, error) {
+// passEvents copies whole events until the end of the answer. A stream that
+// can go on elsewhere is broken off when no event comes for stallTime; comments
+// of the endpoint are passed on but do not count.
+func (f *Front) passEvents(w http.ResponseWriter, q *inquiry, answer *forward.Answer, last int64) (int64, error) {
 	control := http.NewResponseController(w)
 	reader := event.NewReader(answer.Rest, f.seams.Names.VersionKey)
+	stall := time.AfterFunc(stallTime, answer.Break)
+	defer stall.Stop()
+	if !q.route.Resumable {
+		stall.Stop() // silence is no reason to end it sooner
+	}
 	for {
 		e, err := reader.Next()
 		if errors.Is(err, io.EOF) {
@@ -92,5 +104,8 @@
 		if e.ID > 0 {
 			last = e.ID
 		}
+		if e.Progress() && stall.Stop() {
+			stall.Reset(stallTime)
+		}
 	}
 }
--- /dev/null
+++ b/internal/traffic/front/trouble_test.go
@@ -0,0 +1,173 @@
+package front
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// raw sends the bytes on a new connection and returns the reader of what comes
+// back.
+func (w *world) raw(t *testing.T, text string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp", strings.TrimPrefix(w.server.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
+	return c, bufio.NewReader(c)
+}
+
+func post(path string, deadlineMs int, head, body string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\n%s: r1\r\n%s: %d\r\n%s\r\n%s",
+		path, names.Request, names.Deadline, deadlineMs, head, body)
+}
+
+// Guards against callers that hold a request open by sending its body never or
+// in drips: they are refused once their own time is over, and nothing runs.
+func TestSlowBodyIsRefused(t *testing.T) {
+	var runs atomic.Int64
+	w := newWorld(t, func(http.ResponseWriter, *http.Request) { runs.Add(1) })
+	for name, head := range map[string]string{
+		"announced":     "Content-Length: 900\r\n",
+		"not announced": "Transfer-Encoding: chunked\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, reader := w.raw(t, post("/open/a", 300, head, "1"))
+			stop := make(chan struct{})
+			defer close(stop)
+			go func() {
+				for {
+					select {
+					case <-stop:
+						return
+					case <-time.After(50 * time.Millisecond):
+						_, _ = io.WriteString(c, "0")
+					}
+				}
+			}()
+			response, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer response.Body.Close()
+			if response.StatusCode != http.StatusRequestTimeout || !response.Close {
+				t.Errorf("status %d, connection closed %v, want 408 and true", response.StatusCode, response.Close)
+			}
+		})
+	}
+	if runs.Load() != 0 {
+		t.Error("a request without its whole body ran")
+	}
+}
+
+// Guards against bodies that together take the memory of the process: what
+// does not fit is refused, small requests are served beside.
+func TestManyLargeBodies(t *testing.T) {
+	w := newWorld(t, echo)
+	// Each of these holds 1001 bytes of the budget until it is complete.
+	for range budget / 1001 {
+		w.raw(t, post("/open/a", 20_000, "Content-Length: 1000\r\n", strings.Repeat("x", 999)))
+	}
+	full := func() bool {
+		status, header, body, err := w.call(t, http.MethodPost, "/open/a", "", strings.Repeat("x", 900))
+		return err == nil && status == http.StatusServiceUnavailable && header.Get("Retry-After") != "" && strings.Contains(body, "memory_full")
+	}
+	for end := time.Now().Add(10 * time.Second); !full(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("a body over the budget was not refused")
+		}
+	}
+	if status, _, _, err := w.call(t, http.MethodGet, "/open/a", "", ""); err != nil || status != http.StatusOK {
+		t.Errorf("a request without a body got %d, %v", status, err)
+	}
+}
+
+// deadlines records the write deadlines of an answer.
+type deadlines struct {
+	*httptest.ResponseRecorder
+	set     int
+	largest int // bytes written under one deadline
+	since   int
+}
+
+func (d *deadlines) SetWriteDeadline(time.Time) error {
+	d.set++
+	d.since = 0
+	return nil
+}
+
+func (d *deadlines) Write(b []byte) (int, error) {
+	d.since += len(b)
+	d.largest = max(d.largest, d.since)
+	return d.ResponseRecorder.Write(b)
+}
+
+// Guards against answers that nobody reads, which would hold their memory for
+// ever, and against one deadline for a long answer, which would cut a caller
+// that is slow but goes on reading.
+func TestEachPieceHasADeadline(t *testing.T) {
+	d := &deadlines{ResponseRecorder: httptest.NewRecorder()}
+	p := newPacedWriter(d)
+	text := strings.Repeat("x", 10*writePiece+1)
+	p.WriteHeader(http.StatusOK)
+	if n, err := io.WriteString(p, text); n != len(text) || err != nil {
+		t.Errorf("%d bytes, %v", n, err)
+	}
+	if d.Body.String() != text || d.largest > writePiece || d.set < 12 {
+		t.Errorf("%d bytes written, %d under one of %d deadlines", d.Body.Len(), d.largest, d.set)
+	}
+}
+
+// Guards against a stalled endpoint that keeps its stream open with comments:
+// the stream must go on elsewhere. A slow stream whose events keep coming must
+// not be moved.
+func TestStalledAndSlowStreams(t *testing.T) {
+	for name, c := range map[string]struct {
+		stalls bool
+		runs   int64
+	}{"stalled": {true, 2}, "slow": {false, 1}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var runs atomic.Int64
+			w := newWorld(t, func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body) // only then does the server notice that its caller has left
+				w.Header().Set(names.Request, r.Header.Get(names.Request))
+				w.Header().Set(names.Stamp, "proof")
+				first := runs.Add(1) == 1
+				for n := 1; n <= 4; n++ {
+					if r.Header.Get("Last-Event-Id") == "2" && n <= 2 {
+						continue
+					}
+					for wait := 0; first && (wait < 16 || c.stalls && n == 3) && r.Context().Err() == nil; wait++ {
+						time.Sleep(50 * time.Millisecond)
+						_, _ = fmt.Fprint(w, ": wait\n\n")
+						_ = http.NewResponseController(w).Flush()
+					}
+					_, _ = fmt.Fprintf(w, "id: %d\ndata: x%d\n\n", n, n)
+					_ = http.NewResponseController(w).Flush()
+				}
+			})
+			status, _, body, err := w.call(t, http.MethodPost, "/stream/a", "", "x")
+			got := strings.ReplaceAll(body, ": wait\n\n", "")
+			want := "id: 1\ndata: x1\n\nid: 2\ndata: x2\n\nid: 3\ndata: x3\n\nid: 4\ndata: x4\n\n"
+			if err != nil || status != http.StatusOK || got != want {
+				t.Errorf("%d %q %v", status, got, err)
+			}
+			if runs.Load() != c.runs {
+				t.Errorf("%d runs, want %d", runs.Load(), c.runs)
+			}
+		})
+	}
+}
