--- a/internal/traffic/callers/callers.go
+++ b/internal/traffic/callers/callers.go
@@ -29,9 +29,11 @@
 	headLimit = 64 << 10
 	// drainPeriod is how often a drain looks for unused connections.
 	drainPeriod = 50 * time.Millisecond
-	// quietTime is how long no connection must have come before a drain ends. A
-	// load balancer that still sends some would have them reset.
-	quietTime = 500 * time.Millisecond
+	// quietTime is how long no connection must have come before a drain closes
+	// the listener, which resets those that wait to be accepted. lastCall bounds
+	// this phase, so that a caller that ignores the stop does not prolong it.
+	quietTime = 300 * time.Millisecond
+	lastCall  = 600 * time.Millisecond
 	// firstRequest is how long a drain waits for the first request of a new
 	// connection.
 	firstRequest = time.Second
@@ -57,6 +59,8 @@
 	mu     sync.Mutex
 	open   map[*connection]struct{}
 	latest time.Time // when a connection came last
+	listen net.Listener
+	closed bool      // the listener is closed
 	noted  time.Time // when too many connections were logged last
 }
 
@@ -72,19 +76,32 @@
 
 // Serve accepts connections until Close.
 func (s *Server) Serve(l net.Listener) error {
+	if !s.use(l) {
+		_ = l.Close() // the drain began before
+		return http.ErrServerClosed
+	}
 	return s.http.Serve(&listener{Listener: l, server: s})
 }
 
+func (s *Server) use(l net.Listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listen = l
+	return !s.closed
+}
+
 // Close closes the listeners and all connections.
 func (s *Server) Close() error { return s.http.Close() }
 
-// Drain ends connections once no request uses them, until none is left and no
-// more come. It returns ctx's error when requests still run then.
+// Drain ends connections once no request uses them. It accepts further ones
+// until none comes any more, and then closes the listener. It returns ctx's
+// error when requests still run at its end.
 func (s *Server) Drain(ctx context.Context) error {
 	ticks := s.timers.Subscribe(drainPeriod)
 	defer ticks.Stop()
+	start := s.timers.Now()
 	for {
-		if s.endUnused() {
+		if s.endUnused(start) == 0 {
 			return nil
 		}
 		select {
@@ -95,18 +112,28 @@
 	}
 }
 
-// endUnused ends the connections without a request, and reports whether none
-// is open and none came lately.
-func (s *Server) endUnused() bool {
+// endUnused ends the connections without a request, and closes the listener
+// when it is time. It returns the number of open connections, the listener
+// included.
+func (s *Server) endUnused(start time.Time) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.timers.Now()
+	if !s.closed && (now.Sub(s.latest) > quietTime || now.Sub(start) > lastCall) {
+		s.closed = true
+		if s.listen != nil {
+			_ = s.listen.Close() // fails only if it is closed
+		}
+	}
 	for c := range s.open {
 		if c.served || now.Sub(c.since) > firstRequest {
 			c.end()
 		}
 	}
-	return len(s.open) == 0 && now.Sub(s.latest) > quietTime
+	if !s.closed {
+		return len(s.open) + 1
+	}
+	return len(s.open)
 }
 
 // accepted adds a connection, at the limit in place of the one that has been
@@ -173,7 +200,7 @@
 	for {
 		raw, err := l.Listener.Accept()
 		if err != nil {
-			return nil, err
+			return nil, l.server.acceptError(err)
 		}
 		c := &connection{Conn: raw}
 		if l.server.accepted(c) {
@@ -182,3 +209,13 @@
 		_ = raw.Close()
 	}
 }
+
+// acceptError tells the end of a drain apart from a failure.
+func (s *Server) acceptError(err error) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return http.ErrServerClosed
+	}
+	return err
+}
--- a/internal/traffic/callers/callers_test.go
+++ b/internal/traffic/callers/callers_test.go
@@ -252,3 +252,42 @@
 		t.Errorf("the long request: %v", err)
 	}
 }
+
+// Guards against a drain that is prolonged without end by callers that go on
+// opening connections, until the kill cuts the requests in progress (LOST,
+// soak seed 608).
+func TestDrainEndsWhileCallersCome(t *testing.T) {
+	var began, answered atomic.Int64
+	s, address := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		began.Add(1)
+		time.Sleep(20 * time.Millisecond)
+		echo(w, r)
+	}), Options{Idle: time.Minute})
+	var running sync.WaitGroup
+	for range 8 {
+		running.Go(func() {
+			for {
+				c, err := net.Dial("tcp", address)
+				if err != nil {
+					return // the listener is closed
+				}
+				if _, err := (&caller{c, bufio.NewReader(c)}).ask("/x"); err == nil {
+					answered.Add(1)
+				}
+				_ = c.Close()
+			}
+		})
+	}
+	for answered.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	if err := s.Drain(ctx); err != nil {
+		t.Error(err)
+	}
+	running.Wait()
+	if began.Load() != answered.Load() {
+		t.Errorf("%d requests began, %d were answered", began.Load(), answered.Load())
+	}
+}
