Refuse keyed requests after a pause until the store was heard again

A paused process woke with the manifest of before, and served keys that had been taken away until its watch returned. Its view now knows on the clock that counts suspensions when the store answered last. When that is longer ago than a watch can take both ways, and no call has failed, keyed requests get 503 keys_stale, "not run", with a time to come back; open routes go on. A store that is known to be away changes nothing: what was known last goes on, as the settings ask.

--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -29,7 +29,6 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sys/unix"
 
 	"github.com/wigeonpin/wigeonpin/internal/base/clock"
 	"github.com/wigeonpin/wigeonpin/internal/base/logs"
@@ -88,7 +87,7 @@
 
 // New returns a candidate.
 func New(store records.Store, options Options, timers *clock.Service, log *logrus.Entry) *Leader {
-	return &Leader{store: store, options: options, timers: timers, log: log, uptime: Uptime}
+	return &Leader{store: store, options: options, timers: timers, log: log, uptime: clock.Uptime}
 }
 
 // WithUptime returns a copy that reads the time from the given clock.
@@ -98,15 +97,6 @@
 	return &c
 }
 
-// Uptime is the time since the machine started, suspensions included.
-func Uptime() time.Duration {
-	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
-		panic(err) // the clock exists since Linux 2.6.39
-	}
-	return time.Duration(t.Nano())
-}
-
 // Run campaigns until ctx ends and calls lead for each turn. The context that
 // lead gets ends with the turn.
 func (l *Leader) Run(ctx context.Context, lead func(ctx context.Context, turn *Turn)) {
--- a/internal/control/mirror/mirror.go
+++ b/internal/control/mirror/mirror.go
@@ -29,6 +29,14 @@
 	lastPause  = 800 * time.Millisecond
 )
 
+const (
+	// callRounds is how often a watch may wait its time before it has failed:
+	// through another process, and then directly.
+	callRounds = 2
+	// callSlack covers what the calls take besides.
+	callSlack = 1500 * time.Millisecond
+)
+
 // waitShare is the part of the time in which a change must take effect that one
 // watch may wait. A store that drops its history may leave a waiting watch
 // without the change.
@@ -59,8 +67,12 @@
 	timers  *clock.Service
 	log     *logrus.Entry
 
+	uptime func() time.Duration
+
 	seen     map[string]uint64 // revisions by name; owned by Run
 	synced   atomic.Bool
+	lost     atomic.Bool  // the latest call failed
+	heard    atomic.Int64 // uptime in nanoseconds at the latest answer
 	regained atomic.Int64 // Unix nanoseconds at which the store came back
 }
 
@@ -68,8 +80,25 @@
 func New(store records.Store, kind string, options Options, timers *clock.Service, log *logrus.Entry) *Mirror {
 	return &Mirror{
 		kind: kind, store: store, options: options, timers: timers,
-		log: log.WithField("kind", kind), seen: map[string]uint64{},
+		log: log.WithField("kind", kind), seen: map[string]uint64{}, uptime: clock.Uptime,
+	}
+}
+
+// WithUptime sets the clock that tells how old the latest answer is. It must be
+// called before Run.
+func (m *Mirror) WithUptime(uptime func() time.Duration) *Mirror {
+	m.uptime = uptime
+	return m
+}
+
+// Overslept reports whether no answer came for longer than the calls may take,
+// and none has failed: the process did not run meanwhile, and does not know yet
+// what has changed.
+func (m *Mirror) Overslept() bool {
+	if m.lost.Load() || !m.synced.Load() {
+		return false
 	}
+	return m.uptime()-time.Duration(m.heard.Load()) > callRounds*m.options.Wait+m.options.Rest+callSlack
 }
 
 // Synced reports whether the kind was listed completely.
@@ -81,16 +110,17 @@
 
 // Run follows the kind until ctx ends.
 func (m *Mirror) Run(ctx context.Context) {
-	pause, lost := firstPause, false
+	pause := firstPause
 	var revision uint64
 	for ctx.Err() == nil {
 		next, err := m.follow(ctx, revision)
 		if err == nil {
-			if lost {
+			m.heard.Store(int64(m.uptime()))
+			if m.lost.Swap(false) {
 				m.regained.Store(m.timers.Now().UnixNano())
 				m.log.WithField("revision", next).Info("store regained")
 			}
-			revision, pause, lost = next, firstPause, false
+			revision, pause = next, firstPause
 			if rest := m.options.Rest; rest > 0 {
 				_ = m.timers.Sleep(ctx, rest-time.Duration(m.timers.Now().UnixNano())%rest)
 			}
@@ -103,10 +133,9 @@
 			revision = 0
 			continue
 		}
-		if !lost {
+		if !m.lost.Swap(true) {
 			m.log.WithField(logs.Cause, err.Error()).Warn("store lost")
 		}
-		lost = true
 		_ = m.timers.Sleep(ctx, pause/2+rand.N(pause/2+1))
 		pause = min(2*pause, lastPause)
 	}
--- /dev/null
+++ b/internal/control/mirror/pause_test.go
@@ -0,0 +1,61 @@
+package mirror
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/peer/records"
+)
+
+// Guards against a process that goes on, after a pause, with what it knew
+// before: it must notice from its clock before any answer comes. A store that
+// is known to be away is no pause.
+func TestOverslept(t *testing.T) {
+	const wait = time.Second
+	answers := make(chan error)
+	var now atomic.Int64
+	store := records.Store{
+		List: func(context.Context, string, string) (records.Page, error) { return records.Page{Revision: 1}, nil },
+		Watch: func(ctx context.Context, _ string, after uint64, _ time.Duration) (records.Changes, error) {
+			select {
+			case err := <-answers:
+				return records.Changes{Revision: after}, err
+			case <-ctx.Done():
+				return records.Changes{}, ctx.Err()
+			}
+		},
+	}
+	m := New(store, "things", Options{Wait: wait, Apply: func(records.Record) {}}, clock.NewSystem(), logs.Discard()).
+		WithUptime(func() time.Duration { return time.Duration(now.Load()) })
+	if m.Overslept() {
+		t.Error("overslept before anything is known")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	finished := make(chan struct{})
+	go func() { defer close(finished); m.Run(ctx) }()
+	defer func() { cancel(); <-finished }()
+	answers <- nil
+	expect := func(when string, want bool) {
+		t.Helper()
+		for end := time.Now().Add(10 * time.Second); m.Overslept() != want; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%s: overslept %v, want %v", when, !want, want)
+			}
+		}
+	}
+	expect("listed", false)
+	now.Add(int64(callRounds*wait + callSlack))
+	expect("the calls may still be on their way", false)
+	now.Add(int64(time.Second))
+	expect("after a pause", true)
+	answers <- nil
+	expect("heard again", false)
+	now.Add(int64(time.Minute))
+	expect("after another pause", true)
+	answers <- records.ErrRefused
+	expect("the store is away", false)
+}
--- a/internal/traffic/front/front.go
+++ b/internal/traffic/front/front.go
@@ -39,7 +39,7 @@
 	// largestBody bounds the memory for one body, whatever the manifest allows.
 	largestBody = 16 << 20 // bytes
 	// comeBack is what a caller is told to wait when this process does not
-	// know the configuration yet.
+	// know the configuration yet, or not any more.
 	comeBack = 500 * time.Millisecond
 )
 
@@ -66,6 +66,7 @@
 type Seams struct {
 	Manifest  func() *manifest.Manifest
 	Ready     func() bool
+	Overslept func() bool // the manifest may be out of date after a pause
 	Forwarder *forward.Forwarder
 	Shelf     *batch.Shelf
 	Reader    *batch.Reader
@@ -180,6 +181,9 @@
 	if q.route.Open || q.manifest.Accounts == 0 {
 		return nil
 	}
+	if f.seams.Overslept() {
+		return code.New(code.KeysStale, "the process was paused and reads the keys again").WithRun(code.NotRun).WithRetryAfter(comeBack)
+	}
 	key, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !found || key == "" {
 		return code.New(code.KeyMissing, "the route needs a key").WithRun(code.NotRun)
--- a/internal/traffic/front/front_test.go
+++ b/internal/traffic/front/front_test.go
@@ -41,6 +41,8 @@
 	ledger   *ledger.Ledger
 	known    atomic.Bool
 	isolated atomic.Bool
+
+	overslept atomic.Bool
 }
 
 func newWorld(t *testing.T, endpoint http.HandlerFunc) *world {
@@ -71,7 +73,8 @@
 			}
 			return nil
 		},
-		Ready: func() bool { return w.known.Load() && !w.isolated.Load() },
+		Ready:     func() bool { return w.known.Load() && !w.isolated.Load() },
+		Overslept: w.overslept.Load,
 		Forwarder: forward.New(forward.Seams{
 			Fleet: fleet, Pool: exchange.New(exchange.Options{Match: names.Request}), Names: names,
 		}, timers, logs.Discard()),
@@ -173,6 +176,20 @@
 	}
 }
 
+// Guards against keys that were taken away while the process was paused: until
+// it has heard from the store again, only open routes are served.
+func TestKeysAfterAPause(t *testing.T) {
+	w := newWorld(t, echo)
+	w.overslept.Store(true)
+	status, header, body, err := w.call(t, http.MethodPost, "/keyed/a", "k1", "x")
+	if err != nil || status != http.StatusServiceUnavailable || header.Get("Retry-After") == "" || !strings.Contains(body, "not_run") {
+		t.Errorf("a keyed request got %d %v %q, %v", status, header, body, err)
+	}
+	if status, _, _, err := w.call(t, http.MethodPost, "/open/a", "", "x"); err != nil || status != http.StatusOK {
+		t.Errorf("an open request got %d, %v", status, err)
+	}
+}
+
 // Readiness falls while the configuration is unknown, while the process is
 // isolated and during a planned stop; requests are served all the same.
 func TestReadiness(t *testing.T) {
