Check by a report that an engine holds a version

The answers of engines to orders bear no id, so that a late copy of a report's answer (status 200) could pass for "the order already holds" and the engine count as new. The test failed before: version 2 in place of 1.

--- a/internal/fleet/weights/load.go
+++ b/internal/fleet/weights/load.go
@@ -46,8 +46,9 @@
 	if verdict == Accepted {
 		return p.await(ctx, s, nil)
 	}
-	p.seams.Fleet.Learn(s.entry.ID, s.model, s.version)
-	return nil
+	// The answers of engines to orders and reports bear no id: what looks like the
+	// answer may be a late copy of another one.
+	return p.await(ctx, s, errRefused)
 }
 
 // await watches the engine until it has the version. When doubt is set and
