Share endpoints by what they tell of their load, and wait in a fair queue

Nothing waited at the entry processes: a request asked twice within 25 ms and was refused, all callers with the same 250 ms.

Now each process keeps a window for each endpoint. It grows while the endpoint tells that nothing waits there, shrinks when more than half of its slots wait, and below one it is a request with a pause after it; windows begin at two. A drift by time makes small windows grow as fast as large ones: without it one of eight processes had a third of the others' share in the simulation. Requests wait for half of their route's aim in the queue that the stand-alone instance has, fair between accounts, and are refused at once when that cannot be kept; a request is sent to full endpoints three times at most. Refused callers get times to come back of their own, spread at the rate at which requests are served.

Ruled out: letting requests wait up to the aim, which leaves no time for the run. The simulation in driven time covers 2, 8 and 80 processes, 2, 8 and 60 times the load, slow endpoints and a restart of half of the processes.

What a cold endpoint bears is shared by the entry processes as they are listed, where each took a tenth of it before, whatever their number; a new entry of a cold endpoint no longer gives each process another first request.

--- a/cmd/wigeonpin/entry.go
+++ b/cmd/wigeonpin/entry.go
@@ -9,6 +9,15 @@
 
 type entryCommand struct{}
 
+// entries returns the number of entry processes, this one included, or 0 while
+// the list is not known.
+func (n *node) entries() int {
+	if !n.peers.Known() {
+		return 0
+	}
+	return n.peers.Count(roleEntry) + 1
+}
+
 func (entryCommand) run(ctx context.Context) error {
 	n, err := startNode(context.WithoutCancel(ctx), roleEntry)
 	if err != nil {
@@ -16,7 +25,7 @@
 	}
 	e := entry.New(n.source.Current(), entry.Parts{
 		Store: n.store, Formats: formats(), Names: platform.Headers(), Calls: platform.Calls(), Meters: n.meters,
-		Isolated: n.isolated, Workers: func() []string { return n.peers.Role(roleWorker) },
+		Isolated: n.isolated, Workers: func() []string { return n.peers.Role(roleWorker) }, Entries: n.entries,
 	}, n.timers, n.log)
 	err = e.Run(ctx)
 	n.stopped()
--- /dev/null
+++ b/internal/fleet/replica/overload_test.go
@@ -0,0 +1,210 @@
+package replica
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+)
+
+const (
+	simSlots  = 6
+	simQueue  = 24 // requests that wait at an endpoint before it rejects
+	simWork   = 25 * time.Millisecond
+	simWay    = time.Millisecond // one way between process and endpoint
+	simAim    = 150 * time.Millisecond
+	simLength = 12 * time.Second
+	simSettle = 2 * time.Second // in which windows find their size
+	simZone   = "a"
+)
+
+// event is something that happens in a simulated overload.
+type event struct {
+	at time.Duration
+	do func()
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at < e[j].at }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+// simEndpoint serves simSlots requests at once and keeps a few more waiting.
+type simEndpoint struct {
+	slowness         time.Duration
+	running, waiting int
+	queue            []func()
+}
+
+func (e *simEndpoint) load() Load {
+	return Load{Running: e.running, Waiting: e.waiting, Slots: simSlots}
+}
+
+// overload is processes that send more than their endpoints can run.
+type overload struct {
+	rng       *rand.Rand
+	timers    *clock.Service
+	driver    *clock.Driver
+	now       time.Duration
+	pending   events
+	fleets    []*Fleet
+	endpoints map[string]*simEndpoint
+
+	sent, rejected, inTime int
+	byProcess              []int
+}
+
+func (o *overload) after(d time.Duration, do func()) { heap.Push(&o.pending, event{o.now + d, do}) }
+
+// start begins a life of a process, which knows nothing of before.
+func (o *overload) start(process int) {
+	f := NewFleet(o.timers, Options{Zone: simZone, ColdShare: Fixed(0.1), Ceiling: 1.5, Shared: true})
+	for id := range o.endpoints {
+		f.Put(Entry{ID: id, Service: "svc", Zone: simZone, Slots: simSlots, Address: id})
+	}
+	o.fleets[process] = f
+}
+
+// arrive lets one request of a caller reach a process, which sends it on or
+// refuses it.
+func (o *overload) arrive(process int) {
+	slot, found := o.fleets[process].Pick(Want{Service: "svc"})
+	if !found {
+		return
+	}
+	e, began, measured := o.endpoints[slot.Entry.ID], o.now, o.now > simSettle
+	if measured {
+		o.sent++
+	}
+	finish := func(outcome Outcome) {
+		load := e.load()
+		o.after(simWay, func() {
+			slot.Report(load)
+			slot.Done(outcome)
+			if measured && outcome == Answered && o.now-began <= simAim {
+				o.inTime++
+				o.byProcess[process]++
+			}
+			if measured && outcome == Rejected {
+				o.rejected++
+			}
+		})
+	}
+	run := func() {
+		e.running++
+		o.after(e.slowness*time.Duration(float64(simWork)*(0.5+o.rng.Float64())), func() {
+			e.running--
+			finish(Answered)
+			if e.waiting > 0 {
+				next := e.queue[0]
+				e.queue = e.queue[1:]
+				e.waiting--
+				next()
+			}
+		})
+	}
+	o.after(simWay, func() {
+		switch {
+		case e.running < simSlots:
+			run()
+		case e.waiting < simQueue:
+			e.waiting++
+			e.queue = append(e.queue, run)
+		default:
+			finish(Rejected)
+		}
+	})
+}
+
+// play lets requests arrive at factor times what the endpoints can run.
+func (o *overload) play(factor float64, restart bool) {
+	capacity := 0.0
+	for _, e := range o.endpoints {
+		capacity += simSlots / (simWork * e.slowness).Seconds()
+	}
+	pause := time.Duration(float64(time.Second) / (capacity * factor))
+	var next func()
+	next = func() {
+		o.arrive(o.rng.IntN(len(o.fleets)))
+		o.after(time.Duration(2*o.rng.Float64()*float64(pause)), next)
+	}
+	o.after(0, next)
+	if restart {
+		o.after(simLength/2, func() {
+			for p := 0; p < len(o.fleets); p += 2 {
+				o.start(p)
+			}
+		})
+	}
+	for o.now < simLength {
+		e := heap.Pop(&o.pending).(event)
+		o.driver.Advance(e.at - o.now)
+		o.now = e.at
+		e.do()
+	}
+}
+
+// Guards against processes that fill the queues of endpoints together: under
+// lasting overload the endpoints must run nearly all that they can, within the
+// aim, few sends may come back as not run, and no process may be starved. The
+// load pattern is that of lookups which come many times as often while most
+// endpoints of their service are gone.
+func TestOverload(t *testing.T) {
+	cases := []struct {
+		processes, endpoints int
+		factor               float64
+		slowness             time.Duration
+		restart              bool
+	}{
+		{2, 1, 2, 1, false},
+		{8, 1, 2, 1, false},
+		{8, 1, 8, 1, false},
+		{8, 1, 60, 1, false},
+		{8, 3, 8, 1, false},
+		{8, 1, 8, 2, false},
+		{8, 1, 8, 1, true},
+		{80, 5, 2, 1, false},
+		{80, 5, 8, 1, false},
+		{80, 5, 8, 1, true},
+		{80, 1, 60, 1, false},
+	}
+	for _, c := range cases {
+		t.Run(fmt.Sprintf("%d processes, %d endpoints, %gx, slowness %d, restart %v", c.processes, c.endpoints, c.factor, c.slowness, c.restart), func(t *testing.T) {
+			o := &overload{rng: rand.New(rand.NewPCG(1, 1)), endpoints: map[string]*simEndpoint{}, fleets: make([]*Fleet, c.processes)}
+			o.timers, o.driver = clock.NewDriven(time.Unix(1000, 0))
+			o.byProcess = make([]int, c.processes)
+			for i := range c.endpoints {
+				o.endpoints[fmt.Sprint("e", i)] = &simEndpoint{slowness: c.slowness}
+			}
+			for p := range o.fleets {
+				o.start(p)
+			}
+			o.play(c.factor, c.restart)
+			capacity := float64(c.endpoints) * simSlots / (simWork * c.slowness).Seconds() * (simLength - simSettle).Seconds()
+			t.Logf("%.2f of the capacity in time, %.3f of the sends rejected, by process %v", float64(o.inTime)/capacity, float64(o.rejected)/float64(o.sent), o.byProcess)
+			if float64(o.inTime) < 0.9*capacity {
+				t.Errorf("%d requests in time, want nine tenths of %.0f", o.inTime, capacity)
+			}
+			if 10*o.rejected > o.sent {
+				t.Errorf("%d of %d sends came back as not run, want under a tenth", o.rejected, o.sent)
+			}
+			fair := float64(o.inTime) / float64(c.processes)
+			for p, n := range o.byProcess {
+				if float64(n) < fair/3 {
+					t.Errorf("process %d had %d requests in time, others %.0f", p, n, fair)
+				}
+			}
+		})
+	}
+}
--- a/internal/fleet/replica/pick.go
+++ b/internal/fleet/replica/pick.go
@@ -24,6 +24,7 @@
 type Slot struct {
 	Entry Entry
 	fleet *Fleet
+	began time.Time
 	done  bool
 }
 
@@ -53,7 +54,7 @@
 	if now.Before(best.coldTill) {
 		best.budget--
 	}
-	return &Slot{Entry: best.Entry, fleet: f}, true
+	return &Slot{Entry: best.Entry, fleet: f, began: now}, true
 }
 
 func (f *Fleet) fits(s *state, want Want) bool {
@@ -68,13 +69,13 @@
 
 // bears reports whether the endpoint takes one more request of this process.
 func (f *Fleet) bears(s *state, now time.Time) bool {
-	if s.sent >= max(1, int(float64(s.Slots)*f.options.Ceiling)) {
+	if s.sent >= max(1, int(float64(s.Slots)*f.options.Ceiling)) || !s.window.allows(s.sent) || now.Before(s.pauseEnd) {
 		return false
 	}
 	if !now.Before(s.coldTill) {
 		return true
 	}
-	s.budget = min(coldBurst, s.budget+s.coldRate*now.Sub(s.filledAt).Seconds())
+	s.budget = min(coldBurst, s.budget+f.coldRate(s)*now.Sub(s.filledAt).Seconds())
 	s.filledAt = now
 	return s.budget >= 1
 }
@@ -164,6 +165,7 @@
 	defer s.fleet.mu.Unlock()
 	if st, known := s.fleet.states[s.Entry.ID]; known {
 		st.load, st.loadAt = load, s.fleet.timers.Now()
+		st.window.report(load, max(1, float64(st.Slots)*s.fleet.options.Ceiling), st.loadAt)
 	}
 }
 
@@ -209,8 +211,12 @@
 	switch outcome {
 	case Answered:
 		st.failures, st.restTill = 0, time.Time{}
+		st.window.answered()
+		st.pauseEnd = now.Add(st.window.rest(now.Sub(s.began)))
 	case Rejected:
 		st.restTill = now.Add(fullRest)
+		st.window.rejected()
+		st.pauseEnd = now.Add(st.window.rest(fullRest))
 	case Failed:
 		st.restTill = now.Add(min(lastRest, firstRest<<min(st.failures, 4)))
 		st.failures++
--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -5,7 +5,7 @@
 //
 // # Usage
 //
-//	fleet := replica.NewFleet(timers, replica.Options{Zone: "a", ColdShare: 0.1})
+//	fleet := replica.NewFleet(timers, replica.Options{Zone: "a", ColdShare: replica.Fixed(0.1)})
 //	fleet.Put(entry)
 //	slot, found := fleet.Pick(replica.Want{Service: "catalog"})
 //	...
@@ -14,6 +14,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -78,12 +79,16 @@
 )
 
 // Options configure a fleet. Zone is this process's availability zone; empty
-// prefers none. ColdShare is this process's part of what a cold endpoint bears.
+// prefers none. ColdShare returns this process's part of what a cold endpoint
+// bears; nil means none.
 // Ceiling multiplies the slots up to which this process sends to an endpoint.
+// Shared tells that many processes send to the same endpoints, so that a process
+// begins with few requests at each.
 type Options struct {
 	Zone      string
-	ColdShare float64
+	ColdShare func() float64
 	Ceiling   float64
+	Shared    bool
 }
 
 type state struct {
@@ -94,12 +99,13 @@
 	failures int
 	restTill time.Time
 	coldTill time.Time
-	coldRate float64
 	budget   float64 // requests that may go to it now while it is cold
 	filledAt time.Time
 	pace     time.Duration // mean time for one event; 0 while unknown
 	pacedAt  time.Time
-	loading  string // model whose weights are being changed
+	window   window
+	pauseEnd time.Time // end of the pause that a window below one asks for
+	loading  string    // model whose weights are being changed
 	goneAt   time.Time
 }
 
@@ -123,6 +129,9 @@
 	changed chan struct{}
 }
 
+// Fixed returns a share that does not change.
+func Fixed(share float64) func() float64 { return func() float64 { return share } }
+
 // Warmup is how endpoints of a service start.
 type Warmup struct {
 	For  time.Duration
@@ -177,6 +186,9 @@
 	s, known := f.states[e.ID]
 	if !known || s.Born != e.Born || s.Address != e.Address {
 		s = &state{}
+		if f.options.Shared {
+			s.window.size = firstWindow
+		}
 		f.states[e.ID] = s
 	}
 	models := merge(s.Models, e.Models)
@@ -206,11 +218,31 @@
 		return
 	}
 	now := f.timers.Now()
+	if !now.Before(s.coldTill) {
+		s.budget, s.filledAt = f.firstBudget(s), now
+	}
 	if till := now.Add(left); till.After(s.coldTill) {
 		s.coldTill = till
 	}
-	s.coldRate = f.cold[s.Service].Rate * f.options.ColdShare
-	s.budget, s.filledAt = 1, now
+}
+
+// coldRate returns how many requests a second this process may send to the
+// endpoint while it is cold.
+func (f *Fleet) coldRate(s *state) float64 {
+	if f.options.ColdShare == nil {
+		return 0
+	}
+	return f.cold[s.Service].Rate * f.options.ColdShare()
+}
+
+// firstBudget is what may go to an endpoint right after it turned cold. Where
+// each of many processes may send less than one request a second, chance spreads
+// their first ones, so that their sum begins at the joint rate.
+func (f *Fleet) firstBudget(s *state) float64 {
+	if f.coldRate(s) >= 1 {
+		return 1
+	}
+	return rand.Float64()
 }
 
 // Remove drops an endpoint whose entry is gone. When the store has just come
@@ -255,6 +287,18 @@
 	}
 }
 
+// Serves reports whether any endpoint of the service is in service, busy or not.
+func (f *Fleet) Serves(service string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.states {
+		if s.Service == service && f.usable(s) {
+			return true
+		}
+	}
+	return false
+}
+
 // Entries returns the endpoints of a service that are in service, or of all
 // services when it is empty.
 func (f *Fleet) Entries(service string) []Entry {
--- a/internal/fleet/replica/replica_test.go
+++ b/internal/fleet/replica/replica_test.go
@@ -27,7 +27,7 @@
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		s := &script{slots: map[string][]*Slot{}}
 		s.timers, s.driver = clock.NewDriven(time.Unix(1000, 0))
-		s.fleet = NewFleet(s.timers, Options{Zone: "a", ColdShare: 1, Ceiling: 1})
+		s.fleet = NewFleet(s.timers, Options{Zone: "a", ColdShare: Fixed(1), Ceiling: 1})
 		s.fleet.SetWarmups(map[string]Warmup{"svc": {For: 3 * time.Second, Rate: 4}})
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string { return s.run(t, d) })
 	})
@@ -145,7 +145,7 @@
 // starts.
 func TestColdWithoutLimit(t *testing.T) {
 	timers, _ := clock.NewDriven(time.Unix(1000, 0))
-	f := NewFleet(timers, Options{ColdShare: 0.1, Ceiling: 1})
+	f := NewFleet(timers, Options{ColdShare: Fixed(0.1), Ceiling: 1})
 	f.SetWarmups(map[string]Warmup{"svc": {}})
 	f.Put(Entry{ID: "e1", Service: "svc", Slots: 4, Cold: time.Minute})
 	for i := range 4 {
@@ -154,3 +154,51 @@
 		}
 	}
 }
+
+// Guards against processes that each keep to a fixed part of what a cold
+// endpoint bears: with many of them the sum is a multiple of it, with few the
+// endpoint stays empty. Each process here has more requests than it may send.
+func TestColdRateIsShared(t *testing.T) {
+	const (
+		rate    = 12.0 // requests a second
+		coldFor = 5 * time.Second
+		step    = 20 * time.Millisecond
+	)
+	for _, processes := range []int{1, 2, 10, 80} {
+		t.Run(fmt.Sprint(processes, " processes"), func(t *testing.T) {
+			timers, driver := clock.NewDriven(time.Unix(1000, 0))
+			var fleets []*Fleet
+			for range processes {
+				f := NewFleet(timers, Options{ColdShare: Fixed(1 / float64(processes)), Ceiling: 1})
+				f.SetWarmups(map[string]Warmup{"svc": {For: coldFor, Rate: rate}})
+				fleets = append(fleets, f)
+			}
+			entry := Entry{ID: "e1", Service: "svc", Slots: 100, Cold: coldFor}
+			var sent []time.Time
+			for elapsed := time.Duration(0); elapsed < coldFor; elapsed += step {
+				for _, f := range fleets {
+					f.Put(entry) // the entry changes for other reasons, too
+					if slot, found := f.Pick(Want{Service: "svc"}); found {
+						slot.Done(Answered)
+						sent = append(sent, timers.Now())
+					}
+				}
+				driver.Advance(step)
+			}
+			for i := range sent {
+				count := 0
+				for _, at := range sent[i:] {
+					if at.Sub(sent[i]) < time.Second {
+						count++
+					}
+				}
+				if most := int(1.5*rate + 5); count > most {
+					t.Fatalf("%d requests in a second, at most %d are borne", count, most)
+				}
+			}
+			if least := int(rate * coldFor.Seconds() / 2); len(sent) < least {
+				t.Errorf("%d requests in %v, want at least %d", len(sent), coldFor, least)
+			}
+		})
+	}
+}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -38,9 +38,12 @@
 )
 
 const (
-	// coldShare is this process's part of what a cold endpoint bears. It leaves
-	// room for ten processes in all.
-	coldShare = 0.1
+	// coldShare is the part of what a cold endpoint bears that all entry
+	// processes send together; the worker has most of the rest.
+	coldShare = 0.4
+	// unknownEntries is how many entry processes are assumed while their list is
+	// not known.
+	unknownEntries = 100
 	// ceiling is the multiple of an endpoint's slots up to which one process
 	// sends to it.
 	ceiling = 1.5
@@ -77,6 +80,9 @@
 	Calls   front.Calls
 	Meters  *meter.Set
 	Workers func() []string // addresses of the workers
+	// Entries returns the number of entry processes, this one included, or 0
+	// while it is not known.
+	Entries func() int
 	// Isolated tells that neither the store nor another availability zone is
 	// reached. Callers are then better served by other zones.
 	Isolated func() bool
@@ -100,14 +106,14 @@
 	pool := exchange.New(exchange.Options{
 		Match: parts.Names.Request, Opened: func(address string) { opened.Add(address, 1) },
 	})
-	fleet := replica.NewFleet(timers, replica.Options{Zone: p.Zone, ColdShare: coldShare, Ceiling: ceiling})
+	fleet := replica.NewFleet(timers, replica.Options{Zone: p.Zone, ColdShare: coldPart(parts.Entries), Ceiling: ceiling, Shared: true})
 	v := view.New(store, parts.Formats, p, fleet, timers, log)
 	counter := window.NewCounter(store, p.Name, p.Window, timers, log)
 	shelf := batch.NewShelf(store, p.ValueBytes)
 	memoryLimit := float64(cmp.Or(p.MemoryBytes, defaultMemory))
 	forwarder := forward.New(forward.Seams{
 		Fleet: fleet, Pool: pool, Names: parts.Names, Began: counter.Add,
-		Memory: memory.NewBudget(int64(answerShare * memoryLimit)),
+		Memory: memory.NewBudget(int64(answerShare * memoryLimit)), Meters: parts.Meters,
 	}, timers, log)
 	f := front.New(front.Seams{
 		Manifest: v.Manifest, Ready: func() bool { return v.Known() && !parts.Isolated() }, Overslept: v.Overslept, Forwarder: forwarder, Shelf: shelf,
@@ -118,6 +124,11 @@
 	return &Entry{profile: p, front: f, callers: server, view: v, counter: counter, timers: timers, log: log}
 }
 
+// coldPart returns this process's part of what a cold endpoint bears.
+func coldPart(entries func() int) func() float64 {
+	return func() float64 { return coldShare / float64(cmp.Or(entries(), unknownEntries)) }
+}
+
 // mostCallers returns the number of connections of callers that the process's
 // memory and descriptors allow, 0 when neither limit is known.
 func mostCallers(p profile.Profile) int {
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -20,6 +20,7 @@
 	"math"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -27,11 +28,14 @@
 	"github.com/wigeonpin/wigeonpin/internal/base/clock"
 	"github.com/wigeonpin/wigeonpin/internal/base/code"
 	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/base/meter"
 	"github.com/wigeonpin/wigeonpin/internal/control/manifest"
 	"github.com/wigeonpin/wigeonpin/internal/fleet/replica"
 	"github.com/wigeonpin/wigeonpin/internal/peer/exchange"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/headers"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/memory"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/queue"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/returns"
 )
 
 const (
@@ -42,12 +46,6 @@
 	// while others are left, and leastTry its lower bound.
 	tryShare = 0.4
 	leastTry = 350 * time.Millisecond
-	// askRounds is how often endpoints that only rejected a request are asked.
-	askRounds = 2
-	// retryPause is the wait before the endpoints that refused are asked again.
-	retryPause = 25 * time.Millisecond
-	// comeBack is what a refused caller is told to wait.
-	comeBack = 250 * time.Millisecond
 	// spareTime is kept back for the way of the answer to the caller.
 	spareTime = 15 * time.Millisecond
 )
@@ -100,13 +98,20 @@
 	// Memory bounds what the answers that are read whole may hold; nil means no
 	// bound.
 	Memory *memory.Budget
+	// Meters count what waits and what is refused; nil counts nothing.
+	Meters *meter.Set
 }
 
 // Forwarder sends requests to endpoints.
 type Forwarder struct {
-	seams  Seams
-	timers *clock.Service
-	log    *logrus.Entry
+	seams   Seams
+	timers  *clock.Service
+	log     *logrus.Entry
+	queue   *queue.Queue
+	pumping atomic.Bool // requests that wait are kicked
+
+	mu      sync.Mutex
+	returns map[string]*returns.Schedule // by service
 }
 
 // New returns a forwarder.
@@ -114,7 +119,13 @@
 	if seams.Memory == nil {
 		seams.Memory = memory.NewBudget(math.MaxInt64)
 	}
-	return &Forwarder{seams: seams, timers: timers, log: log}
+	if seams.Meters == nil {
+		seams.Meters = meter.NewSet()
+	}
+	return &Forwarder{
+		seams: seams, timers: timers, log: log, returns: map[string]*returns.Schedule{},
+		queue: queue.New(timers, seams.Meters, queue.Seams{Running: func(string) int64 { return 0 }}),
+	}
 }
 
 // progress is what the attempts for a call have shown so far.
@@ -123,8 +134,10 @@
 	runs   int             // attempts that may have run
 	errors int             // answers of 500
 	last   *Answer         // the latest failure that an endpoint answered
-	rounds int             // times that all endpoints have rejected it
 	reason string
+
+	rejections int       // endpoints that turned out to be full
+	placeBy    time.Time // until when it may wait for an endpoint
 }
 
 // keep replaces the failure that is returned when no endpoint does better.
@@ -152,16 +165,14 @@
 }
 
 func (f *Forwarder) send(ctx context.Context, call Call) (*Answer, error) {
-	p := &progress{tried: map[string]bool{}}
+	p := &progress{tried: map[string]bool{}, placeBy: placeBy(call, f.timers.Now())}
 	for ctx.Err() == nil {
-		slot, found := f.seams.Fleet.Pick(replica.Want{Service: call.Service, Avoid: p.tried})
-		if !found {
-			if !f.again(ctx, p) {
-				break
-			}
-			continue
+		at, err := f.place(ctx, call, p)
+		if err != nil {
+			p.reason = err.Error()
+			break
 		}
-		answer, verdict := f.attempt(ctx, call, slot, p)
+		answer, verdict := f.attempt(ctx, call, at, p)
 		if verdict == final {
 			p.keep(nil)
 			return answer, nil
@@ -176,19 +187,6 @@
 	return nil, f.failure(ctx, call, p)
 }
 
-// again decides whether a request for which no endpoint is free waits for one.
-// Endpoints that only rejected it are asked once more after a moment.
-func (f *Forwarder) again(ctx context.Context, p *progress) bool {
-	if p.runs > 0 || len(p.tried) == 0 {
-		return false
-	}
-	if p.rounds++; p.rounds >= askRounds {
-		return false
-	}
-	clear(p.tried)
-	return f.timers.Sleep(ctx, retryPause) == nil
-}
-
 type verdict int
 
 const (
@@ -198,7 +196,7 @@
 )
 
 // attempt sends the request to one endpoint.
-func (f *Forwarder) attempt(ctx context.Context, call Call, slot *replica.Slot, p *progress) (*Answer, verdict) {
+func (f *Forwarder) attempt(ctx context.Context, call Call, at *place, p *progress) (*Answer, verdict) {
 	deadline, _ := ctx.Deadline()
 	left := time.Until(deadline)
 	limit := left
@@ -209,24 +207,24 @@
 	request := call.Request
 	request.Header = call.Request.Header.Clone()
 	names := f.seams.Names
-	request.Header.Set(names.Endpoint, slot.Entry.ID)
+	request.Header.Set(names.Endpoint, at.Entry.ID)
 	headers.SetMillis(request.Header, names.Deadline, left-spareTime)
-	p.tried[slot.Entry.ID] = true
-	answer, err := f.seams.Pool.Do(try.ctx, slot.Entry.Address, request)
+	p.tried[at.Entry.ID] = true
+	answer, err := f.seams.Pool.Do(try.ctx, at.Entry.Address, request)
 	if err != nil {
 		try.end()
-		return nil, f.broken(ctx, call, slot, p, err)
+		return nil, f.broken(ctx, call, at, p, err)
 	}
-	return f.judge(call, slot, p, answer, try)
+	return f.judge(call, at, p, answer, try)
 }
 
 // broken judges an attempt that brought no answer.
-func (f *Forwarder) broken(ctx context.Context, call Call, slot *replica.Slot, p *progress, err error) verdict {
+func (f *Forwarder) broken(ctx context.Context, call Call, at *place, p *progress, err error) verdict {
 	if ctx.Err() != nil {
-		slot.Done(replica.Abandoned)
+		at.Done(replica.Abandoned)
 	} else {
-		slot.Done(replica.Failed)
-		f.seams.Pool.Forget(slot.Entry.Address)
+		at.Done(replica.Failed)
+		f.seams.Pool.Forget(at.Entry.Address)
 	}
 	p.reason = err.Error()
 	if exchange.NotSent(err) {
@@ -247,32 +245,33 @@
 }
 
 // judge decides whether an answer goes to the caller.
-func (f *Forwarder) judge(call Call, slot *replica.Slot, p *progress, answer *exchange.Answer, try *try) (*Answer, verdict) {
+func (f *Forwarder) judge(call Call, at *place, p *progress, answer *exchange.Answer, try *try) (*Answer, verdict) {
 	names := f.seams.Names
-	f.observe(slot, answer)
+	f.observe(at, answer)
 	if answer.Header.Get(names.Rejected) != "" || answer.Status == http.StatusMisdirectedRequest {
 		answer.Discard()
 		try.end()
 		p.reason = "rejected"
+		p.rejections++
 		outcome := replica.Rejected
 		if answer.Status == http.StatusMisdirectedRequest {
 			outcome = replica.Misplaced
 		}
-		slot.Done(outcome)
+		at.Done(outcome)
 		return nil, repeat
 	}
 	f.began(call, p)
 	if answer.Header.Get(names.Stamp) == "" {
 		answer.Close()
 		try.end()
-		slot.Done(replica.Failed)
+		at.Done(replica.Failed)
 		p.reason = "answer without a stamp"
 		return nil, f.repeatable(call)
 	}
-	result, err := f.receive(call, slot, answer, try)
+	result, err := f.receive(call, at, answer, try)
 	if err != nil {
 		try.end()
-		slot.Done(replica.Failed)
+		at.Done(replica.Failed)
 		p.reason = err.Error()
 		return nil, f.repeatable(call)
 	}
@@ -296,26 +295,26 @@
 
 // observe notes what the endpoint tells of itself. A misplaced request was
 // answered by another endpoint.
-func (f *Forwarder) observe(slot *replica.Slot, answer *exchange.Answer) {
+func (f *Forwarder) observe(at *place, answer *exchange.Answer) {
 	if answer.Status == http.StatusMisdirectedRequest {
 		return
 	}
 	h := answer.Header
-	if f.seams.Names.IsLeaving(h) && slot.Leave() {
-		f.log.WithField(logs.Endpoint, slot.Entry.ID).Info("endpoint leaves")
+	if f.seams.Names.IsLeaving(h) && at.Leave() {
+		f.log.WithField(logs.Endpoint, at.Entry.ID).Info("endpoint leaves")
 	}
 	if load, told := f.seams.Names.ReadLoad(h); told {
-		slot.Report(load)
+		at.Report(load)
 	}
 	if left, told := headers.Millis(h, f.seams.Names.Cold); told && left > 0 {
-		slot.Cold(left)
+		at.Cold(left)
 	}
 }
 
 // receive reads a plain answer up to WholeLimit, or less while other answers
 // hold the memory. The answer of a stream is handed on unread.
-func (f *Forwarder) receive(call Call, slot *replica.Slot, answer *exchange.Answer, try *try) (*Answer, error) {
-	result := &Answer{Status: answer.Status, Header: answer.Header, Endpoint: slot.Entry, stop: try.stop}
+func (f *Forwarder) receive(call Call, at *place, answer *exchange.Answer, try *try) (*Answer, error) {
+	result := &Answer{Status: answer.Status, Header: answer.Header, Endpoint: at.Entry, stop: try.stop}
 	share := f.seams.Memory.Share()
 	if call.Route.Kind != manifest.Stream || answer.Status >= http.StatusMultipleChoices {
 		body, err := share.ReadAll(answer, -1, WholeLimit)
@@ -323,7 +322,7 @@
 		if err == nil {
 			answer.Close()
 			try.end()
-			slot.Done(replica.Answered)
+			at.Done(replica.Answered)
 			result.close = share.Release
 			return result, nil
 		}
@@ -338,7 +337,7 @@
 	result.close = func() {
 		answer.Close()
 		share.Release()
-		slot.Done(try.outcome(answer.Whole()))
+		at.Done(try.outcome(answer.Whole()))
 		try.end()
 	}
 	return result, nil
@@ -351,7 +350,7 @@
 		"service": call.Service, "left_ms": time.Until(call.Deadline).Milliseconds(),
 	}).Warn("request failed")
 	if p.runs == 0 {
-		return code.New(code.NoEndpoint, "no endpoint can take the request").WithRun(code.NotRun).WithRetryAfter(comeBack)
+		return code.New(code.NoEndpoint, "no endpoint can take the request").WithRun(code.NotRun).WithRetryAfter(f.comeBack(call.Service))
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return code.New(code.DeadlinePast, "the deadline passed").WithRun(code.MaybeRun)
--- a/internal/traffic/forward/forward_test.go
+++ b/internal/traffic/forward/forward_test.go
@@ -171,9 +171,15 @@
 
 func put(t *testing.T, fleet *replica.Fleet, id string, e *endpoint) {
 	t.Helper()
-	server := httptest.NewServer(e)
+	address := strings.TrimPrefix(newServer(t, e), "http://")
+	fleet.Put(replica.Entry{ID: id, Service: "svc", Slots: 4, Address: address})
+}
+
+func newServer(t *testing.T, handler http.Handler) string {
+	t.Helper()
+	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
-	fleet.Put(replica.Entry{ID: id, Service: "svc", Slots: 4, Address: strings.TrimPrefix(server.URL, "http://")})
+	return server.URL
 }
 
 func call(route manifest.Route) Call {
@@ -213,7 +219,7 @@
 	}
 }
 
-// Endpoints that all reject a request are asked once more and no further, so
+// Endpoints that all reject a request are asked a few times and no further, so
 // that the caller learns at once that it cannot be served now.
 func TestRejectedByAllIsRefusedSoon(t *testing.T) {
 	f, endpoints := newForwarder(t, []string{"reject", "reject"})
@@ -222,8 +228,8 @@
 		t.Errorf("error %+v", got)
 	}
 	for i, e := range endpoints {
-		if asks := e.asks.Load(); asks > askRounds {
-			t.Errorf("endpoint %d was asked %d times, want at most %d", i, asks, askRounds)
+		if asks := e.asks.Load(); asks > mostRejections {
+			t.Errorf("endpoint %d was asked %d times, want at most %d", i, asks, mostRejections)
 		}
 	}
 }
--- /dev/null
+++ b/internal/traffic/forward/place.go
@@ -0,0 +1,136 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/code"
+	"github.com/wigeonpin/wigeonpin/internal/fleet/replica"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/queue"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/returns"
+)
+
+const (
+	// waitShare is the part of a route's aim that a request may wait for an
+	// endpoint; the rest is for its run.
+	waitShare = 0.5
+	// defaultWait bounds the wait on routes without an aim.
+	defaultWait = time.Second
+	// kickPeriod is how often requests that wait look for an endpoint whose rest
+	// is over, beside those that look when another request ends.
+	kickPeriod = 20 * time.Millisecond
+	// mostRejections bounds how often one request is sent to endpoints that turn
+	// out to be full.
+	mostRejections = 3
+)
+
+var (
+	errNoEndpoint = errors.New("the service has no endpoint")
+	errFull       = errors.New("all endpoints are full")
+)
+
+// place is a slot at an endpoint with the turn in which it was taken.
+type place struct {
+	*replica.Slot
+	turn *queue.Turn
+}
+
+// Done gives the slot back, so that the next request can take it.
+func (p *place) Done(outcome replica.Outcome) {
+	p.Slot.Done(outcome)
+	p.turn.Done()
+}
+
+// place waits for a slot at an endpoint that the request was not sent to yet.
+// The order is that of the queue: fair between client accounts. A request that
+// cannot be placed in time is refused at once.
+func (f *Forwarder) place(ctx context.Context, call Call, p *progress) (*place, error) {
+	if p.rejections >= mostRejections {
+		return nil, errFull
+	}
+	until := p.placeBy
+	if p.runs > 0 {
+		until = call.Deadline // it has run, so that a refusal would not help its caller
+	}
+	var slot *replica.Slot
+	item := queue.Item{
+		Account: call.Account, Model: call.Service, Weight: 1, Cost: 1,
+		Deadline: until, Front: p.runs > 0 || p.rejections > 0,
+		Start: func() (bool, error) {
+			var found bool
+			slot, found = f.seams.Fleet.Pick(replica.Want{Service: call.Service, Avoid: p.tried})
+			if found {
+				return true, nil
+			}
+			f.pump()
+			return false, f.hopeless(call, p)
+		},
+	}
+	turn, err := f.queue.Wait(ctx, item)
+	if err != nil {
+		return nil, err
+	}
+	return &place{Slot: slot, turn: turn}, nil
+}
+
+// hopeless returns an error when waiting brings no endpoint: there is none, or
+// the request was sent to all. One that only full endpoints rejected may try
+// them again.
+func (f *Forwarder) hopeless(call Call, p *progress) error {
+	if !f.seams.Fleet.Serves(call.Service) {
+		return code.New(code.NoEndpoint, "%s", errNoEndpoint)
+	}
+	if p.runs > 0 {
+		return code.New(code.NoEndpoint, "%s", errFull)
+	}
+	clear(p.tried)
+	return nil
+}
+
+// placeBy returns until when a request may wait for an endpoint.
+func placeBy(call Call, now time.Time) time.Time {
+	wait := defaultWait
+	if call.Route.Aim > 0 {
+		wait = time.Duration(waitShare * float64(call.Route.Aim))
+	}
+	if by := now.Add(wait); by.Before(call.Deadline) {
+		return by
+	}
+	return call.Deadline
+}
+
+// pump lets the requests that wait look for an endpoint, as long as any waits.
+// It does not block, and does not use the queue itself.
+func (f *Forwarder) pump() {
+	if !f.pumping.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		ticks := f.timers.Subscribe(kickPeriod)
+		defer ticks.Stop()
+		for {
+			<-ticks.C
+			if f.queue.Kick() > 0 {
+				continue
+			}
+			f.pumping.Store(false)
+			// A request may have begun to wait before pumping fell.
+			if f.queue.Kick() == 0 || !f.pumping.CompareAndSwap(false, true) {
+				return
+			}
+		}
+	}()
+}
+
+// comeBack returns what a refused caller is told to wait.
+func (f *Forwarder) comeBack(service string) time.Duration {
+	f.mu.Lock()
+	schedule, known := f.returns[service]
+	if !known {
+		schedule = returns.New()
+		f.returns[service] = schedule
+	}
+	f.mu.Unlock()
+	return schedule.Next(f.timers.Now(), f.queue.Rate(service))
+}
--- a/internal/traffic/queue/queue.go
+++ b/internal/traffic/queue/queue.go
@@ -331,14 +331,32 @@
 	return min(max(wait, shortestReturn), longestReturn)
 }
 
-// Kick starts what can be started and refuses what has become hopeless.
-func (q *Queue) Kick() {
+// Rate returns how many requests of a model are served here in a second of the
+// present load; 0 when that is not known.
+func (q *Queue) Rate(name string) float64 {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	m, known := q.models[name]
+	if !known || m.perCost == 0 {
+		return 0
+	}
+	return float64(m.running) / m.perCost
+}
+
+// Kick starts what can be started and refuses what has become hopeless. It
+// returns how many requests go on waiting.
+func (q *Queue) Kick() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	waiting := 0
 	for _, m := range q.models {
 		q.dispatch(m)
 		q.sweep(m)
+		for _, f := range m.flows {
+			waiting += len(f.waiting)
+		}
 	}
+	return waiting
 }
 
 func (q *Queue) sweep(m *model) {
