--- a/cmd/wigeonpin/entry.go
+++ b/cmd/wigeonpin/entry.go
@@ -9,15 +9,6 @@
 
 type entryCommand struct{}
 
-// entries returns the number of entry processes, this one included, or 0 while
-// the list is not known.
-func (n *node) entries() int {
-	if !n.peers.Known() {
-		return 0
-	}
-	return n.peers.Count(roleEntry) + 1
-}
-
 func (entryCommand) run(ctx context.Context) error {
 	n, err := startNode(context.WithoutCancel(ctx), roleEntry)
 	if err != nil {
--- a/cmd/wigeonpin/node.go
+++ b/cmd/wigeonpin/node.go
@@ -150,6 +150,15 @@
 	return peers
 }
 
+// entries returns the number of entry processes, this one included, or 0 while
+// the list is not known.
+func (n *node) entries() int {
+	if !n.peers.Known() {
+		return 0
+	}
+	return n.peers.Count(roleEntry) + 1
+}
+
 // serveMetrics serves the counters and histograms as JSON. The process goes on
 // without them when the port is taken.
 func (n *node) serveMetrics(ip string) {
--- a/internal/peer/conn/limited_test.go
+++ b/internal/peer/conn/limited_test.go
@@ -3,11 +3,12 @@
 import (
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+
+	"github.com/wigeonpin/wigeonpin/internal/standin/flood"
 )
 
 // Guards against a server that takes the memory of its caller with a head or a
@@ -30,7 +31,7 @@
 		}
 	})
 	t.Run("endless body", func(t *testing.T) {
-		resp, err := client.Get("http://" + endless(t, "HTTP/1.1 200 OK\r\n\r\n"))
+		resp, err := client.Get("http://" + flood.New(t, "HTTP/1.1 200 OK\r\n\r\n", "x"))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -40,37 +41,10 @@
 		}
 	})
 	t.Run("endless head", func(t *testing.T) {
-		resp, err := client.Get("http://" + endless(t, "HTTP/1.1 200 OK\r\nX-Long: "))
+		resp, err := client.Get("http://" + flood.New(t, "HTTP/1.1 200 OK\r\nX-Long: ", "x"))
 		if err == nil {
 			_ = resp.Body.Close()
 			t.Error("the endless head passed as an answer")
 		}
 	})
 }
-
-// endless returns the address of a server that writes start and then filler
-// until its caller closes.
-func endless(t *testing.T, start string) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				_, err := io.WriteString(c, start)
-				for err == nil {
-					_, err = io.WriteString(c, strings.Repeat("x", 4096))
-				}
-			}()
-		}
-	}()
-	return listener.Addr().String()
-}
--- a/internal/peer/exchange/endless_test.go
+++ b/internal/peer/exchange/endless_test.go
@@ -3,47 +3,18 @@
 import (
 	"context"
 	"errors"
-	"io"
-	"net"
 	"net/http"
 	"runtime"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/wigeonpin/wigeonpin/internal/standin/flood"
 )
 
 // allocationLimit is what reading one faulty answer may allocate in bytes.
 const allocationLimit = 8 << 20
 
-// newEndless returns the address of a peer that writes start and then repeats
-// more until the caller closes.
-func newEndless(t *testing.T, start, more string) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	block := strings.Repeat(more, 1+(32<<10)/len(more))
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				_, err := io.WriteString(c, start)
-				for err == nil {
-					_, err = io.WriteString(c, block)
-				}
-			}()
-		}
-	}()
-	return listener.Addr().String()
-}
-
 // Guards against a peer whose head never ends: it would hold the caller until
 // its deadline and take the memory of the process.
 func TestEndlessHead(t *testing.T) {
@@ -63,7 +34,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			address := newEndless(t, c.start, c.more)
+			address := flood.New(t, c.start, c.more)
 			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 			defer cancel()
 			before := allocated()
@@ -100,7 +71,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			address := newEndless(t, c.start, c.more)
+			address := flood.New(t, c.start, c.more)
 			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 			defer cancel()
 			pool := New(Options{Match: match})
--- a/internal/traffic/returns/returns.go
+++ b/internal/traffic/returns/returns.go
@@ -15,15 +15,16 @@
 	"time"
 )
 
+// The bounds of the time that a caller is told to wait.
 const (
-	// Shortest and longest bound the time that a caller is told to wait.
 	Shortest = 100 * time.Millisecond
 	Longest  = 2 * time.Second
-	// spread is the part of the time that is drawn by lot, since other processes
-	// tell times as well and know nothing of these.
-	spread = 0.3
 )
 
+// spread is the part of the time that is drawn by lot, since other processes
+// tell times as well and know nothing of these.
+const spread = 0.3
+
 // Schedule gives out the times of one service. It is safe for concurrent use.
 type Schedule struct {
 	mu   sync.Mutex
