Let a repeated request wait for an endpoint that is busy

Found in the read-through: a request whose first attempt had failed was given up when no other endpoint was free at that moment, as if all had been tried. It now waits while one that was not tried is in service; the test failed before with endpoint_failed.

Names: Stale for a view that has not been heard of since a pause, keepKicking for the goroutine that looks for endpoints while requests wait.

--- a/internal/control/mirror/mirror.go
+++ b/internal/control/mirror/mirror.go
@@ -91,10 +91,10 @@
 	return m
 }
 
-// Overslept reports whether no answer came for longer than the calls may take,
+// Stale reports whether no answer came for longer than the calls may take,
 // and none has failed: the process did not run meanwhile, and does not know yet
 // what has changed.
-func (m *Mirror) Overslept() bool {
+func (m *Mirror) Stale() bool {
 	if m.lost.Load() || !m.synced.Load() {
 		return false
 	}
--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -287,12 +287,12 @@
 	}
 }
 
-// Serves reports whether any endpoint of the service is in service, busy or not.
-func (f *Fleet) Serves(service string) bool {
+// Serves reports whether any endpoint fits the request, busy or not.
+func (f *Fleet) Serves(want Want) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, s := range f.states {
-		if s.Service == service && f.usable(s) {
+		if f.fits(s, want) {
 			return true
 		}
 	}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -116,7 +116,7 @@
 		Memory: memory.NewBudget(int64(answerShare * memoryLimit)), Meters: parts.Meters,
 	}, timers, log)
 	f := front.New(front.Seams{
-		Manifest: v.Manifest, Ready: func() bool { return v.Known() && !parts.Isolated() }, Overslept: v.Overslept, Forwarder: forwarder, Shelf: shelf,
+		Manifest: v.Manifest, Ready: func() bool { return v.Known() && !parts.Isolated() }, Stale: v.Stale, Forwarder: forwarder, Shelf: shelf,
 		Reader: batch.NewReader(shelf, runner.NewFinder(parts.Workers), runner.NewFollower(parts.Workers), timers), Names: parts.Names, Calls: parts.Calls, Meters: parts.Meters,
 		Memory: memory.NewBudget(int64(requestShare * memoryLimit)),
 	}, timers, log)
--- a/internal/node/view/view.go
+++ b/internal/node/view/view.go
@@ -72,10 +72,10 @@
 // Manifest returns the manifest in force, or nil while none is known.
 func (v *View) Manifest() *manifest.Manifest { return v.manifest.Load() }
 
-// Overslept reports whether the process was paused and has not heard from the
+// Stale reports whether the process was paused and has not heard from the
 // store since: keys may have been taken away meanwhile. While the store is known
 // to be away, what was known last goes on.
-func (v *View) Overslept() bool { return v.config.Overslept() }
+func (v *View) Stale() bool { return v.config.Stale() }
 
 // Known reports whether the manifest, the endpoints and the zones out of
 // service are known.
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -108,7 +108,7 @@
 	timers  *clock.Service
 	log     *logrus.Entry
 	queue   *queue.Queue
-	pumping atomic.Bool // requests that wait are kicked
+	kicking atomic.Bool // whether keepKicking runs
 
 	mu      sync.Mutex
 	returns map[string]*returns.Schedule // by service
--- a/internal/traffic/forward/place.go
+++ b/internal/traffic/forward/place.go
@@ -27,7 +27,8 @@
 
 var (
 	errNoEndpoint = errors.New("the service has no endpoint")
-	errFull       = errors.New("all endpoints are full")
+	errFull       = errors.New("too many endpoints were full")
+	errTried      = errors.New("all endpoints were tried")
 )
 
 // place is a slot at an endpoint with the turn in which it was taken.
@@ -63,7 +64,7 @@
 			if found {
 				return true, nil
 			}
-			f.pump()
+			f.keepKicking()
 			return false, f.hopeless(call, p)
 		},
 	}
@@ -75,14 +76,18 @@
 }
 
 // hopeless returns an error when waiting brings no endpoint: there is none, or
-// the request was sent to all. One that only full endpoints rejected may try
-// them again.
+// the request may have run at all. One that only full endpoints rejected may
+// try them again.
 func (f *Forwarder) hopeless(call Call, p *progress) error {
-	if !f.seams.Fleet.Serves(call.Service) {
+	fleet := f.seams.Fleet
+	if !fleet.Serves(replica.Want{Service: call.Service}) {
 		return code.New(code.NoEndpoint, "%s", errNoEndpoint)
 	}
+	if fleet.Serves(replica.Want{Service: call.Service, Avoid: p.tried}) {
+		return nil // one that was not tried is busy
+	}
 	if p.runs > 0 {
-		return code.New(code.NoEndpoint, "%s", errFull)
+		return code.New(code.NoEndpoint, "%s", errTried)
 	}
 	clear(p.tried)
 	return nil
@@ -100,10 +105,10 @@
 	return call.Deadline
 }
 
-// pump lets the requests that wait look for an endpoint, as long as any waits.
-// It does not block, and does not use the queue itself.
-func (f *Forwarder) pump() {
-	if !f.pumping.CompareAndSwap(false, true) {
+// keepKicking lets the requests that wait look for an endpoint, as long as any
+// waits. It returns at once and can be called with the queue locked.
+func (f *Forwarder) keepKicking() {
+	if !f.kicking.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
@@ -114,9 +119,9 @@
 			if f.queue.Kick() > 0 {
 				continue
 			}
-			f.pumping.Store(false)
-			// A request may have begun to wait before pumping fell.
-			if f.queue.Kick() == 0 || !f.pumping.CompareAndSwap(false, true) {
+			f.kicking.Store(false)
+			// A request may have begun to wait before kicking was cleared.
+			if f.queue.Kick() == 0 || !f.kicking.CompareAndSwap(false, true) {
 				return
 			}
 		}
--- a/internal/traffic/forward/place_test.go
+++ b/internal/traffic/forward/place_test.go
@@ -177,3 +177,36 @@
 	}
 	close(g.end)
 }
+
+// Guards against a request that is given up after a failed attempt because the
+// only other endpoint is busy for a moment.
+func TestRepeatedRequestWaitsForABusyEndpoint(t *testing.T) {
+	f, g := gated(t, 1)
+	first := make(chan error, 1)
+	go func() {
+		answer, err := f.Send(context.Background(), request("first", "acme", patience))
+		if err == nil {
+			answer.Close()
+		}
+		first <- err
+	}()
+	<-g.began
+	put(t, f.seams.Fleet, "broken", &endpoint{mode: "break"})
+	second := make(chan error, 1)
+	go func() {
+		answer, err := f.Send(context.Background(), request("second", "acme", patience))
+		if err == nil {
+			answer.Close()
+		}
+		second <- err
+	}()
+	for f.queue.Waiting()["acme"] == 0 && len(second) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	close(g.end)
+	for _, result := range []chan error{first, second} {
+		if err := <-result; err != nil {
+			t.Error(err)
+		}
+	}
+}
--- a/internal/traffic/front/front.go
+++ b/internal/traffic/front/front.go
@@ -66,7 +66,7 @@
 type Seams struct {
 	Manifest  func() *manifest.Manifest
 	Ready     func() bool
-	Overslept func() bool // the manifest may be out of date after a pause
+	Stale     func() bool // the manifest may be out of date after a pause
 	Forwarder *forward.Forwarder
 	Shelf     *batch.Shelf
 	Reader    *batch.Reader
@@ -181,7 +181,7 @@
 	if q.route.Open || q.manifest.Accounts == 0 {
 		return nil
 	}
-	if f.seams.Overslept() {
+	if f.seams.Stale() {
 		return code.New(code.KeysStale, "the process was paused and reads the keys again").WithRun(code.NotRun).WithRetryAfter(comeBack)
 	}
 	key, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
--- a/internal/traffic/returns/returns.go
+++ b/internal/traffic/returns/returns.go
@@ -25,6 +25,10 @@
 // tell times as well and know nothing of these.
 const spread = 0.3
 
+// idleWait is the mean time that callers are told to wait while nothing is
+// served: endpoints that restart need about that long.
+const idleWait = 500 * time.Millisecond
+
 // Schedule gives out the times of one service. It is safe for concurrent use.
 type Schedule struct {
 	mu   sync.Mutex
@@ -35,14 +39,18 @@
 func New() *Schedule { return &Schedule{} }
 
 // Next returns how long the next refused caller is to wait, when rate requests
-// are served a second; 0 means that the rate is not known. Once the schedule
+// are served a second; at 0 nothing is served, and callers come back around
+// idleWait. Once the schedule
 // reaches Longest, further callers share the second half of that time.
 func (s *Schedule) Next(now time.Time, rate float64) time.Duration {
+	if rate <= 0 {
+		return idleWait/2 + rand.N(idleWait)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if first := now.Add(Shortest); s.last.Before(first) {
 		s.last = first
-	} else if rate > 0 {
+	} else {
 		s.last = s.last.Add(time.Duration(float64(time.Second) / rate))
 	}
 	wait := s.last.Sub(now)
