Give bodies of refused requests a deadline

A request that is refused before its body is read left its caller free to drip: net/http goes on reading after the handler, without a bound on the time. The test failed before with no deadline. A text is too long when it does not fit in a record, not in a page's share of one.

--- a/internal/traffic/front/body.go
+++ b/internal/traffic/front/body.go
@@ -21,6 +21,14 @@
 	memoryBack = time.Second
 )
 
+// limitBody bounds the time in which the body may arrive, also of a request
+// that is refused unread: net/http reads on for a while after the handler.
+func limitBody(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength != 0 {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTime)) // a failure shows in the read
+	}
+}
+
 // body reads the whole body of a request into memory that the share covers.
 func (f *Front) body(w http.ResponseWriter, r *http.Request, q *inquiry, share *memory.Share) ([]byte, error) {
 	if r.ContentLength == 0 {
@@ -31,11 +39,9 @@
 		limit = min(limit, allowed)
 	}
 	control := http.NewResponseController(w)
-	latest := time.Now().Add(bodyTime)
-	if q.deadline.Before(latest) {
-		latest = q.deadline
+	if q.deadline.Before(time.Now().Add(bodyTime)) {
+		_ = control.SetReadDeadline(q.deadline) // a failure shows in the read
 	}
-	_ = control.SetReadDeadline(latest) // a failure shows in the read
 	text, err := share.ReadAll(r.Body, r.ContentLength, limit)
 	if err != nil {
 		w.Header().Set("Connection", "close") // the rest of the body is not read
--- a/internal/traffic/front/front.go
+++ b/internal/traffic/front/front.go
@@ -131,6 +131,7 @@
 
 // ServeHTTP answers one request.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	limitBody(w, r)
 	w = newPacedWriter(w)
 	w.Header()["Date"] = nil
 	if f.stopped.Load() {
--- a/internal/traffic/front/trouble_test.go
+++ b/internal/traffic/front/trouble_test.go
@@ -100,6 +100,12 @@
 	set     int
 	largest int // bytes written under one deadline
 	since   int
+	reads   int // read deadlines
+}
+
+func (d *deadlines) SetReadDeadline(time.Time) error {
+	d.reads++
+	return nil
 }
 
 func (d *deadlines) SetWriteDeadline(time.Time) error {
@@ -130,6 +136,19 @@
 	}
 }
 
+// Guards against a caller whose request is refused before its body is read and
+// that goes on dripping: net/http reads on for a while after the handler.
+func TestRefusedBodyHasADeadline(t *testing.T) {
+	w := newWorld(t, echo)
+	d := &deadlines{ResponseRecorder: httptest.NewRecorder()}
+	r := httptest.NewRequest(http.MethodPost, "/none/a", strings.NewReader("x"))
+	r.Host = "h"
+	w.front.ServeHTTP(d, r)
+	if d.Code != http.StatusNotFound || d.reads != 1 {
+		t.Errorf("status %d with %d read deadlines, want 404 with one", d.Code, d.reads)
+	}
+}
+
 // Guards against a stalled endpoint that keeps its stream open with comments:
 // the stream must go on elsewhere. A slow stream whose events keep coming must
 // not be moved.
--- a/internal/training/runner/task.go
+++ b/internal/training/runner/task.go
@@ -257,7 +257,7 @@
 	if item.Tokens > 0 && int64(len(made.pieces)) > item.Tokens {
 		return true
 	}
-	return made.size > int(pageShare*float64(r.seams.ValueBytes))
+	return made.size > r.seams.ValueBytes
 }
 
 // paceEvents is how many events are timed together, since several may arrive
