--- a/internal/fleet/replica/overload_test.go
+++ b/internal/fleet/replica/overload_test.go
@@ -17,7 +17,7 @@
 	simWay    = time.Millisecond // one way between process and endpoint
 	simAim    = 150 * time.Millisecond
 	simLength = 12 * time.Second
-	simSettle = 2 * time.Second // in which windows find their size
+	simSettle = 2 * time.Second // in which limits find their size
 	simZone   = "a"
 )
 
--- a/internal/fleet/replica/pick.go
+++ b/internal/fleet/replica/pick.go
@@ -69,7 +69,7 @@
 
 // bears reports whether the endpoint takes one more request of this process.
 func (f *Fleet) bears(s *state, now time.Time) bool {
-	if s.sent >= max(1, int(float64(s.Slots)*f.options.Ceiling)) || !s.window.allows(s.sent) || now.Before(s.pauseEnd) {
+	if s.sent >= max(1, int(float64(s.Slots)*f.options.Ceiling)) || !s.concurrency.allows(s.sent) || now.Before(s.pauseEnd) {
 		return false
 	}
 	if !now.Before(s.coldTill) {
@@ -165,7 +165,7 @@
 	defer s.fleet.mu.Unlock()
 	if st, known := s.fleet.states[s.Entry.ID]; known {
 		st.load, st.loadAt = load, s.fleet.timers.Now()
-		st.window.report(load, max(1, float64(st.Slots)*s.fleet.options.Ceiling), st.loadAt)
+		st.concurrency.report(load, max(1, float64(st.Slots)*s.fleet.options.Ceiling), st.loadAt)
 	}
 }
 
@@ -211,12 +211,12 @@
 	switch outcome {
 	case Answered:
 		st.failures, st.restTill = 0, time.Time{}
-		st.window.answered()
-		st.pauseEnd = now.Add(st.window.rest(now.Sub(s.began)))
+		st.concurrency.answered()
+		st.pauseEnd = now.Add(st.concurrency.rest(now.Sub(s.began)))
 	case Rejected:
 		st.restTill = now.Add(fullRest)
-		st.window.rejected()
-		st.pauseEnd = now.Add(st.window.rest(fullRest))
+		st.concurrency.rejected()
+		st.pauseEnd = now.Add(st.concurrency.rest(fullRest))
 	case Failed:
 		st.restTill = now.Add(min(lastRest, firstRest<<min(st.failures, 4)))
 		st.failures++
--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -93,20 +93,20 @@
 
 type state struct {
 	Entry
-	sent     int // running requests of this process
-	load     Load
-	loadAt   time.Time
-	failures int
-	restTill time.Time
-	coldTill time.Time
-	budget   float64 // requests that may go to it now while it is cold
-	filledAt time.Time
-	pace     time.Duration // mean time for one event; 0 while unknown
-	pacedAt  time.Time
-	window   window
-	pauseEnd time.Time // end of the pause that a window below one asks for
-	loading  string    // model whose weights are being changed
-	goneAt   time.Time
+	sent        int // running requests of this process
+	load        Load
+	loadAt      time.Time
+	failures    int
+	restTill    time.Time
+	coldTill    time.Time
+	budget      float64 // requests that may go to it now while it is cold
+	filledAt    time.Time
+	pace        time.Duration // mean time for one event; 0 while unknown
+	pacedAt     time.Time
+	concurrency concurrency
+	pauseEnd    time.Time // end of the pause that a limit below one asks for
+	loading     string    // model whose weights are being changed
+	goneAt      time.Time
 }
 
 // departure is one life of an endpoint that told that it leaves. It outlives
@@ -187,7 +187,7 @@
 	if !known || s.Born != e.Born || s.Address != e.Address {
 		s = &state{}
 		if f.options.Shared {
-			s.window.size = firstWindow
+			s.concurrency.limit = firstLimit
 		}
 		f.states[e.ID] = s
 	}
