--- a/internal/training/runner/runner_test.go
+++ b/internal/training/runner/runner_test.go
@@ -45,6 +45,8 @@
 	runs    map[string]int
 	asked   map[string][]string // Last-Event-Id of each run
 	crashed map[string]int      // runs by endpoint that brought nothing
+	halfway chan struct{}       // a "held" item has sent half of its events
+	release chan struct{}       // and goes on
 }
 
 func newEngine() *engine {
@@ -108,6 +110,10 @@
 			comments(w, r, time.Minute)
 			return
 		}
+		if fault == "held" && n == 3 {
+			close(e.halfway)
+			<-e.release
+		}
 		if fault == "commented" {
 			comments(w, r, 10*time.Millisecond)
 		}
@@ -451,3 +457,29 @@
 		}
 	}
 }
+
+// Guards against running work that is given up, or started again elsewhere,
+// because its engine was only slow to report: the entry lapses while events
+// still come.
+func TestRunGoesOnWhileItsEntryIsGone(t *testing.T) {
+	w := newWorld(t)
+	w.engine.halfway, w.engine.release = make(chan struct{}), make(chan struct{})
+	b := sample("held-1")
+	w.runner.SetActive(context.Background(), true)
+	w.runner.Add(context.Background(), b, true)
+	<-w.engine.halfway
+	for _, id := range endpoints {
+		w.runner.seams.Fleet.Remove(id, time.Time{})
+	}
+	time.Sleep(2 * tickPeriod) // the runner looks at its runs meanwhile
+	close(w.engine.release)
+	result := w.results(t, b)["held-1"]
+	if !result.Done || result.Output != wholeText("held-1") {
+		t.Errorf("result %+v", result)
+	}
+	w.engine.mu.Lock()
+	defer w.engine.mu.Unlock()
+	if w.engine.runs["held-1"] != 1 {
+		t.Errorf("%d runs, want the one that was under way", w.engine.runs["held-1"])
+	}
+}
