Do not take a silent store for a pause

While the store is silent, the ways through other processes may take longer than a watch, so that a view could count as not heard of since a pause, and keyed requests be refused, before the loss was noted. Found in the read-through.

--- a/cmd/wigeonpin/entry.go
+++ b/cmd/wigeonpin/entry.go
@@ -16,7 +16,7 @@
 	}
 	e := entry.New(n.source.Current(), entry.Parts{
 		Store: n.store, Formats: formats(), Names: platform.Headers(), Calls: platform.Calls(), Meters: n.meters,
-		Isolated: n.isolated, Workers: func() []string { return n.peers.Role(roleWorker) }, Entries: n.entries,
+		Isolated: n.isolated, Lost: n.lost, Workers: func() []string { return n.peers.Role(roleWorker) }, Entries: n.entries,
 	}, n.timers, n.log)
 	err = e.Run(ctx)
 	n.stopped()
--- a/cmd/wigeonpin/node.go
+++ b/cmd/wigeonpin/node.go
@@ -50,8 +50,9 @@
 	store  records.Store
 	peers  *members.Members
 	mux    *http.ServeMux // calls of peers
-	// isolated tells that neither the store nor another zone is reached.
-	isolated func() bool
+	// isolated tells that neither the store nor another zone is reached, and lost
+	// that the direct way to the store is lost.
+	isolated, lost func() bool
 }
 
 // The roles of processes on the platform.
@@ -103,7 +104,7 @@
 		Direct: shared.Call, Ask: relay.NewAsk(), Probe: platform.Probe(), Lost: shared.Drop,
 		Peers: n.relays, Hosts: n.hosts(role), HostSlack: slack,
 	}, n.timers, n.log)
-	n.isolated = route.Isolated
+	n.isolated, n.lost = route.Isolated, route.Lost
 	watches := relay.NewShared(route.Call, slack+relay.DirectLimit)
 	n.store = platform.NewStore(watches.Call)
 	self := members.Member{Name: p.Name, Address: listener.Addr().String(), Zone: p.Zone, Role: role}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -86,6 +86,8 @@
 	// Isolated tells that neither the store nor another availability zone is
 	// reached. Callers are then better served by other zones.
 	Isolated func() bool
+	// Lost tells that the direct way to the store is known to be lost.
+	Lost func() bool
 }
 
 // Entry is an entry process.
@@ -116,7 +118,7 @@
 		Memory: memory.NewBudget(int64(answerShare * memoryLimit)), Meters: parts.Meters,
 	}, timers, log)
 	f := front.New(front.Seams{
-		Manifest: v.Manifest, Ready: func() bool { return v.Known() && !parts.Isolated() }, Stale: v.Stale, Forwarder: forwarder, Shelf: shelf,
+		Manifest: v.Manifest, Ready: func() bool { return v.Known() && !parts.Isolated() }, Stale: func() bool { return v.Stale() && !parts.Lost() }, Forwarder: forwarder, Shelf: shelf,
 		Reader: batch.NewReader(shelf, runner.NewFinder(parts.Workers), runner.NewFollower(parts.Workers), timers), Names: parts.Names, Calls: parts.Calls, Meters: parts.Meters,
 		Memory: memory.NewBudget(int64(requestShare * memoryLimit)),
 	}, timers, log)
--- a/internal/peer/relay/relay_test.go
+++ b/internal/peer/relay/relay_test.go
@@ -178,13 +178,16 @@
 			own := newWay("unsent")
 			route := newTestRoute(own, c.peers(t)...)
 			_, _ = route.Call(context.Background(), Call{})
+			if !route.Lost() {
+				t.Error("the direct way does not count as lost")
+			}
 			if got := route.Isolated(); got != c.isolated {
 				t.Errorf("isolated %v, want %v", got, c.isolated)
 			}
 			own.mode.Store("ok")
 			route.found()
-			if route.Isolated() {
-				t.Error("isolated though the store answers")
+			if route.Isolated() || route.Lost() {
+				t.Error("isolated or lost though the store answers")
 			}
 		})
 	}
--- a/internal/peer/relay/route.go
+++ b/internal/peer/relay/route.go
@@ -210,6 +210,12 @@
 	r.lost, r.broken, r.isolated = time.Time{}, make(chan struct{}), false
 }
 
+// Lost reports whether the direct way to the store is known to be lost.
+func (r *Route) Lost() bool {
+	_, lost := r.state()
+	return lost
+}
+
 // Isolated reports whether neither the store nor any process in another
 // availability zone can be reached. It is assumed from the loss of the direct
 // way until a peer has answered.
