--- a/internal/standin/flood/flood.go
+++ b/internal/standin/flood/flood.go
@@ -40,6 +40,10 @@
 
 func write(c net.Conn, start, block string) {
 	defer c.Close()
+	// net/http refuses an answer that comes before its request.
+	if _, err := c.Read(make([]byte, 1)); err != nil {
+		return
+	}
 	_, err := io.WriteString(c, start)
 	for err == nil {
 		_, err = io.WriteString(c, block)
