Log each request that an endpoint breaks off, by its content

A line "endpoint broke off a request" now names the digest of the content, the endpoint, its life and whether it refuses connections right afterwards, which tells an endpoint that ended from an answer that was lost. Counters by service go into the summary line, of callers' requests and of items. Nothing that decides is changed; a broken attempt costs one connection attempt, which is kept for the next request when the endpoint accepts it.

--- a/cmd/wigeonpin/node.go
+++ b/cmd/wigeonpin/node.go
@@ -22,6 +22,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/peer/exchange"
 	"github.com/wigeonpin/wigeonpin/internal/peer/records"
 	"github.com/wigeonpin/wigeonpin/internal/peer/relay"
+	"github.com/wigeonpin/wigeonpin/internal/training/runner"
 	"github.com/wigeonpin/wigeonpin/platform"
 )
 
@@ -41,6 +42,13 @@
 	headTime = 5 * time.Second
 )
 
+// summaryCounters are the counters in the line summary; those that are empty
+// are left out.
+var summaryCounters = []string{
+	storeCalls, "requests_served", "requests_failed", "connections_opened", "endpoint_breaks", "endpoint_ends",
+	runner.CountRuns, runner.CountRejections, runner.CountBreaks, runner.CountScores,
+}
+
 // node is what the processes on the platform have in common.
 type node struct {
 	source *profile.Source
@@ -184,8 +192,10 @@
 			return
 		case <-ticks.C:
 			fields := logrus.Fields{}
-			for _, name := range []string{storeCalls, "requests_served", "requests_failed", "connections_opened"} {
-				fields[name] = n.meters.Counter(name).Values()
+			for _, name := range summaryCounters {
+				if values := n.meters.Counter(name).Values(); len(values) > 0 {
+					fields[name] = values
+				}
 			}
 			n.log.WithFields(fields).Info("summary")
 		}
--- a/cmd/wigeonpin/worker.go
+++ b/cmd/wigeonpin/worker.go
@@ -25,6 +25,7 @@
 		Formats:    formats(), Names: platform.Headers(),
 		VersionKind: platform.KindVersions, Version: platform.Named,
 		RetirementKind: platform.KindRetirements, Retired: platform.Retired, Retire: platform.RetirementDone,
+		Meters: n.meters,
 	}, n.timers, n.log)
 	w.Handle(ctx, n.mux)
 	w.Run(ctx)
--- a/internal/base/logs/logs.go
+++ b/internal/base/logs/logs.go
@@ -33,6 +33,7 @@
 	Fence    = "fence"
 	Model    = "model"
 	Cause    = "cause"
+	Content  = "content"
 )
 
 // New returns a logger that writes JSON lines with the instance and zone.
--- a/internal/node/worker/worker.go
+++ b/internal/node/worker/worker.go
@@ -20,6 +20,7 @@
 
 	"github.com/wigeonpin/wigeonpin/internal/base/clock"
 	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/base/meter"
 	"github.com/wigeonpin/wigeonpin/internal/billing/window"
 	"github.com/wigeonpin/wigeonpin/internal/control/leader"
 	"github.com/wigeonpin/wigeonpin/internal/control/mirror"
@@ -77,6 +78,7 @@
 	RetirementKind string
 	Retired        func(records.Record) bool
 	Retire         func(records.Record) records.Record
+	Meters         *meter.Set
 }
 
 // Worker is a worker process. It follows batches, versions and endpoints at all
@@ -111,8 +113,8 @@
 	w.expiry = expiry.New(w.shelf, p.ResultsKept, timers, log)
 	w.runner = runner.New(runner.Seams{
 		Shelf: w.shelf, Fleet: fleet, Pool: pool, Names: parts.Names,
-		Forwarder: forward.New(forward.Seams{Fleet: fleet, Pool: pool, Names: parts.Names}, timers, log),
-		Manifest:  w.view.Manifest, ValueBytes: p.ValueBytes,
+		Forwarder: forward.New(forward.Seams{Fleet: fleet, Pool: pool, Names: parts.Names, Meters: parts.Meters}, timers, log),
+		Manifest:  w.view.Manifest, ValueBytes: p.ValueBytes, Meters: parts.Meters,
 	}, timers, log)
 	w.reporter = window.NewReporter(w.store, window.Options{
 		Length: p.Window, Due: p.ReportDue, Encode: w.duties.Encode, Send: w.duties.Usage,
--- a/internal/peer/exchange/answer.go
+++ b/internal/peer/exchange/answer.go
@@ -23,6 +23,7 @@
 
 	body       io.Reader
 	whole      bool
+	broken     bool
 	release    sync.Once
 	pool       *Pool
 	connection *connection
@@ -42,9 +43,12 @@
 // or at the orderly end of the connection when the answer is not framed.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
-	if errors.Is(err, io.EOF) {
+	switch {
+	case errors.Is(err, io.EOF):
 		a.whole = true
 		a.Close()
+	case err != nil:
+		a.broken = true
 	}
 	return n, err
 }
@@ -73,6 +77,9 @@
 // Whole reports whether the body was read to its end.
 func (a *Answer) Whole() bool { return a.whole }
 
+// Broken reports whether a read of the body failed.
+func (a *Answer) Broken() bool { return a.broken }
+
 // Close ends the exchange. The connection is kept when the answer was read to
 // its marked end, nothing followed it and the whole request was written.
 func (a *Answer) Close() {
--- a/internal/peer/exchange/exchange_test.go
+++ b/internal/peer/exchange/exchange_test.go
@@ -258,3 +258,29 @@
 		t.Errorf("the peer saw %v, want a reset", err)
 	}
 }
+
+// Guards against an endpoint that counts as ended while it only broke off, or
+// while nothing is known of it.
+func TestRefused(t *testing.T) {
+	p := newPeer(t, func(int, *http.Request) (string, bool) { return whole("a", "x"), true })
+	pool := New(Options{Match: match})
+	if pool.Refused(context.Background(), p.address) {
+		t.Error("an endpoint that accepts connections counts as ended")
+	}
+	if body, err := send(t, pool, p.address, "a"); err != nil || body != "x" || p.accepted.Load() != 1 {
+		t.Errorf("answer %q, %v over %d connections, want one that was kept", body, err, p.accepted.Load())
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = listener.Close()
+	if !pool.Refused(context.Background(), listener.Addr().String()) {
+		t.Error("an endpoint that nothing listens for does not count as ended")
+	}
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	if pool.Refused(ended, listener.Addr().String()) {
+		t.Error("an endpoint counts as ended though it was not asked")
+	}
+}
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -109,6 +109,8 @@
 	log     *logrus.Entry
 	queue   *queue.Queue
 	kicking atomic.Bool // whether keepKicking runs
+	breaks  *meter.Counter
+	ends    *meter.Counter
 
 	mu      sync.Mutex
 	returns map[string]*returns.Schedule // by service
@@ -124,6 +126,7 @@
 	}
 	return &Forwarder{
 		seams: seams, timers: timers, log: log, returns: map[string]*returns.Schedule{},
+		breaks: seams.Meters.Counter("endpoint_breaks"), ends: seams.Meters.Counter("endpoint_ends"),
 		queue: queue.New(timers, seams.Meters, queue.Seams{Running: func(string) int64 { return 0 }}),
 	}
 }
@@ -212,14 +215,16 @@
 	p.tried[at.Entry.ID] = true
 	answer, err := f.seams.Pool.Do(try.ctx, at.Entry.Address, request)
 	if err != nil {
+		silent := errors.Is(err, errSlowTry)
 		try.end()
-		return nil, f.broken(ctx, call, at, p, err)
+		return nil, f.broken(ctx, call, at, p, err, silent)
 	}
-	return f.judge(call, at, p, answer, try)
+	return f.judge(ctx, call, at, p, answer, try)
 }
 
-// broken judges an attempt that brought no answer.
-func (f *Forwarder) broken(ctx context.Context, call Call, at *place, p *progress, err error) verdict {
+// broken judges an attempt that brought no answer. Silent tells that this side
+// ended it.
+func (f *Forwarder) broken(ctx context.Context, call Call, at *place, p *progress, err error, silent bool) verdict {
 	if ctx.Err() != nil {
 		at.Done(replica.Abandoned)
 	} else {
@@ -231,10 +236,10 @@
 		return repeat
 	}
 	f.began(call, p)
-	if !call.Route.Repeatable() {
-		return spent
+	if ctx.Err() == nil && !silent {
+		f.brokeOff(ctx, call, at.Entry, err)
 	}
-	return repeat
+	return f.repeatable(call)
 }
 
 func (f *Forwarder) began(call Call, p *progress) {
@@ -245,7 +250,7 @@
 }
 
 // judge decides whether an answer goes to the caller.
-func (f *Forwarder) judge(call Call, at *place, p *progress, answer *exchange.Answer, try *try) (*Answer, verdict) {
+func (f *Forwarder) judge(ctx context.Context, call Call, at *place, p *progress, answer *exchange.Answer, try *try) (*Answer, verdict) {
 	names := f.seams.Names
 	f.observe(at, answer)
 	if answer.Header.Get(names.Rejected) != "" || answer.Status == http.StatusMisdirectedRequest {
@@ -268,8 +273,11 @@
 		p.reason = "answer without a stamp"
 		return nil, f.repeatable(call)
 	}
-	result, err := f.receive(call, at, answer, try)
+	result, err := f.receive(ctx, call, at, answer, try)
 	if err != nil {
+		if try.ctx.Err() == nil {
+			f.brokeOff(ctx, call, at.Entry, err)
+		}
 		try.end()
 		at.Done(replica.Failed)
 		p.reason = err.Error()
@@ -313,7 +321,7 @@
 
 // receive reads a plain answer up to WholeLimit, or less while other answers
 // hold the memory. The answer of a stream is handed on unread.
-func (f *Forwarder) receive(call Call, at *place, answer *exchange.Answer, try *try) (*Answer, error) {
+func (f *Forwarder) receive(ctx context.Context, call Call, at *place, answer *exchange.Answer, try *try) (*Answer, error) {
 	result := &Answer{Status: answer.Status, Header: answer.Header, Endpoint: at.Entry, stop: try.stop}
 	share := f.seams.Memory.Share()
 	if call.Route.Kind != manifest.Stream || answer.Status >= http.StatusMultipleChoices {
@@ -329,7 +337,7 @@
 		if !errors.Is(err, memory.ErrTooLarge) && !errors.Is(err, memory.ErrFull) {
 			answer.Close()
 			share.Release()
-			return nil, errors.New("the answer ended early")
+			return nil, errEarlyEnd
 		}
 	}
 	try.lift()
@@ -337,7 +345,11 @@
 	result.close = func() {
 		answer.Close()
 		share.Release()
-		at.Done(try.outcome(answer.Whole()))
+		whole := answer.Whole()
+		if !whole && try.ctx.Err() == nil && answer.Broken() {
+			f.brokeOff(ctx, call, at.Entry, errEarlyEnd)
+		}
+		at.Done(try.outcome(whole))
 		try.end()
 	}
 	return result, nil
--- a/internal/training/runner/runner.go
+++ b/internal/training/runner/runner.go
@@ -20,6 +20,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/meter"
 	"github.com/wigeonpin/wigeonpin/internal/control/manifest"
 	"github.com/wigeonpin/wigeonpin/internal/fleet/replica"
 	"github.com/wigeonpin/wigeonpin/internal/peer/exchange"
@@ -51,6 +52,8 @@
 	Names      headers.Names
 	Manifest   func() *manifest.Manifest
 	ValueBytes int
+	// Meters count runs of items and how they end, by service; nil counts nothing.
+	Meters *meter.Set
 }
 
 // Runner carries out batches while it is active. It follows them at all times,
@@ -60,6 +63,7 @@
 	timers *clock.Service
 	log    *logrus.Entry
 	mail   chan func(ctx context.Context)
+	counts counts
 
 	// The fields below belong to the goroutine of Run.
 	active bool
@@ -72,14 +76,39 @@
 	done    *lru.Cache[string, *job]
 }
 
+// counts are the runs of items by service: all, those that an engine rejected
+// and those that broke off; and the scoring calls that failed, by host.
+type counts struct {
+	runs, rejections, breaks, scores *meter.Counter
+}
+
+// The names of the counters of a worker.
+const (
+	CountRuns       = "item_runs"
+	CountRejections = "item_rejections"
+	CountBreaks     = "item_breaks"
+	CountScores     = "score_failures"
+)
+
+func newCounts(meters *meter.Set) counts {
+	return counts{
+		runs: meters.Counter(CountRuns), rejections: meters.Counter(CountRejections),
+		breaks: meters.Counter(CountBreaks), scores: meters.Counter(CountScores),
+	}
+}
+
 // New returns a runner that is not active.
 func New(seams Seams, timers *clock.Service, log *logrus.Entry) *Runner {
 	done, err := lru.New[string, *job](keptJobs)
 	if err != nil {
 		panic(err) // the size is a positive constant
 	}
+	if seams.Meters == nil {
+		seams.Meters = meter.NewSet()
+	}
 	return &Runner{
-		done: done, seams: seams, timers: timers, log: log, mail: make(chan func(context.Context), 64),
+		counts: newCounts(seams.Meters),
+		done:   done, seams: seams, timers: timers, log: log, mail: make(chan func(context.Context), 64),
 		ended: map[string]bool{}, texts: newTextCache(keptTexts), copied: map[string]copied{},
 	}
 }
--- a/internal/training/runner/schedule.go
+++ b/internal/training/runner/schedule.go
@@ -228,6 +228,7 @@
 	}
 	t.state = statePending
 	t.notBefore = r.timers.Now().Add(longRetry)
+	r.counts.scores.Add(t.item.Reward.Host, 1)
 	cause := "status"
 	if err != nil {
 		cause = err.Error()
--- a/internal/training/runner/task.go
+++ b/internal/training/runner/task.go
@@ -123,6 +123,7 @@
 	ctx, cancel := context.WithCancelCause(jobCtx)
 	t.state, t.cancel, t.endpoint = stateRunning, cancel, slot.Entry.ID
 	t.began = r.timers.Now()
+	r.counts.runs.Add(slot.Entry.Service, 1)
 	if t.runs++; t.runs == 1 {
 		t.first = t.began
 	}
@@ -331,6 +332,7 @@
 		}).Info("run moved to a faster engine")
 		return
 	case errors.Is(err, errRejected), errors.Is(err, errMisplace), exchange.NotSent(err):
+		r.counts.rejections.Add(e.Service, 1)
 		t.notBefore = now.Add(shortRetry)
 		return
 	case errors.Is(err, errOld):
@@ -346,11 +348,12 @@
 			r.giveUp(t, "status 500")
 		}
 	default:
+		r.counts.breaks.Add(e.Service, 1)
 		t.broke(life{e.ID, e.Born}, now)
 	}
 	r.log.WithFields(logrus.Fields{
 		logs.Request: t.item.ID, "batch": t.job.batch.ID, logs.Endpoint: e.ID, logs.Cause: err.Error(),
-		"events": len(made.pieces), "breaks": t.breaks, "errors": t.errors,
+		"events": len(made.pieces), "breaks": t.breaks, "crashed": len(t.crashed), "errors": t.errors,
 		"ran_ms": now.Sub(t.began).Milliseconds(),
 	}).Info("run ended early")
 }
