--- a/internal/training/runner/runner.go
+++ b/internal/training/runner/runner.go
@@ -76,8 +76,8 @@
 	done    *lru.Cache[string, *job]
 }
 
-// counts are the runs of items by service: all, those that an engine rejected
-// and those that broke off; and the scoring calls that failed, by host.
+// counts are the runs of items and those that broke off, by service; those that
+// never began, by reason; and the scoring calls that failed, by host.
 type counts struct {
 	runs, rejections, breaks, scores *meter.Counter
 }
--- a/internal/training/runner/task.go
+++ b/internal/training/runner/task.go
@@ -164,6 +164,17 @@
 	return replica.Failed
 }
 
+// rejection names the way in which a run ended that never began.
+func rejection(err error) string {
+	switch {
+	case errors.Is(err, errRejected):
+		return "rejected"
+	case errors.Is(err, errMisplace):
+		return "misplaced"
+	}
+	return "unsent"
+}
+
 func (r *Runner) request(t *task, slot *replica.Slot, host string) exchange.Request {
 	names := r.seams.Names
 	header := http.Header{}
@@ -332,7 +343,7 @@
 		}).Info("run moved to a faster engine")
 		return
 	case errors.Is(err, errRejected), errors.Is(err, errMisplace), exchange.NotSent(err):
-		r.counts.rejections.Add(e.Service, 1)
+		r.counts.rejections.Add(rejection(err), 1)
 		t.notBefore = now.Add(shortRetry)
 		return
 	case errors.Is(err, errOld):
