Let a started instance learn the events on the bulletin at once

A call that carries no events now names the sender's digest, and the receiver sends its events when they differ; an instance compares on its first tick with neighbours. The test fails without the receiver's part (the started instance got nothing).

The board takes its own options instead of the stand-alone instance's settings, so that processes on the platform can use it.

--- a/internal/control/bulletin/bulletin.go
+++ b/internal/control/bulletin/bulletin.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	board := bulletin.New(settings, timers, bulletin.Seams{
+//	board := bulletin.New(bulletin.Options{Self: "i-1", Period: time.Second}, timers, bulletin.Seams{
 //		Neighbours: directory.Neighbours, Report: directory.Report, Peers: client,
 //	}, log)
 //	board.Subscribe("suspect", func(key string, payload []byte) { ... })
@@ -27,7 +27,6 @@
 
 	"github.com/wigeonpin/wigeonpin/internal/base/clock"
 	"github.com/wigeonpin/wigeonpin/internal/base/logs"
-	"github.com/wigeonpin/wigeonpin/internal/base/setting"
 	"github.com/wigeonpin/wigeonpin/internal/control/member"
 	"github.com/wigeonpin/wigeonpin/internal/peer/fleet"
 )
@@ -44,6 +43,13 @@
 	payloadBytes = 16 << 10
 )
 
+// Options configure a board. Self is the id of the instance. Events that a
+// neighbour did not take are sent again every Period, which also bounds a call.
+type Options struct {
+	Self   string
+	Period time.Duration
+}
+
 // Seams are the functions that a board needs from its surroundings.
 type Seams struct {
 	// Neighbours returns the instances to pass events to.
@@ -56,12 +62,11 @@
 
 // Board holds the live events of one instance.
 type Board struct {
-	self   string
-	period time.Duration
-	timers *clock.Service
-	seams  Seams
-	log    *logrus.Entry
-	wake   chan struct{}
+	options Options
+	timers  *clock.Service
+	seams   Seams
+	log     *logrus.Entry
+	wake    chan struct{}
 
 	// mu guards the fields below. No call is made while it is held.
 	mu          sync.Mutex
@@ -79,10 +84,9 @@
 }
 
 // New returns an empty board.
-func New(settings setting.Settings, timers *clock.Service, seams Seams, log *logrus.Entry) *Board {
+func New(options Options, timers *clock.Service, seams Seams, log *logrus.Entry) *Board {
 	return &Board{
-		self: settings.ID, period: setting.Milliseconds(settings.ExchangeMS),
-		timers: timers, seams: seams, log: log, wake: make(chan struct{}, 1),
+		options: options, timers: timers, seams: seams, log: log, wake: make(chan struct{}, 1),
 		events: map[string]event{}, held: map[string]map[string]bool{},
 		subscribers: map[string][]func(string, []byte){},
 	}
@@ -171,13 +175,19 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if len(in.Events) == 0 && in.Digest != b.digest {
+		// The sender may have started without memory.
+		delete(b.held, in.Instance)
+		b.signal()
+	}
 	return &NoticeAck{Digest: b.digest}, nil
 }
 
 // Run passes events on until ctx ends.
 func (b *Board) Run(ctx context.Context) error {
-	ticks := b.timers.Subscribe(b.period)
+	ticks := b.timers.Subscribe(b.options.Period)
 	defer ticks.Stop()
+	compared := false
 	for turn := 0; ; {
 		compare := false
 		select {
@@ -186,15 +196,17 @@
 		case <-b.wake:
 		case <-ticks.C:
 			turn++
-			compare = turn%compareTicks == 0
+			// An instance that has just started learns what others hold.
+			compare = turn%compareTicks == 0 || !compared
 		}
-		b.spread(ctx, compare)
+		compared = b.spread(ctx, compare) && compare || compared
 	}
 }
 
 // spread sends each neighbour the events that it is not known to hold. With
-// compare set it also calls neighbours that lack none, to compare digests.
-func (b *Board) spread(ctx context.Context, compare bool) {
+// compare set it also calls neighbours that lack none, to compare digests. It
+// reports whether there are neighbours.
+func (b *Board) spread(ctx context.Context, compare bool) bool {
 	b.expire()
 	neighbours := b.seams.Neighbours()
 	b.forget(neighbours)
@@ -207,6 +219,7 @@
 		group.Go(func() { b.send(ctx, i, events) })
 	}
 	group.Wait()
+	return len(neighbours) > 0
 }
 
 func (b *Board) expire() {
@@ -257,10 +270,13 @@
 }
 
 func (b *Board) send(ctx context.Context, neighbour member.Instance, events []*Notice) {
-	ctx, cancel := b.timers.WithTimeout(ctx, b.period)
+	ctx, cancel := b.timers.WithTimeout(ctx, b.options.Period)
 	defer cancel()
 	client := NewNoticesProtobufClient(fleet.URL(neighbour.Peer), b.seams.Peers)
-	ack, err := client.Share(ctx, &NoticeShare{Instance: b.self, Events: events})
+	b.mu.Lock()
+	digest := b.digest
+	b.mu.Unlock()
+	ack, err := client.Share(ctx, &NoticeShare{Instance: b.options.Self, Events: events, Digest: digest})
 	b.seams.Report(neighbour.ID, err == nil, err != nil && fleet.Refused(err))
 	if err != nil {
 		b.log.WithField(logs.Peer, neighbour.ID).WithError(err).Debug("events not delivered; they are sent again")
--- a/internal/control/bulletin/bulletin_test.go
+++ b/internal/control/bulletin/bulletin_test.go
@@ -13,7 +13,6 @@
 
 	"github.com/wigeonpin/wigeonpin/internal/base/clock"
 	"github.com/wigeonpin/wigeonpin/internal/base/logs"
-	"github.com/wigeonpin/wigeonpin/internal/base/setting"
 	"github.com/wigeonpin/wigeonpin/internal/control/member"
 )
 
@@ -38,9 +37,7 @@
 }
 
 func (n *network) add(id string) {
-	settings := setting.Defaults()
-	settings.ID = id
-	n.boards[id] = New(settings, n.timers, Seams{
+	n.boards[id] = New(Options{Self: id, Period: time.Second}, n.timers, Seams{
 		Neighbours: func() (out []member.Instance) {
 			for _, e := range n.edges[id] {
 				out = append(out, member.Instance{ID: e, Peer: e + ":1"})
@@ -124,6 +121,21 @@
 	}
 }
 
+// Guards against an instance that starts again and knows nothing until its
+// neighbours happen to compare.
+func TestStartedInstanceLearnsAtOnce(t *testing.T) {
+	n := newNetwork(map[string][]string{"a": {"b"}, "b": {"a"}})
+	n.boards["a"].Post("topic", "k", nil, time.Hour)
+	n.pass(t, 1, false)
+	n.got["b"] = nil
+	n.add("b")
+	n.boards["b"].spread(t.Context(), true)
+	n.boards["a"].spread(t.Context(), false)
+	if len(n.got["b"]) != 1 {
+		t.Errorf("the started instance got %v, want the event", n.got["b"])
+	}
+}
+
 // Guards against messages without bound: an event crosses each edge of a ring
 // a few times at most, and nothing is sent when there is no news.
 func TestEventsDoNotCircle(t *testing.T) {
--- a/internal/control/serve/build.go
+++ b/internal/control/serve/build.go
@@ -102,7 +102,8 @@
 	i.config = config.New(i.settings, i.timers, config.Seams{
 		Store: config.StoreOf(i.store), Peers: i.peers, Directory: i.directory, Meters: i.meters,
 	}, i.log)
-	i.board = bulletin.New(i.settings, i.timers, bulletin.Seams{
+	boardOptions := bulletin.Options{Self: i.settings.ID, Period: setting.Milliseconds(i.settings.ExchangeMS)}
+	i.board = bulletin.New(boardOptions, i.timers, bulletin.Seams{
 		Neighbours: i.directory.Neighbours, Report: i.directory.Report, Peers: i.peers,
 	}, i.log)
 	i.leases = lease.New(i.settings, i.timers, lease.Seams{
