Hold back requests whose content crashes endpoints, in the whole fleet

Cause: the identity of a request ended with its attempt. traffic/forward knew which endpoints a call had tried, and nothing of the calls before it, here or at other entry processes. Each repetition had all attempts of its route anew. Ruled out: attempts that are counted wrongly (no request ran at more than the three endpoints of its route), and resends by the system itself.

Now an entry process counts the lives of endpoints that ended under a content (account, method, host, path, query, body): the endpoint broke the request off and refuses connections. The bulletin, so far the stand-alone instance's, tells all processes; they stand in a circle in which news goes round silent ones. From the second life on the content is held back, for 2 s, then 30 s, 5 min, 30 min and 2 h, with one trial after each; an answer ends it. The refusal is 503 content_held with the time until the trial. A lost answer of an endpoint that lives counts for nothing.

Two clients for calls between processes become one (conn.NewPeerClient).

--- a/cmd/wigeonpin/node.go
+++ b/cmd/wigeonpin/node.go
@@ -15,6 +15,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/base/clock"
 	"github.com/wigeonpin/wigeonpin/internal/base/logs"
 	"github.com/wigeonpin/wigeonpin/internal/base/meter"
+	"github.com/wigeonpin/wigeonpin/internal/control/bulletin"
 	"github.com/wigeonpin/wigeonpin/internal/node/members"
 	"github.com/wigeonpin/wigeonpin/internal/node/profile"
 	"github.com/wigeonpin/wigeonpin/internal/node/view"
@@ -40,12 +41,18 @@
 	metricsPath = "/metrics"
 	// headTime bounds the time in which a peer's request head must arrive.
 	headTime = 5 * time.Second
+	// boardPeriod is how often events are sent again to processes that did not
+	// take them, boardConnect bounds a connection attempt for that, and boardIdle
+	// the unused connections to each.
+	boardPeriod  = time.Second
+	boardConnect = 300 * time.Millisecond
+	boardIdle    = 1
 )
 
 // summaryCounters are the counters in the line summary; those that are empty
 // are left out.
 var summaryCounters = []string{
-	storeCalls, "requests_served", "requests_failed", "connections_opened", "endpoint_breaks", "endpoint_ends",
+	storeCalls, "requests_served", "requests_failed", "connections_opened", "endpoint_breaks", "endpoint_ends", "requests_held",
 	runner.CountRuns, runner.CountRejections, runner.CountBreaks, runner.CountScores,
 }
 
@@ -57,6 +64,7 @@
 	meters *meter.Set
 	store  records.Store
 	peers  *members.Members
+	board  *bulletin.Board
 	mux    *http.ServeMux // calls of peers
 	// isolated tells that neither the store nor another zone is reached, and lost
 	// that the direct way to the store is lost.
@@ -118,7 +126,13 @@
 	self := members.Member{Name: p.Name, Address: listener.Addr().String(), Zone: p.Zone, Role: role}
 	n.peers = members.New(n.store, self, n.timers, n.log)
 	go n.peers.Run(ctx)
+	circle := members.NewCircle(n.peers, n.timers)
+	n.board = bulletin.New(bulletin.Options{Self: p.Name, Period: boardPeriod}, n.timers, bulletin.Seams{
+		Neighbours: circle.Neighbours, Report: circle.Report, Peers: conn.NewPeerClient(boardConnect, boardIdle),
+	}, n.log)
+	go func() { _ = n.board.Run(ctx) }() // ends with the process
 	n.mux = http.NewServeMux()
+	n.mux.Handle(bulletin.NoticesPathPrefix, n.board.Server())
 	n.mux.Handle(relay.RelayPathPrefix, relay.NewServer(shared.Call, n.watch(role, shared, watches)))
 	server := &http.Server{Handler: http.MaxBytesHandler(n.mux, conn.PeerLimit), ReadHeaderTimeout: headTime}
 	go func() { n.log.WithField(logs.Cause, server.Serve(listener).Error()).Error("relay stopped") }()
--- a/internal/base/code/code.go
+++ b/internal/base/code/code.go
@@ -59,6 +59,7 @@
 	RecordUnsure     Code = 407
 	SuspectRequest   Code = 408
 	KeyReused        Code = 409
+	ContentHeld      Code = 410
 
 	EditConflict        Code = 501
 	EditInvalid         Code = 502
@@ -119,6 +120,7 @@
 	RecordUnsure:        {"record_unsure", http.StatusServiceUnavailable, "The record of this idempotency key cannot be settled now."},
 	SuspectRequest:      {"suspect_request", http.StatusUnprocessableEntity, "Requests with this content crashed endpoints and are refused."},
 	KeyReused:           {"key_reused", http.StatusUnprocessableEntity, "The idempotency key came before with other content."},
+	ContentHeld:         {"content_held", http.StatusServiceUnavailable, "Requests with this content ended endpoints and are held back for a time."},
 	EditConflict:        {"edit_conflict", http.StatusConflict, "Another edit of the row was accepted first."},
 	EditInvalid:         {"edit_invalid", http.StatusUnprocessableEntity, "The row has an invalid field."},
 	EditUncertain:       {"edit_uncertain", http.StatusServiceUnavailable, "It is not yet known whether the edit was accepted; ask again with its id."},
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -28,6 +28,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/node/view"
 	"github.com/wigeonpin/wigeonpin/internal/peer/exchange"
 	"github.com/wigeonpin/wigeonpin/internal/peer/records"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/breaker"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/callers"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/forward"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/front"
@@ -88,6 +89,8 @@
 	Isolated func() bool
 	// Lost tells that the direct way to the store is known to be lost.
 	Lost func() bool
+	// Breaker holds back contents that end endpoints, in the whole fleet.
+	Breaker *breaker.Breaker
 }
 
 // Entry is an entry process.
@@ -115,7 +118,7 @@
 	memoryLimit := float64(cmp.Or(p.MemoryBytes, defaultMemory))
 	forwarder := forward.New(forward.Seams{
 		Fleet: fleet, Pool: pool, Names: parts.Names, Began: counter.Add,
-		Memory: memory.NewBudget(int64(answerShare * memoryLimit)), Meters: parts.Meters,
+		Memory: memory.NewBudget(int64(answerShare * memoryLimit)), Meters: parts.Meters, Breaker: parts.Breaker,
 	}, timers, log)
 	f := front.New(front.Seams{
 		Manifest: v.Manifest, Ready: func() bool { return v.Known() && !parts.Isolated() }, Stale: func() bool { return v.Stale() && !parts.Lost() }, Forwarder: forwarder, Shelf: shelf,
--- /dev/null
+++ b/internal/node/members/circle_test.go
@@ -0,0 +1,101 @@
+package members
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/control/member"
+)
+
+// circleOf returns the circle as one of count processes sees it.
+func circleOf(self, count int) (*Circle, *clock.Driver) {
+	timers, driver := clock.NewDriven(time.Unix(1000, 0))
+	name := func(i int) string { return fmt.Sprintf("n%03d", i) }
+	m := &Members{self: Member{Name: name(self)}, others: map[string]Member{}}
+	for i := range count {
+		if i != self {
+			m.others[name(i)] = Member{Name: name(i), Address: name(i) + ":1"}
+		}
+	}
+	return NewCircle(m, timers), driver
+}
+
+// Guards against processes that no news reaches, also when others do not
+// answer, and against a number of calls that grows with the fleet.
+func TestNewsReachesAll(t *testing.T) {
+	for _, count := range []int{1, 2, 3, 4, 5, 9, 32, 95, 360} {
+		near := map[string][]member.Instance{}
+		for i := range count {
+			c, _ := circleOf(i, count)
+			near[c.members.self.Name] = c.Neighbours()
+			if len(near[c.members.self.Name]) > 10 {
+				t.Errorf("%d of %d processes are neighbours", len(near[c.members.self.Name]), count)
+			}
+		}
+		for id, list := range near {
+			for _, other := range list {
+				if !holds(near[other.ID], id) {
+					t.Errorf("of %d processes %s passes news on to %s, but not back", count, id, other.ID)
+				}
+			}
+		}
+		// A tenth does not answer, next to each other.
+		dead := map[string]bool{}
+		for i := range count / 10 {
+			dead[fmt.Sprintf("n%03d", count/2+i)] = true
+		}
+		if got := reached(near, dead); got != count-len(dead) {
+			t.Errorf("news reaches %d of %d processes", got, count-len(dead))
+		}
+	}
+}
+
+func holds(list []member.Instance, id string) bool {
+	for _, one := range list {
+		if one.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// reached returns the number of processes that news of the first one reaches.
+func reached(near map[string][]member.Instance, dead map[string]bool) int {
+	seen, open := map[string]bool{"n000": true}, []string{"n000"}
+	for len(open) > 0 {
+		id := open[0]
+		open = open[1:]
+		for _, next := range near[id] {
+			if !seen[next.ID] && !dead[next.ID] {
+				seen[next.ID] = true
+				open = append(open, next.ID)
+			}
+		}
+	}
+	return len(seen)
+}
+
+// Guards against calls to processes that are gone, whose records stay, and
+// against a process that is passed over for good.
+func TestSilentNeighbourIsPassedOver(t *testing.T) {
+	c, driver := circleOf(0, 2)
+	c.Report("n001", false, false)
+	if len(c.Neighbours()) != 0 {
+		t.Error("a neighbour that did not answer is called again at once")
+	}
+	driver.Advance(firstShun)
+	if len(c.Neighbours()) != 1 {
+		t.Error("a neighbour is passed over for good")
+	}
+	c.Report("n001", false, false)
+	driver.Advance(firstShun)
+	if len(c.Neighbours()) != 0 {
+		t.Error("the pause does not grow")
+	}
+	c.Report("n001", true, false)
+	if len(c.Neighbours()) != 1 {
+		t.Error("a neighbour that answered is passed over")
+	}
+}
--- a/internal/peer/relay/server.go
+++ b/internal/peer/relay/server.go
@@ -53,10 +53,7 @@
 
 // NewAsk returns the function that asks a peer.
 func NewAsk() func(ctx context.Context, address string, call Call, limit time.Duration) (Reply, error) {
-	dialer := &net.Dialer{Timeout: connectLimit}
-	client := &http.Client{Transport: conn.Bounded(&http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePeers, IdleConnTimeout: time.Minute,
-	}, conn.PeerLimit)}
+	client := conn.NewPeerClient(connectLimit, idlePeers)
 	return func(ctx context.Context, address string, call Call, limit time.Duration) (Reply, error) {
 		peer := NewRelayProtobufClient("http://"+address, client)
 		reply, err := peer.Call(ctx, &CallRequest{
--- /dev/null
+++ b/internal/traffic/breaker/breaker.go
@@ -0,0 +1,246 @@
+// Package breaker is a circuit breaker for the content of requests: one that
+// ended several endpoints is held back in the whole fleet, whichever instance
+// its caller sends it to again.
+//
+// Each life of an endpoint that ended under a content counts once, until a run
+// of the content is answered. From the second on the content is held back for a
+// pause that grows with the count. After the pause one run is let through as a
+// trial. Instances tell each other of ended lives, trials and answers; these
+// may arrive in any order, or twice.
+//
+// # Usage
+//
+//	b := breaker.New(breaker.Seams{Post: board.Post, Subscribe: board.Subscribe}, timers, log)
+//	if wait := b.Admit(content); wait > 0 {
+//		return refusal(wait) // the content must not run before
+//	}
+//	b.Ended(content, breaker.Life{Endpoint: "e1", Born: 1700000000000})
+//	b.Answered(content)
+package breaker
+
+import (
+	"encoding/json"
+	"sync"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+)
+
+// Topic is the bulletin's topic for contents that end endpoints.
+const Topic = "content"
+
+const (
+	// contentsAtMost bounds the memory for contents: about 300 bytes each.
+	contentsAtMost = 4096
+	// innocence is how long a content is remembered under which one endpoint
+	// ended. Most of these happened to run there.
+	innocence = 10 * time.Minute
+	// memory is how long a content is remembered under which several ended.
+	memory = 2 * time.Hour
+)
+
+// pauses are the times for which a content is held back, by the number of lives
+// that ended under it. The last one holds for more.
+var pauses = []time.Duration{0, 0, 2 * time.Second, 30 * time.Second, 5 * time.Minute, 30 * time.Minute, memory}
+
+// Life is one start of an endpoint. Born is in Unix milliseconds.
+type Life struct {
+	Endpoint string `json:"endpoint"`
+	Born     int64  `json:"born"`
+}
+
+// Seams are the functions that a breaker needs: those of the bulletin.
+type Seams struct {
+	Post      func(topic, key string, payload []byte, ttl time.Duration)
+	Subscribe func(topic string, receive func(key string, payload []byte))
+}
+
+// Breaker holds back contents that end endpoints. It is safe for concurrent
+// use.
+type Breaker struct {
+	seams  Seams
+	timers *clock.Service
+	log    *logrus.Entry
+
+	mu      sync.Mutex
+	records *lru.Cache[string, *record]
+}
+
+// record is what is known of one content.
+type record struct {
+	lives  map[Life]bool // lives that ended; false: a later run was answered
+	until  time.Time     // held back until then
+	forget time.Time
+}
+
+func (r *record) count() int {
+	count := 0
+	for _, counts := range r.lives {
+		if counts {
+			count++
+		}
+	}
+	return count
+}
+
+func pause(count int) time.Duration { return pauses[min(count, len(pauses)-1)] }
+
+func remembered(count int) time.Duration {
+	if count > 1 {
+		return memory
+	}
+	return innocence
+}
+
+// event is what instances tell each other about a content.
+type event struct {
+	Ended   *Life  `json:"ended,omitempty"`
+	Trial   bool   `json:"trial,omitempty"`
+	Cleared []Life `json:"cleared,omitempty"`
+}
+
+// New returns a breaker that is fed by the bulletin.
+func New(seams Seams, timers *clock.Service, log *logrus.Entry) *Breaker {
+	records, err := lru.New[string, *record](contentsAtMost)
+	if err != nil {
+		panic(err) // the size is a positive constant
+	}
+	b := &Breaker{seams: seams, timers: timers, log: log, records: records}
+	seams.Subscribe(Topic, b.receive)
+	return b
+}
+
+// Idle reports whether no content is remembered, so that none needs to be
+// looked up.
+func (b *Breaker) Idle() bool { return b.records.Len() == 0 }
+
+// Admit returns how long the content is held back, or 0 when it may run now. If
+// it was held back until now, this run is the trial.
+func (b *Breaker) Admit(content string) time.Duration {
+	b.mu.Lock()
+	r := b.known(content)
+	if r == nil || pause(r.count()) == 0 {
+		b.mu.Unlock()
+		return 0
+	}
+	now := b.timers.Now()
+	if wait := r.until.Sub(now); wait > 0 {
+		b.mu.Unlock()
+		return wait
+	}
+	held := pause(r.count())
+	r.until = now.Add(held)
+	b.mu.Unlock()
+	b.log.WithField(logs.Content, content).Info("held content is tried")
+	b.post(content, event{Trial: true}, held)
+	return 0
+}
+
+// Ended notes that an endpoint ended while it ran the content.
+func (b *Breaker) Ended(content string, life Life) {
+	e := event{Ended: &life}
+	b.mu.Lock()
+	b.apply(content, e)
+	count := b.known(content).count()
+	b.mu.Unlock()
+	b.post(content, e, remembered(count))
+}
+
+// Answered notes that an endpoint answered the content, so that it is not what
+// ends endpoints.
+func (b *Breaker) Answered(content string) {
+	b.mu.Lock()
+	r := b.known(content)
+	if r == nil || r.count() == 0 {
+		b.mu.Unlock()
+		return
+	}
+	e := event{}
+	for life, counts := range r.lives {
+		if counts {
+			e.Cleared = append(e.Cleared, life)
+		}
+	}
+	kept := remembered(r.count())
+	b.apply(content, e)
+	b.mu.Unlock()
+	b.post(content, e, kept)
+}
+
+func (b *Breaker) post(content string, e event, ttl time.Duration) {
+	payload, err := json.Marshal(e)
+	if err != nil {
+		b.log.WithField(logs.Cause, err.Error()).Error("news of a content not encoded")
+		return
+	}
+	b.seams.Post(Topic, content, payload, ttl)
+}
+
+func (b *Breaker) receive(content string, payload []byte) {
+	var e event
+	if err := json.Unmarshal(payload, &e); err != nil {
+		b.log.WithField(logs.Cause, err.Error()).Warn("news of a content passed over")
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.apply(content, e)
+}
+
+// known returns the record of a content unless its time is over. mu is held.
+func (b *Breaker) known(content string) *record {
+	r, found := b.records.Get(content)
+	if !found {
+		return nil
+	}
+	if !b.timers.Now().Before(r.forget) {
+		b.records.Remove(content)
+		return nil
+	}
+	return r
+}
+
+// apply takes an event in. Receiving it again changes nothing but the end of a
+// trial. mu is held.
+func (b *Breaker) apply(content string, e event) {
+	r := b.known(content)
+	if r == nil {
+		r = &record{lives: map[Life]bool{}, forget: b.timers.Now().Add(innocence)}
+		b.records.Add(content, r)
+	}
+	for _, life := range e.Cleared {
+		r.lives[life] = false
+	}
+	if e.Ended != nil {
+		b.end(content, r, *e.Ended)
+	}
+	if e.Trial {
+		r.hold(b.timers.Now())
+	}
+}
+
+// end counts a life that ended, once. mu is held.
+func (b *Breaker) end(content string, r *record, life Life) {
+	if _, known := r.lives[life]; known {
+		return
+	}
+	r.lives[life] = true
+	now, count := b.timers.Now(), r.count()
+	r.forget = now.Add(remembered(count))
+	r.hold(now)
+	if held := pause(count); held > 0 {
+		b.log.WithFields(logrus.Fields{
+			logs.Content: content, logs.Endpoint: life.Endpoint, "ends": count, "held_ms": held.Milliseconds(),
+		}).Warn("content ended endpoints and is held back")
+	}
+}
+
+func (r *record) hold(now time.Time) {
+	if until := now.Add(pause(r.count())); until.After(r.until) {
+		r.until = until
+	}
+}
--- /dev/null
+++ b/internal/traffic/breaker/breaker_test.go
@@ -0,0 +1,150 @@
+package breaker
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"pgregory.net/rapid"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+)
+
+// news is what an instance posted.
+type news struct {
+	key     string
+	payload []byte
+}
+
+// fleet is a set of breakers. News is passed on when the script says so.
+type fleet struct {
+	timers  *clock.Service
+	driver  *clock.Driver
+	members map[string]*Breaker
+	receive map[string]func(string, []byte)
+	posted  []news
+}
+
+func newFleet() *fleet {
+	f := &fleet{members: map[string]*Breaker{}, receive: map[string]func(string, []byte){}}
+	f.timers, f.driver = clock.NewDriven(time.Unix(1000, 0))
+	return f
+}
+
+func (f *fleet) member(id string) *Breaker {
+	if b, known := f.members[id]; known {
+		return b
+	}
+	f.members[id] = New(Seams{
+		Post:      func(_, key string, payload []byte, _ time.Duration) { f.posted = append(f.posted, news{key, payload}) },
+		Subscribe: func(_ string, receive func(string, []byte)) { f.receive[id] = receive },
+	}, f.timers, logs.Discard())
+	return f.members[id]
+}
+
+// spread passes all news to all instances, the newest first if reversed.
+func (f *fleet) spread(reversed bool) {
+	for i := range f.posted {
+		if reversed {
+			i = len(f.posted) - 1 - i
+		}
+		for _, receive := range f.receive {
+			receive(f.posted[i].key, f.posted[i].payload)
+		}
+	}
+}
+
+// TestScripts guards against contents that end one endpoint after the other,
+// also when they are sent to other instances each time, and against sound ones
+// that are held back for good.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		f := newFleet()
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string { return f.run(t, d) })
+	})
+}
+
+func (f *fleet) run(t *testing.T, d *datadriven.TestData) string {
+	var at, endpoint string
+	var ms int
+	if d.HasArg("at") {
+		d.ScanArgs(t, "at", &at)
+	}
+	switch d.Cmd {
+	case "admit":
+		if wait := f.member(at).Admit("c"); wait > 0 {
+			return "held for " + wait.String()
+		}
+		return "runs"
+	case "ended":
+		d.ScanArgs(t, "endpoint", &endpoint)
+		f.member(at).Ended("c", Life{Endpoint: endpoint, Born: 1})
+	case "answered":
+		f.member(at).Answered("c")
+	case "spread":
+		f.spread(d.HasArg("reversed"))
+	case "start":
+		delete(f.members, at)
+		f.member(at)
+	case "wait":
+		d.ScanArgs(t, "ms", &ms)
+		f.driver.Advance(time.Duration(ms) * time.Millisecond)
+	default:
+		t.Fatalf("unknown command %s", d.Cmd)
+	}
+	return "ok"
+}
+
+// Guards against instances that come to different conclusions from the same
+// news in another order, or twice.
+func TestNewsInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet()
+		for i := range rapid.IntRange(1, 12).Draw(t, "steps") {
+			at := f.member(fmt.Sprint("i", rapid.IntRange(0, 2).Draw(t, "instance")))
+			if rapid.Bool().Draw(t, "answered") {
+				at.Answered("c")
+			} else {
+				at.Ended("c", Life{Endpoint: fmt.Sprint("e", rapid.IntRange(0, i).Draw(t, "endpoint"))})
+			}
+		}
+		order := rapid.Permutation(f.posted).Draw(t, "order")
+		f.spread(false)
+		late := f.member("late")
+		for _, n := range append(order, order...) {
+			f.receive["late"](n.key, n.payload)
+		}
+		for id, b := range f.members {
+			if a, b := countOf(b), countOf(late); a != b {
+				t.Errorf("%s counts %d ends, the late one %d", id, a, b)
+			}
+		}
+	})
+}
+
+func countOf(b *Breaker) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r := b.known("c"); r != nil {
+		return r.count()
+	}
+	return 0
+}
+
+// Guards against memory that grows with the number of contents.
+func TestMemoryIsBounded(t *testing.T) {
+	f := newFleet()
+	b := f.member("a")
+	for i := range contentsAtMost + 10 {
+		b.Ended(strings.Repeat("x", i), Life{Endpoint: "e"})
+	}
+	if b.records.Len() != contentsAtMost {
+		t.Errorf("%d contents are remembered, want %d", b.records.Len(), contentsAtMost)
+	}
+	if New(Seams{Subscribe: func(string, func(string, []byte)) {}}, f.timers, logs.Discard()).Idle() == b.Idle() {
+		t.Error("an empty breaker counts as busy, or a full one as idle")
+	}
+}
--- a/internal/traffic/forward/breaks_test.go
+++ b/internal/traffic/forward/breaks_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -10,9 +11,13 @@
 	"testing"
 	"time"
 
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/code"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
 	"github.com/wigeonpin/wigeonpin/internal/base/meter"
 	"github.com/wigeonpin/wigeonpin/internal/control/manifest"
 	"github.com/wigeonpin/wigeonpin/internal/fleet/replica"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/breaker"
 )
 
 // poison is the body of requests that end each endpoint that begins them.
@@ -21,7 +26,7 @@
 // mortal is an endpoint that ends when it begins a poisonous request.
 type mortal struct {
 	server *httptest.Server
-	runs   atomic.Int64
+	ended  atomic.Bool
 }
 
 func newMortal(t *testing.T, fleet *replica.Fleet, id string) *mortal {
@@ -35,8 +40,8 @@
 
 func (m *mortal) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
-	m.runs.Add(1)
 	if string(body) == poison {
+		m.ended.Store(true)
 		_ = m.server.Listener.Close()
 		panic(http.ErrAbortHandler)
 	}
@@ -93,3 +98,77 @@
 		}
 	}
 }
+
+// channel passes the news of breakers on, as the bulletin does.
+type channel struct{ receivers []func(string, []byte) }
+
+func (c *channel) breaker(timers *clock.Service) *breaker.Breaker {
+	return breaker.New(breaker.Seams{
+		Post: func(_, key string, payload []byte, _ time.Duration) {
+			for _, receive := range c.receivers {
+				receive(key, payload)
+			}
+		},
+		Subscribe: func(_ string, receive func(string, []byte)) { c.receivers = append(c.receivers, receive) },
+	}, timers, logs.Discard())
+}
+
+// Guards against a request that ends one endpoint after the other because its
+// caller sends it to another process each time; and against refusals that are
+// not true, or that hit other requests.
+func TestCrashingContentEndsTwoEndpoints(t *testing.T) {
+	const count = 6
+	f, fleet := newForwarderOf(t)
+	other, _ := newForwarderOf(t)
+	news := &channel{}
+	for _, one := range []*Forwarder{f, other} {
+		one.seams.Fleet, one.seams.Breaker = fleet, news.breaker(one.timers)
+	}
+	var endpoints []*mortal
+	for i := range count {
+		endpoints = append(endpoints, newMortal(t, fleet, fmt.Sprint("e", i)))
+	}
+	send := func(f *Forwarder, body string) *code.Error {
+		c := call(manifest.Route{Kind: manifest.Idempotent, Attempts: count})
+		c.Account, c.Request.Body = "acme", []byte(body)
+		answer, err := f.Send(context.Background(), c)
+		if err == nil {
+			answer.Close()
+		}
+		return code.Of(err)
+	}
+	if got := send(f, poison); got == nil || got.Code != code.EndpointFailed || got.Run != code.MaybeRun {
+		t.Errorf("first request: %+v", got)
+	}
+	for _, one := range []*Forwarder{other, f} {
+		if got := send(one, poison); got == nil || got.Code != code.ContentHeld || got.Run != code.NotRun || got.RetryAfter <= 0 {
+			t.Errorf("repeated request: %+v", got)
+		}
+		if got := send(one, "sound"); got != nil {
+			t.Errorf("request of another content: %+v", got)
+		}
+	}
+	ended := int64(0)
+	for _, e := range endpoints {
+		if e.ended.Load() {
+			ended++
+		}
+	}
+	if ended != 2 {
+		t.Errorf("%d endpoints ended, want 2", ended)
+	}
+}
+
+// Guards against a sound content that is held back because endpoints lost its
+// answers, or because some happened to end under it before one answered.
+func TestSoundContentIsNotHeldBack(t *testing.T) {
+	f, _ := newForwarderOf(t, &endpoint{mode: "break"}, &endpoint{mode: "cut"}, &endpoint{mode: "ok"})
+	f.seams.Breaker = (&channel{}).breaker(f.timers)
+	c := call(manifest.Route{Kind: manifest.Idempotent, Attempts: 4})
+	for range 3 {
+		if _, err := f.Send(context.Background(), c); err != nil {
+			t.Fatal(err)
+		}
+		f.seams.Breaker.Ended(c.Content(), breaker.Life{Endpoint: "other"})
+	}
+}
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -32,6 +32,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/control/manifest"
 	"github.com/wigeonpin/wigeonpin/internal/fleet/replica"
 	"github.com/wigeonpin/wigeonpin/internal/peer/exchange"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/breaker"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/headers"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/memory"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/queue"
@@ -58,6 +59,8 @@
 	Service     string
 	Request     exchange.Request
 	Deadline    time.Time
+
+	content func() string // Content, computed once
 }
 
 // Answer is an endpoint's answer. Body holds its start, or all of it when Rest
@@ -100,6 +103,8 @@
 	Memory *memory.Budget
 	// Meters count what waits and what is refused; nil counts nothing.
 	Meters *meter.Set
+	// Breaker holds back contents that end endpoints; nil holds back none.
+	Breaker *breaker.Breaker
 }
 
 // Forwarder sends requests to endpoints.
@@ -111,6 +116,7 @@
 	kicking atomic.Bool // whether keepKicking runs
 	breaks  *meter.Counter
 	ends    *meter.Counter
+	held    *meter.Counter
 
 	mu      sync.Mutex
 	returns map[string]*returns.Schedule // by service
@@ -127,6 +133,7 @@
 	return &Forwarder{
 		seams: seams, timers: timers, log: log, returns: map[string]*returns.Schedule{},
 		breaks: seams.Meters.Counter("endpoint_breaks"), ends: seams.Meters.Counter("endpoint_ends"),
+		held:  seams.Meters.Counter("requests_held"),
 		queue: queue.New(timers, seams.Meters, queue.Seams{Running: func(string) int64 { return 0 }}),
 	}
 }
@@ -141,6 +148,10 @@
 
 	rejections int       // endpoints that turned out to be full
 	placeBy    time.Time // until when it may wait for an endpoint
+
+	breaks   int           // endpoints that broke it off
+	admitted int           // times that the breaker was asked
+	held     time.Duration // how long the breaker holds it back
 }
 
 // keep replaces the failure that is returned when no endpoint does better.
@@ -154,6 +165,7 @@
 // Send tries endpoints until one gives an answer that is final.
 func (f *Forwarder) Send(ctx context.Context, call Call) (*Answer, error) {
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
+	call.content = sync.OnceValue(call.Content)
 	answer, err := f.send(ctx, call)
 	if err != nil {
 		cancel()
@@ -169,7 +181,7 @@
 
 func (f *Forwarder) send(ctx context.Context, call Call) (*Answer, error) {
 	p := &progress{tried: map[string]bool{}, placeBy: placeBy(call, f.timers.Now())}
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && f.admit(call, p) {
 		at, err := f.place(ctx, call, p)
 		if err != nil {
 			p.reason = err.Error()
@@ -237,6 +249,7 @@
 	}
 	f.began(call, p)
 	if ctx.Err() == nil && !silent {
+		p.breaks++
 		f.brokeOff(ctx, call, at.Entry, err)
 	}
 	return f.repeatable(call)
@@ -276,6 +289,7 @@
 	result, err := f.receive(ctx, call, at, answer, try)
 	if err != nil {
 		if try.ctx.Err() == nil {
+			p.breaks++
 			f.brokeOff(ctx, call, at.Entry, err)
 		}
 		try.end()
@@ -331,6 +345,7 @@
 			answer.Close()
 			try.end()
 			at.Done(replica.Answered)
+			f.answered(call)
 			result.close = share.Release
 			return result, nil
 		}
@@ -349,6 +364,9 @@
 		if !whole && try.ctx.Err() == nil && answer.Broken() {
 			f.brokeOff(ctx, call, at.Entry, errEarlyEnd)
 		}
+		if whole {
+			f.answered(call)
+		}
 		at.Done(try.outcome(whole))
 		try.end()
 	}
@@ -361,6 +379,9 @@
 		logs.Request: call.ID, logs.Cause: p.reason, "runs": p.runs, "tried": len(p.tried),
 		"service": call.Service, "left_ms": time.Until(call.Deadline).Milliseconds(),
 	}).Warn("request failed")
+	if p.runs == 0 && p.held > 0 {
+		return code.New(code.ContentHeld, "requests with this content ended endpoints").WithRun(code.NotRun).WithRetryAfter(p.held)
+	}
 	if p.runs == 0 {
 		return code.New(code.NoEndpoint, "no endpoint can take the request").WithRun(code.NotRun).WithRetryAfter(f.comeBack(call.Service))
 	}
--- a/internal/training/runner/progress.go
+++ b/internal/training/runner/progress.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http"
 	"sync/atomic"
 	"time"
 
+	"github.com/wigeonpin/wigeonpin/internal/peer/conn"
 	"github.com/wigeonpin/wigeonpin/internal/training/batch"
 )
 
@@ -75,7 +77,7 @@
 // NewFinder returns a function that asks a worker for a batch. It reports false
 // when the worker does not know it.
 func NewFinder(peers func() []string) batch.Find {
-	client := newPeerClient()
+	client := conn.NewPeerClient(dialLimit, http.DefaultMaxIdleConnsPerHost)
 	return func(ctx context.Context, id string) (*batch.Batch, bool) {
 		addresses := peers()
 		if len(addresses) == 0 {
@@ -99,7 +101,7 @@
 // NewFollower returns a function that asks the worker that carries out a batch
 // for the pages after the known ones. It reports false when no worker knows.
 func NewFollower(peers func() []string) batch.Follow {
-	client := newPeerClient()
+	client := conn.NewPeerClient(dialLimit, http.DefaultMaxIdleConnsPerHost)
 	var active atomic.Pointer[string]
 	var paused atomic.Int64 // Unix nanoseconds until which no worker is asked
 	return func(ctx context.Context, id string, known int, wait time.Duration) ([]batch.Page, bool) {
--- a/internal/training/runner/standby.go
+++ b/internal/training/runner/standby.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -153,7 +152,7 @@
 func (r *Runner) Copies(ctx context.Context, peers func() []string) {
 	ticks := r.timers.Subscribe(copyPeriod)
 	defer ticks.Stop()
-	client := newPeerClient()
+	client := conn.NewPeerClient(dialLimit, http.DefaultMaxIdleConnsPerHost)
 	current, failures := "", 0
 	for {
 		select {
@@ -177,12 +176,6 @@
 	}
 }
 
-func newPeerClient() *http.Client {
-	dialer := &net.Dialer{Timeout: dialLimit}
-	transport := &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: time.Minute}
-	return &http.Client{Transport: conn.Bounded(transport, conn.PeerLimit)}
-}
-
 // copyTo sends what was generated since the last call.
 func (r *Runner) copyTo(ctx context.Context, standby Standby) error {
 	collected := make(chan []*Text, 1)
@@ -236,7 +229,7 @@
 func (r *Runner) Recall(ctx context.Context, peers []string) {
 	limited, cancel := context.WithTimeout(ctx, recallLimit)
 	defer cancel()
-	client := newPeerClient()
+	client := conn.NewPeerClient(dialLimit, http.DefaultMaxIdleConnsPerHost)
 	var asked sync.WaitGroup
 	for _, address := range peers {
 		asked.Go(func() {
