Place items again under which several engines ended

What users saw elsewhere, and TestItemIsOwedAfterCrashes shows here: an item under which four engines had ended was left aside until it ran somewhere, which it never did, though all was calm.

Cause: the runner took four lives that broke an item without an event for proof that the item crashes engines, and schedule passed it over for good. The memory of a failure had a limit but no way back. TestCrashingItemStops asserted just this; it was wrong, since items are never requests that crash engines by themselves.

From the fourth life on an item runs apart: a run each 2 s at most, on an engine without another such item, on a quarter of the engines at a time, until an event comes. It holds back no later items of its batch.

--- a/internal/training/runner/schedule.go
+++ b/internal/training/runner/schedule.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -55,10 +56,7 @@
 				r.score(t)
 				continue
 			}
-			if t.crashes() {
-				continue
-			}
-			if !r.place(t) {
+			if !r.place(t) && !t.suspected() {
 				break
 			}
 		}
@@ -74,10 +72,26 @@
 	if route.Pure && len(t.text.pieces) > 0 {
 		t.text = text{}
 	}
-	slot, found := r.seams.Fleet.Pick(replica.Want{
+	want := replica.Want{
 		Service: route.Target(rand.Float64()), Model: t.job.batch.Model, Version: t.job.batch.Oldest,
 		Near: t.job.near[t.item.Group],
-	})
+	}
+	avoid := map[string]bool{}
+	if t.suspected() {
+		avoid = r.suspectedAt()
+		if len(avoid) >= max(1, int(apartShare*float64(len(r.seams.Fleet.Entries(want.Service))))) {
+			return false
+		}
+	}
+	want.Avoid = maps.Clone(avoid)
+	for at := range t.crashed {
+		want.Avoid[at.endpoint] = true
+	}
+	slot, found := r.seams.Fleet.Pick(want)
+	if !found {
+		want.Avoid = avoid // an engine that broke it is better than none
+		slot, found = r.seams.Fleet.Pick(want)
+	}
 	if !found {
 		return false
 	}
@@ -85,6 +99,20 @@
 	return true
 }
 
+// suspectedAt returns the engines that run an item which may be one that
+// crashes engines.
+func (r *Runner) suspectedAt() map[string]bool {
+	at := map[string]bool{}
+	for _, j := range r.jobs {
+		for _, t := range j.tasks {
+			if t.state == stateRunning && t.suspected() {
+				at[t.endpoint] = true
+			}
+		}
+	}
+	return at
+}
+
 // slow reports whether the item would come further at another engine.
 func (r *Runner) slow(t *task, now time.Time) bool {
 	if t.moves >= mostMoves {
--- a/internal/training/runner/task.go
+++ b/internal/training/runner/task.go
@@ -91,10 +91,12 @@
 	// longestRetry bounds the pause after several failures in a row.
 	longestRetry = 2 * time.Second
 	// barrenLives is the number of engines at which runs without any event
-	// broke, after which an item counts as one that crashes engines and waits
-	// for its end. An engine that is not reached breaks each run, so it counts
-	// once until it starts anew.
+	// broke, after which an item runs apart from others in its case. It is owed
+	// all the same: engines may have ended by chance. An engine that is not
+	// reached breaks each run, so it counts once until it starts anew.
 	barrenLives = 4
+	// apartShare is the part of the engines that may run such items at a time.
+	apartShare = 0.25
 )
 
 // life is one start of an engine.
@@ -360,6 +362,7 @@
 		}
 	default:
 		r.counts.breaks.Add(e.Service, 1)
+		delete(t.job.near, t.item.Group) // what the engine had read is lost
 		t.broke(life{e.ID, e.Born}, now)
 	}
 	r.log.WithFields(logrus.Fields{
@@ -376,11 +379,18 @@
 	}
 	t.crashed[at] = true
 	t.breaks++
-	t.notBefore = now.Add(min(longRetry*time.Duration(t.breaks), longestRetry))
+	pause := min(longRetry*time.Duration(t.breaks), longestRetry)
+	if t.suspected() {
+		pause = longestRetry
+	}
+	t.notBefore = now.Add(pause)
 }
 
-// crashes reports whether the item counts as one that crashes engines.
-func (t *task) crashes() bool { return len(t.crashed) >= barrenLives }
+// suspected reports whether the item may be one that crashes engines. An event
+// of its present run clears it.
+func (t *task) suspected() bool {
+	return len(t.crashed) >= barrenLives && len(t.snapshot().pieces) == len(t.text.pieces)
+}
 
 // giveUp lists an item that will not be completed.
 func (r *Runner) giveUp(t *task, reason string) {
