Take no endpoint that is known not to be at its address

Cause: an endpoint that refused a connection, or whose address another endpoint had taken over, was put behind the others, and taken all the same once those were full. While a third of the engines was away, each waiting item was sent to one of them every 30 ms. Class of the fault: what is known of a failure gives a preference where it has to exclude.

--- a/internal/fleet/replica/pick.go
+++ b/internal/fleet/replica/pick.go
@@ -29,7 +29,8 @@
 }
 
 // Pick takes a place at the endpoint with the lowest load. Endpoints that
-// failed lately are taken only when no other is left.
+// failed lately are taken only when no other is left, those that were not at
+// their address not at all: a request there is wasted for certain.
 func (f *Fleet) Pick(want Want) (*Slot, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -72,6 +73,9 @@
 	if s.sent >= max(1, int(float64(s.Slots)*f.options.Ceiling)) || !s.concurrency.allows(s.sent) || now.Before(s.pauseEnd) {
 		return false
 	}
+	if now.Before(s.absentTill) {
+		return false
+	}
 	if !now.Before(s.coldTill) {
 		return true
 	}
@@ -193,6 +197,14 @@
 	return true
 }
 
+// nextRest returns the time for which the endpoint is avoided after a further
+// failure.
+func (s *state) nextRest() time.Duration {
+	rest := min(lastRest, firstRest<<min(s.failures, 4))
+	s.failures++
+	return rest
+}
+
 // Done gives the place back and notes how the request ended.
 func (s *Slot) Done(outcome Outcome) {
 	f := s.fleet
@@ -218,10 +230,11 @@
 		st.concurrency.rejected()
 		st.pauseEnd = now.Add(st.concurrency.rest(fullRest))
 	case Failed:
-		st.restTill = now.Add(min(lastRest, firstRest<<min(st.failures, 4)))
-		st.failures++
+		st.restTill = now.Add(st.nextRest())
+	case Unreached:
+		st.absentTill = now.Add(st.nextRest())
 	case Misplaced:
-		st.restTill = now.Add(lastRest)
+		st.absentTill = now.Add(lastRest)
 	case Abandoned:
 	}
 	f.notify()
--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -46,11 +46,13 @@
 	Failed                   // no answer, or a broken one
 	Abandoned                // this side gave up without a verdict
 	Misplaced                // another endpoint has the address
+	Unreached                // nothing listens at the address
 )
 
 const (
-	// firstRest and lastRest bound how long a failing endpoint is avoided; the
-	// time doubles with each failure in a row.
+	// firstRest and lastRest bound how long a failing endpoint is avoided, or not
+	// taken at all when it is not at its address; the time doubles with each
+	// failure in a row.
 	firstRest = 500 * time.Millisecond
 	lastRest  = 4 * time.Second
 	// fullRest is how long an endpoint that rejected a request is avoided.
@@ -98,6 +100,7 @@
 	loadAt      time.Time
 	failures    int
 	restTill    time.Time
+	absentTill  time.Time // not at its address, as far as is known
 	coldTill    time.Time
 	budget      float64 // requests that may go to it now while it is cold
 	filledAt    time.Time
--- a/internal/fleet/replica/replica_test.go
+++ b/internal/fleet/replica/replica_test.go
@@ -21,7 +21,7 @@
 }
 
 // TestScripts guards against requests to endpoints that are leaving, out of
-// service, cold, loading or failing, and against entries that are dropped
+// service, cold, loading, failing or not at their address, and against entries that are dropped
 // though the store was only away.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
@@ -135,7 +135,7 @@
 	d.ScanArgs(t, "id", &id)
 	d.ScanArgs(t, "as", &outcome)
 	for _, slot := range s.slots[id] {
-		slot.Done(map[string]Outcome{"answered": Answered, "rejected": Rejected, "failed": Failed}[outcome])
+		slot.Done(map[string]Outcome{"answered": Answered, "rejected": Rejected, "failed": Failed, "unreached": Unreached, "misplaced": Misplaced}[outcome])
 	}
 	s.slots[id] = nil
 	return "ok"
--- a/internal/peer/exchange/exchange.go
+++ b/internal/peer/exchange/exchange.go
@@ -92,6 +92,9 @@
 	return errors.As(err, &failed) && !failed.Sent
 }
 
+// Unreached reports whether nothing listened at the address.
+func Unreached(err error) bool { return NotSent(err) && errors.Is(err, syscall.ECONNREFUSED) }
+
 // Options configure a pool. Match names the header that an answer must echo
 // from its request; empty disables the check. Opened is called after each new
 // connection.
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -237,9 +237,13 @@
 // broken judges an attempt that brought no answer. Silent tells that this side
 // ended it.
 func (f *Forwarder) broken(ctx context.Context, call Call, at *place, p *progress, err error, silent bool) verdict {
-	if ctx.Err() != nil {
+	switch {
+	case ctx.Err() != nil:
 		at.Done(replica.Abandoned)
-	} else {
+	case exchange.Unreached(err):
+		at.Done(replica.Unreached)
+		f.seams.Pool.Forget(at.Entry.Address)
+	default:
 		at.Done(replica.Failed)
 		f.seams.Pool.Forget(at.Entry.Address)
 	}
--- a/internal/training/runner/task.go
+++ b/internal/training/runner/task.go
@@ -162,6 +162,8 @@
 		return replica.Rejected
 	case errors.Is(err, errMisplace):
 		return replica.Misplaced
+	case exchange.Unreached(err):
+		return replica.Unreached
 	}
 	return replica.Failed
 }
