--- a/internal/training/runner/runner_test.go
+++ b/internal/training/runner/runner_test.go
@@ -29,6 +29,8 @@
 	waiting = 30 * time.Second
 	// unluckyHits is the number of engines that end under an "unlucky" item.
 	unluckyHits = 5
+	// lostTime is how long the scorer breaks off the scoring call of a "lost" item.
+	lostTime = 2 * time.Second
 	// apartTime is how long an "apart" item waits for its first event.
 	apartTime = 600 * time.Millisecond
 )
@@ -49,8 +51,9 @@
 	runs    map[string]int
 	asked   map[string][]string // Last-Event-Id of each run
 	crashed map[string]int      // runs by endpoint that brought nothing
-	halfway chan struct{}       // a "held" item has sent half of its events
-	release chan struct{}       // and goes on
+	first   map[string]time.Time
+	halfway chan struct{} // a "held" item has sent half of its events
+	release chan struct{} // and goes on
 	// Of "apart" items: the engines that ended under each, those that run one
 	// now, and the most that ran at a time and whether two met on one engine.
 	endedBy     map[string]map[string]bool
@@ -90,7 +93,7 @@
 func newEngine() *engine {
 	return &engine{
 		version: 5, runs: map[string]int{}, asked: map[string][]string{}, crashed: map[string]int{},
-		endedBy: map[string]map[string]bool{}, apart: map[string]int{},
+		first: map[string]time.Time{}, endedBy: map[string]map[string]bool{}, apart: map[string]int{},
 	}
 }
 
@@ -100,6 +103,16 @@
 	e.crashed[endpoint]++
 }
 
+// since returns the time from the first run of an id.
+func (e *engine) since(id string) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.first[id].IsZero() {
+		e.first[id] = time.Now()
+	}
+	return time.Since(e.first[id])
+}
+
 // hits returns the number of engines at which a run brought nothing.
 func (e *engine) hits() int {
 	e.mu.Lock()
@@ -121,6 +134,9 @@
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	run, version := e.begin(id, r.Header.Get("Last-Event-Id"))
 	fault := strings.SplitN(id, "-", 2)[0]
+	if fault == "lost" && strings.HasSuffix(id, "-reward") && e.since(id) < lostTime {
+		panic(http.ErrAbortHandler)
+	}
 	if fault == "rejected" && run == 1 {
 		w.Header().Set(names.Rejected, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -392,6 +408,24 @@
 	}
 }
 
+// Guards against scoring calls that are repeated without growth while the
+// service is away, which add up to most of what it gets when it is back.
+func TestScoringCallsGrowApart(t *testing.T) {
+	w := newWorld(t)
+	b := sample("lost-1")
+	w.runner.SetActive(context.Background(), true)
+	w.runner.Add(context.Background(), b, true)
+	if result := w.results(t, b)["lost-1"]; !result.Done {
+		t.Errorf("%+v", result)
+	}
+	w.engine.mu.Lock()
+	defer w.engine.mu.Unlock()
+	const most = 7
+	if calls := w.engine.runs["lost-1-reward"]; calls > most {
+		t.Errorf("%d scoring calls in %v, want at most %d", calls, lostTime, most)
+	}
+}
+
 // Guards against several items that may crash engines which run side by side on
 // one engine, or take all engines.
 func TestSuspectedItemsRunApart(t *testing.T) {
--- a/internal/training/runner/schedule.go
+++ b/internal/training/runner/schedule.go
@@ -255,7 +255,8 @@
 		return
 	}
 	t.state = statePending
-	t.notBefore = r.timers.Now().Add(longRetry)
+	t.unscored++
+	t.notBefore = r.timers.Now().Add(retryPause(t.unscored))
 	r.counts.scores.Add(t.item.Reward.Host, 1)
 	cause := "status"
 	if err != nil {
--- a/internal/training/runner/task.go
+++ b/internal/training/runner/task.go
@@ -47,6 +47,7 @@
 	breaks    int           // runs in a row that brought no event
 	crashed   map[life]bool // where these runs broke
 	rewards   int           // answers of 500 to the scoring call
+	unscored  int           // scoring calls that failed
 	session   int           // activation of the runner in which the text got its origin
 	moves     int           // runs that were ended to go on at a faster engine
 	cancel    context.CancelCauseFunc
@@ -85,10 +86,10 @@
 	// firstEvent allows for the wait in an engine's queue.
 	firstEvent = 3 * time.Second
 	// shortRetry and longRetry are the pauses before an item is sent again,
-	// after a rejection and after a failure.
-	shortRetry = 30 * time.Millisecond
-	longRetry  = 150 * time.Millisecond
-	// longestRetry bounds the pause after several failures in a row.
+	// after a rejection and after a failure. The latter grows with each in a row,
+	// up to longestRetry; engines that reject an item rest by themselves.
+	shortRetry   = 30 * time.Millisecond
+	longRetry    = 150 * time.Millisecond
 	longestRetry = 2 * time.Second
 	// barrenLives is the number of engines at which runs without any event
 	// broke, after which an item runs apart from others in its case. It is owed
@@ -381,13 +382,18 @@
 	}
 	t.crashed[at] = true
 	t.breaks++
-	pause := min(longRetry*time.Duration(t.breaks), longestRetry)
+	pause := retryPause(t.breaks)
 	if t.suspected() {
 		pause = longestRetry
 	}
 	t.notBefore = now.Add(pause)
 }
 
+// retryPause returns the pause after so many failures in a row.
+func retryPause(failures int) time.Duration {
+	return min(longRetry*time.Duration(failures), longestRetry)
+}
+
 // suspected reports whether the item may be one that crashes engines. An event
 // of its present run clears it.
 func (t *task) suspected() bool {
