Count endpoints that ended as the list of endpoints tells

A crashing request was known as one only where its endpoints refuse connections afterwards. Behind something that goes on accepting, or when they fall silent, it stayed unknown, and took down one after the other as before: TestEndsThatTheListTells failed (the third request was sent).

A request without an answer is now remembered for 10 s. When the entry of its endpoint goes, or tells of a new life, without a sign of leaving and not while the store was away, the end counts against the request's content.

--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -130,6 +130,7 @@
 	out     map[string]bool      // availability zones out of service
 	cold    map[string]Warmup
 	changed chan struct{}
+	ended   func(Entry)
 }
 
 // Fixed returns a share that does not change.
@@ -145,10 +146,15 @@
 func NewFleet(timers *clock.Service, options Options) *Fleet {
 	return &Fleet{
 		timers: timers, options: options, states: map[string]*state{}, left: map[string]departure{},
-		out: map[string]bool{}, cold: map[string]Warmup{}, changed: make(chan struct{}, 1),
+		out: map[string]bool{}, cold: map[string]Warmup{}, changed: make(chan struct{}, 1), ended: func(Entry) {},
 	}
 }
 
+// OnEnd sets the function that is called when a life of an endpoint is over
+// that did not leave: its entry is gone or tells of a new life. It must be set
+// before the first entry is put.
+func (f *Fleet) OnEnd(ended func(Entry)) { f.ended = ended }
+
 // Changed receives a value after changes that can make room for requests.
 func (f *Fleet) Changed() <-chan struct{} { return f.changed }
 
@@ -184,9 +190,19 @@
 
 // Put adds or replaces an entry.
 func (f *Fleet) Put(e Entry) {
+	if former, over := f.put(e); over {
+		f.ended(former)
+	}
+}
+
+// put returns the former entry if it was one of another life.
+func (f *Fleet) put(e Entry) (former Entry, over bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s, known := f.states[e.ID]
+	if known && s.Born != e.Born && f.stays(s) {
+		former, over = s.Entry, true
+	}
 	if !known || s.Born != e.Born || s.Address != e.Address {
 		s = &state{}
 		if f.options.Shared {
@@ -202,6 +218,13 @@
 		f.chill(s, e.Cold)
 	}
 	f.notify()
+	return former, over
+}
+
+// stays reports whether the endpoint did not tell that it leaves.
+func (f *Fleet) stays(s *state) bool {
+	d, told := f.left[s.ID]
+	return !s.Draining && !(told && d.born == s.Born)
 }
 
 // merge keeps the higher version of each model: within one life of an endpoint
@@ -251,20 +274,28 @@
 // Remove drops an endpoint whose entry is gone. When the store has just come
 // back, the endpoint is kept for the time in which it registers again.
 func (f *Fleet) Remove(id string, regained time.Time) {
+	if former, over := f.remove(id, regained); over {
+		f.ended(former)
+	}
+}
+
+// remove returns the entry if it was dropped and did not tell that it leaves.
+func (f *Fleet) remove(id string, regained time.Time) (former Entry, over bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s, known := f.states[id]
 	if !known {
-		return
+		return Entry{}, false
 	}
 	now := f.timers.Now()
 	// Entries that were kept so and did not come back.
 	maps.DeleteFunc(f.states, func(_ string, other *state) bool { return !other.goneAt.IsZero() && now.After(other.goneAt) })
 	if now.Sub(regained) < lapseGrace {
 		s.goneAt = regained.Add(lapseGrace)
-		return
+		return Entry{}, false
 	}
 	delete(f.states, id)
+	return s.Entry, f.stays(s)
 }
 
 // Learn notes the weight version of a model that an endpoint answered with.
@@ -317,10 +348,7 @@
 }
 
 func (f *Fleet) usable(s *state) bool {
-	if s.Draining || f.out[s.Zone] {
-		return false
-	}
-	if d, told := f.left[s.ID]; told && d.born == s.Born {
+	if !f.stays(s) || f.out[s.Zone] {
 		return false
 	}
 	return s.goneAt.IsZero() || f.timers.Now().Before(s.goneAt)
--- a/internal/fleet/replica/replica_test.go
+++ b/internal/fleet/replica/replica_test.go
@@ -202,3 +202,44 @@
 		})
 	}
 }
+
+// Guards against endpoints that leave, or whose entry is kept while the store
+// was away, and are taken for ones that ended; and against ends that are missed.
+func TestEndsAreTold(t *testing.T) {
+	timers, _ := clock.NewDriven(time.Unix(1000, 0))
+	entry := func(born int64) Entry { return Entry{ID: "e1", Service: "svc", Slots: 4, Born: born} }
+	cases := []struct {
+		name  string
+		ended bool
+		then  func(f *Fleet)
+	}{
+		{"gone", true, func(f *Fleet) { f.Remove("e1", time.Time{}) }},
+		{"new life", true, func(f *Fleet) { f.Put(entry(2)) }},
+		{"same life", false, func(f *Fleet) { f.Put(entry(1)) }},
+		{"gone while the store was away", false, func(f *Fleet) { f.Remove("e1", timers.Now()) }},
+		{"drained", false, func(f *Fleet) {
+			e := entry(1)
+			e.Draining = true
+			f.Put(e)
+			f.Remove("e1", time.Time{})
+		}},
+		{"told that it leaves", false, func(f *Fleet) {
+			slot, _ := f.Pick(Want{Service: "svc"})
+			slot.Leave()
+			f.Remove("e1", time.Time{})
+		}},
+		{"unknown", false, func(f *Fleet) { f.Remove("e2", time.Time{}) }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := NewFleet(timers, Options{Ceiling: 1})
+			var ended []Entry
+			f.OnEnd(func(e Entry) { ended = append(ended, e) })
+			f.Put(entry(1))
+			c.then(f)
+			if c.ended != (len(ended) == 1 && ended[0].Born == 1) || len(ended) > 1 {
+				t.Errorf("told of %+v", ended)
+			}
+		})
+	}
+}
--- a/internal/traffic/forward/breaks.go
+++ b/internal/traffic/forward/breaks.go
@@ -6,6 +6,8 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"slices"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -14,8 +16,15 @@
 	"github.com/wigeonpin/wigeonpin/internal/traffic/breaker"
 )
 
-// contentBytes is the length of a content's digest, in bytes.
-const contentBytes = 16
+const (
+	// contentBytes is the length of a content's digest, in bytes.
+	contentBytes = 16
+	// endTime is how long after a request broke off, or stayed without an answer,
+	// the end of its endpoint counts against it.
+	endTime = 10 * time.Second
+	// openEnds bounds how many such requests are remembered.
+	openEnds = 1024
+)
 
 var errEarlyEnd = errors.New("the answer ended early")
 
@@ -35,19 +44,71 @@
 func (f *Forwarder) brokeOff(ctx context.Context, call Call, e replica.Entry, cause error) {
 	f.breaks.Add(call.Service, 1)
 	ended := f.seams.Pool.Refused(ctx, e.Address)
-	content := call.content()
 	if ended {
-		f.ends.Add(call.Service, 1)
-		if f.seams.Breaker != nil {
-			f.seams.Breaker.Ended(content, breaker.Life{Endpoint: e.ID, Born: e.Born})
-		}
+		f.ended(call.Service, call.content(), e)
+	} else {
+		f.await(call, e)
 	}
 	f.log.WithFields(logrus.Fields{
-		logs.Request: call.ID, logs.Account: call.Account, logs.Content: content, "service": call.Service,
+		logs.Request: call.ID, logs.Account: call.Account, logs.Content: call.content(), "service": call.Service,
 		logs.Endpoint: e.ID, "born": e.Born, "ended": ended, logs.Cause: cause.Error(),
 	}).Info("endpoint broke off a request")
 }
 
+// ended notes that an endpoint ended while it ran the content.
+func (f *Forwarder) ended(service, content string, e replica.Entry) {
+	f.ends.Add(service, 1)
+	if f.seams.Breaker != nil {
+		f.seams.Breaker.Ended(content, breaker.Life{Endpoint: e.ID, Born: e.Born})
+	}
+}
+
+// openEnd is a request without an answer, whose endpoint may turn out to have
+// ended.
+type openEnd struct {
+	content  string
+	endpoint replica.Entry
+	until    time.Time
+}
+
+// await remembers a request without an answer until it is known whether its
+// endpoint ended.
+func (f *Forwarder) await(call Call, e replica.Entry) {
+	if f.seams.Breaker == nil {
+		return
+	}
+	content := call.content()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.timers.Now()
+	f.open = slices.DeleteFunc(f.open, func(o openEnd) bool { return now.After(o.until) })
+	if len(f.open) < openEnds {
+		f.open = append(f.open, openEnd{content, e, now.Add(endTime)})
+	}
+}
+
+// settle counts a life of an endpoint that is over against the requests that
+// it left without an answer.
+func (f *Forwarder) settle(e replica.Entry) {
+	f.mu.Lock()
+	now := f.timers.Now()
+	var found []openEnd
+	f.open = slices.DeleteFunc(f.open, func(o openEnd) bool {
+		same := o.endpoint.ID == e.ID && o.endpoint.Born == e.Born
+		if same && !now.After(o.until) {
+			found = append(found, o)
+		}
+		return same
+	})
+	f.mu.Unlock()
+	for _, o := range found {
+		f.ended(e.Service, o.content, e)
+		f.log.WithFields(logrus.Fields{
+			logs.Content: o.content, "service": e.Service, logs.Endpoint: e.ID, "born": e.Born,
+		}).Info("endpoint ended after a request without an answer")
+	}
+}
+
 // admit reports whether the request may be sent, or sent again after an
 // endpoint broke it off. A send that an endpoint rejected needs no new consent.
 func (f *Forwarder) admit(call Call, p *progress) bool {
--- a/internal/traffic/forward/breaks_test.go
+++ b/internal/traffic/forward/breaks_test.go
@@ -172,3 +172,30 @@
 		f.seams.Breaker.Ended(c.Content(), breaker.Life{Endpoint: "other"})
 	}
 }
+
+// Guards against a crashing request that is not known as one since the way to
+// its endpoints goes on accepting connections, or since they fall silent: their
+// end shows in the list of endpoints only.
+func TestEndsThatTheListTells(t *testing.T) {
+	f, fleet := newForwarderOf(t)
+	f.seams.Breaker = (&channel{}).breaker(f.timers)
+	c := call(manifest.Route{Kind: manifest.Idempotent, Attempts: 1})
+	for i, mode := range []string{"break", "hang"} {
+		id := fmt.Sprint("e", i)
+		put(t, fleet, id, &endpoint{mode: mode})
+		c.Deadline = time.Now().Add(500 * time.Millisecond)
+		if _, err := f.Send(context.Background(), c); code.Of(err).Run != code.MaybeRun {
+			t.Fatalf("%s: %v", mode, err)
+		}
+		fleet.Remove(id, time.Time{})
+	}
+	put(t, fleet, "e2", &endpoint{mode: "ok"})
+	c.Deadline = time.Now().Add(time.Second)
+	if _, err := f.Send(context.Background(), c); code.Of(err).Code != code.ContentHeld {
+		t.Errorf("the request is not held back: %v", err)
+	}
+	c.Request.Body = []byte("sound")
+	if _, err := f.Send(context.Background(), c); err != nil {
+		t.Errorf("request of another content: %v", err)
+	}
+}
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -120,6 +120,7 @@
 
 	mu      sync.Mutex
 	returns map[string]*returns.Schedule // by service
+	open    []openEnd
 }
 
 // New returns a forwarder.
@@ -130,12 +131,14 @@
 	if seams.Meters == nil {
 		seams.Meters = meter.NewSet()
 	}
-	return &Forwarder{
+	f := &Forwarder{
 		seams: seams, timers: timers, log: log, returns: map[string]*returns.Schedule{},
 		breaks: seams.Meters.Counter("endpoint_breaks"), ends: seams.Meters.Counter("endpoint_ends"),
 		held:  seams.Meters.Counter("requests_held"),
 		queue: queue.New(timers, seams.Meters, queue.Seams{Running: func(string) int64 { return 0 }}),
 	}
+	seams.Fleet.OnEnd(f.settle)
+	return f
 }
 
 // progress is what the attempts for a call have shown so far.
@@ -255,6 +258,8 @@
 	if ctx.Err() == nil && !silent {
 		p.breaks++
 		f.brokeOff(ctx, call, at.Entry, err)
+	} else {
+		f.await(call, at.Entry)
 	}
 	return f.repeatable(call)
 }
