Hold back calls of the stand-alone instance that crash plain services

In TestCrashingCallEndsTwoServices one caller's call ended all five services, and the retry budget then refused the calls of others.

dispatch.Forward asks the breaker of the platform's processes, fed by the instance's own bulletin: two services end, and other calls are served. The digest of a content moves to the breaker, which both use.

--- a/internal/control/serve/build.go
+++ b/internal/control/serve/build.go
@@ -26,6 +26,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/peer/scorer"
 	"github.com/wigeonpin/wigeonpin/internal/peer/service"
 	"github.com/wigeonpin/wigeonpin/internal/peer/weights"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/breaker"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/dispatch"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/entry"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/once"
@@ -163,6 +164,7 @@
 		Endpoints: i.endpoints, Load: i.load, Instances: i.instancesIn, Failed: i.roster.Failed, Free: i.free, Take: i.take, Wait: i.wait,
 		Table: i.config.Table, Admit: i.suspects.Admit, Suspect: i.suspects.Suspect, Enter: i.suspects.Enter, Crashed: i.suspects.Crashed,
 		Completed: i.suspects.Completed, Record: i.record,
+		Breaker: breaker.New(breaker.Seams{Post: i.board.Post, Subscribe: i.board.Subscribe}, i.timers, i.log),
 	}
 	queues := queue.Seams{Running: i.pool.Running, Changed: i.pool.Changed}
 	if i.settings.Policy == setting.PolicyPlain {
--- a/internal/traffic/breaker/breaker.go
+++ b/internal/traffic/breaker/breaker.go
@@ -11,6 +11,7 @@
 // # Usage
 //
 //	b := breaker.New(breaker.Seams{Post: board.Post, Subscribe: board.Subscribe}, timers, log)
+//	content := breaker.Digest(body, account, method, path)
 //	if wait := b.Admit(content); wait > 0 {
 //		return refusal(wait) // the content must not run before
 //	}
@@ -19,7 +20,10 @@
 package breaker
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"sync"
 	"time"
 
@@ -47,13 +51,28 @@
 // that ended under it. The last one holds for more.
 var pauses = []time.Duration{0, 0, 2 * time.Second, 30 * time.Second, 5 * time.Minute, 30 * time.Minute, memory}
 
+// digestBytes is the length of a content's digest, in bytes.
+const digestBytes = 16
+
+// Digest returns the name of a content: what a request asks for and for whom.
+// Unlike the request's id it stays the same when the caller sends it again.
+func Digest(body []byte, parts ...string) string {
+	h := sha256.New()
+	for _, part := range parts {
+		fmt.Fprintf(h, "%d:%s", len(part), part)
+	}
+	h.Write(body)
+	return hex.EncodeToString(h.Sum(nil)[:digestBytes])
+}
+
 // Life is one start of an endpoint. Born is in Unix milliseconds.
 type Life struct {
 	Endpoint string `json:"endpoint"`
 	Born     int64  `json:"born"`
 }
 
-// Seams are the functions that a breaker needs: those of the bulletin.
+// Seams are the functions that a breaker needs: those of the bulletin. Without
+// them it tells nobody and hears from nobody.
 type Seams struct {
 	Post      func(topic, key string, payload []byte, ttl time.Duration)
 	Subscribe func(topic string, receive func(key string, payload []byte))
@@ -110,7 +129,9 @@
 		panic(err) // the size is a positive constant
 	}
 	b := &Breaker{seams: seams, timers: timers, log: log, records: records}
-	seams.Subscribe(Topic, b.receive)
+	if seams.Subscribe != nil {
+		seams.Subscribe(Topic, b.receive)
+	}
 	return b
 }
 
@@ -172,6 +193,9 @@
 }
 
 func (b *Breaker) post(content string, e event, ttl time.Duration) {
+	if b.seams.Post == nil {
+		return
+	}
 	payload, err := json.Marshal(e)
 	if err != nil {
 		b.log.WithField(logs.Cause, err.Error()).Error("news of a content not encoded")
--- a/internal/traffic/breaker/breaker_test.go
+++ b/internal/traffic/breaker/breaker_test.go
@@ -144,7 +144,7 @@
 	if b.records.Len() != contentsAtMost {
 		t.Errorf("%d contents are remembered, want %d", b.records.Len(), contentsAtMost)
 	}
-	if New(Seams{Subscribe: func(string, func(string, []byte)) {}}, f.timers, logs.Discard()).Idle() == b.Idle() {
+	if New(Seams{}, f.timers, logs.Discard()).Idle() == b.Idle() {
 		t.Error("an empty breaker counts as busy, or a full one as idle")
 	}
 }
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -28,6 +28,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/control/table"
 	"github.com/wigeonpin/wigeonpin/internal/peer/engine"
 	"github.com/wigeonpin/wigeonpin/internal/peer/service"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/breaker"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/queue"
 )
 
@@ -124,6 +125,8 @@
 	Enter     func(endpoint, digest string) (leave func(), err error)
 	Crashed   func(endpoint string, digests []string)
 	Completed func(digest string)
+	// Breaker holds back contents of service calls that end services.
+	Breaker *breaker.Breaker
 	// Record returns once the usage is held safely or cannot be.
 	Record func(ctx context.Context, usage Usage) error
 }
--- a/internal/traffic/dispatch/dispatch_test.go
+++ b/internal/traffic/dispatch/dispatch_test.go
@@ -25,6 +25,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/control/table"
 	"github.com/wigeonpin/wigeonpin/internal/peer/engine"
 	"github.com/wigeonpin/wigeonpin/internal/peer/service"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/breaker"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/queue"
 )
 
@@ -93,6 +94,7 @@
 		},
 		Instances: func(string) int { return 1 },
 		Suspect:   func(string) bool { return false }, Enter: func(string, string) (func(), error) { return func() {}, nil }, Completed: func(string) {},
+		Breaker: breaker.New(breaker.Seams{}, clock.NewSystem(), logs.Discard()),
 		Crashed: func(id string, digests []string) { b.find(id).crashed = digests },
 		Record:  func(_ context.Context, u Usage) error { b.usage = u; return nil },
 	})
@@ -133,6 +135,9 @@
 		return
 	case e.fault == "drop":
 		panic(http.ErrAbortHandler)
+	case string(raw) == poison:
+		_ = e.server.Listener.Close()
+		panic(http.ErrAbortHandler)
 	case json.Unmarshal(raw, &in) != nil:
 		w.Header().Set(codec.HeaderRequest, r.Header.Get(codec.HeaderRequest))
 		fmt.Fprint(w, "served by "+e.ID)
@@ -345,3 +350,39 @@
 		}
 	}
 }
+
+// poison is the body of calls that end each service that begins them.
+const poison = "poison"
+
+// Guards against a call that ends one service after the other, as its caller
+// sends it again; and against calls of others that are held back with it.
+func TestCrashingCallEndsTwoServices(t *testing.T) {
+	b := newBench(clock.NewSystem())
+	for i := range 5 {
+		b.add(t, &back{Endpoint: roster.Endpoint{ID: fmt.Sprint("e", i), Zone: "a", State: roster.StateLive}, free: 1})
+	}
+	send := func(body string) error {
+		answer, err := b.runner.Forward(context.Background(), ServiceCall{
+			Request: "r", Account: "acme", Model: "m", Method: "POST", Path: "/x", Body: []byte(body), Repeatable: true,
+			Deadline: time.Now().Add(time.Minute),
+		})
+		if err == nil {
+			answer.Close()
+		}
+		return err
+	}
+	if got := code.Of(send(poison)); got == nil || got.Code != code.EndpointFailed || got.Run != code.MaybeRun {
+		t.Errorf("first call: %+v", got)
+	}
+	for range 2 {
+		if got := code.Of(send(poison)); got == nil || got.Code != code.ContentHeld || got.Run != code.NotRun || got.RetryAfter <= 0 {
+			t.Errorf("repeated call: %+v", got)
+		}
+	}
+	if len(b.seen) != 2 {
+		t.Errorf("the call reached %v, want two services", b.seen)
+	}
+	if err := send("sound"); err != nil {
+		t.Errorf("a call of another content: %v", err)
+	}
+}
--- a/internal/traffic/dispatch/forward.go
+++ b/internal/traffic/dispatch/forward.go
@@ -4,14 +4,20 @@
 	"context"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/wigeonpin/wigeonpin/internal/base/code"
 	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/control/roster"
 	"github.com/wigeonpin/wigeonpin/internal/peer/service"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/breaker"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/queue"
 )
 
+// endLimit bounds the attempt to find out whether a service ended.
+const endLimit = 200 * time.Millisecond
+
 // headerDeadline tells the service how many milliseconds are left.
 const headerDeadline = "Wigeonpin-Deadline-Ms"
 
@@ -25,13 +31,19 @@
 	call   ServiceCall
 	failed []string
 	sent   bool
+
+	content  func() string // the digest, computed once
+	breaks   int           // services that broke the call off
+	admitted int           // times that the breaker was asked
 }
 
 // Forward runs a call on a plain service. A call that is not repeatable is
 // sent again only when it is certain that nothing of it was sent before.
 func (d *Dispatcher) Forward(ctx context.Context, call ServiceCall) (*Answer, error) {
 	ctx, cancel := d.timers.WithTimeout(ctx, call.Deadline.Sub(d.timers.Now()))
-	f := &forwarding{d: d, call: call}
+	f := &forwarding{d: d, call: call, content: sync.OnceValue(func() string {
+		return breaker.Digest(call.Body, call.Account, call.Model, call.Method, call.Path, call.RawQuery)
+	})}
 	answer, err := f.run(ctx)
 	if err != nil {
 		cancel()
@@ -47,6 +59,9 @@
 func (f *forwarding) run(ctx context.Context) (*Answer, error) {
 	interval := newInterval()
 	for {
+		if err := f.admit(); err != nil {
+			return nil, err
+		}
 		turn, chosen, err := f.begin(ctx)
 		if err != nil {
 			return nil, code.Of(err).WithRun(f.ran())
@@ -64,6 +79,33 @@
 	}
 }
 
+// admit returns an error when the call's content ended services and is held
+// back. It asks before the first attempt and after each that broke off.
+func (f *forwarding) admit() error {
+	if f.d.seams.Breaker.Idle() || f.admitted > f.breaks {
+		return nil
+	}
+	f.admitted = f.breaks + 1
+	wait := f.d.seams.Breaker.Admit(f.content())
+	if wait == 0 {
+		return nil
+	}
+	if f.sent {
+		return code.New(code.EndpointFailed, "services ended while they ran the call").WithRun(code.MaybeRun)
+	}
+	return code.New(code.ContentHeld, "calls with this content ended services").WithRun(code.NotRun).WithRetryAfter(wait)
+}
+
+// brokeOff finds out whether the service ended while it ran the call.
+func (f *forwarding) brokeOff(e roster.Endpoint) {
+	f.breaks++
+	ctx, cancel := f.d.timers.WithTimeout(context.Background(), endLimit)
+	defer cancel()
+	if f.d.engines.Dead(ctx, e.Address) {
+		f.d.seams.Breaker.Ended(f.content(), breaker.Life{Endpoint: e.ID, Born: int64(e.Revision)})
+	}
+}
+
 func (f *forwarding) ran() code.Run {
 	if f.sent {
 		return code.MaybeRun
@@ -103,6 +145,9 @@
 		return nil, err
 	}
 	f.d.budgets.success(f.call.Account, chosen.endpoint.ID)
+	if !f.d.seams.Breaker.Idle() {
+		f.d.seams.Breaker.Answered(f.content())
+	}
 	f.d.counts.served.Add(f.call.Account, 1)
 	if answer.Rest == nil {
 		f.record(ctx, end(false))
@@ -153,6 +198,8 @@
 	f.d.log.WithField(logs.Endpoint, id).WithField(logs.Request, f.call.Request).WithError(err).Warn("attempt failed")
 	if failure.Run == code.NotRun {
 		f.d.seams.Failed(id, err)
+	} else {
+		f.brokeOff(chosen.endpoint)
 	}
 	if f.sent && !f.call.Repeatable {
 		return failure.WithRun(code.MaybeRun)
--- a/internal/traffic/entry/fixture_test.go
+++ b/internal/traffic/entry/fixture_test.go
@@ -19,6 +19,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
 	"github.com/wigeonpin/wigeonpin/internal/base/meter"
 	"github.com/wigeonpin/wigeonpin/internal/base/setting"
 	"github.com/wigeonpin/wigeonpin/internal/control/member"
@@ -26,6 +27,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/control/table"
 	"github.com/wigeonpin/wigeonpin/internal/peer/engine"
 	"github.com/wigeonpin/wigeonpin/internal/peer/service"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/breaker"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/dispatch"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/once"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/queue"
@@ -165,6 +167,7 @@
 		Admit:     func(string) (func(), error) { return func() {}, nil },
 		Instances: func(string) int { return 1 },
 		Suspect:   func(string) bool { return false }, Enter: func(string, string) (func(), error) { return func() {}, nil }, Crashed: func(string, []string) {}, Completed: func(string) {},
+		Breaker: breaker.New(breaker.Seams{}, clock.NewSystem(), logs.Discard()),
 		Record: func(_ context.Context, usage dispatch.Usage) error {
 			i.mu.Lock()
 			defer i.mu.Unlock()
--- a/internal/traffic/forward/breaks.go
+++ b/internal/traffic/forward/breaks.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"errors"
-	"fmt"
 	"slices"
 	"time"
 
@@ -17,8 +14,6 @@
 )
 
 const (
-	// contentBytes is the length of a content's digest, in bytes.
-	contentBytes = 16
 	// endTime is how long after a request broke off, or stayed without an answer,
 	// the end of its endpoint counts against it.
 	endTime = 10 * time.Second
@@ -28,16 +23,10 @@
 
 var errEarlyEnd = errors.New("the answer ended early")
 
-// Content returns the digest of what a request asks for and for whom. Unlike its
-// id it stays the same when the caller sends the request again.
+// Content returns the digest of what a request asks for and for whom.
 func (c Call) Content() string {
 	r := c.Request
-	h := sha256.New()
-	for _, part := range []string{c.Account, r.Method, r.Host, r.Path, r.Query} {
-		fmt.Fprintf(h, "%d:%s", len(part), part)
-	}
-	h.Write(r.Body)
-	return hex.EncodeToString(h.Sum(nil)[:contentBytes])
+	return breaker.Digest(r.Body, c.Account, r.Method, r.Host, r.Path, r.Query)
 }
 
 // brokeOff notes that an endpoint broke off a request that it may have begun.
