Bound the rest of endpoints that refuse connections to one second

An endpoint that starts anew is at its address before its entry tells so, or while the store is away; a rest that doubles up to 4 s kept it unused then. Refused connections cost little: one each second.

Also, from reading the changes: the pick of an item apart from others has a function of its own and costs nothing for other items, and an engine that broke an item loses the preference of the item's group only where it had it.

--- a/internal/fleet/replica/pick.go
+++ b/internal/fleet/replica/pick.go
@@ -232,7 +232,7 @@
 	case Failed:
 		st.restTill = now.Add(st.nextRest())
 	case Unreached:
-		st.absentTill = now.Add(st.nextRest())
+		st.absentTill = now.Add(min(st.nextRest(), absentRest))
 	case Misplaced:
 		st.absentTill = now.Add(lastRest)
 	case Abandoned:
--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -50,11 +50,13 @@
 )
 
 const (
-	// firstRest and lastRest bound how long a failing endpoint is avoided, or not
-	// taken at all when it is not at its address; the time doubles with each
-	// failure in a row.
+	// firstRest and lastRest bound how long a failing endpoint is avoided; the
+	// time doubles with each failure in a row.
 	firstRest = 500 * time.Millisecond
 	lastRest  = 4 * time.Second
+	// absentRest bounds how long an endpoint is not taken at whose address nothing
+	// listens. It may be back before its entry tells so.
+	absentRest = time.Second
 	// fullRest is how long an endpoint that rejected a request is avoided.
 	fullRest = 60 * time.Millisecond
 	// loadAge is the age up to which a load report counts.
--- a/internal/training/runner/schedule.go
+++ b/internal/training/runner/schedule.go
@@ -76,27 +76,37 @@
 		Service: route.Target(rand.Float64()), Model: t.job.batch.Model, Version: t.job.batch.Oldest,
 		Near: t.job.near[t.item.Group],
 	}
-	avoid := map[string]bool{}
+	slot, found := r.pick(t, want)
+	if !found {
+		return false
+	}
+	r.start(t, slot, t.job.batch.Host)
+	return true
+}
+
+// pick takes a place for the item. Engines that broke it are taken only when no
+// other is left, and those that run another suspected item not at all by one.
+func (r *Runner) pick(t *task, want replica.Want) (*replica.Slot, bool) {
+	if len(t.crashed) == 0 {
+		return r.seams.Fleet.Pick(want)
+	}
+	var apart map[string]bool
 	if t.suspected() {
-		avoid = r.suspectedAt()
-		if len(avoid) >= max(1, int(apartShare*float64(len(r.seams.Fleet.Entries(want.Service))))) {
-			return false
+		apart = r.suspectedAt()
+		if len(apart) >= max(1, int(apartShare*float64(len(r.seams.Fleet.Entries(want.Service))))) {
+			return nil, false
 		}
 	}
-	want.Avoid = maps.Clone(avoid)
+	want.Avoid = map[string]bool{}
+	maps.Copy(want.Avoid, apart)
 	for at := range t.crashed {
 		want.Avoid[at.endpoint] = true
 	}
-	slot, found := r.seams.Fleet.Pick(want)
-	if !found {
-		want.Avoid = avoid // an engine that broke it is better than none
-		slot, found = r.seams.Fleet.Pick(want)
+	if slot, found := r.seams.Fleet.Pick(want); found {
+		return slot, true
 	}
-	if !found {
-		return false
-	}
-	r.start(t, slot, t.job.batch.Host)
-	return true
+	want.Avoid = apart
+	return r.seams.Fleet.Pick(want)
 }
 
 // suspectedAt returns the engines that run an item which may be one that
--- a/internal/training/runner/task.go
+++ b/internal/training/runner/task.go
@@ -365,7 +365,9 @@
 		}
 	default:
 		r.counts.breaks.Add(e.Service, 1)
-		delete(t.job.near, t.item.Group) // what the engine had read is lost
+		if t.job.near[t.item.Group] == e.ID {
+			delete(t.job.near, t.item.Group) // what the engine had read is lost
+		}
 		t.broke(life{e.ID, e.Born}, now)
 	}
 	r.log.WithFields(logrus.Fields{
