--- a/internal/traffic/forward/breaks_test.go
+++ b/internal/traffic/forward/breaks_test.go
@@ -27,6 +27,7 @@
 type mortal struct {
 	server *httptest.Server
 	ended  atomic.Bool
+	begins bool // sends a part of its answer before it ends
 }
 
 func newMortal(t *testing.T, fleet *replica.Fleet, id string) *mortal {
@@ -42,6 +43,12 @@
 	body, _ := io.ReadAll(r.Body)
 	if string(body) == poison {
 		m.ended.Store(true)
+		if m.begins {
+			w.Header().Set(names.Request, r.Header.Get(names.Request))
+			w.Header().Set(names.Stamp, "proof")
+			_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
+			_ = http.NewResponseController(w).Flush()
+		}
 		_ = m.server.Listener.Close()
 		panic(http.ErrAbortHandler)
 	}
@@ -199,3 +206,29 @@
 		t.Errorf("request of another content: %v", err)
 	}
 }
+
+// Guards against a stream that ends each endpoint after its first event, and is
+// not known since its answer had begun.
+func TestCrashingStreamIsHeldBack(t *testing.T) {
+	f, fleet := newForwarderOf(t)
+	f.seams.Breaker = (&channel{}).breaker(f.timers)
+	c := call(manifest.Route{Kind: manifest.Stream, Resumable: true, Attempts: 3})
+	c.Request.Body = []byte(poison)
+	for i := range 2 {
+		newMortal(t, fleet, fmt.Sprint("e", i)).begins = true
+	}
+	for range 2 {
+		answer, err := f.Send(context.Background(), c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadAll(answer.Rest); err == nil {
+			t.Error("a stream that broke off passed as whole")
+		}
+		answer.Close()
+	}
+	newMortal(t, fleet, "e2")
+	if _, err := f.Send(context.Background(), c); code.Of(err).Code != code.ContentHeld {
+		t.Errorf("the stream is not held back: %v", err)
+	}
+}
