Tell others only of ends of endpoints that are confirmed

What callers would see: after a cut, all processes refused a sound request for 2 s. A content that many callers share would have been refused to all of them, for 30 s after three.

Cause: one process's view of an endpoint was taken for proof. Ruled out: ends of these endpoints (their entries stayed).

A refused connection now counts for the process that met it alone, for 10 s. Others are told when the list of endpoints says that the life is over. The script "cut" and TestCrashingContentEndsTwoEndpoints (no news before) fail without it.

--- a/cmd/wigeonpin/node.go
+++ b/cmd/wigeonpin/node.go
@@ -52,7 +52,7 @@
 // summaryCounters are the counters in the line summary; those that are empty
 // are left out.
 var summaryCounters = []string{
-	storeCalls, "requests_served", "requests_failed", "connections_opened", "endpoint_breaks", "endpoint_ends", "requests_held",
+	storeCalls, "requests_served", "requests_failed", "connections_opened", "endpoint_breaks", "endpoint_refusals", "requests_held",
 	runner.CountRuns, runner.CountRejections, runner.CountBreaks, runner.CountScores,
 }
 
--- a/internal/traffic/breaker/breaker.go
+++ b/internal/traffic/breaker/breaker.go
@@ -8,6 +8,10 @@
 // trial. Instances tell each other of ended lives, trials and answers; these
 // may arrive in any order, or twice.
 //
+// An endpoint that only this instance does not reach may live: a cut looks the
+// same from one side. It counts here, for a short time, and nobody is told until
+// its end is confirmed.
+//
 // # Usage
 //
 //	b := breaker.New(breaker.Seams{Post: board.Post, Subscribe: board.Subscribe}, timers, log)
@@ -15,7 +19,8 @@
 //	if wait := b.Admit(content); wait > 0 {
 //		return refusal(wait) // the content must not run before
 //	}
-//	b.Ended(content, breaker.Life{Endpoint: "e1", Born: 1700000000000})
+//	b.Unreached(content, life) // it broke the run off and refuses connections
+//	b.Ended(content, life)     // the list of endpoints tells that it ended
 //	b.Answered(content)
 package breaker
 
@@ -24,6 +29,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 
@@ -45,6 +51,9 @@
 	innocence = 10 * time.Minute
 	// memory is how long a content is remembered under which several ended.
 	memory = 2 * time.Hour
+	// doubt is how long an endpoint counts that is not reached from here. Its end
+	// shows in the list of endpoints within that time.
+	doubt = 10 * time.Second
 )
 
 // pauses are the times for which a content is held back, by the number of lives
@@ -91,18 +100,24 @@
 
 // record is what is known of one content.
 type record struct {
-	lives  map[Life]bool // lives that ended; false: a later run was answered
-	until  time.Time     // held back until then
+	lives  map[Life]bool      // lives that ended; false: a later run was answered
+	doubts map[Life]time.Time // lives that are not reached from here, and until when they count
+	until  time.Time          // held back until then
 	forget time.Time
 }
 
-func (r *record) count() int {
+func (r *record) count(now time.Time) int {
 	count := 0
 	for _, counts := range r.lives {
 		if counts {
 			count++
 		}
 	}
+	for life, until := range r.doubts {
+		if _, confirmed := r.lives[life]; !confirmed && now.Before(until) {
+			count++
+		}
+	}
 	return count
 }
 
@@ -143,17 +158,16 @@
 // it was held back until now, this run is the trial.
 func (b *Breaker) Admit(content string) time.Duration {
 	b.mu.Lock()
-	r := b.known(content)
-	if r == nil || pause(r.count()) == 0 {
+	r, now := b.known(content), b.timers.Now()
+	if r == nil || pause(r.count(now)) == 0 {
 		b.mu.Unlock()
 		return 0
 	}
-	now := b.timers.Now()
 	if wait := r.until.Sub(now); wait > 0 {
 		b.mu.Unlock()
 		return wait
 	}
-	held := pause(r.count())
+	held := pause(r.count(now))
 	r.until = now.Add(held)
 	b.mu.Unlock()
 	b.log.WithField(logs.Content, content).Info("held content is tried")
@@ -161,12 +175,24 @@
 	return 0
 }
 
-// Ended notes that an endpoint ended while it ran the content.
+// Unreached notes that an endpoint broke the content off and refuses connections
+// from here.
+func (b *Breaker) Unreached(content string, life Life) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r, now := b.record(content), b.timers.Now()
+	maps.DeleteFunc(r.doubts, func(_ Life, until time.Time) bool { return !now.Before(until) })
+	r.doubts[life] = now.Add(doubt)
+	b.hold(content, r, life)
+}
+
+// Ended notes that an endpoint ended while it ran the content, for all
+// instances.
 func (b *Breaker) Ended(content string, life Life) {
 	e := event{Ended: &life}
 	b.mu.Lock()
 	b.apply(content, e)
-	count := b.known(content).count()
+	count := b.known(content).count(b.timers.Now())
 	b.mu.Unlock()
 	b.post(content, e, remembered(count))
 }
@@ -176,19 +202,23 @@
 func (b *Breaker) Answered(content string) {
 	b.mu.Lock()
 	r := b.known(content)
-	if r == nil || r.count() == 0 {
+	if r == nil {
 		b.mu.Unlock()
 		return
 	}
+	clear(r.doubts)
 	e := event{}
 	for life, counts := range r.lives {
 		if counts {
 			e.Cleared = append(e.Cleared, life)
 		}
 	}
-	kept := remembered(r.count())
+	kept := remembered(len(e.Cleared))
 	b.apply(content, e)
 	b.mu.Unlock()
+	if len(e.Cleared) == 0 {
+		return
+	}
 	b.post(content, e, kept)
 }
 
@@ -228,14 +258,21 @@
 	return r
 }
 
-// apply takes an event in. Receiving it again changes nothing but the end of a
-// trial. mu is held.
-func (b *Breaker) apply(content string, e event) {
+// record returns the record of a content, a new one if there is none. mu is
+// held.
+func (b *Breaker) record(content string) *record {
 	r := b.known(content)
 	if r == nil {
-		r = &record{lives: map[Life]bool{}, forget: b.timers.Now().Add(innocence)}
+		r = &record{lives: map[Life]bool{}, doubts: map[Life]time.Time{}, forget: b.timers.Now().Add(innocence)}
 		b.records.Add(content, r)
 	}
+	return r
+}
+
+// apply takes an event in. Receiving it again changes nothing but the end of a
+// trial. mu is held.
+func (b *Breaker) apply(content string, e event) {
+	r := b.record(content)
 	for _, life := range e.Cleared {
 		r.lives[life] = false
 	}
@@ -243,7 +280,7 @@
 		b.end(content, r, *e.Ended)
 	}
 	if e.Trial {
-		r.hold(b.timers.Now())
+		r.extend(b.timers.Now())
 	}
 }
 
@@ -253,9 +290,16 @@
 		return
 	}
 	r.lives[life] = true
-	now, count := b.timers.Now(), r.count()
-	r.forget = now.Add(remembered(count))
-	r.hold(now)
+	now := b.timers.Now()
+	r.forget = now.Add(remembered(r.count(now)))
+	b.hold(content, r, life)
+}
+
+// hold holds the content back after a further life. mu is held.
+func (b *Breaker) hold(content string, r *record, life Life) {
+	now := b.timers.Now()
+	r.extend(now)
+	count := r.count(now)
 	if held := pause(count); held > 0 {
 		b.log.WithFields(logrus.Fields{
 			logs.Content: content, logs.Endpoint: life.Endpoint, "ends": count, "held_ms": held.Milliseconds(),
@@ -263,8 +307,8 @@
 	}
 }
 
-func (r *record) hold(now time.Time) {
-	if until := now.Add(pause(r.count())); until.After(r.until) {
+func (r *record) extend(now time.Time) {
+	if until := now.Add(pause(r.count(now))); until.After(r.until) {
 		r.until = until
 	}
 }
--- a/internal/traffic/breaker/breaker_test.go
+++ b/internal/traffic/breaker/breaker_test.go
@@ -82,6 +82,9 @@
 	case "ended":
 		d.ScanArgs(t, "endpoint", &endpoint)
 		f.member(at).Ended("c", Life{Endpoint: endpoint, Born: 1})
+	case "unreached":
+		d.ScanArgs(t, "endpoint", &endpoint)
+		f.member(at).Unreached("c", Life{Endpoint: endpoint, Born: 1})
 	case "answered":
 		f.member(at).Answered("c")
 	case "spread":
@@ -129,7 +132,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if r := b.known("c"); r != nil {
-		return r.count()
+		return r.count(b.timers.Now())
 	}
 	return 0
 }
--- a/internal/traffic/forward/breaks.go
+++ b/internal/traffic/forward/breaks.go
@@ -32,26 +32,20 @@
 // brokeOff notes that an endpoint broke off a request that it may have begun.
 func (f *Forwarder) brokeOff(ctx context.Context, call Call, e replica.Entry, cause error) {
 	f.breaks.Add(call.Service, 1)
-	ended := f.seams.Pool.Refused(ctx, e.Address)
-	if ended {
-		f.ended(call.Service, call.content(), e)
-	} else {
-		f.await(call, e)
+	refused := f.seams.Pool.Refused(ctx, e.Address)
+	if refused {
+		f.refusals.Add(call.Service, 1)
+		if f.seams.Breaker != nil {
+			f.seams.Breaker.Unreached(call.content(), breaker.Life{Endpoint: e.ID, Born: e.Born})
+		}
 	}
+	f.await(call, e)
 	f.log.WithFields(logrus.Fields{
 		logs.Request: call.ID, logs.Account: call.Account, logs.Content: call.content(), "service": call.Service,
-		logs.Endpoint: e.ID, "born": e.Born, "ended": ended, logs.Cause: cause.Error(),
+		logs.Endpoint: e.ID, "born": e.Born, "refused": refused, logs.Cause: cause.Error(),
 	}).Info("endpoint broke off a request")
 }
 
-// ended notes that an endpoint ended while it ran the content.
-func (f *Forwarder) ended(service, content string, e replica.Entry) {
-	f.ends.Add(service, 1)
-	if f.seams.Breaker != nil {
-		f.seams.Breaker.Ended(content, breaker.Life{Endpoint: e.ID, Born: e.Born})
-	}
-}
-
 // openEnd is a request without an answer, whose endpoint may turn out to have
 // ended.
 type openEnd struct {
@@ -91,7 +85,7 @@
 	})
 	f.mu.Unlock()
 	for _, o := range found {
-		f.ended(e.Service, o.content, e)
+		f.seams.Breaker.Ended(o.content, breaker.Life{Endpoint: e.ID, Born: e.Born})
 		f.log.WithFields(logrus.Fields{
 			logs.Content: o.content, "service": e.Service, logs.Endpoint: e.ID, "born": e.Born,
 		}).Info("endpoint ended after a request without an answer")
--- a/internal/traffic/forward/breaks_test.go
+++ b/internal/traffic/forward/breaks_test.go
@@ -57,12 +57,12 @@
 	_, _ = io.WriteString(w, "whole")
 }
 
-// Guards against counters that do not tell endpoints that ended from answers
-// that were lost.
-func TestEndsAreToldFromLostAnswers(t *testing.T) {
+// Guards against counters that do not tell endpoints that refuse connections from
+// answers that were lost.
+func TestRefusalsAreToldFromLostAnswers(t *testing.T) {
 	f, fleet := newForwarderOf(t)
 	meters := meter.NewSet()
-	f.breaks, f.ends = meters.Counter("breaks"), meters.Counter("ends")
+	f.breaks, f.refusals = meters.Counter("breaks"), meters.Counter("refusals")
 	put(t, fleet, "lossy", &endpoint{mode: "break"})
 	once := call(manifest.Route{Kind: manifest.Once, Attempts: 1})
 	if _, err := f.Send(context.Background(), once); err == nil {
@@ -74,8 +74,8 @@
 	if _, err := f.Send(context.Background(), once); err == nil {
 		t.Error("an ended endpoint answered")
 	}
-	if breaks, ends := f.breaks.Values()["svc"], f.ends.Values()["svc"]; breaks != 2 || ends != 1 {
-		t.Errorf("%d breaks and %d ends, want 2 and 1", breaks, ends)
+	if breaks, refusals := f.breaks.Values()["svc"], f.refusals.Values()["svc"]; breaks != 2 || refusals != 1 {
+		t.Errorf("%d breaks and %d refusals, want 2 and 1", breaks, refusals)
 	}
 }
 
@@ -107,11 +107,15 @@
 }
 
 // channel passes the news of breakers on, as the bulletin does.
-type channel struct{ receivers []func(string, []byte) }
+type channel struct {
+	receivers []func(string, []byte)
+	posts     int
+}
 
 func (c *channel) breaker(timers *clock.Service) *breaker.Breaker {
 	return breaker.New(breaker.Seams{
 		Post: func(_, key string, payload []byte, _ time.Duration) {
+			c.posts++
 			for _, receive := range c.receivers {
 				receive(key, payload)
 			}
@@ -147,6 +151,17 @@
 	if got := send(f, poison); got == nil || got.Code != code.EndpointFailed || got.Run != code.MaybeRun {
 		t.Errorf("first request: %+v", got)
 	}
+	if got := send(f, poison); got == nil || got.Code != code.ContentHeld {
+		t.Errorf("repeated request: %+v", got)
+	}
+	if news.posts != 0 {
+		t.Errorf("others were told %d times of ends that are not confirmed: the process may be cut off", news.posts)
+	}
+	for i, e := range endpoints {
+		if e.ended.Load() {
+			fleet.Remove(fmt.Sprint("e", i), time.Time{})
+		}
+	}
 	for _, one := range []*Forwarder{other, f} {
 		if got := send(one, poison); got == nil || got.Code != code.ContentHeld || got.Run != code.NotRun || got.RetryAfter <= 0 {
 			t.Errorf("repeated request: %+v", got)
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -109,14 +109,14 @@
 
 // Forwarder sends requests to endpoints.
 type Forwarder struct {
-	seams   Seams
-	timers  *clock.Service
-	log     *logrus.Entry
-	queue   *queue.Queue
-	kicking atomic.Bool // whether keepKicking runs
-	breaks  *meter.Counter
-	ends    *meter.Counter
-	held    *meter.Counter
+	seams    Seams
+	timers   *clock.Service
+	log      *logrus.Entry
+	queue    *queue.Queue
+	kicking  atomic.Bool // whether keepKicking runs
+	breaks   *meter.Counter
+	refusals *meter.Counter
+	held     *meter.Counter
 
 	mu      sync.Mutex
 	returns map[string]*returns.Schedule // by service
@@ -133,7 +133,7 @@
 	}
 	f := &Forwarder{
 		seams: seams, timers: timers, log: log, returns: map[string]*returns.Schedule{},
-		breaks: seams.Meters.Counter("endpoint_breaks"), ends: seams.Meters.Counter("endpoint_ends"),
+		breaks: seams.Meters.Counter("endpoint_breaks"), refusals: seams.Meters.Counter("endpoint_refusals"),
 		held:  seams.Meters.Counter("requests_held"),
 		queue: queue.New(timers, seams.Meters, queue.Seams{Running: func(string) int64 { return 0 }}),
 	}
