--- a/internal/traffic/dispatch/dispatch_test.go
+++ b/internal/traffic/dispatch/dispatch_test.go
@@ -379,9 +379,11 @@
 			t.Errorf("repeated call: %+v", got)
 		}
 	}
+	b.mu.Lock()
 	if len(b.seen) != 2 {
 		t.Errorf("the call reached %v, want two services", b.seen)
 	}
+	b.mu.Unlock()
 	if err := send("sound"); err != nil {
 		t.Errorf("a call of another content: %v", err)
 	}
