--- a/internal/traffic/forward/breaks_test.go
+++ b/internal/traffic/forward/breaks_test.go
@@ -213,7 +213,7 @@
 	}
 	put(t, fleet, "e2", &endpoint{mode: "ok"})
 	c.Deadline = time.Now().Add(time.Second)
-	if _, err := f.Send(context.Background(), c); code.Of(err).Code != code.ContentHeld {
+	if _, err := f.Send(context.Background(), c); !code.Is(err, code.ContentHeld) {
 		t.Errorf("the request is not held back: %v", err)
 	}
 	c.Request.Body = []byte("sound")
@@ -243,7 +243,7 @@
 		answer.Close()
 	}
 	newMortal(t, fleet, "e2")
-	if _, err := f.Send(context.Background(), c); code.Of(err).Code != code.ContentHeld {
+	if _, err := f.Send(context.Background(), c); !code.Is(err, code.ContentHeld) {
 		t.Errorf("the stream is not held back: %v", err)
 	}
 }
