Hold ready results until they complete a step

Cause: a trainer reads in long polls and pauses for up to half a second after each answer.

Change: package training/listing decides when results are listed: at once when they complete what the trainer waits for, before the batch is due, when a page is nearly full, and after half of the time until the batch is due otherwise.

--- a/internal/training/runner/job.go
+++ b/internal/training/runner/job.go
@@ -10,6 +10,7 @@
 
 	"github.com/wigeonpin/wigeonpin/internal/base/logs"
 	"github.com/wigeonpin/wigeonpin/internal/training/batch"
+	"github.com/wigeonpin/wigeonpin/internal/training/listing"
 )
 
 // job is the execution of a batch.
@@ -23,8 +24,12 @@
 	pages        int               // number of pages in the store
 	listed       int               // number of results in these pages
 	ready        []batch.Result    // waiting for the next page
+	readySince   time.Time         // when the oldest of the ready results became ready
+	readyBytes   int               // size of the ready results
+	progress     *listing.Progress // of the results that are ready or listed
+	schedule     listing.Schedule
 	writing      bool              // a page is being written
-	nextPageAt   time.Time         // earliest time of the next write
+	retryAt      time.Time         // earliest time of the next write after a failed one
 	preferred    map[string]string // endpoint of the latest run, by group
 	pageAdded    chan struct{}     // closed when another page is known, then replaced
 	encodedPages [][]byte          // the pages as JSON
@@ -54,10 +59,27 @@
 	}
 }
 
+// newProgress returns the progress of a batch with no results. The trainer waits
+// for the groups that were incomplete in an earlier batch in any case.
+func (r *Runner) newProgress(b *batch.Batch) *listing.Progress {
+	items, awaited := map[string]int{}, map[string]bool{}
+	for _, item := range b.Items {
+		items[item.Group]++
+		if r.incompleteGroups.Contains(item.Group) {
+			awaited[item.Group] = true
+		}
+	}
+	return listing.NewProgress(b.WantedGroups, items, awaited)
+}
+
 // load reads the pages of a batch and then starts its execution. A fresh batch
 // has no pages and starts at once.
 func (r *Runner) load(ctx context.Context, j *job, fresh bool) {
 	j.ctx, j.cancel = context.WithCancel(ctx)
+	j.progress, j.schedule = r.newProgress(j.batch), listing.Schedule{Accepted: j.batch.Time}
+	if route, found := r.route(j.batch.Host, j.batch.Path); found {
+		j.schedule.Due = route.BatchDeadline
+	}
 	if fresh {
 		r.pagesLoaded(j, nil)
 		return
@@ -102,9 +124,26 @@
 	}
 	j.cancel()
 	j.ctx, j.loaded, j.writing = nil, false, false
-	j.pages, j.listed, j.ready, j.encodedPages = 0, 0, nil, nil
+	j.pages, j.listed, j.encodedPages = 0, 0, nil
+	j.ready, j.readyBytes = nil, 0
 }
 
+// addReady adds the result of an item to those that wait for the next page.
+func (j *job) addReady(t *task, result batch.Result, now time.Time) {
+	if len(j.ready) == 0 {
+		j.readySince = now
+	}
+	t.state = stateReady
+	j.ready = append(j.ready, result)
+	j.readyBytes += resultSize(result)
+	if result.Done {
+		j.progress.Finish(t.item.Group)
+	}
+}
+
+// resultSize returns the approximate size of a result in a page.
+func resultSize(result batch.Result) int { return len(result.Output) + len(result.ID) }
+
 func (r *Runner) findJob(id string) *job {
 	for _, j := range r.jobs {
 		if j.batch.ID == id {
@@ -170,7 +209,7 @@
 }
 
 // cacheTexts caches the texts of incomplete groups, since their items may be
-// submitted again in a later batch.
+// submitted again in a later batch. It also remembers these groups.
 func (r *Runner) cacheTexts(j *job) {
 	complete := map[string]bool{}
 	for _, t := range j.tasks {
@@ -181,6 +220,11 @@
 			complete[t.item.Group] = false
 		}
 	}
+	for group, isComplete := range complete {
+		if !isComplete {
+			r.incompleteGroups.Add(group, struct{}{})
+		}
+	}
 	for _, t := range j.tasks {
 		if !complete[t.item.Group] && !t.givenUp {
 			r.texts.put(t.item.ID, t.snapshot())
@@ -196,6 +240,9 @@
 		if !known || t.state == stateListed {
 			continue
 		}
+		if t.state != stateReady && result.Done {
+			j.progress.Finish(t.item.Group)
+		}
 		t.state = stateListed
 		if t.cancel != nil {
 			t.cancel(nil)
@@ -209,9 +256,11 @@
 	close(j.pageAdded)
 	j.pageAdded = make(chan struct{})
 	kept := j.ready[:0]
+	j.readyBytes = 0
 	for _, result := range j.ready {
 		if j.byID[result.ID].state != stateListed {
 			kept = append(kept, result)
+			j.readyBytes += resultSize(result)
 		}
 	}
 	j.ready = kept
--- a/internal/training/runner/runner.go
+++ b/internal/training/runner/runner.go
@@ -32,12 +32,13 @@
 const (
 	// tickInterval is how often stalled runs and due retries are checked.
 	tickInterval = 200 * time.Millisecond
-	// pageInterval is the minimum time between two pages of a batch.
-	pageInterval = 350 * time.Millisecond
 	// pageRetryDelay is the pause after pages could not be read or written.
 	pageRetryDelay = 400 * time.Millisecond
 	// maxCachedTexts bounds the number of cached texts of ended batches.
 	maxCachedTexts = 600
+	// maxIncompleteGroups bounds the number of groups that are remembered because
+	// they were incomplete at the end of their batch.
+	maxIncompleteGroups = 4096
 	// maxDoneJobs bounds the number of completed batches whose results callers
 	// may still read here.
 	maxDoneJobs = 20
@@ -74,6 +75,8 @@
 	// activations counts how often the runner became active.
 	activations int
 	doneJobs    *lru.Cache[string, *job]
+	// incompleteGroups holds groups that were incomplete at the end of their batch.
+	incompleteGroups *lru.Cache[string, struct{}]
 }
 
 // counters counts the runs of items and the broken runs by service, the rejected
@@ -103,12 +106,16 @@
 	if err != nil {
 		panic(err) // the size is a positive constant
 	}
+	incompleteGroups, err := lru.New[string, struct{}](maxIncompleteGroups)
+	if err != nil {
+		panic(err) // the size is a positive constant
+	}
 	if seams.Meters == nil {
 		seams.Meters = meter.NewSet()
 	}
 	return &Runner{
 		counters: newCounters(seams.Meters),
-		doneJobs: doneJobs, seams: seams, timers: timers, log: log, calls: make(chan func(context.Context), 64),
+		doneJobs: doneJobs, incompleteGroups: incompleteGroups, seams: seams, timers: timers, log: log, calls: make(chan func(context.Context), 64),
 		ended: map[string]bool{}, texts: newTextCache(maxCachedTexts), copied: map[string]copyState{},
 	}
 }
--- a/internal/training/runner/schedule.go
+++ b/internal/training/runner/schedule.go
@@ -18,6 +18,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/peer/records"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/forward"
 	"github.com/wigeonpin/wigeonpin/internal/training/batch"
+	"github.com/wigeonpin/wigeonpin/internal/training/listing"
 )
 
 const (
@@ -26,6 +27,9 @@
 	// maxPageFraction is the fraction of the largest record that the results of a
 	// page may take. The rest is reserved for the encoding.
 	maxPageFraction = 0.6
+	// fullPageFraction is the fraction of a page from which on ready results are
+	// listed. The rest is for the results that become ready meanwhile.
+	fullPageFraction = 0.7
 	// maxMoves bounds how often an item is moved to a faster engine.
 	maxMoves = 3
 )
@@ -216,8 +220,7 @@
 			"run_ms": r.timers.Since(t.runStart).Milliseconds(), "expected": t.item.ExpectedTokens,
 		}).Info("late result")
 	}
-	t.state = stateReady
-	t.job.ready = append(t.job.ready, result)
+	t.job.addReady(t, result, r.timers.Now())
 }
 
 // callScorer makes the scoring call and returns its answer.
@@ -288,14 +291,29 @@
 	}
 }
 
-// writePages starts to write the next page of each batch that has ready results.
+// pageDue reports whether the ready results of a batch are to be listed now.
+func (j *job) pageDue(now time.Time, limit int) bool {
+	if !j.loaded || j.writing || len(j.ready) == 0 || now.Before(j.retryAt) {
+		return false
+	}
+	ready := listing.Ready{
+		Since:    j.readySince,
+		Complete: j.progress.Complete() || j.listed+len(j.ready) >= len(j.tasks),
+		Full:     float64(j.readyBytes) > fullPageFraction*float64(limit),
+	}
+	return !now.Before(j.schedule.Next(ready))
+}
+
+// writePages starts to write the next page of each batch whose ready results are
+// to be listed.
 func (r *Runner) writePages(ctx context.Context) {
 	now := r.timers.Now()
+	limit := int(maxPageFraction * float64(r.seams.ValueBytes))
 	for _, j := range r.jobs {
-		if !j.loaded || j.writing || len(j.ready) == 0 || now.Before(j.nextPageAt) {
+		if !j.pageDue(now, limit) {
 			continue
 		}
-		page := j.nextPage(int(maxPageFraction * float64(r.seams.ValueBytes)))
+		page := j.nextPage(limit)
 		number, jobCtx := j.pages, j.ctx
 		j.writing = true
 		go func() {
@@ -317,7 +335,7 @@
 func (j *job) nextPage(limit int) batch.Page {
 	size, count := 0, 0
 	for _, result := range j.ready {
-		size += len(result.Output) + len(result.ID)
+		size += resultSize(result)
 		if count > 0 && size > limit {
 			break
 		}
@@ -331,12 +349,14 @@
 func (r *Runner) pageWritten(j *job, number int, page batch.Page, err error) {
 	j.writing = false
 	if err != nil {
-		j.nextPageAt = r.timers.Now().Add(pageRetryDelay)
+		j.retryAt = r.timers.Now().Add(pageRetryDelay)
 		r.log.WithFields(logrus.Fields{"batch": j.batch.ID, "page": number, logs.Cause: err.Error()}).Warn("result page not written, retrying")
 		return
 	}
-	j.nextPageAt = r.timers.Now().Add(pageInterval)
 	j.merge(page)
+	now := r.timers.Now()
+	j.readySince = now
+	j.schedule = j.schedule.WithPage(now, j.progress.Complete() && len(j.ready) == 0)
 	if j.listed >= len(j.tasks) {
 		r.log.WithFields(logrus.Fields{
 			"batch": j.batch.ID, "age_ms": r.timers.Since(j.batch.Time).Milliseconds(),
--- a/internal/training/runner/task.go
+++ b/internal/training/runner/task.go
@@ -415,6 +415,5 @@
 		logs.Request: t.item.ID, "batch": t.job.batch.ID, logs.Cause: reason,
 	}).Warn("item given up")
 	t.givenUp = true
-	t.state = stateReady
-	t.job.ready = append(t.job.ready, batch.Result{ID: t.item.ID})
+	t.job.addReady(t, batch.Result{ID: t.item.ID}, r.timers.Now())
 }
