Keep the texts of groups that the trainer may not have read

Cause: a group that was listed after the trainer had all that it waited for may come again in a later batch.

Change: texts of groups listed after the completing page are cached like those of incomplete groups, and such groups count as ones that the trainer waits for in any case.

--- a/internal/training/runner/job.go
+++ b/internal/training/runner/job.go
@@ -112,6 +112,7 @@
 		logs.Model: b.Model, "oldest": b.MinVersion, "age_ms": r.timers.Since(b.Time).Milliseconds(),
 	}).Info("batch started")
 	if j.listed >= len(j.tasks) {
+		r.cacheTexts(j)
 		r.drop(j)
 	}
 }
@@ -208,15 +209,16 @@
 	}
 }
 
-// cacheTexts caches the texts of incomplete groups, since their items may be
-// submitted again in a later batch. It also remembers these groups.
+// cacheTexts caches the texts of groups that the trainer may not have read, since
+// their items may be submitted again in a later batch. It also remembers these
+// groups.
 func (r *Runner) cacheTexts(j *job) {
 	complete := map[string]bool{}
 	for _, t := range j.tasks {
 		if _, seen := complete[t.item.Group]; !seen {
 			complete[t.item.Group] = true
 		}
-		if t.state != stateListed {
+		if t.state != stateListed || t.listedLate {
 			complete[t.item.Group] = false
 		}
 	}
@@ -243,7 +245,7 @@
 		if t.state != stateReady && result.Done {
 			j.progress.Finish(t.item.Group)
 		}
-		t.state = stateListed
+		t.state, t.listedLate = stateListed, j.schedule.Complete
 		if t.cancel != nil {
 			t.cancel(nil)
 		}
--- a/internal/training/runner/schedule.go
+++ b/internal/training/runner/schedule.go
@@ -361,6 +361,7 @@
 		r.log.WithFields(logrus.Fields{
 			"batch": j.batch.ID, "age_ms": r.timers.Since(j.batch.Time).Milliseconds(),
 		}).Info("batch complete")
+		r.cacheTexts(j)
 		r.drop(j)
 	}
 }
--- a/internal/training/runner/task.go
+++ b/internal/training/runner/task.go
@@ -50,6 +50,7 @@
 	scoringErrors   int                  // scoring calls answered with status 500
 	scoringFailures int                  // failed scoring calls
 	activation      int                  // the runner's activation in which the text got its origin
+	listedLate      bool                 // listed after the trainer had all that it waits for
 	moves           int                  // runs that were moved to a faster engine
 	cancel          context.CancelCauseFunc
 	endpoint        string
