Move runs out of an availability zone that has gone silent

Change: package fleet/reach finds a zone of which all streaming engines have sent nothing for 0.6 s while another zone is heard. Its runs move at once, and its engines get nothing for 3 s unless one of them is heard again.

--- a/internal/fleet/replica/pick.go
+++ b/internal/fleet/replica/pick.go
@@ -77,7 +77,7 @@
 	if s.inFlight >= max(1, int(float64(s.Slots)*f.options.Overcommit)) || !s.limiter.allows(s.inFlight) || now.Before(s.pausedUntil) {
 		return false
 	}
-	if now.Before(s.absentUntil) {
+	if now.Before(s.absentUntil) || now.Before(f.silent[s.Zone]) {
 		return false
 	}
 	if !now.Before(s.coldUntil) {
@@ -151,7 +151,8 @@
 	return worst
 }
 
-// RecordEventTime records how long the endpoint took for one event.
+// RecordEventTime records how long the endpoint took for one event. Its availability
+// zone is not silent then.
 func (s *Slot) RecordEventTime(took time.Duration) {
 	f := s.fleet
 	f.mu.Lock()
@@ -165,6 +166,7 @@
 	}
 	st.eventTime += time.Duration(eventTimeWeight * float64(took-st.eventTime))
 	st.eventTimeAt = f.timers.Now()
+	delete(f.silent, st.Zone)
 }
 
 // Report records the load that the endpoint reported.
--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -72,6 +72,9 @@
 	eventTimeMaxAge = 8 * time.Second
 	// eventTimeWeight is the weight of a new measurement in the moving average.
 	eventTimeWeight = 0.2
+	// silentZoneAvoidance is how long the endpoints of an availability zone that
+	// has gone silent get no requests, unless one of them is heard before.
+	silentZoneAvoidance = 3 * time.Second
 	// departureRetention is how long the announced departure of an endpoint is
 	// remembered. It exceeds the time that an endpoint takes to exit.
 	departureRetention = 10 * time.Minute
@@ -133,6 +136,7 @@
 	states     map[string]*endpointState
 	departures map[string]departure // announced departures by endpoint ID
 	zonesOut   map[string]bool      // availability zones out of service
+	silent     map[string]time.Time // availability zones that have gone silent, and until when they are avoided
 	warmups    map[string]Warmup
 	changed    chan struct{}
 	onEnd      func(Entry)
@@ -153,7 +157,7 @@
 func NewFleet(timers *clock.Service, options Options) *Fleet {
 	return &Fleet{
 		timers: timers, options: options, states: map[string]*endpointState{}, departures: map[string]departure{},
-		zonesOut: map[string]bool{}, warmups: map[string]Warmup{}, changed: make(chan struct{}, 1), onEnd: func(Entry) {},
+		zonesOut: map[string]bool{}, silent: map[string]time.Time{}, warmups: map[string]Warmup{}, changed: make(chan struct{}, 1), onEnd: func(Entry) {},
 	}
 }
 
@@ -196,6 +200,14 @@
 	f.notify()
 }
 
+// AvoidZone records that the endpoints of an availability zone have gone silent
+// together. They get no requests for a while.
+func (f *Fleet) AvoidZone(zone string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.silent[zone] = f.timers.Now().Add(silentZoneAvoidance)
+}
+
 // Put adds or replaces an entry.
 func (f *Fleet) Put(e Entry) {
 	if previous, ended := f.put(e); ended {
@@ -219,6 +231,7 @@
 		}
 		f.states[e.ID] = s
 	}
+	delete(f.silent, e.Zone) // the endpoint reached the store
 	models := mergeVersions(s.Models, e.Models)
 	s.Entry = e
 	s.Models = models
--- a/internal/training/runner/runner.go
+++ b/internal/training/runner/runner.go
@@ -22,6 +22,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/base/clock"
 	"github.com/wigeonpin/wigeonpin/internal/base/meter"
 	"github.com/wigeonpin/wigeonpin/internal/control/manifest"
+	"github.com/wigeonpin/wigeonpin/internal/fleet/reach"
 	"github.com/wigeonpin/wigeonpin/internal/fleet/replica"
 	"github.com/wigeonpin/wigeonpin/internal/peer/exchange"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/forward"
@@ -72,6 +73,7 @@
 	ended  map[string]bool
 	texts  *textCache
 	copied map[string]copyState // what the standby has of each item's text
+	reach  *reach.Detector
 	// activations counts how often the runner became active.
 	activations int
 	doneJobs    *lru.Cache[string, *job]
@@ -116,7 +118,7 @@
 	return &Runner{
 		counters: newCounters(seams.Meters),
 		doneJobs: doneJobs, incompleteGroups: incompleteGroups, seams: seams, timers: timers, log: log, calls: make(chan func(context.Context), 64),
-		ended: map[string]bool{}, texts: newTextCache(maxCachedTexts), copied: map[string]copyState{},
+		ended: map[string]bool{}, reach: reach.NewDetector(), texts: newTextCache(maxCachedTexts), copied: map[string]copyState{},
 	}
 }
 
--- a/internal/training/runner/schedule.go
+++ b/internal/training/runner/schedule.go
@@ -6,6 +6,7 @@
 	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -13,6 +14,7 @@
 
 	"github.com/wigeonpin/wigeonpin/internal/base/logs"
 	"github.com/wigeonpin/wigeonpin/internal/control/manifest"
+	"github.com/wigeonpin/wigeonpin/internal/fleet/reach"
 	"github.com/wigeonpin/wigeonpin/internal/fleet/replica"
 	"github.com/wigeonpin/wigeonpin/internal/peer/exchange"
 	"github.com/wigeonpin/wigeonpin/internal/peer/records"
@@ -154,10 +156,46 @@
 	return false
 }
 
+// streamingEngines returns the engines from which streams of items have begun.
+func (r *Runner) streamingEngines() []reach.Streaming {
+	byID := map[string]reach.Streaming{}
+	for _, j := range r.jobs {
+		for _, t := range j.tasks {
+			last := t.lastEvent.Load()
+			if t.state != stateRunning || last == 0 {
+				continue
+			}
+			if s := byID[t.endpoint]; s.Heard.UnixNano() < last || s.Endpoint == "" {
+				byID[t.endpoint] = reach.Streaming{Endpoint: t.endpoint, Zone: t.zone, Heard: time.Unix(0, last)}
+			}
+		}
+	}
+	return slices.Collect(maps.Values(byID))
+}
+
+// leaveSilentZones cancels the runs in availability zones that are out of reach
+// and keeps other work away from there.
+func (r *Runner) leaveSilentZones(now time.Time) {
+	for _, zone := range r.reach.Check(now, r.streamingEngines()) {
+		r.seams.Fleet.AvoidZone(zone)
+		cancelled := 0
+		for _, j := range r.jobs {
+			for _, t := range j.tasks {
+				if t.state == stateRunning && t.zone == zone {
+					t.cancel(errZoneSilent)
+					cancelled++
+				}
+			}
+		}
+		r.log.WithFields(logrus.Fields{logs.Zone: zone, "runs": cancelled}).Warn("availability zone is silent")
+	}
+}
+
 // checkTasks cancels runs that are stalled or should be moved, and gives up
 // items whose time is over.
 func (r *Runner) checkTasks() {
 	now := r.timers.Now()
+	r.leaveSilentZones(now)
 	for _, j := range r.jobs {
 		if !j.loaded {
 			continue
--- a/internal/training/runner/task.go
+++ b/internal/training/runner/task.go
@@ -35,8 +35,8 @@
 )
 
 // task is the execution of one item of a batch. Its fields are used only by the
-// runner's goroutine, except liveText and lastActivity, which the goroutine of
-// the run writes.
+// runner's goroutine, except liveText, lastActivity and lastEvent, which the
+// goroutine of the run writes.
 type task struct {
 	item            *batch.Item
 	job             *job
@@ -53,12 +53,13 @@
 	listedLate      bool                 // listed after the trainer had all that it waits for
 	moves           int                  // runs that were moved to a faster engine
 	cancel          context.CancelCauseFunc
-	endpoint        string
+	endpoint, zone  string // of the engine of the present run
 	runStart        time.Time
 	firstRunStart   time.Time
 	runs            int
 	liveText        atomic.Pointer[text] // with the events of the present run
 	lastActivity    atomic.Int64         // start of the stall timeout, in Unix nanoseconds
+	lastEvent       atomic.Int64         // latest event of the present run, in Unix nanoseconds; 0 before the first
 }
 
 // snapshot returns the text with the events of the present run.
@@ -122,6 +123,7 @@
 	errEventGap      = errors.New("gap in the event ids")
 	errStalled       = errors.New("the engine sent no event in time")
 	errFasterEngine  = errors.New("another engine is faster")
+	errZoneSilent    = errors.New("all engines of the availability zone are silent")
 	errTooLong       = errors.New("the text is longer than the item allows")
 	errStatus        = errors.New("unexpected status")
 )
@@ -130,13 +132,14 @@
 func (r *Runner) startRun(t *task, slot *replica.Slot, host string) {
 	jobCtx := t.job.ctx
 	ctx, cancel := context.WithCancelCause(jobCtx)
-	t.state, t.cancel, t.endpoint = stateRunning, cancel, slot.Entry.ID
+	t.state, t.cancel, t.endpoint, t.zone = stateRunning, cancel, slot.Entry.ID, slot.Entry.Zone
 	t.runStart = r.timers.Now()
 	r.counters.runs.Add(slot.Entry.Service, 1)
 	if t.runs++; t.runs == 1 {
 		t.firstRunStart = t.runStart
 	}
 	t.lastActivity.Store(t.runStart.Add(firstEventTimeout - stallTimeout).UnixNano())
+	t.lastEvent.Store(0)
 	t.job.preferred[t.item.Group] = slot.Entry.ID
 	if t.text.origin == "" || t.activation != r.activations {
 		t.text.origin, t.activation = rand.Text(), r.activations
@@ -271,8 +274,10 @@
 		}
 		current := generated
 		t.liveText.Store(&current)
-		pace.observe(r.timers.Now())
-		t.lastActivity.Store(r.timers.Now().UnixNano())
+		now := r.timers.Now()
+		pace.observe(now)
+		t.lastActivity.Store(now.UnixNano())
+		t.lastEvent.Store(now.UnixNano())
 	}
 }
 
@@ -350,10 +355,10 @@
 	switch {
 	case errors.Is(err, errFasterEngine):
 		t.moves++
-		r.log.WithFields(logrus.Fields{
-			logs.Request: t.item.ID, "batch": t.job.batch.ID, logs.Endpoint: e.ID, "events": len(generated.pieces),
-			"ran_ms": now.Sub(t.runStart).Milliseconds(),
-		}).Info("run moved to a faster engine")
+		r.logMove(t, e, len(generated.pieces), "run moved to a faster engine")
+		return
+	case errors.Is(err, errZoneSilent):
+		r.logMove(t, e, len(generated.pieces), "run moved out of a silent zone")
 		return
 	case errors.Is(err, errRejected), errors.Is(err, errMisplaced), exchange.NotSent(err):
 		r.counters.rejections.Add(rejectionReason(err), 1)
@@ -385,6 +390,13 @@
 	}).Info("run ended early")
 }
 
+func (r *Runner) logMove(t *task, from replica.Entry, events int, message string) {
+	r.log.WithFields(logrus.Fields{
+		logs.Request: t.item.ID, "batch": t.job.batch.ID, logs.Endpoint: from.ID, "events": events,
+		"ran_ms": r.timers.Since(t.runStart).Milliseconds(),
+	}).Info(message)
+}
+
 // recordBrokenRun counts a broken run and delays the next one.
 func (t *task) recordBrokenRun(at incarnation, now time.Time) {
 	if t.brokenOn == nil {
