Notice at once that a zone is cut off from the store

Cause: an entry process whose zone is cut off tried the store and its peers one after the other, 2.5 to 2.9 s for each call of a trainer, and each process found out on its own.

Change: when the direct path is lost, peers are asked all at once; those in the same zone check their own path then. A process that is certain to be cut off ends calls to the store and refuses batches at once, with a time to come back. A process whose direct path is lost no longer tries it for peers, which saves calls in an outage.

--- a/cmd/wigeonpin/node.go
+++ b/cmd/wigeonpin/node.go
@@ -73,6 +73,8 @@
 	// availability zone can be reached. directLost reports whether the direct path
 	// to the store is known to be lost; a peer may still reach the store.
 	isolated, directLost func() bool
+	// isolation returns a channel that is closed once isolated is certain.
+	isolation func() <-chan struct{}
 }
 
 // The roles of processes on the platform.
@@ -126,7 +128,7 @@
 		Direct: direct.Call, Ask: relay.NewAsk(), Probe: platform.Probe(), OnDirectLost: direct.Cancel,
 		Peers: n.relayPeers, Hosts: n.watchHosts(role), HostSlack: slack,
 	}, n.timers, n.log)
-	n.isolated, n.directLost = route.Isolated, route.DirectLost
+	n.isolated, n.isolation, n.directLost = route.Isolated, route.Isolation, route.DirectLost
 	routed := relay.NewSharedWatches(route.Call, slack+relay.DirectTimeout)
 	n.store = platform.NewStore(routed.Call)
 	self := members.Member{Name: p.Name, Address: listener.Addr().String(), Zone: p.Zone, Role: role}
@@ -139,7 +141,7 @@
 	go func() { _ = n.broadcaster.Run(ctx) }() // runs until the process ends
 	n.mux = http.NewServeMux()
 	n.mux.Handle(broadcast.NoticesPathPrefix, n.broadcaster.Server())
-	n.mux.Handle(relay.RelayPathPrefix, relay.NewServer(direct.Call, n.peerWatches(role, direct, routed)))
+	n.mux.Handle(relay.RelayPathPrefix, relay.NewServer(route.CallForPeer, n.peerWatches(role, direct, routed)))
 	server := &http.Server{Handler: http.MaxBytesHandler(n.mux, conn.PeerBodyLimit), ReadHeaderTimeout: readHeaderTimeout}
 	go func() { n.log.WithField(logs.Cause, server.Serve(listener).Error()).Error("server for peers stopped") }()
 	return nil
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -92,6 +92,9 @@
 	// can be reached. The process is then not ready, since other zones serve
 	// callers better.
 	Isolated func() bool
+	// Isolation returns a channel that is closed once it is certain that calls to
+	// the store cannot succeed.
+	Isolation func() <-chan struct{}
 	// StoreDisconnected reports whether the direct connection to the store is
 	// known to be down.
 	StoreDisconnected func() bool
@@ -128,7 +131,8 @@
 		Memory: memory.NewBudget(int64(responseShare * memoryLimit)), Meters: deps.Meters, Breaker: deps.Breaker,
 	}, timers, log)
 	f := front.New(front.Seams{
-		Manifest: v.Manifest, Ready: func() bool { return v.Synced() && !deps.Isolated() }, Stale: func() bool { return v.Stale() && !deps.StoreDisconnected() }, Forwarder: forwarder, Shelf: batches,
+		Manifest: v.Manifest, Ready: func() bool { return v.Synced() && !deps.Isolated() }, Isolation: deps.Isolation,
+		Stale: func() bool { return v.Stale() && !deps.StoreDisconnected() }, Forwarder: forwarder, Shelf: batches,
 		Reader: batch.NewReader(batches, runner.NewFinder(deps.Workers), runner.NewFollower(deps.Workers), timers), Names: deps.Names, API: deps.API, Meters: deps.Meters,
 		Memory: memory.NewBudget(int64(requestShare * memoryLimit)),
 	}, timers, log)
--- a/internal/peer/relay/peers.go
+++ b/internal/peer/relay/peers.go
@@ -20,6 +20,9 @@
 	// zones and in this one that are asked for one call.
 	maxOtherZonePeers = 2
 	maxSameZonePeers  = 1
+	// maxAlertedPeers is the number of peers in this zone that are told of the loss
+	// of the direct path. Each of them tells as many in turn.
+	maxAlertedPeers = 3
 )
 
 // Peer is another process. OtherZone reports that it is in another availability
@@ -47,7 +50,7 @@
 	}
 	sent, otherZoneAsked, otherZoneReached := false, false, false
 	for _, peer := range r.candidates() {
-		reply, err := r.askPeer(ctx, peer.Address, call)
+		reply, err := r.askPeer(ctx, peer.Address, call, call.Wait+DirectTimeout)
 		if err == nil {
 			r.recordPeerUsed(peer.Address)
 			return reply, nil
@@ -76,7 +79,7 @@
 	if r.lostSince.IsZero() || r.isolated == isolated {
 		return
 	}
-	r.isolated = isolated
+	r.setIsolated(isolated)
 	r.log.WithField("isolated", isolated).Warn("no peer reaches the store")
 }
 
@@ -87,7 +90,60 @@
 		r.peerUsed = true
 		r.log.WithField(logs.Peer, address).Info("store reached through a peer")
 	}
-	r.lastPeer, r.isolated, r.peersTried = address, false, true
+	r.lastPeer, r.peersTried = address, true
+	r.setIsolated(false)
+}
+
+// probePeers asks several peers at once whether they reach the store, right after
+// the direct path is lost. The first calls then need not try one after the other.
+// Peers in this zone check their own direct path when they are asked, so that a
+// zone that is cut off notices it as a whole.
+func (r *Route) probePeers() {
+	var otherZone, sameZone []Peer
+	for _, peer := range r.seams.Peers() {
+		if peer.OtherZone {
+			otherZone = append(otherZone, peer)
+		} else {
+			sameZone = append(sameZone, peer)
+		}
+	}
+	call := r.seams.Probe
+	call.DirectOnly = true
+	for _, peer := range randomPeers(sameZone, maxAlertedPeers) {
+		go func() { _, _ = r.askPeer(context.Background(), peer.Address, call, probeTimeout) }()
+	}
+	otherZone = randomPeers(otherZone, maxOtherZonePeers)
+	results := make(chan error, len(otherZone))
+	for _, peer := range otherZone {
+		go func() {
+			_, err := r.askPeer(context.Background(), peer.Address, call, probeTimeout)
+			if err == nil {
+				r.recordPeerUsed(peer.Address)
+			}
+			results <- err
+		}()
+	}
+	reached := false
+	for range otherZone {
+		err := <-results
+		reached = reached || err == nil || errors.Is(err, errPeerNoStore)
+	}
+	if !reached && len(otherZone) > 0 {
+		r.recordPeersFailed(true)
+	}
+}
+
+// CallForPeer makes a call for a peer on this process's own connection. It fails
+// at once while that is known not to reach the store.
+func (r *Route) CallForPeer(ctx context.Context, call Call) (Reply, error) {
+	if _, lost := r.directState(); lost {
+		return Reply{}, errNoPeer
+	}
+	reply, err := r.seams.Direct(ctx, call)
+	if err != nil || reply.refused() {
+		go r.checkDirect(context.Background())
+	}
+	return reply, err
 }
 
 // candidates returns the peers to ask: the one that last made a call, then random
@@ -116,8 +172,8 @@
 	return peers[:min(count, len(peers))]
 }
 
-func (r *Route) askPeer(ctx context.Context, address string, call Call) (Reply, error) {
-	limit := call.Wait + DirectTimeout
+// askPeer makes the call through a peer, which may take limit for it.
+func (r *Route) askPeer(ctx context.Context, address string, call Call, limit time.Duration) (Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit+peerMargin)
 	defer cancel()
 	reply, err := r.seams.Ask(ctx, address, call, limit)
--- a/internal/peer/relay/route.go
+++ b/internal/peer/relay/route.go
@@ -115,12 +115,13 @@
 	peerUsed          bool          // a peer has made a call since the direct path was lost
 	peersTried        bool          // peers have been asked since the direct path was lost
 	isolated          bool          // neither the store nor another zone could be reached
+	isolation         chan struct{} // closed while isolated is true
 	hostBackoffs      map[string]hostBackoff
 }
 
 // NewRoute returns a route.
 func NewRoute(seams Seams, timers *clock.Service, log *logrus.Entry) *Route {
-	return &Route{seams: seams, timers: timers, log: log, directLost: make(chan struct{}), hostBackoffs: map[string]hostBackoff{}}
+	return &Route{seams: seams, timers: timers, log: log, directLost: make(chan struct{}), isolation: make(chan struct{}), hostBackoffs: map[string]hostBackoff{}}
 }
 
 // Call makes a call directly, or through peers while the direct path is lost. A
@@ -217,7 +218,30 @@
 		return
 	}
 	r.log.WithField("lost_ms", r.timers.Since(r.lostSince).Milliseconds()).Info("direct way to the store regained")
-	r.lostSince, r.directLost, r.isolated = time.Time{}, make(chan struct{}), false
+	r.lostSince, r.directLost = time.Time{}, make(chan struct{})
+	r.setIsolated(false)
+}
+
+// setIsolated must be called with mu locked.
+func (r *Route) setIsolated(isolated bool) {
+	if r.isolated == isolated {
+		return
+	}
+	r.isolated = isolated
+	if isolated {
+		close(r.isolation)
+	} else {
+		r.isolation = make(chan struct{})
+	}
+}
+
+// Isolation returns a channel that is closed once neither the store nor any
+// process in another availability zone can be reached. Calls to the store cannot
+// succeed then.
+func (r *Route) Isolation() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.isolation
 }
 
 // DirectLost reports whether the direct path to the store is known to be lost.
@@ -253,6 +277,7 @@
 		go r.seams.OnDirectLost()
 	}
 	go r.probeDirect()
+	go r.probePeers()
 }
 
 // probeDirect probes the direct path until it works.
--- a/internal/traffic/front/batches.go
+++ b/internal/traffic/front/batches.go
@@ -27,8 +27,48 @@
 	storeTimeout = 2500 * time.Millisecond
 	// storeRetryAfter is the Retry-After delay while the store is unavailable.
 	storeRetryAfter = 400 * time.Millisecond
+	// isolatedRetryAfter is the Retry-After delay of a process that is cut off from
+	// the store. Processes in other availability zones can serve the call.
+	isolatedRetryAfter = 200 * time.Millisecond
 )
 
+// isolated reports whether it is certain that calls to the store cannot succeed.
+func (f *Front) isolated() bool {
+	if f.seams.Isolation == nil {
+		return false
+	}
+	select {
+	case <-f.seams.Isolation():
+		return true
+	default:
+		return false
+	}
+}
+
+// withStoreTimeout returns a context for all calls to the store for one request.
+// It also ends when it turns out that such calls cannot succeed, so that only what
+// is cached here is still served.
+func (f *Front) withStoreTimeout(parent context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(parent, storeTimeout)
+	if f.seams.Isolation == nil {
+		return ctx, cancel
+	}
+	isolation := f.seams.Isolation()
+	go func() {
+		select {
+		case <-isolation:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
+// errIsolated is the refusal of a process that is cut off from the store.
+func errIsolated() error {
+	return code.New(code.PlatformUnavailable, "this process is cut off from the store").WithRun(code.NotRun).WithRetryAfter(isolatedRetryAfter)
+}
+
 // submit accepts a batch. It answers 202 only after the batch is stored, and 503
 // only when the batch is not stored and never will be.
 func (f *Front) submit(w http.ResponseWriter, r *http.Request, q *callerRequest) {
@@ -36,6 +76,10 @@
 		f.refuse(w, q, code.New(code.BadRequest, "a batch is a POST with an id").WithRun(code.NotRun))
 		return
 	}
+	if f.isolated() {
+		f.refuse(w, q, errIsolated())
+		return
+	}
 	share := f.seams.Memory.Share().WithFactor(batchCopies)
 	defer share.Release()
 	body, err := f.readBody(w, r, q, share)
@@ -49,7 +93,7 @@
 		return
 	}
 	b.ID, b.Account, b.Host, b.Path, b.Time = q.id, q.account.Name, q.host, q.path, f.timers.Now()
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), storeTimeout)
+	ctx, cancel := f.withStoreTimeout(context.WithoutCancel(r.Context()))
 	defer cancel()
 	err = f.seams.Shelf.Accept(ctx, b)
 	switch {
@@ -88,7 +132,7 @@
 // batchCall serves an operation on an accepted batch. A batch of another client
 // account looks like a missing one.
 func (f *Front) batchCall(w http.ResponseWriter, r *http.Request, q *callerRequest) {
-	ctx, cancel := context.WithTimeout(r.Context(), storeTimeout)
+	ctx, cancel := f.withStoreTimeout(r.Context())
 	defer cancel()
 	b, err := f.seams.Reader.Batch(ctx, q.batch)
 	if err == nil && b.Account != q.account.Name {
--- a/internal/traffic/front/front.go
+++ b/internal/traffic/front/front.go
@@ -69,6 +69,9 @@
 type Seams struct {
 	Manifest  func() *manifest.Manifest
 	Ready     func() bool
+	// Isolation returns a channel that is closed once it is certain that calls to
+	// the store cannot succeed; it may be nil.
+	Isolation func() <-chan struct{}
 	Stale     func() bool // the keys of the manifest may be out of date after a pause of the process
 	Forwarder *forward.Forwarder
 	Shelf     *batch.Store
