Save long texts in the store

Cause: when all processes are killed, the texts of the steps in flight are lost, and each step takes up to 7 s more.

Change: the active worker saves new events each second in one of a few records that are written in turn. A worker that takes the role and gets no texts from other workers joins the saved parts. Parts of different runs are never joined. The records are a cache: their loss costs only time.

--- a/internal/node/worker/worker.go
+++ b/internal/node/worker/worker.go
@@ -143,6 +143,7 @@
 	go w.view.Run(ctx)
 	go w.runner.Run(ctx)
 	go w.runner.CopyToStandby(ctx, w.deps.Peers)
+	go w.runner.SaveTexts(ctx)
 	go w.follow(w.deps.VersionKind, watchTimeout, w.applyVersion).Run(ctx)
 	go w.followBatches(ctx)
 	l := leader.New(w.store, leader.Options{Self: w.profile.Name, Term: w.profile.Lease / termsPerLease}, w.timers, w.log)
@@ -184,6 +185,7 @@
 		w.log.Warn("role taken before all batches and peers were read")
 	}
 	w.runner.Recall(ctx, w.deps.Peers())
+	w.runner.RecallSaved(ctx)
 }
 
 // follow returns a mirror of a kind of records. wait is how long one watch
--- a/internal/traffic/front/front.go
+++ b/internal/traffic/front/front.go
@@ -67,8 +67,8 @@
 
 // Seams are the dependencies of a Front.
 type Seams struct {
-	Manifest  func() *manifest.Manifest
-	Ready     func() bool
+	Manifest func() *manifest.Manifest
+	Ready    func() bool
 	// Isolation returns a channel that is closed once it is certain that calls to
 	// the store cannot succeed; it may be nil.
 	Isolation func() <-chan struct{}
--- a/internal/training/runner/standby.go
+++ b/internal/training/runner/standby.go
@@ -1,8 +1,11 @@
 package runner
 
 import (
+	"cmp"
 	"context"
+	"math"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -183,15 +186,8 @@
 
 // copyTo sends the events that were generated since the last call.
 func (r *Runner) copyTo(ctx context.Context, standby Standby) error {
-	collected := make(chan []*Text, 1)
-	r.post(ctx, func(context.Context) { collected <- r.collectCopies() })
-	var texts []*Text
-	select {
-	case texts = <-collected:
-	case <-ctx.Done():
-		return nil
-	}
-	if len(texts) == 0 {
+	texts, ok := r.collect(ctx, r.collectCopies)
+	if !ok || len(texts) == 0 {
 		return nil
 	}
 	limited, cancel := context.WithTimeout(ctx, copyTimeout)
@@ -209,24 +205,59 @@
 	return err
 }
 
+// collect executes f in the runner's goroutine and returns its result. It reports
+// false when ctx ends first.
+func (r *Runner) collect(ctx context.Context, f func() []*Text) ([]*Text, bool) {
+	collected := make(chan []*Text, 1)
+	r.post(ctx, func(context.Context) { collected <- f() })
+	select {
+	case texts := <-collected:
+		return texts, true
+	case <-ctx.Done():
+		return nil, false
+	}
+}
+
 // collectCopies returns the parts of texts that the standby does not have yet,
 // and notes them as copied.
 func (r *Runner) collectCopies() []*Text {
 	if !r.active {
 		return nil
 	}
-	var texts []*Text
+	return r.collectParts(r.copied, noLimit)
+}
+
+// noLimit is a size that no texts exceed.
+const noLimit = math.MaxInt
+
+// collectParts returns the parts of texts that are not in sent yet, and notes them
+// there. If they take more than limit bytes, the parts of the longest texts are
+// returned.
+func (r *Runner) collectParts(sent map[string]copyState, limit int) []*Text {
+	type part struct {
+		task *task
+		text text
+		from int
+	}
+	var parts []part
 	for _, t := range r.unfinishedTasks() {
-		current := t.snapshot()
-		sent := 0
-		if known := r.copied[t.item.ID]; known.origin == current.origin {
-			sent = known.events
+		p := part{task: t, text: t.snapshot()}
+		if known := sent[t.item.ID]; known.origin == p.text.origin {
+			p.from = known.events
 		}
-		if len(current.pieces) < minCopyEvents || len(current.pieces) <= sent {
-			continue
+		if len(p.text.pieces) >= minCopyEvents && len(p.text.pieces) > p.from {
+			parts = append(parts, p)
+		}
+	}
+	slices.SortStableFunc(parts, func(a, b part) int { return cmp.Compare(len(b.text.pieces), len(a.text.pieces)) })
+	var texts []*Text
+	size := 0
+	for _, p := range parts {
+		if size += p.text.sizeFrom(p.from); size > limit && len(texts) > 0 {
+			break
 		}
-		texts = append(texts, newTextPart(t.item.ID, current, sent))
-		r.copied[t.item.ID] = copyState{origin: current.origin, events: len(current.pieces)}
+		texts = append(texts, newTextPart(p.task.item.ID, p.text, p.from))
+		sent[p.task.item.ID] = copyState{origin: p.text.origin, events: len(p.text.pieces)}
 	}
 	return texts
 }
