Let a worker that knows the batches take the role first

Change: a process that has not read the batches and the list of workers waits for up to a second before it takes a free role.

--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -52,14 +52,21 @@
 	// the role before its term ends. It keeps two holders from alternating
 	// quickly.
 	releaseAfterTerms = 2
+	// readyTimeout is how long a process that is not ready waits before it takes a
+	// free role, and readyPoll the pause between two checks.
+	readyTimeout = time.Second
+	readyPoll    = 20 * time.Millisecond
 )
 
 // Options configure a candidate. Self names the machine: a process that
 // restarts on it takes the role again without waiting. Term is how long the
-// role is held without a renewal.
+// role is held without a renewal. Ready reports whether the process could do the
+// work of the role at once; it may be nil. A process that is not ready waits for a
+// while before it takes a free role, so that one that is ready can take it first.
 type Options struct {
-	Self string
-	Term time.Duration
+	Self  string
+	Term  time.Duration
+	Ready func() bool
 }
 
 type leaseRecord struct {
@@ -148,9 +155,26 @@
 	if !held.Released && held.Holder != c.options.Self && now-c.unchangedSince < c.options.Term+margin {
 		return nil, nil
 	}
+	if !c.awaitReady(ctx) {
+		return nil, ctx.Err()
+	}
 	return c.write(ctx, c.lastRecord, leaseRecord{Holder: c.options.Self, Epoch: held.Epoch + 1}, c.store.Put)
 }
 
+// awaitReady waits until the process is ready for the role, at most for
+// readyTimeout. It reports false when ctx ends first.
+func (c *Candidate) awaitReady(ctx context.Context) bool {
+	if c.options.Ready == nil {
+		return true
+	}
+	for start := c.uptime(); !c.options.Ready() && c.uptime()-start < readyTimeout; {
+		if c.timers.Sleep(ctx, readyPoll) != nil {
+			return false
+		}
+	}
+	return true
+}
+
 // create takes the role when it has no record yet.
 func (c *Candidate) create(ctx context.Context) (*Tenure, error) {
 	r := records.Record{Kind: kind, Name: name}
--- a/internal/node/worker/worker.go
+++ b/internal/node/worker/worker.go
@@ -52,9 +52,6 @@
 	termsPerLease = 2
 	// readRetryDelay is the delay before another attempt to read a batch.
 	readRetryDelay = 300 * time.Millisecond
-	// syncTimeout bounds how long a new holder of the role waits until the
-	// batches and the list of the other workers have been read.
-	syncTimeout = time.Second
 	// pollInterval is the polling interval while a worker waits until records
 	// have been read.
 	pollInterval = 20 * time.Millisecond
@@ -146,7 +143,9 @@
 	go w.runner.SaveTexts(ctx)
 	go w.follow(w.deps.VersionKind, watchTimeout, w.applyVersion).Run(ctx)
 	go w.followBatches(ctx)
-	l := leader.New(w.store, leader.Options{Self: w.profile.Name, Term: w.profile.Lease / termsPerLease}, w.timers, w.log)
+	l := leader.New(w.store, leader.Options{
+		Self: w.profile.Name, Term: w.profile.Lease / termsPerLease, Ready: w.synced,
+	}, w.timers, w.log)
 	l.Run(ctx, w.lead)
 }
 
@@ -174,18 +173,18 @@
 	w.runner.SetActive(limited, false)
 }
 
-// recallTexts fetches the texts of open batches from the other workers. A
-// worker that has just started may take the role before it has read the batches
-// and the list of the other workers. It waits for both first, since the runner
-// drops texts of unknown batches.
+// synced reports whether all batches and the list of the other workers have been
+// read.
+func (w *Worker) synced() bool { return w.batchesSynced.Load() && w.deps.PeersSynced() }
+
+// recallTexts fetches the texts of open batches from the other workers. The runner
+// drops texts of unknown batches, so that those of batches that have not been read
+// are lost.
 func (w *Worker) recallTexts(ctx context.Context) {
-	limited, cancel := w.timers.WithTimeout(ctx, syncTimeout)
-	defer cancel()
-	if !w.await(limited, func() bool { return w.batchesSynced.Load() && w.deps.PeersSynced() }) {
+	if !w.synced() {
 		w.log.Warn("role taken before all batches and peers were read")
 	}
 	w.runner.Recall(ctx, w.deps.Peers())
-	w.runner.RecallSaved(ctx)
 }
 
 // follow returns a mirror of a kind of records. wait is how long one watch
--- a/internal/training/runner/saved.go
+++ b/internal/training/runner/saved.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"slices"
 	"time"
 
-	"github.com/sirupsen/logrus"
-	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/wigeonpin/wigeonpin/internal/base/logs"
 )
@@ -17,11 +17,12 @@
 	saveInterval = time.Second
 	// saveRetryDelay is the pause after texts could not be saved.
 	saveRetryDelay = 3 * time.Second
-	// saveTimeout bounds one write, and savedTimeout the reading of all slots.
-	saveTimeout  = 900 * time.Millisecond
-	savedTimeout = 600 * time.Millisecond
+	// saveTimeout bounds one write.
+	saveTimeout = 900 * time.Millisecond
 	// saveSlots is the number of records with texts. They are written in turn.
-	saveSlots = 16
+	saveSlots = 8
+	// minSavedEvents is the number of events from which on a text is saved.
+	minSavedEvents = 30
 )
 
 // savedTexts tracks what the records with texts hold. When a slot is written
@@ -67,7 +68,7 @@
 	for _, id := range saved.slots[saved.next] {
 		delete(saved.sent, id)
 	}
-	return r.collectParts(saved.sent, limit)
+	return r.collectParts(saved.sent, minSavedEvents, limit)
 }
 
 // saveSlot writes the next slot.
@@ -76,7 +77,7 @@
 	for _, part := range texts {
 		items = append(items, part.GetItem())
 	}
-	body, err := protojson.Marshal(&KeepRequest{Texts: texts})
+	body, err := encodeParts(texts)
 	if err == nil {
 		limited, cancel := context.WithTimeout(ctx, saveTimeout)
 		defer cancel()
@@ -93,38 +94,38 @@
 	return nil
 }
 
-// RecallSaved merges the texts that were saved in the store with the known ones.
-// It does nothing if the text of any unfinished item is known, since the copies
-// of the other workers are newer.
-func (r *Runner) RecallSaved(ctx context.Context) {
+// recallSaved merges the saved texts with the known ones, unless the text of any
+// unfinished item is known: the copies of the other workers are newer.
+func (r *Runner) recallSaved(ctx context.Context, bodies [][]byte) {
+	r.post(ctx, func(context.Context) {
+		if !r.lacksTexts() {
+			return
+		}
+		texts := joinParts(bodies)
+		for _, whole := range texts {
+			r.mergeIfLonger(whole)
+		}
+		r.log.WithField("texts", len(texts)).Info("saved texts recalled")
+	})
+}
+
+// readSaved reads the saved texts. It returns none if no item is unfinished.
+func (r *Runner) readSaved(ctx context.Context) [][]byte {
 	needed := make(chan bool, 1)
 	r.post(ctx, func(context.Context) { needed <- r.lacksTexts() })
 	select {
 	case <-ctx.Done():
-		return
-	case missing := <-needed:
-		if !missing {
-			return
+		return nil
+	case lacking := <-needed:
+		if !lacking {
+			return nil
 		}
 	}
-	limited, cancel := context.WithTimeout(ctx, savedTimeout)
-	defer cancel()
-	bodies, err := r.seams.Store.Texts(limited)
+	bodies, err := r.seams.Store.Texts(ctx)
 	if err != nil {
 		r.log.WithField(logs.Cause, err.Error()).Info("saved texts not read")
-		return
 	}
-	texts := joinParts(bodies)
-	r.post(ctx, func(context.Context) {
-		merged := 0
-		for _, whole := range texts {
-			if t := r.findTask(whole.GetItem()); t != nil {
-				merged++
-				r.mergeIfLonger(whole)
-			}
-		}
-		r.log.WithFields(logrus.Fields{"texts": merged, "saved": len(texts)}).Info("saved texts recalled")
-	})
+	return bodies
 }
 
 // lacksTexts reports whether items are unfinished and no text of any is known.
@@ -133,16 +134,32 @@
 	return len(unfinished) > 0 && !slices.ContainsFunc(unfinished, func(t *task) bool { return len(t.text.pieces) > 0 })
 }
 
+// encodeParts returns the parts in a form that decodes quickly and is valid JSON,
+// as the store demands.
+func encodeParts(texts []*Text) ([]byte, error) {
+	encoded, err := proto.Marshal(&KeepRequest{Texts: texts})
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(encoded)
+}
+
+// decodeParts returns no parts if the body is invalid.
+func decodeParts(body []byte) []*Text {
+	var encoded []byte
+	var request KeepRequest
+	if json.Unmarshal(body, &encoded) != nil || proto.Unmarshal(encoded, &request) != nil {
+		return nil
+	}
+	return request.GetTexts()
+}
+
 // joinParts joins the parts of texts in the saved bodies, the oldest first. Parts
 // that do not continue what precedes them are left out.
 func joinParts(bodies [][]byte) map[string]*Text {
 	texts := map[string]*Text{}
 	for _, body := range bodies {
-		var request KeepRequest
-		if protojson.Unmarshal(body, &request) != nil {
-			continue
-		}
-		for _, part := range request.GetTexts() {
+		for _, part := range decodeParts(body) {
 			known, from := texts[part.GetItem()], int(part.GetFrom())
 			switch {
 			case from == 0:
--- a/internal/training/runner/standby.go
+++ b/internal/training/runner/standby.go
@@ -224,16 +224,16 @@
 	if !r.active {
 		return nil
 	}
-	return r.collectParts(r.copied, noLimit)
+	return r.collectParts(r.copied, minCopyEvents, noLimit)
 }
 
 // noLimit is a size that no texts exceed.
 const noLimit = math.MaxInt
 
-// collectParts returns the parts of texts that are not in sent yet, and notes them
-// there. If they take more than limit bytes, the parts of the longest texts are
-// returned.
-func (r *Runner) collectParts(sent map[string]copyState, limit int) []*Text {
+// collectParts returns the parts of texts of at least minEvents events that are not
+// in sent yet, and notes them there. If they take more than limit bytes, the parts
+// of the longest texts are returned.
+func (r *Runner) collectParts(sent map[string]copyState, minEvents, limit int) []*Text {
 	type part struct {
 		task *task
 		text text
@@ -245,7 +245,7 @@
 		if known := sent[t.item.ID]; known.origin == p.text.origin {
 			p.from = known.events
 		}
-		if len(p.text.pieces) >= minCopyEvents && len(p.text.pieces) > p.from {
+		if len(p.text.pieces) >= minEvents && len(p.text.pieces) > p.from {
 			parts = append(parts, p)
 		}
 	}
@@ -263,12 +263,14 @@
 }
 
 // Recall fetches the texts that the other workers have stored, and merges them
-// with the known ones.
+// with the known ones. If none of them has any, it takes those saved in the store.
 func (r *Runner) Recall(ctx context.Context, peers []string) {
 	limited, cancel := context.WithTimeout(ctx, recallTimeout)
 	defer cancel()
 	client := conn.NewPeerClient(dialTimeout, http.DefaultMaxIdleConnsPerHost)
 	var calls sync.WaitGroup
+	var saved [][]byte
+	calls.Go(func() { saved = r.readSaved(limited) })
 	for _, address := range peers {
 		calls.Go(func() {
 			reply, err := NewStandbyProtobufClient("http://"+address, client).Recall(limited, &RecallRequest{})
@@ -285,4 +287,5 @@
 		})
 	}
 	calls.Wait()
+	r.recallSaved(ctx, saved)
 }
