Tell the worker of accepted batches

Also, an entry process that asked for a batch before the worker knew it took the worker for inactive and polled the store for 0.5 s.

--- a/internal/traffic/front/front.go
+++ b/internal/traffic/front/front.go
@@ -11,6 +11,7 @@
 package front
 
 import (
+	"context"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -76,10 +77,12 @@
 	Forwarder *forward.Forwarder
 	Shelf     *batch.Store
 	Reader    *batch.Reader
-	Names     headers.Names
-	API       API
-	Meters    *meter.Set
-	Memory    *memory.Budget // for the bodies of requests
+	// Announce tells a worker of an accepted batch; it may be nil.
+	Announce func(ctx context.Context, id string)
+	Names    headers.Names
+	API      API
+	Meters   *meter.Set
+	Memory   *memory.Budget // for the bodies of requests
 }
 
 // Front is the HTTP handler for callers.
