Take a new weight version from the streams of the engine

Cause: an engine's report lags by some hundred milliseconds and is polled, so that a load of 0.9 s took 1.1 to 1.27 s. Few engines may load at a time, and two trainers name a version every 4 s each: engines were behind most of the time.

Change: a stream that changes its version records it, and ends the wait for the load. Engines without streams are polled as before.

--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -339,6 +339,15 @@
 	}
 }
 
+// HasVersion reports whether an endpoint is known to have at least this weight
+// version of a model.
+func (f *Fleet) HasVersion(id, model string, version int64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, known := f.states[id]
+	return known && s.Models[model] >= version
+}
+
 // SetLoading marks an endpoint as changing the weights of a model. An empty
 // model clears the mark.
 func (f *Fleet) SetLoading(id, model string) {
--- a/internal/fleet/weights/load.go
+++ b/internal/fleet/weights/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/wigeonpin/wigeonpin/internal/control/leader"
 )
@@ -58,7 +59,7 @@
 func (p *Planner) awaitLoad(ctx context.Context, s loadTask, errIfIdle error) error {
 	start := p.timers.Now()
 	if errIfIdle == nil {
-		if err := p.timers.Sleep(ctx, minLoadTime); err != nil {
+		if loaded, err := p.awaitStreams(ctx, s, minLoadTime); loaded || err != nil {
 			return err
 		}
 	}
@@ -71,9 +72,23 @@
 		if errIfIdle != nil && (err != nil || !report.Busy) {
 			return errIfIdle
 		}
-		if err := p.timers.Sleep(ctx, pollPeriod); err != nil {
+		if loaded, err := p.awaitStreams(ctx, s, pollPeriod); loaded || err != nil {
 			return err
 		}
 	}
 	return errLoadTimeout
 }
+
+// awaitStreams waits for the given time, or until a stream of the engine shows the
+// version. Streams show it as soon as it is in use, and reports only later.
+func (p *Planner) awaitStreams(ctx context.Context, s loadTask, limit time.Duration) (loaded bool, err error) {
+	for start := p.timers.Now(); p.timers.Since(start) < limit; {
+		if p.seams.Fleet.HasVersion(s.entry.ID, s.model, s.version) {
+			return true, nil
+		}
+		if err := p.timers.Sleep(ctx, streamPollPeriod); err != nil {
+			return false, err
+		}
+	}
+	return false, nil
+}
--- a/internal/fleet/weights/weights.go
+++ b/internal/fleet/weights/weights.go
@@ -37,6 +37,9 @@
 	// between two checks whether it is complete.
 	minLoadTime = 950 * time.Millisecond
 	pollPeriod  = 150 * time.Millisecond
+	// streamPollPeriod is the pause between two checks whether a stream of the
+	// engine has shown the version.
+	streamPollPeriod = 50 * time.Millisecond
 	// loadTimeout is how long a load may take before it is ordered again.
 	loadTimeout = 5 * time.Second
 	// failureBackoff is how long an engine gets no order after a failed load.
--- a/internal/training/runner/task.go
+++ b/internal/training/runner/task.go
@@ -261,6 +261,7 @@
 		}
 		if e.Version != 0 {
 			version = e.Version
+			r.seams.Fleet.RecordVersion(slot.Entry.ID, t.job.batch.Model, version)
 		}
 		if generated.last > 0 && e.ID != generated.last+1 {
 			return generated, version, fmt.Errorf("%w: event %d after %d", errEventGap, e.ID, generated.last)
