Divide the engines by demand and let no silent engine hold back loads

Engines that vanish one after the other also moved an engine from the trainer that had too few. Both trainers had an equal number of engines, though one sends four times as many tokens.

Change: an engine that does not answer, or whose zone is silent, does not count towards the loads in progress. Engines are divided by the work that arrives for each model, and one changes its model only after the imbalance has lasted for 2 s.

--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -208,6 +208,14 @@
 	f.silent[zone] = f.timers.Now().Add(silentZoneAvoidance)
 }
 
+// ZoneAvoided reports whether the endpoints of an availability zone get no requests
+// because they have gone silent together.
+func (f *Fleet) ZoneAvoided(zone string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.timers.Now().Before(f.silent[zone])
+}
+
 // Put adds or replaces an entry.
 func (f *Fleet) Put(e Entry) {
 	if previous, ended := f.put(e); ended {
--- a/internal/fleet/weights/load.go
+++ b/internal/fleet/weights/load.go
@@ -65,6 +65,7 @@
 	}
 	for p.timers.Since(start) < loadTimeout {
 		report, err := p.seams.Report(ctx, s.entry)
+		p.recordAnswer(s.entry.ID, err == nil)
 		if err == nil && report.Versions[s.model] >= s.version {
 			p.seams.Fleet.RecordVersion(s.entry.ID, s.model, report.Versions[s.model])
 			return nil
@@ -79,6 +80,18 @@
 	return errLoadTimeout
 }
 
+// recordAnswer records whether an engine with a load in progress answered.
+func (p *Planner) recordAnswer(id string, answered bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if answered {
+		delete(p.silent, id)
+		return
+	}
+	p.silent[id] = true
+	p.wakeUp()
+}
+
 // awaitStreams waits for the given time, or until a stream of the engine shows the
 // version. Streams show it as soon as it is in use, and reports only later.
 func (p *Planner) awaitStreams(ctx context.Context, s loadTask, limit time.Duration) (loaded bool, err error) {
--- a/internal/fleet/weights/weights.go
+++ b/internal/fleet/weights/weights.go
@@ -81,6 +81,8 @@
 	Manifest func() *manifest.Manifest
 	Report   func(ctx context.Context, e replica.Entry) (Report, error)
 	Send     func(ctx context.Context, e replica.Entry, order Order) (Verdict, error)
+	// Demand measures the work for each model; nil means that all have the same.
+	Demand *Demand
 }
 
 // Planner plans the loads of weight versions and orders them from the engines.
@@ -93,17 +95,25 @@
 	mu           sync.Mutex
 	announced    map[string]int64
 	loading      map[string]bool      // engines with a load in progress
+	silent       map[string]bool      // engines whose load is in progress and that did not answer
 	backoffUntil map[string]time.Time // engines with a recent failed load
 	// assignments holds the model of each engine, by service and engine ID.
 	assignments map[string]map[string]string
+	// unbalancedSince is when one model of a service was first found to have too
+	// few engines and another one too many.
+	unbalancedSince map[string]time.Time
 }
 
 // New returns a Planner.
 func New(seams Seams, timers *clock.Service, log *logrus.Entry) *Planner {
+	if seams.Demand == nil {
+		seams.Demand = NewDemand(timers)
+	}
 	return &Planner{
 		seams: seams, timers: timers, log: log, wake: make(chan struct{}, 1),
-		announced: map[string]int64{}, loading: map[string]bool{},
+		announced: map[string]int64{}, loading: map[string]bool{}, silent: map[string]bool{},
 		backoffUntil: map[string]time.Time{}, assignments: map[string]map[string]string{},
+		unbalancedSince: map[string]time.Time{},
 	}
 }
 
@@ -186,7 +196,7 @@
 	for _, e := range entries {
 		model := assigned[e.ID]
 		version := p.announced[model]
-		if version > e.Models[model] && !p.loading[e.ID] && p.backoffUntil[e.ID].IsZero() {
+		if version > e.Models[model] && !p.loading[e.ID] && p.backoffUntil[e.ID].IsZero() && !p.seams.Fleet.ZoneAvoided(e.Zone) {
 			pending = append(pending, loadTask{entry: e, model: model, version: version, keep: keep})
 		}
 	}
@@ -194,88 +204,18 @@
 	return pending
 }
 
-// loadCapacity returns how many more of the engines may load now.
+// loadCapacity returns how many more of the engines may load now. Engines that do
+// not answer while they load do not hold back the others.
 func (p *Planner) loadCapacity(entries []replica.Entry) int {
 	loading := 0
 	for _, e := range entries {
-		if p.loading[e.ID] {
+		if p.loading[e.ID] && !p.silent[e.ID] && !p.seams.Fleet.ZoneAvoided(e.Zone) {
 			loading++
 		}
 	}
 	return max(0, max(1, int(math.Round(maxLoadingShare*float64(len(entries)))))-loading)
 }
 
-// assignModels assigns one model to each engine of a service and returns the
-// assignments by engine ID. Engines keep their model. New engines get the model
-// with the fewest engines, and one engine is reassigned when a model has two more
-// than another.
-func (p *Planner) assignModels(service manifest.Service, entries []replica.Entry) map[string]string {
-	models, previous := service.Models, p.assignments[service.Name]
-	assigned := make(map[string]string, len(entries))
-	p.assignments[service.Name] = assigned
-	sort.Slice(entries, func(i, j int) bool {
-		if entries[i].Zone != entries[j].Zone {
-			return entries[i].Zone < entries[j].Zone
-		}
-		return entries[i].ID < entries[j].ID
-	})
-	count := map[string]int{}
-	for _, e := range entries {
-		model, known := previous[e.ID]
-		if !known {
-			model = newestModel(e, models)
-		}
-		if model != "" {
-			assigned[e.ID] = model
-			count[model]++
-		}
-	}
-	for _, e := range entries {
-		fewest, most := extremes(models, count)
-		current, known := assigned[e.ID]
-		if !known || (current == most && count[most] > count[fewest]+1) {
-			if known {
-				count[current]--
-			}
-			assigned[e.ID] = fewest
-			count[fewest]++
-		}
-	}
-	return assigned
-}
-
-// newestModel returns the model of which the engine has the highest version. It is
-// the model that an earlier holder of the role assigned to the engine. The result
-// is empty when two models share the highest version.
-func newestModel(e replica.Entry, models []string) string {
-	best, tie := "", false
-	for _, model := range models {
-		switch {
-		case best == "" || e.Models[model] > e.Models[best]:
-			best, tie = model, false
-		case e.Models[model] == e.Models[best]:
-			tie = true
-		}
-	}
-	if tie {
-		return ""
-	}
-	return best
-}
-
-func extremes(models []string, count map[string]int) (fewest, most string) {
-	fewest, most = models[0], models[0]
-	for _, model := range models {
-		if count[model] < count[fewest] {
-			fewest = model
-		}
-		if count[model] > count[most] {
-			most = model
-		}
-	}
-	return fewest, most
-}
-
 // load runs one load and logs the result. After a failure the engine gets no order
 // for failureBackoff.
 func (p *Planner) load(ctx context.Context, turn *leader.Tenure, s loadTask) {
@@ -288,6 +228,7 @@
 	}
 	p.mu.Lock()
 	delete(p.loading, s.entry.ID)
+	delete(p.silent, s.entry.ID)
 	if err != nil {
 		p.backoffUntil[s.entry.ID] = p.timers.Now().Add(failureBackoff)
 	}
--- a/internal/node/worker/worker.go
+++ b/internal/node/worker/worker.go
@@ -111,15 +111,17 @@
 	fleet := replica.NewFleet(timers, replica.Options{ColdShare: replica.Fixed(coldShare), Overcommit: 1})
 	pool := exchange.New(exchange.Options{EchoHeader: deps.Names.Request})
 	w.view = view.New(w.store, deps.Formats, p, fleet, timers, log)
+	demand := weights.NewDemand(timers)
 	w.planner = weights.New(weights.Seams{
-		Fleet: fleet, Manifest: w.view.Manifest, Report: w.duties.Report, Send: w.duties.Order,
+		Fleet: fleet, Manifest: w.view.Manifest, Report: w.duties.Report, Send: w.duties.Order, Demand: demand,
 	}, timers, log)
 	w.batches = batch.NewStore(w.store, p.MaxValueBytes)
 	w.expiry = expiry.New(w.batches, p.ResultRetention, timers, log)
 	w.runner = runner.New(runner.Seams{
 		Store: w.batches, Fleet: fleet, Pool: pool, Names: deps.Names,
 		Forwarder: forward.New(forward.Seams{Fleet: fleet, Pool: pool, Names: deps.Names, Meters: deps.Meters}, timers, log),
-		Manifest:  w.view.Manifest, ValueBytes: p.MaxValueBytes, Meters: deps.Meters, Fetch: w.fetchBatch,
+		Manifest:  w.view.Manifest, ValueBytes: p.MaxValueBytes, Meters: deps.Meters,
+		OnBatch: demand.Add, Fetch: w.fetchBatch,
 	}, timers, log)
 	w.reporter = window.NewReporter(w.store, window.Options{
 		Length: p.Window, Due: p.MaxReportDelay, Encode: w.duties.EncodeUsage, Send: w.duties.SendUsage,
--- a/internal/training/runner/job.go
+++ b/internal/training/runner/job.go
@@ -40,12 +40,17 @@
 		return
 	}
 	j := &job{batch: b, byID: map[string]*task{}, preferred: map[string]string{}, pageAdded: make(chan struct{})}
+	expected := int64(0)
 	for i := range b.Items {
 		t := &task{item: &b.Items[i], job: j}
+		expected += max(1, t.item.ExpectedTokens)
 		t.text = r.texts.take(t.item.ID, b.MinVersion)
 		j.tasks = append(j.tasks, t)
 		j.byID[t.item.ID] = t
 	}
+	if r.seams.OnBatch != nil {
+		r.seams.OnBatch(b.Model, expected)
+	}
 	// The longest items decide when a batch is complete, so they are started
 	// first. If there are more items than slots, the short ones fill the gaps.
 	sort.SliceStable(j.tasks, func(a, b int) bool { return j.tasks[a].remaining() > j.tasks[b].remaining() })
--- a/internal/training/runner/runner.go
+++ b/internal/training/runner/runner.go
@@ -54,6 +54,9 @@
 	Names      headers.Names
 	Manifest   func() *manifest.Manifest
 	ValueBytes int
+	// OnBatch is called with the model and the expected tokens of each batch; it may
+	// be nil.
+	OnBatch func(model string, tokens int64)
 	// Fetch reads a batch from the store and adds it. It is called for a batch that
 	// another process knows and this one does not; it may be nil.
 	Fetch func(ctx context.Context, id string)
