End an attempt only after its crash was reported

Cause: of two requests that fail together on an engine, one takes the digests of both for its report, the other finds none, ends and releases its reservations as a suspect before the first has made the report. The crash then counts as one beside other suspects, and the request may take down a third engine (TestCrashingRequestIsStopped, listed in KNOWN-RED.txt).

Change: the end of an attempt waits for a report that includes it.

--- a/internal/traffic/dispatch/generate.go
+++ b/internal/traffic/dispatch/generate.go
@@ -353,9 +353,7 @@
 	if g.d.engines.Dead(ctx, e.Address) {
 		g.crashedAt = g.d.timers.Now()
 		g.d.seams.Failed(e.ID, err)
-		if digests := g.d.active.markReported(e.ID); len(digests) > 0 {
-			g.d.seams.Crashed(e.ID, digests)
-		}
+		g.d.active.reportCrash(e.ID, func(digests []string) { g.d.seams.Crashed(e.ID, digests) })
 	}
 }
 
