Make no calls to the store of one's own while its path is lost

Cause: in an outage of the store each watch of each process went on trying by itself, up to ten calls a second and process.

Change: while the direct path is lost and no peer reaches the store, calls fail at once, unsent, and watches wait for the probe of the path to succeed. A call that a peer may have sent is not made again.

--- a/internal/peer/relay/route.go
+++ b/internal/peer/relay/route.go
@@ -110,6 +110,7 @@
 	mu                sync.Mutex
 	lostSince         time.Time     // when the direct path failed; zero while it works
 	directLost        chan struct{} // closed when the direct path fails
+	restored          chan struct{} // closed when the direct path works again
 	peerCooldownUntil time.Time     // no peer is asked before this time
 	lastPeer          string        // address of the peer that last made a call
 	peerUsed          bool          // a peer has made a call since the direct path was lost
@@ -140,6 +141,14 @@
 	if lost {
 		if reply, err := r.callThroughPeers(ctx, call); err == nil {
 			return reply, nil
+		} else if mayHaveSent(err) {
+			return reply, err
+		}
+		if call.Wait > 0 {
+			directLost = r.awaitDirect(ctx)
+		}
+		if directLost == nil {
+			return Reply{}, errDirectLost
 		}
 	}
 	reply, err := r.callDirect(ctx, call, directLost)
@@ -158,6 +167,29 @@
 	return reply, combine(err, peerErr)
 }
 
+// errDirectLost is the error of a call that was not made because no path to the
+// store is known to work.
+var errDirectLost = NewError(false, errors.New("no path to the store works"))
+
+// awaitDirect waits until a probe finds that the direct path works again, at most
+// for DirectTimeout, and returns a channel that is closed when it fails; nil if it
+// does not work. Watches wait so that they go on as soon as an outage ends. No call
+// makes an attempt of its own meanwhile, so that an outage does not multiply them.
+func (r *Route) awaitDirect(ctx context.Context) <-chan struct{} {
+	r.mu.Lock()
+	restored := r.restored
+	r.mu.Unlock()
+	timer := r.timers.After(DirectTimeout)
+	defer timer.Stop()
+	select {
+	case <-restored:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	directLost, _ := r.directState()
+	return directLost
+}
+
 // callDirect makes the call on this process's own connection. A watch is
 // cancelled when another call finds that the direct path is lost.
 func (r *Route) callDirect(ctx context.Context, call Call, directLost <-chan struct{}) (Reply, error) {
@@ -219,6 +251,7 @@
 	}
 	r.log.WithField("lost_ms", r.timers.Since(r.lostSince).Milliseconds()).Info("direct way to the store regained")
 	r.lostSince, r.directLost = time.Time{}, make(chan struct{})
+	close(r.restored)
 	r.setIsolated(false)
 }
 
@@ -268,6 +301,7 @@
 	}
 	r.lostSince, r.peerUsed, r.peersTried = r.timers.Now(), false, false
 	close(r.directLost)
+	r.restored = make(chan struct{})
 	entry := r.log.WithField("status", reply.Status)
 	if err != nil {
 		entry = entry.WithField(logs.Cause, err.Error())
