Probe the path to the store in proportion to the fleet

Change: the time between probes grows with the number of processes. The first process that finds the path restored tells the others, which probe at once.

--- a/cmd/wigeonpin/node.go
+++ b/cmd/wigeonpin/node.go
@@ -49,6 +49,11 @@
 	broadcastPeriod      = time.Second
 	broadcastDialTimeout = 300 * time.Millisecond
 	broadcastIdleConns   = 1
+	// restorationTopic is the topic of events that tell that the store answers
+	// again. restorationTTL is how long such an event is passed on, and the shortest
+	// time between two of them.
+	restorationTopic = "restored"
+	restorationTTL   = 2 * time.Second
 )
 
 // summaryCounters are the counters in the log line "summary". Counters without
@@ -124,9 +129,11 @@
 	if role == roleWorker {
 		slack = relay.ChainSlack
 	}
+	restored := make(chan struct{}, 1)
 	route := relay.NewRoute(relay.Seams{
 		Direct: direct.Call, Ask: relay.NewAsk(), Probe: platform.Probe(), OnDirectLost: direct.Cancel,
-		Peers: n.relayPeers, Hosts: n.watchHosts(role), HostSlack: slack,
+		OnDirectRestored: func() { notify(restored) },
+		Peers:            n.relayPeers, Hosts: n.watchHosts(role), HostSlack: slack,
 	}, n.timers, n.log)
 	n.isolated, n.isolation, n.directLost = route.Isolated, route.Isolation, route.DirectLost
 	routed := relay.NewSharedWatches(route.Call, slack+relay.DirectTimeout)
@@ -139,6 +146,7 @@
 		Neighbours: circle.Neighbours, Report: circle.Report, Peers: conn.NewPeerClient(broadcastDialTimeout, broadcastIdleConns),
 	}, n.log)
 	go func() { _ = n.broadcaster.Run(ctx) }() // runs until the process ends
+	go n.shareRestoration(ctx, restored, route.ProbeNow)
 	n.mux = http.NewServeMux()
 	n.mux.Handle(broadcast.NoticesPathPrefix, n.broadcaster.Server())
 	n.mux.Handle(relay.RelayPathPrefix, relay.NewServer(route.CallForPeer, n.peerWatches(role, direct, routed)))
@@ -147,6 +155,38 @@
 	return nil
 }
 
+// notify sends to a channel with a buffer of one, unless it is full.
+func notify(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// shareRestoration tells the other processes when the direct path to the store
+// works again, so that each of them can probe its own path rarely. It calls probe
+// when another process tells so.
+func (n *node) shareRestoration(ctx context.Context, restored <-chan struct{}, probe func()) {
+	heard := make(chan struct{}, 1)
+	n.broadcaster.Subscribe(restorationTopic, func(string, []byte) {
+		notify(heard)
+		probe()
+	})
+	var last time.Time // of the latest event
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-heard:
+			last = n.timers.Now()
+		case <-restored:
+			if n.timers.Since(last) > restorationTTL {
+				n.broadcaster.Publish(restorationTopic, n.source.Current().Name, nil, restorationTTL)
+			}
+		}
+	}
+}
+
 // peerWatches returns the function that makes shared watches for peers. A worker
 // may forward them to another process; an entry process makes them only on its
 // own connection to the store.
--- a/internal/peer/relay/route.go
+++ b/internal/peer/relay/route.go
@@ -20,6 +20,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -34,10 +35,16 @@
 	// DirectTimeout is how long a direct call may take, in addition to its Wait,
 	// before it is tried through a peer. A slow store answers within 250 ms.
 	DirectTimeout = 450 * time.Millisecond
-	// probeInterval is the time between probes of the direct path while it is
-	// lost; probeTimeout bounds one probe.
-	probeInterval = 700 * time.Millisecond
-	probeTimeout  = 350 * time.Millisecond
+	// minProbeInterval is the shortest time between probes of the direct path while
+	// it is lost; probeTimeout bounds one probe.
+	minProbeInterval = 700 * time.Millisecond
+	probeTimeout     = 350 * time.Millisecond
+	// probersPerInterval is the number of processes that together probe once each
+	// in minProbeInterval. In a larger fleet each probes less often, so that the
+	// calls of an outage do not grow with the fleet.
+	probersPerInterval = 12
+	// minForcedInterval is the shortest time between two probes that others cause.
+	minForcedInterval = 200 * time.Millisecond
 )
 
 // Call is one call to the store. Wait is how long the store may wait for a
@@ -95,9 +102,10 @@
 	// HostSlack is added to the wait of a watch to get its timeout at the host. A
 	// process that hosts watches itself must use less than those that it serves.
 	HostSlack time.Duration
-	// OnDirectLost is called when the direct path is lost; it may be nil.
-	OnDirectLost func()
-	Ask          func(ctx context.Context, address string, call Call, limit time.Duration) (Reply, error)
+	// OnDirectLost and OnDirectRestored are called when the direct path is lost and
+	// when it works again; they may be nil.
+	OnDirectLost, OnDirectRestored func()
+	Ask                            func(ctx context.Context, address string, call Call, limit time.Duration) (Reply, error)
 }
 
 // Route makes calls to the store on a path that works. It is safe for concurrent
@@ -111,6 +119,7 @@
 	lostSince         time.Time     // when the direct path failed; zero while it works
 	directLost        chan struct{} // closed when the direct path fails
 	restored          chan struct{} // closed when the direct path works again
+	probe             chan struct{} // receives a value when the path is to be probed at once
 	peerCooldownUntil time.Time     // no peer is asked before this time
 	lastPeer          string        // address of the peer that last made a call
 	peerUsed          bool          // a peer has made a call since the direct path was lost
@@ -122,7 +131,7 @@
 
 // NewRoute returns a route.
 func NewRoute(seams Seams, timers *clock.Service, log *logrus.Entry) *Route {
-	return &Route{seams: seams, timers: timers, log: log, directLost: make(chan struct{}), isolation: make(chan struct{}), hostBackoffs: map[string]hostBackoff{}}
+	return &Route{seams: seams, timers: timers, log: log, directLost: make(chan struct{}), isolation: make(chan struct{}), probe: make(chan struct{}, 1), hostBackoffs: map[string]hostBackoff{}}
 }
 
 // Call makes a call directly, or through peers while the direct path is lost. A
@@ -253,6 +262,9 @@
 	r.lostSince, r.directLost = time.Time{}, make(chan struct{})
 	close(r.restored)
 	r.setIsolated(false)
+	if r.seams.OnDirectRestored != nil {
+		go r.seams.OnDirectRestored()
+	}
 }
 
 // setIsolated must be called with mu locked.
@@ -314,10 +326,38 @@
 	go r.probePeers()
 }
 
+// probeInterval returns the time between probes of the direct path: the shortest
+// one in a small fleet, and in proportion to the number of processes in a larger
+// one.
+func (r *Route) probeInterval() time.Duration {
+	processes := 1 + len(r.seams.Peers())
+	interval := minProbeInterval * time.Duration(max(probersPerInterval, processes)) / probersPerInterval
+	return interval*3/4 + rand.N(interval/2)
+}
+
+// ProbeNow makes a process that has lost the direct path probe it at once, since
+// another process has found that the store answers.
+func (r *Route) ProbeNow() {
+	select {
+	case r.probe <- struct{}{}:
+	default:
+	}
+}
+
 // probeDirect probes the direct path until it works.
 func (r *Route) probeDirect() {
+	select {
+	case <-r.probe: // from before the loss
+	default:
+	}
 	for {
-		_ = r.timers.Sleep(context.Background(), probeInterval)
+		timer := r.timers.After(r.probeInterval())
+		select {
+		case <-timer.C:
+		case <-r.probe:
+			_ = r.timers.Sleep(context.Background(), minForcedInterval/2+rand.N(minForcedInterval/2))
+		}
+		timer.Stop()
 		if _, lost := r.directState(); !lost {
 			return
 		}
