--- a/internal/training/runner/saved.go
+++ b/internal/training/runner/saved.go
@@ -17,8 +17,10 @@
 	saveInterval = time.Second
 	// saveRetryDelay is the pause after texts could not be saved.
 	saveRetryDelay = 3 * time.Second
-	// saveTimeout bounds one write.
-	saveTimeout = 900 * time.Millisecond
+	// saveTimeout bounds one write, and savedTimeout the reading of all records. Runs
+	// wait for it, but texts that are not read take longer to generate again.
+	saveTimeout  = 900 * time.Millisecond
+	savedTimeout = 1500 * time.Millisecond
 	// saveSlots is the number of records with texts. They are written in turn.
 	saveSlots = 8
 	// minSavedEvents is the number of events from which on a text is saved.
@@ -121,6 +123,8 @@
 			return nil
 		}
 	}
+	ctx, cancel := context.WithTimeout(ctx, savedTimeout)
+	defer cancel()
 	bodies, err := r.seams.Store.Texts(ctx)
 	if err != nil {
 		r.log.WithField(logs.Cause, err.Error()).Info("saved texts not read")
--- a/internal/training/runner/standby.go
+++ b/internal/training/runner/standby.go
@@ -270,7 +270,7 @@
 	client := conn.NewPeerClient(dialTimeout, http.DefaultMaxIdleConnsPerHost)
 	var calls sync.WaitGroup
 	var saved [][]byte
-	calls.Go(func() { saved = r.readSaved(limited) })
+	calls.Go(func() { saved = r.readSaved(ctx) })
 	for _, address := range peers {
 		calls.Go(func() {
 			reply, err := NewStandbyProtobufClient("http://"+address, client).Recall(limited, &RecallRequest{})
