Let a batch wait for the return of the store

Change: an accepted connection waits for the store, without calls, up to the 2.5 s that an attempt may take; the refusal after it says truly not run. The time to come back is half of the time that the outage has lasted, 0.4 to 2 s.

--- a/cmd/wigeonpin/entry.go
+++ b/cmd/wigeonpin/entry.go
@@ -17,7 +17,7 @@
 	}
 	e := entry.New(n.source.Current(), entry.Dependencies{
 		Store: n.store, Formats: formats(), Names: platform.Headers(), API: platform.BatchAPI(), Meters: n.meters,
-		Isolated: n.isolated, Isolation: n.isolation, StoreDisconnected: n.directLost,
+		Isolated: n.isolated, Outage: n.outage, StoreDisconnected: n.directLost,
 		Workers: func() []string { return n.peers.Addresses(roleWorker) }, EntryCount: n.entryCount,
 		Breaker: breaker.New(breaker.Seams{Post: n.broadcaster.Publish, Subscribe: n.broadcaster.Subscribe}, n.timers, n.log),
 	}, n.timers, n.log)
--- a/cmd/wigeonpin/node.go
+++ b/cmd/wigeonpin/node.go
@@ -23,6 +23,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/peer/exchange"
 	"github.com/wigeonpin/wigeonpin/internal/peer/records"
 	"github.com/wigeonpin/wigeonpin/internal/peer/relay"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/front"
 	"github.com/wigeonpin/wigeonpin/internal/training/runner"
 	"github.com/wigeonpin/wigeonpin/platform"
 )
@@ -78,8 +79,7 @@
 	// availability zone can be reached. directLost reports whether the direct path
 	// to the store is known to be lost; a peer may still reach the store.
 	isolated, directLost func() bool
-	// isolation returns a channel that is closed once isolated is certain.
-	isolation func() <-chan struct{}
+	outage               front.Outage
 }
 
 // The roles of processes on the platform.
@@ -135,7 +135,8 @@
 		OnDirectRestored: func() { notify(restored) },
 		Peers:            n.relayPeers, Hosts: n.watchHosts(role), HostSlack: slack,
 	}, n.timers, n.log)
-	n.isolated, n.isolation, n.directLost = route.Isolated, route.Isolation, route.DirectLost
+	n.isolated, n.directLost = route.Isolated, route.DirectLost
+	n.outage = front.Outage{Isolation: route.Isolation, Restored: route.Restored, LostFor: route.LostFor}
 	routed := relay.NewSharedWatches(route.Call, slack+relay.DirectTimeout)
 	n.store = platform.NewStore(routed.Call)
 	self := members.Member{Name: p.Name, Address: listener.Addr().String(), Zone: p.Zone, Role: role}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -92,9 +92,8 @@
 	// can be reached. The process is then not ready, since other zones serve
 	// callers better.
 	Isolated func() bool
-	// Isolation returns a channel that is closed once it is certain that calls to
-	// the store cannot succeed.
-	Isolation func() <-chan struct{}
+	// Outage tells what is known of the path to the store.
+	Outage front.Outage
 	// StoreDisconnected reports whether the direct connection to the store is
 	// known to be down.
 	StoreDisconnected func() bool
@@ -132,7 +131,7 @@
 	}, timers, log)
 	follower := runner.NewFollower(deps.Workers)
 	f := front.New(front.Seams{
-		Manifest: v.Manifest, Ready: func() bool { return v.Synced() && !deps.Isolated() }, Isolation: deps.Isolation,
+		Manifest: v.Manifest, Ready: func() bool { return v.Synced() && !deps.Isolated() }, Outage: deps.Outage,
 		Stale: func() bool { return v.Stale() && !deps.StoreDisconnected() }, Forwarder: forwarder, Shelf: batches,
 		Reader: batch.NewReader(batches, runner.NewFinder(deps.Workers), follower.Pages, timers), Announce: follower.Announce, Names: deps.Names, API: deps.API, Meters: deps.Meters,
 		Memory: memory.NewBudget(int64(requestShare * memoryLimit)),
--- a/internal/peer/relay/route.go
+++ b/internal/peer/relay/route.go
@@ -42,7 +42,7 @@
 	// probersPerInterval is the number of processes that together probe once each
 	// in minProbeInterval. In a larger fleet each probes less often, so that the
 	// calls of an outage do not grow with the fleet.
-	probersPerInterval = 12
+	probersPerInterval = 24
 	// minForcedInterval is the shortest time between two probes that others cause.
 	minForcedInterval = 200 * time.Millisecond
 )
@@ -180,6 +180,27 @@
 // store is known to work.
 var errDirectLost = NewError(false, errors.New("no path to the store works"))
 
+// Restored returns a channel that is closed once the direct path works again, or nil
+// if it is not known to be lost.
+func (r *Route) Restored() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lostSince.IsZero() {
+		return nil
+	}
+	return r.restored
+}
+
+// LostFor returns how long the direct path has been lost, 0 while it works.
+func (r *Route) LostFor() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lostSince.IsZero() {
+		return 0
+	}
+	return r.timers.Since(r.lostSince)
+}
+
 // awaitDirect waits until a probe finds that the direct path works again, at most
 // for DirectTimeout, and returns a channel that is closed when it fails; nil if it
 // does not work. Watches wait so that they go on as soon as an outage ends. No call
--- a/internal/traffic/front/batches.go
+++ b/internal/traffic/front/batches.go
@@ -27,8 +27,10 @@
 	storeTimeout = 2500 * time.Millisecond
 	// announceTimeout bounds the call that tells the worker of an accepted batch.
 	announceTimeout = time.Second
-	// storeRetryAfter is the Retry-After delay while the store is unavailable.
-	storeRetryAfter = 400 * time.Millisecond
+	// storeRetryAfter is the Retry-After delay while the store is unavailable, and
+	// maxOutageRetryAfter the longest one in an outage.
+	storeRetryAfter     = 400 * time.Millisecond
+	maxOutageRetryAfter = 2 * time.Second
 	// isolatedRetryAfter is the Retry-After delay of a process that is cut off from
 	// the store. Processes in other availability zones can serve the call.
 	isolatedRetryAfter = 200 * time.Millisecond
@@ -36,11 +38,8 @@
 
 // isolated reports whether it is certain that calls to the store cannot succeed.
 func (f *Front) isolated() bool {
-	if f.seams.Isolation == nil {
-		return false
-	}
 	select {
-	case <-f.seams.Isolation():
+	case <-f.seams.Outage.Isolation():
 		return true
 	default:
 		return false
@@ -52,10 +51,7 @@
 // is cached here is still served.
 func (f *Front) withStoreTimeout(parent context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithTimeout(parent, storeTimeout)
-	if f.seams.Isolation == nil {
-		return ctx, cancel
-	}
-	isolation := f.seams.Isolation()
+	isolation := f.seams.Outage.Isolation()
 	go func() {
 		select {
 		case <-isolation:
@@ -97,7 +93,7 @@
 	b.ID, b.Account, b.Host, b.Path, b.Time = q.id, q.account.Name, q.host, q.path, f.timers.Now()
 	ctx, cancel := f.withStoreTimeout(context.WithoutCancel(r.Context()))
 	defer cancel()
-	err = f.seams.Shelf.Accept(ctx, b)
+	err = f.accept(ctx, b)
 	switch {
 	case err == nil:
 		f.log.WithFields(logrus.Fields{
@@ -112,10 +108,43 @@
 	case errors.Is(err, batch.ErrOtherAccount):
 		f.refuse(w, q, code.New(code.KeyForbidden, "the id belongs to another account").WithRun(code.NotRun))
 	default:
-		f.refuse(w, q, storeError(err))
+		f.refuse(w, q, f.storeError(err))
 	}
 }
 
+// accept stores a batch. While the store is out of reach, it waits for its return:
+// the caller's next attempt would meet the same outage, and its attempts are few.
+func (f *Front) accept(ctx context.Context, b *batch.Batch) error {
+	for {
+		err := f.seams.Shelf.Accept(ctx, b)
+		if !errors.Is(err, records.ErrRefused) || !f.awaitStore(ctx) {
+			return err
+		}
+	}
+}
+
+// awaitStore waits until the store can be reached again. It reports false if that
+// is not known to be impossible now, or when ctx ends first.
+func (f *Front) awaitStore(ctx context.Context) bool {
+	restored := f.seams.Outage.Restored()
+	if restored == nil {
+		return false
+	}
+	select {
+	case <-restored:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// retryAfterOutage returns when a caller is to come back that was refused because
+// the store is out of reach: the longer the outage, the longer it is expected to go
+// on.
+func (f *Front) retryAfterOutage() time.Duration {
+	return min(maxOutageRetryAfter, max(storeRetryAfter, f.seams.Outage.LostFor()/2))
+}
+
 // announce tells the worker of an accepted batch.
 func (f *Front) announce(id string) {
 	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
@@ -125,9 +154,9 @@
 
 // storeError returns the error for a failed write to the store. Only a write that
 // the store refused is certain not to take effect.
-func storeError(err error) error {
+func (f *Front) storeError(err error) error {
 	if errors.Is(err, records.ErrRefused) {
-		return code.New(code.PlatformUnavailable, "%s", err).WithRun(code.NotRun).WithRetryAfter(storeRetryAfter)
+		return code.New(code.PlatformUnavailable, "%s", err).WithRun(code.NotRun).WithRetryAfter(f.retryAfterOutage())
 	}
 	return code.New(code.DeadlinePast, "%s", err).WithRun(code.MaybeRun)
 }
@@ -220,7 +249,7 @@
 
 func (f *Front) endBatch(ctx context.Context, w http.ResponseWriter, q *callerRequest) {
 	if err := f.seams.Shelf.End(ctx, q.batch); err != nil {
-		f.refuse(w, q, storeError(err))
+		f.refuse(w, q, f.storeError(err))
 		return
 	}
 	f.log.WithFields(logrus.Fields{"batch": q.batch, logs.Account: q.account.Name}).Info("end of batch accepted")
--- a/internal/traffic/front/front.go
+++ b/internal/traffic/front/front.go
@@ -66,13 +66,21 @@
 	ReadyPath string // path of the readiness check
 }
 
+// Outage tells what is known of the path to the store. Isolation returns a channel
+// that is closed once it is certain that no process in reach can reach the store.
+// Restored returns a channel that is closed once the store can be reached again, or
+// nil if it is not known to be out of reach, and LostFor how long it has been.
+type Outage struct {
+	Isolation func() <-chan struct{}
+	Restored  func() <-chan struct{}
+	LostFor   func() time.Duration
+}
+
 // Seams are the dependencies of a Front.
 type Seams struct {
-	Manifest func() *manifest.Manifest
-	Ready    func() bool
-	// Isolation returns a channel that is closed once it is certain that calls to
-	// the store cannot succeed; it may be nil.
-	Isolation func() <-chan struct{}
+	Manifest  func() *manifest.Manifest
+	Ready     func() bool
+	Outage    Outage
 	Stale     func() bool // the keys of the manifest may be out of date after a pause of the process
 	Forwarder *forward.Forwarder
 	Shelf     *batch.Store
--- a/internal/traffic/front/front_test.go
+++ b/internal/traffic/front/front_test.go
@@ -46,7 +46,9 @@
 
 	stale     atomic.Bool
 	isolation chan struct{} // closed when calls to the store cannot succeed
-	silent    atomic.Bool   // the store does not answer
+	restored  chan struct{} // closed when the store can be reached again; nil if it can be reached
+	lostFor   time.Duration
+	silent    atomic.Bool // the store does not answer
 }
 
 // store returns the store of the ledger, which can be made silent.
@@ -98,9 +100,13 @@
 			}
 			return nil
 		},
-		Ready:     func() bool { return fx.configured.Load() && !fx.isolated.Load() },
-		Stale:     fx.stale.Load,
-		Isolation: func() <-chan struct{} { return fx.isolation },
+		Ready: func() bool { return fx.configured.Load() && !fx.isolated.Load() },
+		Stale: fx.stale.Load,
+		Outage: Outage{
+			Isolation: func() <-chan struct{} { return fx.isolation },
+			Restored:  func() <-chan struct{} { return fx.restored },
+			LostFor:   func() time.Duration { return fx.lostFor },
+		},
 		Forwarder: forward.New(forward.Seams{
 			Fleet: fleet, Pool: exchange.New(exchange.Options{EchoHeader: names.Request}), Names: names,
 		}, timers, logs.Discard()),
@@ -367,3 +373,42 @@
 		t.Errorf("answer %q, want the result that is known here", body)
 	}
 }
+
+// TestBatchWaitsForTheStore guards against trainers whose few attempts all meet one
+// outage of the store: a step was refused for good 5.7 s before the store was back
+// (a trial on kolil-hq-grown trouble-1).
+func TestBatchWaitsForTheStore(t *testing.T) {
+	fx := newFixture(t, echo)
+	fx.ledger.SetFault(ledger.Refuse)
+	fx.restored = make(chan struct{})
+	answered := make(chan int, 1)
+	go func() {
+		status, _, _, _ := fx.call(t, http.MethodPost, "/batch/x", "k1", "b1")
+		answered <- status
+	}()
+	select {
+	case status := <-answered:
+		t.Fatalf("status %d, want none before the store is back", status)
+	case <-time.After(100 * time.Millisecond):
+	}
+	fx.ledger.SetFault(ledger.None)
+	close(fx.restored)
+	if status := <-answered; status != http.StatusAccepted {
+		t.Errorf("status %d, want 202", status)
+	}
+}
+
+// TestReturnTimeFollowsTheOutage guards against callers that come back again and
+// again in a long outage, and against a batch that counts as run although the store
+// never got it.
+func TestReturnTimeFollowsTheOutage(t *testing.T) {
+	for lostFor, want := range map[time.Duration]string{0: "0.400", 2 * time.Second: "1.000", time.Minute: "2.000"} {
+		fx := newFixture(t, echo)
+		fx.ledger.SetFault(ledger.Refuse)
+		fx.lostFor = lostFor
+		status, header, body, _ := fx.call(t, http.MethodPost, "/batch/x", "k1", "b1")
+		if status != http.StatusServiceUnavailable || !strings.Contains(body, "not_run") || header.Get("Retry-After") != want {
+			t.Errorf("lost for %v: status %d, Retry-After %q, body %q, want 503, %s and not run", lostFor, status, header.Get("Retry-After"), body, want)
+		}
+	}
+}
