--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -46,7 +46,7 @@
 	// margin is added to the term by a successor and subtracted by the holder.
 	margin = 100 * time.Millisecond
 	// pollPeriod is how often a process that does not hold the role reads its
-	// record.
+	// record, besides the moment at which the holder's term ends.
 	pollPeriod = 600 * time.Millisecond
 	// releaseAfterTerms is the number of terms after which a holder may release
 	// the role before its term ends. It keeps two holders from alternating
@@ -121,7 +121,7 @@
 			c.log.WithField(logs.Cause, err.Error()).Debug("attempt to take the role failed")
 		}
 		if tenure == nil {
-			_ = c.timers.Sleep(ctx, pollPeriod)
+			_ = c.timers.Sleep(ctx, c.nextPoll())
 			continue
 		}
 		c.log.WithField(logs.Fence, tenure.Epoch).Info("role taken")
@@ -129,6 +129,16 @@
 	}
 }
 
+// nextPoll returns the time until the next attempt to take the role: the polling
+// period, or the rest of the holder's term if that ends earlier.
+func (c *Candidate) nextPoll() time.Duration {
+	rest := c.unchangedSince + c.options.Term + margin - c.uptime()
+	if c.lastRecord.Revision == 0 || rest <= 0 {
+		return pollPeriod
+	}
+	return min(rest, pollPeriod)
+}
+
 // campaign reads the record and takes the role when it is free. It returns nil
 // when another process holds the role. While the holder's term cannot have
 // expired, a stale read is enough and cheaper.
--- a/internal/control/leader/leader_test.go
+++ b/internal/control/leader/leader_test.go
@@ -201,3 +201,25 @@
 		t.Error("the role stays free")
 	}
 }
+
+// Guards against a role that stays free for most of a polling period after the term
+// of a lost holder, since a candidate polls at fixed times.
+func TestCandidatePollsWhenTheTermEnds(t *testing.T) {
+	f := newFixture()
+	f.campaign(t, f.candidate("a"))
+	b := f.candidate("b")
+	if f.campaign(t, b) != nil {
+		t.Fatal("the role was taken from its holder")
+	}
+	if got := b.nextPoll(); got != pollPeriod {
+		t.Errorf("next poll after %v at the start of the term, want %v", got, pollPeriod)
+	}
+	f.now += term + margin - 50*time.Millisecond
+	if got := b.nextPoll(); got != 50*time.Millisecond {
+		t.Errorf("next poll after %v, want at the end of the term", got)
+	}
+	f.now += 50 * time.Millisecond
+	if f.campaign(t, b) == nil {
+		t.Error("the role was not taken at the end of the term")
+	}
+}
