--- a/internal/training/runner/saved.go
+++ b/internal/training/runner/saved.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/training/batch"
 )
 
 const (
@@ -21,8 +22,6 @@
 	// wait for it, but texts that are not read take longer to generate again.
 	saveTimeout  = 900 * time.Millisecond
 	savedTimeout = 1500 * time.Millisecond
-	// saveSlots is the number of records with texts. They are written in turn.
-	saveSlots = 8
 	// minSavedEvents is the number of events from which on a text is saved.
 	minSavedEvents = 30
 )
@@ -31,7 +30,7 @@
 // again, the texts of which it held a part are saved anew as a whole.
 type savedTexts struct {
 	sent  map[string]copyState
-	slots [saveSlots][]string // items by slot
+	slots [batch.TextSlots][]string // items by slot
 	next  int
 }
 
@@ -92,7 +91,7 @@
 		return err
 	}
 	saved.slots[saved.next] = items
-	saved.next = (saved.next + 1) % saveSlots
+	saved.next = (saved.next + 1) % batch.TextSlots
 	return nil
 }
 
--- a/internal/training/runner/saved_test.go
+++ b/internal/training/runner/saved_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/wigeonpin/wigeonpin/internal/base/clock"
 	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/training/batch"
 )
 
 // newPart returns the events from+1 to to of a text, each named by its origin.
@@ -64,7 +65,7 @@
 	writer.add(ctx, b, true)
 	saved := newSavedTexts()
 	events := minSavedEvents
-	for range 3 * saveSlots {
+	for range 3 * batch.TextSlots {
 		writer.findTask("long-1").text = partText(newPart("long-1", "a", 0, events))
 		writer.findTask("short-1").text = partText(newPart("short-1", "a", 0, minSavedEvents-1))
 		if err := writer.saveSlot(ctx, saved, writer.collectUnsaved(saved, 1<<20)); err != nil {
@@ -73,8 +74,8 @@
 		events++
 	}
 	bodies, err := h.store.Texts(ctx)
-	if err != nil || len(bodies) != saveSlots {
-		t.Fatalf("%d records, error %v, want %d", len(bodies), err, saveSlots)
+	if err != nil || len(bodies) != batch.TextSlots {
+		t.Fatalf("%d records, error %v, want %d", len(bodies), err, batch.TextSlots)
 	}
 	texts := joinParts(bodies)
 	if got := len(texts["long-1"].GetPieces()); got != events-1 {
