Find another relay in a partition

Cause: the holder of the role was partitioned from the store and from all other workers while its relays were restarted one after the other. Two unreachable peers also made it count as cut off.

Change: when the peers that made calls fail, four are asked at once, and the one that reaches the store is used. The channel of an earlier test holds several values, since the peer is now asked more than once.

Not measured by itself.

--- a/internal/peer/relay/peers.go
+++ b/internal/peer/relay/peers.go
@@ -20,6 +20,10 @@
 	// zones and in this one that are asked for one call.
 	maxOtherZonePeers = 2
 	maxSameZonePeers  = 1
+	// maxProbedPeers is the number of peers in other zones that are asked at once
+	// when the direct path is lost. Several are needed to tell a zone that is cut off
+	// from a partition that some of them share.
+	maxProbedPeers = 4
 	// maxAlertedPeers is the number of peers in this zone that are told of the loss
 	// of the direct path. Each of them tells as many in turn.
 	maxAlertedPeers = 3
@@ -76,6 +80,11 @@
 	r.lastPeer = ""
 	r.peerCooldownUntil = r.timers.Now().Add(peerCooldown)
 	r.peersTried = true
+	if r.peerUsed {
+		// The store serves others, so that another peer can make the calls.
+		r.peerUsed = false
+		go r.probePeers()
+	}
 	if r.lostSince.IsZero() || r.isolated == isolated {
 		return
 	}
@@ -90,7 +99,7 @@
 		r.peerUsed = true
 		r.log.WithField(logs.Peer, address).Info("store reached through a peer")
 	}
-	r.lastPeer, r.peersTried = address, true
+	r.lastPeer, r.peersTried, r.peerCooldownUntil = address, true, time.Time{}
 	r.setIsolated(false)
 }
 
@@ -112,7 +121,7 @@
 	for _, peer := range randomPeers(sameZone, maxAlertedPeers) {
 		go func() { _, _ = r.askPeer(context.Background(), peer.Address, call, probeTimeout) }()
 	}
-	otherZone = randomPeers(otherZone, maxOtherZonePeers)
+	otherZone = randomPeers(otherZone, maxProbedPeers)
 	results := make(chan error, len(otherZone))
 	for _, peer := range otherZone {
 		go func() {
--- a/internal/peer/relay/relay_test.go
+++ b/internal/peer/relay/relay_test.go
@@ -200,7 +200,7 @@
 // if its zone is partitioned, that takes until the call to the peer times out.
 func TestIsolatedUntilAPeerAnswers(t *testing.T) {
 	var route *Route
-	isolated := make(chan bool, 1)
+	isolated := make(chan bool, 16) // the peer is asked more than once
 	mux := http.NewServeMux()
 	answer := func(context.Context, Call) (Reply, error) {
 		isolated <- route.Isolated()
@@ -255,6 +255,30 @@
 	}
 }
 
+// Guards against a process that counts as cut off, or makes no calls, because the
+// first peers that it asks share its partition: the holder of the role was partitioned
+// from the store and from all workers, and its relays were restarted one after the
+// other (kolil-hq-grown trouble-2).
+func TestOtherPeersAreFoundInAPartition(t *testing.T) {
+	closed := httptest.NewServer(http.NotFoundHandler())
+	closed.Close()
+	gone := Peer{Address: strings.TrimPrefix(closed.URL, "http://"), OtherZone: true}
+	first, second := newFakeStore("ok"), newFakeStore("unsent")
+	route := newTestRoute(newFakeStore("unsent"), gone, gone, servePeer(t, first, true), servePeer(t, second, true))
+	for _, working := range []*fakeStore{first, second, first} {
+		first.mode.Store("unsent")
+		second.mode.Store("unsent")
+		working.mode.Store("ok")
+		waitFor(t, "a peer that reaches the store is found", func() bool {
+			_, err := route.Call(context.Background(), Call{})
+			return err == nil
+		})
+		if route.Isolated() {
+			t.Error("isolated although a peer reaches the store")
+		}
+	}
+}
+
 // Guards against processes of a zone that each find out on their own that it is cut
 // off: the first one that does makes the others check their path.
 func TestLossIsFoundByTheZone(t *testing.T) {
