--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -129,11 +129,10 @@
 		Fleet: fleet, Pool: pool, Names: deps.Names, OnStart: counter.Add,
 		Memory: memory.NewBudget(int64(responseShare * memoryLimit)), Meters: deps.Meters, Breaker: deps.Breaker,
 	}, timers, log)
-	follower := runner.NewFollower(deps.Workers)
 	f := front.New(front.Seams{
 		Manifest: v.Manifest, Ready: func() bool { return v.Synced() && !deps.Isolated() }, Outage: deps.Outage,
 		Stale: func() bool { return v.Stale() && !deps.StoreDisconnected() }, Forwarder: forwarder, Shelf: batches,
-		Reader: batch.NewReader(batches, runner.NewFinder(deps.Workers), follower.Pages, timers), Announce: follower.Announce, Names: deps.Names, API: deps.API, Meters: deps.Meters,
+		Reader: batch.NewReader(batches, runner.NewFinder(deps.Workers), runner.NewFollower(deps.Workers), timers), Names: deps.Names, API: deps.API, Meters: deps.Meters,
 		Memory: memory.NewBudget(int64(requestShare * memoryLimit)),
 	}, timers, log)
 	server := callers.New(f, callers.Options{MaxConnections: maxConnections(p), IdleTimeout: idleTimeout}, timers, log)
--- a/internal/node/worker/worker.go
+++ b/internal/node/worker/worker.go
@@ -121,7 +121,7 @@
 		Store: w.batches, Fleet: fleet, Pool: pool, Names: deps.Names,
 		Forwarder: forward.New(forward.Seams{Fleet: fleet, Pool: pool, Names: deps.Names, Meters: deps.Meters}, timers, log),
 		Manifest:  w.view.Manifest, ValueBytes: p.MaxValueBytes, Meters: deps.Meters,
-		OnBatch: demand.Add, Fetch: w.fetchBatch,
+		OnBatch: demand.Add,
 	}, timers, log)
 	w.reporter = window.NewReporter(w.store, window.Options{
 		Length: p.Window, Due: p.MaxReportDelay, Encode: w.duties.EncodeUsage, Send: w.duties.SendUsage,
@@ -229,17 +229,6 @@
 	batches.Run(ctx)
 }
 
-// fetchBatch reads a batch and adds it, with the pages that it may have.
-func (w *Worker) fetchBatch(ctx context.Context, id string) {
-	b, err := w.batches.Read(ctx, id)
-	if err != nil {
-		w.log.WithFields(logrus.Fields{"batch": id, logs.Cause: err.Error()}).Warn("failed to read batch")
-		return
-	}
-	w.expiry.Accepted(b.ID, b.Time)
-	w.runner.Add(ctx, b, false)
-}
-
 // readBatch reads a batch with all its items. It retries while the store is
 // unreachable, and returns nil for an invalid record or when ctx ends.
 func (w *Worker) readBatch(ctx context.Context, record records.Record) *batch.Batch {
--- a/internal/traffic/front/batches.go
+++ b/internal/traffic/front/batches.go
@@ -25,8 +25,6 @@
 	maxResultWait = time.Second
 	// storeTimeout bounds all calls to the store for one request.
 	storeTimeout = 2500 * time.Millisecond
-	// announceTimeout bounds the call that tells the worker of an accepted batch.
-	announceTimeout = time.Second
 	// storeRetryAfter is the Retry-After delay while the store is unavailable, and
 	// maxOutageRetryAfter the longest one in an outage.
 	storeRetryAfter     = 400 * time.Millisecond
@@ -100,9 +98,6 @@
 			"batch": b.ID, logs.Account: b.Account, logs.Step: b.Step, "items": len(b.Items),
 			"took_ms": f.timers.Since(q.began).Milliseconds(),
 		}).Info("batch accepted")
-		if f.seams.Announce != nil {
-			go f.announce(b.ID)
-		}
 		f.recordServed(q, http.StatusAccepted)
 		writeBytes(w, http.StatusAccepted, nil)
 	case errors.Is(err, batch.ErrOtherAccount):
@@ -145,13 +140,6 @@
 	return min(maxOutageRetryAfter, max(storeRetryAfter, f.seams.Outage.LostFor()/2))
 }
 
-// announce tells the worker of an accepted batch.
-func (f *Front) announce(id string) {
-	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
-	defer cancel()
-	f.seams.Announce(ctx, id)
-}
-
 // storeError returns the error for a failed write to the store. Only a write that
 // the store refused is certain not to take effect.
 func (f *Front) storeError(err error) error {
--- a/internal/traffic/front/front.go
+++ b/internal/traffic/front/front.go
@@ -11,7 +11,6 @@
 package front
 
 import (
-	"context"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -85,12 +84,10 @@
 	Forwarder *forward.Forwarder
 	Shelf     *batch.Store
 	Reader    *batch.Reader
-	// Announce tells a worker of an accepted batch; it may be nil.
-	Announce func(ctx context.Context, id string)
-	Names    headers.Names
-	API      API
-	Meters   *meter.Set
-	Memory   *memory.Budget // for the bodies of requests
+	Names     headers.Names
+	API       API
+	Meters    *meter.Set
+	Memory    *memory.Budget // for the bodies of requests
 }
 
 // Front is the HTTP handler for callers.
--- a/internal/training/runner/progress.go
+++ b/internal/training/runner/progress.go
@@ -17,13 +17,6 @@
 	// peerCallTimeout bounds a call to a worker, in addition to the time that the
 	// call asks the worker to wait.
 	peerCallTimeout = 300 * time.Millisecond
-	// watchGrace is how long the watch for batches may take to return a batch that
-	// another process knows.
-	watchGrace = 100 * time.Millisecond
-	// batchWait is how long a call about an unknown batch waits for it, and
-	// batchPoll the pause between two checks.
-	batchWait = 250 * time.Millisecond
-	batchPoll = 30 * time.Millisecond
 	// noWorkerBackoff is how long no worker is called after none was active.
 	noWorkerBackoff = 500 * time.Millisecond
 )
@@ -34,9 +27,6 @@
 	wait := min(time.Duration(request.GetWait())*time.Millisecond, maxPageWait)
 	timer := h.runner.timers.After(wait)
 	defer timer.Stop()
-	if err := h.awaitBatch(ctx, request.GetBatch()); err != nil {
-		return nil, err
-	}
 	for {
 		var pageAdded <-chan struct{}
 		reply := &PagesReply{}
@@ -67,56 +57,6 @@
 	}
 }
 
-// awaitBatch waits for a batch that the active worker does not know yet, or whose
-// pages it is reading, at most for batchWait.
-func (h *peerHandler) awaitBatch(ctx context.Context, id string) error {
-	for start := h.runner.timers.Now(); h.runner.timers.Since(start) < batchWait; {
-		wait := false
-		err := h.do(ctx, func() {
-			j := h.runner.findJob(id)
-			wait = h.runner.active && (!h.runner.knows(id) || j != nil && !j.loaded)
-			h.runner.fetchIfUnknown(h.ctx, id)
-		})
-		if err != nil || !wait {
-			return err
-		}
-		if err := h.runner.timers.Sleep(ctx, batchPoll); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// fetchIfUnknown reads a batch that is unknown here although a caller waits for its
-// results. It leaves the watch for batches some time to return it first.
-func (r *Runner) fetchIfUnknown(ctx context.Context, id string) {
-	if !r.active || r.seams.Fetch == nil || r.fetching[id] || r.knows(id) {
-		return
-	}
-	r.fetching[id] = true
-	go func() {
-		if r.timers.Sleep(ctx, watchGrace) != nil {
-			return
-		}
-		unknown := make(chan bool, 1)
-		r.post(ctx, func(context.Context) { unknown <- !r.knows(id) })
-		select {
-		case fetch := <-unknown:
-			if fetch {
-				r.log.WithField("batch", id).Info("batch read that the watch did not return")
-				r.seams.Fetch(ctx, id)
-			}
-		case <-ctx.Done():
-		}
-		r.post(ctx, func(context.Context) { delete(r.fetching, id) })
-	}()
-}
-
-// knows reports whether the batch is open here, ended, or was completed recently.
-func (r *Runner) knows(id string) bool {
-	return r.ended[id] || r.findJob(id) != nil || r.doneJobs.Contains(id)
-}
-
 // Batch returns a batch that is being executed here or was completed recently.
 // The reply is empty for any other batch.
 func (h *peerHandler) Batch(ctx context.Context, request *BatchRequest) (*BatchReply, error) {
@@ -160,70 +100,41 @@
 	}
 }
 
-// Follower asks the worker that executes batches about their results.
-type Follower struct {
-	peers       func() []string
-	client      *http.Client
-	active      atomic.Pointer[string] // address of the worker that was active last
-	pausedUntil atomic.Int64           // Unix nanoseconds until which no worker is called
-}
-
-// NewFollower returns a follower. peers returns the addresses of the workers.
-func NewFollower(peers func() []string) *Follower {
-	return &Follower{peers: peers, client: conn.NewPeerClient(dialTimeout, http.DefaultMaxIdleConnsPerHost)}
-}
-
-// addresses returns the addresses of the workers, that of the active one first.
-func (f *Follower) addresses() []string {
-	addresses := f.peers()
-	if last := f.active.Load(); last != nil {
-		addresses = append([]string{*last}, addresses...)
-	}
-	return addresses
-}
-
-// Pages returns the pages of a batch after the known ones. It reports false when
-// no active worker answers.
-func (f *Follower) Pages(ctx context.Context, id string, known int, wait time.Duration) ([]batch.Page, bool) {
-	if time.Now().UnixNano() < f.pausedUntil.Load() {
-		return nil, false
-	}
-	for _, address := range f.addresses() {
-		reply, err := f.ask(ctx, address, id, known, wait)
-		if err == nil && reply.GetActive() {
-			f.active.Store(&address)
-			return decodePages(reply.GetPages())
-		}
-		if ctx.Err() != nil {
+// NewFollower returns a function that asks the worker that executes a batch for
+// the pages after the known ones. It reports false when no active worker
+// answers.
+func NewFollower(peers func() []string) batch.FollowFunc {
+	client := conn.NewPeerClient(dialTimeout, http.DefaultMaxIdleConnsPerHost)
+	var active atomic.Pointer[string]
+	var pausedUntil atomic.Int64 // Unix nanoseconds until which no worker is called
+	return func(ctx context.Context, id string, known int, wait time.Duration) ([]batch.Page, bool) {
+		if time.Now().UnixNano() < pausedUntil.Load() {
 			return nil, false
 		}
-	}
-	f.active.Store(nil)
-	f.pausedUntil.Store(time.Now().Add(noWorkerBackoff).UnixNano())
-	return nil, false
-}
-
-// Announce tells the active worker of a batch that was accepted, since its own
-// watch may be late. An active worker reads a batch that it is asked for and does
-// not know.
-func (f *Follower) Announce(ctx context.Context, id string) {
-	for _, address := range f.addresses() {
-		reply, err := f.ask(ctx, address, id, 0, 0)
-		if err == nil && reply.GetActive() {
-			f.active.Store(&address)
-			return
+		addresses := peers()
+		if last := active.Load(); last != nil {
+			addresses = append([]string{*last}, addresses...)
+		}
+		for _, address := range addresses {
+			limited, cancel := context.WithTimeout(ctx, wait+peerCallTimeout)
+			reply, err := NewProgressProtobufClient("http://"+address, client).Pages(limited, &PagesRequest{
+				Batch: id, Known: int64(known), Wait: wait.Milliseconds(),
+			})
+			cancel()
+			if err == nil && reply.GetActive() {
+				active.Store(&address)
+				return decodePages(reply.GetPages())
+			}
+			if ctx.Err() != nil {
+				return nil, false
+			}
 		}
+		active.Store(nil)
+		pausedUntil.Store(time.Now().Add(noWorkerBackoff).UnixNano())
+		return nil, false
 	}
 }
 
-func (f *Follower) ask(ctx context.Context, address, id string, known int, wait time.Duration) (*PagesReply, error) {
-	limited, cancel := context.WithTimeout(ctx, wait+peerCallTimeout)
-	defer cancel()
-	return NewProgressProtobufClient("http://"+address, f.client).Pages(limited, &PagesRequest{
-		Batch: id, Known: int64(known), Wait: wait.Milliseconds(),
-	})
-}
-
 func decodePages(encoded [][]byte) ([]batch.Page, bool) {
 	pages := make([]batch.Page, len(encoded))
 	for i, text := range encoded {
--- a/internal/training/runner/runner.go
+++ b/internal/training/runner/runner.go
@@ -57,9 +57,6 @@
 	// OnBatch is called with the model and the expected tokens of each batch; it may
 	// be nil.
 	OnBatch func(model string, tokens int64)
-	// Fetch reads a batch from the store and adds it. It is called for a batch that
-	// another process knows and this one does not; it may be nil.
-	Fetch func(ctx context.Context, id string)
 	// Meters counts the runs of items and how they end, by service. It may be nil.
 	Meters *meter.Set
 }
@@ -83,7 +80,6 @@
 	texts     *textCache
 	copied    map[string]copyState // what the standby has of each item's text
 	reach     *reach.Detector
-	fetching  map[string]bool // batches that are read because another process knows them
 	// activations counts how often the runner became active.
 	activations int
 	doneJobs    *lru.Cache[string, *job]
@@ -128,7 +124,7 @@
 	return &Runner{
 		counters: newCounters(seams.Meters),
 		doneJobs: doneJobs, incompleteGroups: incompleteGroups, seams: seams, timers: timers, log: log, calls: make(chan func(context.Context), 64),
-		ended: map[string]bool{}, fetching: map[string]bool{}, reach: reach.NewDetector(), texts: newTextCache(maxCachedTexts), copied: map[string]copyState{},
+		ended: map[string]bool{}, reach: reach.NewDetector(), texts: newTextCache(maxCachedTexts), copied: map[string]copyState{},
 	}
 }
 
