--- /dev/null
+++ b/internal/training/runner/scoring.go
@@ -0,0 +1,116 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/control/manifest"
+	"github.com/wigeonpin/wigeonpin/internal/peer/exchange"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/forward"
+	"github.com/wigeonpin/wigeonpin/internal/training/batch"
+)
+
+// scoringTimeout bounds one scoring call including all its attempts.
+const scoringTimeout = 4 * time.Second
+
+// startScoring starts the scoring call for a complete text. A text that mixes
+// weight versions is discarded instead if the route wants a single one.
+func (r *Runner) startScoring(t *task) {
+	if route, found := r.route(t.job.batch.Host, t.item.Path); found && route.SingleVersion && len(t.text.versions) > 1 {
+		t.text = text{}
+		return
+	}
+	t.state = stateScoring
+	result := batch.Result{
+		ID: t.item.ID, Done: true,
+		Output: strings.Join(t.text.pieces, "\n"), Versions: t.text.versions,
+	}
+	if t.item.Reward == nil {
+		r.completeItem(t, result)
+		return
+	}
+	jobCtx := t.job.ctx
+	go func() {
+		answer, err := r.callScorer(jobCtx, t.item.Reward)
+		r.post(jobCtx, func(context.Context) {
+			if jobCtx.Err() == nil {
+				r.scoringFinished(t, result, answer, err)
+			}
+		})
+	}()
+}
+
+// callScorer makes the scoring call and returns its answer.
+func (r *Runner) callScorer(ctx context.Context, reward *batch.Reward) (*forward.Answer, error) {
+	path, query, _ := strings.Cut(reward.Path, "?")
+	route, found := r.route(reward.Host, path)
+	if !found {
+		return nil, errors.New("no route for the scoring call")
+	}
+	names := r.seams.Names
+	answer, err := r.seams.Forwarder.Send(ctx, forward.Call{
+		ID: reward.ID, Route: asIdempotent(route), Service: route.SelectService(rand.Float64()),
+		Deadline: r.timers.Now().Add(scoringTimeout),
+		Request: exchange.Request{
+			Method: http.MethodPost, Path: path, Query: query, Host: reward.Host, Body: reward.Body,
+			Header: http.Header{http.CanonicalHeaderKey(names.Request): {reward.ID}},
+		},
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer answer.Close()
+	if answer.Rest != nil {
+		answer.Abort()
+		return nil, errLongScoringAnswer
+	}
+	return answer, nil
+}
+
+// errLongScoringAnswer is returned for a scoring answer that was not read to its
+// end. Its stamp alone does not prove that the scoring was completed.
+var errLongScoringAnswer = errors.New("the answer to the scoring call is too long")
+
+// asIdempotent returns the route with the kind Idempotent, since scoring calls
+// may be repeated.
+func asIdempotent(route manifest.Route) manifest.Route {
+	route.Kind = manifest.Idempotent
+	return route
+}
+
+// scoringFinished handles the end of a scoring call: the item is completed,
+// scored again or given up.
+func (r *Runner) scoringFinished(t *task, result batch.Result, answer *forward.Answer, err error) {
+	if t.state != stateScoring {
+		return
+	}
+	names := r.seams.Names
+	if err == nil && answer.Status < 300 {
+		result.Score = answer.Header.Get(names.Stamp)
+		r.completeItem(t, result)
+		return
+	}
+	t.state = statePending
+	t.scoringFailures++
+	t.notBefore = r.timers.Now().Add(retryDelay(t.scoringFailures))
+	r.counters.scoringFailures.Add(t.item.Reward.Host, 1)
+	cause := "unexpected status"
+	if err != nil {
+		cause = err.Error()
+	} else {
+		t.scoringErrors += answer.ServerErrors
+	}
+	r.log.WithFields(logrus.Fields{
+		logs.Request: t.item.ID, "batch": t.job.batch.ID, logs.Cause: cause, "errors": t.scoringErrors,
+	}).Info("scoring failed")
+	if route, found := r.route(t.item.Reward.Host, t.item.Reward.Path); found && t.scoringErrors >= route.Attempts {
+		r.giveUp(t, "scoring call answered with status 500")
+	}
+}
