--- a/cmd/wigeonpin/main.go
+++ b/cmd/wigeonpin/main.go
@@ -19,6 +19,7 @@
 	Entry   *entryCommand   `arg:"subcommand:entry" help:"run an entry process on the platform"`
 	Worker  *workerCommand  `arg:"subcommand:worker" help:"run a worker process on the platform"`
 	History *historyCommand `arg:"subcommand:history" help:"gather the log lines that name an id from several logs"`
+	Batches *batchesCommand `arg:"subcommand:batches" help:"tell from logs what became of each batch, and count the calls to the store"`
 	Check   *checkCommand   `arg:"subcommand:check" help:"check a settings file and show the result with all defaults"`
 	Version *versionCommand `arg:"subcommand:version" help:"show the version of this program"`
 	Account *accountCommand `arg:"subcommand:account" help:"add, change or remove client accounts"`
@@ -65,6 +66,8 @@
 		return c.Worker
 	case c.History != nil:
 		return c.History
+	case c.Batches != nil:
+		return c.Batches
 	case c.Check != nil:
 		return c.Check
 	case c.Version != nil:
