Test that nothing is called or saved at the wrong time

No call of one's own while the path to the store is lost, and saved texts from the active worker alone. The first fails with the direct call put back.

--- a/internal/peer/relay/relay_test.go
+++ b/internal/peer/relay/relay_test.go
@@ -292,6 +292,24 @@
 	waitFor(t, "the other process has found the loss", other.DirectLost)
 }
 
+// Guards against calls that each process makes on its own while it knows that the
+// store does not answer, and against one that is not refused as unsent.
+func TestNoCallsWhileThePathIsLost(t *testing.T) {
+	own := newFakeStore("refuse")
+	route := newTestRoute(own, servePeer(t, newFakeStore("refuse"), true))
+	_, _ = route.Call(context.Background(), Call{})
+	waitFor(t, "the loss is found", route.DirectLost)
+	before := own.calls.Load()
+	for range 50 {
+		if _, err := route.Call(context.Background(), Call{}); err == nil || mayHaveSent(err) {
+			t.Fatalf("error %v, want one that says that nothing was sent", err)
+		}
+	}
+	if calls := own.calls.Load() - before; calls > 5 { // the probes of the path go on
+		t.Errorf("%d calls to the store", calls)
+	}
+}
+
 // Guards against calls to the store for peers by processes that know that it does
 // not answer them: in an outage each call of one process cost up to four.
 func TestNoCallForPeersWhileThePathIsLost(t *testing.T) {
--- a/internal/training/runner/saved_test.go
+++ b/internal/training/runner/saved_test.go
@@ -86,6 +86,34 @@
 	}
 }
 
+// Guards against a worker that saves nothing, or saves while it does not hold the role.
+func TestActiveWorkerSavesLongTexts(t *testing.T) {
+	h := newHarness(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	b := newBatch("long-1")
+	h.runner.Add(ctx, b, true)
+	h.runner.post(ctx, func(context.Context) {
+		h.runner.findTask("long-1").text = partText(newPart("long-1", "a", 0, minSavedEvents))
+	})
+	go h.runner.SaveTexts(ctx)
+	time.Sleep(2 * saveInterval)
+	if bodies, err := h.store.Texts(ctx); err != nil || len(bodies) != 0 {
+		t.Errorf("%d records, error %v, want none of a standby", len(bodies), err)
+	}
+	h.runner.post(ctx, func(ctx context.Context) {
+		h.runner.recalling = true // so that the item does not run
+		h.runner.setActive(ctx, true)
+	})
+	for deadline := time.Now().Add(resultTimeout); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		bodies, err := h.store.Texts(ctx)
+		if err == nil && len(joinParts(bodies)["long-1"].GetPieces()) == minSavedEvents {
+			return
+		}
+	}
+	t.Error("the text was not saved")
+}
+
 func partText(p *Text) text {
 	return text{origin: p.GetOrigin(), pieces: p.GetPieces(), last: p.GetLast(), versions: p.GetVersions()}.withSize()
 }
