Sharpen two tests of peers and candidates

Both passed by chance or hung with their mechanism switched off; now they fail. With the mechanisms switched off one by one, each new test was seen to fail.

--- a/internal/control/leader/leader_test.go
+++ b/internal/control/leader/leader_test.go
@@ -183,7 +183,11 @@
 		tenure, _ := a.campaign(context.Background()) // a conflict, since b was first
 		taken <- tenure
 	}()
-	<-asked
+	select {
+	case <-asked:
+	case tenure := <-taken:
+		t.Fatalf("a process that is not ready got %+v at once", tenure)
+	}
 	if f.campaign(t, b) == nil {
 		t.Error("the process that is ready did not get the free role")
 	}
--- a/internal/peer/relay/relay_test.go
+++ b/internal/peer/relay/relay_test.go
@@ -263,19 +263,24 @@
 	closed := httptest.NewServer(http.NotFoundHandler())
 	closed.Close()
 	gone := Peer{Address: strings.TrimPrefix(closed.URL, "http://"), OtherZone: true}
-	first, second := newFakeStore("ok"), newFakeStore("unsent")
-	route := newTestRoute(newFakeStore("unsent"), gone, gone, servePeer(t, first, true), servePeer(t, second, true))
-	for _, working := range []*fakeStore{first, second, first} {
-		first.mode.Store("unsent")
-		second.mode.Store("unsent")
-		working.mode.Store("ok")
-		waitFor(t, "a peer that reaches the store is found", func() bool {
-			_, err := route.Call(context.Background(), Call{})
-			return err == nil
-		})
+	for range 20 { // the peers that are asked are chosen at random
+		first, second := newFakeStore("ok"), newFakeStore("unsent")
+		near, far := servePeer(t, first, true), servePeer(t, second, true)
+		route := newTestRoute(newFakeStore("unsent"), gone, gone, near, far)
+		route.markDirectLost(Reply{}, errors.New("partitioned"))
+		lastPeer := func() string {
+			route.mu.Lock()
+			defer route.mu.Unlock()
+			return route.lastPeer
+		}
+		waitFor(t, "the peer that reaches the store is found", func() bool { return lastPeer() == near.Address })
 		if route.Isolated() {
 			t.Error("isolated although a peer reaches the store")
 		}
+		first.mode.Store("unsent")
+		second.mode.Store("ok")
+		_, _ = route.Call(context.Background(), Call{}) // may fail, since the peer that it uses does
+		waitFor(t, "the other peer is found without more calls", func() bool { return lastPeer() == far.Address })
 	}
 }
 
