--- a/internal/traffic/front/batches.go
+++ b/internal/traffic/front/batches.go
@@ -118,8 +118,8 @@
 	}
 }
 
-// awaitStore waits until the store can be reached again. It reports false if that
-// is not known to be impossible now, or when ctx ends first.
+// awaitStore waits until the store can be reached again. It reports false at once if
+// the store is not known to be out of reach, and when ctx ends first.
 func (f *Front) awaitStore(ctx context.Context) bool {
 	restored := f.seams.Outage.Restored()
 	if restored == nil {
