--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,11 +18,12 @@
 type caseFunc func(r *record, trouble bool) (broken int, err error)
 
 var cases = map[string]caseFunc{
-	"route": playRoute,
-	"turns": playTurns,
-	"ids":   playIDs,
-	"pause": playPause,
-	"page":  playPage,
+	"route":  playRoute,
+	"public": playPublic,
+	"turns":  playTurns,
+	"ids":    playIDs,
+	"pause":  playPause,
+	"page":   playPage,
 }
 
 func main() {
