Find accepted batches without the manifest in force

Cause: front.admit looked for calls about batches only if the manifest in force has a route for batches on the host. Else the path was looked up as a plain one. Ruled out: worker and store, which have the batch (a restored route shows it again), and the key, which is checked later.

Change: these calls are told by method and path alone, and the stored account decides who may make them. On a host without a route for batches such a path may have a plain route: it serves the request if the caller has no such batch. A submission on a path without a route gets 202 if the batch is stored for the caller, 404 if it is not, and 504 if that is not known. A batch that was accepted before its route became public is confirmed to the holder of its account's key.

--- a/internal/traffic/front/batches.go
+++ b/internal/traffic/front/batches.go
@@ -98,8 +98,9 @@
 			"batch": b.ID, logs.Account: b.Account, logs.Step: b.Step, "items": len(b.Items),
 			"took_ms": f.timers.Since(q.began).Milliseconds(),
 		}).Info("batch accepted")
-		f.recordServed(q, http.StatusAccepted)
-		writeBytes(w, http.StatusAccepted, nil)
+		f.confirm(w, q)
+	case errors.Is(err, batch.ErrOtherAccount) && f.ownsBatch(ctx, r, q):
+		f.confirm(w, q)
 	case errors.Is(err, batch.ErrOtherAccount):
 		f.refuse(w, q, code.New(code.KeyForbidden, "the id belongs to another account").WithRun(code.NotRun))
 	default:
@@ -107,6 +108,53 @@
 	}
 }
 
+// confirm answers that the batch is stored.
+func (f *Front) confirm(w http.ResponseWriter, q *callerRequest) {
+	f.recordServed(q, http.StatusAccepted)
+	writeBytes(w, http.StatusAccepted, nil)
+}
+
+// ownsBatch reports whether the key of a submission belongs to the client account
+// whose batch has the same id. On a route that became public, a batch that was
+// accepted before is submitted again without looking at the key.
+func (f *Front) ownsBatch(ctx context.Context, r *http.Request, q *callerRequest) bool {
+	caller := *q
+	if f.authenticate(r, &caller) != nil {
+		return false
+	}
+	stored, err := f.seams.Reader.Batch(ctx, q.id)
+	return err == nil && stored.Account == caller.account.Name
+}
+
+// resubmit answers a request on a path without a route. A batch that was accepted
+// while the path had one may be submitted again, and gets the same answer as then. A
+// refusal would state that it never runs.
+func (f *Front) resubmit(w http.ResponseWriter, r *http.Request, q *callerRequest) {
+	share := f.seams.Memory.Share().WithFactor(batchCopies)
+	defer share.Release()
+	body, err := f.readBody(w, r, q, share)
+	if err != nil {
+		f.refuse(w, q, err)
+		return
+	}
+	// Only a body that submits items is worth a call to the store.
+	if b, err := f.seams.API.Decode(body); err != nil || len(b.Items) == 0 {
+		f.refuse(w, q, errNoRoute(q))
+		return
+	}
+	ctx, cancel := f.withStoreTimeout(r.Context())
+	defer cancel()
+	stored, err := f.seams.Reader.Batch(ctx, q.batch)
+	switch {
+	case err == nil && stored.Account == q.account.Name:
+		f.confirm(w, q)
+	case err == nil || errors.Is(err, records.ErrMissing):
+		f.refuse(w, q, errNoRoute(q))
+	default:
+		f.refuse(w, q, code.New(code.DeadlinePast, "it is not known whether the batch was accepted: %s", err).WithRun(code.MaybeRun))
+	}
+}
+
 // accept stores a batch. While the store is out of reach, it waits for its return:
 // the caller's next attempt would meet the same outage, and its attempts are few.
 func (f *Front) accept(ctx context.Context, b *batch.Batch) error {
@@ -159,7 +207,8 @@
 }
 
 // batchCall serves an operation on an accepted batch. A batch of another client
-// account looks like a missing one.
+// account looks like a missing one. If the caller has no such batch, the plain route
+// of the path serves the request, if it has one.
 func (f *Front) batchCall(w http.ResponseWriter, r *http.Request, q *callerRequest) {
 	ctx, cancel := f.withStoreTimeout(r.Context())
 	defer cancel()
@@ -167,6 +216,10 @@
 	if err == nil && b.Account != q.account.Name {
 		err = records.ErrMissing
 	}
+	if errors.Is(err, records.ErrMissing) && q.routed {
+		f.forward(w, r, q.withoutBatch())
+		return
+	}
 	if err != nil {
 		f.refuse(w, q, readError(err))
 		return
@@ -178,7 +231,7 @@
 		f.serveItem(w, q, b)
 	case EndBatch:
 		f.endBatch(ctx, w, q)
-	case NoBatch:
+	case NoBatch, Resubmit:
 	}
 }
 
--- a/internal/traffic/front/front.go
+++ b/internal/traffic/front/front.go
@@ -48,11 +48,14 @@
 type Operation int
 
 // The operations. NoBatch means that the request is not about an accepted batch.
+// API.Parse never returns Resubmit, the operation of a request that may submit an
+// accepted batch again whose route is gone.
 const (
 	NoBatch Operation = iota
 	ReadResults
 	ReadItem
 	EndBatch
+	Resubmit
 )
 
 // API defines the paths and encodings of the calls about batches, and the path of
@@ -139,12 +142,24 @@
 	began                 time.Time
 	manifest              *manifest.Manifest
 	route                 manifest.Route
+	routed                bool // the path has a route, which also serves calls about batches that do not exist
 	account               manifest.Account
 	operation             Operation
 	batch                 string
 	deadline              time.Time // the earlier of the caller's and the route's time limit
 }
 
+// withoutBatch returns the request as one that is not about a batch. On a public
+// route, its client account is not looked at.
+func (q *callerRequest) withoutBatch() *callerRequest {
+	plain := *q
+	plain.operation, plain.batch = NoBatch, ""
+	if q.route.Public {
+		plain.account = manifest.Account{}
+	}
+	return &plain
+}
+
 // ServeHTTP answers one request.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	limitBody(w, r)
@@ -159,6 +174,8 @@
 		return
 	}
 	switch {
+	case q.operation == Resubmit:
+		f.resubmit(w, r, q)
 	case q.operation != NoBatch:
 		f.batchCall(w, r, q)
 	case q.route.Kind == manifest.Rollout:
@@ -185,20 +202,49 @@
 	if q.manifest == nil {
 		return code.New(code.NotReady, "the configuration is not known yet").WithRun(code.NotRun).WithRetryAfter(notReadyRetryAfter)
 	}
-	if q.manifest.HasBatchRoute(q.host) {
-		q.operation, q.batch = f.seams.API.Parse(r.Method, q.path)
+	f.classify(r, q)
+	q.deadline = f.deadline(r, q)
+	if q.operation == NoBatch && !q.routed {
+		return errNoRoute(q)
 	}
-	if q.operation == NoBatch {
-		route, found := q.manifest.Route(q.host, q.path)
-		if !found {
-			return code.New(code.UnknownRoute, "no route for %s%s", q.host, q.path).WithRun(code.NotRun)
-		}
-		q.route = route
+	if q.manifest.AccountCount == 0 || (q.operation == NoBatch && q.route.Public) {
+		return nil
 	}
-	q.deadline = f.deadline(r, q)
-	if q.route.Public || q.manifest.AccountCount == 0 {
+	err := f.authenticate(r, q)
+	switch {
+	case err == nil:
+		return nil
+	case q.routed && q.route.Public:
+		q.operation, q.batch = NoBatch, "" // a caller without an account has no batches
 		return nil
+	case q.operation == Resubmit && code.Of(err).Code != code.KeysStale:
+		return errNoRoute(q)
 	}
+	return err
+}
+
+// classify finds out what the request is about. Accepted batches stay with their
+// client accounts although the operator removes or moves their routes, so the calls
+// about them are told by their path alone. On a host without a route for batches,
+// such a path may also have a plain route: it serves the request unless there is a
+// batch of the caller.
+func (f *Front) classify(r *http.Request, q *callerRequest) {
+	q.operation, q.batch = f.seams.API.Parse(r.Method, q.path)
+	if q.operation != NoBatch && q.manifest.HasBatchRoute(q.host) {
+		return
+	}
+	q.route, q.routed = q.manifest.Route(q.host, q.path)
+	if q.operation == NoBatch && !q.routed && r.Method == http.MethodPost && q.id != "" {
+		q.operation, q.batch = Resubmit, q.id
+	}
+}
+
+func errNoRoute(q *callerRequest) error {
+	return code.New(code.UnknownRoute, "no route for %s%s", q.host, q.path).WithRun(code.NotRun)
+}
+
+// authenticate finds the client account that holds the key of the request.
+func (f *Front) authenticate(r *http.Request, q *callerRequest) error {
 	if f.seams.Stale() {
 		return code.New(code.KeysStale, "the process was paused and reads the keys again").WithRun(code.NotRun).WithRetryAfter(notReadyRetryAfter)
 	}
--- a/internal/traffic/front/front_test.go
+++ b/internal/traffic/front/front_test.go
@@ -41,6 +41,7 @@
 	server     *httptest.Server
 	front      *Front
 	ledger     *ledger.Ledger
+	manifest   atomic.Pointer[manifest.Manifest] // in force
 	configured atomic.Bool
 	isolated   atomic.Bool
 
@@ -89,6 +90,7 @@
 		{Host: "h", Prefix: "/batch/", Kind: manifest.Rollout, Attempts: 2, Targets: target},
 	}, nil, []manifest.Account{{Name: "acme", Keys: []string{"k1"}}, {Name: "blue", Keys: []string{"k2"}}}, manifest.Limits{MaxBodyBytes: 1000})
 	fx := &fixture{ledger: ledger.New(), isolation: make(chan struct{})}
+	fx.manifest.Store(m)
 	fx.configured.Store(true)
 	shelf := batch.NewStore(fx.store(), 1<<20)
 	noWorkerBatch := func(context.Context, string) (*batch.Batch, bool) { return nil, false }
@@ -96,7 +98,7 @@
 	fx.front = New(Seams{
 		Manifest: func() *manifest.Manifest {
 			if fx.configured.Load() {
-				return m
+				return fx.manifest.Load()
 			}
 			return nil
 		},
@@ -127,6 +129,9 @@
 	case found && method == http.MethodDelete:
 		return EndBatch, id
 	}
+	if id, found := strings.CutPrefix(path, "/items/"); found {
+		return ReadItem, id
+	}
 	return NoBatch, ""
 }
 
@@ -134,7 +139,7 @@
 	if string(body) == "bad" {
 		return nil, errors.New("no batch")
 	}
-	return &batch.Batch{Items: []batch.Item{{ID: string(body)}}}, nil
+	return &batch.Batch{Items: []batch.Item{{ID: string(body), Body: []byte("item")}}}, nil
 }
 
 func encode(total, next int, _ []batch.Result) ([]byte, error) {
