Carry out accepted batches under the routes of their acceptance

Trainers would have seen steps without results: an item whose route the operator removed never ran, waited for a default limit of 30 s in place of the route's and was then listed as terminated; a text was complete and never scored when the scoring route was gone; a plain route that took the path over sent the items to its service; lowered limits gave items up earlier than was promised.

Cause: the runner looked up the route of each item and scoring call in the manifest in force only, by path, among routes of all kinds.

Change: the record of a batch keeps the routes of its acceptance. The manifest in force still decides where items run while it has a route for batches with their path, and a batch whose route is gone runs to its end under its own. Attempts, time limits and the single version are never less than was promised. Weights of a service that no route leads to change only between runs. Records of earlier releases have no routes and run as before.

--- a/internal/control/manifest/manifest.go
+++ b/internal/control/manifest/manifest.go
@@ -49,6 +49,24 @@
 	ItemTimeout        time.Duration // time from a batch's acceptance until an unfinished item is given up
 }
 
+// WithPromises returns the route for work that was accepted under an earlier version
+// of it. What the caller was promised at the acceptance holds although the operator
+// has changed it since; the targets are those of this version.
+func (r Route) WithPromises(accepted Route) Route {
+	r.Attempts = max(r.Attempts, accepted.Attempts)
+	r.ItemTimeout = max(r.ItemTimeout, accepted.ItemTimeout)
+	r.SingleVersion = r.SingleVersion || accepted.SingleVersion
+	if accepted.BatchDeadline > 0 {
+		r.BatchDeadline = accepted.BatchDeadline
+	}
+	return r
+}
+
+// Matches reports whether the route serves the path of the host.
+func (r Route) Matches(host, path string) bool {
+	return r.Host == host && strings.HasPrefix(path, r.Prefix)
+}
+
 // Repeatable reports whether a request that may have run can be sent again.
 func (r Route) Repeatable() bool {
 	return r.Kind == Idempotent || r.Kind == Rollout || r.Resumable
@@ -130,7 +148,19 @@
 // Route returns the route with the longest prefix that begins the path.
 func (m *Manifest) Route(host, path string) (Route, bool) {
 	for _, r := range m.routes[host] {
-		if strings.HasPrefix(path, r.Prefix) {
+		if r.Matches(host, path) {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
+
+// BatchRoute returns the route for batches with the longest prefix that begins the
+// path. Routes of other kinds are passed over: the items of a batch run at the
+// services of its own route.
+func (m *Manifest) BatchRoute(host, path string) (Route, bool) {
+	for _, r := range m.routes[host] {
+		if r.Kind == Rollout && r.Matches(host, path) {
 			return r, true
 		}
 	}
@@ -170,17 +200,23 @@
 	return a, found
 }
 
-// SingleVersion reports whether a route to the service requires that each
-// sample is made under one weight version.
+// SingleVersion reports whether samples of the service may have to be made under one
+// weight version: if a route to the service requires it, or if no route leads there
+// any more, since accepted batches whose route is gone may require it.
 func (m *Manifest) SingleVersion(service string) bool {
+	routed := false
 	for _, routes := range m.routes {
 		for _, r := range routes {
 			for _, t := range r.Targets {
-				if r.SingleVersion && t.Service == service {
+				if t.Service != service {
+					continue
+				}
+				if r.SingleVersion {
 					return true
 				}
+				routed = true
 			}
 		}
 	}
-	return false
+	return !routed
 }
--- a/internal/traffic/front/batches.go
+++ b/internal/traffic/front/batches.go
@@ -89,6 +89,7 @@
 		return
 	}
 	b.ID, b.Account, b.Host, b.Path, b.Time = q.id, q.account.Name, q.host, q.path, f.timers.Now()
+	b.Routes = batch.RoutesOf(q.manifest, b)
 	ctx, cancel := f.withStoreTimeout(context.WithoutCancel(r.Context()))
 	defer cancel()
 	err = f.accept(ctx, b)
--- a/internal/training/batch/batch.go
+++ b/internal/training/batch/batch.go
@@ -65,7 +65,8 @@
 
 // Batch is one submission of a trainer. MinVersion is the lowest weight version
 // that may generate its tokens. WantedGroups is the number of complete groups
-// that the trainer waits for.
+// that the trainer waits for. Routes are those of its acceptance; a batch that an
+// earlier release accepted has none.
 type Batch struct {
 	ID           string    `json:"id"`
 	Account      string    `json:"account"`
@@ -76,6 +77,7 @@
 	Model        string    `json:"model"`
 	MinVersion   int64     `json:"oldest"`
 	WantedGroups int       `json:"wanted"`
+	Routes       Routes    `json:"routes,omitempty"`
 	Items        []Item    `json:"items"`
 	Parts        int       `json:"parts,omitempty"` // number of records with further items
 }
--- a/internal/training/runner/engine_test.go
+++ b/internal/training/runner/engine_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -29,6 +30,7 @@
 	version      int64
 	runs         map[string]int
 	lastEventIDs map[string][]string // Last-Event-Id of each run
+	endpoints    map[string][]string // endpoint of each run
 	crashes      map[string]int      // broken runs without any event, by endpoint
 	firstRun     map[string]time.Time
 	halfway      chan struct{} // closed when half of the events of a "held" item are sent
@@ -72,7 +74,7 @@
 
 func newEngine() *engine {
 	return &engine{
-		version: 5, runs: map[string]int{}, lastEventIDs: map[string][]string{}, crashes: map[string]int{},
+		version: 5, runs: map[string]int{}, lastEventIDs: map[string][]string{}, endpoints: map[string][]string{}, crashes: map[string]int{},
 		firstRun: map[string]time.Time{}, endedBy: map[string]map[string]bool{}, suspectRuns: map[string]int{},
 	}
 }
@@ -101,10 +103,18 @@
 	return len(e.crashes)
 }
 
-func (e *engine) beginRun(id, last string) (run int, version int64) {
+// endpointsOf returns the endpoints that ran an item.
+func (e *engine) endpointsOf(id string) []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.endpoints[id])
+}
+
+func (e *engine) beginRun(id, endpoint, last string) (run int, version int64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.runs[id]++
+	e.endpoints[id] = append(e.endpoints[id], endpoint)
 	e.lastEventIDs[id] = append(e.lastEventIDs[id], last)
 	return e.runs[id], e.version
 }
@@ -113,7 +123,7 @@
 	id := r.Header.Get(names.Request)
 	w.Header().Set(names.Request, id)
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	run, version := e.beginRun(id, r.Header.Get("Last-Event-Id"))
+	run, version := e.beginRun(id, r.Header.Get(names.Endpoint), r.Header.Get("Last-Event-Id"))
 	fault := strings.SplitN(id, "-", 2)[0]
 	if fault == "lost" && strings.HasSuffix(id, "-reward") && e.sinceFirstRun(id) < lostTime {
 		panic(http.ErrAbortHandler)
--- a/internal/training/runner/job.go
+++ b/internal/training/runner/job.go
@@ -82,7 +82,7 @@
 func (r *Runner) load(ctx context.Context, j *job, fresh bool) {
 	j.ctx, j.cancel = context.WithCancel(ctx)
 	j.progress, j.schedule = r.newProgress(j.batch), listing.Schedule{Accepted: j.batch.Time}
-	if route, found := r.route(j.batch.Host, j.batch.Path); found {
+	if route, found := r.batchRoute(j.batch, j.batch.Path); found {
 		j.schedule.Due = route.BatchDeadline
 	}
 	if fresh {
--- a/internal/training/runner/moves.go
+++ b/internal/training/runner/moves.go
@@ -30,7 +30,7 @@
 	if t.moves >= maxMoves {
 		return false
 	}
-	route, found := r.route(t.job.batch.Host, t.item.Path)
+	route, found := r.batchRoute(t.job.batch, t.item.Path)
 	if !found || route.SingleVersion {
 		return false
 	}
--- a/internal/training/runner/schedule.go
+++ b/internal/training/runner/schedule.go
@@ -38,7 +38,7 @@
 
 // tryStart starts a run of the item and reports whether there was a free slot.
 func (r *Runner) tryStart(t *task) bool {
-	route, found := r.route(t.job.batch.Host, t.item.Path)
+	route, found := r.batchRoute(t.job.batch, t.item.Path)
 	if !found {
 		return false
 	}
--- a/internal/training/runner/scoring.go
+++ b/internal/training/runner/scoring.go
@@ -23,7 +23,7 @@
 // startScoring starts the scoring call for a complete text. A text that mixes
 // weight versions is discarded instead if the route wants a single one.
 func (r *Runner) startScoring(t *task) {
-	if route, found := r.route(t.job.batch.Host, t.item.Path); found && route.SingleVersion && len(t.text.versions) > 1 {
+	if route, found := r.batchRoute(t.job.batch, t.item.Path); found && route.SingleVersion && len(t.text.versions) > 1 {
 		t.text = text{}
 		return
 	}
@@ -38,7 +38,7 @@
 	}
 	jobCtx := t.job.ctx
 	go func() {
-		answer, err := r.callScorer(jobCtx, t.item.Reward)
+		answer, err := r.callScorer(jobCtx, t.job.batch, t.item.Reward)
 		r.post(jobCtx, func(context.Context) {
 			if jobCtx.Err() == nil {
 				r.scoringFinished(t, result, answer, err)
@@ -48,9 +48,9 @@
 }
 
 // callScorer makes the scoring call and returns its answer.
-func (r *Runner) callScorer(ctx context.Context, reward *batch.Reward) (*forward.Answer, error) {
+func (r *Runner) callScorer(ctx context.Context, b *batch.Batch, reward *batch.Reward) (*forward.Answer, error) {
 	path, query, _ := strings.Cut(reward.Path, "?")
-	route, found := r.route(reward.Host, path)
+	route, found := r.scoringRoute(b, reward)
 	if !found {
 		return nil, errors.New("no route for the scoring call")
 	}
@@ -110,7 +110,7 @@
 	r.log.WithFields(logrus.Fields{
 		logs.Request: t.item.ID, "batch": t.job.batch.ID, logs.Cause: cause, "errors": t.scoringErrors,
 	}).Info("scoring failed")
-	if route, found := r.route(t.item.Reward.Host, t.item.Reward.Path); found && t.scoringErrors >= route.Attempts {
+	if route, found := r.scoringRoute(t.job.batch, t.item.Reward); found && t.scoringErrors >= route.Attempts {
 		r.giveUp(t, "scoring call answered with status 500")
 	}
 }
--- a/internal/training/runner/task.go
+++ b/internal/training/runner/task.go
@@ -14,7 +14,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/wigeonpin/wigeonpin/internal/base/logs"
-	"github.com/wigeonpin/wigeonpin/internal/control/manifest"
 	"github.com/wigeonpin/wigeonpin/internal/fleet/replica"
 	"github.com/wigeonpin/wigeonpin/internal/peer/exchange"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/headers"
@@ -208,21 +207,12 @@
 // timeLeft returns the time until the item is given up.
 func (r *Runner) timeLeft(t *task) time.Duration {
 	patience := 30 * time.Second
-	if route, found := r.route(t.job.batch.Host, t.item.Path); found && route.ItemTimeout > 0 {
+	if route, found := r.batchRoute(t.job.batch, t.item.Path); found && route.ItemTimeout > 0 {
 		patience = route.ItemTimeout
 	}
 	return t.job.batch.Time.Add(patience).Sub(r.timers.Now())
 }
 
-func (r *Runner) route(host, path string) (manifest.Route, bool) {
-	m := r.seams.Manifest()
-	if m == nil {
-		return manifest.Route{}, false
-	}
-	path, _, _ = strings.Cut(path, "?")
-	return m.Route(host, path)
-}
-
 // runFinished handles the end of a run: the item is scored, retried or given up.
 func (r *Runner) runFinished(t *task, e replica.Entry, generated text, version int64, err error) {
 	if t.state != stateRunning {
@@ -261,7 +251,7 @@
 	case errors.Is(err, errEngineError):
 		t.engineErrors++
 		t.notBefore = now.Add(failureRetryDelay)
-		if route, found := r.route(t.job.batch.Host, t.item.Path); found && t.engineErrors >= route.Attempts {
+		if route, found := r.batchRoute(t.job.batch, t.item.Path); found && t.engineErrors >= route.Attempts {
 			r.giveUp(t, "status 500")
 		}
 	default:
