Require keys when the last client account is gone

Once the operator had removed the last client account, all requests of routes that are not public ran without a key and without an account, and the account's accepted batches looked missing (404) instead of locked (401).

Cause: a manifest whose list of accounts is empty was treated like one without the list.

Change: only a manifest without the list needs no keys.

Tests: TestKeysAreNeededWithoutAccounts and the end of testdata/accepted/account. Both failed with the former condition (number of accounts above 0).

--- a/internal/control/manifest/manifest.go
+++ b/internal/control/manifest/manifest.go
@@ -113,19 +113,20 @@
 
 // Manifest is one version of the configuration.
 type Manifest struct {
-	Version      int64
-	Limits       Limits
-	AccountCount int // number of client accounts
-	routes       map[string][]Route
-	services     map[string]Service
-	keys         map[[sha256.Size]byte]Account
+	Version  int64
+	Limits   Limits
+	Keyed    bool // requests need keys, but for those of public routes
+	routes   map[string][]Route
+	services map[string]Service
+	keys     map[[sha256.Size]byte]Account
 }
 
 // New returns a manifest with the given version and content. It keeps only the
-// digests of the accounts' keys.
+// digests of the accounts' keys. With accounts nil, requests need no keys; with an
+// empty list they need keys that no account holds.
 func New(version int64, routes []Route, services []Service, accounts []Account, limits Limits) *Manifest {
 	m := &Manifest{
-		Version: version, Limits: limits, AccountCount: len(accounts),
+		Version: version, Limits: limits, Keyed: accounts != nil,
 		routes: map[string][]Route{}, services: map[string]Service{}, keys: map[[sha256.Size]byte]Account{},
 	}
 	for _, r := range routes {
--- a/internal/traffic/front/front.go
+++ b/internal/traffic/front/front.go
@@ -207,7 +207,7 @@
 	if q.operation == NoBatch && !q.routed {
 		return errNoRoute(q)
 	}
-	if q.manifest.AccountCount == 0 || (q.operation == NoBatch && q.route.Public) {
+	if !q.manifest.Keyed || (q.operation == NoBatch && q.route.Public) {
 		return nil
 	}
 	err := f.authenticate(r, q)
