Read the lists of the stand-alone instance although one entry cannot be read

Change: the splitting of texts moves to package codec, and the clients of both lists decode each entry by itself.

--- a/platform/split.go
+++ b/internal/base/codec/split.go
@@ -1,4 +1,4 @@
-package platform
+package codec
 
 import (
 	"encoding/json"
@@ -6,9 +6,9 @@
 	"github.com/rotisserie/eris"
 )
 
-// A list of the store holds entries of other writers. encoding/json rejects a whole
-// text for one entry that it cannot read, for example one that is nested more than
-// 10,000 levels deep. The functions of this file find the parts of a text by its
+// A list of an external system holds entries of other writers. encoding/json rejects
+// a whole text for one entry that it cannot read, for example one that is nested more
+// than 10,000 levels deep. The functions of this file find the parts of a text by its
 // brackets and strings alone, at any depth, so that each entry is decoded by itself.
 
 // errUnbalanced is returned for a text that ends within a value.
@@ -20,9 +20,9 @@
 	at   int
 }
 
-// splitObject calls onMember for each member of a JSON object. The value is not
+// SplitObject calls onMember for each member of a JSON object. The value is not
 // checked.
-func splitObject(text []byte, onMember func(key string, value json.RawMessage)) error {
+func SplitObject(text []byte, onMember func(key string, value json.RawMessage)) error {
 	s := &splitter{text: text}
 	return s.split('{', '}', func() error {
 		quoted, err := s.value()
@@ -44,9 +44,9 @@
 	})
 }
 
-// splitArray returns the elements of a JSON array. They are not checked. Null has no
+// SplitArray returns the elements of a JSON array. They are not checked. Null has no
 // elements.
-func splitArray(text []byte) ([]json.RawMessage, error) {
+func SplitArray(text []byte) ([]json.RawMessage, error) {
 	if len(text) == 0 || string(text) == "null" {
 		return nil, nil
 	}
--- a/internal/peer/capacity/capacity.go
+++ b/internal/peer/capacity/capacity.go
@@ -57,8 +57,12 @@
 // it waits up to wait for a change. With revision 0 it returns the whole list.
 func (c *Client) Watch(ctx context.Context, after uint64, wait time.Duration) (roster.Page, error) {
 	query := url.Values{"after": {strconv.FormatUint(after, 10)}, "wait": {strconv.FormatFloat(wait.Seconds(), 'f', -1, 64)}}
-	page, err := codec.Call[roster.Page](ctx, c.client, http.MethodGet,
+	body, err := codec.Exchange(ctx, c.client, http.MethodGet,
 		fmt.Sprintf("http://%s/v1/endpoints?%s", c.address, query.Encode()), nil, nil)
+	if err != nil {
+		return roster.Page{}, eris.Wrap(err, "endpoint list")
+	}
+	page, err := decodePage(body)
 	page.Full = after == 0
 	return page, eris.Wrap(err, "endpoint list")
 }
--- a/internal/peer/objects/objects.go
+++ b/internal/peer/objects/objects.go
@@ -20,6 +20,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -178,14 +179,31 @@
 	return &conflictError{current: current}
 }
 
-type instanceList struct {
-	Instances []member.Instance `json:"instances"`
-}
-
-// Instances returns the platform's list of instances.
+// Instances returns the platform's list of instances. An entry that cannot be read,
+// for example of another writer, names no instance and does not affect the others.
 func (c *Client) Instances(ctx context.Context) ([]member.Instance, error) {
-	list, err := call[instanceList](ctx, c, 0, http.MethodGet, c.base+"/v1/instances", nil)
-	return list.Instances, err
+	body, err := c.exchange(ctx, 0, http.MethodGet, c.base+"/v1/instances", nil)
+	if err != nil {
+		return nil, err
+	}
+	var entries []json.RawMessage
+	var invalid error
+	err = codec.SplitObject(body, func(key string, value json.RawMessage) {
+		if key == "instances" {
+			entries, invalid = codec.SplitArray(value)
+		}
+	})
+	if err = errors.Join(err, invalid); err != nil {
+		return nil, &callError{cause: eris.Wrap(err, "decode instance list")}
+	}
+	var list []member.Instance
+	for _, entry := range entries {
+		var i member.Instance
+		if json.Unmarshal(entry, &i) == nil && i.ID != "" {
+			list = append(list, i)
+		}
+	}
+	return list, nil
 }
 
 // Register adds or updates an instance in the platform's list.
@@ -198,21 +216,13 @@
 	return err
 }
 
-// call sends one request, with a timeout on the client's timer service. Errors
-// have the code platform_unavailable and keep their cause in the chain.
+// call sends one request and decodes the response. Errors have the code
+// platform_unavailable and keep their cause in the chain.
 func call[Response any](ctx context.Context, c *Client, wait time.Duration, method, address string, body []byte) (Response, error) {
 	var response Response
-	ctx, cancel := c.timers.WithTimeout(ctx, wait+callTimeout)
-	defer cancel()
-	var raw []byte
-	var err error
-	if body == nil {
-		raw, err = codec.Exchange(ctx, c.http, method, address, nil, nil)
-	} else {
-		raw, err = codec.Exchange(ctx, c.http, method, address, nil, bytes.NewReader(body))
-	}
+	raw, err := c.exchange(ctx, wait, method, address, body)
 	if err != nil {
-		return response, &callError{cause: err}
+		return response, err
 	}
 	if len(raw) == 0 {
 		return response, nil
@@ -223,6 +233,22 @@
 	return response, nil
 }
 
+// exchange sends one request, with a timeout on the client's timer service, and
+// returns the body of the response. Its errors are as those of call.
+func (c *Client) exchange(ctx context.Context, wait time.Duration, method, address string, body []byte) ([]byte, error) {
+	ctx, cancel := c.timers.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	var reader io.Reader
+	if body != nil {
+		reader = bytes.NewReader(body)
+	}
+	raw, err := codec.Exchange(ctx, c.http, method, address, nil, reader)
+	if err != nil {
+		return nil, &callError{cause: err}
+	}
+	return raw, nil
+}
+
 // callError gives a failed call the code platform_unavailable.
 type callError struct{ cause error }
 
--- a/internal/peer/objects/objects_test.go
+++ b/internal/peer/objects/objects_test.go
@@ -89,3 +89,23 @@
 		t.Errorf("call without a response ended with error %v, want one that leaves the outcome open", err)
 	}
 }
+
+// Guards against an instance list that cannot be read, so that membership is frozen,
+// for one entry that another writer has left in it.
+func TestOneOddInstanceDoesNotSpoilTheOthers(t *testing.T) {
+	for name, odd := range map[string]string{
+		"nested":           `{"id":"odd","x":` + strings.Repeat("[", 400_000) + strings.Repeat("]", 400_000) + `}`,
+		"number too large": `{"id":"odd","zone":1e400}`, "wrong type": `{"id":["odd"]}`, "no object": `7`,
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write([]byte(`{"instances":[{"id":"a","zone":"z"},` + odd + `,{"id":"b","zone":"z"}]}`))
+		}))
+		client := New(strings.TrimPrefix(server.URL, "http://"), clock.NewSystem())
+		list, err := client.Instances(context.Background())
+		if err != nil || len(list) != 2 || list[0].ID != "a" || list[1].ID != "b" {
+			t.Errorf("%s: instances %+v, error %v", name, list, err)
+		}
+		client.Close()
+		server.Close()
+	}
+}
