--- a/internal/peer/exchange/half_head_test.go
+++ b/internal/peer/exchange/half_head_test.go
@@ -27,7 +27,7 @@
 	for name, head := range heads {
 		t.Run(name, func(t *testing.T) {
 			var cut atomic.Int64
-			p := newPeer(t, func(number int, r *http.Request) (string, bool) {
+			p := newPeer(t, func(_ int, r *http.Request) (string, bool) {
 				id := r.Header.Get(echoHeader)
 				if strings.HasPrefix(id, "warm") {
 					return answerText(id, "ok"), true
