--- /dev/null
+++ b/internal/traffic/front/admit.go
@@ -0,0 +1,125 @@
+package front
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/code"
+	"github.com/wigeonpin/wigeonpin/internal/control/manifest"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/headers"
+)
+
+// callerRequest is what is known of a caller's request. parseRequest fills the
+// first fields, admit the others.
+type callerRequest struct {
+	id, host, path, query string
+	began                 time.Time
+	manifest              *manifest.Manifest
+	route                 manifest.Route
+	routed                bool // route is set; for a call about a batch, it is the plain route of the same path
+	account               manifest.Account
+	operation             Operation
+	batch                 string
+	deadline              time.Time // the earlier of the caller's and the route's time limit
+}
+
+// withoutBatch returns the request as one that is not about a batch. On a public
+// route, its client account is not looked at.
+func (q *callerRequest) withoutBatch() *callerRequest {
+	plain := *q
+	plain.operation, plain.batch = NoBatch, ""
+	if q.route.Public {
+		plain.account = manifest.Account{}
+	}
+	return &plain
+}
+
+func (f *Front) parseRequest(r *http.Request) *callerRequest {
+	path, query, _ := strings.Cut(r.RequestURI, "?")
+	if !strings.HasPrefix(path, "/") {
+		path = r.URL.EscapedPath()
+	}
+	return &callerRequest{
+		id: r.Header.Get(f.seams.Names.Request), host: r.Host, path: path, query: query,
+		began: f.timers.Now(), manifest: f.seams.Manifest(),
+	}
+}
+
+// admit finds the route and the client account of a request, or the operation on
+// a batch. Its errors state that the request did not run.
+func (f *Front) admit(r *http.Request, q *callerRequest) error {
+	if q.manifest == nil {
+		return code.New(code.NotReady, "the configuration is not known yet").WithRun(code.NotRun).WithRetryAfter(notReadyRetryAfter)
+	}
+	f.classify(r, q)
+	q.deadline = f.deadline(r, q)
+	if q.operation == NoBatch && !q.routed {
+		return errNoRoute(q)
+	}
+	if !q.manifest.Keyed || (q.operation == NoBatch && q.route.Public) {
+		return nil
+	}
+	err := f.authenticate(r, q)
+	if err == nil || code.Of(err).Code == code.KeysStale {
+		return err
+	}
+	// A caller without a client account has no batches.
+	switch {
+	case q.operation == Resubmit:
+		return errNoRoute(q)
+	case q.routed && q.route.Public:
+		q.operation, q.batch = NoBatch, ""
+		return nil
+	}
+	return err
+}
+
+// classify finds out what the request is about. Accepted batches stay with their
+// client accounts although the operator removes or moves their routes, so the calls
+// about them are told by their path alone. On a host without a route for batches,
+// such a path may also have a plain route: it serves the request unless there is a
+// batch of the caller.
+func (f *Front) classify(r *http.Request, q *callerRequest) {
+	q.operation, q.batch = f.seams.API.Parse(r.Method, q.path)
+	if q.operation != NoBatch && q.manifest.HasBatchRoute(q.host) {
+		return
+	}
+	q.route, q.routed = q.manifest.Route(q.host, q.path)
+	if q.operation == NoBatch && !q.routed && r.Method == http.MethodPost && q.id != "" {
+		q.operation, q.batch = Resubmit, q.id
+	}
+}
+
+func errNoRoute(q *callerRequest) error {
+	return code.New(code.UnknownRoute, "no route for %s%s", q.host, q.path).WithRun(code.NotRun)
+}
+
+// authenticate finds the client account that holds the key of the request.
+func (f *Front) authenticate(r *http.Request, q *callerRequest) error {
+	if f.seams.Stale() {
+		return code.New(code.KeysStale, "the process was paused and reads the keys again").WithRun(code.NotRun).WithRetryAfter(notReadyRetryAfter)
+	}
+	key, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !found || key == "" {
+		return code.New(code.KeyMissing, "the route needs a key").WithRun(code.NotRun)
+	}
+	q.account, found = q.manifest.Account(key)
+	if !found {
+		return code.New(code.KeyUnknown, "no client account has this key").WithRun(code.NotRun)
+	}
+	return nil
+}
+
+// deadline returns when the time limit of the caller or, if shorter, that of the
+// route ends. The route's limit does not apply to rollouts.
+func (f *Front) deadline(r *http.Request, q *callerRequest) time.Time {
+	limit, found := headers.Millis(r.Header, f.seams.Names.Deadline)
+	if !found || limit <= 0 {
+		limit = defaultTimeout
+	}
+	if q.route.Timeout > 0 && q.route.Kind != manifest.Rollout {
+		limit = min(limit, q.route.Timeout)
+	}
+	return q.began.Add(limit)
+}
--- /dev/null
+++ b/internal/traffic/front/submit.go
@@ -0,0 +1,131 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/code"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/peer/records"
+	"github.com/wigeonpin/wigeonpin/internal/training/batch"
+)
+
+// submit accepts a batch. It answers 202 only after the batch is stored, and 503
+// only when the batch is not stored and never will be.
+func (f *Front) submit(w http.ResponseWriter, r *http.Request, q *callerRequest) {
+	if r.Method != http.MethodPost || q.id == "" {
+		f.refuse(w, q, code.New(code.BadRequest, "a batch is a POST with an id").WithRun(code.NotRun))
+		return
+	}
+	if f.isolated() {
+		f.refuse(w, q, errIsolated())
+		return
+	}
+	share := f.seams.Memory.Share().WithFactor(batchCopies)
+	defer share.Release()
+	body, err := f.readBody(w, r, q, share)
+	if err != nil {
+		f.refuse(w, q, err)
+		return
+	}
+	b, err := f.seams.API.Decode(body)
+	if err != nil {
+		f.refuse(w, q, code.New(code.BadRequest, "%s", err).WithRun(code.NotRun))
+		return
+	}
+	b.ID, b.Account, b.Host, b.Path, b.Time = q.id, q.account.Name, q.host, q.path, f.timers.Now()
+	b.Routes = batch.RoutesOf(q.manifest, b)
+	ctx, cancel := f.withStoreTimeout(context.WithoutCancel(r.Context()))
+	defer cancel()
+	err = f.accept(ctx, b)
+	switch {
+	case err == nil:
+		f.log.WithFields(logrus.Fields{
+			"batch": b.ID, logs.Account: b.Account, logs.Step: b.Step, "items": len(b.Items),
+			"took_ms": f.timers.Since(q.began).Milliseconds(),
+		}).Info("batch accepted")
+		f.confirm(w, q)
+	case errors.Is(err, batch.ErrOtherAccount) && f.ownsBatch(ctx, r, q):
+		f.confirm(w, q)
+	case errors.Is(err, batch.ErrOtherAccount):
+		f.refuse(w, q, code.New(code.KeyForbidden, "the id belongs to another account").WithRun(code.NotRun))
+	default:
+		f.refuse(w, q, f.storeError(err))
+	}
+}
+
+// confirm answers that the batch is stored.
+func (f *Front) confirm(w http.ResponseWriter, q *callerRequest) {
+	f.recordServed(q, http.StatusAccepted)
+	writeBytes(w, http.StatusAccepted, nil)
+}
+
+// ownsBatch reports whether the key of a submission belongs to the client account
+// whose batch has the same id. On a route that became public, a batch that was
+// accepted before is submitted again without looking at the key.
+func (f *Front) ownsBatch(ctx context.Context, r *http.Request, q *callerRequest) bool {
+	caller := *q
+	if f.authenticate(r, &caller) != nil {
+		return false
+	}
+	stored, err := f.seams.Reader.Batch(ctx, q.id)
+	return err == nil && stored.Account == caller.account.Name
+}
+
+// resubmit answers a request on a path without a route. A batch that was accepted
+// while the path had one may be submitted again, and gets the same answer as then. A
+// refusal would state that it never runs.
+func (f *Front) resubmit(w http.ResponseWriter, r *http.Request, q *callerRequest) {
+	share := f.seams.Memory.Share().WithFactor(batchCopies)
+	defer share.Release()
+	body, err := f.readBody(w, r, q, share)
+	if err != nil {
+		f.refuse(w, q, err)
+		return
+	}
+	// Only a body that submits items is worth a call to the store.
+	if b, err := f.seams.API.Decode(body); err != nil || len(b.Items) == 0 {
+		f.refuse(w, q, errNoRoute(q))
+		return
+	}
+	ctx, cancel := f.withStoreTimeout(r.Context())
+	defer cancel()
+	stored, err := f.seams.Reader.Batch(ctx, q.batch)
+	switch {
+	case err == nil && stored.Account == q.account.Name:
+		f.confirm(w, q)
+	case err == nil || errors.Is(err, records.ErrMissing):
+		f.refuse(w, q, errNoRoute(q))
+	default:
+		f.refuse(w, q, code.New(code.DeadlinePast, "it is not known whether the batch was accepted: %s", err).WithRun(code.MaybeRun))
+	}
+}
+
+// accept stores a batch. While the store is out of reach, it waits for its return:
+// the caller's next attempt would meet the same outage, and its attempts are few.
+func (f *Front) accept(ctx context.Context, b *batch.Batch) error {
+	for {
+		err := f.seams.Shelf.Accept(ctx, b)
+		if !errors.Is(err, records.ErrRefused) || !f.awaitStore(ctx) {
+			return err
+		}
+	}
+}
+
+// awaitStore waits until the store can be reached again. It reports false at once if
+// the store is not known to be out of reach, and when ctx ends first.
+func (f *Front) awaitStore(ctx context.Context) bool {
+	restored := f.seams.Outage.Restored()
+	if restored == nil {
+		return false
+	}
+	select {
+	case <-restored:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
