--- a/internal/base/codec/split.go
+++ b/internal/base/codec/split.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 
 	"github.com/rotisserie/eris"
 )
@@ -12,7 +13,7 @@
 // brackets and strings alone, at any depth, so that each entry is decoded by itself.
 
 // errUnbalanced is returned for a text that ends within a value.
-var errUnbalanced = eris.New("the text ends within a value")
+var errUnbalanced = errors.New("the text ends within a value")
 
 // splitter reads the parts of a JSON text in order.
 type splitter struct {
