Log the fence of result pages and count who ends a read without results

Cause: logs and metrics could not tell the hypotheses of the lost results apart. No line said under which fence a page was written, nor its number, and nothing said whether a worker or the store had answered that there are no further results.

Change: a worker logs each page that it sends to the store with its number, its position, the fence and whether the role is still held, and the number of pages that it found when it starts a batch. Entry processes count pages by source (result_pages) and reads without a result by who said so (empty_result_reads).

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -129,10 +129,13 @@
 		Fleet: fleet, Pool: pool, Names: deps.Names, OnStart: counter.Add,
 		Memory: memory.NewBudget(int64(responseShare * memoryLimit)), Meters: deps.Meters, Breaker: deps.Breaker,
 	}, timers, log)
+	reader := batch.NewReader(batch.ReaderSeams{
+		Store: batches, Find: runner.NewFinder(deps.Workers), Follow: runner.NewFollower(deps.Workers), Meters: deps.Meters,
+	}, timers, log)
 	f := front.New(front.Seams{
 		Manifest: v.Manifest, Ready: func() bool { return v.Synced() && !deps.Isolated() }, Outage: deps.Outage,
 		Stale: func() bool { return v.Stale() && !deps.StoreDisconnected() }, Forwarder: forwarder, Shelf: batches,
-		Reader: batch.NewReader(batches, runner.NewFinder(deps.Workers), runner.NewFollower(deps.Workers), timers), Names: deps.Names, API: deps.API, Meters: deps.Meters,
+		Reader: reader, Names: deps.Names, API: deps.API, Meters: deps.Meters,
 		Memory: memory.NewBudget(int64(requestShare * memoryLimit)),
 	}, timers, log)
 	server := callers.New(f, callers.Options{MaxConnections: maxConnections(p), IdleTimeout: idleTimeout}, timers, log)
--- a/internal/node/worker/worker.go
+++ b/internal/node/worker/worker.go
@@ -121,7 +121,7 @@
 		Store: w.batches, Fleet: fleet, Pool: pool, Names: deps.Names,
 		Forwarder: forward.New(forward.Seams{Fleet: fleet, Pool: pool, Names: deps.Names, Meters: deps.Meters}, timers, log),
 		Manifest:  w.view.Manifest, ValueBytes: p.MaxValueBytes, Meters: deps.Meters,
-		OnBatch: demand.Add,
+		OnBatch: demand.Add, Role: w.role,
 	}, timers, log)
 	w.reporter = window.NewReporter(w.store, window.Options{
 		Length: p.Window, Due: p.MaxReportDelay, Encode: w.duties.EncodeUsage, Send: w.duties.SendUsage,
@@ -131,10 +131,16 @@
 
 // Mount registers the handlers for calls of other processes on mux.
 func (w *Worker) Mount(ctx context.Context, mux *http.ServeMux) {
-	w.runner.Mount(ctx, mux, func() bool {
-		tenure := w.tenure.Load()
-		return tenure != nil && tenure.Held()
-	})
+	w.runner.Mount(ctx, mux)
+}
+
+// role returns what this worker knows of the worker role.
+func (w *Worker) role() runner.Role {
+	tenure := w.tenure.Load()
+	if tenure == nil {
+		return runner.Role{}
+	}
+	return runner.Role{Epoch: tenure.Epoch, Held: tenure.Held()}
 }
 
 // Run follows the store and campaigns for the worker role until ctx ends.
--- a/internal/traffic/front/front_test.go
+++ b/internal/traffic/front/front_test.go
@@ -94,7 +94,7 @@
 	fx.configured.Store(true)
 	shelf := batch.NewStore(fx.store(), 1<<20)
 	noWorkerBatch := func(context.Context, string) (*batch.Batch, bool) { return nil, false }
-	noWorkerPages := func(context.Context, string, int, time.Duration) ([]batch.Page, bool) { return nil, false }
+	noWorkerPages := func(context.Context, string, int, time.Duration) batch.Update { return batch.Update{} }
 	fx.front = New(Seams{
 		Manifest: func() *manifest.Manifest {
 			if fx.configured.Load() {
@@ -112,7 +112,8 @@
 		Forwarder: forward.New(forward.Seams{
 			Fleet: fleet, Pool: exchange.New(exchange.Options{EchoHeader: names.Request}), Names: names,
 		}, timers, logs.Discard()),
-		Shelf: shelf, Reader: batch.NewReader(shelf, noWorkerBatch, noWorkerPages, timers), Names: names, Meters: meter.NewSet(),
+		Shelf: shelf, Names: names, Meters: meter.NewSet(),
+		Reader: batch.NewReader(batch.ReaderSeams{Store: shelf, Find: noWorkerBatch, Follow: noWorkerPages}, timers, logs.Discard()),
 		Memory: memory.NewBudget(bodyBudget),
 		API:    API{Parse: parse, Decode: decode, Encode: encode, ReadyPath: "/ready"},
 	}, timers, logs.Discard())
--- a/internal/training/batch/batch_test.go
+++ b/internal/training/batch/batch_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
 	"github.com/wigeonpin/wigeonpin/internal/peer/records"
 	"github.com/wigeonpin/wigeonpin/internal/standin/ledger"
 )
@@ -83,7 +84,12 @@
 	}
 }
 
-func noWorker(context.Context, string, int, time.Duration) ([]Page, bool) { return nil, false }
+func noWorker(context.Context, string, int, time.Duration) Update { return Update{} }
+
+// newReader returns a reader whose workers know no batch.
+func newReader(store *Store, follow FollowFunc) *Reader {
+	return NewReader(ReaderSeams{Store: store, Find: notFound, Follow: follow}, clock.NewSystem(), logs.Discard())
+}
 
 func notFound(context.Context, string) (*Batch, bool) { return nil, false }
 
@@ -105,12 +111,12 @@
 			t.Fatal(err)
 		}
 	}
-	worker := func(_ context.Context, _ string, known int, _ time.Duration) ([]Page, bool) {
-		return pages[known:], true
+	worker := func(_ context.Context, _ string, known int, _ time.Duration) Update {
+		return Update{Active: true, Pages: pages[known:]}
 	}
 	for name, follow := range map[string]FollowFunc{"store": noWorker, "worker": worker} {
 		t.Run(name, func(t *testing.T) {
-			reader := NewReader(store, notFound, follow, clock.NewSystem())
+			reader := newReader(store, follow)
 			for after, want := range []string{"i2", "i1", "i3"} {
 				results, err := reader.Results(ctx, "b1", after, 0)
 				if err != nil || len(results) == 0 || results[0].ID != want {
@@ -133,7 +139,7 @@
 	if err := store.Accept(ctx, newBatch("acme")); err != nil {
 		t.Fatal(err)
 	}
-	known := NewReader(store, notFound, noWorker, clock.NewSystem())
+	known := newReader(store, noWorker)
 	if _, err := known.Batch(ctx, "b1"); err != nil {
 		t.Fatal(err)
 	}
@@ -141,7 +147,7 @@
 		t.Errorf("error %v, want records.ErrMissing", err)
 	}
 	l.SetFault(ledger.Refuse)
-	if _, err := NewReader(store, notFound, noWorker, clock.NewSystem()).Batch(ctx, "b1"); errors.Is(err, records.ErrMissing) || err == nil {
+	if _, err := newReader(store, noWorker).Batch(ctx, "b1"); errors.Is(err, records.ErrMissing) || err == nil {
 		t.Errorf("error %v for a batch that cannot be read, want one other than records.ErrMissing", err)
 	}
 	if _, err := known.Results(ctx, "b1", 0, 0); err == nil {
--- a/internal/training/batch/reader.go
+++ b/internal/training/batch/reader.go
@@ -7,8 +7,10 @@
 	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2"
+	"github.com/sirupsen/logrus"
 
 	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/meter"
 	"github.com/wigeonpin/wigeonpin/internal/peer/records"
 )
 
@@ -20,13 +22,38 @@
 	pollInterval = 330 * time.Millisecond
 )
 
+// The names of the counters of a reader, as they appear in the metrics.
+const (
+	// CountPages counts the pages of results by where they were read: PagesOfWorker or
+	// PagesOfStore.
+	CountPages = "result_pages"
+	// CountEmpty counts the reads that found no result, by who said so: a worker's
+	// address, or PagesOfStore.
+	CountEmpty = "empty_result_reads"
+)
+
+// The labels of the counters.
+const (
+	PagesOfWorker = "worker"
+	PagesOfStore  = "store"
+)
+
+// ReaderSeams are the dependencies of a Reader. Meters may be nil.
+type ReaderSeams struct {
+	Store  *Store
+	Find   FindFunc
+	Follow FollowFunc
+	Meters *meter.Set
+}
+
 // Reader serves batches and results from the workers or the store, and caches
 // what it has read.
 type Reader struct {
-	store  *Store
-	find   FindFunc
-	follow FollowFunc
+	seams  ReaderSeams
 	timers *clock.Service
+	log    *logrus.Entry
+	pages  *meter.Counter
+	empty  *meter.Counter
 	mu     sync.Mutex
 	cache  *lru.Cache[string, *cachedBatch]
 }
@@ -36,9 +63,16 @@
 type FindFunc func(ctx context.Context, id string) (*Batch, bool)
 
 // FollowFunc asks the worker that executes a batch for the pages after the known
-// ones, and waits for the first of them. It reports false when no worker can
-// answer.
-type FollowFunc func(ctx context.Context, id string, known int, wait time.Duration) ([]Page, bool)
+// ones, and waits for the first of them.
+type FollowFunc func(ctx context.Context, id string, known int, wait time.Duration) Update
+
+// Update is the answer of a worker. Active is false if no worker could answer that
+// holds the role. Pages are those after the known ones.
+type Update struct {
+	Worker string // address
+	Active bool
+	Pages  []Page
+}
 
 // cachedBatch is a batch with the results that have been read so far.
 type cachedBatch struct {
@@ -48,14 +82,19 @@
 	results []Result
 }
 
-// NewReader returns a Reader that asks workers by find and follow first and
-// falls back to the store.
-func NewReader(store *Store, find FindFunc, follow FollowFunc, timers *clock.Service) *Reader {
+// NewReader returns a Reader that asks workers first and falls back to the store.
+func NewReader(seams ReaderSeams, timers *clock.Service, log *logrus.Entry) *Reader {
 	cache, err := lru.New[string, *cachedBatch](maxCachedBatches)
 	if err != nil {
 		panic(err) // the size is a positive constant
 	}
-	return &Reader{store: store, find: find, follow: follow, timers: timers, cache: cache}
+	if seams.Meters == nil {
+		seams.Meters = meter.NewSet()
+	}
+	return &Reader{
+		seams: seams, timers: timers, log: log, cache: cache,
+		pages: seams.Meters.Counter(CountPages), empty: seams.Meters.Counter(CountEmpty),
+	}
 }
 
 // load returns a batch from the cache, a worker or the store.
@@ -66,10 +105,10 @@
 	if found {
 		return c, nil
 	}
-	b, known := r.find(ctx, id)
+	b, known := r.seams.Find(ctx, id)
 	if !known {
 		var err error
-		if b, err = r.store.Read(ctx, id); err != nil {
+		if b, err = r.seams.Store.Read(ctx, id); err != nil {
 			return nil, err
 		}
 	}
@@ -105,14 +144,16 @@
 		if len(results) > 0 || after >= len(c.batch.Items) {
 			return results, nil
 		}
-		more, active := r.follow(ctx, id, pages, max(0, deadline.Sub(r.timers.Now())))
-		if !active {
+		update := r.seams.Follow(ctx, id, pages, max(0, deadline.Sub(r.timers.Now())))
+		if !update.Active {
 			return r.poll(ctx, c, after, deadline)
 		}
-		if len(more) == 0 {
+		if len(update.Pages) == 0 {
+			r.empty.Add(update.Worker, 1)
 			return nil, nil
 		}
-		c.addPages(pages, more)
+		r.pages.Add(PagesOfWorker, int64(len(update.Pages)))
+		c.addPages(pages, update.Pages)
 	}
 }
 
@@ -120,7 +161,7 @@
 // exact, so that the answer is never older than the wait. The reads that follow
 // may be stale, since these are cheap.
 func (r *Reader) poll(ctx context.Context, c *cachedBatch, after int, deadline time.Time) ([]Result, error) {
-	for read := r.store.Page; ; read = r.store.PageStale {
+	for read := r.seams.Store.Page; ; read = r.seams.Store.PageStale {
 		if err := c.refresh(ctx, read); err != nil {
 			return nil, err
 		}
@@ -129,6 +170,7 @@
 		}
 		left := deadline.Sub(r.timers.Now())
 		if left <= 0 {
+			r.empty.Add(PagesOfStore, 1)
 			return nil, nil
 		}
 		if err := r.timers.Sleep(ctx, min(left, pollInterval)); err != nil {
--- a/internal/training/runner/job.go
+++ b/internal/training/runner/job.go
@@ -113,7 +113,7 @@
 	}
 	b := j.batch
 	r.log.WithFields(logrus.Fields{
-		"batch": b.ID, "items": len(b.Items), "listed": j.listed, logs.Step: b.Step,
+		"batch": b.ID, "items": len(b.Items), "pages": j.pages, "listed": j.listed, logs.Step: b.Step, logs.Fence: r.seams.Role().Epoch,
 		logs.Model: b.Model, "oldest": b.MinVersion, "age_ms": r.timers.Since(b.Time).Milliseconds(),
 	}).Info("batch started")
 	if j.listed >= len(j.tasks) {
--- a/internal/training/runner/pages.go
+++ b/internal/training/runner/pages.go
@@ -47,8 +47,17 @@
 		page := j.nextPage(limit)
 		number, jobCtx := j.pages, j.ctx
 		j.writing = true
+		role := r.seams.Role()
 		go func() {
 			err := r.seams.Store.Append(ctx, j.batch.ID, number, page)
+			entry := r.log.WithFields(logrus.Fields{
+				"batch": j.batch.ID, "page": number, "start": page.Start, "results": len(page.Results),
+				logs.Fence: role.Epoch, "held": r.seams.Role().Held,
+			})
+			if err != nil {
+				entry = entry.WithField(logs.Cause, err.Error())
+			}
+			entry.Info("result page sent to the store")
 			if errors.Is(err, records.ErrConflict) || errors.Is(err, records.ErrUnknownOutcome) {
 				page, err = r.seams.Store.Page(ctx, j.batch.ID, number)
 			}
--- a/internal/training/runner/progress.go
+++ b/internal/training/runner/progress.go
@@ -49,7 +49,7 @@
 		select {
 		case <-pageAdded:
 		case <-timer.C:
-			reply.Active = h.held()
+			reply.Active = h.runner.seams.Role().Held
 			return reply, nil
 		case <-ctx.Done():
 			return nil, ctx.Err()
@@ -101,15 +101,14 @@
 }
 
 // NewFollower returns a function that asks the worker that executes a batch for
-// the pages after the known ones. It reports false when no active worker
-// answers.
+// the pages after the known ones.
 func NewFollower(peers func() []string) batch.FollowFunc {
 	client := conn.NewPeerClient(dialTimeout, http.DefaultMaxIdleConnsPerHost)
 	var active atomic.Pointer[string]
 	var pausedUntil atomic.Int64 // Unix nanoseconds until which no worker is called
-	return func(ctx context.Context, id string, known int, wait time.Duration) ([]batch.Page, bool) {
+	return func(ctx context.Context, id string, known int, wait time.Duration) batch.Update {
 		if time.Now().UnixNano() < pausedUntil.Load() {
-			return nil, false
+			return batch.Update{}
 		}
 		addresses := peers()
 		if last := active.Load(); last != nil {
@@ -123,15 +122,16 @@
 			cancel()
 			if err == nil && reply.GetActive() {
 				active.Store(&address)
-				return decodePages(reply.GetPages())
+				pages, decoded := decodePages(reply.GetPages())
+				return batch.Update{Worker: address, Active: decoded, Pages: pages}
 			}
 			if ctx.Err() != nil {
-				return nil, false
+				return batch.Update{}
 			}
 		}
 		active.Store(nil)
 		pausedUntil.Store(time.Now().Add(noWorkerBackoff).UnixNano())
-		return nil, false
+		return batch.Update{}
 	}
 }
 
--- a/internal/training/runner/runner.go
+++ b/internal/training/runner/runner.go
@@ -54,6 +54,9 @@
 	Names      headers.Names
 	Manifest   func() *manifest.Manifest
 	ValueBytes int
+	// Role returns what is known of the worker role; without it, the runner counts as
+	// its holder.
+	Role func() Role
 	// OnBatch is called with the model and the expected tokens of each batch; it may
 	// be nil.
 	OnBatch func(model string, tokens int64)
@@ -61,6 +64,14 @@
 	Meters *meter.Set
 }
 
+// Role is what a worker knows of its worker role: the epoch under which it took the
+// role last, and whether its term still runs. The role can be lost while the runner is
+// active, as a process that was paused learns of it with its next renewal only.
+type Role struct {
+	Epoch uint64
+	Held  bool
+}
+
 // Runner executes batches while it is active. It keeps track of them at all
 // times, so that it can start at once when it becomes active.
 type Runner struct {
@@ -121,6 +132,9 @@
 	if seams.Meters == nil {
 		seams.Meters = meter.NewSet()
 	}
+	if seams.Role == nil {
+		seams.Role = func() Role { return Role{Held: true} }
+	}
 	return &Runner{
 		counters: newCounters(seams.Meters),
 		doneJobs: doneJobs, incompleteGroups: incompleteGroups, seams: seams, timers: timers, log: log, calls: make(chan func(context.Context), 64),
--- a/internal/training/runner/standby.go
+++ b/internal/training/runner/standby.go
@@ -29,10 +29,9 @@
 	dialTimeout   = 250 * time.Millisecond
 )
 
-// Mount registers the handlers for calls of other processes. held reports
-// whether this worker holds the role.
-func (r *Runner) Mount(ctx context.Context, mux *http.ServeMux, held func() bool) {
-	h := &peerHandler{runner: r, ctx: ctx, held: held}
+// Mount registers the handlers for calls of other processes.
+func (r *Runner) Mount(ctx context.Context, mux *http.ServeMux) {
+	h := &peerHandler{runner: r, ctx: ctx}
 	mux.Handle(StandbyPathPrefix, NewStandbyServer(h))
 	mux.Handle(ProgressPathPrefix, NewProgressServer(h))
 }
@@ -41,7 +40,6 @@
 type peerHandler struct {
 	runner *Runner
 	ctx    context.Context
-	held   func() bool
 }
 
 // Keep stores parts of texts that the active worker sends. It returns the items
