Let only the store say that there are no further results

Cause: a worker that is paused right after a renewal of its role acts on after it wakes up, until its next renewal, and writes pages of results. Its successor loaded the batches before, knows none of these pages, and entry processes took its answer "there are no more pages" for the truth. The same holds for a page whose write was late, and for a batch that was ended meanwhile, of which the successor never writes a page itself.

Change: a reader answers without results only after an exact read of the store that began after the call; if the store cannot be read, it refuses the call. Polls of the store end with an exact read too. The batch is not locked while the store is read.

TestWorkerDoesNotKnowAllPages, TestEmptyAnswerNeedsTheStore and TestPollEndsWithAnExactRead failed before, and TestSlowStoreDelaysNoPagesOfTheWorker did not end.

--- a/internal/training/batch/batch.go
+++ b/internal/training/batch/batch.go
@@ -15,6 +15,12 @@
 // same name, and "pages" the results under "ID.NUMBER". Items that do not fit
 // into the record of the batch are stored in kind "parts" under "ID.NUMBER".
 // Parts are written before the batch, so that a stored batch is complete.
+//
+// # Results
+//
+// A position that one reader was told is there for all later reads. The pages in the
+// store are the only list of results: workers know pages of it earlier, but an answer
+// without results always rests on an exact read of the store.
 package batch
 
 import (
--- a/internal/training/batch/batch_test.go
+++ b/internal/training/batch/batch_test.go
@@ -96,21 +96,8 @@
 // Guards against a position that shows different results depending on whether
 // the page came from the worker or from the store.
 func TestReaderPositions(t *testing.T) {
-	l := ledger.New()
-	store := NewStore(l.Store(), 1<<20)
 	ctx := context.Background()
-	if err := store.Accept(ctx, newBatch("acme")); err != nil {
-		t.Fatal(err)
-	}
-	pages := []Page{
-		{Start: 0, Results: []Result{{ID: "i2"}}},
-		{Start: 1, Results: []Result{{ID: "i1"}, {ID: "i3"}}},
-	}
-	for number, page := range pages {
-		if err := store.Append(ctx, "b1", number, page); err != nil {
-			t.Fatal(err)
-		}
-	}
+	store, pages := newStoredBatch(t, ledger.New())
 	worker := func(_ context.Context, _ string, known int, _ time.Duration) Update {
 		return Update{Active: true, Pages: pages[known:]}
 	}
--- a/internal/training/batch/reader.go
+++ b/internal/training/batch/reader.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
 	"github.com/wigeonpin/wigeonpin/internal/base/meter"
 	"github.com/wigeonpin/wigeonpin/internal/peer/records"
 )
@@ -30,6 +31,9 @@
 	// CountEmpty counts the reads that found no result, by who said so: a worker's
 	// address, or PagesOfStore.
 	CountEmpty = "empty_result_reads"
+	// CountMissed counts the pages that the store had beyond those of the worker that
+	// answered, by the address of the worker.
+	CountMissed = "result_pages_missed"
 )
 
 // The labels of the counters.
@@ -54,6 +58,7 @@
 	log    *logrus.Entry
 	pages  *meter.Counter
 	empty  *meter.Counter
+	missed *meter.Counter
 	mu     sync.Mutex
 	cache  *lru.Cache[string, *cachedBatch]
 }
@@ -94,6 +99,7 @@
 	return &Reader{
 		seams: seams, timers: timers, log: log, cache: cache,
 		pages: seams.Meters.Counter(CountPages), empty: seams.Meters.Counter(CountEmpty),
+		missed: seams.Meters.Counter(CountMissed),
 	}
 }
 
@@ -132,7 +138,9 @@
 }
 
 // Results returns the results from position after on. It waits up to wait for
-// the first of them.
+// the first of them. Workers make the answer fast, but only the store shows that
+// there is no result: a worker may not know a page that a former holder of the role
+// has written. If the store cannot be read then, Results returns its error.
 func (r *Reader) Results(ctx context.Context, id string, after int, wait time.Duration) ([]Result, error) {
 	c, err := r.load(ctx, id)
 	if err != nil {
@@ -149,26 +157,48 @@
 			return r.poll(ctx, c, after, deadline)
 		}
 		if len(update.Pages) == 0 {
-			r.empty.Add(update.Worker, 1)
-			return nil, nil
+			return r.confirmEmpty(ctx, c, after, update.Worker)
 		}
 		r.pages.Add(PagesOfWorker, int64(len(update.Pages)))
 		c.addPages(pages, update.Pages)
 	}
 }
 
-// poll reads results from the store until the deadline. The first read is
-// exact, so that the answer is never older than the wait. The reads that follow
-// may be stale, since these are cheap.
+// confirmEmpty returns the results from position after on that the store has, after
+// a worker has answered that there are none.
+func (r *Reader) confirmEmpty(ctx context.Context, c *cachedBatch, after int, worker string) ([]Result, error) {
+	_, known := c.resultsFrom(after)
+	if err := r.refresh(ctx, c, r.seams.Store.Page); err != nil {
+		return nil, err
+	}
+	results, pages := c.resultsFrom(after)
+	if pages > known {
+		r.missed.Add(worker, int64(pages-known))
+		r.log.WithFields(logrus.Fields{
+			"batch": c.batch.ID, logs.Peer: worker, "known": known, "stored": pages,
+		}).Info("the store has result pages beyond those of the worker")
+	}
+	if len(results) == 0 {
+		r.empty.Add(worker, 1)
+	}
+	return results, nil
+}
+
+// poll reads results from the store until the deadline. The first read and the last
+// one are exact, so that an answer without results holds when it is given. Those
+// between them may be stale, since these are cheap.
 func (r *Reader) poll(ctx context.Context, c *cachedBatch, after int, deadline time.Time) ([]Result, error) {
 	for read := r.seams.Store.Page; ; read = r.seams.Store.PageStale {
-		if err := c.refresh(ctx, read); err != nil {
+		left := deadline.Sub(r.timers.Now())
+		if left <= 0 {
+			read = r.seams.Store.Page
+		}
+		if err := r.refresh(ctx, c, read); err != nil {
 			return nil, err
 		}
 		if results, _ := c.resultsFrom(after); len(results) > 0 {
 			return results, nil
 		}
-		left := deadline.Sub(r.timers.Now())
 		if left <= 0 {
 			r.empty.Add(PagesOfStore, 1)
 			return nil, nil
@@ -179,9 +209,37 @@
 	}
 }
 
+// refresh reads the pages that were written since the last read. The batch is not
+// locked meanwhile, so that a slow store does not delay pages that come from a worker.
+func (r *Reader) refresh(ctx context.Context, c *cachedBatch, read readPageFunc) error {
+	for {
+		number, complete := c.nextPage()
+		if complete {
+			return nil
+		}
+		page, err := read(ctx, c.batch.ID, number)
+		if errors.Is(err, records.ErrMissing) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if c.addPages(number, []Page{page}) {
+			r.pages.Add(PagesOfStore, 1)
+		}
+	}
+}
+
 // readPageFunc reads one page of a batch.
 type readPageFunc func(ctx context.Context, id string, number int) (Page, error)
 
+// nextPage returns the number of the next page, and whether all results are known.
+func (c *cachedBatch) nextPage() (number int, complete bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pages, len(c.results) >= len(c.batch.Items)
+}
+
 // resultsFrom returns the results that have been read from position after on,
 // and the number of pages that have been read.
 func (c *cachedBatch) resultsFrom(after int) ([]Result, int) {
@@ -193,33 +251,17 @@
 	return c.results[after:len(c.results):len(c.results)], c.pages
 }
 
-// addPages adds pages, the first of which has the given number. Pages that are
-// known already are skipped.
-func (c *cachedBatch) addPages(number int, pages []Page) {
+// addPages adds pages, the first of which has the given number, and reports whether
+// one of them was new. Pages that are known already are skipped.
+func (c *cachedBatch) addPages(number int, pages []Page) (added bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for i, page := range pages {
 		if number+i == c.pages {
 			c.results = append(c.results, page.Results...)
 			c.pages++
+			added = true
 		}
 	}
-}
-
-// refresh reads the pages that were written since the last read.
-func (c *cachedBatch) refresh(ctx context.Context, read readPageFunc) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for len(c.results) < len(c.batch.Items) {
-		page, err := read(ctx, c.batch.ID, c.pages)
-		if errors.Is(err, records.ErrMissing) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-		c.results = append(c.results, page.Results...)
-		c.pages++
-	}
-	return nil
+	return added
 }
--- /dev/null
+++ b/internal/training/batch/reader_test.go
@@ -0,0 +1,127 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/wigeonpin/wigeonpin/internal/peer/records"
+	"github.com/wigeonpin/wigeonpin/internal/standin/ledger"
+)
+
+// newStoredBatch returns a store with an accepted batch of three items and two pages
+// with its results.
+func newStoredBatch(t *testing.T, l *ledger.Ledger) (*Store, []Page) {
+	t.Helper()
+	store := NewStore(l.Store(), 1<<20)
+	if err := store.Accept(context.Background(), newBatch("acme")); err != nil {
+		t.Fatal(err)
+	}
+	pages := []Page{
+		{Start: 0, Results: []Result{{ID: "i2"}}},
+		{Start: 1, Results: []Result{{ID: "i1"}, {ID: "i3"}}},
+	}
+	for number, page := range pages {
+		if err := store.Append(context.Background(), "b1", number, page); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return store, pages
+}
+
+// Guards against results that were read at one process and are missing at another,
+// since the worker that answers does not know a page of the store: a former holder of
+// the role wrote it after this worker had read the pages.
+func TestWorkerDoesNotKnowAllPages(t *testing.T) {
+	for known := range 2 {
+		t.Run(fmt.Sprintf("knows %d of 2", known), func(t *testing.T) {
+			store, pages := newStoredBatch(t, ledger.New())
+			reader := newReader(store, func(_ context.Context, _ string, from int, _ time.Duration) Update {
+				return Update{Worker: "w", Active: true, Pages: pages[min(from, known):known]}
+			})
+			for after, want := range []string{"i2", "i1", "i3"} {
+				results, err := reader.Results(context.Background(), "b1", after, 0)
+				if err != nil || len(results) == 0 || results[0].ID != want {
+					t.Errorf("position %d: results %+v, error %v; want %s first", after, results, err, want)
+				}
+			}
+		})
+	}
+}
+
+// Guards against an answer without results that only a worker has confirmed. While
+// the store cannot be read, the position may have been read elsewhere.
+func TestEmptyAnswerNeedsTheStore(t *testing.T) {
+	l := ledger.New()
+	store, _ := newStoredBatch(t, l)
+	reader := newReader(store, func(context.Context, string, int, time.Duration) Update {
+		return Update{Worker: "w", Active: true}
+	})
+	if _, err := reader.Batch(context.Background(), "b1"); err != nil {
+		t.Fatal(err)
+	}
+	l.SetFault(ledger.Refuse)
+	if results, err := reader.Results(context.Background(), "b1", 0, 0); !errors.Is(err, records.ErrRefused) {
+		t.Errorf("results %+v, error %v; want records.ErrRefused", results, err)
+	}
+}
+
+// Guards against an answer without results that is as old as a stale copy of the
+// store: the page was written while the caller waited.
+func TestPollEndsWithAnExactRead(t *testing.T) {
+	recordStore := ledger.New().Store()
+	recordStore.GetStale = func(ctx context.Context, _, _ string) (records.Record, error) {
+		written := NewStore(recordStore, 1<<20)
+		if err := written.Append(ctx, "b1", 0, Page{Results: []Result{{ID: "i1"}}}); err != nil && !errors.Is(err, records.ErrConflict) {
+			t.Error(err)
+		}
+		return records.Record{}, records.ErrMissing
+	}
+	store := NewStore(recordStore, 1<<20)
+	if err := store.Accept(context.Background(), newBatch("acme")); err != nil {
+		t.Fatal(err)
+	}
+	results, err := newReader(store, noWorker).Results(context.Background(), "b1", 0, pollInterval+pollInterval/2)
+	if err != nil || len(results) != 1 {
+		t.Errorf("results %+v, error %v; want the page that was written during the wait", results, err)
+	}
+}
+
+// Guards against pages of a worker that wait for a slow read of the store by another
+// caller of the same batch.
+func TestSlowStoreDelaysNoPagesOfTheWorker(t *testing.T) {
+	recordStore := ledger.New().Store()
+	get := recordStore.Get
+	reading, proceed := make(chan struct{}), make(chan struct{})
+	recordStore.Get = func(ctx context.Context, kind, name string) (records.Record, error) {
+		if kind == KindPages {
+			close(reading)
+			<-proceed
+		}
+		return get(ctx, kind, name)
+	}
+	store := NewStore(recordStore, 1<<20)
+	ctx := context.Background()
+	if err := store.Accept(ctx, newBatch("acme")); err != nil {
+		t.Fatal(err)
+	}
+	updates := make(chan Update, 2)
+	updates <- Update{Worker: "w", Active: true}
+	updates <- Update{Worker: "w", Active: true, Pages: []Page{{Results: []Result{{ID: "i1"}}}}}
+	reader := newReader(store, func(context.Context, string, int, time.Duration) Update { return <-updates })
+	finished := make(chan []Result, 1)
+	go func() {
+		results, _ := reader.Results(ctx, "b1", 0, 0) // an error leaves the results empty
+		finished <- results
+	}()
+	<-reading
+	if results, err := reader.Results(ctx, "b1", 0, 0); err != nil || len(results) != 1 {
+		t.Errorf("results %+v, error %v; want the page of the worker", results, err)
+	}
+	close(proceed)
+	if results := <-finished; len(results) != 1 {
+		t.Errorf("the caller that waited for the store got %d results, want 1", len(results))
+	}
+}
