Look for pages of a batch that a worker has just learned of

What callers would see: results that were read are missing from the first position on, and items run again.

Cause: a batch that a worker learns of by its watch counted as one without pages. When the watch lags, or is listed again after the store dropped its history, the former holder of the role may have written pages already. The worker met them only at its own first page, up to half of the time until the batch is due later, and never if the batch was ended before.

Change: such a batch still starts at once; one read of its first page shows whether there are others, which are then taken over. A page is merged only under the next number, so that a page which comes twice does no harm.

--- a/internal/training/runner/job.go
+++ b/internal/training/runner/job.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"sort"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/peer/records"
 	"github.com/wigeonpin/wigeonpin/internal/training/batch"
 	"github.com/wigeonpin/wigeonpin/internal/training/listing"
 )
@@ -18,10 +20,10 @@
 	batch        *batch.Batch
 	ctx          context.Context // of its runs; nil while the runner is inactive
 	cancel       context.CancelFunc
-	loaded       bool    // the pages in the store have been read
+	loaded       bool    // the pages in the store have been read, or none are expected
 	tasks        []*task // longest estimate first
 	byID         map[string]*task
-	pages        int               // number of pages in the store
+	pages        int               // number of known pages
 	listed       int               // number of results in these pages
 	ready        []batch.Result    // waiting for the next page
 	readySince   time.Time         // when the oldest of the ready results became ready
@@ -77,8 +79,8 @@
 	return listing.NewProgress(b.WantedGroups, items, awaited)
 }
 
-// load reads the pages of a batch and then starts its execution. A fresh batch
-// has no pages and starts at once.
+// load reads the pages of a batch and then starts its execution. A fresh batch is
+// expected to have no pages: it starts at once, and its pages are read meanwhile.
 func (r *Runner) load(ctx context.Context, j *job, fresh bool) {
 	j.ctx, j.cancel = context.WithCancel(ctx)
 	j.progress, j.schedule = r.newProgress(j.batch), listing.Schedule{Accepted: j.batch.Time}
@@ -87,39 +89,83 @@
 	}
 	if fresh {
 		r.pagesLoaded(j, nil)
-		return
 	}
 	jobCtx := j.ctx
 	go func() {
-		pages, err := r.seams.Store.Pages(jobCtx, j.batch.ID)
-		for err != nil && jobCtx.Err() == nil {
-			r.log.WithFields(logrus.Fields{"batch": j.batch.ID, logs.Cause: err.Error()}).Warn("result pages not read, retrying")
-			_ = r.timers.Sleep(jobCtx, pageRetryDelay)
-			pages, err = r.seams.Store.Pages(jobCtx, j.batch.ID)
-		}
+		pages := r.readPages(jobCtx, j.batch.ID, fresh)
 		r.post(jobCtx, func(context.Context) {
-			if jobCtx.Err() == nil {
+			switch {
+			case jobCtx.Err() != nil:
+			case !fresh:
 				r.pagesLoaded(j, pages)
+			case len(pages) > 0:
+				r.log.WithFields(logrus.Fields{"batch": j.batch.ID, "pages": len(pages)}).Info("batch had result pages when it became known")
+				r.adopt(j, 0, pages)
 			}
 		})
 	}()
 }
 
+// readPages returns the pages of a batch. It retries until the store answers or ctx
+// ends.
+func (r *Runner) readPages(ctx context.Context, id string, fresh bool) []batch.Page {
+	for {
+		pages, err := r.tryReadPages(ctx, id, fresh)
+		if err == nil || ctx.Err() != nil {
+			return pages
+		}
+		r.log.WithFields(logrus.Fields{"batch": id, logs.Cause: err.Error()}).Warn("result pages not read, retrying")
+		_ = r.timers.Sleep(ctx, pageRetryDelay)
+	}
+}
+
+// tryReadPages reads the pages of a batch once. For a fresh batch it looks for the
+// first page before it lists any, since a list also takes pages of other batches.
+func (r *Runner) tryReadPages(ctx context.Context, id string, fresh bool) ([]batch.Page, error) {
+	if fresh {
+		_, err := r.seams.Store.Page(ctx, id, 0)
+		if errors.Is(err, records.ErrMissing) {
+			return nil, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	return r.seams.Store.Pages(ctx, id)
+}
+
 // pagesLoaded starts the execution of a batch whose pages have been read.
 func (r *Runner) pagesLoaded(j *job, pages []batch.Page) {
 	j.loaded = true
-	for _, page := range pages {
-		j.merge(page)
+	for number, page := range pages {
+		j.merge(number, page)
 	}
 	b := j.batch
 	r.log.WithFields(logrus.Fields{
 		"batch": b.ID, "items": len(b.Items), "pages": j.pages, "listed": j.listed, logs.Step: b.Step, logs.Fence: r.seams.Role().Epoch,
 		logs.Model: b.Model, "oldest": b.MinVersion, "age_ms": r.timers.Since(b.Time).Milliseconds(),
 	}).Info("batch started")
-	if j.listed >= len(j.tasks) {
-		r.cacheTexts(j)
-		r.drop(j)
+	r.dropIfComplete(j)
+}
+
+// adopt adds pages that are in the store, the first of which has the given number.
+func (r *Runner) adopt(j *job, first int, pages []batch.Page) {
+	for i, page := range pages {
+		j.merge(first+i, page)
 	}
+	r.dropIfComplete(j)
+}
+
+// dropIfComplete ends the execution of a batch whose results are all listed.
+func (r *Runner) dropIfComplete(j *job) {
+	if j.listed < len(j.tasks) {
+		return
+	}
+	r.log.WithFields(logrus.Fields{
+		"batch": j.batch.ID, "age_ms": r.timers.Since(j.batch.Time).Milliseconds(),
+	}).Info("batch complete")
+	r.cacheTexts(j)
+	r.drop(j)
 }
 
 // suspend stops the execution of a batch and keeps its texts.
@@ -159,7 +205,7 @@
 	return nil
 }
 
-// readableJob returns a job all of whose pages are known: one that is being
+// readableJob returns a job whose pages were read from the store: one that is being
 // executed or was completed recently. It returns nil if there is none.
 func (r *Runner) readableJob(id string) *job {
 	if !r.active {
@@ -192,7 +238,7 @@
 }
 
 // drop stops the execution of a batch and removes it from the open ones. Its
-// pages stay readable for a while if all of them are known.
+// pages stay readable for a while unless another one is being written.
 func (r *Runner) drop(j *job) {
 	close(j.pageAdded)
 	j.pageAdded = make(chan struct{})
@@ -239,9 +285,12 @@
 	}
 }
 
-// merge adds a page that is in the store: its items are listed, and their
-// results are no longer ready.
-func (j *job) merge(page batch.Page) {
+// merge adds a page that is in the store under the given number, unless it is known:
+// its items are listed, and their results are no longer ready.
+func (j *job) merge(number int, page batch.Page) {
+	if number != j.pages {
+		return
+	}
 	for _, result := range page.Results {
 		t, known := j.byID[result.ID]
 		if !known || t.state == stateListed {
--- a/internal/training/runner/listing_test.go
+++ b/internal/training/runner/listing_test.go
@@ -18,17 +18,9 @@
 func TestResultsAreHeldUntilTheyCompleteTheStep(t *testing.T) {
 	h := newHarness(t)
 	h.engine.halfway, h.engine.release = make(chan struct{}), make(chan struct{})
-	due := manifest.New(1, []manifest.Route{{
-		Host: host, Prefix: "/gen/", Kind: manifest.Rollout, Attempts: 2, ItemTimeout: time.Minute,
-		BatchDeadline: time.Minute, Targets: []manifest.Target{{Service: "llm", Weight: 1}},
-	}, {
-		Host: host, Prefix: "/score/", Kind: manifest.Idempotent, Attempts: 1, Public: true,
-		Targets: []manifest.Target{{Service: "scorer", Weight: 1}},
-	}}, nil, nil, manifest.Limits{})
-	h.runner.seams.Manifest = func() *manifest.Manifest { return due }
+	h.setBatchDeadline(time.Minute)
 	ctx := context.Background()
 	b := newBatch("plain-1", "held-1", "plain-2")
-	b.Path = "/gen/batches"
 	b.WantedGroups = 2
 	b.Items[0].Group, b.Items[1].Group = "g1", "g1"
 	b.Items[2].Group = "g2"
@@ -43,6 +35,18 @@
 	h.results(t, b)
 }
 
+// setBatchDeadline makes batches due this long after their acceptance.
+func (h *harness) setBatchDeadline(deadline time.Duration) {
+	due := manifest.New(1, []manifest.Route{{
+		Host: host, Prefix: "/gen/", Kind: manifest.Rollout, Attempts: 2, ItemTimeout: time.Minute,
+		BatchDeadline: deadline, Targets: []manifest.Target{{Service: "llm", Weight: 1}},
+	}, {
+		Host: host, Prefix: "/score/", Kind: manifest.Idempotent, Attempts: 1, Public: true,
+		Targets: []manifest.Target{{Service: "scorer", Weight: 1}},
+	}}, nil, nil, manifest.Limits{})
+	h.runner.seams.Manifest = func() *manifest.Manifest { return due }
+}
+
 // Guards against texts that are generated again although they are complete: a group
 // that was listed after the trainer had all that it waits for comes again in a later
 // batch.
@@ -56,7 +60,7 @@
 	j.progress = r.newProgress(b)
 	for _, id := range []string{"early-1", "late-1"} {
 		j.byID[id].text = text{origin: "a", pieces: []string{"x"}, last: 1, versions: []int64{5}, complete: true}
-		j.merge(batch.Page{Start: j.listed, Results: []batch.Result{{ID: id, Done: true}}})
+		j.merge(j.pages, batch.Page{Start: j.listed, Results: []batch.Result{{ID: id, Done: true}}})
 		j.schedule = j.schedule.WithPage(time.Now(), j.progress.Complete())
 	}
 	r.cacheTexts(j)
--- a/internal/training/runner/pages.go
+++ b/internal/training/runner/pages.go
@@ -93,15 +93,9 @@
 		r.log.WithFields(logrus.Fields{"batch": j.batch.ID, "page": number, logs.Cause: err.Error()}).Warn("result page not written, retrying")
 		return
 	}
-	j.merge(page)
+	j.merge(number, page)
 	now := r.timers.Now()
 	j.readySince = now
 	j.schedule = j.schedule.WithPage(now, j.progress.Complete() && len(j.ready) == 0)
-	if j.listed >= len(j.tasks) {
-		r.log.WithFields(logrus.Fields{
-			"batch": j.batch.ID, "age_ms": r.timers.Since(j.batch.Time).Milliseconds(),
-		}).Info("batch complete")
-		r.cacheTexts(j)
-		r.drop(j)
-	}
+	r.dropIfComplete(j)
 }
--- a/internal/training/runner/progress.go
+++ b/internal/training/runner/progress.go
@@ -21,8 +21,8 @@
 	noWorkerBackoff = 500 * time.Millisecond
 )
 
-// Pages returns the pages of a batch that the caller does not know. Only the
-// worker that holds the role can tell that there are no others.
+// Pages returns the pages of a batch that the caller does not know. There may be
+// others in the store: a former holder of the role may have written them.
 func (h *peerHandler) Pages(ctx context.Context, request *PagesRequest) (*PagesReply, error) {
 	wait := min(time.Duration(request.GetWait())*time.Millisecond, maxPageWait)
 	timer := h.runner.timers.After(wait)
--- a/internal/training/runner/runner.go
+++ b/internal/training/runner/runner.go
@@ -189,8 +189,8 @@
 	}
 }
 
-// Add adds a batch, unless it is known or ended. A fresh batch has no pages in
-// the store, so none are read.
+// Add adds a batch, unless it is known or ended. A fresh batch was accepted lately, so
+// that it is expected to have no pages in the store.
 func (r *Runner) Add(ctx context.Context, b *batch.Batch, fresh bool) {
 	r.post(ctx, func(ctx context.Context) { r.add(ctx, b, fresh) })
 }
--- a/internal/training/runner/runner_test.go
+++ b/internal/training/runner/runner_test.go
@@ -76,7 +76,7 @@
 }
 
 func newBatch(ids ...string) *batch.Batch {
-	b := &batch.Batch{ID: "b1", Account: "acme", Host: host, Model: "m", MinVersion: 3, Time: time.Now()}
+	b := &batch.Batch{ID: "b1", Account: "acme", Host: host, Path: "/gen/batches", Model: "m", MinVersion: 3, Time: time.Now()}
 	for _, id := range ids {
 		b.Items = append(b.Items, batch.Item{
 			ID: id, Path: "/gen/x", Group: id, MaxTokens: 1000,
