--- a/internal/training/runner/pages.go
+++ b/internal/training/runner/pages.go
@@ -47,12 +47,12 @@
 		page := j.nextPage(limit)
 		number, jobCtx := j.pages, j.ctx
 		j.writing = true
-		role := r.seams.Role()
 		go func() {
+			role := r.seams.Role()
 			err := r.seams.Store.Append(ctx, j.batch.ID, number, page)
 			entry := r.log.WithFields(logrus.Fields{
 				"batch": j.batch.ID, "page": number, "start": page.Start, "results": len(page.Results),
-				logs.Fence: role.Epoch, "held": r.seams.Role().Held,
+				logs.Fence: role.Epoch, "held": role.Held, "held_after": r.seams.Role().Held,
 			})
 			if err != nil {
 				entry = entry.WithField(logs.Cause, err.Error())
--- a/internal/training/runner/progress.go
+++ b/internal/training/runner/progress.go
@@ -4,25 +4,20 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"sync/atomic"
 	"time"
 
+	"github.com/twitchtv/twirp"
+
 	"github.com/wigeonpin/wigeonpin/internal/peer/conn"
 	"github.com/wigeonpin/wigeonpin/internal/training/batch"
 )
 
-const (
-	// maxPageWait bounds how long a call waits for a page.
-	maxPageWait = 2 * time.Second
-	// peerCallTimeout bounds a call to a worker, in addition to the time that the
-	// call asks the worker to wait.
-	peerCallTimeout = 300 * time.Millisecond
-	// noWorkerBackoff is how long no worker is called after none was active.
-	noWorkerBackoff = 500 * time.Millisecond
-)
+// maxPageWait bounds how long a call waits for a page.
+const maxPageWait = 2 * time.Second
 
 // Pages returns the pages of a batch that the caller does not know. There may be
-// others in the store: a former holder of the role may have written them.
+// others in the store: a former holder of the role may have written them. A worker
+// that holds the role and does not know the pages answers with NotFound.
 func (h *peerHandler) Pages(ctx context.Context, request *PagesRequest) (*PagesReply, error) {
 	wait := min(time.Duration(request.GetWait())*time.Millisecond, maxPageWait)
 	timer := h.runner.timers.After(wait)
@@ -40,8 +35,14 @@
 				reply.Pages = j.encodedPages[max(0, known):]
 			}
 		})
-		if err != nil || !reply.Active {
-			return reply, err
+		if err != nil {
+			return nil, err
+		}
+		if !reply.Active && h.runner.seams.Role().Held {
+			return nil, twirp.NotFoundError("the pages of the batch are not known")
+		}
+		if !reply.Active {
+			return reply, nil
 		}
 		if len(reply.Pages) > 0 {
 			return reply, nil
@@ -99,48 +100,3 @@
 		return &b, true
 	}
 }
-
-// NewFollower returns a function that asks the worker that executes a batch for
-// the pages after the known ones.
-func NewFollower(peers func() []string) batch.FollowFunc {
-	client := conn.NewPeerClient(dialTimeout, http.DefaultMaxIdleConnsPerHost)
-	var active atomic.Pointer[string]
-	var pausedUntil atomic.Int64 // Unix nanoseconds until which no worker is called
-	return func(ctx context.Context, id string, known int, wait time.Duration) batch.Update {
-		if time.Now().UnixNano() < pausedUntil.Load() {
-			return batch.Update{}
-		}
-		addresses := peers()
-		if last := active.Load(); last != nil {
-			addresses = append([]string{*last}, addresses...)
-		}
-		for _, address := range addresses {
-			limited, cancel := context.WithTimeout(ctx, wait+peerCallTimeout)
-			reply, err := NewProgressProtobufClient("http://"+address, client).Pages(limited, &PagesRequest{
-				Batch: id, Known: int64(known), Wait: wait.Milliseconds(),
-			})
-			cancel()
-			if err == nil && reply.GetActive() {
-				active.Store(&address)
-				pages, decoded := decodePages(reply.GetPages())
-				return batch.Update{Worker: address, Active: decoded, Pages: pages}
-			}
-			if ctx.Err() != nil {
-				return batch.Update{}
-			}
-		}
-		active.Store(nil)
-		pausedUntil.Store(time.Now().Add(noWorkerBackoff).UnixNano())
-		return batch.Update{}
-	}
-}
-
-func decodePages(encoded [][]byte) ([]batch.Page, bool) {
-	pages := make([]batch.Page, len(encoded))
-	for i, text := range encoded {
-		if err := json.Unmarshal(text, &pages[i]); err != nil {
-			return nil, false
-		}
-	}
-	return pages, true
-}
