Count an answer from before a pause as old

What callers would see: a process that was paused accepts a withdrawn key until its next watch is answered.

Cause: the mirror noted the time at which it took an answer. An answer that lay in the socket during a pause counted as a fresh one, so that the keys were not stale any more.

Change: the answer of a watch counts from when the watch can have ended at the latest, and that of a list from when the call began.

Test: TestAnswerFromBeforeAPauseIsStale failed before.

--- a/internal/control/mirror/mirror.go
+++ b/internal/control/mirror/mirror.go
@@ -116,9 +116,10 @@
 	backoff := initialBackoff
 	var revision uint64
 	for ctx.Err() == nil {
+		began := m.uptime()
 		next, err := m.fetch(ctx, revision)
 		if err == nil {
-			m.lastAnswer.Store(int64(m.uptime()))
+			m.lastAnswer.Store(int64(m.answerTime(began, revision)))
 			if m.unavailable.Swap(false) {
 				m.recoveredAt.Store(m.timers.Now().UnixNano())
 				m.log.WithField("revision", next).Info("store regained")
@@ -144,6 +145,16 @@
 	}
 }
 
+// answerTime returns the uptime from which an answer tells the state of the store at
+// the latest, for a call that began at the given uptime. A process that was paused during the
+// call takes the answer long after the store gave it.
+func (m *Mirror) answerTime(began time.Duration, revision uint64) time.Duration {
+	if revision == 0 {
+		return began
+	}
+	return min(m.uptime(), began+m.options.Wait)
+}
+
 // fetch makes one call, a listing if revision is 0 and otherwise a watch, and
 // returns the revision for the next call.
 func (m *Mirror) fetch(ctx context.Context, revision uint64) (uint64, error) {
