Tell a removed batch from one without results

What callers would see: an empty list of results for a batch that was removed after its retention time, at an entry process that still knew the batch but not its pages, while others answered 404; results of a former batch under an id that another client account has submitted since; 503 for results that the same call had just read, since a later page could not be read; results at wrong positions after a page that does not follow the one before it.

Cause: a missing page counted as "no result" without regard to the batch, cached batches were never looked up again, and the error of one page ended the call.

Change: a batch older than its retention time is looked up in the store, by its account and its time, when a call begins and before it ends without results. Results that are known are returned although a later read fails. A page must begin where the one before it ends. The workers leave 0.7 s of a call for the read of the store.

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -131,6 +131,7 @@
 	}, timers, log)
 	reader := batch.NewReader(batch.ReaderSeams{
 		Store: batches, Find: runner.NewFinder(deps.Workers), Follow: runner.NewFollower(deps.Workers), Meters: deps.Meters,
+		Retention: p.ResultRetention,
 	}, timers, log)
 	f := front.New(front.Seams{
 		Manifest: v.Manifest, Ready: func() bool { return v.Synced() && !deps.Isolated() }, Outage: deps.Outage,
--- a/internal/training/batch/batch.go
+++ b/internal/training/batch/batch.go
@@ -216,6 +216,16 @@
 	return s.FromRecord(ctx, r)
 }
 
+// ReadHead returns a batch with the items of its own record only, not those of its
+// parts.
+func (s *Store) ReadHead(ctx context.Context, id string) (*Batch, error) {
+	r, err := s.store.Get(ctx, KindBatches, id)
+	if err != nil {
+		return nil, err
+	}
+	return decode(r)
+}
+
 // FromRecord decodes the record of a batch and reads the items of its parts.
 func (s *Store) FromRecord(ctx context.Context, r records.Record) (*Batch, error) {
 	b, err := decode(r)
--- a/internal/training/batch/reader.go
+++ b/internal/training/batch/reader.go
@@ -21,8 +21,14 @@
 	// pollInterval is the pause between two reads of the store for a page that a
 	// caller waits for.
 	pollInterval = 330 * time.Millisecond
+	// storeReserve is the part of a call's time that is kept from the workers for the
+	// read of the store that confirms an answer without results.
+	storeReserve = 700 * time.Millisecond
 )
 
+// errPageOrder is the error of a page that does not begin where the one before it ends.
+var errPageOrder = errors.New("batch: a result page does not follow the one before it")
+
 // The names of the counters of a reader, as they appear in the metrics.
 const (
 	// CountPages counts the pages of results by where they were read: PagesOfWorker or
@@ -42,12 +48,14 @@
 	PagesOfStore  = "store"
 )
 
-// ReaderSeams are the dependencies of a Reader. Meters may be nil.
+// ReaderSeams are the dependencies of a Reader. Meters may be nil. Retention is how
+// long after its acceptance a batch is certain to be stored.
 type ReaderSeams struct {
-	Store  *Store
-	Find   FindFunc
-	Follow FollowFunc
-	Meters *meter.Set
+	Store     *Store
+	Find      FindFunc
+	Follow    FollowFunc
+	Meters    *meter.Set
+	Retention time.Duration
 }
 
 // Reader serves batches and results from the workers or the store, and caches
@@ -103,15 +111,24 @@
 	}
 }
 
-// load returns a batch from the cache, a worker or the store.
+// load returns a batch from the cache, a worker or the store. One that may have been
+// removed is looked up in the store.
 func (r *Reader) load(ctx context.Context, id string) (*cachedBatch, error) {
 	r.mu.Lock()
 	c, found := r.cache.Get(id)
 	r.mu.Unlock()
 	if found {
-		return c, nil
+		switch err := r.checkStored(ctx, c); {
+		case errors.Is(err, records.ErrMissing):
+			return nil, err
+		case !errors.Is(err, errReplaced):
+			return c, nil // what is known here holds also while the store cannot be read
+		}
 	}
 	b, known := r.seams.Find(ctx, id)
+	if known && r.mayBeRemoved(b) {
+		known = false
+	}
 	if !known {
 		var err error
 		if b, err = r.seams.Store.Read(ctx, id); err != nil {
@@ -128,6 +145,34 @@
 	return c, nil
 }
 
+// errReplaced is the error of a batch that was removed, and whose id another batch has.
+var errReplaced = errors.New("batch: another batch has the id")
+
+func (r *Reader) mayBeRemoved(b *Batch) bool {
+	return r.timers.Since(b.Time) > r.seams.Retention
+}
+
+// checkStored returns records.ErrMissing if the batch was removed from the store, and
+// errReplaced if another one has its id; it is dropped from the cache then. Only a
+// batch that is older than the retention time is looked up.
+func (r *Reader) checkStored(ctx context.Context, c *cachedBatch) error {
+	if !r.mayBeRemoved(c.batch) {
+		return nil
+	}
+	stored, err := r.seams.Store.ReadHead(ctx, c.batch.ID)
+	if err == nil && (stored.Account != c.batch.Account || !stored.Time.Equal(c.batch.Time)) {
+		err = errReplaced
+	}
+	if errors.Is(err, records.ErrMissing) || errors.Is(err, errReplaced) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if current, found := r.cache.Peek(c.batch.ID); found && current == c {
+			r.cache.Remove(c.batch.ID)
+		}
+	}
+	return err
+}
+
 // Batch returns a batch, or records.ErrMissing if it does not exist.
 func (r *Reader) Batch(ctx context.Context, id string) (*Batch, error) {
 	c, err := r.load(ctx, id)
@@ -152,25 +197,36 @@
 		if len(results) > 0 || after >= len(c.batch.Items) {
 			return results, nil
 		}
-		update := r.seams.Follow(ctx, id, pages, max(0, deadline.Sub(r.timers.Now())))
+		update := r.askWorker(ctx, id, pages, deadline)
 		if !update.Active {
 			return r.poll(ctx, c, after, deadline)
 		}
 		if len(update.Pages) == 0 {
 			return r.confirmEmpty(ctx, c, after, update.Worker)
 		}
+		if _, err := c.addPages(pages, update.Pages); err != nil {
+			return r.poll(ctx, c, after, deadline)
+		}
 		r.pages.Add(PagesOfWorker, int64(len(update.Pages)))
-		c.addPages(pages, update.Pages)
 	}
 }
 
+// askWorker asks a worker for the pages after the known ones, and leaves time for a
+// read of the store.
+func (r *Reader) askWorker(ctx context.Context, id string, known int, deadline time.Time) Update {
+	if end, limited := ctx.Deadline(); limited {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, end.Add(-storeReserve))
+		defer cancel()
+	}
+	return r.seams.Follow(ctx, id, known, max(0, deadline.Sub(r.timers.Now())))
+}
+
 // confirmEmpty returns the results from position after on that the store has, after
 // a worker has answered that there are none.
 func (r *Reader) confirmEmpty(ctx context.Context, c *cachedBatch, after int, worker string) ([]Result, error) {
 	_, known := c.resultsFrom(after)
-	if err := r.refresh(ctx, c, r.seams.Store.Page); err != nil {
-		return nil, err
-	}
+	err := r.refresh(ctx, c, r.seams.Store.Page)
 	results, pages := c.resultsFrom(after)
 	if pages > known {
 		r.missed.Add(worker, int64(pages-known))
@@ -178,10 +234,26 @@
 			"batch": c.batch.ID, logs.Peer: worker, "known": known, "stored": pages,
 		}).Info("the store has result pages beyond those of the worker")
 	}
-	if len(results) == 0 {
-		r.empty.Add(worker, 1)
+	if len(results) > 0 {
+		return results, nil
+	}
+	return nil, r.endEmpty(ctx, c, worker, err)
+}
+
+// endEmpty returns the error of a call that found no results: that of the last read of
+// the store, or of a batch whose pages are missing because it was removed.
+func (r *Reader) endEmpty(ctx context.Context, c *cachedBatch, source string, readErr error) error {
+	if readErr != nil {
+		return readErr
+	}
+	switch err := r.checkStored(ctx, c); {
+	case errors.Is(err, errReplaced):
+		return records.ErrMissing
+	case err != nil:
+		return err
 	}
-	return results, nil
+	r.empty.Add(source, 1)
+	return nil
 }
 
 // poll reads results from the store until the deadline. The first read and the last
@@ -193,15 +265,12 @@
 		if left <= 0 {
 			read = r.seams.Store.Page
 		}
-		if err := r.refresh(ctx, c, read); err != nil {
-			return nil, err
-		}
+		err := r.refresh(ctx, c, read)
 		if results, _ := c.resultsFrom(after); len(results) > 0 {
 			return results, nil
 		}
-		if left <= 0 {
-			r.empty.Add(PagesOfStore, 1)
-			return nil, nil
+		if err != nil || left <= 0 {
+			return nil, r.endEmpty(ctx, c, PagesOfStore, err)
 		}
 		if err := r.timers.Sleep(ctx, min(left, pollInterval)); err != nil {
 			return nil, err
@@ -224,7 +293,11 @@
 		if err != nil {
 			return err
 		}
-		if c.addPages(number, []Page{page}) {
+		added, err := c.addPages(number, []Page{page})
+		if err != nil {
+			return err
+		}
+		if added {
 			r.pages.Add(PagesOfStore, 1)
 		}
 	}
@@ -252,16 +325,21 @@
 }
 
 // addPages adds pages, the first of which has the given number, and reports whether
-// one of them was new. Pages that are known already are skipped.
-func (c *cachedBatch) addPages(number int, pages []Page) (added bool) {
+// one of them was new. Pages that are known already are skipped. It returns
+// errPageOrder for a page that does not follow the known ones.
+func (c *cachedBatch) addPages(number int, pages []Page) (added bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for i, page := range pages {
-		if number+i == c.pages {
-			c.results = append(c.results, page.Results...)
-			c.pages++
-			added = true
+		if number+i != c.pages {
+			continue
+		}
+		if page.Start != len(c.results) || len(page.Results) == 0 {
+			return added, errPageOrder
 		}
+		c.results = append(c.results, page.Results...)
+		c.pages++
+		added = true
 	}
-	return added
+	return added, nil
 }
--- a/internal/training/batch/reader_test.go
+++ b/internal/training/batch/reader_test.go
@@ -116,7 +116,11 @@
 		results, _ := reader.Results(ctx, "b1", 0, 0) // an error leaves the results empty
 		finished <- results
 	}()
-	<-reading
+	select {
+	case <-reading:
+	case results := <-finished:
+		t.Fatalf("results %+v without a read of the store", results)
+	}
 	if results, err := reader.Results(ctx, "b1", 0, 0); err != nil || len(results) != 1 {
 		t.Errorf("results %+v, error %v; want the page of the worker", results, err)
 	}
