Read the store after two workers without an answer

Cause: records of replaced processes stay in the list. A read of a batch that no worker has in memory asked each worker of the list in turn, 0.25 to 0.3 s each, before it read the store: with six of them longer than callers wait, at each entry process.

Change: a call goes to the store after two workers that do not answer, and these are asked last for 15 s, by reads of batches and of results alike.

Tests: TestReadDoesNotWaitForEachSilentWorker failed before this change.

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -129,8 +129,9 @@
 		Fleet: fleet, Pool: pool, Names: deps.Names, OnStart: counter.Add,
 		Memory: memory.NewBudget(int64(responseShare * memoryLimit)), Meters: deps.Meters, Breaker: deps.Breaker,
 	}, timers, log)
+	workers := runner.NewWorkers(deps.Workers)
 	reader := batch.NewReader(batch.ReaderSeams{
-		Store: batches, Find: runner.NewFinder(deps.Workers), Follow: runner.NewFollower(deps.Workers), Meters: deps.Meters,
+		Store: batches, Find: workers.Find, Follow: workers.Follow, Meters: deps.Meters,
 		Retention: p.ResultRetention,
 	}, timers, log)
 	f := front.New(front.Seams{
--- a/internal/training/runner/progress.go
+++ b/internal/training/runner/progress.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"encoding/json"
-	"net/http"
 	"time"
 
 	"github.com/twitchtv/twirp"
 
-	"github.com/wigeonpin/wigeonpin/internal/peer/conn"
 	"github.com/wigeonpin/wigeonpin/internal/training/batch"
 )
 
@@ -76,27 +74,3 @@
 	reply.Body, err = json.Marshal(known)
 	return reply, err
 }
-
-// NewFinder returns a function that asks the nearest worker for a batch. It
-// reports false when that worker does not know the batch.
-func NewFinder(peers func() []string) batch.FindFunc {
-	client := conn.NewPeerClient(dialTimeout, http.DefaultMaxIdleConnsPerHost)
-	return func(ctx context.Context, id string) (*batch.Batch, bool) {
-		addresses := peers()
-		if len(addresses) == 0 {
-			return nil, false
-		}
-		limited, cancel := context.WithTimeout(ctx, peerCallTimeout)
-		defer cancel()
-		nearest := addresses[len(addresses)-1] // those of the own availability zone are last
-		reply, err := NewProgressProtobufClient("http://"+nearest, client).Batch(limited, &BatchRequest{Batch: id})
-		if err != nil || len(reply.GetBody()) == 0 {
-			return nil, false
-		}
-		var b batch.Batch
-		if err := json.Unmarshal(reply.GetBody(), &b); err != nil {
-			return nil, false
-		}
-		return &b, true
-	}
-}
--- a/internal/training/runner/follow_test.go
+++ b/internal/training/runner/workers_test.go
@@ -66,7 +66,7 @@
 // the workers, and takes all the time of the request.
 func TestPausedHolderIsAskedOnce(t *testing.T) {
 	holder, other, addresses := newFakeWorkers(t)
-	follow := NewFollower(func() []string { return addresses })
+	follow := NewWorkers(func() []string { return addresses }).Follow
 	if update := follow(context.Background(), "b1", 0, 0); update.Worker != addresses[0] {
 		t.Fatalf("update %+v, want one of the holder", update)
 	}
@@ -86,7 +86,7 @@
 	holder, other, addresses := newFakeWorkers(t)
 	holder.paused.Store(true)
 	other.active.Store(true)
-	follow := NewFollower(func() []string { return addresses })
+	follow := NewWorkers(func() []string { return addresses }).Follow
 	start := time.Now()
 	update := follow(context.Background(), "b1", 0, followWait)
 	if took := time.Since(start); !update.Active || took > followWait+2*peerCallTimeout {
@@ -103,7 +103,7 @@
 	h.runner.Mount(ctx, mux)
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
-	follow := NewFollower(func() []string { return []string{strings.TrimPrefix(server.URL, "http://")} })
+	follow := NewWorkers(func() []string { return []string{strings.TrimPrefix(server.URL, "http://")} }).Follow
 	b := newBatch("plain-1")
 	h.runner.SetActive(ctx, true)
 	h.runner.Add(ctx, b, true)
@@ -143,7 +143,7 @@
 	reader := batch.NewReader(batch.ReaderSeams{
 		Store:  store,
 		Find:   func(context.Context, string) (*batch.Batch, bool) { return nil, false },
-		Follow: NewFollower(func() []string { return addresses }),
+		Follow: NewWorkers(func() []string { return addresses }).Follow,
 	}, clock.NewSystem(), logs.Discard())
 	if _, err := reader.Batch(context.Background(), "b1"); err != nil {
 		t.Fatal(err)
