Remove the records of processes that are gone

What callers saw: reads, relayed store calls and copies of texts were tried at addresses of machines that had been replaced, for good.

Cause: each process writes a record when it starts, and nothing removed it. The list of processes only grew.

A process that sees its own record removed registers again, so that one that was only cut off comes back.

--- a/cmd/wigeonpin/worker.go
+++ b/cmd/wigeonpin/worker.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net"
 
+	"github.com/wigeonpin/wigeonpin/internal/node/members"
 	"github.com/wigeonpin/wigeonpin/internal/node/worker"
 	"github.com/wigeonpin/wigeonpin/internal/peer/exchange"
 	"github.com/wigeonpin/wigeonpin/platform"
@@ -21,6 +23,7 @@
 		Store:       n.store,
 		Peers:       func() []string { return n.peers.Addresses(roleWorker) },
 		PeersSynced: n.peers.Synced,
+		ExpirePeers: members.NewExpiry(n.peers, accepts).Run,
 		Duties:      worker.Duties{Report: d.Report, Order: d.Order, EncodeUsage: platform.EncodeUsage, SendUsage: d.SendUsage},
 		Formats:     formats(), Names: platform.Headers(),
 		VersionKind: platform.KindVersions, DecodeVersion: platform.DecodeVersion,
@@ -32,3 +35,14 @@
 	n.logStopped()
 	return nil
 }
+
+// accepts reports whether a process accepts connections at the address. One that is
+// paused does.
+func accepts(ctx context.Context, address string) bool {
+	connection, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = connection.Close() // nothing was sent
+	return true
+}
--- a/internal/node/members/members.go
+++ b/internal/node/members/members.go
@@ -1,12 +1,13 @@
 // Package members keeps the list of the processes of the system, so that each
 // can reach the others. Every process writes one record to the store when it
-// starts.
+// starts. One process at a time removes the records of those that are gone.
 //
 // # Usage
 //
 //	m := members.New(store, self, timers, log)
 //	go m.Run(ctx)
 //	addresses := m.Addresses("worker")
+//	members.NewExpiry(m, probe).Run(ctx, tenure.Held)
 package members
 
 import (
@@ -53,11 +54,13 @@
 	mirror *mirror.Mirror
 	mu     sync.RWMutex
 	others map[string]Member
+	// removed receives a value when the record of this process was removed.
+	removed chan struct{}
 }
 
 // New returns an empty list that Run fills and keeps up to date.
 func New(store records.Store, self Member, timers *clock.Service, log *logrus.Entry) *Members {
-	m := &Members{store: store, self: self, timers: timers, log: log, others: map[string]Member{}}
+	m := &Members{store: store, self: self, timers: timers, log: log, others: map[string]Member{}, removed: make(chan struct{}, 1)}
 	m.mirror = mirror.New(store, kind, mirror.Options{Wait: watchTimeout, Apply: m.apply}, timers, log)
 	return m
 }
@@ -69,15 +72,31 @@
 // Run registers this process and follows the records of the others until ctx
 // ends.
 func (m *Members) Run(ctx context.Context) {
+	m.keepRegistering(ctx)
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-m.removed:
+				m.log.Info("the record of this process was removed; registering again")
+				m.keepRegistering(ctx)
+			}
+		}
+	}()
+	m.mirror.Run(ctx)
+}
+
+// keepRegistering registers this process. It retries until it succeeds or ctx ends.
+func (m *Members) keepRegistering(ctx context.Context) {
 	for ctx.Err() == nil {
 		err := m.register(ctx)
 		if err == nil {
-			break
+			return
 		}
 		m.log.WithField(logs.Cause, err.Error()).Warn("process not registered in the store; retrying")
 		_ = m.timers.Sleep(ctx, writeRetryDelay)
 	}
-	m.mirror.Run(ctx)
 }
 
 func (m *Members) register(ctx context.Context) error {
@@ -95,6 +114,12 @@
 
 func (m *Members) apply(r records.Record) {
 	if r.Name == m.self.Name {
+		if r.Deleted {
+			select {
+			case m.removed <- struct{}{}:
+			default:
+			}
+		}
 		return
 	}
 	var other Member
--- a/internal/node/worker/latewatch_test.go
+++ b/internal/node/worker/latewatch_test.go
@@ -61,7 +61,7 @@
 		return store.Watch(ctx, kind, after, wait)
 	}
 	w := New(profile.Profile{Name: "w1", Zone: "a"}.WithDefaults(), Dependencies{
-		Store: late, PeersSynced: func() bool { return true }, Peers: func() []string { return nil },
+		Store: late, PeersSynced: func() bool { return true }, ExpirePeers: func(context.Context, func() bool) {}, Peers: func() []string { return nil },
 		Formats: view.Formats{
 			ManifestKind: "config", ManifestName: "main", EndpointKind: "endpoints", ZoneKind: "zones",
 			Manifest: func(records.Record) (*manifest.Manifest, error) {
--- a/internal/node/worker/worker.go
+++ b/internal/node/worker/worker.go
@@ -72,9 +72,12 @@
 
 // Dependencies connect a worker to the platform and to the other workers.
 type Dependencies struct {
-	Store          records.Store
-	Peers          func() []string // addresses of the other workers
-	PeersSynced    func() bool     // whether the list of the other workers has been read
+	Store       records.Store
+	Peers       func() []string // addresses of the other workers
+	PeersSynced func() bool     // whether the list of the other workers has been read
+	// ExpirePeers removes the records of processes that are gone until ctx ends, while
+	// held reports true.
+	ExpirePeers    func(ctx context.Context, held func() bool)
 	Duties         Duties
 	Formats        view.Formats
 	Names          headers.Names
@@ -166,6 +169,7 @@
 	})
 	running.Go(func() { w.reporter.Run(ctx, tenure) })
 	running.Go(func() { w.expiry.Run(ctx, tenure.Held) })
+	running.Go(func() { w.deps.ExpirePeers(ctx, tenure.Held) })
 	running.Go(func() {
 		if !w.synced() {
 			w.log.Warn("role taken before all batches and peers were read")
--- a/internal/node/worker/worker_test.go
+++ b/internal/node/worker/worker_test.go
@@ -70,7 +70,7 @@
 	known := func() bool { return time.Since(began) >= workersDelay }
 	route := manifest.Route{Host: "h", Prefix: "/gen/", Kind: manifest.Rollout, Attempts: 2, ItemTimeout: time.Minute, Targets: []manifest.Target{{Service: "llm", Weight: 1}}}
 	w := New(profile.Profile{Name: "w1", Zone: "a"}.WithDefaults(), Dependencies{
-		Store: slow, PeersSynced: known,
+		Store: slow, PeersSynced: known, ExpirePeers: func(context.Context, func() bool) {},
 		Peers: func() []string {
 			if !known() {
 				return nil
