Find a sample group by its content, not by its place alone

What callers saw: a trainer that had restarted and used the name of a step again with other prompts got samples that were generated for the prompts of its former life.

Cause: the home instance kept one group for each trainer, step and number. A call for the former pull that came late (from an instance that was frozen, or that had not noticed the lost connection and turned to another home) dropped the present group and started the former one. The present pull then waits by calls without prompts, which joined whatever group was there.

TestLateCallOfAFormerPull failed before: both samples of the present pull had the text of the former prompt, and two generations had one request id.

The group's key now has its model, sizes and a digest of its prompt, and calls without prompts name the digest. Groups of two pulls live side by side, since nobody knows which pull came first; the one that was not requested last goes once no pull waits for it (TestGroupsOfAFormerPullAreDropped, which fails without that). Their generations have different request ids, since engines cancel by id. An instance of an earlier build names no digest: it is told that the group is unknown and sends its prompts again.

--- a/internal/training/step/attempt.go
+++ b/internal/training/step/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -61,7 +60,7 @@
 	defer r.releaseHedge(first)
 	start := func(suffix string, a *attempt, avoid []string) {
 		running.Go(func() {
-			s, err := a.generate(ctx, r.sampleID(k)+"/"+strconv.Itoa(try)+suffix, avoid)
+			s, err := a.generate(ctx, r.requestID(k, try)+suffix, avoid)
 			results <- attemptResult{s, err}
 		})
 	}
--- a/internal/training/step/group.go
+++ b/internal/training/step/group.go
@@ -38,6 +38,9 @@
 	done          bool
 	cancel        context.CancelFunc
 	samples       []*Sample
+	// shared is set when another group had the same position at the creation, and
+	// superseded while another one was requested later.
+	shared, superseded bool
 }
 
 func newGroup(key groupKey, r *RunRequest, prompt string) *group {
@@ -47,10 +50,10 @@
 	}
 }
 
-// matches reports whether a request describes this group.
-func (g *group) matches(r *RunRequest, p *Prompt) bool {
-	return len(g.samples) == int(r.GroupSize) && g.maxTokens == int(r.MaxTokens) && g.model == r.Model &&
-		(p.Prompt == nil || p.GetPrompt() == g.prompt)
+// abandoned reports whether another group has replaced this one and no pull waits
+// for it.
+func (g *group) abandoned(now time.Time) bool {
+	return g.superseded && now.Sub(g.lastRequested) >= evictAfter
 }
 
 // size returns the memory that the group is accounted for, in bytes.
@@ -257,6 +260,16 @@
 	}
 }
 
+// requestID returns the id of a generation. Engines cancel generations by id, so
+// that those of two groups with the same position must differ.
+func (r *groupRun) requestID(k, try int) string {
+	if r.group.shared {
+		key := r.group.key
+		return fmt.Sprintf("%s/%x.%d.%d/%d", r.sampleID(k), key.digest, key.size, key.maxTokens, try)
+	}
+	return fmt.Sprintf("%s/%d", r.sampleID(k), try)
+}
+
 func (r *groupRun) sampleID(k int) string {
 	return fmt.Sprintf("%s/%s/%d/%d", r.group.key.trainer, r.group.key.step, r.group.key.group, k)
 }
--- a/internal/training/step/home.go
+++ b/internal/training/step/home.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/twitchtv/twirp"
 	"golang.org/x/sync/semaphore"
 
@@ -33,11 +34,33 @@
 	groupOverhead = 512
 )
 
-type groupKey struct {
+// groupPosition is the place of a group among those of a trainer's steps.
+type groupPosition struct {
 	trainer, step string
 	group         int
 }
 
+// groupKey identifies a group by its place and its content. A trainer that has
+// restarted may use the name of a step again with other content while calls for its
+// former pulls still arrive.
+type groupKey struct {
+	groupPosition
+	model           string
+	size, maxTokens int
+	digest          uint64 // of the prompt
+}
+
+func newGroupKey(r *RunRequest, p *Prompt) groupKey {
+	digest := p.Digest
+	if p.Prompt != nil {
+		digest = xxhash.Sum64String(p.GetPrompt())
+	}
+	return groupKey{
+		groupPosition: groupPosition{r.Trainer, r.Step, int(p.Group)},
+		model:         r.Model, size: int(r.GroupSize), maxTokens: int(r.MaxTokens), digest: digest,
+	}
+}
+
 type stepKey struct{ trainer, step string }
 
 // trainerState is the newest known version of a trainer.
@@ -53,6 +76,7 @@
 
 	mu       sync.Mutex
 	groups   map[groupKey]*group
+	newest   map[groupPosition]*group // the group that was requested last
 	trainers map[string]trainerState
 	finished map[stepKey]chan struct{} // closed when a group of the step finishes
 	bytes    int64
@@ -61,6 +85,7 @@
 func newHome(s *Steps) *home {
 	return &home{
 		steps: s, slots: semaphore.NewWeighted(maxGenerations), groups: map[groupKey]*group{},
+		newest:   map[groupPosition]*group{},
 		trainers: map[string]trainerState{}, finished: map[stepKey]chan struct{}{},
 	}
 }
@@ -136,13 +161,8 @@
 // for room, which scans all groups, is not repeated for the other groups of the
 // request. The caller holds mu.
 func (h *home) join(r *RunRequest, p *Prompt, setDeadline bool, full *bool) *group {
-	key := groupKey{r.Trainer, r.Step, int(p.Group)}
+	key := newGroupKey(r, p)
 	g := h.groups[key]
-	if g != nil && !g.matches(r, p) {
-		// The trainer reused the name of the step, for instance after a restart.
-		h.drop(g)
-		g = nil
-	}
 	if g == nil {
 		if p.Prompt == nil || *full {
 			return nil
@@ -151,10 +171,12 @@
 			return nil
 		}
 		g = newGroup(key, r, p.GetPrompt())
+		g.shared = h.newest[key.groupPosition] != nil
 		h.groups[key] = g
 		h.bytes += g.size()
 	}
 	now := h.steps.timers.Now()
+	h.supersede(g, now)
 	g.lastRequested = now
 	g.version = max(g.version, int(r.Version))
 	g.maxAge = int(r.MaxAge)
@@ -170,6 +192,24 @@
 	return g
 }
 
+// supersede makes g the newest group at its position. The former one belongs to
+// another pull, whose trainer has restarted. It is dropped unless that pull may
+// still be waiting: nobody knows which of the two pulls came first. The caller holds
+// mu.
+func (h *home) supersede(g *group, now time.Time) {
+	former := h.newest[g.key.groupPosition]
+	h.newest[g.key.groupPosition] = g
+	g.superseded = false
+	if former == nil || former == g {
+		return
+	}
+	former.superseded = true
+	if former.abandoned(now) {
+		h.drop(former)
+		h.steps.dropped.Add("superseded", 1)
+	}
+}
+
 // discardOld discards the samples that are too old for a pull at the given
 // version. The group is then incomplete again.
 func (h *home) discardOld(g *group, version int) {
@@ -219,10 +259,13 @@
 		delete(h.groups, g.key)
 		h.bytes -= g.size()
 	}
+	if h.newest[g.key.groupPosition] == g {
+		delete(h.newest, g.key.groupPosition)
+	}
 }
 
-// sweep drops the groups whose trainer is keepVersions ahead and the groups that
-// nobody requested for idleTimeout. It also removes the state of steps without
+// sweep drops the groups whose trainer is keepVersions ahead, those that a trainer
+// has replaced and those that nobody requested for idleTimeout. It also removes the state of steps without
 // groups and of trainers that were not seen for 2*idleTimeout.
 func (h *home) sweep() {
 	h.mu.Lock()
@@ -234,6 +277,9 @@
 		case h.trainers[g.key.trainer].version-g.version >= keepVersions:
 			h.drop(g)
 			h.steps.dropped.Add("version", 1)
+		case g.abandoned(now):
+			h.drop(g)
+			h.steps.dropped.Add("superseded", 1)
 		case !g.running && now.Sub(g.lastRequested) >= idleTimeout:
 			h.drop(g)
 			h.steps.dropped.Add("idle", 1)
--- a/internal/training/step/steps.go
+++ b/internal/training/step/steps.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
@@ -288,7 +289,9 @@
 	}
 	for _, g := range c.groups {
 		prompt := &Prompt{Group: int32(g)}
-		if !c.promptsKnown {
+		if c.promptsKnown {
+			prompt.Digest = xxhash.Sum64String(p.request.Prompts[g])
+		} else {
 			prompt.Prompt = &p.request.Prompts[g]
 		}
 		r.Groups = append(r.Groups, prompt)
