Count no view of the homes from before a pause of the process

What callers saw, in the test: a call with an idempotency key ran twice. Two of three instances were frozen and left the member list, the third served the call alone and died, and the two went on with the list as it had been.

Cause: a home covers a key, that is, vouches that no earlier claim exists, once its own views have named it for the resend window. Views that came and went during a pause are not among them, and the check that the view is fresh sees the pause only when it runs before the first answer after it. It ran between calls to other instances, which may wait for seconds.

A pause longer than freshness_ms between two observations now clears the views, as a view that is not fresh does.

TestOverTwirp let 66 s pass in one step, which is such a pause. It observes the homes in each period now, as Run does; its checks are the same. The fixture of traffic/entry lets an hour pass in one step and says that this is no pause.

--- a/internal/traffic/entry/fixture_test.go
+++ b/internal/traffic/entry/fixture_test.go
@@ -106,9 +106,11 @@
 	})
 	runner := dispatch.New(settings, timers, i.meters, log, engines, services, i.dispatchSeams())
 	// The clock is advanced so that the home instances have been responsible for
-	// longer than the resend window.
+	// longer than the resend window. The step must not count as a pause.
 	driven, advancer := clock.NewDriven(time.Now())
-	records := idempotency.New(settings, driven, i.meters, idempotency.Seams{
+	recordSettings := settings
+	recordSettings.FreshnessMS = time.Hour.Milliseconds()
+	records := idempotency.New(recordSettings, driven, i.meters, idempotency.Seams{
 		View: func() *member.View {
 			return member.NewView([]member.Instance{{ID: "i-1", Zone: "a"}})
 		},
--- a/internal/traffic/idempotency/claim.go
+++ b/internal/traffic/idempotency/claim.go
@@ -140,16 +140,30 @@
 // Run observes changes of the homes, sends records to the homes that lack them
 // and removes expired records, until ctx ends.
 func (r *Records) Run(ctx context.Context) error {
+	// Calls to silent instances may take seconds, in which the homes have to be
+	// observed.
+	var observer sync.WaitGroup
+	defer observer.Wait()
+	observer.Go(func() {
+		r.eachTick(ctx, func() {
+			r.observe()
+			r.store.expire()
+		})
+	})
+	r.eachTick(ctx, func() { r.maintain(ctx) })
+	return ctx.Err()
+}
+
+// eachTick calls f once in each period until ctx ends.
+func (r *Records) eachTick(ctx context.Context, f func()) {
 	ticks := r.timers.Subscribe(tickPeriod)
 	defer ticks.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
+			return
 		case <-ticks.C:
-			r.observe()
-			r.store.expire()
-			r.maintain(ctx)
+			f()
 		}
 	}
 }
--- a/internal/traffic/idempotency/home.go
+++ b/internal/traffic/idempotency/home.go
@@ -210,8 +210,12 @@
 type history struct {
 	self   string
 	window time.Duration
-	mu     sync.Mutex
-	views  []observedView
+	// maxPause is the longest time between two observations after which the views
+	// still count. In a longer one, views may have come and gone.
+	maxPause   time.Duration
+	mu         sync.Mutex
+	views      []observedView
+	observedAt time.Time
 }
 
 type observedView struct {
@@ -219,17 +223,21 @@
 	since time.Time
 }
 
-func newHistory(self string, window time.Duration) *history {
-	return &history{self: self, window: window}
+func newHistory(self string, window, maxPause time.Duration) *history {
+	return &history{self: self, window: window, maxPause: maxPause}
 }
 
 // observe adds the current view if it has changed. While the view is not up to
-// date, instances may have joined and left unnoticed, so the history is cleared.
+// date or the process is paused, instances may join and leave unnoticed, so the
+// history is cleared.
 func (h *history) observe(now time.Time, view *member.View, current bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !current {
+	if !current || now.Sub(h.observedAt) > h.maxPause {
 		h.views = nil
+	}
+	h.observedAt = now
+	if !current {
 		return
 	}
 	if last := len(h.views) - 1; last < 0 || (h.views[last].view != view && !h.views[last].view.Equal(view)) {
--- a/internal/traffic/idempotency/idempotency.go
+++ b/internal/traffic/idempotency/idempotency.go
@@ -114,7 +114,7 @@
 		store: newStore(timers, window, setting.Milliseconds(settings.DeadlineMaxMS)), claims: map[string]*Claim{},
 		// The window is longer by the lag bound of the member list, since other
 		// instances may act on an older list for that time.
-		history: newHistory(settings.ID, window+setting.Milliseconds(settings.ListLagMS)),
+		history: newHistory(settings.ID, window+setting.Milliseconds(settings.ListLagMS), setting.Milliseconds(settings.FreshnessMS)),
 	}
 	r.observe()
 	return r
--- a/internal/traffic/idempotency/idempotency_test.go
+++ b/internal/traffic/idempotency/idempotency_test.go
@@ -35,8 +35,9 @@
 	records *Records
 	view    *member.View
 	// fault is "" for none, "refused" for a dead instance whose port is closed,
-	// "silent" for an instance cut off from the others in both directions, or
-	// "lost" for an instance that runs calls but whose answers are lost.
+	// "silent" for an instance cut off from the others in both directions, "lost"
+	// for an instance that runs calls but whose answers are lost, or "frozen" for a
+	// process that does nothing until it goes on with the state it had.
 	fault string
 	// claims holds the claims that have not ended, by idempotency key.
 	claims map[string]*Claim
@@ -88,7 +89,7 @@
 	if fault == "refused" {
 		return none, syscall.ECONNREFUSED
 	}
-	if fault == "silent" || l.group.fault(l.from) == "silent" {
+	if fault == "silent" || fault == "frozen" || l.group.fault(l.from) == "silent" {
 		return none, context.DeadlineExceeded
 	}
 	answer, err := f((*server)(l.group.nodes[l.to].records), proto.Clone(q).(Q))
@@ -120,7 +121,7 @@
 	for ; step > 0; step -= tickPeriod {
 		g.driver.Advance(min(step, tickPeriod))
 		for _, n := range g.nodes {
-			if n.fault != "refused" {
+			if n.fault != "refused" && n.fault != "frozen" {
 				n.records.observe()
 				n.records.store.expire()
 				n.records.maintain(context.Background())
--- a/internal/traffic/idempotency/wire_test.go
+++ b/internal/traffic/idempotency/wire_test.go
@@ -40,10 +40,12 @@
 		t.Cleanup(servers[id].Close)
 		list = append(list, member.Instance{ID: id, Zone: id[:1], Peer: strings.TrimPrefix(servers[id].URL, "http://")})
 	}
-	for _, r := range records {
-		r.observe()
+	for range 66 * time.Second / tickPeriod {
+		for _, r := range records {
+			r.observe()
+		}
+		driver.Advance(tickPeriod)
 	}
-	driver.Advance(66 * time.Second)
 	var mu sync.Mutex
 	claimed := 0
 	var calls sync.WaitGroup
