Read the announced versions before the first order of a roll-out

What callers saw, in the test: engines were ordered back from the newest weights to those before, by a new holder of the lease weights-TRAINER.

Cause: the holder orders the version of which its instance has heard by broadcast. An instance that is no relay reads the store once at its start; if it was cut off from the others at the last announcement and its predecessor rolled that one out, it orders the one before, under a newer fencing token.

--- a/internal/control/serve/build.go
+++ b/internal/control/serve/build.go
@@ -134,6 +134,7 @@
 		Hold: i.holdWeights, View: i.directory.View, Table: i.config.Table, Endpoints: i.roster.Endpoints,
 		Version:     func(trainer string) (int, bool) { return i.versions.Version(trainer) },
 		Changed:     func() <-chan struct{} { return i.versions.Changed() },
+		Refresh:     func(ctx context.Context) error { return i.versions.Refresh(ctx) },
 		CheckStored: i.weights.CheckStored, Load: i.orderLoad, Switch: i.orderSwitch, Status: i.engineStatus, RateLimited: weights.RateLimited,
 	}, i.log)
 }
--- a/internal/fleet/rollout/rollout.go
+++ b/internal/fleet/rollout/rollout.go
@@ -68,6 +68,8 @@
 	// a channel that is closed at the next announcement of any trainer.
 	Version func(trainer string) (version int, ok bool)
 	Changed func() <-chan struct{}
+	// Refresh reads the announced versions from the store.
+	Refresh func(ctx context.Context) error
 	// CheckStored checks the weight store for a version; nil means that it is there.
 	CheckStored func(ctx context.Context, trainer string, version int) error
 	// Load orders an engine to load a version, Switch to serve it. Status
@@ -180,13 +182,15 @@
 func LeaseName(trainer string) string { return "weights-" + trainer }
 
 // runTrainer runs the roll-outs of one trainer, one version after another. A
-// roll-out ends when a later version is announced or the lease is lost.
+// roll-out ends when a later version is announced or the lease is lost. Under a new
+// fencing token the stored versions are read first, since an earlier holder may have
+// ordered a version of which this instance has not heard.
 func (r *Rollout) runTrainer(ctx context.Context, name string) {
 	lease := r.seams.Hold(ctx, LeaseName(name))
 	ticks := r.timers.Subscribe(watchPeriod)
 	defer ticks.Stop()
 	var current *run
-	var lastFence uint64
+	var readFence, lastFence uint64
 	stop := func() {
 		if current != nil {
 			current.end()
@@ -202,7 +206,15 @@
 		if current != nil && (!held || !exists || fence != current.fence || version != current.version || row.Model != current.model) {
 			stop()
 		}
-		if current == nil && held && known && exists {
+		if held && exists && fence != readFence {
+			err := r.seams.Refresh(ctx)
+			if err == nil {
+				readFence = fence
+				continue
+			}
+			r.log.WithField(logs.Trainer, name).WithError(err).Warn("no roll-out before the announced versions are read")
+		}
+		if current == nil && held && known && exists && fence == readFence {
 			current = r.begin(ctx, name, row.Model, version, fence, lease, fence != lastFence)
 			lastFence = fence
 		}
--- a/internal/fleet/rollout/rollout_test.go
+++ b/internal/fleet/rollout/rollout_test.go
@@ -81,7 +81,8 @@
 			}
 			return nil
 		},
-		Load: f.load, Switch: f.change, Status: f.ask,
+		Refresh: func(context.Context) error { return nil },
+		Load:    f.load, Switch: f.change, Status: f.ask,
 		RateLimited: func(err error) (time.Duration, bool) { return 0, errors.Is(err, errLimited) },
 	}, logs.Discard())
 	return f
--- a/internal/training/version/version.go
+++ b/internal/training/version/version.go
@@ -123,6 +123,12 @@
 	return true
 }
 
+// Refresh reads the stored versions.
+func (v *Versions) Refresh(ctx context.Context) error {
+	_, err := v.poll(ctx, 0, 0)
+	return err
+}
+
 // Run reads the stored versions once and, while this instance is a relay,
 // watches them for changes until ctx ends.
 func (v *Versions) Run(ctx context.Context) error {
