Take no record that was removed from a late answer of the store

What callers saw, in the test: a record that had been removed was back, for as long as the process ran. For entries of endpoints that is a request to an endpoint that is gone, for batches one that is carried out after its removal.

Cause: the mirror forgets the revision of a record when it is removed, and took whatever a watch or a list answered. Answers of the store bear no id, so that a late copy of an earlier answer may be taken for the present one. Its records were new to the mirror, and no later watch tells of their removal again.

A watch asks for what comes after a revision, so that a record at or below it is passed over. Removals are taken still, since their events may name the removed version. A list below the known revision is a failed call, since lists of the store are never older than an earlier answer.

--- a/internal/control/mirror/mirror.go
+++ b/internal/control/mirror/mirror.go
@@ -39,6 +39,9 @@
 	callOverhead = 1500 * time.Millisecond
 )
 
+// errLateList means that a list is older than the changes that are known already.
+var errLateList = errors.New("the list is older than an earlier answer")
+
 // waitFraction is the fraction of the time within which a change must take
 // effect that one watch may wait. A store that drops its history may leave a
 // waiting watch without a change, so that only the next watch returns it.
@@ -73,6 +76,7 @@
 	uptime func() time.Duration
 
 	revisions   map[string]uint64 // latest revision by name; used by Run only
+	horizon     uint64            // revision up to which changes are known; used by Run only
 	synced      atomic.Bool
 	unavailable atomic.Bool  // the latest call failed
 	lastAnswer  atomic.Int64 // uptime in nanoseconds at the latest answer
@@ -155,9 +159,14 @@
 		return 0, err
 	}
 	for _, r := range changes.Records {
-		m.apply(r)
+		// A late copy of an earlier answer may hold a record that was removed since.
+		// The event of a removal may name an earlier revision.
+		if r.Deleted || r.Revision == 0 || r.Revision > revision {
+			m.apply(r)
+		}
 	}
-	return max(revision, changes.Revision), nil
+	m.horizon = max(revision, changes.Revision)
+	return m.horizon, nil
 }
 
 // list applies all records of the kind. Records that are not listed any more
@@ -167,6 +176,10 @@
 	if err != nil {
 		return 0, err
 	}
+	if page.Revision < m.horizon {
+		return 0, errLateList
+	}
+	m.horizon = page.Revision
 	listed := make(map[string]bool, len(page.Records))
 	for _, r := range page.Records {
 		listed[r.Name] = true
