End orders and reports with the tenure under which they were begun

Seen in the tests only.

Cause: the holder checks its tenure before the call, and the call may then take 1.2 s, of which the opening of a connection can be most while the network is cut. A tenure lapses 1.4 s after its renewal with a leaseMs of 3 s, and a successor begins 0.2 s later. The request is sent as soon as the connection stands.

TestReportEndsWithTheTenure and TestOrderEndsWithTheTenure failed before: the calls went on for the 20 s that the tests wait.

The call's context now ends as soon as the tenure is not held; the exchange then resets its connection, so that nothing that was written is delivered later. What remains is a pause of the process between the last look at the tenure and the system call.

--- a/internal/billing/window/reporter.go
+++ b/internal/billing/window/reporter.go
@@ -103,9 +103,11 @@
 		return err
 	}
 	if !turn.Held() {
-		return errors.New("the role is no longer held")
+		return leader.ErrNotHeld
 	}
-	if err := r.options.Send(ctx, turn.Epoch, s.Report); err != nil {
+	held, cancel := turn.Context(ctx)
+	defer cancel()
+	if err := r.options.Send(held, turn.Epoch, s.Report); err != nil {
 		return err
 	}
 	r.log.WithFields(logrus.Fields{logs.Window: number, logs.Fence: turn.Epoch, "report": string(s.Report)}).Info("window reported")
--- a/internal/billing/window/window_test.go
+++ b/internal/billing/window/window_test.go
@@ -164,3 +164,36 @@
 		t.Errorf("records after the sweep: %v, want %v", left, want)
 	}
 }
+
+// Guards against a report that reaches its recipient after the role has passed on: a
+// connection that is opened while the network is cut may come about a second after
+// the tenure has lapsed, and the call must have been given up by then.
+func TestReportEndsWithTheTenure(t *testing.T) {
+	f := newFixture()
+	store := ledger.New().Store()
+	store.Put = func(context.Context, records.Record) (records.Record, error) {
+		return records.Record{}, records.ErrRefused
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	l := leader.New(store, leader.Options{Self: "w", Term: 300 * time.Millisecond}, clock.NewSystem(), logs.Discard())
+	l.Run(ctx, func(_ context.Context, turn *leader.Tenure) {
+		defer cancel()
+		r := f.reporter()
+		r.options.Send = func(ctx context.Context, _ uint64, _ []byte) error {
+			select {
+			case <-ctx.Done():
+				if turn.Held() {
+					t.Error("the call ended although the role is held")
+				}
+				return context.Cause(ctx)
+			case <-time.After(20 * time.Second):
+				t.Error("the call goes on after the tenure has lapsed")
+				return nil
+			}
+		}
+		if err := r.report(context.Background(), turn, 200); !errors.Is(err, leader.ErrNotHeld) {
+			t.Errorf("report returned %v, want %v", err, leader.ErrNotHeld)
+		}
+	})
+}
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -5,7 +5,11 @@
 //
 //	c := leader.New(store, leader.Options{Self: "worker-1", Term: 3 * time.Second}, timers, log)
 //	c.Run(ctx, func(ctx context.Context, tenure *leader.Tenure) {
-//		if tenure.Held() { order(tenure.Epoch) }
+//		if tenure.Held() {
+//			held, cancel := tenure.Context(ctx)
+//			order(held, tenure.Epoch)
+//			cancel()
+//		}
 //	})
 //
 // # Safety
@@ -56,6 +60,9 @@
 	// free role, and readyPoll the pause between two checks.
 	readyTimeout = time.Second
 	readyPoll    = 20 * time.Millisecond
+	// heldPoll is how often the context of a tenure compares the uptime, since
+	// timers stand still while the machine is suspended.
+	heldPoll = 50 * time.Millisecond
 )
 
 // Options configure a candidate. Self names the machine: a process that
@@ -76,17 +83,41 @@
 	Released bool   `json:"free"`
 }
 
+// ErrNotHeld is the cause with which the context of a tenure ends.
+var ErrNotHeld = errors.New("the role is no longer held")
+
 // Tenure is one period in which this process holds the role under one epoch.
 type Tenure struct {
 	Epoch  uint64
 	until  atomic.Int64 // uptime in nanoseconds at which the term ends
 	uptime func() time.Duration
+	timers *clock.Service
 }
 
 // Held reports whether the role is held now. Callers check it right before
 // each step that only the holder may take.
 func (t *Tenure) Held() bool { return t.uptime() < time.Duration(t.until.Load()) }
 
+// Context returns a context that ends, with the cause ErrNotHeld, as soon as the
+// role is not held. A call that only the holder may make uses it, since a call that
+// waits for its connection may otherwise be sent after a successor has begun.
+func (t *Tenure) Context(parent context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(parent)
+	go func() {
+		for {
+			left := time.Duration(t.until.Load()) - t.uptime()
+			if left <= 0 {
+				cancel(ErrNotHeld)
+				return
+			}
+			if t.timers.Sleep(ctx, min(left, heldPoll)) != nil {
+				return
+			}
+		}
+	}()
+	return ctx, func() { cancel(context.Canceled) }
+}
+
 // Candidate campaigns for the role and renews it while it is held.
 type Candidate struct {
 	store   records.Store
@@ -207,7 +238,7 @@
 		return nil, err
 	}
 	c.lastRecord, c.unchangedSince = written, start
-	tenure := &Tenure{Epoch: next.Epoch, uptime: c.uptime}
+	tenure := &Tenure{Epoch: next.Epoch, uptime: c.uptime, timers: c.timers}
 	tenure.until.Store(int64(start + c.options.Term - margin))
 	return tenure, nil
 }
--- a/internal/fleet/weights/load.go
+++ b/internal/fleet/weights/load.go
@@ -10,7 +10,6 @@
 
 // The errors of a load that was not completed.
 var (
-	errRoleLost    = errors.New("the role is no longer held")
 	errBusy        = errors.New("the engine is busy with another order")
 	errRefused     = errors.New("the engine refused the order")
 	errLoadTimeout = errors.New("the load did not complete in time")
@@ -32,12 +31,14 @@
 		return p.awaitLoad(ctx, s, errBusy)
 	}
 	if !turn.Held() {
-		return errRoleLost
+		return leader.ErrNotHeld
 	}
 	p.seams.Fleet.SetLoading(s.entry.ID, s.model)
-	verdict, err := p.seams.Send(ctx, s.entry, Order{
+	held, cancel := turn.Context(ctx)
+	verdict, err := p.seams.Send(held, s.entry, Order{
 		Model: s.model, Version: s.version, KeepRequests: s.keep, Epoch: turn.Epoch, Expected: report.Sequence,
 	})
+	cancel()
 	if err != nil {
 		// The engine may still carry the order out, now or seconds later.
 		return p.awaitLoad(ctx, s, err)
--- a/internal/fleet/weights/weights_test.go
+++ b/internal/fleet/weights/weights_test.go
@@ -14,6 +14,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/control/leader"
 	"github.com/wigeonpin/wigeonpin/internal/control/manifest"
 	"github.com/wigeonpin/wigeonpin/internal/fleet/replica"
+	"github.com/wigeonpin/wigeonpin/internal/peer/records"
 	"github.com/wigeonpin/wigeonpin/internal/standin/ledger"
 )
 
@@ -305,11 +306,43 @@
 	var former *leader.Tenure
 	withTurn(t, func(turn *leader.Tenure) { former = turn })
 	entry := f.fleet.Entries("llm")[0]
-	if err := f.planner.runLoad(context.Background(), former, loadTask{entry: entry, model: "m", version: 2}); !errors.Is(err, errRoleLost) {
-		t.Errorf("error %v, want %v", err, errRoleLost)
+	if err := f.planner.runLoad(context.Background(), former, loadTask{entry: entry, model: "m", version: 2}); !errors.Is(err, leader.ErrNotHeld) {
+		t.Errorf("error %v, want %v", err, leader.ErrNotHeld)
 	}
 }
 
+// TestOrderEndsWithTheTenure guards against an order that reaches its engine after the
+// role has passed on, since its connection came late.
+func TestOrderEndsWithTheTenure(t *testing.T) {
+	f := newFixture(1, "m")
+	f.planner.seams.Report = func(context.Context, replica.Entry) (Report, error) {
+		return Report{Versions: map[string]int64{"m": 1}}, nil
+	}
+	f.planner.seams.Send = func(ctx context.Context, _ replica.Entry, _ Order) (Verdict, error) {
+		select {
+		case <-ctx.Done():
+			return Refused, context.Cause(ctx)
+		case <-time.After(20 * time.Second):
+			t.Error("the order goes on after the tenure has lapsed")
+			return Refused, nil
+		}
+	}
+	store := ledger.New().Store()
+	store.Put = func(context.Context, records.Record) (records.Record, error) {
+		return records.Record{}, records.ErrRefused
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	l := leader.New(store, leader.Options{Self: "w", Term: 300 * time.Millisecond}, clock.NewSystem(), logs.Discard())
+	l.Run(ctx, func(_ context.Context, turn *leader.Tenure) {
+		defer cancel()
+		task := loadTask{entry: f.fleet.Entries("llm")[0], model: "m", version: 2}
+		if err := f.planner.runLoad(context.Background(), turn, task); !errors.Is(err, leader.ErrNotHeld) {
+			t.Errorf("error %v, want %v", err, leader.ErrNotHeld)
+		}
+	})
+}
+
 // withTurn calls f with a turn that is held until f returns.
 func withTurn(t *testing.T, f func(turn *leader.Tenure)) {
 	t.Helper()
