Count a late request in the first window that is still open

What callers saw: nothing; a report would lack the request. Seen in the test only.

Cause: a process that was paused between the choice of the window and the count adds to a window whose part exists already, or whose write is repeated after a lost answer. The part is created once, and the conflict was taken for the own write, so that the request was dropped without a word.

TestLateRequestIsCounted failed before: two of four requests were in no report.

A window is closed for further counts before the first write of its part, so that a repeated write has the same bytes, and the request counts in the next window.

--- a/internal/billing/window/window.go
+++ b/internal/billing/window/window.go
@@ -67,6 +67,9 @@
 
 	mu     sync.Mutex
 	counts map[int64]map[string]int64
+	// firstOpen is the first window whose part has not begun to be written. The
+	// parts before it never change.
+	firstOpen int64
 }
 
 // NewCounter returns a counter for windows of the given length.
@@ -77,12 +80,13 @@
 	}
 }
 
-// Add counts a request of an account in the current window. It is called when
-// an endpoint begins the request.
+// Add counts a request of an account in the current window, or in a later one if
+// the part of the current one is written already. It is called when an endpoint
+// begins the request.
 func (c *Counter) Add(account string) {
-	number := Number(c.timers.Now(), c.length)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	number := max(Number(c.timers.Now(), c.length), c.firstOpen)
 	if c.counts[number] == nil {
 		c.counts[number] = map[string]int64{}
 	}
@@ -113,6 +117,7 @@
 // whether all of them were stored.
 func (c *Counter) write(ctx context.Context, before int64) bool {
 	c.mu.Lock()
+	c.firstOpen = max(c.firstOpen, before)
 	var due []int64
 	for number := range c.counts {
 		if number < before {
--- a/internal/billing/window/window_test.go
+++ b/internal/billing/window/window_test.go
@@ -197,3 +197,31 @@
 		}
 	})
 }
+
+// Guards against a request that is counted in no report: a process that was paused
+// adds it to a window whose part has been written already, or is being written anew
+// after a lost answer. It counts in the next window then.
+func TestLateRequestIsCounted(t *testing.T) {
+	f := newFixture()
+	ctx := context.Background()
+	c := f.counter("a")
+	c.Add("acme")
+	f.ledger.SetFault(ledger.LoseResponse)
+	c.write(ctx, 201)
+	c.Add("acme")
+	c.write(ctx, 201)
+	c.Add("acme")
+	f.driver.Advance(length)
+	c.Add("acme")
+	c.write(ctx, 202)
+	withTurn(t, func(turn *leader.Tenure) {
+		for _, number := range []int64{200, 201} {
+			if err := f.reporter().report(ctx, turn, number); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+	if want := []string{`{"counts":{"acme":1},"window":200}`, `{"counts":{"acme":3},"window":201}`}; !slices.Equal(f.sent, want) {
+		t.Errorf("sent %q, want %q", f.sent, want)
+	}
+}
