Read the endpoints before the first order for a zone

Cause: an order states the whole zone. A new holder starts from the endpoints of its own copy of the list, as if they were those that the zone has, and only grows from there. An instance whose copy was outdated, or which had read no list yet (the list and the leases are different interfaces of the platform), takes what its predecessor ordered back.

Under a new fencing token the changes since the own copy are read from the platform, and nothing is ordered while that fails. Orders of the former holder are over by then, since the lease waits for its term and for its connections.

--- a/internal/control/roster/roster.go
+++ b/internal/control/roster/roster.go
@@ -158,6 +158,15 @@
 	return nil
 }
 
+// Refresh reads the changes since the last page from the platform.
+func (r *Roster) Refresh(ctx context.Context) error {
+	page, err := r.seams.Watch(ctx, r.currentRevision(), 0)
+	if err == nil {
+		r.Merge(page)
+	}
+	return err
+}
+
 func (r *Roster) askPeer(ctx context.Context) {
 	ctx, cancel := r.timers.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/control/serve/build.go
+++ b/internal/control/serve/build.go
@@ -128,7 +128,7 @@
 	}, i.log)
 	i.orders = order.New(i.settings, i.timers, order.Seams{
 		Hold: i.holdOrders, Members: i.zoneMembers, Demand: i.demand, Collect: order.Collect(i.peers),
-		Endpoints: i.roster.Endpoints, Table: i.config.Table, Order: i.capacity.SendOrder,
+		Endpoints: i.roster.Endpoints, Refresh: i.roster.Refresh, Table: i.config.Table, Order: i.capacity.SendOrder,
 	}, i.log)
 	i.rollout = rollout.New(i.settings, i.timers, rollout.Seams{
 		Hold: i.holdWeights, View: i.directory.View, Table: i.config.Table, Endpoints: i.roster.Endpoints,
--- a/internal/fleet/order/order.go
+++ b/internal/fleet/order/order.go
@@ -63,7 +63,9 @@
 	// Collect asks another instance for its demand.
 	Collect   func(ctx context.Context, peer member.Instance) ([]*Demand, error)
 	Endpoints func() *roster.Snapshot
-	Table     func() *table.Table
+	// Refresh reads the endpoints from the platform.
+	Refresh func(ctx context.Context) error
+	Table   func() *table.Table
 	// Order sends an order with the lease's client.
 	Order func(ctx context.Context, guarded *http.Client, zone string, order capacity.Order) error
 }
@@ -119,6 +121,12 @@
 		return
 	}
 	if fence != o.fence {
+		// An order states the whole zone. This instance's copy may lack endpoints that
+		// another holder has ordered.
+		if err := o.refresh(ctx); err != nil {
+			o.log.WithError(err).WithField(logs.Fence, fence).Warn("no order before the endpoints are read")
+			return
+		}
 		// The orders of another holder are known only from the endpoints, so the
 		// state of earlier decisions is dropped.
 		o.fence, o.lastOrder, o.confirmed, o.rounds = fence, nil, false, 0
@@ -147,6 +155,12 @@
 	o.confirmed = true
 }
 
+func (o *Scaler) refresh(ctx context.Context) error {
+	ctx, cancel := o.timers.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return o.seams.Refresh(ctx)
+}
+
 // decide returns the desired endpoints of all models, sorted by model name.
 func (o *Scaler) decide(current *table.Table, needs map[string]need, partial bool) []capacity.ModelTarget {
 	existing := o.countEndpoints()
--- a/internal/fleet/order/order_test.go
+++ b/internal/fleet/order/order_test.go
@@ -35,6 +35,8 @@
 	ignoreOrders bool         // the platform does not carry out orders
 	sent         []capacity.Order
 	timers       *clock.Service
+	known        *roster.Snapshot // an outdated copy of the endpoints; nil for none
+	refresh      func() error
 }
 
 func newFixture(row string, standard, cheap int) *fixture {
@@ -42,7 +44,8 @@
 	f := &fixture{
 		driver: driver, timers: timers, fence: 7, held: true, needs: map[string]*Demand{"a": {Model: "m"}, "b": {Model: "m"}},
 		endpoints: map[string]roster.Endpoint{}, orderResult: func() error { return nil },
-		table: table.Load(1, []table.Row{{Table: table.Models, Name: "m", Revision: 1, Value: json.RawMessage(row)}}),
+		refresh: func() error { return nil },
+		table:   table.Load(1, []table.Row{{Table: table.Models, Name: "m", Revision: 1, Value: json.RawMessage(row)}}),
 	}
 	f.apply(capacity.ModelTarget{Model: "m", Standard: standard, Cheap: cheap})
 	f.lease = Lease{Held: func() (uint64, bool) { return f.fence, f.held }, Client: http.DefaultClient}
@@ -57,8 +60,14 @@
 			}
 			return []*Demand{f.needs["b"]}, nil
 		},
-		Endpoints: f.snapshot,
-		Table:     func() *table.Table { return f.table },
+		Endpoints: func() *roster.Snapshot {
+			if f.known != nil {
+				return f.known
+			}
+			return f.snapshot()
+		},
+		Refresh: func(context.Context) error { return f.refresh() },
+		Table:   func() *table.Table { return f.table },
 		Order: func(_ context.Context, _ *http.Client, _ string, o capacity.Order) error {
 			f.sent = append(f.sent, o)
 			if err := f.orderResult(); err != nil {
