End a tenure before its role is released

What would have been seen: an order or a report under the former epoch after a successor has begun. Not seen outside the test.

Cause: at a planned stop the role was marked as free first, which a successor takes at once, and the tenure ended after the store's answer, up to a second later. Loads of weights that are still in progress then look at the tenure once more and found it held.

TestTenureEndsBeforeItsRelease failed before: the tenure was held when the store got the release.

The tenure now ends first.

--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -259,10 +259,11 @@
 	}
 	cancel()
 	<-finished
-	if c.uptime()-began > releaseAfterTerms*c.options.Term && tenure.Held() {
+	releasable := c.uptime()-began > releaseAfterTerms*c.options.Term && tenure.Held()
+	tenure.until.Store(0)
+	if releasable {
 		c.release(held)
 	}
-	tenure.until.Store(0)
 	c.log.WithField(logs.Fence, tenure.Epoch).Info("role given up")
 }
 
