Answer each request that was read before a planned stop ends

An operator of a like system reported requests that came late in the grace period, were passed on, and were cut at its end without an answer, among them requests that may not be repeated. The same was measured here: those whose last byte came 4.0 to 4.5 s after the signal, of 4 s of work, were cut.

Cause: nothing asked, once a stop had begun, whether a request could still end within it. What was open or waited at its end got no answer, since the connections were closed under it.

Change: traffic/stop holds the end of the stop and how long work of each route and service took lately. A time limit that ends before the stop is a sure bound; else a request is taken while the 99th percentile of these times (the 90th if it may be repeated) and a margin fit. What can't end is refused as not run with a Retry-After of 0.2 s: on arrival, while its body arrives (the rest is read, so that the refusal isn't lost to a reset), while it waits for an endpoint, and before another attempt. At the end of the work, which is a seventh of the grace period before SIGKILL (1.1 s at most), open requests get 502 stopped, may have run, and calls about batches a whole answer. The counter stop_requests and the line "connections closed" tell how many were refused, finished and cut.

--- a/cmd/wigeonpin/node.go
+++ b/cmd/wigeonpin/node.go
@@ -24,6 +24,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/peer/records"
 	"github.com/wigeonpin/wigeonpin/internal/peer/relay"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/front"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/stop"
 	"github.com/wigeonpin/wigeonpin/internal/training/runner"
 	"github.com/wigeonpin/wigeonpin/platform"
 )
@@ -60,7 +61,7 @@
 // summaryCounters are the counters in the log line "summary". Counters without
 // values are left out.
 var summaryCounters = []string{
-	storeCalls, "requests_served", "requests_failed", "connections_opened", "endpoint_breaks", "endpoint_refusals", "requests_held",
+	storeCalls, "requests_served", "requests_failed", "connections_opened", "endpoint_breaks", "endpoint_refusals", "requests_held", stop.CountName,
 	runner.CountRuns, runner.CountRejections, runner.CountBreaks, runner.CountScoreFailures,
 }
 
--- a/internal/base/code/code.go
+++ b/internal/base/code/code.go
@@ -60,6 +60,7 @@
 	SuspectRequest   Code = 408
 	KeyReused        Code = 409
 	ContentHeld      Code = 410
+	Stopped          Code = 411
 
 	EditConflict        Code = 501
 	EditInvalid         Code = 502
@@ -121,6 +122,7 @@
 	SuspectRequest:      {"suspect_request", http.StatusUnprocessableEntity, "Requests with this content crashed endpoints and are refused."},
 	KeyReused:           {"key_reused", http.StatusUnprocessableEntity, "The idempotency key came before with other content."},
 	ContentHeld:         {"content_held", http.StatusServiceUnavailable, "Requests with this content ended endpoints and are held back for a time."},
+	Stopped:             {"stopped", http.StatusBadGateway, "The instance stopped before the endpoint answered; the request may have run."},
 	EditConflict:        {"edit_conflict", http.StatusConflict, "Another edit of the row was accepted first."},
 	EditInvalid:         {"edit_invalid", http.StatusUnprocessableEntity, "The row has an invalid field."},
 	EditUncertain:       {"edit_uncertain", http.StatusServiceUnavailable, "It is not yet known whether the edit was accepted; ask again with its id."},
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -34,6 +34,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/traffic/front"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/headers"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/memory"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/stop"
 	"github.com/wigeonpin/wigeonpin/internal/training/batch"
 	"github.com/wigeonpin/wigeonpin/internal/training/runner"
 )
@@ -53,9 +54,13 @@
 	idleTimeout = 90 * time.Second
 	// headerTimeout bounds the time to read the header of a readiness check.
 	headerTimeout = 10 * time.Second
-	// stopMargin is the time left between the end of a graceful shutdown and
-	// SIGKILL.
-	stopMargin = 1200 * time.Millisecond
+	// stopMargin is the time left from the end of the work in a planned stop to
+	// SIGKILL, for the last answers and the last counts of usage. It is a share of the
+	// grace period, at most maxStopMargin.
+	stopMargin    = 1.0 / 7
+	maxStopMargin = 1100 * time.Millisecond
+	// answerShare is the part of this time after which the connections are closed.
+	answerShare = 0.25
 	// unreadyTime is how long the process serves on while it is not ready, so
 	// that the load balancer can notice.
 	unreadyTime = 3 * time.Second
@@ -109,6 +114,7 @@
 	callers *callers.Server
 	view    *view.View
 	counter *window.Counter
+	plan    *stop.Plan
 	timers  *clock.Service
 	log     *logrus.Entry
 }
@@ -123,20 +129,21 @@
 	fleet := replica.NewFleet(timers, replica.Options{Zone: p.Zone, ColdShare: coldSharePerEntry(deps.EntryCount), Overcommit: overcommit, Shared: true})
 	v := view.New(store, deps.Formats, p, fleet, timers, log)
 	counter := window.NewCounter(store, p.Name, p.Window, timers, log)
+	plan := stop.New(timers, deps.Meters)
 	batches := batch.NewStore(store, p.MaxValueBytes)
 	memoryLimit := float64(cmp.Or(p.MemoryBytes, defaultMemory))
 	forwarder := forward.New(forward.Seams{
 		Fleet: fleet, Pool: pool, Names: deps.Names, OnStart: counter.Add,
-		Memory: memory.NewBudget(int64(responseShare * memoryLimit)), Meters: deps.Meters, Breaker: deps.Breaker,
+		Memory: memory.NewBudget(int64(responseShare * memoryLimit)), Meters: deps.Meters, Breaker: deps.Breaker, Stop: plan,
 	}, timers, log)
 	f := front.New(front.Seams{
 		Manifest: v.Manifest, Ready: func() bool { return v.Synced() && !deps.Isolated() }, Outage: deps.Outage,
 		Stale: func() bool { return v.Stale() && !deps.StoreDisconnected() }, Forwarder: forwarder, Shelf: batches,
 		Reader: batch.NewReader(batches, runner.NewFinder(deps.Workers), runner.NewFollower(deps.Workers), timers), Names: deps.Names, API: deps.API, Meters: deps.Meters,
-		Memory: memory.NewBudget(int64(requestShare * memoryLimit)),
+		Memory: memory.NewBudget(int64(requestShare * memoryLimit)), Stop: plan,
 	}, timers, log)
 	server := callers.New(f, callers.Options{MaxConnections: maxConnections(p), IdleTimeout: idleTimeout}, timers, log)
-	return &Entry{profile: p, front: f, callers: server, view: v, counter: counter, timers: timers, log: log}
+	return &Entry{profile: p, front: f, callers: server, view: v, counter: counter, plan: plan, timers: timers, log: log}
 }
 
 // coldSharePerEntry returns a function that divides coldShare by the current
@@ -162,7 +169,9 @@
 	defer stopServing()
 	go e.view.Run(serving)
 	counterDone := make(chan struct{})
-	go func() { defer close(counterDone); e.counter.Run(serving) }()
+	counting, stopCounting := e.plan.Context(serving) // nothing is passed on after the end of the plan
+	defer stopCounting()
+	go func() { defer close(counterDone); e.counter.Run(counting) }()
 	checks := &http.Server{Handler: e.front.Readiness(), ReadHeaderTimeout: headerTimeout}
 	failed := make(chan error, 2)
 	if err := listen(e.callers.Serve, e.profile.Front, failed); err != nil {
@@ -197,16 +206,20 @@
 	return nil
 }
 
-// stop makes the process unready, continues to serve while the load balancer
-// notices, and then drains the connections of callers.
+// stop makes the process unready, continues to serve what can end in time while the
+// load balancer notices, and then drains the connections of callers.
 func (e *Entry) stop() {
 	e.front.Stop()
-	e.log.Info("stopping")
-	ctx, cancel := e.timers.WithTimeout(context.Background(), e.profile.Grace-stopMargin)
+	margin := min(maxStopMargin, time.Duration(stopMargin*float64(e.profile.Grace)))
+	work := e.profile.Grace - margin
+	e.plan.Begin(work)
+	e.log.WithField("work_ms", work.Milliseconds()).Info("stopping")
+	ctx, cancel := e.timers.WithTimeout(context.Background(), work+time.Duration(answerShare*float64(margin)))
 	defer cancel()
 	_ = e.timers.Sleep(ctx, min(unreadyTime, e.profile.Grace/2))
 	if err := e.callers.Drain(ctx); err != nil {
-		e.log.WithField(logs.Cause, err.Error()).Warn("grace period ended; open requests are cut off")
+		e.log.WithField(logs.Cause, err.Error()).Warn("grace period ended; open connections are closed")
 	}
 	_ = e.callers.Close() // an error does not matter: the process ends
+	e.log.WithField("requests", e.plan.Counts()).Info("connections closed")
 }
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -38,6 +38,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/traffic/memory"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/queue"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/retryafter"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/stop"
 )
 
 const (
@@ -62,10 +63,18 @@
 	Service     string
 	Request     exchange.Request
 	Deadline    time.Time
+	Open        bool // the caller has a part of the answer
 
 	digest func() string // the result of ContentDigest, computed once
 }
 
+// Work returns what decides whether the call can still end in a planned stop.
+func (c Call) Work() stop.Work {
+	return stop.Work{
+		Class: c.Service + " " + c.Route.Host + c.Route.Prefix, Deadline: c.Deadline, Repeatable: c.Route.Repeatable(), Open: c.Open,
+	}
+}
+
 // Answer is an endpoint's answer. Body holds its first part, or all of it when
 // Rest is nil. Reading Rest fails when the answer is truncated.
 type Answer struct {
@@ -111,6 +120,8 @@
 	// Breaker holds back requests whose content crashes endpoints; nil disables
 	// the check.
 	Breaker *breaker.Breaker
+	// Stop is the planned stop of the process; nil if there is none.
+	Stop *stop.Plan
 }
 
 // Forwarder sends requests to endpoints.
@@ -138,6 +149,9 @@
 	if seams.Meters == nil {
 		seams.Meters = meter.NewSet()
 	}
+	if seams.Stop == nil {
+		seams.Stop = stop.New(timers, seams.Meters)
+	}
 	f := &Forwarder{
 		seams: seams, timers: timers, log: log, schedules: map[string]*retryafter.Schedule{},
 		breaks: seams.Meters.Counter("endpoint_breaks"), refusals: seams.Meters.Counter("endpoint_refusals"),
@@ -162,6 +176,24 @@
 	breaks        int           // endpoints that broke the request off
 	breakerChecks int           // breaks at the latest check by Breaker, plus 1
 	holdTime      time.Duration // how long Breaker holds the request back
+
+	work    stop.Work
+	running *stop.Run // set once the request was passed on
+	late    bool      // no further attempt, since it could not end within a planned stop
+}
+
+// start records that the request is passed on.
+func (p *progress) start(plan *stop.Plan) {
+	if p.running == nil {
+		p.running = plan.Start(p.work)
+	}
+}
+
+// finish records that the request has ended.
+func (p *progress) finish() {
+	if p.running != nil {
+		p.running.Finish()
+	}
 }
 
 // setLastFailure replaces the failed answer that is returned when no endpoint
@@ -177,28 +209,34 @@
 // are used up or the deadline passes.
 func (f *Forwarder) Send(ctx context.Context, call Call) (*Answer, error) {
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
+	ctx, release := f.seams.Stop.Context(ctx)
 	call.digest = sync.OnceValue(call.ContentDigest)
-	answer, err := f.send(ctx, call)
+	p := &progress{tried: map[string]bool{}, queueDeadline: queueDeadline(call, f.timers.Now()), work: call.Work()}
+	answer, err := f.send(ctx, call, p)
 	if err != nil {
+		p.finish()
+		release()
 		cancel()
 		return nil, err
 	}
 	closeAnswer := answer.close
 	answer.close = sync.OnceFunc(func() {
 		closeAnswer()
+		p.finish()
+		release()
 		cancel()
 	})
 	return answer, nil
 }
 
-func (f *Forwarder) send(ctx context.Context, call Call) (*Answer, error) {
-	p := &progress{tried: map[string]bool{}, queueDeadline: queueDeadline(call, f.timers.Now())}
+func (f *Forwarder) send(ctx context.Context, call Call, p *progress) (*Answer, error) {
 	for ctx.Err() == nil && f.admit(call, p) {
 		slot, err := f.reserve(ctx, call, p)
 		if err != nil {
 			p.reason = err.Error()
 			break
 		}
+		p.start(f.seams.Stop)
 		answer, verdict := f.attempt(ctx, call, slot, p)
 		if verdict == final {
 			p.setLastFailure(nil)
@@ -399,6 +437,13 @@
 		logs.Request: call.ID, logs.Cause: p.reason, "runs": p.runs, "tried": len(p.tried),
 		"service": call.Service, "left_ms": time.Until(call.Deadline).Milliseconds(),
 	}).Warn("request failed")
+	ended := context.Cause(ctx) == stop.ErrEnded
+	if p.runs == 0 && (p.late || ended) {
+		return stop.Refusal()
+	}
+	if ended {
+		return code.New(code.Stopped, "the process stopped before an endpoint answered").WithRun(code.MaybeRun)
+	}
 	if p.runs == 0 && p.holdTime > 0 {
 		return code.New(code.ContentHeld, "requests with this content ended endpoints").WithRun(code.NotRun).WithRetryAfter(p.holdTime)
 	}
--- a/internal/traffic/forward/reservation.go
+++ b/internal/traffic/forward/reservation.go
@@ -9,6 +9,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/fleet/replica"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/queue"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/retryafter"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/stop"
 )
 
 const (
@@ -30,6 +31,7 @@
 	errNoEndpoint        = errors.New("the service has no endpoint")
 	errTooManyRejections = errors.New("too many endpoints rejected the request")
 	errAllTried          = errors.New("all endpoints were tried")
+	errLate              = errors.New("the request could not end within the planned stop")
 )
 
 // reservation is a slot at an endpoint, together with the queue turn in which it
@@ -47,11 +49,15 @@
 
 // reserve waits for a slot at an endpoint that the request was not sent to yet.
 // The queue decides the order and is fair between client accounts. A request
-// that cannot get a slot in time is refused at once.
+// that cannot get a slot in time is refused at once, and so is one that could not
+// end any more within a planned stop.
 func (f *Forwarder) reserve(ctx context.Context, call Call, p *progress) (*reservation, error) {
 	if p.rejections >= maxRejections {
 		return nil, errTooManyRejections
 	}
+	ctx, giveUp := context.WithCancelCause(ctx)
+	defer giveUp(nil)
+	defer f.seams.Stop.Await(p.work, func() { giveUp(errLate) })()
 	until := p.queueDeadline
 	if p.runs > 0 {
 		until = call.Deadline // it may have run already, so an early refusal does not help the caller
@@ -61,6 +67,10 @@
 		Account: call.Account, Model: call.Service, Weight: 1, Cost: 1,
 		Deadline: until, Front: p.runs > 0 || p.rejections > 0,
 		Start: func() (bool, error) {
+			if !f.seams.Stop.CanEnd(p.work) {
+				giveUp(errLate)
+				return false, stop.Refusal()
+			}
 			var found bool
 			slot, found = f.seams.Fleet.Pick(replica.Requirements{Service: call.Service, Avoid: p.tried})
 			if found {
@@ -72,6 +82,7 @@
 	}
 	turn, err := f.queue.Wait(ctx, item)
 	if err != nil {
+		p.late = context.Cause(ctx) == errLate
 		return nil, err
 	}
 	return &reservation{Slot: slot, turn: turn}, nil
--- a/internal/traffic/front/batches.go
+++ b/internal/traffic/front/batches.go
@@ -14,6 +14,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/base/logs"
 	"github.com/wigeonpin/wigeonpin/internal/peer/records"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/headers"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/stop"
 	"github.com/wigeonpin/wigeonpin/internal/training/batch"
 )
 
@@ -34,6 +35,16 @@
 	isolatedRetryAfter = 200 * time.Millisecond
 )
 
+// batchWork returns what decides whether a call about batches can still end within a
+// planned stop. Such calls may be repeated, and end with the time for the store.
+func (f *Front) batchWork(q *callerRequest) stop.Work {
+	deadline := f.timers.Now().Add(storeTimeout)
+	if q.deadline.Before(deadline) {
+		deadline = q.deadline
+	}
+	return stop.Work{Class: "batches", Deadline: deadline, Repeatable: true}
+}
+
 // isolated reports whether it is certain that calls to the store cannot succeed.
 func (f *Front) isolated() bool {
 	select {
@@ -46,9 +57,10 @@
 
 // withStoreTimeout returns a context for all calls to the store for one request.
 // It also ends when it turns out that such calls cannot succeed, so that only what
-// is cached here is still served.
+// is cached here is still served, and at the end of a planned stop.
 func (f *Front) withStoreTimeout(parent context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithTimeout(parent, storeTimeout)
+	ctx, release := f.seams.Stop.Context(parent)
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	isolation := f.seams.Outage.Isolation()
 	go func() {
 		select {
@@ -57,7 +69,10 @@
 		case <-ctx.Done():
 		}
 	}()
-	return ctx, cancel
+	return ctx, func() {
+		cancel()
+		release()
+	}
 }
 
 // errIsolated is the refusal of a process that is cut off from the store.
@@ -83,7 +98,10 @@
 
 // readError returns the error for a failed read. A read runs nothing, so 503 with
 // NotRun is correct for every cause.
-func readError(err error) error {
+func readError(ctx context.Context, err error) error {
+	if errors.Is(context.Cause(ctx), stop.ErrEnded) {
+		return stop.Refusal()
+	}
 	if errors.Is(err, records.ErrMissing) {
 		return code.New(code.MissingObject, "no such batch").WithRun(code.NotRun)
 	}
@@ -94,6 +112,10 @@
 // account looks like a missing one. If the caller has no such batch, the plain route
 // of the path serves the request, if it has one.
 func (f *Front) batchCall(w http.ResponseWriter, r *http.Request, q *callerRequest) {
+	if !f.seams.Stop.CanEnd(f.batchWork(q)) {
+		f.refuse(w, q, stop.Refusal())
+		return
+	}
 	ctx, cancel := f.withStoreTimeout(r.Context())
 	defer cancel()
 	b, err := f.seams.Reader.Batch(ctx, q.batch)
@@ -105,7 +127,7 @@
 		return
 	}
 	if err != nil {
-		f.refuse(w, q, readError(err))
+		f.refuse(w, q, readError(ctx, err))
 		return
 	}
 	switch q.operation {
@@ -132,7 +154,7 @@
 	wait, _ := headers.Millis(r.Header, f.seams.Names.Wait)
 	results, err := f.seams.Reader.Results(ctx, b.ID, after, min(wait, maxResultWait))
 	if err != nil {
-		f.refuse(w, q, readError(err))
+		f.refuse(w, q, readError(ctx, err))
 		return
 	}
 	results = limitResults(results)
--- a/internal/traffic/front/front.go
+++ b/internal/traffic/front/front.go
@@ -29,6 +29,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/traffic/forward"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/headers"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/memory"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/stop"
 	"github.com/wigeonpin/wigeonpin/internal/training/batch"
 )
 
@@ -90,6 +91,9 @@
 	API       API
 	Meters    *meter.Set
 	Memory    *memory.Budget // for the bodies of requests
+	// Stop is the planned stop of the process, the same as the Forwarder's; nil if
+	// there is none.
+	Stop *stop.Plan
 }
 
 // Front is the HTTP handler for callers.
@@ -105,6 +109,9 @@
 
 // New returns a Front with its metrics registered in seams.Meters.
 func New(seams Seams, timers *clock.Service, log *logrus.Entry) *Front {
+	if seams.Stop == nil {
+		seams.Stop = stop.New(timers, seams.Meters)
+	}
 	return &Front{
 		seams: seams, timers: timers, log: log,
 		served:  seams.Meters.Counter("requests_served"),
@@ -160,13 +167,6 @@
 }
 
 func (f *Front) forward(w http.ResponseWriter, r *http.Request, q *callerRequest) {
-	share := f.seams.Memory.Share()
-	defer share.Release()
-	body, err := f.readBody(w, r, q, share)
-	if err != nil {
-		f.refuse(w, q, err)
-		return
-	}
 	names := f.seams.Names
 	header := names.ForwardRequest(r.Header)
 	if q.account.Name != "" {
@@ -175,10 +175,15 @@
 	call := forward.Call{
 		ID: q.id, Account: q.account.Name, Route: q.route, Service: q.route.SelectService(rand.Float64()),
 		Deadline: q.deadline,
-		Request: exchange.Request{
-			Method: r.Method, Path: q.path, Query: q.query, Host: q.host, Header: header, Body: body,
-		},
+		Request:  exchange.Request{Method: r.Method, Path: q.path, Query: q.query, Host: q.host, Header: header},
 	}
+	share := f.seams.Memory.Share()
+	defer share.Release()
+	body, ok := f.receiveBody(w, r, q, share, call.Work())
+	if !ok {
+		return
+	}
+	call.Request.Body = body
 	answer, err := f.seams.Forwarder.Send(r.Context(), call)
 	if err != nil {
 		f.refuse(w, q, err)
@@ -211,7 +216,7 @@
 		_, err = io.Copy(w, answer.Rest)
 	}
 	if err != nil {
-		f.logFailure(q, "answer broke off", err)
+		f.breakOff(q, "answer broke off", err)
 		panic(http.ErrAbortHandler) // closes the connection, so that the answer does not look complete
 	}
 	f.recordServed(q, answer.Status)
@@ -222,6 +227,7 @@
 	if label == "" {
 		label = "open"
 	}
+	f.seams.Stop.Count(stop.Finished)
 	f.served.Add(label, 1)
 	f.latency.Record(label, f.timers.Since(q.began).Microseconds())
 	if status >= 500 {
@@ -243,9 +249,23 @@
 	return m.Version
 }
 
+// breakOff logs an answer that cannot be completed.
+func (f *Front) breakOff(q *callerRequest, message string, err error) {
+	f.logFailure(q, message, err)
+	f.seams.Stop.Count(stop.Cut)
+}
+
 // refuse logs an error of this process and answers with it.
 func (f *Front) refuse(w http.ResponseWriter, q *callerRequest, err error) {
 	f.logFailure(q, "request refused", err)
+	switch code.Of(err).Code {
+	case code.Draining:
+		f.seams.Stop.Count(stop.Refused)
+	case code.Stopped:
+		f.seams.Stop.Count(stop.Cut)
+	default:
+		f.seams.Stop.Count(stop.Finished)
+	}
 	f.failed.Add(code.Of(err).Code.String(), 1)
 	coded := code.Of(err)
 	if coded.RetryAfter > 0 {
--- a/internal/traffic/front/front_test.go
+++ b/internal/traffic/front/front_test.go
@@ -24,6 +24,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/traffic/forward"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/headers"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/memory"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/stop"
 	"github.com/wigeonpin/wigeonpin/internal/training/batch"
 )
 
@@ -40,6 +41,7 @@
 type fixture struct {
 	server     *httptest.Server
 	front      *Front
+	stop       *stop.Plan
 	ledger     *ledger.Ledger
 	manifest   atomic.Pointer[manifest.Manifest] // in force
 	configured atomic.Bool
@@ -87,6 +89,8 @@
 		{Host: "h", Prefix: "/keyed/", Kind: manifest.Idempotent, Attempts: 2, Timeout: 5 * time.Second, Targets: target},
 		{Host: "h", Prefix: "/open/", Kind: manifest.Idempotent, Attempts: 2, Public: true, Targets: target},
 		{Host: "h", Prefix: "/stream/", Kind: manifest.Stream, Attempts: 2, Public: true, Resumable: true, Targets: target},
+		{Host: "h", Prefix: "/last/", Kind: manifest.Stream, Attempts: 1, Public: true, Resumable: true, Targets: target},
+		{Host: "h", Prefix: "/once/", Kind: manifest.AtMostOnce, Attempts: 2, Public: true, Targets: target},
 		{Host: "h", Prefix: "/batch/", Kind: manifest.Rollout, Attempts: 2, Targets: target},
 	}, nil, []manifest.Account{{Name: "acme", Keys: []string{"k1"}}, {Name: "blue", Keys: []string{"k2"}}}, manifest.Limits{MaxBodyBytes: 1000})
 	fx := &fixture{ledger: ledger.New(), isolation: make(chan struct{})}
@@ -95,6 +99,8 @@
 	shelf := batch.NewStore(fx.store(), 1<<20)
 	noWorkerBatch := func(context.Context, string) (*batch.Batch, bool) { return nil, false }
 	noWorkerPages := func(context.Context, string, int, time.Duration) ([]batch.Page, bool) { return nil, false }
+	meters := meter.NewSet()
+	fx.stop = stop.New(timers, meters)
 	fx.front = New(Seams{
 		Manifest: func() *manifest.Manifest {
 			if fx.configured.Load() {
@@ -110,11 +116,11 @@
 			LostFor:   func() time.Duration { return fx.lostFor },
 		},
 		Forwarder: forward.New(forward.Seams{
-			Fleet: fleet, Pool: exchange.New(exchange.Options{EchoHeader: names.Request}), Names: names,
+			Fleet: fleet, Pool: exchange.New(exchange.Options{EchoHeader: names.Request}), Names: names, Stop: fx.stop,
 		}, timers, logs.Discard()),
-		Shelf: shelf, Reader: batch.NewReader(shelf, noWorkerBatch, noWorkerPages, timers), Names: names, Meters: meter.NewSet(),
-		Memory: memory.NewBudget(bodyBudget),
-		API:    API{Parse: parse, Decode: decode, Encode: encode, ReadyPath: "/ready"},
+		Shelf: shelf, Reader: batch.NewReader(shelf, noWorkerBatch, noWorkerPages, timers), Names: names, Meters: meters,
+		Memory: memory.NewBudget(bodyBudget), Stop: fx.stop,
+		API: API{Parse: parse, Decode: decode, Encode: encode, ReadyPath: "/ready"},
 	}, timers, logs.Discard())
 	fx.server = httptest.NewServer(fx.front)
 	t.Cleanup(fx.server.Close)
--- a/internal/traffic/front/stream.go
+++ b/internal/traffic/front/stream.go
@@ -43,29 +43,30 @@
 	last := int64(0)
 	for attempts := answer.Attempts; ; {
 		var err error
-		last, err = f.copyEvents(w, q, answer, last)
+		last, err = f.copyEvents(w, answer, last, stallAction(call, answer))
 		if err == nil {
 			f.recordServed(q, answer.Status)
 			return
 		}
 		answer.Close()
 		if errors.Is(err, errCallerWrite) || !q.route.Resumable || r.Context().Err() != nil || attempts >= q.route.Attempts {
-			f.logFailure(q, "stream broke off", err)
+			f.breakOff(q, "stream broke off", err)
 			panic(http.ErrAbortHandler) // the caller sees that the stream is not complete
 		}
 		f.logFailure(q, "stream resumed", err)
 		if last > 0 {
 			call.Request.Header.Set("Last-Event-Id", strconv.FormatInt(last, 10))
 		}
-		call.Route.Attempts = q.route.Attempts - attempts
-		next, err := f.seams.Forwarder.Send(r.Context(), call)
+		rest := call
+		rest.Route.Attempts, rest.Open = q.route.Attempts-attempts, true
+		next, err := f.seams.Forwarder.Send(r.Context(), rest)
 		if err != nil {
-			f.logFailure(q, "stream broke off", errors.Join(err, errResumeFailed))
+			f.breakOff(q, "stream broke off", errors.Join(err, errResumeFailed))
 			panic(http.ErrAbortHandler)
 		}
 		defer next.Close()
 		if !continues(next, answer) {
-			f.logFailure(q, "stream broke off", fmt.Errorf("%w: status %d, %s", errResumeFailed, next.Status, mediaType(next)))
+			f.breakOff(q, "stream broke off", fmt.Errorf("%w: status %d, %s", errResumeFailed, next.Status, mediaType(next)))
 			panic(http.ErrAbortHandler)
 		}
 		attempts += next.Attempts
@@ -85,8 +86,8 @@
 	return strings.ToLower(strings.TrimSpace(name))
 }
 
-// stallTimeout is how long a resumable stream may bring no event before it is
-// resumed at another endpoint. It exceeds the pause of an endpoint that
+// stallTimeout is how long a stream that can be resumed may bring no event before it
+// is resumed at another endpoint. It exceeds the pause of an endpoint that
 // switches its weights.
 const stallTimeout = 2200 * time.Millisecond
 
@@ -96,19 +97,26 @@
 	errEventOrder   = errors.New("the id of an event does not follow the one before it")
 )
 
+// stallAction returns what is done when no event arrives for stallTimeout. A
+// stream is broken off if it can be resumed at another endpoint; ending any other one
+// would only lose it.
+func stallAction(call forward.Call, answer *forward.Answer) func() {
+	if !call.Route.Resumable {
+		return func() {}
+	}
+	return answer.Abort
+}
+
 // copyEvents copies complete events to the caller until the end of the answer and
-// returns the ID of the last one. A resumable stream is broken off when no event
-// arrives for stallTimeout. Comments are passed on but do not count as events,
-// since a stalled endpoint may keep sending them. The ids of events increase; the first
+// returns the ID of the last one. onStall is called when no event arrives for
+// stallTimeout. Comments are passed on but do not count as events, since a stalled
+// endpoint may keep sending them. The ids of events increase; the first
 // of a run that continues a stream, after the event last, follows at once.
-func (f *Front) copyEvents(w http.ResponseWriter, q *callerRequest, answer *forward.Answer, last int64) (int64, error) {
+func (f *Front) copyEvents(w http.ResponseWriter, answer *forward.Answer, last int64, onStall func()) (int64, error) {
 	control := http.NewResponseController(w)
 	reader := sse.NewReader(answer.Rest, f.seams.Names.VersionKey)
-	stall := time.AfterFunc(stallTimeout, answer.Abort)
+	stall := time.AfterFunc(stallTimeout, onStall)
 	defer stall.Stop()
-	if !q.route.Resumable {
-		stall.Stop() // it cannot be resumed, so ending it early would only lose it
-	}
 	for first := true; ; {
 		e, err := reader.Next()
 		if errors.Is(err, io.EOF) {
--- a/internal/traffic/front/submit.go
+++ b/internal/traffic/front/submit.go
@@ -26,9 +26,8 @@
 	}
 	share := f.seams.Memory.Share().WithFactor(batchCopies)
 	defer share.Release()
-	body, err := f.readBody(w, r, q, share)
-	if err != nil {
-		f.refuse(w, q, err)
+	body, ok := f.receiveBody(w, r, q, share, f.batchWork(q))
+	if !ok {
 		return
 	}
 	b, err := f.seams.API.Decode(body)
@@ -81,9 +80,8 @@
 func (f *Front) resubmit(w http.ResponseWriter, r *http.Request, q *callerRequest) {
 	share := f.seams.Memory.Share().WithFactor(batchCopies)
 	defer share.Release()
-	body, err := f.readBody(w, r, q, share)
-	if err != nil {
-		f.refuse(w, q, err)
+	body, ok := f.receiveBody(w, r, q, share, f.batchWork(q))
+	if !ok {
 		return
 	}
 	// Only a body that submits items is worth a call to the store.
