Don't end a silent stream that cannot be resumed

Cause: the limit for silence asked only whether the route is resumable.

Change: the limit holds only for a stream with an attempt left, and in a planned stop only while a new run of it can be expected to end in time. A stream whose endpoint broke it off is still resumed until the end of the stop, since its caller has a part of it.

--- a/internal/traffic/front/stop_test.go
+++ b/internal/traffic/front/stop_test.go
@@ -254,3 +254,47 @@
 		t.Errorf("answered after %v", took)
 	}
 }
+
+// Guards against streams that are ended since their endpoint is silent for a while,
+// although they cannot be resumed: no attempt is left, or a resumed one could not end
+// within a planned stop (review/5).
+func TestSilentStreamsThatCannotBeResumed(t *testing.T) {
+	for name, c := range map[string]struct {
+		path  string
+		limit time.Duration // of the planned stop
+	}{
+		"no attempt left":                   {"/last/a", 0},
+		"no attempt left in a planned stop": {"/last/a", 8 * time.Second},
+		"late in a planned stop":            {"/stream/a", 3500 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			began := make(chan struct{})
+			var runs atomic.Int64
+			fx := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body) // the server notices a closed connection only after this
+				w.Header().Set(names.Request, r.Header.Get(names.Request))
+				w.Header().Set(names.Stamp, "proof")
+				_, _ = fmt.Fprint(w, "id: 1\ndata: x1\n\n")
+				_ = http.NewResponseController(w).Flush()
+				if runs.Add(1) == 1 {
+					close(began)
+				}
+				select {
+				case <-time.After(stallTimeout + 600*time.Millisecond):
+				case <-r.Context().Done():
+				}
+				_, _ = fmt.Fprint(w, "id: 2\ndata: x2\n\n")
+			})
+			answered := fx.goCall(t, http.MethodPost, c.path, "", "x")
+			<-began
+			if c.limit > 0 {
+				fx.stop.Begin(c.limit)
+			}
+			want := "id: 1\ndata: x1\n\nid: 2\ndata: x2\n\n"
+			if o := <-answered; o.status != http.StatusOK || o.body != want || runs.Load() != 1 {
+				t.Errorf("%+v in %d runs, want %q in one", o, runs.Load(), want)
+			}
+		})
+	}
+}
--- a/internal/traffic/front/stream.go
+++ b/internal/traffic/front/stream.go
@@ -43,7 +43,7 @@
 	last := int64(0)
 	for attempts := answer.Attempts; ; {
 		var err error
-		last, err = f.copyEvents(w, answer, last, stallAction(call, answer))
+		last, err = f.copyEvents(w, answer, last, f.stallAction(call, answer, attempts < q.route.Attempts))
 		if err == nil {
 			f.recordServed(q, answer.Status)
 			return
@@ -99,12 +99,16 @@
 
 // stallAction returns what is done when no event arrives for stallTimeout. A
 // stream is broken off if it can be resumed at another endpoint; ending any other one
-// would only lose it.
-func stallAction(call forward.Call, answer *forward.Answer) func() {
-	if !call.Route.Resumable {
+// would only lose it. In a planned stop it also must be able to end in time.
+func (f *Front) stallAction(call forward.Call, answer *forward.Answer, attemptLeft bool) func() {
+	if !call.Route.Resumable || !attemptLeft {
 		return func() {}
 	}
-	return answer.Abort
+	return func() {
+		if f.seams.Stop.CanEnd(call.Work()) {
+			answer.Abort()
+		}
+	}
 }
 
 // copyEvents copies complete events to the caller until the end of the answer and
