Answer each request before the stop of a stand-alone instance ends

At the end of the drain limit the stand-alone instance left requests that ran or waited without an answer when the limit was shorter than their deadlines, which the settings allow; a request with an idempotency key and a waiting pull were among them. Connections were kept in the drain delay, so that their callers came back.

Cause: as in the entry process, nothing asked whether a request could end in time.

Change: the drain uses the same plan (traffic/stop) with the end of the drain limit. What can't end by then is refused as not run, on arrival and in the queue; what still runs then is answered with 502 stopped, may have run, and pulls wait no longer than the limit. Answers of an unready instance close their connections. The line "drain ended" tells how many were refused, finished and cut.

The pulls are not covered by a test.

--- a/internal/traffic/entry/drain.go
+++ b/internal/traffic/entry/drain.go
@@ -7,12 +7,17 @@
 
 	"github.com/wigeonpin/wigeonpin/internal/base/code"
 	"github.com/wigeonpin/wigeonpin/internal/base/setting"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/stop"
 )
 
 // drainRetryAfter is the retry delay that a stopping instance names in refusals.
 // It is short since another instance can take the request at once.
 const drainRetryAfter = 200 * time.Millisecond
 
+// lastAnswersTime is how long a drain waits after its limit for the answers to the
+// requests that it ended.
+const lastAnswersTime = time.Second
+
 // drain counts the running requests and holds the state of a planned stop.
 type drain struct {
 	mu      sync.Mutex
@@ -74,20 +79,61 @@
 	return idle
 }
 
+// checkEnd returns a refusal if work cannot end within a planned stop any more.
+func (e *Entry) checkEnd(work stop.Work) error {
+	if e.plan.CanEnd(work) {
+		return nil
+	}
+	return stop.Refusal()
+}
+
+// outcome returns what became of a request whose handler has answered it.
+func outcome(ctx context.Context) stop.Outcome {
+	if context.Cause(ctx) == stop.ErrEnded {
+		return stop.Cut
+	}
+	return stop.Finished
+}
+
+// stopError returns the error with which a request is answered, and counts it. If the
+// end of a planned stop ended the request, the error says so.
+func (e *Entry) stopError(ctx context.Context, err error) error {
+	coded := code.Of(err)
+	ended := context.Cause(ctx) == stop.ErrEnded && coded.Run != code.Ran
+	switch {
+	case ended && coded.Run == code.NotRun:
+		coded = code.Of(stop.Refusal())
+	case ended, coded.Code == code.Draining && coded.Run != code.NotRun:
+		coded = code.Of(stop.ErrEnded).WithRun(code.MaybeRun)
+	}
+	switch coded.Code {
+	case code.Draining:
+		e.plan.Count(stop.Refused)
+	case code.Stopped:
+		e.plan.Count(stop.Cut)
+	default:
+		e.plan.Count(stop.Finished)
+	}
+	return coded
+}
+
 // SetUnready makes the readiness probe fail. Requests are still served.
 func (e *Entry) SetUnready() { e.drain.markUnready() }
 
 // Drain performs a planned stop. It fails the readiness probe, keeps serving
 // during the drain delay so that load balancers notice, then refuses new
-// requests and waits for the running ones. It returns an error if some still
-// run at the end of the drain limit or of ctx.
+// requests and waits for the running ones. Requests that cannot end by the drain
+// limit are refused from the start, and those that still run then are answered so. It
+// returns an error if some remain after that, or when ctx ends.
 func (e *Entry) Drain(ctx context.Context) error {
 	e.drain.markUnready()
+	e.plan.Begin(setting.Milliseconds(e.settings.DrainDelayMS + e.settings.DrainLimitMS))
+	defer func() { e.log.WithField("requests", e.plan.Counts()).Info("drain ended") }()
 	if err := e.timers.Sleep(ctx, setting.Milliseconds(e.settings.DrainDelayMS)); err != nil {
 		return err
 	}
 	idle := e.drain.stopAccepting()
-	limit := e.timers.After(setting.Milliseconds(e.settings.DrainLimitMS))
+	limit := e.timers.After(setting.Milliseconds(e.settings.DrainLimitMS) + lastAnswersTime)
 	defer limit.Stop()
 	select {
 	case <-idle:
--- a/internal/traffic/entry/entry.go
+++ b/internal/traffic/entry/entry.go
@@ -30,6 +30,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/control/table"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/dispatch"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/idempotency"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/stop"
 )
 
 // Seams are the functions of other packages that the entry calls.
@@ -60,6 +61,7 @@
 	latency  *meter.Histogram
 	active   activeRequests
 	drain    drain
+	plan     *stop.Plan
 }
 
 // New returns an entry that registers its metrics in meters. Run must run for
@@ -69,6 +71,7 @@
 		settings: settings, timers: timers, log: log, seams: seams,
 		refused: meters.Counter("requests_refused"), latency: meters.Histogram("request_us"),
 		active: activeRequests{requests: map[*caller]struct{}{}},
+		plan:   stop.New(timers, meters),
 	}
 	meters.Gauge("requests_running", func() any { return e.active.count() })
 	return e
@@ -123,21 +126,28 @@
 func (e *Entry) wrap(next handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e.setReadDeadline(w)
+		if e.drain.isUnready() {
+			w.Header().Set("Connection", "close") // the next request goes to another instance
+		}
 		leave, err := e.drain.enter()
 		if err != nil {
-			w.Header().Set("Connection", "close")
 			e.refuse(w, "", err)
+			e.plan.Count(stop.Refused)
 			return
 		}
 		defer leave()
-		ctx, cancel := context.WithCancelCause(r.Context())
+		ctx, release := e.plan.Context(r.Context())
+		defer release()
+		ctx, cancel := context.WithCancelCause(ctx)
 		defer cancel(nil)
 		c := &caller{cancel: cancel}
 		defer e.active.remove(c)
 		defer e.recoverPanic(w, c)
 		start := e.timers.Now()
 		if err := next(w, r.WithContext(ctx), c); err != nil {
-			e.refuse(w, c.account, err)
+			e.refuse(w, c.account, e.stopError(ctx, err))
+		} else {
+			e.plan.Count(outcome(ctx))
 		}
 		e.latency.Record(c.account, e.timers.Since(start).Microseconds())
 	})
--- a/internal/traffic/entry/generate.go
+++ b/internal/traffic/entry/generate.go
@@ -10,6 +10,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/base/setting"
 	"github.com/wigeonpin/wigeonpin/internal/control/roster"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/dispatch"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/stop"
 )
 
 type generateRequest struct {
@@ -55,6 +56,7 @@
 	if err != nil {
 		return err
 	}
+	defer e.plan.Start(stop.Work{Class: "model " + job.Model}).Finish()
 	if stream {
 		return e.stream(w, r, c, job)
 	}
@@ -89,6 +91,10 @@
 	if err := setting.Check(request); err != nil {
 		return dispatch.Job{}, false, code.New(code.OutOfRange, "%s", err).WithRun(code.NotRun)
 	}
+	work := stop.Work{Class: "model " + request.Model, Deadline: deadline, Repeatable: true}
+	if err := e.checkEnd(work); err != nil {
+		return dispatch.Job{}, false, err
+	}
 	current := e.seams.Table()
 	if model, ok := current.Model(request.Model); !ok || model.Kind != roster.KindEngine {
 		return dispatch.Job{}, false, code.New(code.MissingObject, "no model has the name %q", request.Model).WithRun(code.NotRun)
@@ -99,7 +105,7 @@
 	return dispatch.Job{
 		Request: newRequestID(), Account: c.account, Model: request.Model, Class: request.Model,
 		Prompt: request.Prompt, MaxTokens: request.MaxTokens, Priority: request.Priority, Seed: request.Seed,
-		Deadline: deadline, Check: e.dispatchCheck(c),
+		Deadline: deadline, Check: e.dispatchCheck(c, work),
 	}, request.Stream, nil
 }
 
--- a/internal/traffic/entry/key.go
+++ b/internal/traffic/entry/key.go
@@ -12,6 +12,7 @@
 
 	"github.com/wigeonpin/wigeonpin/internal/base/code"
 	"github.com/wigeonpin/wigeonpin/internal/control/table"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/stop"
 )
 
 // A key has the form wp_ID_SECRET. The id contains no underscore, so the first
@@ -81,12 +82,15 @@
 }
 
 // dispatchCheck returns the function that repeats the checks of a queued request
-// right before it is dispatched, or nil for an anonymous caller.
-func (e *Entry) dispatchCheck(c *caller) func() error {
-	if c.checkRoute == nil {
-		return nil
-	}
+// right before it is dispatched.
+func (e *Entry) dispatchCheck(c *caller, work stop.Work) func() error {
 	return func() error {
+		if err := e.checkEnd(work); err != nil {
+			return err
+		}
+		if c.checkRoute == nil {
+			return nil // an anonymous caller
+		}
 		if err := e.requireFreshKeys(); err != nil {
 			return err
 		}
--- a/internal/traffic/entry/service.go
+++ b/internal/traffic/entry/service.go
@@ -17,6 +17,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/control/table"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/dispatch"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/idempotency"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/stop"
 )
 
 const (
@@ -42,6 +43,7 @@
 	if err != nil {
 		return err
 	}
+	defer e.plan.Start(stop.Work{Class: "route " + route.Name}).Finish()
 	id := r.Header.Get(headerIdempotency)
 	if route.Repeatable || id == "" {
 		return e.forward(w, r, c, call)
@@ -82,6 +84,10 @@
 	if !strings.HasPrefix(path, "/") {
 		return dispatch.ServiceCall{}, code.New(code.UnknownRoute, "no route has this path").WithRun(code.NotRun)
 	}
+	work := stop.Work{Class: "route " + route.Name, Deadline: deadline, Repeatable: route.Repeatable}
+	if err := e.checkEnd(work); err != nil {
+		return dispatch.ServiceCall{}, err
+	}
 	current := e.seams.Table()
 	for _, part := range []struct{ location, text string }{{"path", path}, {"path", r.URL.Path}, {"body", string(body)}} {
 		if err := rejectKey(part.location, part.text, c, current); err != nil {
@@ -91,7 +97,7 @@
 	return dispatch.ServiceCall{
 		Request: newRequestID(), Account: c.account, Model: route.Model, Class: route.Name,
 		Method: r.Method, Path: path, RawQuery: stripQuery(r.URL.RawQuery), Header: stripHeader(r.Header), Body: body,
-		Repeatable: route.Repeatable, Deadline: deadline, Check: e.dispatchCheck(c),
+		Repeatable: route.Repeatable, Deadline: deadline, Check: e.dispatchCheck(c, work),
 	}, nil
 }
 
@@ -121,7 +127,9 @@
 	defer func() { claim.Done(r.Context(), outcome) }()
 	// Callers often resend because they lost their connection. The call
 	// continues without the connection, so that the resend finds the answer.
-	answer, err := e.seams.Forward(context.WithoutCancel(r.Context()), call)
+	ctx, release := e.plan.Context(context.WithoutCancel(r.Context()))
+	defer release()
+	answer, err := e.seams.Forward(ctx, call)
 	if err != nil {
 		outcome.Run = code.Of(err).Run
 		return err
--- a/internal/traffic/entry/stop_test.go
+++ b/internal/traffic/entry/stop_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -67,6 +68,87 @@
 	}
 }
 
+// Guards against requests that run or wait at the end of the drain limit and get no
+// answer, or one that says not run although they ran, and against requests that are
+// taken although they cannot end within the limit.
+func TestDrainLimitAnswersEveryRequest(t *testing.T) {
+	const slots = 8
+	var runs atomic.Int64
+	release := make(chan struct{})
+	i := newInstance(t, startService(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // the server notices a closed connection only after this
+		runs.Add(1)
+		select {
+		case <-release:
+		case <-r.Context().Done():
+		}
+	}))
+	defer close(release)
+	i.entry.settings.DrainDelayMS, i.entry.settings.DrainLimitMS = 500, 500
+	answers := make(chan string, slots+1)
+	send := func(path string, header ...string) {
+		go func() {
+			resp, body := i.do(t, "POST", path, "", header...)
+			answers <- fmt.Sprint(resp.StatusCode, " ", body)
+		}()
+	}
+	send("/s/send/held", headerIdempotency, "one")
+	for range slots - 1 {
+		send("/s/send/held")
+	}
+	for end := time.Now().Add(20 * time.Second); runs.Load() < slots && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	send("/s/send/waits")
+	for end := time.Now().Add(20 * time.Second); i.queue.Waiting()["acme"] == 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	drained := make(chan error, 1)
+	go func() { drained <- i.entry.Drain(context.Background()) }()
+	for ready := true; ready; {
+		resp, _ := i.do(t, "GET", "/readyz", "")
+		ready = resp.StatusCode == http.StatusOK
+	}
+	if resp, body := i.do(t, "POST", "/s/send/late", ""); resp.StatusCode != http.StatusServiceUnavailable || !strings.Contains(body, "not_run") {
+		t.Errorf("a request that cannot end: status %d: %s, want 503 and not_run", resp.StatusCode, body)
+	}
+	if err := <-drained; err != nil {
+		t.Error(err)
+	}
+	counts := map[string]int{}
+	for range slots + 1 {
+		select {
+		case answer := <-answers:
+			switch {
+			case strings.HasPrefix(answer, "502") && strings.Contains(answer, "may_have_run"):
+				counts["stopped"]++
+			case strings.HasPrefix(answer, "503") && strings.Contains(answer, "not_run"):
+				counts["refused"]++
+			default:
+				t.Error(answer)
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatalf("answers %v, and no further one", counts)
+		}
+	}
+	if counts["stopped"] != slots || counts["refused"] != 1 || runs.Load() != slots {
+		t.Errorf("answers %v in %d runs, want %d stopped and one refused", counts, runs.Load(), slots)
+	}
+}
+
+// Guards against connections that are kept during the drain delay: their callers would
+// come back to the stopping instance.
+func TestUnreadyInstanceClosesConnections(t *testing.T) {
+	i := newInstance(t, startService(t, func(http.ResponseWriter, *http.Request) {}))
+	if resp, _ := i.do(t, "POST", "/s/send/x", ""); resp.Close {
+		t.Error("the connection is closed before the stop")
+	}
+	i.entry.SetUnready()
+	if resp, _ := i.do(t, "POST", "/s/send/x", ""); resp.StatusCode != http.StatusOK || !resp.Close {
+		t.Errorf("answer of an unready instance: status %d, connection closed %v, want 200 and true", resp.StatusCode, resp.Close)
+	}
+}
+
 // dialPartialRequest opens a connection and sends a request whose body ends
 // early.
 func (i *instance) dialPartialRequest(t *testing.T, text, key string) net.Conn {
--- a/internal/traffic/entry/trainer.go
+++ b/internal/traffic/entry/trainer.go
@@ -12,6 +12,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/base/codec"
 	"github.com/wigeonpin/wigeonpin/internal/base/setting"
 	"github.com/wigeonpin/wigeonpin/internal/control/table"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/stop"
 )
 
 // Pull is a trainer's request for finished groups of a step. Check must be
@@ -123,6 +124,14 @@
 	if err != nil {
 		return Pull{}, code.New(code.BadRequest, "field \"have\" must be base64").WithRun(code.NotRun)
 	}
+	wait := setting.Milliseconds(request.WaitMS)
+	if left, begun := e.plan.Left(); begun {
+		wait = min(wait, max(0, left-lastAnswersTime))
+	}
+	work := stop.Work{Class: "pull", Deadline: e.timers.Now().Add(wait), Repeatable: true}
+	if err := e.checkEnd(work); err != nil {
+		return Pull{}, err
+	}
 	current := e.seams.Table()
 	for _, prompt := range request.Prompts {
 		if err := rejectKey("prompt", prompt, c, current); err != nil {
@@ -132,7 +141,7 @@
 	return Pull{
 		Step: step, Version: request.Version, Groups: request.Groups, GroupSize: request.GroupSize,
 		MaxTokens: request.MaxTokens, Prompts: request.Prompts, Have: have,
-		Wait:     setting.Milliseconds(request.WaitMS),
-		Deadline: e.timers.Now().Add(setting.Milliseconds(request.DeadlineMS)), Check: e.dispatchCheck(c),
+		Wait:     wait,
+		Deadline: e.timers.Now().Add(setting.Milliseconds(request.DeadlineMS)), Check: e.dispatchCheck(c, work),
 	}, nil
 }
--- a/internal/traffic/stop/stop.go
+++ b/internal/traffic/stop/stop.go
@@ -30,7 +30,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -54,7 +53,7 @@
 )
 
 // ErrEnded is the cause with which contexts end at the end of a stop.
-var ErrEnded = errors.New("the planned stop ended")
+var ErrEnded error = code.New(code.Stopped, "the planned stop ended")
 
 // Refusal returns the error for a request that cannot end within a stop and was not
 // passed on.
