Test that a drain ends waiting pulls

traffic/entry TestDrainEndsWaitingPulls: a pull of 60 s that waits when the stop begins is answered with 502 at the drain limit, one that comes later waits no longer than that and gets its answer. It failed with the bound of the wait taken out.

--- a/internal/traffic/entry/stop_test.go
+++ b/internal/traffic/entry/stop_test.go
@@ -16,6 +16,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/wigeonpin/wigeonpin/internal/base/codec"
+	"github.com/wigeonpin/wigeonpin/internal/control/table"
 )
 
 // Guards against a planned stop that interrupts requests. The instance must
@@ -136,6 +137,49 @@
 	}
 }
 
+// Guards against pulls whose wait is longer than the drain limit and that get no answer:
+// one that waits when the stop begins, and one that comes after that.
+func TestDrainEndsWaitingPulls(t *testing.T) {
+	i := newInstance(t)
+	i.entry.settings.DrainDelayMS, i.entry.settings.DrainLimitMS = 2000, 500
+	waits := make(chan time.Duration, 2)
+	i.entry.seams.Pull = func(ctx context.Context, _ table.Trainer, pull Pull) (any, error) {
+		waits <- pull.Wait
+		select {
+		case <-time.After(pull.Wait):
+			return map[string]bool{"complete": false}, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	statuses := make(chan int, 2)
+	pull := func() {
+		resp, _ := i.do(t, "POST", "/v1/trainers/t1/steps/1/pull",
+			`{"version":1,"groups":1,"group_size":1,"prompts":["p"],"max_tokens":1,"wait_ms":60000,"deadline_ms":60000}`)
+		statuses <- resp.StatusCode
+	}
+	go pull()
+	<-waits
+	drained := make(chan error, 1)
+	go func() { drained <- i.entry.Drain(context.Background()) }()
+	for !i.entry.plan.Begun() {
+		time.Sleep(time.Millisecond)
+	}
+	go pull()
+	if wait := <-waits; wait > 2500*time.Millisecond-lastAnswersTime {
+		t.Errorf("a pull waits for %v", wait)
+	}
+	if status := <-statuses; status != http.StatusOK {
+		t.Errorf("a pull during the stop: status %d, want 200", status)
+	}
+	if status := <-statuses; status != http.StatusBadGateway {
+		t.Errorf("a pull from before the stop: status %d, want 502", status)
+	}
+	if err := <-drained; err != nil {
+		t.Error(err)
+	}
+}
+
 // Guards against connections that are kept during the drain delay: their callers would
 // come back to the stopping instance.
 func TestUnreadyInstanceClosesConnections(t *testing.T) {
