Take no lease back under a token below one that was seen

What callers saw, in the test: two instances held one lease. The platform lost data, the lease object was back at an earlier token of a former holder, and that holder renewed it at once, while its successor was frozen within its term.

Cause: a process counted an object with its own name and its latest token as its own, and the next token as the object's plus one, although it had seen a later token of another holder.

TestTokenIsNotUsedAgainAfterARollback failed before: 'two instances hold the lease'.

A process now remembers the highest token that it has seen. An object below it is nobody's own: it is waited for as any other, and taken under a higher token. A process that has seen neither holder, and reads the object after the loss only, still uses a token again.

--- a/internal/control/lease/lease.go
+++ b/internal/control/lease/lease.go
@@ -108,6 +108,9 @@
 	// attemptedFence is the token of this process's latest write, whether or
 	// not the write was answered.
 	attemptedFence uint64
+	// highestFence is the highest token that this process has seen. The object may
+	// be back at a lower one after the platform has lost data.
+	highestFence uint64
 }
 
 // Hold starts a campaign for the lease. When ctx ends, the campaign stops and
@@ -178,7 +181,7 @@
 	if now.Sub(l.unchangedSince) < l.takeoverDelay() {
 		return nil
 	}
-	return l.write(ctx, l.record.Fence+1)
+	return l.write(ctx, l.highestFence+1)
 }
 
 // observe records an object that was read at now, unless its revision is known.
@@ -190,13 +193,15 @@
 	if len(o.Value) > 0 && json.Unmarshal(o.Value, &l.record) != nil {
 		l.manager.log.WithField("lease", l.name).Warn("lease object cannot be decoded")
 	}
+	l.highestFence = max(l.highestFence, l.record.Fence)
 }
 
-// ownsObject reports whether the object is this process's latest write. A write
-// by an earlier process with the same instance id does not count, since that
-// process may still be running.
+// ownsObject reports whether the object is this process's latest write and nobody
+// took the lease after it. A write by an earlier process with the same instance id
+// does not count, since that process may still be running.
 func (l *Lease) ownsObject() bool {
-	return l.attemptedFence > 0 && l.record.Holder == l.manager.self && l.record.Fence == l.attemptedFence
+	return l.attemptedFence > 0 && l.record.Holder == l.manager.self && l.record.Fence == l.attemptedFence &&
+		l.record.Fence >= l.highestFence
 }
 
 // takeoverDelay returns how long the object must stay unchanged before this
@@ -235,6 +240,7 @@
 		return err
 	}
 	l.object, l.observed, l.unchangedSince, l.record = o, true, m.timers.Now(), next
+	l.highestFence = max(l.highestFence, fence)
 	if held := l.grant.Swap(&grant{fence: fence, until: sent.Add(m.term)}); held.fence != fence {
 		m.log.WithField("lease", l.name).WithField(logs.Fence, fence).Info("lease taken")
 	}
