--- a/internal/control/mirror/mirror.go
+++ b/internal/control/mirror/mirror.go
@@ -149,9 +149,9 @@
 	}
 }
 
-// answerTime returns the uptime from which an answer tells the state of the store at
-// the latest, for a call that began at the given uptime. A process that was paused during the
-// call takes the answer long after the store gave it.
+// answerTime returns the latest uptime at which the store can have given the answer to
+// a call that began at the given uptime. A process that was paused during the call takes
+// the answer long after that.
 func (m *Mirror) answerTime(began time.Duration, revision uint64) time.Duration {
 	if revision == 0 {
 		return began
--- a/internal/training/batch/reader.go
+++ b/internal/training/batch/reader.go
@@ -37,8 +37,8 @@
 	// CountPages counts the pages of results by where they were read: PagesOfWorker or
 	// PagesOfStore.
 	CountPages = "result_pages"
-	// CountEmpty counts the reads that found no result, by who said so: a worker's
-	// address, or PagesOfStore.
+	// CountEmpty counts the reads that found no result, by the address of the worker
+	// that was asked before the store, or PagesOfStore if none answered.
 	CountEmpty = "empty_result_reads"
 	// CountMissed counts the pages that the store had beyond those of the worker that
 	// answered, by the address of the worker.
