--- a/internal/training/batch/reader_test.go
+++ b/internal/training/batch/reader_test.go
@@ -31,6 +31,17 @@
 	return store, pages
 }
 
+// acceptWithPage accepts a batch of three items and writes a page with one result.
+func acceptWithPage(t *testing.T, store *Store) {
+	t.Helper()
+	if err := store.Accept(context.Background(), newBatch("acme")); err != nil {
+		t.Fatal(err)
+	}
+	if err := store.Append(context.Background(), "b1", 0, Page{Results: []Result{{ID: "i1"}}}); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // Guards against results that were read at one process and are missing at another,
 // since the worker that answers does not know a page of the store: a former holder of
 // the role wrote it after this worker had read the pages.
@@ -129,3 +140,78 @@
 		t.Errorf("the caller that waited for the store got %d results, want 1", len(results))
 	}
 }
+
+// knowsNothing is a worker that holds the role and knows no page.
+func knowsNothing(context.Context, string, int, time.Duration) Update {
+	return Update{Worker: "w", Active: true}
+}
+
+// Guards against an answer of a worker without results that is confirmed by a copy of
+// the store that is out of date.
+func TestEmptyAnswerIsConfirmedByAnExactRead(t *testing.T) {
+	recordStore := ledger.New().Store()
+	recordStore.GetStale = func(context.Context, string, string) (records.Record, error) {
+		return records.Record{}, records.ErrMissing
+	}
+	store := NewStore(recordStore, 1<<20)
+	ctx := context.Background()
+	acceptWithPage(t, store)
+	for name, follow := range map[string]FollowFunc{"worker": knowsNothing, "no worker": noWorker} {
+		results, err := newReader(store, follow).Results(ctx, "b1", 0, 0)
+		if err != nil || len(results) != 1 {
+			t.Errorf("%s: results %+v, error %v; want the page of the store", name, results, err)
+		}
+	}
+}
+
+// Guards against a confirmation that ends at the first page which the worker does not
+// know: the position that the caller asks for may be on a later one.
+func TestConfirmationReadsAllPages(t *testing.T) {
+	for name, follow := range map[string]FollowFunc{"worker": knowsNothing, "no worker": noWorker} {
+		t.Run(name, func(t *testing.T) {
+			store, _ := newStoredBatch(t, ledger.New())
+			for after, want := range []string{"i2", "i1", "i3"} {
+				results, err := newReader(store, follow).Results(context.Background(), "b1", after, 0)
+				if err != nil || len(results) == 0 || results[0].ID != want {
+					t.Errorf("position %d: results %+v, error %v; want %s first", after, results, err, want)
+				}
+			}
+		})
+	}
+}
+
+// Guards against batches that can't be read since all of their pages are read from the
+// store before the first results are answered. A page of 0.45 MB takes a small process
+// 0.15 to 0.27 s, and callers wait for 1.5 s. Here the second page is never answered.
+func TestFirstResultsDoNotWaitForAllPages(t *testing.T) {
+	l := ledger.New()
+	whole := l.Store()
+	store := NewStore(whole, 1<<20)
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	if err := store.Accept(ctx, newBatch("acme")); err != nil {
+		t.Fatal(err)
+	}
+	for number, id := range []string{"i1", "i2"} {
+		if err := store.Append(ctx, "b1", number, Page{Start: number, Results: []Result{{ID: id}}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	slow := whole
+	slow.Get = func(ctx context.Context, kind, name string) (records.Record, error) {
+		if kind == KindPages && name != PageName("b1", 0) {
+			<-ctx.Done()
+			return records.Record{}, records.ErrUnknownOutcome
+		}
+		return whole.Get(ctx, kind, name)
+	}
+	slow.GetStale = slow.Get
+	reader := newReader(NewStore(slow, 1<<20), noWorker)
+	results, err := reader.Results(ctx, "b1", 0, 0)
+	if ctx.Err() != nil {
+		t.Error("no answer within 3 s, as the second page was waited for")
+	}
+	if err != nil || len(results) != 1 || results[0].ID != "i1" {
+		t.Errorf("results %+v, error %v; want the result of the first page", results, err)
+	}
+}
--- a/internal/training/batch/removed_test.go
+++ b/internal/training/batch/removed_test.go
@@ -47,12 +47,7 @@
 	}
 	store := NewStore(recordStore, 1<<20)
 	ctx := context.Background()
-	if err := store.Accept(ctx, newBatch("acme")); err != nil {
-		t.Fatal(err)
-	}
-	if err := store.Append(ctx, "b1", 0, Page{Results: []Result{{ID: "i1"}}}); err != nil {
-		t.Fatal(err)
-	}
+	acceptWithPage(t, store)
 	for name, follow := range map[string]FollowFunc{"worker": knowsNothing, "no worker": noWorker} {
 		results, err := newReader(store, follow).Results(ctx, "b1", 0, 0)
 		if err != nil || len(results) != 1 {
