Give each run of the process tests a loopback address of its own

Two runs of proof on one machine took ports from one range of 127.0.0.1, so that processes failed with "bind: address already in use" between the check for a free port and their start. The address depends on the process id now.

--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -123,6 +123,11 @@
 
 const lastPort = 32_000
 
+// loopbackHost is an address of the loopback network that depends on this process, so
+// that two runs at the same time do not take each other's ports. Its second byte is one
+// that the soak does not use.
+var loopbackHost = fmt.Sprintf("127.%d.%d.1", 220+os.Getpid()/250%30, 1+os.Getpid()%250)
+
 var portMu sync.Mutex
 
 // maxFleets bounds the processes and the load of tests that run in parallel.
@@ -138,7 +143,7 @@
 		if nextPort++; nextPort >= lastPort {
 			nextPort = 12_000
 		}
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", nextPort))
+		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", loopbackHost, nextPort))
 		if err != nil {
 			continue
 		}
