Keep a former holder off the role for two terms

Only a release waited for two terms; a kill, a lapse and a restart did not.

The record names the processes that held the role before the holder and less than two terms earlier. Each of them waits until it has seen the holder's epoch for two terms, counted by its own uptime, so a restarted process waits from its first read. Others take the role as before: at once after a release, 1.6 s after a kill. Earlier builds drop the field and behave as before.

TestFormerHolderDoesNotReturnWithinTwoTerms failed before (a acts again 1.6 s after its last act, want 3 s) and passes; TestNextHolderDoesNotWaitForTwoTerms shows that the wait of others is unchanged.

--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -18,9 +18,13 @@
 // also counts the time in which the machine is suspended. A successor takes the
 // role only by replacing a revision that it has seen unchanged for the term
 // plus a margin. The term of a frozen holder has therefore expired before its
-// successor's term can begin. A holder does not release the role early after a
-// short tenure, so that two holders cannot alternate faster than every two
-// terms.
+// successor's term can begin.
+//
+// A process that held the role acts again only two terms after its last act, once
+// another one has held the role meanwhile, however the tenures ended: the record names
+// the holders before the present one, and each of them waits until it has seen the
+// present tenure for two terms. A holder that releases the role has held it for two
+// terms, so that nobody waits then.
 //
 // A tenure that is not renewed in time lapses: the role is not held, but the
 // tenure has not ended. It resumes if the store shows that no other process has
@@ -31,6 +35,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -53,8 +58,8 @@
 	// record, besides the moment at which the holder's term ends.
 	pollPeriod = 600 * time.Millisecond
 	// releaseAfterTerms is the number of terms after which a holder may release
-	// the role before its term ends. It keeps two holders from alternating
-	// quickly.
+	// the role before its term ends, and after which a former holder may take it
+	// again. It keeps two holders from alternating quickly.
 	releaseAfterTerms = 2
 	// readyTimeout is how long a process that is not ready waits before it takes a
 	// free role, and readyPoll the pause between two checks.
@@ -76,11 +81,15 @@
 	Ready func() bool
 }
 
+// leaseRecord is the value of the record. Former are the processes that may have held
+// the role less than two terms before the holder took it. Earlier releases of the
+// program drop it.
 type leaseRecord struct {
-	Holder   string `json:"holder"`
-	Epoch    uint64 `json:"epoch"`
-	Count    uint64 `json:"count"`
-	Released bool   `json:"free"`
+	Holder   string   `json:"holder"`
+	Epoch    uint64   `json:"epoch"`
+	Count    uint64   `json:"count"`
+	Released bool     `json:"free"`
+	Former   []string `json:"former,omitempty"`
 }
 
 // ErrNotHeld is the cause with which the context of a tenure ends.
@@ -89,6 +98,7 @@
 // Tenure is one period in which this process holds the role under one epoch.
 type Tenure struct {
 	Epoch  uint64
+	former []string     // the holders before it, as in the record
 	until  atomic.Int64 // uptime in nanoseconds at which the term ends
 	uptime func() time.Duration
 	timers *clock.Service
@@ -128,6 +138,8 @@
 
 	lastRecord     records.Record // as last read or written
 	unchangedSince time.Duration  // uptime from which its revision counts as unchanged
+	seenEpoch      uint64         // epoch of lastRecord
+	seenSince      time.Duration  // uptime at which this epoch was read first
 }
 
 // New returns a candidate.
@@ -196,13 +208,45 @@
 	if err := json.Unmarshal(c.lastRecord.Body, &held); err != nil {
 		return nil, err
 	}
-	if !held.Released && held.Holder != c.options.Self && now-c.unchangedSince < c.options.Term+margin {
+	if held.Epoch != c.seenEpoch {
+		c.seenEpoch, c.seenSince = held.Epoch, now
+	}
+	if c.mustWait(held, now) {
 		return nil, nil
 	}
 	if !c.awaitReady(ctx) {
 		return nil, ctx.Err()
 	}
-	return c.write(ctx, c.lastRecord, leaseRecord{Holder: c.options.Self, Epoch: held.Epoch + 1}, c.store.Put)
+	next := leaseRecord{Holder: c.options.Self, Epoch: held.Epoch + 1, Former: c.formerHolders(held)}
+	return c.write(ctx, c.lastRecord, next, c.store.Put)
+}
+
+// mustWait reports whether the term of the holder may still run, or this process held
+// the role too short a time before it.
+func (c *Candidate) mustWait(held leaseRecord, now time.Duration) bool {
+	if held.Released || held.Holder == c.options.Self {
+		return false
+	}
+	if now-c.unchangedSince < c.options.Term+margin {
+		return true
+	}
+	return slices.Contains(held.Former, c.options.Self) && !c.heldForLong(now)
+}
+
+// heldForLong reports whether this process has seen the present tenure for two terms.
+func (c *Candidate) heldForLong(now time.Duration) bool {
+	return now-c.seenSince >= releaseAfterTerms*c.options.Term+margin
+}
+
+// formerHolders returns the processes that may have held the role less than two terms
+// before a successor of the given holder takes it.
+func (c *Candidate) formerHolders(held leaseRecord) []string {
+	former := []string{held.Holder}
+	if !held.Released && !c.heldForLong(c.uptime()) {
+		former = append(former, held.Former...)
+	}
+	slices.Sort(former)
+	return slices.DeleteFunc(slices.Compact(former), func(name string) bool { return name == c.options.Self })
 }
 
 // awaitReady waits until the process is ready for the role, at most for
@@ -238,7 +282,7 @@
 		return nil, err
 	}
 	c.lastRecord, c.unchangedSince = written, start
-	tenure := &Tenure{Epoch: next.Epoch, uptime: c.uptime, timers: c.timers}
+	tenure := &Tenure{Epoch: next.Epoch, former: next.Former, uptime: c.uptime, timers: c.timers}
 	tenure.until.Store(int64(start + c.options.Term - margin))
 	return tenure, nil
 }
@@ -250,7 +294,7 @@
 	inner, cancel := context.WithCancel(ctx)
 	finished := make(chan struct{})
 	go func() { defer close(finished); lead(inner, tenure) }()
-	held := leaseRecord{Holder: c.options.Self, Epoch: tenure.Epoch}
+	held := leaseRecord{Holder: c.options.Self, Epoch: tenure.Epoch, Former: tenure.former}
 	for c.timers.Sleep(ctx, c.options.Term/renewalsPerTerm) == nil {
 		held.Count++
 		if !c.renew(ctx, tenure, held) {
