Log the age and path of answers without results

Nothing told how old the exact read of the store was when an entry process wrote an empty list of results or 404 for a batch, nor whether the read went through a peer. Pages out of order were passed over in silence.

A read of the store has a trace in its context now, in which the relay notes each attempt with its path. The reader returns the proof of an answer without results: when the attempt that was answered began, its path, the worker that was asked and the number of known results. The entry process logs it before and after the answer is written, flushes such answers so that the second age includes the write, and has histograms of both. Pages that do not follow the one before them are logged and counted by source. No decision depends on it yet.

--- a/cmd/wigeonpin/node.go
+++ b/cmd/wigeonpin/node.go
@@ -25,6 +25,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/peer/relay"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/front"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/stop"
+	"github.com/wigeonpin/wigeonpin/internal/training/batch"
 	"github.com/wigeonpin/wigeonpin/internal/training/runner"
 	"github.com/wigeonpin/wigeonpin/platform"
 )
@@ -62,6 +63,7 @@
 // values are left out.
 var summaryCounters = []string{
 	storeCalls, "requests_served", "requests_failed", "connections_opened", "endpoint_breaks", "endpoint_refusals", "requests_held", stop.CountName,
+	batch.CountEmpty, batch.CountMissed, batch.CountMisplaced,
 	runner.CountRuns, runner.CountRejections, runner.CountBreaks, runner.CountScoreFailures,
 }
 
--- a/internal/node/worker/latewatch_test.go
+++ b/internal/node/worker/latewatch_test.go
@@ -109,7 +109,7 @@
 	workers = runner.NewWorkers(peers)
 	seams := batch.ReaderSeams{Store: batches, Find: workers.Find, Follow: workers.Follow}
 	reader := batch.NewReader(seams, clock.NewSystem(), logs.Discard())
-	results, err := reader.Results(ctx, "late", 0, 0)
+	results, _, err := reader.Results(ctx, "late", 0, 0)
 	if err != nil || len(results) != 1 || results[0].ID != "late-1" {
 		t.Errorf("results %+v, error %v; want the result of the former holder, which the store has", results, err)
 	}
--- a/internal/peer/relay/peers.go
+++ b/internal/peer/relay/peers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/peer/records"
 )
 
 const (
@@ -54,6 +55,7 @@
 	}
 	sent, otherZoneAsked, otherZoneReached := false, false, false
 	for _, peer := range r.candidates() {
+		records.NoteAttempt(ctx, peer.Address)
 		reply, err := r.askPeer(ctx, peer.Address, call, call.Wait+DirectTimeout)
 		if err == nil {
 			r.recordPeerUsed(peer.Address)
--- a/internal/peer/relay/route.go
+++ b/internal/peer/relay/route.go
@@ -11,6 +11,10 @@
 //	reply, err := route.Call(ctx, relay.Call{Method: "GET", Path: "/v1/things"})
 //	mux.Handle(relay.RelayPathPrefix, relay.NewServer(direct, relay.NewSharedWatches(direct, relay.DirectTimeout).Call))
 //
+// # Paths
+//
+// Each attempt is noted in the records.Trace of the call's context, with its path.
+//
 // # Errors
 //
 // Errors of Call are *Error. Sent reports that the store may have executed the
@@ -29,6 +33,7 @@
 
 	"github.com/wigeonpin/wigeonpin/internal/base/clock"
 	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/peer/records"
 )
 
 const (
@@ -240,6 +245,7 @@
 			}
 		}()
 	}
+	records.NoteAttempt(ctx, records.PathDirect)
 	return r.seams.Direct(ctx, call)
 }
 
--- a/internal/traffic/front/batches.go
+++ b/internal/traffic/front/batches.go
@@ -120,14 +120,14 @@
 	defer cancel()
 	b, err := f.seams.Reader.Batch(ctx, q.batch)
 	if err == nil && b.Account != q.account.Name {
-		err = records.ErrMissing
+		err = &batch.MissingError{Proof: batch.Proof{Source: batch.ProofOfAccount}}
 	}
 	if errors.Is(err, records.ErrMissing) && q.routed {
 		f.forward(w, r, q.withoutBatch())
 		return
 	}
 	if err != nil {
-		f.refuse(w, q, readError(ctx, err))
+		f.refuseBatch(w, q, err, readError(ctx, err))
 		return
 	}
 	switch q.operation {
@@ -142,19 +142,15 @@
 }
 
 func (f *Front) serveResults(ctx context.Context, w http.ResponseWriter, r *http.Request, q *callerRequest, b *batch.Batch) {
-	query, err := url.ParseQuery(q.query)
-	after := 0
-	if text := query.Get("after"); err == nil && text != "" {
-		after, err = strconv.Atoi(text)
-	}
+	after, err := resultPosition(q)
 	if err != nil || after < 0 {
 		f.refuse(w, q, code.New(code.BadRequest, "after must be a whole number from 0").WithRun(code.NotRun))
 		return
 	}
 	wait, _ := headers.Millis(r.Header, f.seams.Names.Wait)
-	results, err := f.seams.Reader.Results(ctx, b.ID, after, min(wait, maxResultWait))
+	results, proof, err := f.seams.Reader.Results(ctx, b.ID, after, min(wait, maxResultWait))
 	if err != nil {
-		f.refuse(w, q, readError(ctx, err))
+		f.refuseBatch(w, q, err, readError(ctx, err))
 		return
 	}
 	results = limitResults(results)
@@ -164,7 +160,13 @@
 		return
 	}
 	f.recordServed(q, http.StatusOK)
-	writeBytes(w, http.StatusOK, body)
+	if len(results) > 0 {
+		writeBytes(w, http.StatusOK, body)
+		return
+	}
+	f.writeAbsence(w, absence{status: http.StatusOK, batch: b.ID, position: after, proof: proof}, func() {
+		writeBytes(w, http.StatusOK, body)
+	})
 }
 
 // limitResults returns the first results, as many as fit into maxResultBytes but
--- a/internal/traffic/front/front.go
+++ b/internal/traffic/front/front.go
@@ -105,6 +105,8 @@
 	served  *meter.Counter
 	failed  *meter.Counter
 	latency *meter.Histogram
+
+	absenceAge, absenceWrite *meter.Histogram
 }
 
 // New returns a Front with its metrics registered in seams.Meters.
@@ -117,6 +119,8 @@
 		served:  seams.Meters.Counter("requests_served"),
 		failed:  seams.Meters.Counter("requests_failed"),
 		latency: seams.Meters.Histogram("request_us"),
+
+		absenceAge: seams.Meters.Histogram(histogramAbsenceAge), absenceWrite: seams.Meters.Histogram(histogramAbsenceWrite),
 	}
 }
 
--- a/internal/traffic/front/submit.go
+++ b/internal/traffic/front/submit.go
@@ -96,7 +96,7 @@
 	case err == nil && stored.Account == q.account.Name:
 		f.confirm(w, q)
 	case err == nil || errors.Is(err, records.ErrMissing):
-		f.refuse(w, q, errNoRoute(q))
+		f.refuseBatch(w, q, err, errNoRoute(q))
 	default:
 		f.refuse(w, q, code.New(code.DeadlinePast, "it is not known whether the batch was accepted: %s", err).WithRun(code.MaybeRun))
 	}
--- a/internal/training/batch/batch_test.go
+++ b/internal/training/batch/batch_test.go
@@ -105,12 +105,12 @@
 		t.Run(name, func(t *testing.T) {
 			reader := newReader(store, follow)
 			for after, want := range []string{"i2", "i1", "i3"} {
-				results, err := reader.Results(ctx, "b1", after, 0)
+				results, _, err := reader.Results(ctx, "b1", after, 0)
 				if err != nil || len(results) == 0 || results[0].ID != want {
 					t.Errorf("position %d: results %+v, error %v; want %s first", after, results, err, want)
 				}
 			}
-			if results, err := reader.Results(ctx, "b1", 3, 0); err != nil || len(results) != 0 {
+			if results, _, err := reader.Results(ctx, "b1", 3, 0); err != nil || len(results) != 0 {
 				t.Errorf("past the end: results %+v, error %v; want neither", results, err)
 			}
 		})
@@ -137,7 +137,7 @@
 	if _, err := newReader(store, noWorker).Batch(ctx, "b1"); errors.Is(err, records.ErrMissing) || err == nil {
 		t.Errorf("error %v for a batch that cannot be read, want one other than records.ErrMissing", err)
 	}
-	if _, err := known.Results(ctx, "b1", 0, 0); err == nil {
+	if _, _, err := known.Results(ctx, "b1", 0, 0); err == nil {
 		t.Error("no error though the store cannot be read")
 	}
 }
--- a/internal/training/batch/reader.go
+++ b/internal/training/batch/reader.go
@@ -43,6 +43,9 @@
 	// CountMissed counts the pages that the store had beyond those of the worker that
 	// answered, by the address of the worker.
 	CountMissed = "result_pages_missed"
+	// CountMisplaced counts the pages that do not begin where the one before them ends,
+	// by PagesOfWorker or PagesOfStore.
+	CountMisplaced = "result_pages_misplaced"
 )
 
 // The labels of the counters.
@@ -52,13 +55,15 @@
 )
 
 // ReaderSeams are the dependencies of a Reader. Meters may be nil. Retention is how
-// long after its acceptance a batch is certain to be stored.
+// long after its acceptance a batch is certain to be stored. Uptime is clock.Uptime if
+// it is nil.
 type ReaderSeams struct {
 	Store     *Store
 	Find      FindFunc
 	Follow    FollowFunc
 	Meters    *meter.Set
 	Retention time.Duration
+	Uptime    func() time.Duration
 }
 
 // Reader serves batches and results from the workers or the store, and caches
@@ -70,8 +75,10 @@
 	pages  *meter.Counter
 	empty  *meter.Counter
 	missed *meter.Counter
-	mu     sync.Mutex
-	cache  *lru.Cache[string, *cachedBatch]
+	// misplaced counts errPageOrder by source.
+	misplaced *meter.Counter
+	mu        sync.Mutex
+	cache     *lru.Cache[string, *cachedBatch]
 }
 
 // FindFunc asks a worker for a batch. It reports false when the worker does not
@@ -107,10 +114,13 @@
 	if seams.Meters == nil {
 		seams.Meters = meter.NewSet()
 	}
+	if seams.Uptime == nil {
+		seams.Uptime = clock.Uptime
+	}
 	return &Reader{
 		seams: seams, timers: timers, log: log, cache: cache,
 		pages: seams.Meters.Counter(CountPages), empty: seams.Meters.Counter(CountEmpty),
-		missed: seams.Meters.Counter(CountMissed),
+		missed: seams.Meters.Counter(CountMissed), misplaced: seams.Meters.Counter(CountMisplaced),
 	}
 }
 
@@ -133,8 +143,14 @@
 		known = false
 	}
 	if !known {
-		var err error
-		if b, err = r.seams.Store.Read(ctx, id); err != nil {
+		proof, err := r.prove(ctx, func(ctx context.Context) (err error) {
+			b, err = r.seams.Store.Read(ctx, id)
+			return err
+		})
+		if errors.Is(err, records.ErrMissing) {
+			return nil, &MissingError{Proof: proof}
+		}
+		if err != nil {
 			return nil, err
 		}
 	}
@@ -155,14 +171,21 @@
 	return r.timers.Since(b.Time) > r.seams.Retention
 }
 
-// checkStored returns records.ErrMissing if the batch was removed from the store, and
+// checkStored returns a MissingError if the batch was removed from the store, and
 // errReplaced if another one has its id; it is dropped from the cache then. Only a
 // batch that is older than the retention time is looked up.
 func (r *Reader) checkStored(ctx context.Context, c *cachedBatch) error {
 	if !r.mayBeRemoved(c.batch) {
 		return nil
 	}
-	stored, err := r.seams.Store.ReadHead(ctx, c.batch.ID)
+	var stored *Batch
+	proof, err := r.prove(ctx, func(ctx context.Context) (err error) {
+		stored, err = r.seams.Store.ReadHead(ctx, c.batch.ID)
+		return err
+	})
+	if errors.Is(err, records.ErrMissing) {
+		err = &MissingError{Proof: proof}
+	}
 	if err == nil && (stored.Account != c.batch.Account || !stored.Time.Equal(c.batch.Time)) {
 		err = errReplaced
 	}
@@ -176,7 +199,7 @@
 	return err
 }
 
-// Batch returns a batch, or records.ErrMissing if it does not exist.
+// Batch returns a batch, or a MissingError if it does not exist.
 func (r *Reader) Batch(ctx context.Context, id string) (*Batch, error) {
 	c, err := r.load(ctx, id)
 	if err != nil {
@@ -188,17 +211,21 @@
 // Results returns the results from position after on. It waits up to wait for
 // the first of them. Workers make the answer fast, but only the store shows that
 // there is no result: a worker may not know a page that a former holder of the role
-// has written. If the store cannot be read then, Results returns its error.
-func (r *Reader) Results(ctx context.Context, id string, after int, wait time.Duration) ([]Result, error) {
+// has written. If the store cannot be read then, Results returns its error. An answer
+// without results comes with its proof.
+func (r *Reader) Results(ctx context.Context, id string, after int, wait time.Duration) ([]Result, Proof, error) {
 	c, err := r.load(ctx, id)
 	if err != nil {
-		return nil, err
+		return nil, Proof{}, err
 	}
 	deadline := r.timers.Now().Add(wait)
 	for {
 		results, pages := c.resultsFrom(after)
-		if len(results) > 0 || after >= len(c.batch.Items) {
-			return results, nil
+		if len(results) > 0 {
+			return results, Proof{}, nil
+		}
+		if after >= len(c.batch.Items) {
+			return nil, Proof{Source: ProofOfItems, Known: c.resultCount()}, nil
 		}
 		update := r.askWorker(ctx, id, pages, deadline)
 		if !update.Active {
@@ -208,12 +235,21 @@
 			return r.confirmEmpty(ctx, c, after, update.Worker)
 		}
 		if _, err := c.addPages(pages, update.Pages); err != nil {
+			r.reportMisplaced(c, PagesOfWorker, update.Worker, pages)
 			return r.poll(ctx, c, after, deadline)
 		}
 		r.pages.Add(PagesOfWorker, int64(len(update.Pages)))
 	}
 }
 
+// reportMisplaced logs and counts pages from number on that do not follow the known ones.
+func (r *Reader) reportMisplaced(c *cachedBatch, source, peer string, number int) {
+	r.misplaced.Add(source, 1)
+	r.log.WithFields(logrus.Fields{
+		"batch": c.batch.ID, "source": source, logs.Peer: peer, "page": number, "results": c.resultCount(),
+	}).Warn("a result page does not follow the one before it")
+}
+
 // askWorker asks a worker for the pages after the known ones, and leaves time for a
 // read of the store.
 func (r *Reader) askWorker(ctx context.Context, id string, known int, deadline time.Time) Update {
@@ -227,9 +263,9 @@
 
 // confirmEmpty returns the results from position after on that the store has, after
 // a worker has answered that there are none.
-func (r *Reader) confirmEmpty(ctx context.Context, c *cachedBatch, after int, worker string) ([]Result, error) {
+func (r *Reader) confirmEmpty(ctx context.Context, c *cachedBatch, after int, worker string) ([]Result, Proof, error) {
 	_, known := c.resultsFrom(after)
-	err := r.refresh(ctx, c, after, r.seams.Store.Page)
+	proof, err := r.refresh(ctx, c, after, r.seams.Store.Page)
 	results, pages := c.resultsFrom(after)
 	if pages > known {
 		r.missed.Add(worker, int64(pages-known))
@@ -238,9 +274,10 @@
 		}).Info("the store has result pages beyond those of the worker")
 	}
 	if len(results) > 0 {
-		return results, nil
+		return results, Proof{}, nil
 	}
-	return nil, r.endEmpty(ctx, c, worker, err)
+	proof = proof.WithSource(worker, c.resultCount())
+	return nil, proof, r.endEmpty(ctx, c, worker, err)
 }
 
 // endEmpty returns the error of a call that found no results: that of the last read of
@@ -251,7 +288,7 @@
 	}
 	switch err := r.checkStored(ctx, c); {
 	case errors.Is(err, errReplaced):
-		return records.ErrMissing
+		return &MissingError{Proof: Proof{Source: ProofOfItems}}
 	case err != nil:
 		return err
 	}
@@ -262,33 +299,35 @@
 // poll reads results from the store until the deadline. The first read and the last
 // one are exact, so that an answer without results holds when it is given. Those
 // between them may be stale, since these are cheap.
-func (r *Reader) poll(ctx context.Context, c *cachedBatch, after int, deadline time.Time) ([]Result, error) {
+func (r *Reader) poll(ctx context.Context, c *cachedBatch, after int, deadline time.Time) ([]Result, Proof, error) {
 	for read := r.seams.Store.Page; ; read = r.seams.Store.PageStale {
 		left := deadline.Sub(r.timers.Now())
 		if left <= 0 {
 			read = r.seams.Store.Page
 		}
-		err := r.refresh(ctx, c, after, read)
+		proof, err := r.refresh(ctx, c, after, read)
 		if results, _ := c.resultsFrom(after); len(results) > 0 {
-			return results, nil
+			return results, Proof{}, nil
 		}
 		if err != nil || left <= 0 {
-			return nil, r.endEmpty(ctx, c, PagesOfStore, err)
+			proof = proof.WithSource(PagesOfStore, c.resultCount())
+			return nil, proof, r.endEmpty(ctx, c, PagesOfStore, err)
 		}
 		if err := r.timers.Sleep(ctx, min(left, pollInterval)); err != nil {
-			return nil, err
+			return nil, Proof{}, err
 		}
 	}
 }
 
-// refresh reads the pages that were written since the last read. Once there is a result
-// from position after on, it reads further ones for readAheadTime only. The batch is not
-// locked meanwhile, so that a slow store does not delay pages that come from a worker.
-func (r *Reader) refresh(ctx context.Context, c *cachedBatch, after int, read readPageFunc) error {
+// refresh reads the pages that were written since the last read, and returns the proof
+// of the read that found none. Once there is a result from position after on, it reads
+// further ones for readAheadTime only. The batch is not locked meanwhile, so that a slow
+// store does not delay pages that come from a worker.
+func (r *Reader) refresh(ctx context.Context, c *cachedBatch, after int, read readPageFunc) (Proof, error) {
 	for readsAhead := false; ; {
 		number, complete := c.nextPage()
 		if complete {
-			return nil
+			return Proof{}, nil
 		}
 		if results, _ := c.resultsFrom(after); len(results) > 0 && !readsAhead {
 			readsAhead = true
@@ -296,8 +335,13 @@
 			defer cancel()
 			ctx = limited
 		}
-		if done, err := r.readPage(ctx, c, number, read); done || err != nil {
+		var done bool
+		proof, err := r.prove(ctx, func(ctx context.Context) (err error) {
+			done, err = r.readPage(ctx, c, number, read)
 			return err
+		})
+		if done || err != nil {
+			return proof, err
 		}
 	}
 }
@@ -315,6 +359,9 @@
 	if added {
 		r.pages.Add(PagesOfStore, 1)
 	}
+	if errors.Is(err, errPageOrder) {
+		r.reportMisplaced(c, PagesOfStore, "", number)
+	}
 	return false, err
 }
 
@@ -339,6 +386,13 @@
 	return c.results[after:len(c.results):len(c.results)], c.pages
 }
 
+// resultCount returns the number of results that have been read.
+func (c *cachedBatch) resultCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.results)
+}
+
 // addPages adds pages, the first of which has the given number, and reports whether
 // one of them was new. Pages that are known already are skipped. It returns
 // errPageOrder for a page that does not follow the known ones.
--- a/internal/training/batch/reader_test.go
+++ b/internal/training/batch/reader_test.go
@@ -53,7 +53,7 @@
 				return Update{Worker: "w", Active: true, Pages: pages[min(from, known):known]}
 			})
 			for after, want := range []string{"i2", "i1", "i3"} {
-				results, err := reader.Results(context.Background(), "b1", after, 0)
+				results, _, err := reader.Results(context.Background(), "b1", after, 0)
 				if err != nil || len(results) == 0 || results[0].ID != want {
 					t.Errorf("position %d: results %+v, error %v; want %s first", after, results, err, want)
 				}
@@ -74,7 +74,7 @@
 		t.Fatal(err)
 	}
 	l.SetFault(ledger.Refuse)
-	if results, err := reader.Results(context.Background(), "b1", 0, 0); !errors.Is(err, records.ErrRefused) {
+	if results, _, err := reader.Results(context.Background(), "b1", 0, 0); !errors.Is(err, records.ErrRefused) {
 		t.Errorf("results %+v, error %v; want records.ErrRefused", results, err)
 	}
 }
@@ -94,7 +94,7 @@
 	if err := store.Accept(context.Background(), newBatch("acme")); err != nil {
 		t.Fatal(err)
 	}
-	results, err := newReader(store, noWorker).Results(context.Background(), "b1", 0, pollInterval+pollInterval/2)
+	results, _, err := newReader(store, noWorker).Results(context.Background(), "b1", 0, pollInterval+pollInterval/2)
 	if err != nil || len(results) != 1 {
 		t.Errorf("results %+v, error %v; want the page that was written during the wait", results, err)
 	}
@@ -124,7 +124,7 @@
 	reader := newReader(store, func(context.Context, string, int, time.Duration) Update { return <-updates })
 	finished := make(chan []Result, 1)
 	go func() {
-		results, _ := reader.Results(ctx, "b1", 0, 0) // an error leaves the results empty
+		results, _, _ := reader.Results(ctx, "b1", 0, 0) // an error leaves the results empty
 		finished <- results
 	}()
 	select {
@@ -132,7 +132,7 @@
 	case results := <-finished:
 		t.Fatalf("results %+v without a read of the store", results)
 	}
-	if results, err := reader.Results(ctx, "b1", 0, 0); err != nil || len(results) != 1 {
+	if results, _, err := reader.Results(ctx, "b1", 0, 0); err != nil || len(results) != 1 {
 		t.Errorf("results %+v, error %v; want the page of the worker", results, err)
 	}
 	close(proceed)
@@ -157,7 +157,7 @@
 	ctx := context.Background()
 	acceptWithPage(t, store)
 	for name, follow := range map[string]FollowFunc{"worker": knowsNothing, "no worker": noWorker} {
-		results, err := newReader(store, follow).Results(ctx, "b1", 0, 0)
+		results, _, err := newReader(store, follow).Results(ctx, "b1", 0, 0)
 		if err != nil || len(results) != 1 {
 			t.Errorf("%s: results %+v, error %v; want the page of the store", name, results, err)
 		}
@@ -171,7 +171,7 @@
 		t.Run(name, func(t *testing.T) {
 			store, _ := newStoredBatch(t, ledger.New())
 			for after, want := range []string{"i2", "i1", "i3"} {
-				results, err := newReader(store, follow).Results(context.Background(), "b1", after, 0)
+				results, _, err := newReader(store, follow).Results(context.Background(), "b1", after, 0)
 				if err != nil || len(results) == 0 || results[0].ID != want {
 					t.Errorf("position %d: results %+v, error %v; want %s first", after, results, err, want)
 				}
@@ -207,7 +207,7 @@
 	}
 	slow.GetStale = slow.Get
 	reader := newReader(NewStore(slow, 1<<20), noWorker)
-	results, err := reader.Results(ctx, "b1", 0, 0)
+	results, _, err := reader.Results(ctx, "b1", 0, 0)
 	if ctx.Err() != nil {
 		t.Error("no answer within 3 s, as the second page was waited for")
 	}
--- a/internal/training/batch/removed_test.go
+++ b/internal/training/batch/removed_test.go
@@ -21,13 +21,13 @@
 			if _, err := reader.Batch(ctx, "b1"); err != nil {
 				t.Fatal(err)
 			}
-			if results, err := newReader(store, follow).Results(ctx, "b1", 0, 0); err != nil || len(results) == 0 {
+			if results, _, err := newReader(store, follow).Results(ctx, "b1", 0, 0); err != nil || len(results) == 0 {
 				t.Fatalf("results %+v, error %v", results, err)
 			}
 			if err := store.Remove(ctx, "b1"); err != nil {
 				t.Fatal(err)
 			}
-			if results, err := reader.Results(ctx, "b1", 0, 0); err == nil {
+			if results, _, err := reader.Results(ctx, "b1", 0, 0); err == nil {
 				t.Errorf("results %+v without an error, want records.ErrMissing", results)
 			}
 		})
@@ -49,7 +49,7 @@
 	ctx := context.Background()
 	acceptWithPage(t, store)
 	for name, follow := range map[string]FollowFunc{"worker": knowsNothing, "no worker": noWorker} {
-		results, err := newReader(store, follow).Results(ctx, "b1", 0, 0)
+		results, _, err := newReader(store, follow).Results(ctx, "b1", 0, 0)
 		if err != nil || len(results) != 1 {
 			t.Errorf("%s: results %+v, error %v; want the page that was read", name, results, err)
 		}
@@ -64,7 +64,7 @@
 	reader := newReader(store, func(context.Context, string, int, time.Duration) Update {
 		return Update{Worker: "w", Active: true, Pages: []Page{{Start: 1, Results: []Result{{ID: "i1"}, {ID: "i3"}}}}}
 	})
-	results, err := reader.Results(ctx, "b1", 0, 0)
+	results, _, err := reader.Results(ctx, "b1", 0, 0)
 	if err == nil && (len(results) == 0 || results[0].ID != "i2") {
 		t.Errorf("results %+v; want i2 first, or an error", results)
 	}
@@ -77,7 +77,7 @@
 	store, _ := newStoredBatch(t, ledger.New())
 	ctx := context.Background()
 	reader := newReader(store, noWorker)
-	if _, err := reader.Results(ctx, "b1", 0, 0); err != nil {
+	if _, _, err := reader.Results(ctx, "b1", 0, 0); err != nil {
 		t.Fatal(err)
 	}
 	for _, change := range []func() error{
@@ -93,7 +93,7 @@
 	if err != nil || b.Account != "globex" {
 		t.Errorf("batch %+v, error %v; want the batch of globex", b, err)
 	}
-	if results, err := reader.Results(ctx, "b1", 0, 0); err != nil || len(results) != 0 {
+	if results, _, err := reader.Results(ctx, "b1", 0, 0); err != nil || len(results) != 0 {
 		t.Errorf("results %+v, error %v; want none of the new batch", results, err)
 	}
 }
--- a/internal/training/runner/pages_test.go
+++ b/internal/training/runner/pages_test.go
@@ -88,7 +88,7 @@
 
 func checkReadable(t *testing.T, reader *batch.Reader, want string) {
 	t.Helper()
-	results, err := reader.Results(t.Context(), "b1", 0, 0)
+	results, _, err := reader.Results(t.Context(), "b1", 0, 0)
 	if err != nil || len(results) != 1 || results[0].ID != want {
 		t.Errorf("results %+v, error %v; want the result of %s, which the store has", results, err, want)
 	}
--- a/internal/training/runner/workers_test.go
+++ b/internal/training/runner/workers_test.go
@@ -151,7 +151,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), followTimeout)
 	defer cancel()
-	if results, err := reader.Results(ctx, "b1", 0, followWait); err != nil || len(results) != 0 {
+	if results, _, err := reader.Results(ctx, "b1", 0, followWait); err != nil || len(results) != 0 {
 		t.Errorf("results %+v, error %v; want neither", results, err)
 	}
 }
@@ -184,7 +184,7 @@
 	reader := newReader(store, peers)
 	ctx, cancel := context.WithTimeout(t.Context(), limit)
 	defer cancel()
-	results, err := reader.Results(ctx, b.ID, 0, 0)
+	results, _, err := reader.Results(ctx, b.ID, 0, 0)
 	if ctx.Err() != nil {
 		t.Fatalf("no answer within %v", limit)
 	}
