Bound the age of answers without results

An empty list of results or 404 for a batch rested on an exact read of the store, but nothing compared the beginning of that read with the moment of the answer. An answer of the store that came late, a paused peer, or a pause of the process before its write let a caller be told less than another one was told a settle time before.

Such an answer is written only if the attempt of the read that was answered began at most half of bounds.settleMs before, by a clock that counts suspensions. The check is the last step before the write. A proof that is too old is read again, three times at most and while the call has time; else the answer is 503 platform_late (507), not run. A repeated submission on a path without a route gets 504 then, since a refusal as not run would deny its acceptance; it and the plain route instead of a missing batch rest on the same check. Results that another caller has read meanwhile are delivered. A batch that took the place of a removed one during the call is 503 and no longer 404. A fresh proof costs no further call to the store.

--- a/internal/base/code/code.go
+++ b/internal/base/code/code.go
@@ -68,6 +68,7 @@
 	PlatformUnavailable Code = 504
 	PlatformBehind      Code = 505
 	LeaseLost           Code = 506
+	PlatformLate        Code = 507
 
 	UnknownTrainer   Code = 601
 	StepInvalid      Code = 602
@@ -129,6 +130,7 @@
 	PlatformUnavailable: {"platform_unavailable", http.StatusServiceUnavailable, "The platform does not answer."},
 	PlatformBehind:      {"platform_behind", http.StatusServiceUnavailable, "The platform answers with older data than was accepted."},
 	LeaseLost:           {"lease_lost", http.StatusConflict, "The instance does not hold the lease for this order."},
+	PlatformLate:        {"platform_late", http.StatusServiceUnavailable, "The platform's answer was too old to be passed on."},
 	UnknownTrainer:      {"unknown_trainer", http.StatusNotFound, "No trainer has this name."},
 	StepInvalid:         {"step_invalid", http.StatusUnprocessableEntity, "The step's description is invalid."},
 	SampleTooOld:        {"sample_too_old", http.StatusConflict, "The sample is older than the trainer's bound."},
--- a/internal/node/profile/check.go
+++ b/internal/node/profile/check.go
@@ -27,6 +27,7 @@
 	FieldLease          Field = "lease"
 	FieldWindow         Field = "window"
 	FieldMaxReportDelay Field = "report delay"
+	FieldSettle         Field = "settle time"
 	FieldMaxConfigDelay Field = "config delay"
 	FieldMaxDrainDelay  Field = "drain delay"
 	FieldMaxZoneDelay   Field = "zone delay"
@@ -80,6 +81,7 @@
 		{FieldLease, p.Lease, minLease},
 		{FieldWindow, p.Window, minWindow},
 		{FieldMaxReportDelay, p.MaxReportDelay, minWindow},
+		{FieldSettle, p.Settle, minDelay},
 		{FieldMaxConfigDelay, p.MaxConfigDelay, minDelay},
 		{FieldMaxDrainDelay, p.MaxDrainDelay, minDelay},
 		{FieldMaxZoneDelay, p.MaxZoneDelay, minDelay},
@@ -99,7 +101,7 @@
 		FieldMaxValueBytes: fmt.Sprint(p.MaxValueBytes), FieldMemory: fmt.Sprintf("%d MB", p.MemoryBytes>>20),
 		FieldDescriptors: fmt.Sprint(p.Descriptors),
 		FieldGrace:       p.Grace.String(), FieldLease: p.Lease.String(), FieldWindow: p.Window.String(),
-		FieldMaxReportDelay: p.MaxReportDelay.String(), FieldMaxConfigDelay: p.MaxConfigDelay.String(), FieldMaxDrainDelay: p.MaxDrainDelay.String(),
+		FieldMaxReportDelay: p.MaxReportDelay.String(), FieldSettle: p.Settle.String(), FieldMaxConfigDelay: p.MaxConfigDelay.String(), FieldMaxDrainDelay: p.MaxDrainDelay.String(),
 		FieldMaxZoneDelay: p.MaxZoneDelay.String(), FieldMaxCancelDelay: p.MaxCancelDelay.String(),
 	}
 }
--- a/internal/node/profile/check_test.go
+++ b/internal/node/profile/check_test.go
@@ -20,6 +20,7 @@
 		{"addresses", func(p *Profile) { p.IP, p.Front, p.Cloud = "x", ":80", "here" }, []Field{FieldIP, FieldFront, FieldCloud}},
 		{"ports", func(p *Profile) { p.FirstPort, p.LastPort = 70_000, 70_001 }, []Field{FieldPorts}},
 		{"bounds", func(p *Profile) { p.Lease, p.MaxDrainDelay = time.Millisecond, -time.Second }, []Field{FieldLease, FieldMaxDrainDelay}},
+		{"settle time", func(p *Profile) { p.Settle = 50 * time.Millisecond }, []Field{FieldSettle}},
 		{"sizes", func(p *Profile) { p.MaxValueBytes, p.MemoryBytes = 1, -1 }, []Field{FieldMaxValueBytes, FieldMemory}},
 	}
 	for _, c := range cases {
--- a/internal/node/profile/profile.go
+++ b/internal/node/profile/profile.go
@@ -31,6 +31,7 @@
 	Lease            time.Duration // minimum time in which the worker role can alternate between two holders; twice the lease term
 	Window           time.Duration // length of a usage window
 	MaxReportDelay   time.Duration // maximum time from the end of a usage window to its report
+	Settle           time.Duration // time after which no answer may lack a result that was read or a batch that was accepted
 	ResultRetention  time.Duration // retention time of results, from the acceptance of their batch
 	MaxConfigDelay   time.Duration // maximum time from a new manifest to its effect
 	MaxDrainDelay    time.Duration // maximum time from the draining or removal of an endpoint to the last request sent to it
@@ -44,6 +45,7 @@
 	defaultLease       = 3 * time.Second
 	defaultWindow      = 5 * time.Second
 	defaultReportDelay = 10 * time.Second
+	defaultSettle      = time.Second
 	defaultRetention   = 2 * time.Minute
 	defaultValueBytes  = 1 << 20
 	defaultDelay       = 2 * time.Second
@@ -55,6 +57,7 @@
 	setDefault(&p.Lease, defaultLease)
 	setDefault(&p.Window, defaultWindow)
 	setDefault(&p.MaxReportDelay, defaultReportDelay)
+	setDefault(&p.Settle, defaultSettle)
 	setDefault(&p.ResultRetention, defaultRetention)
 	setDefault(&p.MaxConfigDelay, defaultDelay)
 	setDefault(&p.MaxDrainDelay, defaultDelay)
--- a/internal/traffic/front/absence.go
+++ b/internal/traffic/front/absence.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"net/url"
@@ -22,6 +23,22 @@
 	labelPeer             = "peer"
 )
 
+// countLate counts the answers without results that were not given since their proof was
+// too old, by lateRepeated or lateRefused.
+const (
+	countLate    = "late_proofs"
+	lateRepeated = "repeated"
+	lateRefused  = "refused"
+)
+
+const (
+	// maxProofs is the number of reads of the store after which a call is refused whose
+	// answers were all too old.
+	maxProofs = 3
+	// lateRetryAfter is the Retry-After delay after such a call.
+	lateRetryAfter = 200 * time.Millisecond
+)
+
 // absence is an answer that tells a caller "there is nothing": an empty list of results
 // at a position, or 404 for a batch.
 type absence struct {
@@ -54,13 +71,32 @@
 	return strconv.Atoi(text)
 }
 
-// writeAbsence writes an answer without results or batch, and reports the age of its
-// proof. The answer is flushed, so that it does not wait for the end of the handler.
-func (f *Front) writeAbsence(w http.ResponseWriter, a absence, write func()) {
+// writeAbsence writes an answer without results or batch, unless its proof is too old; it
+// reports false then, and the call is to be served again. The check is the last step
+// before the write. The answer is flushed, so that it does not wait for the end of the
+// handler.
+func (f *Front) writeAbsence(w http.ResponseWriter, a absence, write func()) bool {
+	if !f.seams.Reader.Holds(a.proof) {
+		return false
+	}
 	age := f.seams.Reader.Age(a.proof)
 	write()
 	_ = http.NewResponseController(w).Flush() // fails only if the caller is gone
 	f.reportAbsence(a, age, f.seams.Reader.Age(a.proof))
+	return true
+}
+
+// serveProved serves a call until its answer does not rest on a proof that is too old.
+// Once there is no time for another read, the answer is the refusal.
+func (f *Front) serveProved(ctx context.Context, w http.ResponseWriter, q *callerRequest, refusal error, serve func() bool) {
+	for attempt := 1; !serve(); attempt++ {
+		if attempt == maxProofs || ctx.Err() != nil || !f.timers.Now().Before(q.deadline) {
+			f.late.Add(lateRefused, 1)
+			f.refuse(w, q, refusal)
+			return
+		}
+		f.late.Add(lateRepeated, 1)
+	}
 }
 
 func (f *Front) reportAbsence(a absence, age, written time.Duration) {
@@ -80,12 +116,13 @@
 	f.log.WithFields(fields).Info("answer without results")
 }
 
-// refuseBatch refuses a call about a batch.
-func (f *Front) refuseBatch(w http.ResponseWriter, q *callerRequest, cause, answer error) {
+// refuseBatch refuses a call about a batch. It reports false if the refusal tells that
+// the batch does not exist and its proof is too old.
+func (f *Front) refuseBatch(w http.ResponseWriter, q *callerRequest, cause, answer error) bool {
 	a, found := absenceOf(q, cause)
 	if !found {
 		f.refuse(w, q, answer)
-		return
+		return true
 	}
-	f.writeAbsence(w, a, func() { f.refuse(w, q, answer) })
+	return f.writeAbsence(w, a, func() { f.refuse(w, q, answer) })
 }
--- a/internal/traffic/front/absence_test.go
+++ b/internal/traffic/front/absence_test.go
@@ -1,11 +1,19 @@
 package front
 
 import (
+	"context"
 	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
+	"github.com/cockroachdb/datadriven"
 	"github.com/sirupsen/logrus"
 	logtest "github.com/sirupsen/logrus/hooks/test"
+
+	"github.com/wigeonpin/wigeonpin/internal/training/batch"
 )
 
 // absenceLines returns the fields of the log lines of answers without results.
@@ -51,3 +59,82 @@
 		}
 	}
 }
+
+// TestOldProofsAreNotPassedOn guards against answers that tell a caller "there is
+// nothing" from a read of the store that is older than what other callers were told: its
+// answer came late, or the process was paused before it wrote its own.
+func TestOldProofsAreNotPassedOn(t *testing.T) {
+	datadriven.Walk(t, "testdata/absence", func(t *testing.T, path string) {
+		fx := newFixture(t, echo)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			switch d.Cmd {
+			case "late":
+				fx.delayReads(t, d)
+				return ""
+			case "pause":
+				fx.pauseBeforeWrite(t, d)
+				return ""
+			case "manifest":
+				fx.manifest.Store(parseManifest(t, fx.manifest.Load().Version+1, d))
+				return ""
+			case "call":
+				return fx.scriptedCall(t, d)
+			case "late-proofs":
+				return strconv.FormatInt(fx.front.late.Value(d.CmdArgs[0].Key), 10) + "\n"
+			}
+			t.Fatalf("%s: unknown command %s", d.Pos, d.Cmd)
+			return ""
+		})
+	})
+}
+
+// jump returns a function that advances the uptime by the argument ms, for the calls
+// after the first skip ones, as many as the argument times.
+func (fx *fixture) jump(t *testing.T, d *datadriven.TestData) func() bool {
+	t.Helper()
+	var ms, skip, times int
+	d.ScanArgs(t, "ms", &ms)
+	d.ScanArgs(t, "times", &times)
+	d.MaybeScanArgs(t, "skip", &skip)
+	var calls atomic.Int64
+	return func() bool {
+		if n := int(calls.Add(1)); n <= skip || n > skip+times {
+			return false
+		}
+		fx.uptime.Add(int64(time.Duration(ms) * time.Millisecond))
+		return true
+	}
+}
+
+// delayReads lets the store's answers to reads of a kind come late. The first page of
+// the batch in the argument page is written meanwhile, and read by another caller if
+// the argument read is given.
+func (fx *fixture) delayReads(t *testing.T, d *datadriven.TestData) {
+	t.Helper()
+	var kind, page string
+	d.ScanArgs(t, "kind", &kind)
+	d.MaybeScanArgs(t, "page", &page)
+	jump, read, pos := fx.jump(t, d), d.HasArg("read"), d.Pos // d is used again for the next command
+	hook := func(answered string) {
+		if answered != kind || !jump() || page == "" {
+			return
+		}
+		stored := batch.NewStore(fx.ledger.Store(), 1<<20)
+		_ = stored.Append(context.Background(), page, 0, batch.Page{Results: []batch.Result{{ID: "i1"}}}) // it may be there
+		if read {
+			_, _, body, _ := fx.call(t, http.MethodGet, "/results/"+page, "k1", "other")
+			if !strings.HasPrefix(body, "1/") {
+				t.Errorf("%s: the other caller got %q", pos, body)
+			}
+		}
+	}
+	fx.onRead.Store(&hook)
+}
+
+// pauseBeforeWrite pauses the process while an answer is encoded.
+func (fx *fixture) pauseBeforeWrite(t *testing.T, d *datadriven.TestData) {
+	t.Helper()
+	jump := fx.jump(t, d)
+	hook := func() { jump() }
+	fx.onEncode.Store(&hook)
+}
--- a/internal/traffic/front/batches.go
+++ b/internal/traffic/front/batches.go
@@ -108,6 +108,11 @@
 	return code.New(code.PlatformUnavailable, "%s", err).WithRun(code.NotRun).WithRetryAfter(storeRetryAfter)
 }
 
+// errLate is the refusal of a read that found nothing, whose proofs were all too old.
+func errLate() error {
+	return code.New(code.PlatformLate, "the answer of the store came too late to be passed on").WithRun(code.NotRun).WithRetryAfter(lateRetryAfter)
+}
+
 // batchCall serves an operation on an accepted batch. A batch of another client
 // account looks like a missing one. If the caller has no such batch, the plain route
 // of the path serves the request, if it has one.
@@ -118,55 +123,80 @@
 	}
 	ctx, cancel := f.withStoreTimeout(r.Context())
 	defer cancel()
+	wait, _ := headers.Millis(r.Header, f.seams.Names.Wait)
+	wait = min(wait, maxResultWait)
+	f.serveProved(ctx, w, q, errLate(), func() bool {
+		served := f.serveBatch(ctx, w, r, q, wait)
+		wait = 0
+		return served
+	})
+}
+
+// serveBatch serves a call about an accepted batch. It reports false if the answer would
+// rest on a proof that is too old.
+func (f *Front) serveBatch(ctx context.Context, w http.ResponseWriter, r *http.Request, q *callerRequest, wait time.Duration) bool {
 	b, err := f.seams.Reader.Batch(ctx, q.batch)
 	if err == nil && b.Account != q.account.Name {
 		err = &batch.MissingError{Proof: batch.Proof{Source: batch.ProofOfAccount}}
 	}
 	if errors.Is(err, records.ErrMissing) && q.routed {
-		f.forward(w, r, q.withoutBatch())
-		return
+		return f.forwardWithoutBatch(w, r, q, err)
 	}
 	if err != nil {
-		f.refuseBatch(w, q, err, readError(ctx, err))
-		return
+		return f.refuseBatch(w, q, err, readError(ctx, err))
 	}
 	switch q.operation {
 	case ReadResults:
-		f.serveResults(ctx, w, r, q, b)
+		return f.serveResults(ctx, w, q, b, wait)
 	case ReadItem:
 		f.serveItem(w, q, b)
 	case EndBatch:
 		f.endBatch(ctx, w, q)
 	case NoBatch, Resubmit:
 	}
+	return true
 }
 
-func (f *Front) serveResults(ctx context.Context, w http.ResponseWriter, r *http.Request, q *callerRequest, b *batch.Batch) {
+// forwardWithoutBatch serves a call by the plain route of its path, since the caller has
+// no such batch. It reports false if the proof of that is too old.
+func (f *Front) forwardWithoutBatch(w http.ResponseWriter, r *http.Request, q *callerRequest, missing error) bool {
+	if a, found := absenceOf(q, missing); found && !f.seams.Reader.Holds(a.proof) {
+		return false
+	}
+	f.forward(w, r, q.withoutBatch())
+	return true
+}
+
+// serveResults answers with results. It reports false if there are none, and the proof of
+// that is too old.
+func (f *Front) serveResults(ctx context.Context, w http.ResponseWriter, q *callerRequest, b *batch.Batch, wait time.Duration) bool {
 	after, err := resultPosition(q)
 	if err != nil || after < 0 {
 		f.refuse(w, q, code.New(code.BadRequest, "after must be a whole number from 0").WithRun(code.NotRun))
-		return
+		return true
 	}
-	wait, _ := headers.Millis(r.Header, f.seams.Names.Wait)
-	results, proof, err := f.seams.Reader.Results(ctx, b.ID, after, min(wait, maxResultWait))
+	results, proof, err := f.seams.Reader.Results(ctx, b.ID, after, wait)
 	if err != nil {
-		f.refuseBatch(w, q, err, readError(ctx, err))
-		return
+		return f.refuseBatch(w, q, err, readError(ctx, err))
+	}
+	if len(results) == 0 {
+		results = f.seams.Reader.Known(b, after) // another call may have read some meanwhile
 	}
 	results = limitResults(results)
 	body, err := f.seams.API.Encode(len(b.Items), after+len(results), results)
 	if err != nil {
 		f.refuse(w, q, code.New(code.Internal, "%s", err).WithRun(code.NotRun))
-		return
+		return true
 	}
-	f.recordServed(q, http.StatusOK)
-	if len(results) > 0 {
+	write := func() {
 		writeBytes(w, http.StatusOK, body)
-		return
+		f.recordServed(q, http.StatusOK)
 	}
-	f.writeAbsence(w, absence{status: http.StatusOK, batch: b.ID, position: after, proof: proof}, func() {
-		writeBytes(w, http.StatusOK, body)
-	})
+	if len(results) > 0 {
+		write()
+		return true
+	}
+	return f.writeAbsence(w, absence{status: http.StatusOK, batch: b.ID, position: after, proof: proof}, write)
 }
 
 // limitResults returns the first results, as many as fit into maxResultBytes but
--- a/internal/traffic/front/front.go
+++ b/internal/traffic/front/front.go
@@ -107,6 +107,7 @@
 	latency *meter.Histogram
 
 	absenceAge, absenceWrite *meter.Histogram
+	late                     *meter.Counter
 }
 
 // New returns a Front with its metrics registered in seams.Meters.
@@ -121,6 +122,7 @@
 		latency: seams.Meters.Histogram("request_us"),
 
 		absenceAge: seams.Meters.Histogram(histogramAbsenceAge), absenceWrite: seams.Meters.Histogram(histogramAbsenceWrite),
+		late: seams.Meters.Counter(countLate),
 	}
 }
 
--- a/internal/traffic/front/front_test.go
+++ b/internal/traffic/front/front_test.go
@@ -52,6 +52,10 @@
 	restored  chan struct{} // closed when the store can be reached again; nil if it can be reached
 	lostFor   time.Duration
 	silent    atomic.Bool // the store does not answer
+
+	uptime   atomic.Int64                      // nanoseconds
+	onRead   atomic.Pointer[func(kind string)] // called with an answer of the store on its way
+	onEncode atomic.Pointer[func()]            // called while an answer is encoded
 }
 
 // store returns the store of the ledger, which can be made silent.
@@ -63,7 +67,11 @@
 			<-ctx.Done()
 			return records.Record{}, records.ErrUnknownOutcome
 		}
-		return get(ctx, kind, name)
+		record, err := get(ctx, kind, name)
+		if hook := fx.onRead.Load(); hook != nil {
+			(*hook)(kind)
+		}
+		return record, err
 	}
 	store.Create = func(ctx context.Context, r records.Record) (records.Record, error) {
 		if fx.silent.Load() {
@@ -119,9 +127,12 @@
 			Fleet: fleet, Pool: exchange.New(exchange.Options{EchoHeader: names.Request}), Names: names, Stop: fx.stop,
 		}, timers, logs.Discard()),
 		Shelf: shelf, Names: names, Meters: meters,
-		Reader: batch.NewReader(batch.ReaderSeams{Store: shelf, Find: noWorkerBatch, Follow: noWorkerPages}, timers, logs.Discard()),
+		Reader: batch.NewReader(batch.ReaderSeams{
+			Store: shelf, Find: noWorkerBatch, Follow: noWorkerPages,
+			Uptime: func() time.Duration { return time.Duration(fx.uptime.Load()) },
+		}, timers, logs.Discard()),
 		Memory: memory.NewBudget(bodyBudget), Stop: fx.stop,
-		API: API{Parse: parse, Decode: decode, Encode: encode, ReadyPath: "/ready"},
+		API: API{Parse: parse, Decode: decode, Encode: fx.encode, ReadyPath: "/ready"},
 	}, timers, logs.Discard())
 	fx.server = httptest.NewServer(fx.front)
 	t.Cleanup(fx.server.Close)
@@ -149,7 +160,10 @@
 	return &batch.Batch{Items: []batch.Item{{ID: string(body), Body: []byte("item")}}}, nil
 }
 
-func encode(total, next int, _ []batch.Result) ([]byte, error) {
+func (fx *fixture) encode(total, next int, _ []batch.Result) ([]byte, error) {
+	if hook := fx.onEncode.Load(); hook != nil {
+		(*hook)()
+	}
 	return fmt.Appendf(nil, "%d/%d", next, total), nil
 }
 
--- a/internal/traffic/front/submit.go
+++ b/internal/traffic/front/submit.go
@@ -91,15 +91,23 @@
 	}
 	ctx, cancel := f.withStoreTimeout(r.Context())
 	defer cancel()
+	unknown := code.New(code.DeadlinePast, "it is not known whether the batch was accepted: the answer of the store came too late").WithRun(code.MaybeRun)
+	f.serveProved(ctx, w, q, unknown, func() bool { return f.confirmStored(ctx, w, q) })
+}
+
+// confirmStored answers a submission that may be a repeated one. It reports false if the
+// proof that the batch is not stored is too old.
+func (f *Front) confirmStored(ctx context.Context, w http.ResponseWriter, q *callerRequest) bool {
 	stored, err := f.seams.Reader.Batch(ctx, q.batch)
 	switch {
 	case err == nil && stored.Account == q.account.Name:
 		f.confirm(w, q)
 	case err == nil || errors.Is(err, records.ErrMissing):
-		f.refuseBatch(w, q, err, errNoRoute(q))
+		return f.refuseBatch(w, q, err, errNoRoute(q))
 	default:
 		f.refuse(w, q, code.New(code.DeadlinePast, "it is not known whether the batch was accepted: %s", err).WithRun(code.MaybeRun))
 	}
+	return true
 }
 
 // accept stores a batch. While the store is out of reach, it waits for its return:
--- a/internal/training/batch/proof.go
+++ b/internal/training/batch/proof.go
@@ -14,7 +14,9 @@
 	ProofOfAccount = "account"
 )
 
-// Proof is the exact read of the store that an answer "there is nothing" rests on. Began
+// Proof is the exact read of the store that an answer "there is nothing" rests on. The
+// answer holds for the time at which the read began: what was written later may be known
+// elsewhere. Whoever passes the answer on checks Reader.Holds right before. Began
 // is the uptime at which the read began, and Path the way that it took (records.Trace).
 // Source is the worker that was asked before, or PagesOfStore. Known is the number of
 // results that were known before the position.
@@ -55,3 +57,7 @@
 // Age returns the time since the read of the proof began, including suspensions of the
 // machine.
 func (r *Reader) Age(p Proof) time.Duration { return r.seams.Uptime() - p.Began }
+
+// Holds reports whether an answer that is written now may rest on the proof: what it
+// lacks was not there a short time ago.
+func (r *Reader) Holds(p Proof) bool { return p.Lasting() || r.Age(p) <= r.seams.MaxProofAge }
--- a/internal/training/batch/reader.go
+++ b/internal/training/batch/reader.go
@@ -24,6 +24,8 @@
 	// storeReserve is the part of a call's time that is kept from the workers for the
 	// read of the store that confirms an answer without results.
 	storeReserve = 700 * time.Millisecond
+	// defaultMaxProofAge is half of the time in which answers settle by default.
+	defaultMaxProofAge = 500 * time.Millisecond
 	// readAheadTime bounds the reads of further pages once there is a result to answer
 	// with. A small process takes longer for a single page that is nearly full.
 	readAheadTime = 100 * time.Millisecond
@@ -55,15 +57,17 @@
 )
 
 // ReaderSeams are the dependencies of a Reader. Meters may be nil. Retention is how
-// long after its acceptance a batch is certain to be stored. Uptime is clock.Uptime if
-// it is nil.
+// long after its acceptance a batch is certain to be stored. MaxProofAge is how old the
+// proof of an answer may be, defaultMaxProofAge if it is 0. Uptime is clock.Uptime if it
+// is nil.
 type ReaderSeams struct {
-	Store     *Store
-	Find      FindFunc
-	Follow    FollowFunc
-	Meters    *meter.Set
-	Retention time.Duration
-	Uptime    func() time.Duration
+	Store       *Store
+	Find        FindFunc
+	Follow      FollowFunc
+	Meters      *meter.Set
+	Retention   time.Duration
+	MaxProofAge time.Duration
+	Uptime      func() time.Duration
 }
 
 // Reader serves batches and results from the workers or the store, and caches
@@ -114,6 +118,9 @@
 	if seams.Meters == nil {
 		seams.Meters = meter.NewSet()
 	}
+	if seams.MaxProofAge == 0 {
+		seams.MaxProofAge = defaultMaxProofAge
+	}
 	if seams.Uptime == nil {
 		seams.Uptime = clock.Uptime
 	}
@@ -281,15 +288,13 @@
 }
 
 // endEmpty returns the error of a call that found no results: that of the last read of
-// the store, or of a batch whose pages are missing because it was removed.
+// the store, or of a batch whose pages are missing because it was removed. A batch that
+// has taken the place of a removed one is there for a later call.
 func (r *Reader) endEmpty(ctx context.Context, c *cachedBatch, source string, readErr error) error {
 	if readErr != nil {
 		return readErr
 	}
-	switch err := r.checkStored(ctx, c); {
-	case errors.Is(err, errReplaced):
-		return &MissingError{Proof: Proof{Source: ProofOfItems}}
-	case err != nil:
+	if err := r.checkStored(ctx, c); err != nil {
 		return err
 	}
 	r.empty.Add(source, 1)
@@ -386,6 +391,19 @@
 	return c.results[after:len(c.results):len(c.results)], c.pages
 }
 
+// Known returns the results of a batch that Batch has returned, from position after on,
+// that are known without asking anyone.
+func (r *Reader) Known(b *Batch, after int) []Result {
+	r.mu.Lock()
+	c, found := r.cache.Peek(b.ID)
+	r.mu.Unlock()
+	if !found || c.batch != b {
+		return nil
+	}
+	results, _ := c.resultsFrom(after)
+	return results
+}
+
 // resultCount returns the number of results that have been read.
 func (c *cachedBatch) resultCount() int {
 	c.mu.Lock()
