Refuse unknown routes as 404 only from a fresh manifest

A request without a route was answered with 404 before anything asked whether the manifest is out of date after a pause of the process. A route that others knew for longer than the pause was denied.

Such a request gets 503 not_ready, not run, until the process has heard from the store again. TestRoutesAfterAPause got 404 before.

--- a/internal/traffic/front/admit.go
+++ b/internal/traffic/front/admit.go
@@ -55,7 +55,7 @@
 	f.classify(r, q)
 	q.deadline = f.deadline(r, q)
 	if q.operation == NoBatch && !q.routed {
-		return errNoRoute(q)
+		return f.refuseRoute(q)
 	}
 	if !q.manifest.Keyed || (q.operation == NoBatch && q.route.Public) {
 		return nil
@@ -95,6 +95,15 @@
 	return code.New(code.UnknownRoute, "no route for %s%s", q.host, q.path).WithRun(code.NotRun)
 }
 
+// refuseRoute returns the refusal of a request without a route. After a pause the
+// manifest may lack a route that others know.
+func (f *Front) refuseRoute(q *callerRequest) error {
+	if f.seams.Stale() {
+		return code.New(code.NotReady, "the process was paused and reads the routes again").WithRun(code.NotRun).WithRetryAfter(notReadyRetryAfter)
+	}
+	return errNoRoute(q)
+}
+
 // authenticate finds the client account that holds the key of the request.
 func (f *Front) authenticate(r *http.Request, q *callerRequest) error {
 	if f.seams.Stale() {
--- a/internal/traffic/front/front_test.go
+++ b/internal/traffic/front/front_test.go
@@ -249,6 +249,16 @@
 	}
 }
 
+// Guards against 404 for a route that was added while the process was paused.
+func TestRoutesAfterAPause(t *testing.T) {
+	fx := newFixture(t, echo)
+	fx.stale.Store(true)
+	status, header, body, err := fx.call(t, http.MethodGet, "/none/a", "k1", "x")
+	if err != nil || status != http.StatusServiceUnavailable || header.Get("Retry-After") == "" || !strings.Contains(body, "not_run") {
+		t.Errorf("a request without a route got %d %v %q, %v; want 503, not run", status, header, body, err)
+	}
+}
+
 // Guards against a readiness check that passes while the process is isolated or
 // during a planned shutdown, and against refusing requests during the shutdown.
 func TestReadiness(t *testing.T) {
