Refuse unknown models as 404 only from a fresh table

The view of the table was checked with the key, and the model was looked up after the body had arrived, which may be much later. A model that was added meanwhile got 404, not run.

A model that is not found is looked up again after another check that the view is fresh. TestUnknownModelNeedsAFreshTable got 404 before.

--- a/internal/traffic/entry/generate.go
+++ b/internal/traffic/entry/generate.go
@@ -9,6 +9,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/base/codec"
 	"github.com/wigeonpin/wigeonpin/internal/base/setting"
 	"github.com/wigeonpin/wigeonpin/internal/control/roster"
+	"github.com/wigeonpin/wigeonpin/internal/control/table"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/dispatch"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/stop"
 )
@@ -96,8 +97,14 @@
 		return dispatch.Job{}, false, err
 	}
 	current := e.seams.Table()
-	if model, ok := current.Model(request.Model); !ok || model.Kind != roster.KindEngine {
-		return dispatch.Job{}, false, code.New(code.MissingObject, "no model has the name %q", request.Model).WithRun(code.NotRun)
+	if !hasEngine(current, request.Model) {
+		// The table may lack a model that others know.
+		if err := e.requireFreshKeys(); err != nil {
+			return dispatch.Job{}, false, err
+		}
+		if current = e.seams.Table(); !hasEngine(current, request.Model) {
+			return dispatch.Job{}, false, code.New(code.MissingObject, "no model has the name %q", request.Model).WithRun(code.NotRun)
+		}
 	}
 	if err := rejectKey("prompt", request.Prompt, c, current); err != nil {
 		return dispatch.Job{}, false, err
@@ -109,6 +116,12 @@
 	}, request.Stream, nil
 }
 
+// hasEngine reports whether engines run a model with this name.
+func hasEngine(current *table.Table, name string) bool {
+	model, found := current.Model(name)
+	return found && model.Kind == roster.KindEngine
+}
+
 // stream sends each chunk as a JSON line. The status is sent with the first
 // chunk, so that a job that fails earlier gets an ordinary error response.
 func (e *Entry) stream(w http.ResponseWriter, r *http.Request, c *caller, job dispatch.Job) error {
--- a/internal/traffic/entry/key_test.go
+++ b/internal/traffic/entry/key_test.go
@@ -126,6 +126,37 @@
 	}
 }
 
+// readFunc is an io.Reader.
+type readFunc func(p []byte) (int, error)
+
+func (f readFunc) Read(p []byte) (int, error) { return f(p) }
+
+// Guards against 404 for a model that was added while the view of the table was not
+// fresh: the body came long after the key was checked.
+func TestUnknownModelNeedsAFreshTable(t *testing.T) {
+	i := newInstance(t, startEngine(t, &testEngine{}))
+	text := strings.NewReader(`{"model":"nothing","prompt":"p","max_tokens":1}`)
+	body := readFunc(func(p []byte) (int, error) {
+		i.stale.Store(true) // the server asks for the body once the key is checked
+		return text.Read(p)
+	})
+	request, err := http.NewRequest(http.MethodPost, i.url+"/v1/generate", body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+testKey)
+	request.Header.Set("Expect", "100-continue")
+	response, err := (&http.Client{Transport: &http.Transport{ExpectContinueTimeout: time.Minute}}).Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	answer, _ := io.ReadAll(response.Body) // what was read is checked
+	if response.StatusCode != http.StatusServiceUnavailable || !strings.Contains(string(answer), "keys_stale") {
+		t.Errorf("status %d, body %s; want 503 keys_stale", response.StatusCode, answer)
+	}
+}
+
 // Guards against a key that still works after its withdrawal: a running stream
 // must end without its final line, and later requests on the same connection
 // must be refused.
