Remove batches only after a retention time that was seen to pass

Cause: expiry took the time of day of the holder less the time at which another process had accepted a batch for the age of the batch. With a holder that was ahead by 10 minutes for 20 s, ended batches that were 5 s old were removed, and their readers got 404 for good (LOST). With an accepting process that was ahead, batches were kept as much longer.

Change: clock.Service has an uptime, which steps of the time of day do not change, and the driver of tests can set the time of day.

Before: TestWrongTimeOfDayRemovesNothing found the record, pages and parts of the batch removed after 20 s, with the step at the holder and with the step at the writer; TestWrongTimeOfDayKeepsNothingForever found the batch of a writer that was ahead kept. After: both pass with -race. TestNewBatchWithTheSameIDIsKept passed before and guards the new rule.

--- a/internal/base/clock/clock.go
+++ b/internal/base/clock/clock.go
@@ -14,6 +14,16 @@
 //
 //	timers, driver := clock.NewDriven(time.Unix(0, 0))
 //	driver.Advance(3 * time.Second)
+//
+// # Wrong times of day
+//
+// The time of day of a machine may be wrong, and may change in steps. An act that
+// cannot be undone therefore rests on the time that the process itself has seen pass:
+//
+//	known := timers.Uptime() // when the process learns of a record
+//	if timers.Uptime()-known > retention {
+//		remove()
+//	}
 package clock
 
 import (
@@ -26,6 +36,7 @@
 // carry a monotonic clock reading.
 type Service struct {
 	now       func() time.Time
+	uptime    func() time.Duration
 	subscribe func(delay, period time.Duration) *Subscription
 }
 
@@ -41,7 +52,7 @@
 
 // NewSystem returns a service that uses the system clock.
 func NewSystem() *Service {
-	return &Service{now: time.Now, subscribe: subscribeSystem}
+	return &Service{now: time.Now, uptime: Uptime, subscribe: subscribeSystem}
 }
 
 func subscribeSystem(delay, period time.Duration) *Subscription {
@@ -59,6 +70,10 @@
 // Since returns the time elapsed since t.
 func (s *Service) Since(t time.Time) time.Duration { return s.now().Sub(t) }
 
+// Uptime returns the time since an arbitrary start. It includes suspensions and does
+// not change when the time of day is set.
+func (s *Service) Uptime() time.Duration { return s.uptime() }
+
 // Subscribe delivers a tick each period. The period must be positive.
 func (s *Service) Subscribe(period time.Duration) *Subscription {
 	if period <= 0 {
@@ -104,6 +119,7 @@
 type Driver struct {
 	mu      sync.Mutex
 	now     time.Time
+	uptime  time.Duration
 	waiters map[*waiter]struct{}
 }
 
@@ -117,7 +133,24 @@
 // the driver advances it.
 func NewDriven(start time.Time) (*Service, *Driver) {
 	d := &Driver{now: start, waiters: map[*waiter]struct{}{}}
-	return &Service{now: d.current, subscribe: d.subscribe}, d
+	return &Service{now: d.current, uptime: d.currentUptime, subscribe: d.subscribe}, d
+}
+
+func (d *Driver) currentUptime() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.uptime
+}
+
+// SetBy changes the time of day by offset, as when the clock of a machine is set. The
+// uptime and the timers are not affected.
+func (d *Driver) SetBy(offset time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.now = d.now.Add(offset)
+	for w := range d.waiters {
+		w.due = w.due.Add(offset)
+	}
 }
 
 func (d *Driver) current() time.Time {
@@ -148,6 +181,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	end := d.now.Add(step)
+	d.uptime += step
 	for {
 		w := d.nextDue(end)
 		if w == nil {
--- a/internal/training/expiry/expiry_test.go
+++ b/internal/training/expiry/expiry_test.go
@@ -20,6 +20,7 @@
 type fixture struct {
 	t      *testing.T
 	store  records.Store
+	timers *clock.Service
 	driver *clock.Driver
 	expiry *Expiry
 	held   bool
@@ -27,7 +28,7 @@
 
 func newFixture(t *testing.T) *fixture {
 	timers, driver := clock.NewDriven(time.Unix(1000, 0))
-	f := &fixture{t: t, store: ledger.New().Store(), driver: driver, held: true}
+	f := &fixture{t: t, store: ledger.New().Store(), timers: timers, driver: driver, held: true}
 	store := batch.NewStore(f.store, 200) // small records, so that each batch has parts
 	f.expiry = New(store, retention, timers, logs.Discard())
 	ctx := context.Background()
@@ -141,3 +142,50 @@
 	f.expiry.Removed("b") // reported by the watch to the next holder of the role
 	f.advance(retention+Margin+4*sweepInterval, []string{"batches/b.1", "pages/b.1.000000", "parts/b.1.000000", "parts/b.1.000001"})
 }
+
+// Guards against batches that are removed minutes after their acceptance (LOST): the
+// time of day of the process that removes them, or of the one that accepted them, was
+// wrong for a while.
+func TestWrongTimeOfDayRemovesNothing(t *testing.T) {
+	const step = 15 * time.Minute
+	t.Run("of this process", func(t *testing.T) {
+		f := newFixture(t)
+		f.end("b")
+		all := f.recordNames()
+		f.driver.SetBy(step)
+		f.advance(2*sweepInterval, all)
+		f.driver.SetBy(-step)
+		f.advance(2*sweepInterval, all)
+	})
+	t.Run("of the writer", func(t *testing.T) {
+		f := newFixture(t)
+		f.end("b")
+		f.expiry.Removed("b")
+		f.expiry.Accepted("b", f.timers.Now().Add(-step))
+		f.advance(2*sweepInterval, f.recordNames())
+	})
+}
+
+// Guards against records that are never removed since the time of day of the process
+// that accepted them was ahead, or since the watch reports them again and again.
+func TestWrongTimeOfDayKeepsNothingForever(t *testing.T) {
+	f := newFixture(t)
+	at := f.timers.Now().Add(24 * time.Hour)
+	f.expiry.Removed("b")
+	f.expiry.Accepted("b", at)
+	f.end("b")
+	f.advance(retention+Margin-2*sweepInterval, f.recordNames())
+	f.expiry.Accepted("b", at)
+	f.advance(4*sweepInterval, []string{"batches/b.1", "endings/b", "pages/b.1.000000", "parts/b.1.000000", "parts/b.1.000001"})
+}
+
+// Guards against a batch that is removed before its retention time is over since an
+// earlier batch had the same id.
+func TestNewBatchWithTheSameIDIsKept(t *testing.T) {
+	f := newFixture(t)
+	f.end("b")
+	all := f.recordNames()
+	f.advance(retention+Margin-2*sweepInterval, all)
+	f.expiry.Accepted("b", f.timers.Now())
+	f.advance(10*sweepInterval, all)
+}
