Give up items only after their time was seen to pass

Cause: timeLeft took the time of day of the holder less the time at which another process had accepted the batch. With a holder or a writer that was wrong by 3 minutes, live items were listed as given up (MIXED); with the opposite sign they were given up minutes late. The stall timeout of runs used the time of day as well: all runs counted as stalled when it was set ahead, and a stalled run was not moved while it was behind.

Change: the time of an item counts from the uptime at which this process learned of its batch, and the stall timeout counts in uptime.

Before: TestWrongTimeOfDayGivesUpNoItem failed for a holder and a writer ahead and behind; TestWrongTimeOfDayStallsNoRun found the run ended at once with +10 min and never ended with -10 min. After: both pass, and internal/training/runner passes with -race.

--- a/internal/training/runner/job.go
+++ b/internal/training/runner/job.go
@@ -18,6 +18,7 @@
 // job is the execution of a batch.
 type job struct {
 	batch        *batch.Batch
+	known        time.Duration   // uptime at which this process learned of the batch
 	ctx          context.Context // of its runs; nil while the runner is inactive
 	cancel       context.CancelFunc
 	loaded       bool    // the pages in the store have been read, or none are expected
@@ -41,7 +42,7 @@
 	if r.ended[b.ID] || r.findJob(b.ID) != nil {
 		return
 	}
-	j := &job{batch: b, byID: map[string]*task{}, preferred: map[string]string{}, pageAdded: make(chan struct{})}
+	j := &job{batch: b, known: r.timers.Uptime(), byID: map[string]*task{}, preferred: map[string]string{}, pageAdded: make(chan struct{})}
 	expected := int64(0)
 	for i := range b.Items {
 		t := &task{item: &b.Items[i], job: j}
--- a/internal/training/runner/schedule.go
+++ b/internal/training/runner/schedule.go
@@ -100,14 +100,14 @@
 // checkTasks cancels runs that are stalled or should be moved, and gives up
 // items whose time is over.
 func (r *Runner) checkTasks() {
-	now := r.timers.Now()
+	now, uptime := r.timers.Now(), r.timers.Uptime()
 	r.leaveSilentZones(now)
 	for _, j := range r.jobs {
 		if !j.loaded {
 			continue
 		}
 		for _, t := range j.tasks {
-			if t.state == stateRunning && now.UnixNano()-t.lastActivity.Load() > int64(stallTimeout) {
+			if t.state == stateRunning && uptime-time.Duration(t.lastActivity.Load()) > stallTimeout {
 				t.cancel(errStalled)
 			}
 			if t.state == stateRunning && r.shouldMove(t, now) {
--- a/internal/training/runner/stream.go
+++ b/internal/training/runner/stream.go
@@ -69,7 +69,7 @@
 		t.liveText.Store(&current)
 		now := r.timers.Now()
 		pace.observe(now)
-		t.lastActivity.Store(now.UnixNano())
+		t.noteActivity(r.timers, 0)
 		t.lastEvent.Store(now.UnixNano())
 	}
 }
--- a/internal/training/runner/task.go
+++ b/internal/training/runner/task.go
@@ -13,6 +13,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
 	"github.com/wigeonpin/wigeonpin/internal/base/logs"
 	"github.com/wigeonpin/wigeonpin/internal/fleet/replica"
 	"github.com/wigeonpin/wigeonpin/internal/peer/exchange"
@@ -54,7 +55,7 @@
 	firstRunStart   time.Time
 	runs            int
 	liveText        atomic.Pointer[text] // with the events of the present run
-	lastActivity    atomic.Int64         // start of the stall timeout, in Unix nanoseconds
+	lastActivity    atomic.Int64         // start of the stall timeout, as uptime
 	lastEvent       atomic.Int64         // latest event of the present run, in Unix nanoseconds; 0 before the first
 }
 
@@ -135,7 +136,7 @@
 	if t.runs++; t.runs == 1 {
 		t.firstRunStart = t.runStart
 	}
-	t.lastActivity.Store(t.runStart.Add(firstEventTimeout - stallTimeout).UnixNano())
+	t.noteActivity(r.timers, firstEventTimeout-stallTimeout)
 	t.lastEvent.Store(0)
 	t.job.preferred[t.item.Group] = slot.Entry.ID
 	if t.text.origin == "" || t.activation != r.activations {
@@ -159,6 +160,11 @@
 	}()
 }
 
+// noteActivity lets the stall timeout begin after delay.
+func (t *task) noteActivity(timers *clock.Service, delay time.Duration) {
+	t.lastActivity.Store(int64(timers.Uptime() + delay))
+}
+
 // runOutcome returns how the run counts for the engine.
 func runOutcome(ctx context.Context, err error) replica.Outcome {
 	switch {
@@ -205,13 +211,15 @@
 	return exchange.Request{Method: http.MethodPost, Path: path, Query: query, Host: host, Header: header, Body: t.item.Body}
 }
 
-// timeLeft returns the time until the item is given up.
+// timeLeft returns the time until the item is given up. It counts from when this process
+// learned of the batch: the time of day of the acceptance, or that of this process, may
+// be wrong, and an item that is given up stays so.
 func (r *Runner) timeLeft(t *task) time.Duration {
 	patience := 30 * time.Second
 	if route, found := r.batchRoute(t.job.batch, t.item.Path); found && route.ItemTimeout > 0 {
 		patience = route.ItemTimeout
 	}
-	return t.job.batch.Time.Add(patience).Sub(r.timers.Now())
+	return patience - (r.timers.Uptime() - t.job.known)
 }
 
 // runFinished handles the end of a run: the item is scored, retried or given up.
