Look up a batch whose age no clock shows to be low

Cause: a reader looked a batch up in the store, before an answer without results, only when its own time of day less the time of acceptance was above the retention time. With a process that accepted the batch and was 15 minutes ahead, or a reader that was set back, a removed batch had an empty list at a position that had been read.

Change: a batch is also looked up when it seems to come from the future, and when this process itself has known it for the retention time.

Before: TestWrongTimeOfDayHidesNoRemoval got no results and no error for a writer ahead, a reader set back by 15 min, and one set back by 7 min that had known the batch for 8 min. After: records.ErrMissing in each, and internal/training/batch passes with -race.

--- a/internal/training/batch/reader.go
+++ b/internal/training/batch/reader.go
@@ -93,6 +93,7 @@
 // cachedBatch is a batch with the results that have been read so far.
 type cachedBatch struct {
 	batch   *Batch
+	known   time.Duration // uptime at which this process learned of the batch
 	mu      sync.Mutex
 	pages   int
 	results []Result
@@ -129,7 +130,8 @@
 		}
 	}
 	b, known := r.seams.Find(ctx, id)
-	if known && r.mayBeRemoved(b) {
+	learned := r.timers.Uptime()
+	if known && r.mayBeRemoved(b, learned) {
 		known = false
 	}
 	if !known {
@@ -143,7 +145,7 @@
 	if c, found := r.cache.Get(id); found {
 		return c, nil
 	}
-	c = &cachedBatch{batch: b}
+	c = &cachedBatch{batch: b, known: learned}
 	r.cache.Add(id, c)
 	return c, nil
 }
@@ -151,15 +153,19 @@
 // errReplaced is the error of a batch that was removed, and whose id another batch has.
 var errReplaced = errors.New("batch: another batch has the id")
 
-func (r *Reader) mayBeRemoved(b *Batch) bool {
-	return r.timers.Since(b.Time) > r.seams.Retention
+// mayBeRemoved reports whether a batch that this process has known since an uptime may be
+// older than the retention time. A time of day that precedes the acceptance, or that
+// says less than the uptime, is wrong.
+func (r *Reader) mayBeRemoved(b *Batch, known time.Duration) bool {
+	age := r.timers.Since(b.Time)
+	return age < 0 || max(age, r.timers.Uptime()-known) > r.seams.Retention
 }
 
 // checkStored returns records.ErrMissing if the batch was removed from the store, and
 // errReplaced if another one has its id; it is dropped from the cache then. Only a
-// batch that is older than the retention time is looked up.
+// batch that may be older than the retention time is looked up.
 func (r *Reader) checkStored(ctx context.Context, c *cachedBatch) error {
-	if !r.mayBeRemoved(c.batch) {
+	if !r.mayBeRemoved(c.batch, c.known) {
 		return nil
 	}
 	stored, err := r.seams.Store.ReadHead(ctx, c.batch.ID)
--- a/internal/training/batch/removed_test.go
+++ b/internal/training/batch/removed_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
 	"github.com/wigeonpin/wigeonpin/internal/peer/records"
 	"github.com/wigeonpin/wigeonpin/internal/standin/ledger"
 )
@@ -97,3 +100,45 @@
 		t.Errorf("results %+v, error %v; want none of the new batch", results, err)
 	}
 }
+
+// Guards against an answer without results for a batch that was removed, by a process
+// whose time of day, or that of the process which accepted the batch, is wrong: the batch
+// seems to be too young to have been removed.
+func TestWrongTimeOfDayHidesNoRemoval(t *testing.T) {
+	const retention, wrong, read = 2 * time.Minute, 15 * time.Minute, 8 * time.Minute
+	cases := map[string]struct {
+		writer time.Duration // how far the accepting process was ahead
+		reader time.Duration // by how much the time of day of the reader is set
+		cached time.Duration // age at which the reader learns of the batch
+	}{
+		"right":                         {},
+		"writer ahead":                  {writer: wrong, cached: read - time.Second},
+		"reader set back":               {reader: -wrong, cached: read - time.Second},
+		"set back by less than the age": {reader: -read + time.Minute},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			timers, driver := clock.NewDriven(time.Unix(100000, 0))
+			ctx, store := context.Background(), NewStore(ledger.New().Store(), 1<<20)
+			b := newBatch("acme")
+			b.Time = timers.Now().Add(c.writer)
+			if err := store.Accept(ctx, b); err != nil {
+				t.Fatal(err)
+			}
+			seams := ReaderSeams{Store: store, Find: notFound, Follow: noWorker, Retention: retention}
+			reader := NewReader(seams, timers, logs.Discard())
+			driver.Advance(c.cached)
+			if _, err := reader.Batch(ctx, "b1"); err != nil {
+				t.Fatal(err)
+			}
+			driver.Advance(read - c.cached)
+			driver.SetBy(c.reader)
+			if err := store.Remove(ctx, "b1"); err != nil {
+				t.Fatal(err)
+			}
+			if results, err := reader.Results(ctx, "b1", 0, 0); !errors.Is(err, records.ErrMissing) {
+				t.Errorf("results %+v, error %v; want records.ErrMissing", results, err)
+			}
+		})
+	}
+}
