Close and remove usage windows by time that was seen to pass

Cause: counters and reporters took each step of the time of day.

Change: a copy of the clock service that does not follow a step of the time of day until it has lasted for five minutes; counters and reporters use it.

Before: TestWrongTimeOfDayReportsNoOpenWindow saw windows 195 to far above 286 reported within 29 s, the last ended one being 204; TestWrongTimeOfDayCountsInTheRightWindow missed a request in window 200; TestWrongTimeOfDaySweepsNoPresentWindow found none of 2 records left. After: all pass with -race.

--- a/internal/billing/window/reporter.go
+++ b/internal/billing/window/reporter.go
@@ -45,12 +45,16 @@
 	options Options
 	timers  *clock.Service
 	log     *logrus.Entry
+	// seenOld holds the uptime at which each record was first found to be old.
+	seenOld map[recordName]time.Duration
 }
 
 // NewReporter returns a reporter that reads the counts from store and keeps the
 // reports in it.
 func NewReporter(store records.Store, options Options, timers *clock.Service, log *logrus.Entry) *Reporter {
-	return &Reporter{store: store, options: options, timers: timers, log: log}
+	return &Reporter{
+		store: store, options: options, timers: timers.WithoutSteps(), log: log, seenOld: map[recordName]time.Duration{},
+	}
 }
 
 // Run reports each window in the given leader's turn, until ctx ends. A report
--- a/internal/billing/window/window.go
+++ b/internal/billing/window/window.go
@@ -18,6 +18,12 @@
 // time of the process in Unix milliseconds. A record of kind "reports" holds the
 // bytes of a window's report; its name is "WINDOW". Both are created once and
 // never changed, so every leader sends the same report for a window.
+//
+// # Wrong times of day
+//
+// A window that was closed by a process whose time of day is ahead cannot be opened
+// again. Counters and reporters therefore do not follow a step of the time of day until
+// it has lasted, and old records are removed only after a time that was seen to pass.
 package window
 
 import (
@@ -74,6 +80,7 @@
 
 // NewCounter returns a counter for windows of the given length.
 func NewCounter(store records.Store, self string, length time.Duration, timers *clock.Service, log *logrus.Entry) *Counter {
+	timers = timers.WithoutSteps()
 	return &Counter{
 		store: store, incarnation: fmt.Sprintf("%s.%d", self, timers.Now().UnixMilli()), length: length, timers: timers, log: log,
 		counts: map[int64]map[string]int64{},
