Keep steps of the clock out of the usage of the stand-alone instance

Cause: the reporter and the log of usage records took each step of the time of day. A reporter that was ahead by 15 minutes for 20 s created the reports of windows that had not ended, and sent none for the next 15 minutes. A log put all later records into the window far ahead, since its windows must not decrease, so that they were sealed as much later.

Change: both use the clock that does not follow a step at once.

Before: TestWrongTimeOfDayReportsNoOpenWindow saw three windows 11 to 13 minutes ahead reported; TestWrongTimeOfDayDelaysNoRecord found two of three records not sealed a minute later. After: both pass, and internal/billing passes with -race.

--- a/internal/billing/report/reporter.go
+++ b/internal/billing/report/reporter.go
@@ -86,7 +86,7 @@
 // New returns a reporter that sends nothing until Run or Step is called.
 func New(settings setting.Settings, timers *clock.Service, seams Seams, meters *meter.Set, log *logrus.Entry) *Reporter {
 	return &Reporter{
-		settings: settings, timers: timers, seams: seams, log: log,
+		settings: settings, timers: timers.WithoutSteps(), seams: seams, log: log,
 		sent: meters.Counter("usage_reports"), late: meters.Counter("usage_late_entries"),
 		invalid: meters.Counter("usage_invalid_segments"),
 	}
--- a/internal/billing/report/reporter_test.go
+++ b/internal/billing/report/reporter_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -394,3 +395,37 @@
 		t.Fatalf("%d entries, want 12000", count)
 	}
 }
+
+// Guards against reports of windows that have not ended, and against windows without a
+// report for as long, since the time of day was set ahead for a while.
+func TestWrongTimeOfDayReportsNoOpenWindow(t *testing.T) {
+	const step, windows = 15 * time.Minute, 3
+	f := newFixture(t)
+	r := f.reporter("a")
+	for n := range windows {
+		f.addSegment(uint64(n+1), firstWindow+int64(n))
+		f.driver.SetBy(step)
+		_ = r.Step(t.Context())
+		f.driver.Advance(20 * time.Second)
+		_ = r.Step(t.Context())
+		f.driver.SetBy(-step)
+		f.driver.Advance(40 * time.Second)
+		_ = r.Step(t.Context())
+	}
+	f.driver.Advance(time.Minute)
+	if err := r.Step(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	f.check(t, windows)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	last := f.timers.Now().Unix()/60 - 1
+	for window := range f.received {
+		if number, err := strconv.ParseInt(window, 10, 64); err != nil || number > last {
+			t.Errorf("window %s was reported, and the last one that has ended is %d", window, last)
+		}
+	}
+	if len(f.received) < windows {
+		t.Errorf("%d windows were reported, want %d at least", len(f.received), windows)
+	}
+}
--- a/internal/billing/usage/log.go
+++ b/internal/billing/usage/log.go
@@ -93,7 +93,7 @@
 func New(settings setting.Settings, timers *clock.Service, seams Seams, meters *meter.Set, log *logrus.Entry) (*Log, error) {
 	incarnation := ulid.MustNew(ulid.Timestamp(timers.Now()), ulid.DefaultEntropy()).String()
 	l := &Log{
-		settings: settings, timers: timers, seams: seams, log: log,
+		settings: settings, timers: timers.WithoutSteps(), seams: seams, log: log,
 		tail:     tail{owner: settings.ID, incarnation: incarnation, base: 1},
 		failedAt: map[string]time.Time{}, wake: make(chan struct{}, 1),
 		singleCopy: meters.Counter("usage_single_copy"), copies: meters.Counter("usage_copies"),
--- a/internal/billing/usage/usage_test.go
+++ b/internal/billing/usage/usage_test.go
@@ -289,3 +289,29 @@
 		}
 	}
 }
+
+// Guards against records that are sealed minutes late, in a later window, since the time
+// of day was set ahead for a while.
+func TestWrongTimeOfDayDelaysNoRecord(t *testing.T) {
+	const step = 15 * time.Minute
+	c := newCluster(t, 2)
+	ctx := context.Background()
+	c.append("i-0")
+	c.driver.SetBy(step)
+	c.append("i-0")
+	c.driver.SetBy(-step)
+	c.append("i-0")
+	c.driver.Advance(time.Minute)
+	c.stabilize(ctx)
+	counted := c.sealedCounts(t)
+	for _, r := range c.records {
+		if counted[r.class] != 1 {
+			t.Errorf("record %s was sealed %d times a minute later, want 1", r.class, counted[r.class])
+		}
+	}
+	for _, s := range c.store.segments(t) {
+		if last := c.timers.Now().UnixMilli() / 60_000; s.Window > last {
+			t.Errorf("a segment is in window %d, and the present one is %d", s.Window, last)
+		}
+	}
+}
