Follow a step once the new time of day is known as long as the old one

Cause: a process that starts while the time of day of its machine is wrong kept it for five minutes after it was corrected, and closed usage windows ahead all that time.

Change: a step is followed once the new time of day has lasted as long as the one before it was known, and after five minutes at most.

Before: TestWrongTimeAtStartIsCorrectedSoon, with a time of day that was wrong for the first 10 s, found it still wrong 10 s after its correction.

--- a/internal/base/clock/steady.go
+++ b/internal/base/clock/steady.go
@@ -9,17 +9,17 @@
 	// maxDeviation is how far the time of day may differ from the time that has
 	// passed. It is followed at once, since clocks are adjusted in small steps.
 	maxDeviation = 500 * time.Millisecond
-	// stepFollowDelay is how long a larger deviation must last until it is followed. A
-	// time of day that was wrong at the start of the process is corrected by then.
-	stepFollowDelay = 5 * time.Minute
+	// maxStepDelay is how long at most a larger deviation must last until it is
+	// followed. A machine may correct its clock long after the start of a process.
+	maxStepDelay = 5 * time.Minute
 )
 
 // WithoutSteps returns a copy whose time of day goes on with the uptime while the time of
-// day of the machine is set ahead or back. It follows such a step once that has lasted for
-// five minutes. Its time of day is as wrong as that of the machine was when WithoutSteps
-// was called.
+// day of the machine is set ahead or back. It follows such a step once that has lasted as
+// long as the time of day before it was known, or for maxStepDelay. Its time of day is as
+// wrong as that of the machine was when WithoutSteps was called.
 func (s *Service) WithoutSteps() *Service {
-	steady := &steadyTime{source: s, base: s.now(), at: s.uptime()}
+	steady := &steadyTime{source: s, base: s.now(), at: s.uptime(), known: s.uptime()}
 	copied := *s
 	copied.now = steady.now
 	return &copied
@@ -33,6 +33,7 @@
 	mu        sync.Mutex
 	base      time.Time
 	at        time.Duration // uptime of base
+	known     time.Duration // uptime from which on the time of day had no step
 	deviation time.Duration // 0 while the time of day is followed
 	since     time.Duration // uptime from which on the deviation has lasted
 }
@@ -51,9 +52,10 @@
 	if (deviation - s.deviation).Abs() > maxDeviation {
 		s.deviation, s.since = deviation, uptime
 	}
-	if uptime-s.since < stepFollowDelay {
+	if uptime-s.since < min(s.since-s.known, maxStepDelay) {
 		return steady
 	}
+	s.known = s.since
 	s.follow(read, uptime)
 	return read
 }
--- a/internal/billing/report/reporter_test.go
+++ b/internal/billing/report/reporter_test.go
@@ -402,6 +402,7 @@
 	const step, windows = 15 * time.Minute, 3
 	f := newFixture(t)
 	r := f.reporter("a")
+	f.driver.Advance(time.Minute) // for which the time of day was right
 	for n := range windows {
 		f.addSegment(uint64(n+1), firstWindow+int64(n))
 		f.driver.SetBy(step)
--- a/internal/billing/usage/usage_test.go
+++ b/internal/billing/usage/usage_test.go
@@ -296,6 +296,7 @@
 	const step = 15 * time.Minute
 	c := newCluster(t, 2)
 	ctx := context.Background()
+	c.driver.Advance(time.Minute) // for which the time of day was right
 	c.append("i-0")
 	c.driver.SetBy(step)
 	c.append("i-0")
