Measure the silence of engine streams in uptime

When the time of day was set ahead, sound streams were broken off as silent; when it was set back, a silent stream went on as much longer.

Change: the watchdog compares uptimes.

Before: TestWrongTimeOfDaySilencesNoStream saw the stream ended after 0.5 s with +10 min and going on with -10 min. After: it passes three times with -race, with the rest of internal/peer/engine.

--- a/internal/peer/engine/engine_test.go
+++ b/internal/peer/engine/engine_test.go
@@ -131,3 +131,34 @@
 		return strings.Join(out, "\n")
 	})
 }
+
+// Guards against sound streams that are broken off as silent since the time of day was
+// set ahead, and against a silent stream that goes on since it was set back.
+func TestWrongTimeOfDaySilencesNoStream(t *testing.T) {
+	timers, driver := clock.NewDriven(time.Unix(100000, 0))
+	client := New(setting.Defaults(), timers)
+	defer client.Close()
+	check := client.silenceTimeout() / 6
+	for _, offset := range []time.Duration{10 * time.Minute, -10 * time.Minute} {
+		ctx, cancel := context.WithCancelCause(context.Background())
+		w := client.startWatchdog(cancel)
+		driver.SetBy(offset)
+		driver.Advance(check)
+		select {
+		case <-ctx.Done():
+			t.Errorf("set by %v: the stream ended after %v: %v", offset, check, context.Cause(ctx))
+		case <-time.After(50 * time.Millisecond):
+		}
+		for range 6 {
+			driver.Advance(check)
+			time.Sleep(time.Millisecond) // the watchdog takes one tick at a time
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Second):
+			t.Errorf("set by %v: the silent stream goes on", offset)
+		}
+		w.stop()
+		cancel(nil)
+	}
+}
--- a/internal/peer/engine/stream.go
+++ b/internal/peer/engine/stream.go
@@ -198,7 +198,7 @@
 }
 
 type watchdog struct {
-	lastLine atomic.Int64
+	lastLine atomic.Int64 // uptime at the latest line
 	reset    func()
 	stop     func()
 }
@@ -207,7 +207,7 @@
 // no line arrives within the silence timeout.
 func (c *Client) startWatchdog(cancel context.CancelCauseFunc) *watchdog {
 	w := &watchdog{}
-	w.reset = func() { w.lastLine.Store(c.timers.Now().UnixNano()) }
+	w.reset = func() { w.lastLine.Store(int64(c.timers.Uptime())) }
 	w.reset()
 	// Six checks per timeout detect a silent stream at most 1/6 of the timeout late.
 	ticks := c.timers.Subscribe(max(c.silenceTimeout()/6, time.Millisecond))
@@ -219,7 +219,7 @@
 			case <-quit:
 				return
 			case <-ticks.C:
-				if c.timers.Now().UnixNano()-w.lastLine.Load() >= int64(c.silenceTimeout()) {
+				if c.timers.Uptime()-time.Duration(w.lastLine.Load()) >= c.silenceTimeout() {
 					cancel(ErrSilent)
 					return
 				}
