--- a/internal/training/batch/removed_test.go
+++ b/internal/training/batch/removed_test.go
@@ -136,7 +136,7 @@
 			if err := store.Remove(ctx, "b1"); err != nil {
 				t.Fatal(err)
 			}
-			if results, err := reader.Results(ctx, "b1", 0, 0); !errors.Is(err, records.ErrMissing) {
+			if results, _, err := reader.Results(ctx, "b1", 0, 0); !errors.Is(err, records.ErrMissing) {
 				t.Errorf("results %+v, error %v; want records.ErrMissing", results, err)
 			}
 		})
