Bound the delivery of answers without results

The kernel sends an answer again over a link that loses it until a system limit of minutes; callers' connections have no TCP_USER_TIMEOUT. An answer without results could reach a caller long after it held.

For these answers TCP_USER_TIMEOUT is the rest of the settle time, set before the write and lifted with the caller's next request on the connection, so that results and streams are sent again as before. The caller gets no answer then instead of an old one.

TestLimitDelivery reads the option of the socket: without the option it reported 0 ms, without the lifting 700 ms at the next request. The scripts of TestOldProofsAreNotPassedOn check which answers are limited. A link that loses packets was not tried.

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -40,10 +40,6 @@
 )
 
 const (
-	// proofShare is the part of the settle time that the proof of an answer without
-	// results may be old when the answer is written. The rest is for the way to the
-	// caller.
-	proofShare = 0.5
 	// coldShare is the share of the request rate of a cold endpoint that all
 	// entry processes may use together. The worker has a share of its own.
 	coldShare = 0.4
@@ -143,13 +139,14 @@
 	workers := runner.NewWorkers(deps.Workers)
 	reader := batch.NewReader(batch.ReaderSeams{
 		Store: batches, Find: workers.Find, Follow: workers.Follow, Meters: deps.Meters,
-		Retention: p.ResultRetention, MaxProofAge: time.Duration(proofShare * float64(p.Settle)),
+		Retention: p.ResultRetention, Settle: p.Settle,
 	}, timers, log)
 	f := front.New(front.Seams{
 		Manifest: v.Manifest, Ready: func() bool { return v.Synced() && !deps.Isolated() }, Outage: deps.Outage,
 		Stale: func() bool { return v.Stale() && !deps.StoreDisconnected() }, Forwarder: forwarder, Shelf: batches,
 		Reader: reader, Names: deps.Names, API: deps.API, Meters: deps.Meters,
 		Memory: memory.NewBudget(int64(requestShare * memoryLimit)), Stop: plan,
+		LimitDelivery: callers.LimitDelivery,
 	}, timers, log)
 	server := callers.New(f, callers.Options{MaxConnections: maxConnections(p), IdleTimeout: idleTimeout}, timers, log)
 	return &Entry{profile: p, front: f, callers: server, view: v, counter: counter, plan: plan, timers: timers, log: log}
--- a/internal/traffic/callers/callers.go
+++ b/internal/traffic/callers/callers.go
@@ -1,6 +1,7 @@
 // Package callers provides an HTTP server that limits its number of connections
 // and closes idle ones. Unlike http.Server.Shutdown, it never drops a request
-// that arrives on a connection while that connection is being closed.
+// that arrives on a connection while that connection is being closed. Handlers can
+// bound how long an answer is sent again to a caller that does not acknowledge it.
 //
 // # Usage
 //
@@ -8,6 +9,7 @@
 //	go s.Serve(listener) // returns http.ErrServerClosed after Close
 //	err := s.Drain(ctx)  // at a planned stop; the handler sends "Connection: close"
 //	s.Close()
+//	callers.LimitDelivery(request.Context(), time.Second) // in the handler
 package callers
 
 import (
@@ -69,6 +71,9 @@
 	s.http = &http.Server{
 		Handler: handler, IdleTimeout: options.IdleTimeout, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: s.connStateChanged,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connectionKey{}, c)
+		},
 	}
 	return s
 }
--- a/internal/traffic/callers/callers_test.go
+++ b/internal/traffic/callers/callers_test.go
@@ -13,6 +13,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/wigeonpin/wigeonpin/internal/base/clock"
 	"github.com/wigeonpin/wigeonpin/internal/base/logs"
 )
@@ -315,3 +317,50 @@
 		t.Errorf("%d requests began, %d were answered", began.Load(), answered.Load())
 	}
 }
+
+// userTimeout returns the TCP_USER_TIMEOUT of the only connection of the server, in
+// milliseconds.
+func (s *Server) userTimeout(t *testing.T) (limit int) {
+	t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.open {
+		raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+		if err != nil {
+			t.Fatal(err)
+		}
+		controlErr := raw.Control(func(fd uintptr) {
+			limit, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+		})
+		if err := errors.Join(controlErr, err); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return limit
+}
+
+// Guards against an answer that the kernel sends again long after it was true, and
+// against later answers on the connection that are given up on as early.
+func TestLimitDelivery(t *testing.T) {
+	limits := make(chan int, 2)
+	var server *Server
+	server, address := serve(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		limits <- server.userTimeout(t)
+		LimitDelivery(r.Context(), 700*time.Millisecond)
+		limits <- server.userTimeout(t)
+	}), Options{})
+	c := dial(t, address)
+	for range 2 {
+		if _, err := c.get("/"); err != nil {
+			t.Fatal(err)
+		}
+		if before, during := <-limits, <-limits; before != 0 || during != 700 {
+			t.Errorf("limits %d and %d ms, want 0 before and 700 during the request", before, during)
+		}
+		server.waitIdle(t, c)
+		if after := server.userTimeout(t); after != 700 {
+			t.Errorf("limit %d ms after the answer was written, want 700", after)
+		}
+	}
+	LimitDelivery(context.Background(), time.Second) // no connection
+}
--- a/internal/traffic/callers/connection.go
+++ b/internal/traffic/callers/connection.go
@@ -1,9 +1,13 @@
 package callers
 
 import (
+	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // connection is a net.Conn that records whether bytes of a request have been
@@ -18,6 +22,39 @@
 	mu             sync.Mutex
 	requestStarted bool // bytes have been read since the latest response
 	closing        bool // closeIfUnused has interrupted the pending read
+	limited        bool // LimitDelivery is in force
+}
+
+type connectionKey struct{}
+
+// LimitDelivery bounds how long the answer to the request of ctx may stay
+// unacknowledged, once it is written. The kernel then closes the connection and stops
+// sending the answer again. The limit ends when the caller sends its next request. It has
+// no effect on requests of other servers.
+func LimitDelivery(ctx context.Context, limit time.Duration) {
+	c, found := ctx.Value(connectionKey{}).(*connection)
+	if !found {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limited = true
+	c.setUserTimeout(max(limit, time.Millisecond))
+}
+
+// setUserTimeout sets TCP_USER_TIMEOUT; 0 restores the system's default.
+func (c *connection) setUserTimeout(limit time.Duration) {
+	socket, found := c.Conn.(syscall.Conn)
+	if !found {
+		return
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return // the connection is closed
+	}
+	_ = raw.Control(func(fd uintptr) { // fails only on a closed connection
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds())) // known since Linux 2.6.37
+	})
 }
 
 // Read reads from the caller. If bytes arrive although closeIfUnused was called,
@@ -30,6 +67,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.requestStarted = true
+	if c.limited {
+		c.limited = false
+		c.setUserTimeout(0)
+	}
 	if c.closing {
 		c.closing = false
 		_ = c.Conn.SetReadDeadline(time.Time{}) // fails only on a closed connection
--- a/internal/traffic/front/absence.go
+++ b/internal/traffic/front/absence.go
@@ -74,11 +74,15 @@
 // writeAbsence writes an answer without results or batch, unless its proof is too old; it
 // reports false then, and the call is to be served again. The check is the last step
 // before the write. The answer is flushed, so that it does not wait for the end of the
-// handler.
-func (f *Front) writeAbsence(w http.ResponseWriter, a absence, write func()) bool {
+// handler, and is not sent again to a caller that does not acknowledge it within the rest
+// of the settle time.
+func (f *Front) writeAbsence(ctx context.Context, w http.ResponseWriter, a absence, write func()) bool {
 	if !f.seams.Reader.Holds(a.proof) {
 		return false
 	}
+	if left := f.seams.Reader.Left(a.proof); left > 0 {
+		f.seams.LimitDelivery(ctx, left)
+	}
 	age := f.seams.Reader.Age(a.proof)
 	write()
 	_ = http.NewResponseController(w).Flush() // fails only if the caller is gone
@@ -118,11 +122,11 @@
 
 // refuseBatch refuses a call about a batch. It reports false if the refusal tells that
 // the batch does not exist and its proof is too old.
-func (f *Front) refuseBatch(w http.ResponseWriter, q *callerRequest, cause, answer error) bool {
+func (f *Front) refuseBatch(ctx context.Context, w http.ResponseWriter, q *callerRequest, cause, answer error) bool {
 	a, found := absenceOf(q, cause)
 	if !found {
 		f.refuse(w, q, answer)
 		return true
 	}
-	return f.writeAbsence(w, a, func() { f.refuse(w, q, answer) })
+	return f.writeAbsence(ctx, w, a, func() { f.refuse(w, q, answer) })
 }
--- a/internal/traffic/front/absence_test.go
+++ b/internal/traffic/front/absence_test.go
@@ -81,6 +81,8 @@
 				return fx.scriptedCall(t, d)
 			case "late-proofs":
 				return strconv.FormatInt(fx.front.late.Value(d.CmdArgs[0].Key), 10) + "\n"
+			case "limit":
+				return fx.lastLimit()
 			}
 			t.Fatalf("%s: unknown command %s", d.Pos, d.Cmd)
 			return ""
@@ -88,6 +90,16 @@
 	})
 }
 
+// lastLimit returns the limit of the latest answer whose delivery was limited, or "none"
+// if there was none since the last call.
+func (fx *fixture) lastLimit() string {
+	last := "none"
+	for len(fx.limits) > 0 {
+		last = (<-fx.limits).String()
+	}
+	return last + "\n"
+}
+
 // jump returns a function that advances the uptime by the argument ms, for the calls
 // after the first skip ones, as many as the argument times.
 func (fx *fixture) jump(t *testing.T, d *datadriven.TestData) func() bool {
--- a/internal/traffic/front/batches.go
+++ b/internal/traffic/front/batches.go
@@ -143,7 +143,7 @@
 		return f.forwardWithoutBatch(w, r, q, err)
 	}
 	if err != nil {
-		return f.refuseBatch(w, q, err, readError(ctx, err))
+		return f.refuseBatch(ctx, w, q, err, readError(ctx, err))
 	}
 	switch q.operation {
 	case ReadResults:
@@ -177,7 +177,7 @@
 	}
 	results, proof, err := f.seams.Reader.Results(ctx, b.ID, after, wait)
 	if err != nil {
-		return f.refuseBatch(w, q, err, readError(ctx, err))
+		return f.refuseBatch(ctx, w, q, err, readError(ctx, err))
 	}
 	if len(results) == 0 {
 		results = f.seams.Reader.Known(b, after) // another call may have read some meanwhile
@@ -196,7 +196,7 @@
 		write()
 		return true
 	}
-	return f.writeAbsence(w, absence{status: http.StatusOK, batch: b.ID, position: after, proof: proof}, write)
+	return f.writeAbsence(ctx, w, absence{status: http.StatusOK, batch: b.ID, position: after, proof: proof}, write)
 }
 
 // limitResults returns the first results, as many as fit into maxResultBytes but
--- a/internal/traffic/front/front.go
+++ b/internal/traffic/front/front.go
@@ -11,6 +11,7 @@
 package front
 
 import (
+	"context"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -94,6 +95,9 @@
 	// Stop is the planned stop of the process, the same as the Forwarder's; nil if
 	// there is none.
 	Stop *stop.Plan
+	// LimitDelivery bounds how long the answer to the request of ctx is sent again to a
+	// caller that does not acknowledge it. It may be nil.
+	LimitDelivery func(ctx context.Context, limit time.Duration)
 }
 
 // Front is the HTTP handler for callers.
@@ -115,6 +119,9 @@
 	if seams.Stop == nil {
 		seams.Stop = stop.New(timers, seams.Meters)
 	}
+	if seams.LimitDelivery == nil {
+		seams.LimitDelivery = func(context.Context, time.Duration) {}
+	}
 	return &Front{
 		seams: seams, timers: timers, log: log,
 		served:  seams.Meters.Counter("requests_served"),
--- a/internal/traffic/front/front_test.go
+++ b/internal/traffic/front/front_test.go
@@ -53,6 +53,7 @@
 	lostFor   time.Duration
 	silent    atomic.Bool // the store does not answer
 
+	limits   chan time.Duration                // of the delivery of answers
 	uptime   atomic.Int64                      // nanoseconds
 	onRead   atomic.Pointer[func(kind string)] // called with an answer of the store on its way
 	onEncode atomic.Pointer[func()]            // called while an answer is encoded
@@ -101,7 +102,7 @@
 		{Host: "h", Prefix: "/once/", Kind: manifest.AtMostOnce, Attempts: 2, Public: true, Targets: target},
 		{Host: "h", Prefix: "/batch/", Kind: manifest.Rollout, Attempts: 2, Targets: target},
 	}, nil, []manifest.Account{{Name: "acme", Keys: []string{"k1"}}, {Name: "blue", Keys: []string{"k2"}}}, manifest.Limits{MaxBodyBytes: 1000})
-	fx := &fixture{ledger: ledger.New(), isolation: make(chan struct{})}
+	fx := &fixture{ledger: ledger.New(), isolation: make(chan struct{}), limits: make(chan time.Duration, 100)}
 	fx.manifest.Store(m)
 	fx.configured.Store(true)
 	shelf := batch.NewStore(fx.store(), 1<<20)
@@ -132,7 +133,8 @@
 			Uptime: func() time.Duration { return time.Duration(fx.uptime.Load()) },
 		}, timers, logs.Discard()),
 		Memory: memory.NewBudget(bodyBudget), Stop: fx.stop,
-		API: API{Parse: parse, Decode: decode, Encode: fx.encode, ReadyPath: "/ready"},
+		LimitDelivery: func(_ context.Context, limit time.Duration) { fx.limits <- limit },
+		API:           API{Parse: parse, Decode: decode, Encode: fx.encode, ReadyPath: "/ready"},
 	}, timers, logs.Discard())
 	fx.server = httptest.NewServer(fx.front)
 	t.Cleanup(fx.server.Close)
--- a/internal/traffic/front/submit.go
+++ b/internal/traffic/front/submit.go
@@ -103,7 +103,7 @@
 	case err == nil && stored.Account == q.account.Name:
 		f.confirm(w, q)
 	case err == nil || errors.Is(err, records.ErrMissing):
-		return f.refuseBatch(w, q, err, errNoRoute(q))
+		return f.refuseBatch(ctx, w, q, err, errNoRoute(q))
 	default:
 		f.refuse(w, q, code.New(code.DeadlinePast, "it is not known whether the batch was accepted: %s", err).WithRun(code.MaybeRun))
 	}
--- a/internal/training/batch/proof.go
+++ b/internal/training/batch/proof.go
@@ -60,4 +60,15 @@
 
 // Holds reports whether an answer that is written now may rest on the proof: what it
 // lacks was not there a short time ago.
-func (r *Reader) Holds(p Proof) bool { return p.Lasting() || r.Age(p) <= r.seams.MaxProofAge }
+func (r *Reader) Holds(p Proof) bool {
+	return p.Lasting() || r.Age(p) <= time.Duration(proofShare*float64(r.seams.Settle))
+}
+
+// Left returns how long an answer that rests on the proof may still be on its way. It is
+// 0 for an answer that may take any time.
+func (r *Reader) Left(p Proof) time.Duration {
+	if p.Lasting() {
+		return 0
+	}
+	return max(r.seams.Settle-r.Age(p), time.Millisecond)
+}
--- a/internal/training/batch/reader.go
+++ b/internal/training/batch/reader.go
@@ -24,8 +24,11 @@
 	// storeReserve is the part of a call's time that is kept from the workers for the
 	// read of the store that confirms an answer without results.
 	storeReserve = 700 * time.Millisecond
-	// defaultMaxProofAge is half of the time in which answers settle by default.
-	defaultMaxProofAge = 500 * time.Millisecond
+	// defaultSettle is the settle time if none is given.
+	defaultSettle = time.Second
+	// proofShare is the part of the settle time that the proof of an answer may be old
+	// when the answer is written. The rest is for the way to the caller.
+	proofShare = 0.5
 	// readAheadTime bounds the reads of further pages once there is a result to answer
 	// with. A small process takes longer for a single page that is nearly full.
 	readAheadTime = 100 * time.Millisecond
@@ -57,17 +60,17 @@
 )
 
 // ReaderSeams are the dependencies of a Reader. Meters may be nil. Retention is how
-// long after its acceptance a batch is certain to be stored. MaxProofAge is how old the
-// proof of an answer may be, defaultMaxProofAge if it is 0. Uptime is clock.Uptime if it
-// is nil.
+// long after its acceptance a batch is certain to be stored. Settle is the time after
+// which no answer may lack what was read or accepted, defaultSettle if it is 0. Uptime is
+// clock.Uptime if it is nil.
 type ReaderSeams struct {
-	Store       *Store
-	Find        FindFunc
-	Follow      FollowFunc
-	Meters      *meter.Set
-	Retention   time.Duration
-	MaxProofAge time.Duration
-	Uptime      func() time.Duration
+	Store     *Store
+	Find      FindFunc
+	Follow    FollowFunc
+	Meters    *meter.Set
+	Retention time.Duration
+	Settle    time.Duration
+	Uptime    func() time.Duration
 }
 
 // Reader serves batches and results from the workers or the store, and caches
@@ -118,8 +121,8 @@
 	if seams.Meters == nil {
 		seams.Meters = meter.NewSet()
 	}
-	if seams.MaxProofAge == 0 {
-		seams.MaxProofAge = defaultMaxProofAge
+	if seams.Settle == 0 {
+		seams.Settle = defaultSettle
 	}
 	if seams.Uptime == nil {
 		seams.Uptime = clock.Uptime
