--- a/internal/training/batch/removed_test.go
+++ b/internal/training/batch/removed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -97,3 +98,30 @@
 		t.Errorf("results %+v, error %v; want none of the new batch", results, err)
 	}
 }
+
+// Guards against 404 for a batch that takes the place of a removed one with the same id
+// during a read: it was accepted, so that no answer may deny it.
+func TestBatchReplacedDuringAReadIsNotMissing(t *testing.T) {
+	recordStore := ledger.New().Store()
+	whole := NewStore(recordStore, 1<<20)
+	ctx := context.Background()
+	reading := recordStore
+	reading.Get = func(ctx context.Context, kind, name string) (records.Record, error) {
+		record, err := recordStore.Get(ctx, kind, name)
+		if kind == KindPages {
+			replaced := newBatch("acme")
+			replaced.Time = time.Now()
+			if err := errors.Join(whole.Remove(ctx, "b1"), whole.Accept(ctx, replaced)); err != nil {
+				t.Error(err)
+			}
+		}
+		return record, err
+	}
+	if err := whole.Accept(ctx, newBatch("acme")); err != nil {
+		t.Fatal(err)
+	}
+	results, _, err := newReader(NewStore(reading, 1<<20), noWorker).Results(ctx, "b1", 0, 0)
+	if err == nil || errors.Is(err, records.ErrMissing) {
+		t.Errorf("results %+v, error %v; want an error other than records.ErrMissing", results, err)
+	}
+}
