Find texts by account, model and input

Cause: what is kept beyond a batch (texts of ended batches in memory, copies between workers, texts saved in the store) was found again by the id of an item alone, which each client account chooses for itself.

A batch without an account shares its texts with no other.

The tests in runner_test, saved_test, listing_test and worker_test name texts by their keys now; what they check is unchanged.

--- a/internal/node/worker/worker_test.go
+++ b/internal/node/worker/worker_test.go
@@ -23,7 +23,10 @@
 )
 
 // standby is another worker that has a copy of the complete text of one item.
-type standby struct{ asked atomic.Int64 }
+type standby struct {
+	asked   atomic.Int64
+	textKey string
+}
 
 func (s *standby) Keep(context.Context, *runner.KeepRequest) (*runner.KeepReply, error) {
 	return &runner.KeepReply{}, nil
@@ -32,7 +35,7 @@
 func (s *standby) Recall(context.Context, *runner.RecallRequest) (*runner.RecallReply, error) {
 	s.asked.Add(1)
 	return &runner.RecallReply{Texts: []*runner.Text{
-		{Item: "i1", Pieces: []string{"one", "two"}, Last: 2, Versions: []int64{1}, Complete: true, Origin: "o"},
+		{Item: s.textKey, Pieces: []string{"one", "two"}, Last: 2, Versions: []int64{1}, Complete: true, Origin: "o"},
 	}}, nil
 }
 
@@ -47,12 +50,12 @@
 
 func testRecall(t *testing.T, workersDelay, batchesDelay time.Duration) {
 	t.Helper()
-	s := &standby{}
-	server := httptest.NewServer(runner.NewStandbyServer(s))
-	defer server.Close()
 	l := ledger.New()
 	store := l.Store()
 	b := &batch.Batch{ID: "b1", Account: "acme", Host: "h", Model: "m", MinVersion: 1, Time: time.Now(), Items: []batch.Item{{ID: "i1", Path: "/gen/i1"}}}
+	s := &standby{textKey: b.TextKey(&b.Items[0])}
+	server := httptest.NewServer(runner.NewStandbyServer(s))
+	defer server.Close()
 	if err := batch.NewStore(store, 1<<20).Accept(context.Background(), b); err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/training/runner/account_test.go
@@ -0,0 +1,154 @@
+package runner
+
+import (
+	"context"
+	"testing"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/training/batch"
+)
+
+// keptEvents is the number of events of the text that an earlier batch has left.
+const keptEvents = 2 * minSavedEvents
+
+// otherInputs returns batches whose item has the id of the item in newBatch("plain-1"),
+// but another account, model or input. The name says what differs.
+func otherInputs() map[string]*batch.Batch {
+	changes := map[string]func(b *batch.Batch){
+		"account":     func(b *batch.Batch) { b.Account = "globex" },
+		"no account":  func(b *batch.Batch) { b.Account = "" },
+		"model":       func(b *batch.Batch) { b.Model = "n" },
+		"host":        func(b *batch.Batch) { b.Host = "i.example" },
+		"path":        func(b *batch.Batch) { b.Items[0].Path = "/gen/z" },
+		"body":        func(b *batch.Batch) { b.Items[0].Body = []byte("prompt") },
+		"header":      func(b *batch.Batch) { b.Items[0].Header = map[string]string{"Seed": "2"} },
+		"token limit": func(b *batch.Batch) { b.Items[0].MaxTokens = 2 },
+	}
+	batches := map[string]*batch.Batch{}
+	for name, change := range changes {
+		b := newBatch("plain-1")
+		b.ID = "b2"
+		change(b)
+		batches[name] = b
+	}
+	return batches
+}
+
+// newRunnerWithText returns an active runner that executes newBatch("plain-1") and has
+// generated a part of its text.
+func newRunnerWithText() (*Runner, *batch.Batch) {
+	r := New(Seams{}, clock.NewSystem(), logs.Discard())
+	b := newBatch("plain-1")
+	r.add(context.Background(), b, true)
+	r.textOf(b).text = partText(newPart("plain-1", "a", 0, keptEvents))
+	r.active = true
+	return r, b
+}
+
+// textOf returns the task of the only item of a batch.
+func (r *Runner) textOf(b *batch.Batch) *task { return r.findJob(b.ID).tasks[0] }
+
+// Guards against a completed result that begins with the text that an item with the
+// same id, but of another account or with another input, had when its batch was
+// cancelled (MIXED, review/4).
+func TestTextOfAnotherInputIsNotTakenFromMemory(t *testing.T) {
+	ctx := context.Background()
+	for name, other := range otherInputs() {
+		r, b := newRunnerWithText()
+		r.active = false // so that the store is not asked for pages
+		r.end(b.ID)
+		r.add(ctx, other, true)
+		if got := len(r.textOf(other).text.pieces); got != 0 {
+			t.Errorf("other %s: %d events of the ended batch, want none", name, got)
+		}
+		again := newBatch("plain-1")
+		again.ID = "b3"
+		r.add(ctx, again, true)
+		if got := len(r.textOf(again).text.pieces); got != keptEvents {
+			t.Errorf("other %s: %d events of the item that came again, want %d", name, got, keptEvents)
+		}
+	}
+}
+
+// Guards against the same through the copies between workers: a part goes to the item
+// of another account, as its batch comes first (MIXED).
+func TestTextOfAnotherInputIsNotTakenFromACopy(t *testing.T) {
+	ctx := context.Background()
+	for name, other := range otherInputs() {
+		holder, b := newRunnerWithText()
+		standby := New(Seams{}, clock.NewSystem(), logs.Discard())
+		other.Time = b.Time.Add(-1)
+		standby.add(ctx, other, true)
+		standby.add(ctx, b, true)
+		for _, part := range holder.collectCopies() {
+			standby.mergeText(part)
+		}
+		if got := len(standby.textOf(other).text.pieces); got != 0 {
+			t.Errorf("other %s: %d events of a copy, want none", name, got)
+		}
+		if got := len(standby.textOf(b).text.pieces); got != keptEvents {
+			t.Errorf("other %s: %d events of the batch's own copy, want %d", name, got, keptEvents)
+		}
+	}
+}
+
+// Guards against the same through the texts saved in the store: after the loss of all
+// workers, the text of an ended batch goes to the item of another account (MIXED).
+func TestTextOfAnotherInputIsNotTakenFromTheStore(t *testing.T) {
+	ctx := context.Background()
+	writer, _ := newRunnerWithText()
+	body, err := encodeParts(writer.collectUnsaved(newSavedTexts(), noLimit))
+	if err != nil {
+		t.Fatal(err)
+	}
+	batches := otherInputs()
+	same := newBatch("plain-1")
+	same.ID = "b2"
+	batches["nothing"] = same
+	for name, b := range batches {
+		want := 0
+		if b == same {
+			want = keptEvents
+		}
+		r := New(Seams{}, clock.NewSystem(), logs.Discard())
+		r.add(ctx, b, true)
+		r.recallSaved(ctx, [][]byte{body})
+		(<-r.calls)(ctx)
+		if got := len(r.textOf(b).text.pieces); got != want {
+			t.Errorf("other %s: %d saved events, want %d", name, got, want)
+		}
+	}
+}
+
+// Guards against texts that go from one batch without an account to another, as it
+// isn't known whether the callers are the same (MIXED).
+func TestBatchesWithoutAccountShareNoTexts(t *testing.T) {
+	r := New(Seams{}, clock.NewSystem(), logs.Discard())
+	ctx := context.Background()
+	first, second := newBatch("plain-1"), newBatch("plain-1")
+	first.Account, second.Account, second.ID = "", "", "b2"
+	r.add(ctx, first, true)
+	r.textOf(first).text = partText(newPart("plain-1", "a", 0, keptEvents))
+	r.end(first.ID)
+	r.add(ctx, second, true)
+	if got := len(r.textOf(second).text.pieces); got != 0 {
+		t.Errorf("%d events of the ended batch, want none", got)
+	}
+}
+
+// Guards against a worker of a former release beside a new one: its parts name the
+// item by its id alone, so that the account is not known, and must not be used.
+func TestCopiesNamedByItemAloneAreDropped(t *testing.T) {
+	r := New(Seams{}, clock.NewSystem(), logs.Discard())
+	b := newBatch("plain-1")
+	r.add(context.Background(), b, true)
+	part := newPart("plain-1", "a", 0, keptEvents)
+	if r.mergeText(part) {
+		t.Error("the part is merged, want it reported as missing")
+	}
+	r.mergeIfLonger(part)
+	if got := len(r.textOf(b).text.pieces); got != 0 {
+		t.Errorf("%d events, want none", got)
+	}
+}
--- a/internal/training/runner/job.go
+++ b/internal/training/runner/job.go
@@ -23,6 +23,7 @@
 	loaded       bool    // the pages in the store have been read, or none are expected
 	tasks        []*task // longest estimate first
 	byID         map[string]*task
+	byTextKey    map[string]*task
 	pages        int               // number of known pages
 	listed       int               // number of results in these pages
 	ready        []batch.Result    // waiting for the next page
@@ -41,14 +42,18 @@
 	if r.ended[b.ID] || r.findJob(b.ID) != nil {
 		return
 	}
-	j := &job{batch: b, byID: map[string]*task{}, preferred: map[string]string{}, pageAdded: make(chan struct{})}
+	j := &job{
+		batch: b, byID: map[string]*task{}, byTextKey: map[string]*task{},
+		preferred: map[string]string{}, pageAdded: make(chan struct{}),
+	}
 	expected := int64(0)
 	for i := range b.Items {
-		t := &task{item: &b.Items[i], job: j}
+		t := &task{item: &b.Items[i], job: j, textKey: b.TextKey(&b.Items[i])}
 		expected += max(1, t.item.ExpectedTokens)
-		t.text = r.texts.take(t.item.ID, b.MinVersion)
+		t.text = r.texts.take(t.textKey, b.MinVersion)
 		j.tasks = append(j.tasks, t)
 		j.byID[t.item.ID] = t
+		j.byTextKey[t.textKey] = t
 	}
 	if r.seams.OnBatch != nil {
 		r.seams.OnBatch(b.Model, expected)
@@ -246,10 +251,10 @@
 		j.cancel()
 	}
 	for _, t := range j.tasks {
-		delete(r.copied, t.item.ID)
+		delete(r.copied, t.textKey)
 	}
 	if j.loaded && !j.writing {
-		j.tasks, j.byID = nil, nil
+		j.tasks, j.byID, j.byTextKey = nil, nil, nil
 		r.doneJobs.Add(j.batch.ID, j)
 	}
 	for i, other := range r.jobs {
@@ -280,7 +285,7 @@
 	}
 	for _, t := range j.tasks {
 		if !complete[t.item.Group] && !t.givenUp {
-			r.texts.put(t.item.ID, t.snapshot())
+			r.texts.put(t.textKey, t.snapshot())
 		}
 	}
 }
--- a/internal/training/runner/listing_test.go
+++ b/internal/training/runner/listing_test.go
@@ -68,10 +68,10 @@
 	later := newBatch("early-1", "late-1")
 	later.ID = "b2"
 	r.add(ctx, later, true)
-	if kept := len(r.findTask("late-1").text.pieces); kept != 1 {
+	if kept := len(r.taskOf("late-1").text.pieces); kept != 1 {
 		t.Errorf("%d events of the late group are kept, want 1", kept)
 	}
-	if kept := len(r.findTask("early-1").text.pieces); kept != 0 {
+	if kept := len(r.taskOf("early-1").text.pieces); kept != 0 {
 		t.Errorf("%d events are kept of a group that the trainer has read", kept)
 	}
 	progress := r.newProgress(later)
--- a/internal/training/runner/runner.go
+++ b/internal/training/runner/runner.go
@@ -89,7 +89,7 @@
 	jobs      []*job // in the order of acceptance
 	ended     map[string]bool
 	texts     *textCache
-	copied    map[string]copyState // what the standby has of each item's text
+	copied    map[string]copyState // what the standby has of each text, by text key
 	reach     *reach.Detector
 	// activations counts how often the runner became active.
 	activations int
--- a/internal/training/runner/runner_test.go
+++ b/internal/training/runner/runner_test.go
@@ -86,6 +86,15 @@
 	return b
 }
 
+// keyOf returns the text key of an item of newBatch.
+func keyOf(id string) string {
+	b := newBatch(id)
+	return b.TextKey(&b.Items[0])
+}
+
+// taskOf returns the task of an item of newBatch.
+func (r *Runner) taskOf(id string) *task { return r.findTask(keyOf(id)) }
+
 // results waits until all items of the batch are listed in the store.
 func (h *harness) results(t *testing.T, b *batch.Batch) map[string]batch.Result {
 	t.Helper()
@@ -269,19 +278,19 @@
 		merged bool
 		want   string
 	}{
-		{newPart("plain-1", "a", 0, 2), true, "a1 a2"},
-		{newPart("plain-1", "a", 2, 4), true, "a1 a2 a3 a4"},
-		{newPart("plain-1", "b", 3, 6), false, "a1 a2 a3 a4"},
-		{newPart("plain-1", "b", 0, 3), true, "b1 b2 b3"},
-		{newPart("plain-1", "a", 4, 5), false, "b1 b2 b3"},
-		{newPart("plain-1", "b", 5, 6), false, "b1 b2 b3"},
-		{newPart("plain-1", "b", 3, 4), true, "b1 b2 b3 b4"},
+		{newPart(keyOf("plain-1"), "a", 0, 2), true, "a1 a2"},
+		{newPart(keyOf("plain-1"), "a", 2, 4), true, "a1 a2 a3 a4"},
+		{newPart(keyOf("plain-1"), "b", 3, 6), false, "a1 a2 a3 a4"},
+		{newPart(keyOf("plain-1"), "b", 0, 3), true, "b1 b2 b3"},
+		{newPart(keyOf("plain-1"), "a", 4, 5), false, "b1 b2 b3"},
+		{newPart(keyOf("plain-1"), "b", 5, 6), false, "b1 b2 b3"},
+		{newPart(keyOf("plain-1"), "b", 3, 4), true, "b1 b2 b3 b4"},
 	}
 	for i, s := range steps {
 		if merged := r.mergeText(s.part); merged != s.merged {
 			t.Errorf("step %d: merged %v, want %v", i, merged, s.merged)
 		}
-		if got := strings.Join(r.findTask("plain-1").text.pieces, " "); got != s.want {
+		if got := strings.Join(r.taskOf("plain-1").text.pieces, " "); got != s.want {
 			t.Errorf("step %d: text %q, want %q", i, got, s.want)
 		}
 	}
@@ -292,8 +301,8 @@
 func TestOldCopyIsNotUsed(t *testing.T) {
 	r := New(Seams{}, clock.NewSystem(), logs.Discard())
 	r.add(context.Background(), newBatch("plain-1"), true)
-	r.mergeText(&Text{Item: "plain-1", Origin: "a", Pieces: []string{"x"}, Last: 1, Versions: []int64{2}})
-	if pieces := r.findTask("plain-1").text.pieces; len(pieces) != 0 {
+	r.mergeText(&Text{Item: keyOf("plain-1"), Origin: "a", Pieces: []string{"x"}, Last: 1, Versions: []int64{2}})
+	if pieces := r.taskOf("plain-1").text.pieces; len(pieces) != 0 {
 		t.Errorf("text %q, want none of the outdated copy", pieces)
 	}
 }
@@ -307,7 +316,7 @@
 	h.runner.Add(ctx, b, true)
 	h.runner.post(ctx, func(context.Context) {
 		h.runner.mergeText(&Text{
-			Item: "plain-1", Origin: "a", Pieces: []string{"plain-1.1", "plain-1.2"}, Last: 2, Versions: []int64{4},
+			Item: keyOf("plain-1"), Origin: "a", Pieces: []string{"plain-1.1", "plain-1.2"}, Last: 2, Versions: []int64{4},
 		})
 	})
 	h.runner.SetActive(ctx, true)
--- a/internal/training/runner/saved.go
+++ b/internal/training/runner/saved.go
@@ -30,7 +30,7 @@
 // again, the texts of which it held a part are saved anew as a whole.
 type savedTexts struct {
 	sent  map[string]copyState
-	slots [batch.TextSlots][]string // items by slot
+	slots [batch.TextSlots][]string // text keys by slot
 	next  int
 }
 
@@ -61,22 +61,22 @@
 		clear(saved.sent)
 		return nil
 	}
-	for id := range saved.sent {
-		if r.findTask(id) == nil {
-			delete(saved.sent, id)
+	for key := range saved.sent {
+		if r.findTask(key) == nil {
+			delete(saved.sent, key)
 		}
 	}
-	for _, id := range saved.slots[saved.next] {
-		delete(saved.sent, id)
+	for _, key := range saved.slots[saved.next] {
+		delete(saved.sent, key)
 	}
 	return r.collectParts(saved.sent, minSavedEvents, limit)
 }
 
 // saveSlot writes the next slot.
 func (r *Runner) saveSlot(ctx context.Context, saved *savedTexts, texts []*Text) error {
-	items := make([]string, 0, len(texts))
+	keys := make([]string, 0, len(texts))
 	for _, part := range texts {
-		items = append(items, part.GetItem())
+		keys = append(keys, part.GetItem())
 	}
 	body, err := encodeParts(texts)
 	if err == nil {
@@ -85,12 +85,12 @@
 		err = r.seams.Store.SaveTexts(limited, saved.next, body)
 	}
 	if err != nil {
-		for _, id := range items {
-			delete(saved.sent, id)
+		for _, key := range keys {
+			delete(saved.sent, key)
 		}
 		return err
 	}
-	saved.slots[saved.next] = items
+	saved.slots[saved.next] = keys
 	saved.next = (saved.next + 1) % batch.TextSlots
 	return nil
 }
@@ -157,8 +157,8 @@
 	return request.GetTexts()
 }
 
-// joinParts joins the parts of texts in the saved bodies, the oldest first. Parts
-// that do not continue what precedes them are left out.
+// joinParts joins the parts of texts in the saved bodies, the oldest first, and returns
+// the texts by text key. Parts that do not continue what precedes them are left out.
 func joinParts(bodies [][]byte) map[string]*Text {
 	texts := map[string]*Text{}
 	for _, body := range bodies {
--- a/internal/training/runner/saved_test.go
+++ b/internal/training/runner/saved_test.go
@@ -66,8 +66,8 @@
 	saved := newSavedTexts()
 	events := minSavedEvents
 	for range 3 * batch.TextSlots {
-		writer.findTask("long-1").text = partText(newPart("long-1", "a", 0, events))
-		writer.findTask("short-1").text = partText(newPart("short-1", "a", 0, minSavedEvents-1))
+		writer.taskOf("long-1").text = partText(newPart("long-1", "a", 0, events))
+		writer.taskOf("short-1").text = partText(newPart("short-1", "a", 0, minSavedEvents-1))
 		if err := writer.saveSlot(ctx, saved, writer.collectUnsaved(saved, 1<<20)); err != nil {
 			t.Fatal(err)
 		}
@@ -78,10 +78,10 @@
 		t.Fatalf("%d records, error %v, want %d", len(bodies), err, batch.TextSlots)
 	}
 	texts := joinParts(bodies)
-	if got := len(texts["long-1"].GetPieces()); got != events-1 {
+	if got := len(texts[keyOf("long-1")].GetPieces()); got != events-1 {
 		t.Errorf("%d events of the long text, want %d", got, events-1)
 	}
-	if texts["short-1"] != nil {
+	if texts[keyOf("short-1")] != nil {
 		t.Error("a short text was saved")
 	}
 }
@@ -94,7 +94,7 @@
 	b := newBatch("long-1")
 	h.runner.Add(ctx, b, true)
 	h.runner.post(ctx, func(context.Context) {
-		h.runner.findTask("long-1").text = partText(newPart("long-1", "a", 0, minSavedEvents))
+		h.runner.taskOf("long-1").text = partText(newPart("long-1", "a", 0, minSavedEvents))
 	})
 	go h.runner.SaveTexts(ctx)
 	time.Sleep(2 * saveInterval)
@@ -107,7 +107,7 @@
 	})
 	for deadline := time.Now().Add(resultTimeout); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
 		bodies, err := h.store.Texts(ctx)
-		if err == nil && len(joinParts(bodies)["long-1"].GetPieces()) == minSavedEvents {
+		if err == nil && len(joinParts(bodies)[keyOf("long-1")].GetPieces()) == minSavedEvents {
 			return
 		}
 	}
@@ -123,7 +123,7 @@
 func TestTextsOutliveAllWorkers(t *testing.T) {
 	h := newHarness(t)
 	ctx := context.Background()
-	whole := newPart("plain-1", "x", 0, 0)
+	whole := newPart(keyOf("plain-1"), "x", 0, 0)
 	for n := 1; n < events; n++ {
 		whole.Pieces = append(whole.Pieces, fmt.Sprintf("plain-1.%d", n))
 	}
--- a/internal/training/runner/standby.go
+++ b/internal/training/runner/standby.go
@@ -42,8 +42,8 @@
 	ctx    context.Context
 }
 
-// Keep stores parts of texts that the active worker sends. It returns the items
-// that are unknown here or lack earlier parts.
+// Keep stores parts of texts that the active worker sends. It returns the text keys
+// that are unknown here or whose texts lack earlier parts.
 func (h *peerHandler) Keep(ctx context.Context, request *KeepRequest) (*KeepReply, error) {
 	reply := &KeepReply{}
 	err := h.do(ctx, func() {
@@ -62,7 +62,7 @@
 	err := h.do(ctx, func() {
 		for _, t := range h.runner.unfinishedTasks() {
 			if current := t.snapshot(); len(current.pieces) >= minCopyEvents {
-				reply.Texts = append(reply.Texts, newTextPart(t.item.ID, current, 0))
+				reply.Texts = append(reply.Texts, newTextPart(t.textKey, current, 0))
 			}
 		}
 	})
@@ -96,19 +96,21 @@
 	return open
 }
 
-func (r *Runner) findTask(id string) *task {
+// findTask returns the task whose text is kept under the key, or nil.
+func (r *Runner) findTask(textKey string) *task {
 	for _, j := range r.jobs {
-		if t, known := j.byID[id]; known {
+		if t, known := j.byTextKey[textKey]; known {
 			return t
 		}
 	}
 	return nil
 }
 
-// newTextPart returns the part of a text that begins at event from.
-func newTextPart(id string, t text, from int) *Text {
+// newTextPart returns the part of a text that begins at event from. Its field for the
+// item holds the text key: no worker of a former release knows an item of that id.
+func newTextPart(textKey string, t text, from int) *Text {
 	return &Text{
-		Item: id, From: int64(from), Pieces: t.pieces[from:], Last: t.last,
+		Item: textKey, From: int64(from), Pieces: t.pieces[from:], Last: t.last,
 		Versions: t.versions, Complete: t.complete, Origin: t.origin,
 	}
 }
@@ -121,7 +123,7 @@
 }
 
 // mergeText appends a part to the text of an item that does not run here. It
-// reports false if the item is unknown or the part does not continue the text.
+// reports false if the text key is unknown or the part does not continue the text.
 func (r *Runner) mergeText(p *Text) bool {
 	t := r.findTask(p.GetItem())
 	if t == nil || t.state != statePending {
@@ -196,8 +198,8 @@
 			clear(r.copied)
 			return
 		}
-		for _, id := range reply.GetMissing() {
-			delete(r.copied, id)
+		for _, key := range reply.GetMissing() {
+			delete(r.copied, key)
 		}
 	})
 	return err
@@ -240,7 +242,7 @@
 	var parts []part
 	for _, t := range r.unfinishedTasks() {
 		p := part{task: t, text: t.snapshot()}
-		if known := sent[t.item.ID]; known.origin == p.text.origin {
+		if known := sent[t.textKey]; known.origin == p.text.origin {
 			p.from = known.events
 		}
 		if len(p.text.pieces) >= minEvents && len(p.text.pieces) > p.from {
@@ -254,8 +256,8 @@
 		if size += p.text.sizeFrom(p.from); size > limit && len(texts) > 0 {
 			break
 		}
-		texts = append(texts, newTextPart(p.task.item.ID, p.text, p.from))
-		sent[p.task.item.ID] = copyState{origin: p.text.origin, events: len(p.text.pieces)}
+		texts = append(texts, newTextPart(p.task.textKey, p.text, p.from))
+		sent[p.task.textKey] = copyState{origin: p.text.origin, events: len(p.text.pieces)}
 	}
 	return texts
 }
--- a/internal/training/runner/task.go
+++ b/internal/training/runner/task.go
@@ -36,6 +36,7 @@
 type task struct {
 	item            *batch.Item
 	job             *job
+	textKey         string // under which the text is kept beyond a run
 	state           taskState
 	text            text // without the events of the present run
 	givenUp         bool
--- a/internal/training/runner/text.go
+++ b/internal/training/runner/text.go
@@ -51,7 +51,7 @@
 	return len(t.versions) == 0 || t.versions[0] >= minVersion
 }
 
-// textCache caches unfinished texts by item.
+// textCache caches unfinished texts by text key.
 type textCache struct{ cache *lru.Cache[string, text] }
 
 func newTextCache(size int) *textCache {
@@ -62,19 +62,19 @@
 	return &textCache{cache: cache}
 }
 
-func (c *textCache) put(id string, t text) {
+func (c *textCache) put(key string, t text) {
 	if len(t.pieces) > 0 {
-		c.cache.Add(id, t)
+		c.cache.Add(key, t)
 	}
 }
 
-// take removes the text of an item and returns it if it meets the version.
-func (c *textCache) take(id string, minVersion int64) text {
-	t, found := c.cache.Get(id)
+// take removes the text with this key and returns it if it meets the version.
+func (c *textCache) take(key string, minVersion int64) text {
+	t, found := c.cache.Get(key)
 	if !found {
 		return text{}
 	}
-	c.cache.Remove(id)
+	c.cache.Remove(key)
 	if !t.meetsVersion(minVersion) {
 		return text{}
 	}
