Await groups of the same account and model only

Cause: groups that were incomplete at the end of their batch were remembered by name alone. A group that another client account, or another model, had under the same name counted as one that comes again, so that its step was held until this group was complete.

Change: the key of a remembered group has the owner of its batch and the model.

Result: TestGroupOfAnotherAccountIsNotAwaited failed before for another account, none and another model (not complete with one of two groups, one being wanted) and passes.

--- a/internal/training/runner/account_test.go
+++ b/internal/training/runner/account_test.go
@@ -152,3 +152,30 @@
 		t.Errorf("%d events, want none", got)
 	}
 }
+
+// Guards against a step that is held for a group of another account, or for one of
+// another model, that was incomplete when its batch ended.
+func TestGroupOfAnotherAccountIsNotAwaited(t *testing.T) {
+	for name, other := range otherInputs() {
+		r, b := newRunnerWithText()
+		r.active = false
+		r.end(b.ID)
+		if r.completeWithOneGroup(newBatch("plain-1")) {
+			t.Errorf("other %s: the step is complete without the group that came again", name)
+		}
+		want := other.Account != b.Account || other.Model != b.Model
+		if got := r.completeWithOneGroup(other); got != want {
+			t.Errorf("other %s: the step is complete %v with one of two groups, want %v", name, got, want)
+		}
+	}
+}
+
+// completeWithOneGroup reports whether the batch, of which the trainer wants one group,
+// counts as complete with a further group alone.
+func (r *Runner) completeWithOneGroup(b *batch.Batch) bool {
+	b.WantedGroups = 1
+	b.Items = append(b.Items, newBatch("plain-2").Items...)
+	progress := r.newProgress(b)
+	progress.Finish("plain-2")
+	return progress.Complete()
+}
--- a/internal/training/runner/job.go
+++ b/internal/training/runner/job.go
@@ -71,13 +71,23 @@
 	}
 }
 
+// groupKey identifies a group beyond its batch. Accounts choose the names of groups.
+type groupKey struct {
+	owner        batch.Owner
+	model, group string
+}
+
+func newGroupKey(b *batch.Batch, group string) groupKey {
+	return groupKey{owner: b.Owner(), model: b.Model, group: group}
+}
+
 // newProgress returns the progress of a batch with no results. The trainer waits
 // for the groups that were incomplete in an earlier batch in any case.
 func (r *Runner) newProgress(b *batch.Batch) *listing.Progress {
 	items, awaited := map[string]int{}, map[string]bool{}
 	for _, item := range b.Items {
 		items[item.Group]++
-		if r.incompleteGroups.Contains(item.Group) {
+		if r.incompleteGroups.Contains(newGroupKey(b, item.Group)) {
 			awaited[item.Group] = true
 		}
 	}
@@ -280,7 +290,7 @@
 	}
 	for group, isComplete := range complete {
 		if !isComplete {
-			r.incompleteGroups.Add(group, struct{}{})
+			r.incompleteGroups.Add(newGroupKey(j.batch, group), struct{}{})
 		}
 	}
 	for _, t := range j.tasks {
--- a/internal/training/runner/runner.go
+++ b/internal/training/runner/runner.go
@@ -95,7 +95,7 @@
 	activations int
 	doneJobs    *lru.Cache[string, *job]
 	// incompleteGroups holds groups that were incomplete at the end of their batch.
-	incompleteGroups *lru.Cache[string, struct{}]
+	incompleteGroups *lru.Cache[groupKey, struct{}]
 }
 
 // counters counts the runs of items and the broken runs by service, the rejected
@@ -125,7 +125,7 @@
 	if err != nil {
 		panic(err) // the size is a positive constant
 	}
-	incompleteGroups, err := lru.New[string, struct{}](maxIncompleteGroups)
+	incompleteGroups, err := lru.New[groupKey, struct{}](maxIncompleteGroups)
 	if err != nil {
 		panic(err) // the size is a positive constant
 	}
