Keep a holder's own texts when a former holder sends copies

Cause: a worker that executes the batches took parts that a former holder of the role, frozen and awake again, sent it as its standby. The older text replaced the newer one of an item that waited for its next run. The run then kept the origin of the copy, as the item had run in this tenure before, so that two workers went on with one text under one origin.

Change: a worker that executes batches takes no parts, but while it recalls texts itself. The run after a merged copy gets a new origin.

Result: TestCopyOfAFormerHolderDoesNotReplaceAText (1 event of the copy instead of the 2 that the holder had) and TestRunAfterACopyHasItsOwnOrigin (the copy's origin) failed before and pass.

--- a/internal/training/runner/standby.go
+++ b/internal/training/runner/standby.go
@@ -43,10 +43,14 @@
 }
 
 // Keep stores parts of texts that the active worker sends. It returns the text keys
-// that are unknown here or whose texts lack earlier parts.
+// that are unknown here or whose texts lack earlier parts. A worker that executes the
+// batches itself keeps its own texts: the caller has lost the role and does not know yet.
 func (h *peerHandler) Keep(ctx context.Context, request *KeepRequest) (*KeepReply, error) {
 	reply := &KeepReply{}
 	err := h.do(ctx, func() {
+		if h.runner.active && !h.runner.recalling {
+			return
+		}
 		for _, part := range request.GetTexts() {
 			if !h.runner.mergeText(part) {
 				reply.Missing = append(reply.Missing, part.GetItem())
@@ -123,7 +127,8 @@
 }
 
 // mergeText appends a part to the text of an item that does not run here. It
-// reports false if the text key is unknown or the part does not continue the text.
+// reports false if the text key is unknown or the part does not continue the text. The
+// next run gets a new origin, since the worker that sent the part may go on as well.
 func (r *Runner) mergeText(p *Text) bool {
 	t := r.findTask(p.GetItem())
 	if t == nil || t.state != statePending {
@@ -139,7 +144,7 @@
 		versions: p.GetVersions(), complete: p.GetComplete(),
 	}.withSize()
 	if joined.meetsVersion(t.job.batch.MinVersion) {
-		t.text = joined
+		t.text, t.activation = joined, 0
 	}
 	return true
 }
