Drop the pages of a removed batch in workers

Cause: a worker kept the pages of completed batches under their ids after their end markers were removed from the store. Until it knew a batch that was submitted anew under such an id, maybe by another client account, it answered for it with the pages of the former one.

Change: Forget drops them with the end marker.

Result: TestRemovedBatchIsNotServedUnderItsID failed before (one page of the removed batch) and passes.

--- a/internal/training/runner/account_test.go
+++ b/internal/training/runner/account_test.go
@@ -179,3 +179,30 @@
 	progress.Finish("plain-2")
 	return progress.Complete()
 }
+
+// Guards against the results of a removed batch in answers for another account's batch
+// that was submitted under the same id and is not known here yet.
+func TestRemovedBatchIsNotServedUnderItsID(t *testing.T) {
+	h := newHarness(t)
+	ctx := t.Context()
+	handler := &peerHandler{runner: h.runner, ctx: ctx}
+	b := newBatch("plain-1")
+	h.runner.SetActive(ctx, true)
+	h.runner.Add(ctx, b, true)
+	h.results(t, b)
+	request := &PagesRequest{Batch: b.ID, Wait: maxPageWait.Milliseconds()}
+	if _, err := handler.Pages(ctx, request); err != nil {
+		t.Fatal(err)
+	}
+	h.runner.End(ctx, b.ID)
+	if reply, err := handler.Pages(ctx, request); err != nil || len(reply.GetPages()) != 1 {
+		t.Fatalf("reply %v, error %v; want the page of the ended batch", reply, err)
+	}
+	h.runner.Forget(ctx, b.ID)
+	if reply, err := handler.Pages(ctx, request); err == nil {
+		t.Errorf("%d pages of the removed batch, want not found", len(reply.GetPages()))
+	}
+	if reply, err := handler.Batch(ctx, &BatchRequest{Batch: b.ID}); err != nil || len(reply.GetBody()) != 0 {
+		t.Errorf("batch %s, error %v; want neither", reply.GetBody(), err)
+	}
+}
--- a/internal/training/runner/runner.go
+++ b/internal/training/runner/runner.go
@@ -201,9 +201,12 @@
 }
 
 // Forget drops the state of an ended batch whose end marker was removed from the
-// store.
+// store. Another client account may submit a batch with the id from then on.
 func (r *Runner) Forget(ctx context.Context, id string) {
-	r.post(ctx, func(context.Context) { delete(r.ended, id) })
+	r.post(ctx, func(context.Context) {
+		delete(r.ended, id)
+		r.doneJobs.Remove(id)
+	})
 }
 
 // SetActive starts or stops the execution of batches.
