--- a/internal/training/batch/removed_test.go
+++ b/internal/training/batch/removed_test.go
@@ -97,3 +97,28 @@
 		t.Errorf("results %+v, error %v; want none of the new batch", results, err)
 	}
 }
+
+// Guards against the results of another account: the removal of a batch is interrupted
+// before its pages are deleted, and its id is used again.
+func TestNewBatchHasNoPagesOfAnInterruptedRemoval(t *testing.T) {
+	l := ledger.New()
+	store, _ := newStoredBatch(t, l)
+	ctx := context.Background()
+	recordStore := l.Store()
+	remove := recordStore.Delete
+	recordStore.Delete = func(ctx context.Context, kind, name string) error {
+		if kind == KindPages {
+			return records.ErrUnknownOutcome
+		}
+		return remove(ctx, kind, name)
+	}
+	if err := NewStore(recordStore, 1<<20).Remove(ctx, "b1"); err == nil {
+		t.Fatal("the removal is not interrupted")
+	}
+	if err := store.Accept(ctx, newBatch("globex")); err != nil {
+		t.Fatal(err)
+	}
+	if results, _ := newReader(store, noWorker).Results(ctx, "b1", 0, 0); len(results) != 0 {
+		t.Errorf("%d results of the removed batch, want none", len(results))
+	}
+}
