--- a/internal/training/runner/job.go
+++ b/internal/training/runner/job.go
@@ -24,6 +24,7 @@
 	loaded       bool    // the pages in the store have been read, or none are expected
 	tasks        []*task // longest estimate first
 	byID         map[string]*task
+	byTextKey    map[string]*task
 	pages        int               // number of known pages
 	listed       int               // number of results in these pages
 	ready        []batch.Result    // waiting for the next page
@@ -42,14 +43,18 @@
 	if r.ended[b.ID] || r.findJob(b.ID) != nil {
 		return
 	}
-	j := &job{batch: b, known: r.timers.Uptime(), byID: map[string]*task{}, preferred: map[string]string{}, pageAdded: make(chan struct{})}
+	j := &job{
+		batch: b, known: r.timers.Uptime(), byID: map[string]*task{}, byTextKey: map[string]*task{},
+		preferred: map[string]string{}, pageAdded: make(chan struct{}),
+	}
 	expected := int64(0)
 	for i := range b.Items {
-		t := &task{item: &b.Items[i], job: j}
+		t := &task{item: &b.Items[i], job: j, textKey: b.TextKey(&b.Items[i])}
 		expected += max(1, t.item.ExpectedTokens)
-		t.text = r.texts.take(t.item.ID, b.MinVersion)
+		t.text = r.texts.take(t.textKey, b.MinVersion)
 		j.tasks = append(j.tasks, t)
 		j.byID[t.item.ID] = t
+		j.byTextKey[t.textKey] = t
 	}
 	if r.seams.OnBatch != nil {
 		r.seams.OnBatch(b.Model, expected)
@@ -67,13 +72,23 @@
 	}
 }
 
+// groupKey identifies a group beyond its batch. Accounts choose the names of groups.
+type groupKey struct {
+	owner        batch.Owner
+	model, group string
+}
+
+func newGroupKey(b *batch.Batch, group string) groupKey {
+	return groupKey{owner: b.Owner(), model: b.Model, group: group}
+}
+
 // newProgress returns the progress of a batch with no results. The trainer waits
 // for the groups that were incomplete in an earlier batch in any case.
 func (r *Runner) newProgress(b *batch.Batch) *listing.Progress {
 	items, awaited := map[string]int{}, map[string]bool{}
 	for _, item := range b.Items {
 		items[item.Group]++
-		if r.incompleteGroups.Contains(item.Group) {
+		if r.incompleteGroups.Contains(newGroupKey(b, item.Group)) {
 			awaited[item.Group] = true
 		}
 	}
@@ -247,10 +262,10 @@
 		j.cancel()
 	}
 	for _, t := range j.tasks {
-		delete(r.copied, t.item.ID)
+		delete(r.copied, t.textKey)
 	}
 	if j.loaded && !j.writing {
-		j.tasks, j.byID = nil, nil
+		j.tasks, j.byID, j.byTextKey = nil, nil, nil
 		r.doneJobs.Add(j.batch.ID, j)
 	}
 	for i, other := range r.jobs {
@@ -276,12 +291,12 @@
 	}
 	for group, isComplete := range complete {
 		if !isComplete {
-			r.incompleteGroups.Add(group, struct{}{})
+			r.incompleteGroups.Add(newGroupKey(j.batch, group), struct{}{})
 		}
 	}
 	for _, t := range j.tasks {
 		if !complete[t.item.Group] && !t.givenUp {
-			r.texts.put(t.item.ID, t.snapshot())
+			r.texts.put(t.textKey, t.snapshot())
 		}
 	}
 }
--- a/internal/training/runner/runner.go
+++ b/internal/training/runner/runner.go
@@ -89,13 +89,13 @@
 	jobs      []*job // in the order of acceptance
 	ended     map[string]bool
 	texts     *textCache
-	copied    map[string]copyState // what the standby has of each item's text
+	copied    map[string]copyState // what the standby has of each text, by text key
 	reach     *reach.Detector
 	// activations counts how often the runner became active.
 	activations int
 	doneJobs    *lru.Cache[string, *job]
 	// incompleteGroups holds groups that were incomplete at the end of their batch.
-	incompleteGroups *lru.Cache[string, struct{}]
+	incompleteGroups *lru.Cache[groupKey, struct{}]
 }
 
 // counters counts the runs of items and the broken runs by service, the rejected
@@ -125,7 +125,7 @@
 	if err != nil {
 		panic(err) // the size is a positive constant
 	}
-	incompleteGroups, err := lru.New[string, struct{}](maxIncompleteGroups)
+	incompleteGroups, err := lru.New[groupKey, struct{}](maxIncompleteGroups)
 	if err != nil {
 		panic(err) // the size is a positive constant
 	}
@@ -201,9 +201,12 @@
 }
 
 // Forget drops the state of an ended batch whose end marker was removed from the
-// store.
+// store. Another client account may submit a batch with the id from then on.
 func (r *Runner) Forget(ctx context.Context, id string) {
-	r.post(ctx, func(context.Context) { delete(r.ended, id) })
+	r.post(ctx, func(context.Context) {
+		delete(r.ended, id)
+		r.doneJobs.Remove(id)
+	})
 }
 
 // SetActive starts or stops the execution of batches.
