Record the empty answer after an early removal as known

A reader with a sound clock takes a batch of 5 s for stored. Since expiry counts uptime no process removes so early; a worker of an earlier version with a wrong clock, or an operator, can.

--- a/internal/training/batch/removed_test.go
+++ b/internal/training/batch/removed_test.go
@@ -142,3 +142,40 @@
 		})
 	}
 }
+
+// Guards against an answer without results by a process with a sound clock for a young
+// batch that was removed: by a process of an earlier version whose clock is wrong, or by
+// hand. The position was read at another process, and this one has read others.
+func TestEarlyRemovalHasNoEmptyAnswer(t *testing.T) {
+	timers, driver := clock.NewDriven(time.Unix(100000, 0))
+	ctx, store := context.Background(), NewStore(ledger.New().Store(), 1<<20)
+	b := newBatch("acme")
+	b.Time = timers.Now()
+	seams := ReaderSeams{Store: store, Find: notFound, Follow: noWorker, Retention: 2 * time.Minute}
+	reader := NewReader(seams, timers, logs.Discard())
+	other := NewReader(seams, timers, logs.Discard())
+	read := func(r *Reader, after int) {
+		t.Helper()
+		if results, err := r.Results(ctx, "b1", after, 0); err != nil || len(results) == 0 {
+			t.Fatalf("position %d: results %+v, error %v", after, results, err)
+		}
+	}
+	if err := store.Accept(ctx, b); err != nil {
+		t.Fatal(err)
+	}
+	if err := store.Append(ctx, "b1", 0, Page{Results: []Result{{ID: "i2"}}}); err != nil {
+		t.Fatal(err)
+	}
+	read(reader, 0)
+	if err := store.Append(ctx, "b1", 1, Page{Start: 1, Results: []Result{{ID: "i1"}}}); err != nil {
+		t.Fatal(err)
+	}
+	read(other, 1)
+	driver.Advance(5 * time.Second)
+	if err := store.Remove(ctx, "b1"); err != nil {
+		t.Fatal(err)
+	}
+	if results, err := reader.Results(ctx, "b1", 1, 0); err == nil {
+		t.Errorf("position 1: results %+v without an error, want records.ErrMissing", results)
+	}
+}
