Keep the address of a peer that is gone from being used again

The trace shows "probe GONE nil": the test closed a server for an address at which nothing listens, and a server of another test got its port.

--- a/internal/peer/relay/relay_test.go
+++ b/internal/peer/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -10,6 +11,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/wigeonpin/wigeonpin/internal/base/clock"
 	"github.com/wigeonpin/wigeonpin/internal/base/logs"
 )
@@ -51,6 +54,25 @@
 	return Peer{Address: strings.TrimPrefix(server.URL, "http://"), OtherZone: otherZone}
 }
 
+// goneAddress returns an address at which nothing listens. A socket stays bound to it, so
+// that no server of another test gets the port meanwhile.
+func goneAddress(t *testing.T) string {
+	t.Helper()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = unix.Close(fd) })
+	if err := unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	name, err := unix.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprintf("127.0.0.1:%d", name.(*unix.SockaddrInet4).Port)
+}
+
 func newTestRoute(own *fakeStore, peers ...Peer) *Route {
 	return NewRoute(Seams{
 		Direct: own.call, Ask: NewAsk(), Peers: func() []Peer { return peers },
@@ -164,9 +186,7 @@
 // neither the store nor another availability zone, and against one that does
 // only because the store is down for all processes.
 func TestIsolated(t *testing.T) {
-	closed := httptest.NewServer(http.NotFoundHandler())
-	closed.Close()
-	gone := Peer{Address: strings.TrimPrefix(closed.URL, "http://"), OtherZone: true}
+	gone := Peer{Address: goneAddress(t), OtherZone: true}
 	cases := []struct {
 		name     string
 		peers    func(t *testing.T) []Peer
@@ -236,9 +256,7 @@
 // (kolil-hq trouble-1).
 func TestIsolationIsFoundByTheLossAlone(t *testing.T) {
 	silent := newFakeStore("silent")
-	closed := httptest.NewServer(http.NotFoundHandler())
-	closed.Close()
-	gone := Peer{Address: strings.TrimPrefix(closed.URL, "http://"), OtherZone: true}
+	gone := Peer{Address: goneAddress(t), OtherZone: true}
 	route := newTestRoute(newFakeStore("unsent"), gone, servePeer(t, silent, false))
 	isolation := route.Isolation()
 	route.markDirectLost(Reply{}, errors.New("cut off"))
@@ -260,9 +278,7 @@
 // from the store and from all workers, and its relays were restarted one after the
 // other (kolil-hq-grown trouble-2).
 func TestOtherPeersAreFoundInAPartition(t *testing.T) {
-	closed := httptest.NewServer(http.NotFoundHandler())
-	closed.Close()
-	gone := Peer{Address: strings.TrimPrefix(closed.URL, "http://"), OtherZone: true}
+	gone := Peer{Address: goneAddress(t), OtherZone: true}
 	for range 20 { // the peers that are asked are chosen at random
 		first, second := newFakeStore("ok"), newFakeStore("unsent")
 		near, far := servePeer(t, first, true), servePeer(t, second, true)
@@ -384,14 +400,13 @@
 // Guards against a failed host that is asked again for each watch: it is left
 // out for the time of its backoff.
 func TestFailedHostBacksOff(t *testing.T) {
-	closed := httptest.NewServer(http.NotFoundHandler())
-	closed.Close()
 	var asked atomic.Int64
 	ask := NewAsk()
 	own := newFakeStore("ok")
+	gone := goneAddress(t)
 	route := NewRoute(Seams{
 		Direct: own.call, Peers: func() []Peer { return nil },
-		Hosts:     func() []string { return []string{strings.TrimPrefix(closed.URL, "http://")} },
+		Hosts:     func() []string { return []string{gone} },
 		HostSlack: FollowerSlack,
 		Ask: func(ctx context.Context, address string, call Call, limit time.Duration) (Reply, error) {
 			asked.Add(1)
@@ -418,11 +433,10 @@
 	mux.Handle(RelayPathPrefix, NewServer(shared.Call, shared.Call))
 	host := httptest.NewServer(mux)
 	defer host.Close()
-	closed := httptest.NewServer(http.NotFoundHandler())
-	closed.Close()
+	gone := Peer{Address: goneAddress(t), OtherZone: true}
 	follower := NewRoute(Seams{
 		Direct: newFakeStore("unsent").call, Ask: NewAsk(),
-		Peers:     func() []Peer { return []Peer{{Address: strings.TrimPrefix(closed.URL, "http://"), OtherZone: true}} },
+		Peers:     func() []Peer { return []Peer{gone} },
 		Hosts:     func() []string { return []string{strings.TrimPrefix(host.URL, "http://")} },
 		HostSlack: FollowerSlack,
 	}, clock.NewSystem(), logs.Discard())
