--- a/internal/training/runner/job.go
+++ b/internal/training/runner/job.go
@@ -209,9 +209,6 @@
 	}
 }
 
-// resultSize returns the approximate size of a result in a page.
-func resultSize(result batch.Result) int { return len(result.Output) + len(result.ID) }
-
 func (r *Runner) findJob(id string) *job {
 	for _, j := range r.jobs {
 		if j.batch.ID == id {
--- a/internal/training/runner/pages.go
+++ b/internal/training/runner/pages.go
@@ -13,14 +13,9 @@
 	"github.com/wigeonpin/wigeonpin/internal/training/listing"
 )
 
-const (
-	// maxPageFraction is the fraction of the largest record that the results of a
-	// page may take. The rest is reserved for the encoding.
-	maxPageFraction = 0.6
-	// fullPageFraction is the fraction of a page from which on ready results are
-	// listed. The rest is for the results that become ready meanwhile.
-	fullPageFraction = 0.7
-)
+// fullPageFraction is the fraction of a page from which on ready results are
+// listed. The rest is for the results that become ready meanwhile.
+const fullPageFraction = 0.7
 
 // pageDue reports whether the ready results of a batch are to be listed now.
 func (j *job) pageDue(now time.Time, limit int) bool {
@@ -39,7 +34,7 @@
 // to be listed.
 func (r *Runner) writePages(ctx context.Context) {
 	now := r.timers.Now()
-	limit := int(maxPageFraction * float64(r.seams.ValueBytes))
+	limit := maxPageBytes(r.seams.ValueBytes)
 	for _, j := range r.jobs {
 		if !j.pageDue(now, limit) {
 			continue
--- a/internal/training/runner/schedule.go
+++ b/internal/training/runner/schedule.go
@@ -137,5 +137,7 @@
 			"run_ms": r.timers.Since(t.runStart).Milliseconds(), "expected": t.item.ExpectedTokens,
 		}).Info("late result")
 	}
-	t.job.addReady(t, result, r.timers.Now())
+	stored := r.storable(result)
+	t.givenUp = !stored.Done
+	t.job.addReady(t, stored, r.timers.Now())
 }
