Count a former holder's wait from its own last tenure

A review of the change before found that a former holder may be kept off the role without end: each new epoch started its wait anew, so that a holder that crashed after each start left the role free for 1.8 s at a time and nobody else took it; and a holder named its predecessors for its whole life, so that a process that had acted 50 s before waited two terms after the holder's restart and end.

A process waits two terms from when it first saw another holder after its own tenure, whatever the epochs since, and a holder names nobody any more once it has held the role for two terms. A candidate polls when its wait ends.

--- a/internal/control/leader/alternation_test.go
+++ b/internal/control/leader/alternation_test.go
@@ -9,14 +9,22 @@
 // takenAfter campaigns every 100 ms, and returns the time until the candidate takes the
 // role.
 func (f *fixture) takenAfter(t *testing.T, c *Candidate) time.Duration {
+	t.Helper()
+	start := f.now
+	f.take(t, c)
+	return f.now - start
+}
+
+// take campaigns every 100 ms until the candidate takes the role.
+func (f *fixture) take(t *testing.T, c *Candidate) *Tenure {
 	t.Helper()
 	for start := f.now; f.now-start < 10*term; f.now += 100 * time.Millisecond {
-		if f.campaign(t, c) != nil {
-			return f.now - start
+		if tenure := f.campaign(t, c); tenure != nil {
+			return tenure
 		}
 	}
 	t.Fatal("the role was never taken")
-	return 0
+	return nil
 }
 
 // Guards against holders in the order A, B, A within two terms: A releases the role
@@ -79,3 +87,45 @@
 		t.Errorf("a role released after a long tenure is taken after %v, want at once", waited)
 	}
 }
+
+// Guards against a former holder that is kept off for two terms although its last act
+// was long before: the present holder died, after a restart that followed a long tenure.
+func TestHolderOfLongAgoDoesNotWaitForTwoTerms(t *testing.T) {
+	f := newFixture()
+	a, b := f.candidate("a"), f.candidate("b")
+	f.campaign(t, a)
+	tenure := f.take(t, b)
+	held := leaseRecord{Holder: "b", Epoch: tenure.Epoch, Former: tenure.former}
+	for range 100 { // renewals of a tenure of 50 s
+		f.now += term / renewalsPerTerm
+		held.Count++
+		if !b.renew(context.Background(), tenure, held) {
+			t.Fatal("the holder could not renew")
+		}
+	}
+	f.takenAfter(t, f.candidate("b")) // a new process on the machine
+	if waited := f.takenAfter(t, f.candidate("a")); waited > term+2*margin {
+		t.Errorf("the role of a dead holder is taken after %v, want %v at most", waited, term+2*margin)
+	}
+}
+
+// Guards against a role that stays free most of the time: its holder crashes again and
+// again, and the only other process may never take the role.
+func TestRestartingHolderDoesNotKeepAFormerOneOff(t *testing.T) {
+	f := newFixture()
+	a := f.candidate("a")
+	f.campaign(t, a)
+	f.takenAfter(t, f.candidate("b"))
+	const down = term + 3*margin // from each crash of b, right after its start, to its next start
+	for range 3 {
+		for start := f.now; f.now-start < down; f.now += 100 * time.Millisecond {
+			if f.campaign(t, a) != nil {
+				return
+			}
+		}
+		if f.campaign(t, f.candidate("b")) == nil {
+			t.Fatal("the restarted holder did not get the role")
+		}
+	}
+	t.Errorf("the role was not taken in %v, although it was free for %v at a time", 3*down, down)
+}
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -22,9 +22,9 @@
 //
 // A process that held the role acts again only two terms after its last act, once
 // another one has held the role meanwhile, however the tenures ended: the record names
-// the holders before the present one, and each of them waits until it has seen the
-// present tenure for two terms. A holder that releases the role has held it for two
-// terms, so that nobody waits then.
+// the holders before the present one, and each of them waits until it has seen others
+// hold the role for two terms. A holder that has held the role for two terms names them
+// no more, and may release it.
 //
 // A tenure that is not renewed in time lapses: the role is not held, but the
 // tenure has not ended. It resumes if the store shows that no other process has
@@ -98,8 +98,9 @@
 // Tenure is one period in which this process holds the role under one epoch.
 type Tenure struct {
 	Epoch  uint64
-	former []string     // the holders before it, as in the record
-	until  atomic.Int64 // uptime in nanoseconds at which the term ends
+	began  time.Duration // uptime at which the role was taken
+	former []string      // the holders before it, as in the record
+	until  atomic.Int64  // uptime in nanoseconds at which the term ends
 	uptime func() time.Duration
 	timers *clock.Service
 }
@@ -138,8 +139,10 @@
 
 	lastRecord     records.Record // as last read or written
 	unchangedSince time.Duration  // uptime from which its revision counts as unchanged
-	seenEpoch      uint64         // epoch of lastRecord
-	seenSince      time.Duration  // uptime at which this epoch was read first
+	epochSeen      uint64         // epoch of lastRecord
+	epochSince     time.Duration  // uptime at which this epoch was read first
+	lastHolder     string         // holder of lastRecord
+	othersSince    time.Duration  // uptime since which other processes were seen to hold the role
 }
 
 // New returns a candidate.
@@ -173,9 +176,14 @@
 }
 
 // nextPoll returns the time until the next attempt to take the role: the polling
-// period, or the rest of the holder's term if that ends earlier.
+// period, or the rest of the holder's term or of the wait of a former holder if that
+// ends earlier.
 func (c *Candidate) nextPoll() time.Duration {
-	rest := c.unchangedSince + c.options.Term + margin - c.uptime()
+	now := c.uptime()
+	rest := c.unchangedSince + c.options.Term + margin - now
+	if rest <= 0 {
+		rest = c.othersSince + c.formerWait() - now
+	}
 	if c.lastRecord.Revision == 0 || rest <= 0 {
 		return pollPeriod
 	}
@@ -208,9 +216,7 @@
 	if err := json.Unmarshal(c.lastRecord.Body, &held); err != nil {
 		return nil, err
 	}
-	if held.Epoch != c.seenEpoch {
-		c.seenEpoch, c.seenSince = held.Epoch, now
-	}
+	c.noteEpoch(held, now)
 	if c.mustWait(held, now) {
 		return nil, nil
 	}
@@ -230,19 +236,29 @@
 	if now-c.unchangedSince < c.options.Term+margin {
 		return true
 	}
-	return slices.Contains(held.Former, c.options.Self) && !c.heldForLong(now)
+	return slices.Contains(held.Former, c.options.Self) && now-c.othersSince < c.formerWait()
 }
 
-// heldForLong reports whether this process has seen the present tenure for two terms.
-func (c *Candidate) heldForLong(now time.Duration) bool {
-	return now-c.seenSince >= releaseAfterTerms*c.options.Term+margin
+// formerWait is the time after which a former holder may take the role again.
+func (c *Candidate) formerWait() time.Duration { return releaseAfterTerms*c.options.Term + margin }
+
+// noteEpoch notes since when the record has its epoch, and since when it has named other
+// processes.
+func (c *Candidate) noteEpoch(held leaseRecord, now time.Duration) {
+	if held.Epoch == c.epochSeen {
+		return
+	}
+	if c.epochSeen == 0 || c.lastHolder == c.options.Self {
+		c.othersSince = now
+	}
+	c.epochSeen, c.epochSince, c.lastHolder = held.Epoch, now, held.Holder
 }
 
 // formerHolders returns the processes that may have held the role less than two terms
 // before a successor of the given holder takes it.
 func (c *Candidate) formerHolders(held leaseRecord) []string {
 	former := []string{held.Holder}
-	if !held.Released && !c.heldForLong(c.uptime()) {
+	if !held.Released && c.uptime()-c.epochSince < c.formerWait() {
 		former = append(former, held.Former...)
 	}
 	slices.Sort(former)
@@ -282,7 +298,8 @@
 		return nil, err
 	}
 	c.lastRecord, c.unchangedSince = written, start
-	tenure := &Tenure{Epoch: next.Epoch, former: next.Former, uptime: c.uptime, timers: c.timers}
+	c.noteEpoch(next, start)
+	tenure := &Tenure{Epoch: next.Epoch, began: start, former: next.Former, uptime: c.uptime, timers: c.timers}
 	tenure.until.Store(int64(start + c.options.Term - margin))
 	return tenure, nil
 }
@@ -315,11 +332,14 @@
 // another process has the role. A renewal that merely fails does not end the
 // tenure.
 func (c *Candidate) renew(ctx context.Context, tenure *Tenure, held leaseRecord) bool {
+	start := c.uptime()
+	if start-tenure.began >= c.formerWait() {
+		held.Former = nil
+	}
 	body, err := json.Marshal(held)
 	if err != nil {
 		return false
 	}
-	start := c.uptime()
 	written, err := c.store.Put(ctx, c.lastRecord.WithBody(body))
 	if err == nil {
 		c.lastRecord, c.unchangedSince = written, start
