Refuse answers of the store that belong to another call

Answers of the store bear no request id. A second copy of an earlier answer that came after its connection had been found silent was taken for the answer to the next call, and each answer after it was taken one call late: a refused write counted as done, a read returned another record, and the copy of a record was an empty list.

A successful answer must now have the object with the name of the call, or none for a list or a watch, and a revision that is not below the one that a write sent; an equal one is right, since a write that changes nothing does not increase it. Otherwise the connection is closed and the call gives ErrUnknownOutcome, after which callers read back or retry. The counter store_strays counts such calls.

--- a/cmd/wigeonpin/node.go
+++ b/cmd/wigeonpin/node.go
@@ -37,6 +37,8 @@
 	memoryLimitFraction = 0.7
 	// storeCalls names the counter of calls to the store.
 	storeCalls = "store_calls"
+	// storeStrays names the counter of calls to the store that got the answer to another one.
+	storeStrays = "store_strays"
 	// summaryPeriod is how often the counters are logged. Successful requests
 	// appear only in these counters, so that log volume does not grow with load.
 	summaryPeriod = 10 * time.Second
@@ -62,7 +64,7 @@
 // summaryCounters are the counters in the log line "summary". Counters without
 // values are left out.
 var summaryCounters = []string{
-	storeCalls, "requests_served", "requests_failed", "connections_opened", "endpoint_breaks", "endpoint_refusals", "requests_held", stop.CountName,
+	storeCalls, storeStrays, "requests_served", "requests_failed", "connections_opened", "endpoint_breaks", "endpoint_refusals", "requests_held", stop.CountName,
 	batch.CountEmpty, batch.CountMissed, batch.CountMisplaced,
 	runner.CountRuns, runner.CountRejections, runner.CountBreaks, runner.CountScoreFailures,
 }
@@ -123,9 +125,12 @@
 	if err != nil {
 		return err
 	}
-	calls := n.meters.Counter(storeCalls)
+	calls, strays := n.meters.Counter(storeCalls), n.meters.Counter(storeStrays)
 	direct := relay.NewSharedWatches(
-		platform.Direct(n.source.StoreAddress, exchange.New(exchange.Options{}), func(call string) { calls.Add(call, 1) }),
+		platform.Direct(
+			n.source.StoreAddress, exchange.New(exchange.Options{}),
+			func(call string) { calls.Add(call, 1) }, func(call string) { strays.Add(call, 1) },
+		),
 		relay.DirectTimeout,
 	)
 	slack := relay.FollowerSlack
--- a/internal/peer/exchange/answer.go
+++ b/internal/peer/exchange/answer.go
@@ -23,6 +23,7 @@
 
 	body        io.Reader
 	complete    bool
+	unverified  bool // the connection is not reused
 	readFailed  bool
 	closeOnce   sync.Once
 	pool        *Pool
@@ -46,7 +47,9 @@
 	switch {
 	case errors.Is(err, io.EOF):
 		a.complete = true
-		a.Close()
+		if !a.unverified {
+			a.Close()
+		}
 	case err != nil:
 		a.readFailed = true
 	}
@@ -56,6 +59,13 @@
 // ReadAll reads the rest of the body, at most limit bytes, and closes the
 // answer.
 func (a *Answer) ReadAll(limit int64) ([]byte, error) {
+	return a.ReadVerified(limit, func([]byte) bool { return true })
+}
+
+// ReadVerified reads like ReadAll. The connection is closed unless verify reports that
+// the body answers the request: the answer that was expected may still follow.
+func (a *Answer) ReadVerified(limit int64, verify func(body []byte) bool) ([]byte, error) {
+	a.unverified = true
 	defer a.Close()
 	body, err := io.ReadAll(io.LimitReader(a, limit+1))
 	if err != nil {
@@ -64,6 +74,7 @@
 	if int64(len(body)) > limit {
 		return nil, ErrTooLarge
 	}
+	a.unverified = !verify(body)
 	return body, nil
 }
 
@@ -81,8 +92,8 @@
 func (a *Answer) ReadFailed() bool { return a.readFailed }
 
 // Close ends the exchange. The connection is returned to the pool if the answer
-// was read to its marked end, no bytes followed it and the whole request was
-// written; otherwise it is closed.
+// was read to its marked end, no bytes followed it, the whole request was
+// written and ReadVerified did not reject the body; otherwise it is closed.
 func (a *Answer) Close() {
 	a.closeOnce.Do(func() {
 		stopped := a.stop()
@@ -99,7 +110,7 @@
 }
 
 func (a *Answer) reusable() bool {
-	if !a.Framed || a.response.Close || a.connection.reader.Buffered() > 0 {
+	if a.unverified || !a.Framed || a.response.Close || a.connection.reader.Buffered() > 0 {
 		return false
 	}
 	select {
