Count a renewal only with a higher revision

A renewal and a takeover change the record of the role, so that the store increases its revision. An answer with the revision that was sent is a second copy of the answer to the write before; it was taken for the renewal, so that a holder that the store had refused acted for another term. Such an answer now has an unknown outcome: a renewal reads the record back without extending the term, a campaign starts anew.

--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -35,6 +35,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -269,15 +270,29 @@
 	return c.write(ctx, r, leaseRecord{Holder: c.options.Self, Epoch: 1}, c.store.Create)
 }
 
+// saveFunc writes a record on the condition of its revision.
+type saveFunc func(context.Context, records.Record) (records.Record, error)
+
+// saveNext saves a record whose body has changed. It returns ErrUnknownOutcome for an
+// answer whose revision is not above that of the record: it is a second copy of the
+// answer to an earlier write.
+func saveNext(ctx context.Context, r records.Record, save saveFunc) (records.Record, error) {
+	written, err := save(ctx, r)
+	if err == nil && written.Revision <= r.Revision {
+		err = fmt.Errorf("%w: revision %d after %d", records.ErrUnknownOutcome, written.Revision, r.Revision)
+	}
+	return written, err
+}
+
 // write saves the record of the new holder and returns its tenure, whose term
 // is counted from before the call.
-func (c *Candidate) write(ctx context.Context, r records.Record, next leaseRecord, save func(context.Context, records.Record) (records.Record, error)) (*Tenure, error) {
+func (c *Candidate) write(ctx context.Context, r records.Record, next leaseRecord, save saveFunc) (*Tenure, error) {
 	body, err := json.Marshal(next)
 	if err != nil {
 		return nil, err
 	}
 	start := c.uptime()
-	written, err := save(ctx, r.WithBody(body))
+	written, err := saveNext(ctx, r.WithBody(body), save)
 	if err != nil {
 		return nil, err
 	}
@@ -320,7 +335,7 @@
 		return false
 	}
 	start := c.uptime()
-	written, err := c.store.Put(ctx, c.lastRecord.WithBody(body))
+	written, err := saveNext(ctx, c.lastRecord.WithBody(body), c.store.Put)
 	if err == nil {
 		c.lastRecord, c.unchangedSince = written, start
 		tenure.until.Store(int64(start + c.options.Term - margin))
