Read a batch anew after a misplaced page of the store

A reader that once took a wrong page from a worker met pages of the store that do not follow it. It kept the batch in its cache and refused each later read until the batch was evicted.

The batch is dropped from the cache now when a page of the store does not follow the known ones, and the same call reads it once more from the store alone if pages were known. A batch whose page is misplaced in the store itself is refused there as before, never answered with an empty list at a position that was read.

--- a/internal/training/batch/reader.go
+++ b/internal/training/batch/reader.go
@@ -206,15 +206,20 @@
 		err = errReplaced
 	}
 	if errors.Is(err, records.ErrMissing) || errors.Is(err, errReplaced) {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		if current, found := r.cache.Peek(c.batch.ID); found && current == c {
-			r.cache.Remove(c.batch.ID)
-		}
+		r.drop(c)
 	}
 	return err
 }
 
+// drop removes a batch from the cache, so that the next call reads it anew.
+func (r *Reader) drop(c *cachedBatch) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if current, found := r.cache.Peek(c.batch.ID); found && current == c {
+		r.cache.Remove(c.batch.ID)
+	}
+}
+
 // Batch returns a batch, or a MissingError if it does not exist.
 func (r *Reader) Batch(ctx context.Context, id string) (*Batch, error) {
 	c, err := r.load(ctx, id)
@@ -228,13 +233,27 @@
 // the first of them. Workers make the answer fast, but only the store shows that
 // there is no result: a worker may not know a page that a former holder of the role
 // has written. If the store cannot be read then, Results returns its error. An answer
-// without results comes with its proof.
+// without results comes with its proof. When a page of the store does not follow
+// known ones, the batch is read once more, from the store only.
 func (r *Reader) Results(ctx context.Context, id string, after int, wait time.Duration) ([]Result, Proof, error) {
+	deadline := r.timers.Now().Add(wait)
 	c, err := r.load(ctx, id)
 	if err != nil {
 		return nil, Proof{}, err
 	}
-	deadline := r.timers.Now().Add(wait)
+	results, proof, err := r.follow(ctx, c, after, deadline)
+	if _, known := c.resultsFrom(after); known == 0 || !errors.Is(err, errPageOrder) {
+		return results, proof, err
+	}
+	if c, err = r.load(ctx, id); err != nil {
+		return nil, Proof{}, err
+	}
+	return r.poll(ctx, c, after, deadline)
+}
+
+// follow returns the results of a batch from position after on, from the worker or the
+// store.
+func (r *Reader) follow(ctx context.Context, c *cachedBatch, after int, deadline time.Time) ([]Result, Proof, error) {
 	for {
 		results, pages := c.resultsFrom(after)
 		if len(results) > 0 {
@@ -243,7 +262,7 @@
 		if after >= len(c.batch.Items) {
 			return nil, Proof{Source: ProofOfItems, Known: c.resultCount()}, nil
 		}
-		update := r.askWorker(ctx, id, pages, deadline)
+		update := r.askWorker(ctx, c.batch.ID, pages, deadline)
 		if !update.Active {
 			return r.poll(ctx, c, after, deadline)
 		}
@@ -360,7 +379,9 @@
 	}
 }
 
-// readPage reads one page and adds it. It reports true if the page is missing.
+// readPage reads one page and adds it. It reports true if the page is missing. A batch
+// with a page of the store that does not follow the known ones is dropped from the cache,
+// since one of those may be wrong.
 func (r *Reader) readPage(ctx context.Context, c *cachedBatch, number int, read readPageFunc) (missing bool, err error) {
 	page, err := read(ctx, c.batch.ID, number)
 	if errors.Is(err, records.ErrMissing) {
@@ -375,6 +396,7 @@
 	}
 	if errors.Is(err, errPageOrder) {
 		r.reportMisplaced(c, PagesOfStore, "", number)
+		r.drop(c)
 	}
 	return false, err
 }
