--- a/internal/peer/exchange/endless_test.go
+++ b/internal/peer/exchange/endless_test.go
@@ -88,7 +88,7 @@
 				t.Fatal(err)
 			}
 			answer.Discard()
-			if answer.Complete() || len(pool.idle[address]) > 0 {
+			if answer.Complete() || len(pool.idle[target{address: address}]) > 0 {
 				t.Error("a connection with an unfinished body was kept")
 			}
 		})
--- a/internal/peer/exchange/exchange.go
+++ b/internal/peer/exchange/exchange.go
@@ -69,9 +69,11 @@
 	maxRecentIDs = 4
 )
 
-// Request is one call. Path is the escaped path, sent as it is.
+// Request is one call. Path is the escaped path, sent as it is. A connection serves
+// requests of one group only.
 type Request struct {
 	Method, Path, Query, Host string
+	Group                     string
 	Header                    http.Header
 	Body                      []byte
 }
@@ -109,26 +111,31 @@
 	OnConnect  func(address string)
 }
 
-// Pool keeps idle connections by address. It is safe for concurrent use.
+// Pool keeps idle connections by address and group. It is safe for concurrent use.
 type Pool struct {
 	options Options
 	dialer  net.Dialer
 	mu      sync.Mutex
-	idle    map[string][]*connection
+	idle    map[target][]*connection
+}
+
+// target is what the requests of a connection have in common.
+type target struct {
+	address, group string
 }
 
 type connection struct {
 	net.Conn
 	limited   *conn.LimitedReader
 	reader    *bufio.Reader
-	address   string
+	target    target
 	expires   time.Time
 	recentIDs []string // ids of the latest requests
 }
 
-func newConnection(c net.Conn, address string) *connection {
+func newConnection(c net.Conn, to target) *connection {
 	limited := conn.NewLimitedReader(c)
-	return &connection{Conn: c, limited: limited, reader: bufio.NewReaderSize(limited, 4096), address: address}
+	return &connection{Conn: c, limited: limited, reader: bufio.NewReaderSize(limited, 4096), target: to}
 }
 
 // sentRecently reports whether a request with this id was one of the latest on
@@ -160,7 +167,7 @@
 
 // New returns an empty pool.
 func New(options Options) *Pool {
-	p := &Pool{options: options, idle: map[string][]*connection{}}
+	p := &Pool{options: options, idle: map[target][]*connection{}}
 	p.dialer = net.Dialer{
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -181,9 +188,14 @@
 
 // CloseIdle closes the idle connections to an address.
 func (p *Pool) CloseIdle(address string) {
+	var idle []*connection
 	p.mu.Lock()
-	idle := p.idle[address]
-	delete(p.idle, address)
+	for to, list := range p.idle {
+		if to.address == address {
+			idle = append(idle, list...)
+			delete(p.idle, to)
+		}
+	}
 	p.mu.Unlock()
 	for _, c := range idle {
 		_ = c.Close()
@@ -194,7 +206,7 @@
 // close the answer. The connection is reset when ctx ends.
 func (p *Pool) Do(ctx context.Context, address string, request Request) (*Answer, error) {
 	id := p.id(request)
-	c, reused, err := p.acquire(ctx, address, id)
+	c, reused, err := p.acquire(ctx, target{address, request.Group}, id)
 	if err != nil {
 		return nil, &Error{cause: err}
 	}
@@ -301,9 +313,9 @@
 }
 
 // acquire returns an idle connection that can serve the request, or a new one.
-func (p *Pool) acquire(ctx context.Context, address, id string) (c *connection, reused bool, err error) {
+func (p *Pool) acquire(ctx context.Context, to target, id string) (c *connection, reused bool, err error) {
 	for {
-		c = p.takeIdle(address, id)
+		c = p.takeIdle(to, id)
 		if c == nil {
 			break
 		}
@@ -312,25 +324,25 @@
 		}
 		_ = c.Close()
 	}
-	dialed, err := p.dialer.DialContext(ctx, "tcp", address)
+	dialed, err := p.dialer.DialContext(ctx, "tcp", to.address)
 	if err != nil {
 		return nil, false, err
 	}
 	if p.options.OnConnect != nil {
-		p.options.OnConnect(address)
+		p.options.OnConnect(to.address)
 	}
-	return newConnection(dialed, address), false, nil
+	return newConnection(dialed, to), false, nil
 }
 
 // takeIdle removes and returns the most recently used idle connection on which
 // the id was not sent recently, or nil.
-func (p *Pool) takeIdle(address, id string) *connection {
+func (p *Pool) takeIdle(to target, id string) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	idle := p.idle[address]
+	idle := p.idle[to]
 	for i := len(idle) - 1; i >= 0; i-- {
 		if c := idle[i]; !c.sentRecently(id) {
-			p.idle[address] = slices.Delete(idle, i, i+1)
+			p.idle[to] = slices.Delete(idle, i, i+1)
 			return c
 		}
 	}
@@ -357,12 +369,12 @@
 	c.expires = time.Now().Add(timeout - idleMargin)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	idle := p.idle[c.address]
+	idle := p.idle[c.target]
 	for len(idle) > 0 && time.Now().After(idle[0].expires) {
 		_ = idle[0].Close()
 		idle = idle[1:]
 	}
-	p.idle[c.address] = append(idle, c)
+	p.idle[c.target] = append(idle, c)
 }
 
 // idleTimeout returns how long the peer keeps the connection of the answer open
--- a/internal/peer/exchange/probe.go
+++ b/internal/peer/exchange/probe.go
@@ -24,6 +24,6 @@
 	if p.options.OnConnect != nil {
 		p.options.OnConnect(address)
 	}
-	p.putIdle(newConnection(dialed, address), defaultIdleTimeout)
+	p.putIdle(newConnection(dialed, target{address: address}), defaultIdleTimeout)
 	return false
 }
