Give a run of a received copy an origin of its own

A text is copied to other workers in parts, which are joined by the origin of the text. A worker draws a new origin when it first starts a run of an item in a tenure. If that run is rejected while the former holder of the role, which has not learned of its loss, still sends its copies, the copy replaces the text, but the next run kept the copy's origin: two workers then continue one text under one origin, and a third joins events of both.

The order of events is read from the times of the log and the code; the log does not name origins.

A copy marks the text as not generated here, so that the next run draws an origin.

--- a/internal/training/runner/standby.go
+++ b/internal/training/runner/standby.go
@@ -137,7 +137,7 @@
 		versions: p.GetVersions(), complete: p.GetComplete(),
 	}.withSize()
 	if joined.meetsVersion(t.job.batch.MinVersion) {
-		t.text = joined
+		t.text, t.activation = joined, 0
 	}
 	return true
 }
--- a/internal/training/runner/task.go
+++ b/internal/training/runner/task.go
@@ -45,7 +45,7 @@
 	brokenOn        map[incarnation]bool // engines on which these runs broke
 	scoringErrors   int                  // scoring calls answered with status 500
 	scoringFailures int                  // failed scoring calls
-	activation      int                  // the runner's activation in which the text got its origin
+	activation      int                  // the runner's activation in which the text got its origin; 0 for a copy
 	listedLate      bool                 // listed after the trainer had all that it waits for
 	moves           int                  // runs that were moved to a faster engine
 	cancel          context.CancelCauseFunc
@@ -138,9 +138,7 @@
 	t.lastActivity.Store(t.runStart.Add(firstEventTimeout - stallTimeout).UnixNano())
 	t.lastEvent.Store(0)
 	t.job.preferred[t.item.Group] = slot.Entry.ID
-	if t.text.origin == "" || t.activation != r.activations {
-		t.text.origin, t.activation = rand.Text(), r.activations
-	}
+	t.claimText(r.activations)
 	live := t.text
 	t.liveText.Store(&live)
 	request := r.newRequest(t, slot, host)
@@ -159,6 +157,14 @@
 	}()
 }
 
+// claimText gives the text a new origin unless the task's runs of this activation have
+// generated it so far.
+func (t *task) claimText(activation int) {
+	if t.text.origin == "" || t.activation != activation {
+		t.text.origin, t.activation = rand.Text(), activation
+	}
+}
+
 // runOutcome returns how the run counts for the engine.
 func runOutcome(ctx context.Context, err error) replica.Outcome {
 	switch {
