--- /dev/null
+++ b/internal/training/runner/searchworld_test.go
@@ -0,0 +1,593 @@
+package runner
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/base/meter"
+	"github.com/wigeonpin/wigeonpin/internal/control/manifest"
+	"github.com/wigeonpin/wigeonpin/internal/fleet/replica"
+	"github.com/wigeonpin/wigeonpin/internal/standin/ledger"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/front"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/headers"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/memory"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/stop"
+	"github.com/wigeonpin/wigeonpin/internal/training/batch"
+)
+
+const (
+	// settleTime is how long after an answer no other answer may tell less.
+	settleTime = time.Second
+	// callerPatience is how long a caller waits for an answer.
+	callerPatience = 2500 * time.Millisecond
+	// searchSteps is the number of choices of the scheduler in a run, before all faults
+	// end.
+	searchSteps = 32
+	// searchReads is the number of reads in a run, and searchItems that of the items.
+	searchReads = 8
+	searchItems = 3
+	// searchRetention is the retention time of results, and searchMargin the time after
+	// which a worker removes them then.
+	searchRetention = 8 * time.Second
+	searchMargin    = 4 * time.Second
+	searchEntries   = 3
+	searchWorkers   = 2
+	maxDeadWorkers  = 6
+	// formerReserve is the part of a call's time that was not kept for a read of the
+	// store (storeReserve in package batch).
+	formerReserve = 700 * time.Millisecond
+	// healTime is the time between the end of all faults and the last reads.
+	healTime = time.Second
+	// lastReadStep is the time between two looks at whether a read is answered.
+	lastReadStep = 20 * time.Millisecond
+)
+
+// The rules.
+const (
+	toldLess     = "told less"     // a reader is told that there is nothing at a position that was read
+	missingBatch = "missing batch" // a reader is told that there is no batch, which was accepted or read
+	itemTwice    = "item twice"
+	otherResult  = "other result" // readers are told different results of a position
+	noProgress   = "progress"     // a read after the end of all faults is not answered in time
+)
+
+var searchNames = headers.Names{Request: "X-Request", Deadline: "X-Deadline", Account: "X-Account", Wait: "X-Wait"}
+
+// variant selects a former behaviour that the search is to find.
+type variant int
+
+const (
+	present variant = iota
+	// believesWorkers takes a worker's answer without results for the store's.
+	believesWorkers
+	// asksDeadWorkers asks all workers in turn before it reads the store.
+	asksDeadWorkers
+)
+
+// tape is the list of a run's choices. Choices after its end are 0, the one without a
+// fault.
+type tape []uint16
+
+// newTape returns the choices of a seed.
+func newTape(seed uint64) tape {
+	random := rand.New(rand.NewPCG(seed, 0))
+	t := make(tape, searchSteps+1)
+	for i := range t {
+		t[i] = uint16(random.Uint32())
+	}
+	return t
+}
+
+// theme is the first choice of a run. It leaves out some kinds of events, so that a
+// short run has enough of the others.
+type theme int
+
+func (t theme) deadWorkers() int { return max(0, int(t&15)-(15-maxDeadWorkers)) }
+func (t theme) firstOnly() bool  { return t&16 != 0 } // reads are from position 0 on
+func (t theme) manyPauses() bool { return t&32 != 0 }
+func (t theme) stableRole() bool { return t&64 != 0 }
+func (t theme) reliable() bool   { return t&128 != 0 } // the store refuses nothing, and nothing is lost
+func (t theme) shortReads() bool { return t&256 != 0 } // no long polls
+
+// process is an entry process or a worker.
+type process struct {
+	name         string
+	paused, dead bool
+	relay        *process // makes calls to the store that fail here
+	// Of an entry process:
+	reader *batch.Reader
+	shelf  *batch.Store
+	meters *meter.Set
+	stop   *stop.Plan
+	// Of a worker:
+	runner  *Runner
+	handler http.Handler
+	held    atomic.Bool
+	active  bool
+	knows   bool // of the batch
+	ended   bool // knows that the batch has ended
+	done    [searchItems]bool
+}
+
+// position is what a reader was told of a position first.
+type position struct {
+	at     time.Time
+	result batch.Result
+	reader string
+}
+
+// failure is a broken rule.
+type failure struct {
+	rule, text string
+}
+
+// world is one run: processes, store and scheduler.
+type world struct {
+	variant   variant
+	choices   tape
+	theme     theme
+	log       *logrus.Entry
+	verbose   bool
+	history   []string
+	start     time.Time
+	ctx       context.Context
+	ledger    *ledger.Ledger
+	manifest  *manifest.Manifest
+	processes map[string]*process
+	entries   []*process
+	workers   []*process
+	addresses []string // of the workers, with dead ones
+	written   map[string]time.Time
+	flights   []*flight
+	late      []*flight
+	calls     int
+	reads     int
+	running   int // requests in progress
+	epoch     uint64
+	removing  bool
+	healed    bool
+
+	mu         sync.Mutex
+	wake       chan struct{}
+	added      []*flight
+	closed     bool
+	acceptedAt time.Time
+	told       map[int]position
+	failure    *failure
+}
+
+func (w *world) notef(format string, values ...any) {
+	if w.verbose && w.failure == nil {
+		line := fmt.Sprintf(format, values...)
+		w.history = append(w.history, fmt.Sprintf("%3d. %6.3f s  %s", len(w.history)+1, time.Since(w.start).Seconds(), line))
+	}
+}
+
+// fail records the first broken rule; mu is held.
+func (w *world) fail(rule, format string, values ...any) {
+	if w.failure == nil {
+		text := fmt.Sprintf(format, values...)
+		w.notef("BROKEN (%s): %s", rule, text)
+		w.failure = &failure{rule, text}
+	}
+}
+
+// play executes one run in a bubble of package synctest.
+func (w *world) play() {
+	ctx, cancel := context.WithCancel(context.Background())
+	w.ctx, w.start = ctx, time.Now()
+	w.ledger, w.processes, w.written, w.told = ledger.New(), map[string]*process{}, map[string]time.Time{}, map[int]position{}
+	w.wake = make(chan struct{}, 1)
+	w.log = logs.Discard()
+	w.log.Logger.SetLevel(logrus.PanicLevel)
+	w.build()
+	w.submit(w.entries[0])
+	w.takeRole(w.workers[0])
+	w.settle()
+	for i := 1; i <= searchSteps && w.broken() == nil; i++ {
+		w.step(w.choice(i))
+	}
+	if w.broken() == nil {
+		w.heal()
+	}
+	cancel()
+	w.mu.Lock()
+	w.closed = true
+	w.mu.Unlock()
+	for len(w.flights) > 0 {
+		w.end(w.flights[0], context.Canceled)
+	}
+	synctest.Wait()
+}
+
+func (w *world) broken() *failure {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.failure
+}
+
+func (w *world) choice(i int) int {
+	if i < len(w.choices) {
+		return int(w.choices[i])
+	}
+	return 0
+}
+
+// build creates all processes.
+func (w *world) build() {
+	w.manifest = manifest.New(1, []manifest.Route{
+		{Host: host, Prefix: "/gen/", Kind: manifest.Rollout, Attempts: 1, ItemTimeout: time.Hour, Targets: []manifest.Target{{Service: "llm", Weight: 1}}},
+	}, nil, []manifest.Account{{Name: "acme", Keys: []string{"k1"}}}, manifest.Limits{})
+	w.theme = theme(w.choice(0))
+	for i := range w.theme.deadWorkers() {
+		w.newProcess("dead"+strconv.Itoa(i+1), &w.workers).dead = true
+	}
+	w.workers = nil
+	for i := range searchWorkers {
+		w.startWorker(w.newProcess("worker"+strconv.Itoa(i+1), &w.workers))
+	}
+	for name := range w.processes {
+		w.addresses = append(w.addresses, name)
+	}
+	slices.Sort(w.addresses)
+	for i := range searchEntries {
+		w.startEntry(w.newProcess("entry"+strconv.Itoa(i+1), &w.entries))
+	}
+	for i, p := range w.entries {
+		p.relay = w.entries[(i+1)%len(w.entries)]
+	}
+	for _, p := range w.workers {
+		p.relay = w.entries[0]
+	}
+}
+
+func (w *world) newProcess(name string, list *[]*process) *process {
+	p := &process{name: name}
+	w.processes[name] = p
+	*list = append(*list, p)
+	return p
+}
+
+func (w *world) startWorker(p *process) {
+	timers := clock.NewSystem()
+	p.runner = New(Seams{
+		Store: batch.NewStore(w.store(p), 1<<20), Fleet: replica.NewFleet(timers, replica.Options{Overcommit: 1}),
+		Names: searchNames, ValueBytes: 1 << 20, Manifest: func() *manifest.Manifest { return w.manifest },
+		Role: func() Role { return Role{Epoch: 1, Held: p.held.Load()} },
+	}, timers, w.log)
+	mux := http.NewServeMux()
+	p.runner.Mount(w.ctx, mux)
+	p.handler = mux
+	go p.runner.Run(w.ctx)
+}
+
+func (w *world) startEntry(p *process) {
+	p.shelf, p.meters = batch.NewStore(w.store(p), 1<<20), meter.NewSet()
+	p.stop = stop.New(clock.NewSystem(), p.meters)
+	peers := func() []string { return slices.Clone(w.addresses) }
+	workers := NewWorkers(peers)
+	workers.client = &http.Client{Transport: peerTransport{w, p}}
+	seams := batch.ReaderSeams{Store: p.shelf, Find: workers.Find, Follow: workers.Follow, Retention: searchRetention}
+	switch w.variant {
+	case present:
+	case believesWorkers:
+		seams.Follow = believing(workers.Follow)
+	case asksDeadWorkers:
+		seams.Find, seams.Follow = w.askAll(p)
+	}
+	p.reader = batch.NewReader(seams, clock.NewSystem(), w.log)
+}
+
+// believing returns a FollowFunc after which the store's answer is not waited for if the
+// worker has no pages.
+func believing(follow batch.FollowFunc) batch.FollowFunc {
+	return func(ctx context.Context, id string, known int, wait time.Duration) batch.Update {
+		update := follow(ctx, id, known, wait)
+		if update.Active && len(update.Pages) == 0 {
+			requestOf(ctx).believed = true
+		}
+		return update
+	}
+}
+
+// askAll returns functions that ask the nearest worker for a batch and each worker of the
+// list in turn for its pages, however many do not answer, with all the time of a request.
+func (w *world) askAll(p *process) (batch.FindFunc, batch.FollowFunc) {
+	one := func(address string) *Workers {
+		workers := NewWorkers(func() []string { return []string{address} })
+		workers.client = &http.Client{Transport: peerTransport{w, p}}
+		return workers
+	}
+	find := func(ctx context.Context, id string) (*batch.Batch, bool) {
+		return one(w.addresses[len(w.addresses)-1]).Find(ctx, id)
+	}
+	follow := func(ctx context.Context, id string, known int, wait time.Duration) batch.Update {
+		end, _ := ctx.Deadline()
+		whole, cancel := context.WithDeadline(context.WithoutCancel(ctx), end.Add(formerReserve))
+		defer cancel()
+		deadline := time.Now().Add(wait)
+		for _, address := range w.addresses {
+			update := one(address).Follow(whole, id, known, max(0, time.Until(deadline)))
+			if update.Active || whole.Err() != nil {
+				return update
+			}
+		}
+		return batch.Update{}
+	}
+	return find, follow
+}
+
+// serve sends a caller's request to an entry process.
+func (w *world) serve(p *process, name string, r *http.Request, check func(status int, body []byte)) {
+	q := &request{name: name}
+	ctx := context.WithValue(w.ctx, requestKey{}, q)
+	r = r.WithContext(ctx)
+	r.Host = host
+	r.Header.Set("Authorization", "Bearer k1")
+	never := make(chan struct{})
+	timers := clock.NewSystem()
+	f := front.New(front.Seams{
+		Manifest: func() *manifest.Manifest { return w.manifest },
+		Ready:    func() bool { return true }, Stale: func() bool { return false },
+		Outage: front.Outage{
+			Isolation: func() <-chan struct{} { return never }, Restored: func() <-chan struct{} { return nil },
+			LostFor: func() time.Duration { return 0 },
+		},
+		Shelf: p.shelf, Reader: p.reader, Names: searchNames, Meters: p.meters, Stop: p.stop, Memory: memory.NewBudget(1 << 20),
+		API: front.API{
+			Parse: parseSearch, Decode: decodeSearch, ReadyPath: "/ready",
+			Encode: func(_, _ int, results []batch.Result) ([]byte, error) {
+				_ = w.hold(ctx, &flight{process: p, what: "encode the answer", stages: []stage{{"done", p, nil}}}) // ends with the run
+				return json.Marshal(results)
+			},
+		},
+	}, timers, w.log)
+	go func() {
+		if w.hold(ctx, &flight{process: p, what: "accept the request", stages: []stage{{"done", p, nil}}}) != nil {
+			return
+		}
+		recorder := httptest.NewRecorder()
+		f.ServeHTTP(recorder, r)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if !w.closed {
+			check(recorder.Code, recorder.Body.Bytes())
+		}
+	}()
+}
+
+func parseSearch(method, path string) (front.Operation, string) {
+	if id, found := strings.CutPrefix(path, "/results/"); found && method == http.MethodGet {
+		return front.ReadResults, id
+	}
+	return front.NoBatch, ""
+}
+
+func decodeSearch(body []byte) (*batch.Batch, error) {
+	b := &batch.Batch{Model: "m", WantedGroups: 1}
+	err := json.Unmarshal(body, &b.Items)
+	return b, err
+}
+
+// submit sends the batch to an entry process.
+func (w *world) submit(p *process) {
+	var items []batch.Item
+	for i := range searchItems {
+		id := "item" + strconv.Itoa(i+1)
+		items = append(items, batch.Item{ID: id, Group: id, Path: "/gen/x"})
+	}
+	body, err := json.Marshal(items)
+	if err != nil {
+		panic(err) // the items are constant
+	}
+	r := httptest.NewRequest(http.MethodPost, "/gen/batches", bytes.NewReader(body))
+	r.Header.Set(searchNames.Request, "b1")
+	w.notef("a trainer submits batch b1 with %d items at %s", searchItems, p.name)
+	w.running++
+	w.serve(p, "submission", r, func(status int, _ []byte) {
+		w.running--
+		w.notef("%s answers the submission: %d", p.name, status)
+		if status == http.StatusAccepted {
+			w.acceptedAt = time.Now()
+		}
+	})
+}
+
+// read sends a read to an entry process. A read that must succeed is one after the end
+// of all faults.
+func (w *world) read(p *process, after int, wait time.Duration, must bool) {
+	w.reads++
+	name := "read " + strconv.Itoa(w.reads)
+	r := httptest.NewRequest(http.MethodGet, "/results/b1?after="+strconv.Itoa(after), nil)
+	r.Header.Set(searchNames.Wait, strconv.FormatInt(wait.Milliseconds(), 10))
+	w.notef("%s: a trainer asks %s for the results from position %d on, and waits for up to %v", name, p.name, after, wait)
+	began := time.Now()
+	w.running++
+	w.serve(p, name, r, func(status int, body []byte) {
+		w.running--
+		var results []batch.Result
+		if status == http.StatusOK {
+			if err := json.Unmarshal(body, &results); err != nil {
+				panic(err) // the answer is from this test's Encode
+			}
+		}
+		w.notef("%s: %s answers %d with %d results", name, p.name, status, len(results))
+		w.checkAnswer(name+" at "+p.name, after, status, results)
+		if must {
+			w.checkProgress(name+" at "+p.name, status, time.Since(began))
+		}
+	})
+}
+
+// checkProgress checks that a read after the end of all faults is answered; mu is held.
+func (w *world) checkProgress(reader string, status int, took time.Duration) {
+	if w.acceptedAt.IsZero() || w.removing {
+		return
+	}
+	if status != http.StatusOK || took > callerPatience {
+		w.fail(noProgress, "%s is answered %d after %v, all faults ended before", reader, status, took)
+	}
+}
+
+// checkAnswer checks what a reader is told against what others were told; mu is held.
+func (w *world) checkAnswer(reader string, after, status int, results []batch.Result) {
+	now := time.Now()
+	switch {
+	case status == http.StatusNotFound && !w.removing:
+		if !w.acceptedAt.IsZero() && now.Sub(w.acceptedAt) >= settleTime {
+			w.fail(missingBatch, "%s is told that there is no batch, which was accepted %v before", reader, now.Sub(w.acceptedAt))
+		}
+		for at, first := range w.told {
+			if now.Sub(first.at) >= settleTime {
+				w.fail(missingBatch, "%s is told that there is no batch, of which %s was told position %d", reader, first.reader, at)
+			}
+		}
+	case status == http.StatusOK && len(results) == 0:
+		if first, known := w.told[after]; known && now.Sub(first.at) >= settleTime {
+			w.fail(toldLess, "%s is told that there is nothing at position %d, of which %s was told %v before",
+				reader, after, first.reader, now.Sub(first.at))
+		}
+	}
+	for i, result := range results {
+		w.checkResult(reader, after+i, result)
+	}
+}
+
+func (w *world) checkResult(reader string, at int, result batch.Result) {
+	for other, first := range w.told {
+		if other != at && first.result.ID == result.ID {
+			w.fail(itemTwice, "%s is told %s at position %d, %s at %d", reader, result.ID, at, first.reader, other)
+		}
+	}
+	first, known := w.told[at]
+	if !known {
+		w.told[at] = position{time.Now(), result, reader}
+		return
+	}
+	if first.result.ID != result.ID || first.result.Output != result.Output {
+		w.fail(otherResult, "%s is told %s (%s) at position %d, %s was told %s (%s)",
+			reader, result.ID, result.Output, at, first.reader, first.result.ID, first.result.Output)
+	}
+}
+
+// settle waits until all goroutines are held, and collects their calls.
+func (w *world) settle() {
+	synctest.Wait()
+	w.collect()
+}
+
+// advance lets time pass while no call proceeds. Calls whose time ends get no answer.
+func (w *world) advance(by time.Duration) {
+	for end := time.Now().Add(by); ; {
+		w.settle()
+		w.expire()
+		w.settle()
+		if !time.Now().Before(end) {
+			return
+		}
+		w.await(end)
+	}
+}
+
+// await lets time pass until end, the end of the time of a call, or another event.
+func (w *world) await(end time.Time) {
+	for _, f := range w.flights {
+		if !f.process.paused && !f.deadline.IsZero() && f.deadline.Before(end) {
+			end = f.deadline
+		}
+	}
+	timer := time.NewTimer(time.Until(end))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-w.wake:
+	}
+}
+
+// run lets time pass while each call proceeds at once, if its process and the others on
+// its way are not paused.
+func (w *world) run(by time.Duration) {
+	for end := time.Now().Add(by); ; {
+		w.settle()
+		w.expire()
+		w.settle()
+		if f := w.oldest(); f != nil {
+			w.proceed(f)
+			continue
+		}
+		if !time.Now().Before(end) {
+			return
+		}
+		w.await(end)
+	}
+}
+
+// takeRole makes a worker the holder of the role.
+func (w *world) takeRole(p *process) {
+	for _, other := range w.workers {
+		other.held.Store(false)
+	}
+	w.epoch++
+	w.notef("%s takes the worker role with epoch %d", p.name, w.epoch)
+	p.held.Store(true)
+	p.active = true
+	p.runner.SetActive(w.ctx, true)
+}
+
+// heal ends all faults and checks that each entry process answers.
+func (w *world) heal() {
+	w.notef("all faults end")
+	w.healed = true
+	for _, p := range w.processes {
+		p.paused = false
+	}
+	for _, f := range w.flights {
+		f.unsent = false
+	}
+	for len(w.late) > 0 {
+		w.applyLate(w.late[0])
+	}
+	w.run(healTime)
+	for _, p := range w.entries {
+		for after := range max(1, len(w.told)) {
+			w.read(p, after, time.Second, true)
+			for end := time.Now().Add(2 * callerPatience); w.requests() > 0 && time.Now().Before(end); {
+				w.run(lastReadStep)
+			}
+			if w.broken() != nil {
+				return
+			}
+		}
+	}
+}
+
+func (w *world) requests() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.running
+}
+
+func (w *world) oldest() *flight {
+	for _, f := range w.flights {
+		if f.canProceed() {
+			return f
+		}
+	}
+	return nil
+}
