--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -139,13 +139,14 @@
 	workers := runner.NewWorkers(deps.Workers)
 	reader := batch.NewReader(batch.ReaderSeams{
 		Store: batches, Find: workers.Find, Follow: workers.Follow, Meters: deps.Meters,
-		Retention: p.ResultRetention,
+		Retention: p.ResultRetention, Settle: p.Settle,
 	}, timers, log)
 	f := front.New(front.Seams{
 		Manifest: v.Manifest, Ready: func() bool { return v.Synced() && !deps.Isolated() }, Outage: deps.Outage,
 		Stale: func() bool { return v.Stale() && !deps.StoreDisconnected() }, Forwarder: forwarder, Shelf: batches,
 		Reader: reader, Names: deps.Names, API: deps.API, Meters: deps.Meters,
 		Memory: memory.NewBudget(int64(requestShare * memoryLimit)), Stop: plan,
+		LimitDelivery: callers.LimitDelivery,
 	}, timers, log)
 	server := callers.New(f, callers.Options{MaxConnections: maxConnections(p), IdleTimeout: idleTimeout}, timers, log)
 	return &Entry{profile: p, front: f, callers: server, view: v, counter: counter, plan: plan, timers: timers, log: log}
