--- a/internal/training/runner/searchcalls_test.go
+++ b/internal/training/runner/searchcalls_test.go
@@ -183,6 +183,7 @@
 	}
 	f := w.newStoreFlight(p, what, write, apply)
 	f.deadline = limit(directTimeout)
+	records.NoteAttempt(ctx, records.PathDirect)
 	f.stages = []stage{{"the store carries it out", nil, f.carryOut(apply)}, {"the answer arrives", p, nil}}
 	err := w.hold(ctx, f)
 	if err == nil || ctx.Err() != nil || p.relay == nil {
@@ -190,6 +191,7 @@
 	}
 	g := w.newStoreFlight(p, what+" through "+p.relay.name, write, apply)
 	g.deadline = limit(relayTimeout)
+	records.NoteAttempt(ctx, p.relay.name)
 	g.stages = []stage{
 		{"it arrives at " + p.relay.name, p.relay, nil},
 		{"the store carries it out", nil, g.carryOut(apply)},
