Split the cache of results from the reader, and name uptimes by what they are

No change of behaviour: "known" meant a count, a method and an uptime; the uptime at which a process learned of a batch is knownSince now, and that since which a time of day had no step stableSince.

--- a/internal/base/clock/steady.go
+++ b/internal/base/clock/steady.go
@@ -19,7 +19,7 @@
 // long as the time of day before it was known, or for maxStepDelay. Its time of day is as
 // wrong as that of the machine was when WithoutSteps was called.
 func (s *Service) WithoutSteps() *Service {
-	steady := &steadyTime{source: s, base: s.now(), at: s.uptime(), known: s.uptime()}
+	steady := &steadyTime{source: s, base: s.now(), at: s.uptime(), stableSince: s.uptime()}
 	copied := *s
 	copied.now = steady.now
 	return &copied
@@ -30,12 +30,12 @@
 type steadyTime struct {
 	source *Service
 
-	mu        sync.Mutex
-	base      time.Time
-	at        time.Duration // uptime of base
-	known     time.Duration // uptime from which on the time of day had no step
-	deviation time.Duration // 0 while the time of day is followed
-	since     time.Duration // uptime from which on the deviation has lasted
+	mu          sync.Mutex
+	base        time.Time
+	at          time.Duration // uptime of base
+	stableSince time.Duration // uptime from which on the time of day had no step
+	deviation   time.Duration // 0 while the time of day is followed
+	since       time.Duration // uptime from which on the deviation has lasted
 }
 
 func (s *steadyTime) now() time.Time {
@@ -52,10 +52,10 @@
 	if (deviation - s.deviation).Abs() > maxDeviation {
 		s.deviation, s.since = deviation, uptime
 	}
-	if uptime-s.since < min(s.since-s.known, maxStepDelay) {
+	if uptime-s.since < min(s.since-s.stableSince, maxStepDelay) {
 		return steady
 	}
-	s.known = s.since
+	s.stableSince = s.since
 	s.follow(read, uptime)
 	return read
 }
--- a/internal/training/batch/reader.go
+++ b/internal/training/batch/reader.go
@@ -34,9 +34,6 @@
 	readAheadTime = 100 * time.Millisecond
 )
 
-// errPageOrder is the error of a page that does not begin where the one before it ends.
-var errPageOrder = errors.New("batch: a result page does not follow the one before it")
-
 // The names of the counters of a reader, as they appear in the metrics.
 const (
 	// CountPages counts the pages of results by where they were read: PagesOfWorker or
@@ -104,15 +101,6 @@
 	Pages  []Page
 }
 
-// cachedBatch is a batch with the results that have been read so far.
-type cachedBatch struct {
-	batch   *Batch
-	known   time.Duration // uptime at which this process learned of the batch
-	mu      sync.Mutex
-	pages   int
-	results []Result
-}
-
 // NewReader returns a Reader that asks workers first and falls back to the store.
 func NewReader(seams ReaderSeams, timers *clock.Service, log *logrus.Entry) *Reader {
 	cache, err := lru.New[string, *cachedBatch](maxCachedBatches)
@@ -171,7 +159,7 @@
 	if c, found := r.cache.Get(id); found {
 		return c, nil
 	}
-	c = &cachedBatch{batch: b, known: learned}
+	c = &cachedBatch{batch: b, knownSince: learned}
 	r.cache.Add(id, c)
 	return c, nil
 }
@@ -182,16 +170,16 @@
 // mayBeRemoved reports whether a batch that this process has known since an uptime may be
 // older than the retention time. A time of day that precedes the acceptance, or that
 // says less than the uptime, is wrong.
-func (r *Reader) mayBeRemoved(b *Batch, known time.Duration) bool {
+func (r *Reader) mayBeRemoved(b *Batch, knownSince time.Duration) bool {
 	age := r.timers.Since(b.Time)
-	return age < 0 || max(age, r.timers.Uptime()-known) > r.seams.Retention
+	return age < 0 || max(age, r.timers.Uptime()-knownSince) > r.seams.Retention
 }
 
 // checkStored returns a MissingError if the batch was removed from the store, and
 // errReplaced if another one has its id; it is dropped from the cache then. Only a
 // batch that may be older than the retention time is looked up.
 func (r *Reader) checkStored(ctx context.Context, c *cachedBatch) error {
-	if !r.mayBeRemoved(c.batch, c.known) {
+	if !r.mayBeRemoved(c.batch, c.knownSince) {
 		return nil
 	}
 	var stored *Batch
@@ -404,24 +392,6 @@
 // readPageFunc reads one page of a batch.
 type readPageFunc func(ctx context.Context, id string, number int) (Page, error)
 
-// nextPage returns the number of the next page, and whether all results are known.
-func (c *cachedBatch) nextPage() (number int, complete bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.pages, len(c.results) >= len(c.batch.Items)
-}
-
-// resultsFrom returns the results that have been read from position after on,
-// and the number of pages that have been read.
-func (c *cachedBatch) resultsFrom(after int) ([]Result, int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if after >= len(c.results) {
-		return nil, c.pages
-	}
-	return c.results[after:len(c.results):len(c.results)], c.pages
-}
-
 // Known returns the results of a batch that Batch has returned, from position after on,
 // that are known without asking anyone.
 func (r *Reader) Known(b *Batch, after int) []Result {
@@ -434,30 +404,3 @@
 	results, _ := c.resultsFrom(after)
 	return results
 }
-
-// resultCount returns the number of results that have been read.
-func (c *cachedBatch) resultCount() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.results)
-}
-
-// addPages adds pages, the first of which has the given number, and reports whether
-// one of them was new. Pages that are known already are skipped. It returns
-// errPageOrder for a page that does not follow the known ones.
-func (c *cachedBatch) addPages(number int, pages []Page) (added bool, err error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for i, page := range pages {
-		if number+i != c.pages {
-			continue
-		}
-		if page.Start != len(c.results) || len(page.Results) == 0 {
-			return added, errPageOrder
-		}
-		c.results = append(c.results, page.Results...)
-		c.pages++
-		added = true
-	}
-	return added, nil
-}
--- a/internal/training/runner/job.go
+++ b/internal/training/runner/job.go
@@ -18,7 +18,7 @@
 // job is the execution of a batch.
 type job struct {
 	batch        *batch.Batch
-	known        time.Duration   // uptime at which this process learned of the batch
+	knownSince   time.Duration   // uptime at which this process learned of the batch
 	ctx          context.Context // of its runs; nil while the runner is inactive
 	cancel       context.CancelFunc
 	loaded       bool    // the pages in the store have been read, or none are expected
@@ -44,7 +44,7 @@
 		return
 	}
 	j := &job{
-		batch: b, known: r.timers.Uptime(), byID: map[string]*task{}, byTextKey: map[string]*task{},
+		batch: b, knownSince: r.timers.Uptime(), byID: map[string]*task{}, byTextKey: map[string]*task{},
 		preferred: map[string]string{}, pageAdded: make(chan struct{}),
 	}
 	expected := int64(0)
--- a/internal/training/runner/task.go
+++ b/internal/training/runner/task.go
@@ -220,7 +220,7 @@
 	if route, found := r.batchRoute(t.job.batch, t.item.Path); found && route.ItemTimeout > 0 {
 		patience = route.ItemTimeout
 	}
-	return patience - (r.timers.Uptime() - t.job.known)
+	return patience - (r.timers.Uptime() - t.job.knownSince)
 }
 
 // runFinished handles the end of a run: the item is scored, retried or given up.
