Replace connections that the store has forgotten

The logs show why: after an outage of the store the direct path counts as restored with the first answer, the next kind of call takes an idle connection that the store has forgotten, its reset counts as another loss, and calls wait for the next probe.

--- a/cmd/wigeonpin/node.go
+++ b/cmd/wigeonpin/node.go
@@ -126,9 +126,10 @@
 		return err
 	}
 	calls, strays := n.meters.Counter(storeCalls), n.meters.Counter(storeStrays)
+	pool := exchange.New(exchange.Options{})
 	direct := relay.NewSharedWatches(
 		platform.Direct(
-			n.source.StoreAddress, exchange.New(exchange.Options{}),
+			n.source.StoreAddress, pool,
 			func(call string) { calls.Add(call, 1) }, func(call string) { strays.Add(call, 1) },
 		),
 		relay.DirectTimeout,
@@ -139,7 +140,11 @@
 	}
 	restored := make(chan struct{}, 1)
 	route := relay.NewRoute(relay.Seams{
-		Direct: direct.Call, Ask: relay.NewAsk(), Probe: platform.Probe(), OnDirectLost: direct.Cancel,
+		Direct: direct.Call, Ask: relay.NewAsk(), Probe: platform.Probe(),
+		OnDirectLost: func() {
+			direct.Cancel()
+			pool.CloseIdle(n.source.StoreAddress())
+		},
 		OnDirectRestored: func() { notify(restored) },
 		Peers:            n.relayPeers, Hosts: n.watchHosts(role), HostSlack: slack,
 	}, n.timers, n.log)
--- a/internal/peer/exchange/exchange.go
+++ b/internal/peer/exchange/exchange.go
@@ -99,6 +99,13 @@
 	return errors.As(err, &failed) && !failed.Sent
 }
 
+// BrokeReused reports whether err is a failed exchange on a connection that had served an
+// earlier request.
+func BrokeReused(err error) bool {
+	var failed *Error
+	return errors.As(err, &failed) && failed.Reused
+}
+
 // ConnectionRefused reports whether the address refused the connection, so that
 // nothing listens there.
 func ConnectionRefused(err error) bool { return NotSent(err) && errors.Is(err, syscall.ECONNREFUSED) }
