Take the uptime of a reader from its clock service

The reader had a seam for the uptime beside that of its clock service, and tests set one of the two. WithUptime gives a copy of a clock service for tests; the search gives it to fronts, readers and runners, whose runners read the uptime of the machine before.

--- a/internal/base/clock/clock.go
+++ b/internal/base/clock/clock.go
@@ -74,6 +74,13 @@
 // not change when the time of day is set.
 func (s *Service) Uptime() time.Duration { return s.uptime() }
 
+// WithUptime returns a copy that reads the uptime from the given function.
+func (s *Service) WithUptime(uptime func() time.Duration) *Service {
+	copied := *s
+	copied.uptime = uptime
+	return &copied
+}
+
 // Subscribe delivers a tick each period. The period must be positive.
 func (s *Service) Subscribe(period time.Duration) *Subscription {
 	if period <= 0 {
--- a/internal/traffic/front/front_test.go
+++ b/internal/traffic/front/front_test.go
@@ -130,8 +130,7 @@
 		Shelf: shelf, Names: names, Meters: meters,
 		Reader: batch.NewReader(batch.ReaderSeams{
 			Store: shelf, Find: noWorkerBatch, Follow: noWorkerPages,
-			Uptime: func() time.Duration { return time.Duration(fx.uptime.Load()) },
-		}, timers, logs.Discard()),
+		}, timers.WithUptime(func() time.Duration { return time.Duration(fx.uptime.Load()) }), logs.Discard()),
 		Memory: memory.NewBudget(bodyBudget), Stop: fx.stop,
 		LimitDelivery: func(_ context.Context, limit time.Duration) { fx.limits <- limit },
 		API:           API{Parse: parse, Decode: decode, Encode: fx.encode, ReadyPath: "/ready"},
--- a/internal/training/batch/proof.go
+++ b/internal/training/batch/proof.go
@@ -48,7 +48,7 @@
 
 // prove makes a read of the store and returns what its answer proves.
 func (r *Reader) prove(ctx context.Context, read func(ctx context.Context) error) (Proof, error) {
-	ctx, trace := records.WithTrace(ctx, r.seams.Uptime)
+	ctx, trace := records.WithTrace(ctx, r.timers.Uptime)
 	err := read(ctx)
 	began, path := trace.Last()
 	return Proof{Began: began, Path: path, Source: PagesOfStore}, err
@@ -56,7 +56,7 @@
 
 // Age returns the time since the read of the proof began, including suspensions of the
 // machine.
-func (r *Reader) Age(p Proof) time.Duration { return r.seams.Uptime() - p.Began }
+func (r *Reader) Age(p Proof) time.Duration { return r.timers.Uptime() - p.Began }
 
 // Holds reports whether an answer that is written now may rest on the proof: what it
 // lacks was not there a short time ago.
--- a/internal/training/batch/proof_test.go
+++ b/internal/training/batch/proof_test.go
@@ -47,11 +47,11 @@
 	}, timers, logs.Discard())
 	known := &batch.Batch{ID: "b1", Time: timers.Now(), Items: []batch.Item{{ID: "i1"}}}
 	return batch.NewReader(batch.ReaderSeams{
-		Store:  batch.NewStore(platform.NewStore(route.Call), 1<<20),
-		Find:   func(context.Context, string) (*batch.Batch, bool) { return known, true },
-		Follow: func(context.Context, string, int, time.Duration) batch.Update { return batch.Update{} },
-		Uptime: func() time.Duration { return time.Duration(uptime.Load()) }, Retention: time.Hour,
-	}, timers, logs.Discard())
+		Store:     batch.NewStore(platform.NewStore(route.Call), 1<<20),
+		Find:      func(context.Context, string) (*batch.Batch, bool) { return known, true },
+		Follow:    func(context.Context, string, int, time.Duration) batch.Update { return batch.Update{} },
+		Retention: time.Hour,
+	}, timers.WithUptime(func() time.Duration { return time.Duration(uptime.Load()) }), logs.Discard())
 }
 
 // Guards against an empty list from a read that a paused peer answered long after the
--- a/internal/training/batch/reader.go
+++ b/internal/training/batch/reader.go
@@ -58,8 +58,7 @@
 
 // ReaderSeams are the dependencies of a Reader. Meters may be nil. Retention is how
 // long after its acceptance a batch is certain to be stored. Settle is the time after
-// which no answer may lack what was read or accepted, defaultSettle if it is 0. Uptime is
-// clock.Uptime if it is nil.
+// which no answer may lack what was read or accepted, defaultSettle if it is 0.
 type ReaderSeams struct {
 	Store     *Store
 	Find      FindFunc
@@ -67,7 +66,6 @@
 	Meters    *meter.Set
 	Retention time.Duration
 	Settle    time.Duration
-	Uptime    func() time.Duration
 }
 
 // Reader serves batches and results from the workers or the store, and caches
@@ -113,9 +111,6 @@
 	if seams.Settle == 0 {
 		seams.Settle = defaultSettle
 	}
-	if seams.Uptime == nil {
-		seams.Uptime = clock.Uptime
-	}
 	return &Reader{
 		seams: seams, timers: timers, log: log, cache: cache,
 		pages: seams.Meters.Counter(CountPages), empty: seams.Meters.Counter(CountEmpty),
--- a/internal/training/batch/slow_test.go
+++ b/internal/training/batch/slow_test.go
@@ -32,8 +32,8 @@
 	}
 	for name, follow := range map[string]FollowFunc{"worker": knowsNothing, "no worker": noWorker} {
 		reader := NewReader(ReaderSeams{
-			Store: store, Find: notFound, Follow: follow, Retention: time.Minute, Uptime: func() time.Duration { return uptime },
-		}, timers, logs.Discard())
+			Store: store, Find: notFound, Follow: follow, Retention: time.Minute,
+		}, timers.WithUptime(func() time.Duration { return uptime }), logs.Discard())
 		for attempt := range 3 {
 			results, proof, err := reader.Results(ctx, "b1", 0, 0)
 			if err != nil || len(results) != 0 || !reader.Holds(proof) {
--- a/internal/training/runner/searchcallers_test.go
+++ b/internal/training/runner/searchcallers_test.go
@@ -10,7 +10,6 @@
 	"strings"
 	"time"
 
-	"github.com/wigeonpin/wigeonpin/internal/base/clock"
 	"github.com/wigeonpin/wigeonpin/internal/control/manifest"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/front"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/memory"
@@ -25,7 +24,7 @@
 	r.Host = host
 	r.Header.Set("Authorization", "Bearer k1")
 	never := make(chan struct{})
-	timers := clock.NewSystem()
+	timers := w.timers()
 	f := front.New(front.Seams{
 		Manifest: func() *manifest.Manifest { return w.manifest },
 		Ready:    func() bool { return true }, Stale: func() bool { return false },
--- a/internal/training/runner/searchworld_test.go
+++ b/internal/training/runner/searchworld_test.go
@@ -271,7 +271,7 @@
 }
 
 func (w *world) startWorker(p *process) {
-	timers := clock.NewSystem()
+	timers := w.timers()
 	p.store = batch.NewStore(w.store(p), 1<<20)
 	p.runner = New(Seams{
 		Store: p.store, Fleet: replica.NewFleet(timers, replica.Options{Overcommit: 1}),
@@ -284,15 +284,20 @@
 	go p.runner.Run(w.ctx)
 }
 
+// timers returns the clock of the processes, whose uptime follows the time of the bubble.
+func (w *world) timers() *clock.Service {
+	return clock.NewSystem().WithUptime(func() time.Duration { return time.Since(w.start) })
+}
+
 func (w *world) startEntry(p *process) {
 	p.shelf, p.meters = batch.NewStore(w.store(p), 1<<20), meter.NewSet()
-	p.stop = stop.New(clock.NewSystem(), p.meters)
+	p.stop = stop.New(w.timers(), p.meters)
 	peers := func() []string { return slices.Clone(w.addresses) }
 	workers := NewWorkers(peers)
 	workers.client = &http.Client{Transport: peerTransport{w, p}}
 	seams := batch.ReaderSeams{
 		Store: p.shelf, Find: workers.Find, Follow: workers.Follow, Retention: w.theme.retention(),
-		Settle: settleTime, Uptime: func() time.Duration { return time.Since(w.start) },
+		Settle: settleTime,
 	}
 	switch w.variant {
 	case present, wrongClock:
@@ -303,7 +308,7 @@
 	case keepsOldAnswers:
 		seams.Settle = time.Hour
 	}
-	p.reader = batch.NewReader(seams, clock.NewSystem(), w.log)
+	p.reader = batch.NewReader(seams, w.timers(), w.log)
 }
 
 // believing returns a FollowFunc after which the store's answer is not waited for if the
