Repeat reads of the store in the client of exchanges

Whether a call is made again was decided in platform/, which only translates. A request says now whether it may be repeated, and package exchange sends such a one again when a connection that was idle breaks. After a write that breaks, the loss of the direct path closes the idle connections, as before.

--- a/internal/peer/exchange/exchange.go
+++ b/internal/peer/exchange/exchange.go
@@ -1,8 +1,8 @@
 // Package exchange is an HTTP/1.1 client with a pool of persistent connections,
 // each of which carries one exchange at a time. Unlike net/http's transport it
-// never sends a request twice, checks that an idle connection is open and has
-// no unread bytes before it is reused, and reports for each failure whether the
-// request may have been sent.
+// sends a request twice only if the caller says that it may be repeated, checks
+// that an idle connection is open and has no unread bytes before it is reused, and
+// reports for each failure whether the request may have been sent.
 //
 // # Usage
 //
@@ -70,10 +70,11 @@
 )
 
 // Request is one call. Path is the escaped path, sent as it is. A connection serves
-// requests of one group only.
+// requests of one group only. A repeatable request may be sent twice.
 type Request struct {
 	Method, Path, Query, Host string
 	Group                     string
+	Repeatable                bool
 	Header                    http.Header
 	Body                      []byte
 }
@@ -99,13 +100,6 @@
 	return errors.As(err, &failed) && !failed.Sent
 }
 
-// BrokeReused reports whether err is a failed exchange on a connection that had served an
-// earlier request.
-func BrokeReused(err error) bool {
-	var failed *Error
-	return errors.As(err, &failed) && failed.Reused
-}
-
 // ConnectionRefused reports whether the address refused the connection, so that
 // nothing listens there.
 func ConnectionRefused(err error) bool { return NotSent(err) && errors.Is(err, syscall.ECONNREFUSED) }
@@ -209,9 +203,22 @@
 	}
 }
 
-// Do sends the request once and reads the head of its answer. The caller must
-// close the answer. The connection is reset when ctx ends.
+// Do sends the request and reads the head of its answer. The caller must close the
+// answer. The connection is reset when ctx ends. The request is sent once, but a
+// repeatable one is sent again on a new connection if one that was idle breaks: a peer
+// that was out of reach may have forgotten all idle connections, which are closed then.
 func (p *Pool) Do(ctx context.Context, address string, request Request) (*Answer, error) {
+	answer, err := p.send(ctx, address, request)
+	var failed *Error
+	if !request.Repeatable || ctx.Err() != nil || !errors.As(err, &failed) || !failed.Reused {
+		return answer, err
+	}
+	p.CloseIdle(address)
+	return p.send(ctx, address, request)
+}
+
+// send sends the request once.
+func (p *Pool) send(ctx context.Context, address string, request Request) (*Answer, error) {
 	id := p.id(request)
 	c, reused, err := p.acquire(ctx, target{address, request.Group}, id)
 	if err != nil {
