Read the uptime of leases and mirrors from the clock service

Packages leader and mirror had a seam each for the uptime that a clock service has now too. No change of behaviour; their tests give them a service with WithUptime.

--- a/internal/control/leader/context_test.go
+++ b/internal/control/leader/context_test.go
@@ -18,8 +18,8 @@
 func TestContextFollowsTheTenure(t *testing.T) {
 	var uptime atomic.Int64
 	uptime.Store(int64(time.Hour))
-	c := New(ledger.New().Store(), Options{Self: "a", Term: term}, clock.NewSystem(), logs.Discard()).
-		WithUptime(func() time.Duration { return time.Duration(uptime.Load()) })
+	timers := clock.NewSystem().WithUptime(func() time.Duration { return time.Duration(uptime.Load()) })
+	c := New(ledger.New().Store(), Options{Self: "a", Term: term}, timers, logs.Discard())
 	tenure, err := c.campaign(t.Context())
 	if err != nil || tenure == nil {
 		t.Fatalf("campaign = %v, %v", tenure, err)
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -102,13 +102,12 @@
 	began  time.Duration // uptime at which the role was taken
 	former []string      // the holders before it, as in the record
 	until  atomic.Int64  // uptime in nanoseconds at which the term ends
-	uptime func() time.Duration
 	timers *clock.Service
 }
 
 // Held reports whether the role is held now. Callers check it right before
 // each step that only the holder may take.
-func (t *Tenure) Held() bool { return t.uptime() < time.Duration(t.until.Load()) }
+func (t *Tenure) Held() bool { return t.timers.Uptime() < time.Duration(t.until.Load()) }
 
 // Context returns a context that ends, with the cause ErrNotHeld, as soon as the
 // role is not held. A call that only the holder may make uses it, since a call that
@@ -117,7 +116,7 @@
 	ctx, cancel := context.WithCancelCause(parent)
 	go func() {
 		for {
-			left := time.Duration(t.until.Load()) - t.uptime()
+			left := time.Duration(t.until.Load()) - t.timers.Uptime()
 			if left <= 0 {
 				cancel(ErrNotHeld)
 				return
@@ -136,7 +135,6 @@
 	options Options
 	timers  *clock.Service
 	log     *logrus.Entry
-	uptime  func() time.Duration
 
 	lastRecord     records.Record // as last read or written
 	unchangedSince time.Duration  // uptime from which its revision counts as unchanged
@@ -148,14 +146,7 @@
 
 // New returns a candidate.
 func New(store records.Store, options Options, timers *clock.Service, log *logrus.Entry) *Candidate {
-	return &Candidate{store: store, options: options, timers: timers, log: log, uptime: clock.Uptime}
-}
-
-// WithUptime returns a copy that reads the uptime from the given clock.
-func (c *Candidate) WithUptime(uptime func() time.Duration) *Candidate {
-	copied := *c
-	copied.uptime = uptime
-	return &copied
+	return &Candidate{store: store, options: options, timers: timers, log: log}
 }
 
 // Run campaigns until ctx ends and calls lead for each tenure. The context that
@@ -180,7 +171,7 @@
 // period, or the rest of the holder's term or of the wait of a former holder if that
 // ends earlier.
 func (c *Candidate) nextPoll() time.Duration {
-	now := c.uptime()
+	now := c.timers.Uptime()
 	rest := c.unchangedSince + c.options.Term + margin - now
 	if rest <= 0 {
 		rest = c.othersSince + c.formerWait() - now
@@ -196,7 +187,7 @@
 // expired, a stale read is enough and cheaper.
 func (c *Candidate) campaign(ctx context.Context) (*Tenure, error) {
 	read := c.store.Get
-	if c.lastRecord.Revision != 0 && c.uptime()-c.unchangedSince < c.options.Term {
+	if c.lastRecord.Revision != 0 && c.timers.Uptime()-c.unchangedSince < c.options.Term {
 		read = c.store.GetStale
 	}
 	r, err := read(ctx, kind, name)
@@ -209,7 +200,7 @@
 	if err != nil {
 		return nil, err
 	}
-	now := c.uptime()
+	now := c.timers.Uptime()
 	if r.Revision > c.lastRecord.Revision {
 		c.lastRecord, c.unchangedSince = r, now
 	}
@@ -259,7 +250,7 @@
 // before a successor of the given holder takes it.
 func (c *Candidate) formerHolders(held leaseRecord) []string {
 	former := []string{held.Holder}
-	if !held.Released && c.uptime()-c.epochSince < c.formerWait() {
+	if !held.Released && c.timers.Uptime()-c.epochSince < c.formerWait() {
 		former = append(former, held.Former...)
 	}
 	slices.Sort(former)
@@ -272,7 +263,7 @@
 	if c.options.Ready == nil {
 		return true
 	}
-	for start := c.uptime(); !c.options.Ready() && c.uptime()-start < readyTimeout; {
+	for start := c.timers.Uptime(); !c.options.Ready() && c.timers.Uptime()-start < readyTimeout; {
 		if c.timers.Sleep(ctx, readyPoll) != nil {
 			return false
 		}
@@ -307,14 +298,14 @@
 	if err != nil {
 		return nil, err
 	}
-	start := c.uptime()
+	start := c.timers.Uptime()
 	written, err := saveNext(ctx, r.WithBody(body), save)
 	if err != nil {
 		return nil, err
 	}
 	c.lastRecord, c.unchangedSince = written, start
 	c.noteEpoch(next, start)
-	tenure := &Tenure{Epoch: next.Epoch, began: start, former: next.Former, uptime: c.uptime, timers: c.timers}
+	tenure := &Tenure{Epoch: next.Epoch, began: start, former: next.Former, timers: c.timers}
 	tenure.until.Store(int64(start + c.options.Term - margin))
 	return tenure, nil
 }
@@ -322,7 +313,7 @@
 // hold runs lead and renews the tenure until another process has the role or
 // ctx ends.
 func (c *Candidate) hold(ctx context.Context, tenure *Tenure, lead func(context.Context, *Tenure)) {
-	began := c.uptime()
+	began := c.timers.Uptime()
 	inner, cancel := context.WithCancel(ctx)
 	finished := make(chan struct{})
 	go func() { defer close(finished); lead(inner, tenure) }()
@@ -335,7 +326,7 @@
 	}
 	cancel()
 	<-finished
-	releasable := c.uptime()-began > releaseAfterTerms*c.options.Term && tenure.Held()
+	releasable := c.timers.Uptime()-began > releaseAfterTerms*c.options.Term && tenure.Held()
 	tenure.until.Store(0)
 	if releasable {
 		c.release(held)
@@ -347,7 +338,7 @@
 // another process has the role. A renewal that merely fails does not end the
 // tenure.
 func (c *Candidate) renew(ctx context.Context, tenure *Tenure, held leaseRecord) bool {
-	start := c.uptime()
+	start := c.timers.Uptime()
 	if start-tenure.began >= c.formerWait() {
 		held.Former = nil
 	}
@@ -379,7 +370,7 @@
 	if json.Unmarshal(r.Body, &current) != nil || current.Holder != held.Holder || current.Epoch != held.Epoch {
 		return false
 	}
-	c.lastRecord, c.unchangedSince = r, c.uptime()
+	c.lastRecord, c.unchangedSince = r, c.timers.Uptime()
 	return true
 }
 
--- a/internal/control/leader/leader_test.go
+++ b/internal/control/leader/leader_test.go
@@ -24,8 +24,8 @@
 func newFixture() *fixture { return &fixture{ledger: ledger.New(), now: time.Hour} }
 
 func (f *fixture) candidate(name string) *Candidate {
-	c := New(f.ledger.Store(), Options{Self: name, Term: term}, clock.NewSystem(), logs.Discard())
-	return c.WithUptime(func() time.Duration { return f.now })
+	timers := clock.NewSystem().WithUptime(func() time.Duration { return f.now })
+	return New(f.ledger.Store(), Options{Self: name, Term: term}, timers, logs.Discard())
 }
 
 func (f *fixture) campaign(t *testing.T, c *Candidate) *Tenure {
--- a/internal/control/leader/release_test.go
+++ b/internal/control/leader/release_test.go
@@ -31,8 +31,8 @@
 		return put(ctx, r)
 	}
 	uptime.Store(int64(time.Hour))
-	c := New(store, Options{Self: "a", Term: short}, clock.NewSystem(), logs.Discard()).
-		WithUptime(func() time.Duration { return time.Duration(uptime.Load()) })
+	timers := clock.NewSystem().WithUptime(func() time.Duration { return time.Duration(uptime.Load()) })
+	c := New(store, Options{Self: "a", Term: short}, timers, logs.Discard())
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	c.Run(ctx, func(ctx context.Context, tenure *Tenure) {
--- a/internal/control/mirror/mirror.go
+++ b/internal/control/mirror/mirror.go
@@ -73,8 +73,6 @@
 	timers  *clock.Service
 	log     *logrus.Entry
 
-	uptime func() time.Duration
-
 	revisions   map[string]uint64 // latest revision by name; used by Run only
 	horizon     uint64            // revision up to which changes are known; used by Run only
 	synced      atomic.Bool
@@ -87,17 +85,10 @@
 func New(store records.Store, kind string, options Options, timers *clock.Service, log *logrus.Entry) *Mirror {
 	return &Mirror{
 		kind: kind, store: store, options: options, timers: timers,
-		log: log.WithField("kind", kind), revisions: map[string]uint64{}, uptime: clock.Uptime,
+		log: log.WithField("kind", kind), revisions: map[string]uint64{},
 	}
 }
 
-// WithUptime sets the clock by which the age of the latest answer is measured.
-// It must be called before Run.
-func (m *Mirror) WithUptime(uptime func() time.Duration) *Mirror {
-	m.uptime = uptime
-	return m
-}
-
 // Stale reports whether the latest answer is older than the calls may take
 // although no call has failed. This means that the process was paused and does
 // not know yet what has changed meanwhile.
@@ -105,7 +96,7 @@
 	if m.unavailable.Load() || !m.synced.Load() {
 		return false
 	}
-	return m.uptime()-time.Duration(m.lastAnswer.Load()) > callAttempts*m.options.Wait+m.options.WatchInterval+callOverhead
+	return m.timers.Uptime()-time.Duration(m.lastAnswer.Load()) > callAttempts*m.options.Wait+m.options.WatchInterval+callOverhead
 }
 
 // Synced reports whether the kind has been listed completely at least once.
@@ -120,7 +111,7 @@
 	backoff := initialBackoff
 	var revision uint64
 	for ctx.Err() == nil {
-		began := m.uptime()
+		began := m.timers.Uptime()
 		next, err := m.fetch(ctx, revision)
 		if err == nil {
 			m.lastAnswer.Store(int64(m.answerTime(began, revision)))
@@ -156,7 +147,7 @@
 	if revision == 0 {
 		return began
 	}
-	return min(m.uptime(), began+m.options.Wait)
+	return min(m.timers.Uptime(), began+m.options.Wait)
 }
 
 // fetch makes one call, a listing if revision is 0 and otherwise a watch, and
--- a/internal/control/mirror/stale_test.go
+++ b/internal/control/mirror/stale_test.go
@@ -29,8 +29,8 @@
 			}
 		},
 	}
-	m := New(store, "things", Options{Wait: wait, Apply: func(records.Record) {}}, clock.NewSystem(), logs.Discard()).
-		WithUptime(func() time.Duration { return time.Duration(now.Load()) })
+	timers := clock.NewSystem().WithUptime(func() time.Duration { return time.Duration(now.Load()) })
+	m := New(store, "things", Options{Wait: wait, Apply: func(records.Record) {}}, timers, logs.Discard())
 	if m.Stale() {
 		t.Error("stale before the first list")
 	}
@@ -80,8 +80,8 @@
 			return records.Changes{Revision: after}, nil
 		},
 	}
-	m := New(store, "things", Options{Wait: wait, Apply: func(records.Record) {}}, clock.NewSystem(), logs.Discard()).
-		WithUptime(func() time.Duration { return time.Duration(now.Load()) })
+	timers := clock.NewSystem().WithUptime(func() time.Duration { return time.Duration(now.Load()) })
+	m := New(store, "things", Options{Wait: wait, Apply: func(records.Record) {}}, timers, logs.Discard())
 	ctx, cancel := context.WithCancel(context.Background())
 	finished := make(chan struct{})
 	go func() { defer close(finished); m.Run(ctx) }()
