Log the rate limits that endpoints name, and count the sends to them

Cause: endpoints name in their answers how many requests a second they take from all processes together.

Change: fleet/ratelimit keeps the limits by endpoint and start time, and logs when one is learned, changes or ends, with its age and the number of processes. An answer ends a limit only if its request was sent after the limit became known. Values that are no rate are logged and ignored. limited_sends counts the requests that are sent to endpoints with a limit.

--- a/cmd/wigeonpin/node.go
+++ b/cmd/wigeonpin/node.go
@@ -16,6 +16,8 @@
 	"github.com/wigeonpin/wigeonpin/internal/base/logs"
 	"github.com/wigeonpin/wigeonpin/internal/base/meter"
 	"github.com/wigeonpin/wigeonpin/internal/control/broadcast"
+	"github.com/wigeonpin/wigeonpin/internal/control/member"
+	"github.com/wigeonpin/wigeonpin/internal/fleet/ratelimit"
 	"github.com/wigeonpin/wigeonpin/internal/node/members"
 	"github.com/wigeonpin/wigeonpin/internal/node/profile"
 	"github.com/wigeonpin/wigeonpin/internal/node/view"
@@ -66,7 +68,7 @@
 var summaryCounters = []string{
 	storeCalls, storeStrays, "requests_served", "requests_failed", "connections_opened", "endpoint_breaks", "endpoint_refusals", "requests_held", stop.CountName,
 	batch.CountEmpty, batch.CountMissed, batch.CountMisplaced,
-	runner.CountRuns, runner.CountRejections, runner.CountBreaks, runner.CountScoreFailures,
+	ratelimit.CountSends, runner.CountRuns, runner.CountRejections, runner.CountBreaks, runner.CountScoreFailures,
 }
 
 // node holds what entry and worker processes have in common: settings, log,
@@ -79,6 +81,7 @@
 	store       records.Store
 	peers       *members.Members
 	broadcaster *broadcast.Broadcaster
+	limiter     *ratelimit.Limiter
 	mux         *http.ServeMux // serves calls from peers
 	// isolated reports whether neither the store nor a process in another
 	// availability zone can be reached. directLost reports whether the direct path
@@ -160,6 +163,7 @@
 		Neighbours: circle.Neighbours, Report: circle.Report, Peers: conn.NewPeerClient(broadcastDialTimeout, broadcastIdleConns),
 	}, n.log)
 	go func() { _ = n.broadcaster.Run(ctx) }() // runs until the process ends
+	n.limiter = ratelimit.New(ratelimit.Options{Self: p.Name}, ratelimit.Seams{Members: n.instances, Meters: n.meters}, n.timers, n.log)
 	go n.shareRestoration(ctx, restored, route.ProbeNow)
 	n.mux = http.NewServeMux()
 	n.mux.Handle(broadcast.NoticesPathPrefix, n.broadcaster.Server())
@@ -237,6 +241,20 @@
 	return peers
 }
 
+// instances returns the processes of the system, this one included, or nil while
+// they are not known.
+func (n *node) instances() []member.Instance {
+	if !n.peers.Synced() {
+		return nil
+	}
+	p := n.source.Current()
+	list := []member.Instance{{ID: p.Name, Zone: p.Zone}}
+	for _, other := range n.peers.Others() {
+		list = append(list, member.Instance{ID: other.Name, Zone: other.Zone, Peer: other.Address})
+	}
+	return list
+}
+
 // entryCount returns the number of entry processes, including this one, or 0
 // while the list of processes is not known.
 func (n *node) entryCount() int {
--- a/internal/fleet/replica/pick.go
+++ b/internal/fleet/replica/pick.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"time"
+
+	"github.com/wigeonpin/wigeonpin/internal/fleet/ratelimit"
 )
 
 // Requirements describes the endpoint that a request needs. Version is the lowest
@@ -27,7 +29,10 @@
 	Entry Entry
 	fleet *Fleet
 	began time.Time
-	done  bool
+	// sentAt is the uptime at which the slot was reserved, right before the request
+	// is sent.
+	sentAt time.Duration
+	done   bool
 }
 
 // Pick reserves a slot at the endpoint with the lowest score. Endpoints that
@@ -58,7 +63,8 @@
 	if now.Before(best.coldUntil) {
 		best.coldTokens--
 	}
-	return &Slot{Entry: best.Entry, fleet: f, began: now}, true
+	f.options.Limiter.CountSend(best.run())
+	return &Slot{Entry: best.Entry, fleet: f, began: now, sentAt: f.timers.Uptime()}, true
 }
 
 func (f *Fleet) matches(s *endpointState, want Requirements) bool {
@@ -179,6 +185,12 @@
 	}
 }
 
+// ReportLimit records the rate limit in requests per second that the endpoint named
+// with its answer, or that it named none.
+func (s *Slot) ReportLimit(rate float64, limited bool) {
+	s.fleet.options.Limiter.Observe(s.Entry.run(), ratelimit.Observation{Rate: rate, Limited: limited, SentAt: s.sentAt})
+}
+
 // MarkCold records that the endpoint reported that it is cold for the remaining time.
 func (s *Slot) MarkCold(remaining time.Duration) {
 	s.fleet.mu.Lock()
--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/fleet/ratelimit"
 )
 
 // Entry is the registration of an endpoint, as the endpoint published it.
@@ -36,6 +37,11 @@
 	Running, Waiting, Slots int
 }
 
+// run identifies the run of the endpoint that the entry belongs to.
+func (e Entry) run() ratelimit.Endpoint {
+	return ratelimit.Endpoint{ID: e.ID, Born: e.Born, Zone: e.Zone}
+}
+
 // Outcome is the result of a request at an endpoint.
 type Outcome int
 
@@ -98,6 +104,7 @@
 	ColdShare  func() float64
 	Overcommit float64
 	Shared     bool
+	Limiter    *ratelimit.Limiter
 }
 
 type endpointState struct {
@@ -155,6 +162,9 @@
 
 // NewFleet returns an empty fleet.
 func NewFleet(timers *clock.Service, options Options) *Fleet {
+	if options.Limiter == nil {
+		options.Limiter = ratelimit.NewLocal(timers)
+	}
 	return &Fleet{
 		timers: timers, options: options, states: map[string]*endpointState{}, departures: map[string]departure{},
 		zonesOut: map[string]bool{}, silent: map[string]time.Time{}, warmups: map[string]Warmup{}, changed: make(chan struct{}, 1), onEnd: func(Entry) {},
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -23,6 +23,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/base/logs"
 	"github.com/wigeonpin/wigeonpin/internal/base/meter"
 	"github.com/wigeonpin/wigeonpin/internal/billing/window"
+	"github.com/wigeonpin/wigeonpin/internal/fleet/ratelimit"
 	"github.com/wigeonpin/wigeonpin/internal/fleet/replica"
 	"github.com/wigeonpin/wigeonpin/internal/node/profile"
 	"github.com/wigeonpin/wigeonpin/internal/node/view"
@@ -93,6 +94,8 @@
 	// EntryCount returns the number of entry processes, this one included, or 0
 	// while it is not known.
 	EntryCount func() int
+	// Limiter keeps the request rates that endpoints take from all processes.
+	Limiter *ratelimit.Limiter
 	// Isolated reports whether neither the store nor another availability zone
 	// can be reached. The process is then not ready, since other zones serve
 	// callers better.
@@ -126,7 +129,7 @@
 	pool := exchange.New(exchange.Options{
 		EchoHeader: deps.Names.Request, OnConnect: func(address string) { connections.Add(address, 1) },
 	})
-	fleet := replica.NewFleet(timers, replica.Options{Zone: p.Zone, ColdShare: coldSharePerEntry(deps.EntryCount), Overcommit: overcommit, Shared: true})
+	fleet := replica.NewFleet(timers, replica.Options{Zone: p.Zone, ColdShare: coldSharePerEntry(deps.EntryCount), Overcommit: overcommit, Shared: true, Limiter: deps.Limiter})
 	v := view.New(store, deps.Formats, p, fleet, timers, log)
 	counter := window.NewCounter(store, p.Name, p.Window, timers, log)
 	plan := stop.New(timers, deps.Meters)
--- a/internal/node/worker/worker.go
+++ b/internal/node/worker/worker.go
@@ -25,6 +25,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/billing/window"
 	"github.com/wigeonpin/wigeonpin/internal/control/leader"
 	"github.com/wigeonpin/wigeonpin/internal/control/mirror"
+	"github.com/wigeonpin/wigeonpin/internal/fleet/ratelimit"
 	"github.com/wigeonpin/wigeonpin/internal/fleet/replica"
 	"github.com/wigeonpin/wigeonpin/internal/fleet/weights"
 	"github.com/wigeonpin/wigeonpin/internal/node/profile"
@@ -87,6 +88,7 @@
 	IsRetired      func(records.Record) bool                                     // whether such a request is answered
 	MarkRetired    func(records.Record) records.Record                           // returns the request with the answer in its status
 	Meters         *meter.Set
+	Limiter        *ratelimit.Limiter // keeps the request rates that endpoints take from all processes
 }
 
 // Worker is a worker process. It follows batches, versions and endpoints also
@@ -111,7 +113,7 @@
 // New returns a worker that Run starts.
 func New(p profile.Profile, deps Dependencies, timers *clock.Service, log *logrus.Entry) *Worker {
 	w := &Worker{profile: p, deps: deps, timers: timers, log: log, store: deps.Store, duties: deps.Duties}
-	fleet := replica.NewFleet(timers, replica.Options{ColdShare: replica.Fixed(coldShare), Overcommit: 1})
+	fleet := replica.NewFleet(timers, replica.Options{ColdShare: replica.Fixed(coldShare), Overcommit: 1, Limiter: deps.Limiter})
 	pool := exchange.New(exchange.Options{EchoHeader: deps.Names.Request})
 	w.view = view.New(w.store, deps.Formats, p, fleet, timers, log)
 	demand := weights.NewDemand(timers)
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -389,6 +389,11 @@
 	if left, found := headers.Millis(h, f.seams.Names.Cold); found && left > 0 {
 		slot.MarkCold(left)
 	}
+	if rate, limited, err := f.seams.Names.ReadLimit(h); err != nil {
+		f.log.WithFields(logrus.Fields{logs.Endpoint: slot.Entry.ID, logs.Cause: err.Error()}).Warn("rate limit of an endpoint ignored")
+	} else {
+		slot.ReportLimit(rate, limited)
+	}
 }
 
 // receive buffers a plain answer up to MaxBufferedAnswer, or less when the memory
--- a/internal/traffic/headers/headers.go
+++ b/internal/traffic/headers/headers.go
@@ -8,6 +8,9 @@
 package headers
 
 import (
+	"errors"
+	"fmt"
+	"math"
 	"net/http"
 	"net/textproto"
 	"strconv"
@@ -23,11 +26,12 @@
 	// the milliseconds until its deadline, the endpoint that it is meant for and its
 	// client account.
 	Request, Deadline, Endpoint, Account string
-	// Stamp to Leaving are fields of an endpoint's answer: the proof of which
+	// Stamp to Limit are fields of an endpoint's answer: the proof of which
 	// endpoint answered, the mark of a request that has not run, the load report,
-	// the milliseconds for which the endpoint is still cold, and the mark of an
-	// endpoint that is shutting down.
-	Stamp, Rejected, Load, Cold, Leaving string
+	// the milliseconds for which the endpoint is still cold, the mark of an
+	// endpoint that is shutting down, and the requests per second that the endpoint
+	// takes from all processes together.
+	Stamp, Rejected, Load, Cold, Leaving, Limit string
 	// Versions is the field with the weight version of an answer. VersionKey is no
 	// header field but the field of a stream event at which the version changes.
 	Versions, VersionKey string
@@ -111,6 +115,29 @@
 // that it must get no new work.
 func (n Names) IsLeaving(h http.Header) bool { return n.Leaving != "" && h.Get(n.Leaving) == "1" }
 
+// ReadLimit parses an endpoint's rate limit in requests per second. found reports
+// whether the answer has the field, and err whether its value is no rate. Of several
+// values the lowest one counts.
+func (n Names) ReadLimit(h http.Header) (rate float64, found bool, err error) {
+	if n.Limit == "" {
+		return 0, false, nil
+	}
+	for _, value := range h.Values(n.Limit) {
+		parsed, err := strconv.ParseFloat(textproto.TrimString(value), 64)
+		if err != nil || math.IsNaN(parsed) || parsed < 0 {
+			return 0, true, fmt.Errorf("%w: %q", ErrInvalidRate, value)
+		}
+		if !found || parsed < rate {
+			rate, found = parsed, true
+		}
+	}
+	return rate, found, nil
+}
+
+// ErrInvalidRate is returned for a rate limit that is not a number of requests per
+// second, zero or more.
+var ErrInvalidRate = errors.New("invalid rate limit")
+
 // ReadVersion parses the weight version of an answer.
 func (n Names) ReadVersion(h http.Header) (int64, bool) {
 	version, err := strconv.ParseInt(strings.TrimSpace(h.Get(n.Versions)), 10, 64)
--- a/internal/training/runner/stream.go
+++ b/internal/training/runner/stream.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/wigeonpin/wigeonpin/internal/base/logs"
 	"github.com/wigeonpin/wigeonpin/internal/fleet/replica"
 	"github.com/wigeonpin/wigeonpin/internal/peer/exchange"
@@ -24,8 +26,8 @@
 		return generated, 0, err
 	}
 	defer answer.Close()
-	if answer.Status != http.StatusMisdirectedRequest && r.seams.Names.IsLeaving(answer.Header) && slot.MarkLeaving() {
-		r.log.WithField(logs.Endpoint, slot.Entry.ID).Info("engine leaves")
+	if answer.Status != http.StatusMisdirectedRequest {
+		r.observe(slot, answer.Header)
 	}
 	version, _ := r.seams.Names.ReadVersion(answer.Header)
 	if err := r.checkAnswer(answer); err != nil {
@@ -74,6 +76,19 @@
 	}
 }
 
+// observe records what the engine reports about itself in the header of its answer.
+func (r *Runner) observe(slot *replica.Slot, header http.Header) {
+	if r.seams.Names.IsLeaving(header) && slot.MarkLeaving() {
+		r.log.WithField(logs.Endpoint, slot.Entry.ID).Info("engine leaves")
+	}
+	rate, limited, err := r.seams.Names.ReadLimit(header)
+	if err != nil {
+		r.log.WithFields(logrus.Fields{logs.Endpoint: slot.Entry.ID, logs.Cause: err.Error()}).Warn("rate limit of an engine ignored")
+		return
+	}
+	slot.ReportLimit(rate, limited)
+}
+
 // tooLong reports whether the text exceeds the limits of the item: every event
 // holds at least one token, and a result must fit into a record.
 func (r *Runner) tooLong(item *batch.Item, generated text) bool {
