Share limits and cold starts of endpoints among the processes by permits

Cause: nothing read the limit, and the one shared rate there was, that of a cold endpoint, was divided by fixed parts that add up to 1.1 and lie where no requests are.

Change: fleet/ratelimit. Each request to a limited or cold endpoint needs a permit. The first process in rendezvous order of the endpoint's zone grants them from a token bucket, with a queue that is fair between client accounts; the others ask it. No lease protects this role: a process that is not confirmed, or stands in for a silent one, grants a part, and all parts add up to 1.25 at most. Retries, hedges, resumed streams, items and scoring calls all take a permit, since they all pick a slot. The entry processes, the workers and the stand-alone instance use it; coldShare and the token buckets of fleet/replica are gone.

TestColdRateIsShared keeps its bounds and runs limiters that call each other.

--- a/cmd/wigeonpin/node.go
+++ b/cmd/wigeonpin/node.go
@@ -56,6 +56,10 @@
 	broadcastPeriod      = time.Second
 	broadcastDialTimeout = 300 * time.Millisecond
 	broadcastIdleConns   = 1
+	// permitDialTimeout bounds a connection attempt to the process that grants the
+	// permits of an endpoint, and permitIdleConns the idle connections to each.
+	permitDialTimeout = 150 * time.Millisecond
+	permitIdleConns   = 2
 	// restorationTopic is the topic of events that tell that the store answers
 	// again. restorationTTL is how long such an event is passed on, and the shortest
 	// time between two of them.
@@ -68,7 +72,7 @@
 var summaryCounters = []string{
 	storeCalls, storeStrays, "requests_served", "requests_failed", "connections_opened", "endpoint_breaks", "endpoint_refusals", "requests_held", stop.CountName,
 	batch.CountEmpty, batch.CountMissed, batch.CountMisplaced,
-	ratelimit.CountSends, runner.CountRuns, runner.CountRejections, runner.CountBreaks, runner.CountScoreFailures,
+	ratelimit.CountSends, ratelimit.CountAsks, runner.CountRuns, runner.CountRejections, runner.CountBreaks, runner.CountScoreFailures,
 }
 
 // node holds what entry and worker processes have in common: settings, log,
@@ -163,9 +167,15 @@
 		Neighbours: circle.Neighbours, Report: circle.Report, Peers: conn.NewPeerClient(broadcastDialTimeout, broadcastIdleConns),
 	}, n.log)
 	go func() { _ = n.broadcaster.Run(ctx) }() // runs until the process ends
-	n.limiter = ratelimit.New(ratelimit.Options{Self: p.Name}, ratelimit.Seams{Members: n.instances, Meters: n.meters}, n.timers, n.log)
+	permitAsk, claim := ratelimit.Calls(conn.NewPeerClient(permitDialTimeout, permitIdleConns))
+	n.limiter = ratelimit.New(ratelimit.Options{Self: p.Name}, ratelimit.Seams{
+		Members: n.instances, Ask: permitAsk, Claim: claim, Refused: ratelimit.GrantsNone,
+		Post: n.broadcaster.Publish, Subscribe: n.broadcaster.Subscribe, Meters: n.meters,
+	}, n.timers, n.log)
+	go func() { _ = n.limiter.Run(ctx) }() // runs until the process ends
 	go n.shareRestoration(ctx, restored, route.ProbeNow)
 	n.mux = http.NewServeMux()
+	n.mux.Handle(ratelimit.RatesPathPrefix, n.limiter.Server())
 	n.mux.Handle(broadcast.NoticesPathPrefix, n.broadcaster.Server())
 	n.mux.Handle(relay.RelayPathPrefix, relay.NewServer(route.CallForPeer, n.peerWatches(role, direct, routed)))
 	server := &http.Server{Handler: http.MaxBytesHandler(n.mux, conn.PeerBodyLimit), ReadHeaderTimeout: readHeaderTimeout}
@@ -255,15 +265,6 @@
 	return list
 }
 
-// entryCount returns the number of entry processes, including this one, or 0
-// while the list of processes is not known.
-func (n *node) entryCount() int {
-	if !n.peers.Synced() {
-		return 0
-	}
-	return n.peers.Count(roleEntry) + 1
-}
-
 // serveMetrics serves the counters and histograms as JSON. When the port is in
 // use, the process continues without a metrics server.
 func (n *node) serveMetrics(ip string) {
--- a/internal/base/code/code.go
+++ b/internal/base/code/code.go
@@ -61,6 +61,7 @@
 	KeyReused        Code = 409
 	ContentHeld      Code = 410
 	Stopped          Code = 411
+	EndpointLimited  Code = 412
 
 	EditConflict        Code = 501
 	EditInvalid         Code = 502
@@ -124,6 +125,7 @@
 	KeyReused:           {"key_reused", http.StatusUnprocessableEntity, "The idempotency key came before with other content."},
 	ContentHeld:         {"content_held", http.StatusServiceUnavailable, "Requests with this content ended endpoints and are held back for a time."},
 	Stopped:             {"stopped", http.StatusBadGateway, "The instance stopped before the endpoint answered; the request may have run."},
+	EndpointLimited:     {"endpoint_limited", http.StatusServiceUnavailable, "All endpoints have had the requests per second that they take."},
 	EditConflict:        {"edit_conflict", http.StatusConflict, "Another edit of the row was accepted first."},
 	EditInvalid:         {"edit_invalid", http.StatusUnprocessableEntity, "The row has an invalid field."},
 	EditUncertain:       {"edit_uncertain", http.StatusServiceUnavailable, "It is not yet known whether the edit was accepted; ask again with its id."},
--- a/internal/base/codec/codec.go
+++ b/internal/base/codec/codec.go
@@ -36,6 +36,9 @@
 	HeaderRun     = "Wigeonpin-Run"
 	HeaderCode    = "Wigeonpin-Code"
 	HeaderRequest = "Wigeonpin-Request"
+	// HeaderLimit is the requests per second that an endpoint takes from all instances
+	// together, for as long as its answers name them.
+	HeaderLimit = "Wigeonpin-Limit"
 )
 
 // Read decodes the request body, which may have at most limit bytes, and rejects
--- a/internal/control/serve/build.go
+++ b/internal/control/serve/build.go
@@ -18,6 +18,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/control/roster"
 	"github.com/wigeonpin/wigeonpin/internal/fleet/order"
 	"github.com/wigeonpin/wigeonpin/internal/fleet/quota"
+	"github.com/wigeonpin/wigeonpin/internal/fleet/ratelimit"
 	"github.com/wigeonpin/wigeonpin/internal/fleet/rollout"
 	"github.com/wigeonpin/wigeonpin/internal/peer/capacity"
 	"github.com/wigeonpin/wigeonpin/internal/peer/engine"
@@ -58,6 +59,7 @@
 	roster      *roster.Roster
 
 	pool     *quota.Pool
+	limiter  *ratelimit.Limiter
 	suspects *suspect.Suspects
 	orders   *order.Scaler
 	rollout  *rollout.Rollout
@@ -126,6 +128,12 @@
 		Endpoints: i.roster.Endpoints, Learn: i.roster.MergeLoad, Probe: i.roster.RequestProbe, SlotLimit: i.slots, Queued: i.backlogs,
 		Call: quota.Call(i.peers),
 	}, i.log)
+	ask, claim := ratelimit.Calls(i.peers)
+	i.limiter = ratelimit.New(ratelimit.Options{Self: i.settings.ID}, ratelimit.Seams{
+		Members: i.limitMembers, Ask: ask, Claim: claim, Refused: ratelimit.GrantsNone,
+		Post: i.broadcaster.Publish, Subscribe: i.broadcaster.Subscribe, Meters: i.meters,
+	}, i.timers, i.log)
+	i.limiter.OnRoom(func() { i.queue.Recheck() })
 	i.orders = order.New(i.settings, i.timers, order.Seams{
 		Hold: i.holdOrders, Members: i.zoneMembers, Demand: i.demand, Collect: order.Collect(i.peers),
 		Endpoints: i.roster.Endpoints, Refresh: i.roster.Refresh, Table: i.config.Table, Order: i.capacity.SendOrder,
@@ -166,6 +174,7 @@
 		Endpoints: i.endpoints, Load: i.load, Instances: i.instancesIn, Failed: i.roster.MarkFailed, FreeSlots: i.freeSlots, Acquire: i.acquire, Wait: i.wait,
 		Table: i.config.Table, Admit: i.suspects.Admit, Suspect: i.suspects.IsSuspect, Enter: i.suspects.ReserveEndpoint, Crashed: i.suspects.Crashed,
 		Completed: i.suspects.Completed, Record: i.recordUsage,
+		Limiter: i.limiter,
 		Breaker: breaker.New(breaker.Seams{Post: i.broadcaster.Publish, Subscribe: i.broadcaster.Subscribe}, i.timers, i.log),
 	}
 	queues := queue.Seams{RemoteCost: i.pool.RemoteCost, Changed: i.pool.Changed}
@@ -194,7 +203,7 @@
 func (i *instance) components() map[string]func(context.Context) error {
 	return map[string]func(context.Context) error{
 		"directory": i.directory.Run, "config": i.config.Run, "bulletin": i.broadcaster.Run, "roster": i.roster.Run,
-		"share": i.pool.Run, "suspect": i.suspects.Run, "order": i.runOrders, "rollout": i.rollout.Run,
+		"share": i.pool.Run, "limit": i.limiter.Run, "suspect": i.suspects.Run, "order": i.runOrders, "rollout": i.rollout.Run,
 		"queue": i.queue.Run, "once": i.idempotency.Run, "entry": i.entry.Run, "step": i.steps.Run,
 		"version": i.versions.Run, "usage": i.usage.Run, "report": i.runReports, "cache": i.runCache,
 	}
--- a/internal/control/serve/fleet.go
+++ b/internal/control/serve/fleet.go
@@ -81,6 +81,16 @@
 	return out
 }
 
+// limitMembers returns the instances that send requests to endpoints, or nil while this
+// one is not listed.
+func (i *instance) limitMembers() []member.Instance {
+	listed := i.directory.Listed()
+	if _, found := listed.Instance(i.settings.ID); !found {
+		return nil
+	}
+	return listed.Instances()
+}
+
 // demand returns this instance's part of the zone's demand. The work of a plain
 // service that must not run on cheap endpoints, because requests of its routes
 // must not be repeated, counts as fixed to standard endpoints.
--- a/internal/control/serve/handler.go
+++ b/internal/control/serve/handler.go
@@ -12,6 +12,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/control/roster"
 	"github.com/wigeonpin/wigeonpin/internal/fleet/order"
 	"github.com/wigeonpin/wigeonpin/internal/fleet/quota"
+	"github.com/wigeonpin/wigeonpin/internal/fleet/ratelimit"
 	"github.com/wigeonpin/wigeonpin/internal/fleet/rollout"
 	"github.com/wigeonpin/wigeonpin/internal/peer/conn"
 	"github.com/wigeonpin/wigeonpin/internal/peer/fleet"
@@ -28,6 +29,7 @@
 		broadcast.NoticesPathPrefix: i.broadcaster.Server(),
 		roster.ListsPathPrefix:      i.roster.Server(),
 		quota.SharesPathPrefix:      i.pool.Server(),
+		ratelimit.RatesPathPrefix:   i.limiter.Server(),
 		suspect.PlacesPathPrefix:    i.suspects.Server(),
 		order.DemandsPathPrefix:     i.orders.Server(),
 		idempotency.OncePathPrefix:  i.idempotency.Server(),
--- a/internal/fleet/replica/overload_test.go
+++ b/internal/fleet/replica/overload_test.go
@@ -70,7 +70,7 @@
 
 // start starts or restarts a process, without any state of a previous run.
 func (o *overloadSim) start(process int) {
-	f := NewFleet(o.timers, Options{Zone: simZone, ColdShare: Fixed(0.1), Overcommit: 1.5, Shared: true})
+	f := NewFleet(o.timers, Options{Zone: simZone, Overcommit: 1.5, Shared: true})
 	for id := range o.endpoints {
 		f.Put(Entry{ID: id, Service: "svc", Zone: simZone, Slots: simSlots, Address: id})
 	}
--- a/internal/fleet/replica/pick.go
+++ b/internal/fleet/replica/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/wigeonpin/wigeonpin/internal/fleet/ratelimit"
@@ -10,13 +11,18 @@
 // Requirements describes the endpoint that a request needs. Version is the lowest
 // acceptable weight version of Model. Avoid holds the IDs of endpoints that must
 // not be used. Preferred is the ID of an endpoint that is picked unless it is much
-// busier than others.
+// busier than others. Account, Waiting and Patience describe the requests that wait for
+// the service in this process: the client account of this one, their number, and how
+// long this one may wait for a limited endpoint.
 type Requirements struct {
 	Service   string
 	Model     string
 	Version   int64
 	Avoid     map[string]bool
 	Preferred string
+	Account   string
+	Waiting   int
+	Patience  time.Duration
 }
 
 // preferredBonus is the load, as a share of the slots, by which an endpoint with
@@ -39,32 +45,113 @@
 // failed recently are picked only when no other is left. Endpoints that were not
 // found at their address are not picked at all, since a request there is certain
 // to be wasted.
+//
+// A limited endpoint is picked only with a permit. If there is none, Pick asks for one,
+// and meanwhile picks the best endpoint that needs none. A single request waits a few
+// milliseconds for the permit of a better endpoint.
 func (f *Fleet) Pick(want Requirements) (*Slot, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := f.timers.Now()
+	for {
+		now := f.timers.Now()
+		best, limited := f.choose(want, now)
+		need := ratelimit.Need{Account: want.Account, Waiting: want.Waiting, Patience: want.Patience, Alternative: best != nil}
+		switch f.requestPermits(limited, need) {
+		case ratelimit.Again:
+			continue
+		case ratelimit.Hold:
+			return nil, false
+		case ratelimit.Proceed:
+		}
+		if best == nil {
+			return nil, false
+		}
+		if !f.options.Limiter.Take(best.run()) {
+			continue // the permit has just expired
+		}
+		best.inFlight++
+		return &Slot{Entry: best.Entry, fleet: f, began: now, sentAt: f.timers.Uptime()}, true
+	}
+}
+
+// candidate is an endpoint that may be picked.
+type candidate struct {
+	state   *endpointState
+	score   float64
+	avoided bool // it failed recently
+}
+
+// before reports whether the candidate is preferred to another one.
+func (c candidate) before(other candidate) bool {
+	if other.state == nil || c.avoided != other.avoided {
+		return other.state == nil || !c.avoided
+	}
+	return c.score < other.score
+}
+
+// choose returns the best endpoint with room that can be sent to now, or nil, and the
+// limited ones without a permit that are preferred to it, best first.
+func (f *Fleet) choose(want Requirements, now time.Time) (best *endpointState, limited []ratelimit.Endpoint) {
 	fastest := f.fastest(want.Service, now)
-	var best *endpointState
-	bestScore, bestAvoided := 0.0, false
+	var first candidate
+	var withheld []candidate
 	for _, s := range f.states {
 		if !f.matches(s, want) || !f.hasRoom(s, now) {
 			continue
 		}
-		avoided := now.Before(s.backoffUntil)
-		score := f.score(s, want, now) + slownessWeight*(f.slowness(s, fastest, now)-1)
-		if best == nil || (bestAvoided && !avoided) || (bestAvoided == avoided && score < bestScore) {
-			best, bestScore, bestAvoided = s, score, avoided
+		c := candidate{state: s, avoided: now.Before(s.backoffUntil)}
+		c.score = f.score(s, want, now) + slownessWeight*(f.slowness(s, fastest, now)-1)
+		switch cold, known := f.cold(s, now); {
+		case !known:
+		case f.options.Limiter.State(s.run(), cold) == ratelimit.Withheld:
+			withheld = append(withheld, c)
+		case c.before(first):
+			first = c
 		}
 	}
-	if best == nil {
-		return nil, false
+	slices.SortFunc(withheld, func(a, b candidate) int {
+		if a.before(b) {
+			return -1
+		}
+		return 1
+	})
+	for _, c := range withheld {
+		if c.before(first) {
+			limited = append(limited, c.state.run())
+		}
 	}
-	best.inFlight++
-	if now.Before(best.coldUntil) {
-		best.coldTokens--
+	return first.state, limited
+}
+
+func (f *Fleet) requestPermits(limited []ratelimit.Endpoint, need ratelimit.Need) ratelimit.Verdict {
+	if len(limited) == 0 {
+		return ratelimit.Proceed
 	}
-	f.options.Limiter.CountSend(best.run())
-	return &Slot{Entry: best.Entry, fleet: f, began: now, sentAt: f.timers.Uptime()}, true
+	return f.options.Limiter.Request(limited, need)
+}
+
+// Limited reports whether all endpoints that the request could go to need a permit and
+// have none. It returns the time after which one may be expected, and the rate of all
+// of them divided by the number of processes.
+func (f *Fleet) Limited(want Requirements) (wait time.Duration, rate float64, limited bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.timers.Now()
+	for _, s := range f.states {
+		if !f.matches(s, want) {
+			continue
+		}
+		cold, known := f.cold(s, now)
+		if !known || f.options.Limiter.State(s.run(), cold) != ratelimit.Withheld {
+			return 0, 0, false
+		}
+		until, share := f.options.Limiter.Wait(s.run())
+		if !limited || until < wait {
+			wait = until
+		}
+		rate, limited = rate+share, true
+	}
+	return wait, rate, limited
 }
 
 func (f *Fleet) matches(s *endpointState, want Requirements) bool {
@@ -77,21 +164,20 @@
 	return s.loading != want.Model && s.Models[want.Model] >= want.Version
 }
 
-// hasRoom reports whether this process may send one more request to the
-// endpoint. It also refills the tokens of a cold endpoint.
+// hasRoom reports whether this process may send one more request to the endpoint, as
+// far as its load and the path to it are concerned.
 func (f *Fleet) hasRoom(s *endpointState, now time.Time) bool {
 	if s.inFlight >= max(1, int(float64(s.Slots)*f.options.Overcommit)) || !s.limiter.allows(s.inFlight) || now.Before(s.pausedUntil) {
 		return false
 	}
-	if now.Before(s.absentUntil) || now.Before(f.silent[s.Zone]) {
-		return false
-	}
-	if !now.Before(s.coldUntil) {
-		return true
-	}
-	s.coldTokens = min(coldBurst, s.coldTokens+f.coldRate(s)*now.Sub(s.refilledAt).Seconds())
-	s.refilledAt = now
-	return s.coldTokens >= 1
+	return !now.Before(s.absentUntil) && !now.Before(f.silent[s.Zone])
+}
+
+// takesNow reports whether the endpoint has room and needs no permit that this process
+// does not have.
+func (f *Fleet) takesNow(s *endpointState, now time.Time) bool {
+	cold, known := f.cold(s, now)
+	return known && f.hasRoom(s, now) && f.options.Limiter.State(s.run(), cold) != ratelimit.Withheld
 }
 
 // score returns the endpoint's load as a share of its slots, adjusted by the
@@ -150,7 +236,7 @@
 		if s == current || s.eventTime == 0 || now.Sub(s.eventTimeAt) > eventTimeMaxAge || now.Before(s.backoffUntil) {
 			continue
 		}
-		if f.matches(s, want) && f.hasRoom(s, now) {
+		if f.matches(s, want) && f.takesNow(s, now) {
 			worst = max(worst, float64(current.eventTime)/float64(s.eventTime))
 		}
 	}
--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	fleet := replica.NewFleet(timers, replica.Options{Zone: "a", ColdShare: replica.Fixed(0.1)})
+//	fleet := replica.NewFleet(timers, replica.Options{Zone: "a", Limiter: limiter})
 //	fleet.Put(entry)
 //	slot, found := fleet.Pick(replica.Requirements{Service: "catalog"})
 //	...
@@ -13,7 +13,6 @@
 
 import (
 	"maps"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -84,9 +83,6 @@
 	// departureRetention is how long the announced departure of an endpoint is
 	// remembered. It exceeds the time that an endpoint takes to exit.
 	departureRetention = 10 * time.Minute
-	// coldBurst is the largest number of requests that a cold endpoint gets at
-	// once.
-	coldBurst = 2
 	// reregistrationGrace is how long entries that vanished while the store was
 	// unavailable are kept after its return. Endpoints that are still alive
 	// register again within this time.
@@ -94,14 +90,11 @@
 )
 
 // Options configure a fleet. Zone is this process's availability zone, whose
-// endpoints are preferred; empty prefers none. ColdShare returns this process's
-// share of the request rate of a cold endpoint; nil means none.
-// Overcommit times an endpoint's slots is the limit on the requests that this
+// endpoints are preferred; empty prefers none. Overcommit times an endpoint's slots is the limit on the requests that this
 // process has in flight there. Shared means that many processes send to the same
 // endpoints, so that a process starts with a low limit at each.
 type Options struct {
 	Zone       string
-	ColdShare  func() float64
 	Overcommit float64
 	Shared     bool
 	Limiter    *ratelimit.Limiter
@@ -116,8 +109,6 @@
 	backoffUntil time.Time
 	absentUntil  time.Time // gets no requests until then: not found at its address
 	coldUntil    time.Time
-	coldTokens   float64 // token bucket for requests while it is cold
-	refilledAt   time.Time
 	eventTime    time.Duration // moving average of the time for one event; 0 while unknown
 	eventTimeAt  time.Time
 	limiter      concurrencyLimiter
@@ -147,11 +138,9 @@
 	warmups    map[string]Warmup
 	changed    chan struct{}
 	onEnd      func(Entry)
+	onRoom     func()
 }
 
-// Fixed returns a function for Options.ColdShare that always returns share.
-func Fixed(share float64) func() float64 { return func() float64 { return share } }
-
 // Warmup limits the requests to cold endpoints of a service. Duration is how long
 // an endpoint is cold. It is used when a zone returns to service; at other times
 // the endpoints report their remaining time.
@@ -165,12 +154,22 @@
 	if options.Limiter == nil {
 		options.Limiter = ratelimit.NewLocal(timers)
 	}
-	return &Fleet{
+	f := &Fleet{
 		timers: timers, options: options, states: map[string]*endpointState{}, departures: map[string]departure{},
-		zonesOut: map[string]bool{}, silent: map[string]time.Time{}, warmups: map[string]Warmup{}, changed: make(chan struct{}, 1), onEnd: func(Entry) {},
+		zonesOut: map[string]bool{}, silent: map[string]time.Time{}, warmups: map[string]Warmup{}, changed: make(chan struct{}, 1),
+		onEnd: func(Entry) {}, onRoom: func() {},
 	}
+	options.Limiter.OnRoom(func() {
+		f.notify()
+		f.onRoom()
+	})
+	return f
 }
 
+// OnRoom sets the function that is called when a limited endpoint may take requests
+// again. OnRoom must be called before the first Pick.
+func (f *Fleet) OnRoom(room func()) { f.onRoom = room }
+
 // OnUnexpectedEnd sets the function that is called when an endpoint ended without
 // announcing its departure: its entry is gone, or has a new start time after a
 // restart. OnUnexpectedEnd must be called before the first Put.
@@ -278,39 +277,26 @@
 	return merged
 }
 
-// markCold limits the rate of requests to an endpoint for the remaining time in
-// which it is cold. Endpoints of services without a limit are not limited.
+// markCold records that an endpoint is cold for the remaining time.
 func (f *Fleet) markCold(s *endpointState, remaining time.Duration) {
-	if warmup, known := f.warmups[s.Service]; known && warmup.Rate <= 0 {
-		return
-	}
-	now := f.timers.Now()
-	if !now.Before(s.coldUntil) {
-		s.coldTokens, s.refilledAt = f.initialColdTokens(s), now
-	}
-	if until := now.Add(remaining); until.After(s.coldUntil) {
+	if until := f.timers.Now().Add(remaining); until.After(s.coldUntil) {
 		s.coldUntil = until
 	}
 }
 
-// coldRate returns the requests per second that this process may send to the
-// endpoint while it is cold.
-func (f *Fleet) coldRate(s *endpointState) float64 {
-	if f.options.ColdShare == nil {
-		return 0
+// cold returns the rate that the endpoint takes while it is cold. It returns false if
+// the endpoint is cold and the rate of its service is not known yet. Endpoints of
+// services without a rate are not limited.
+func (f *Fleet) cold(s *endpointState, now time.Time) (c ratelimit.Cold, known bool) {
+	left := s.coldUntil.Sub(now)
+	if left <= 0 {
+		return ratelimit.Cold{}, true
 	}
-	return f.warmups[s.Service].Rate * f.options.ColdShare()
-}
-
-// initialColdTokens returns the tokens of an endpoint that just turned cold.
-// Where each of many processes may send less than one request per second, the
-// number is random: this spreads their first requests, so that the sum starts at
-// the joint rate.
-func (f *Fleet) initialColdTokens(s *endpointState) float64 {
-	if f.coldRate(s) >= 1 {
-		return 1
+	warmup, known := f.warmups[s.Service]
+	if !known || warmup.Rate <= 0 {
+		return ratelimit.Cold{}, known
 	}
-	return rand.Float64()
+	return ratelimit.Cold{Rate: warmup.Rate, Left: left}, true
 }
 
 // Remove drops an endpoint whose entry is gone. If the store became available
--- a/internal/fleet/replica/replica_test.go
+++ b/internal/fleet/replica/replica_test.go
@@ -1,15 +1,20 @@
 package replica
 
 import (
+	"context"
 	"fmt"
 	"sort"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/datadriven"
 
 	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/control/member"
+	"github.com/wigeonpin/wigeonpin/internal/fleet/ratelimit"
 )
 
 // script runs the commands of a testdata script against a fleet with a
@@ -28,7 +33,7 @@
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		s := &script{slots: map[string][]*Slot{}}
 		s.timers, s.driver = clock.NewDriven(time.Unix(1000, 0))
-		s.fleet = NewFleet(s.timers, Options{Zone: "a", ColdShare: Fixed(1), Overcommit: 1})
+		s.fleet = NewFleet(s.timers, Options{Zone: "a", Overcommit: 1})
 		s.fleet.SetWarmups(map[string]Warmup{"svc": {Duration: 3 * time.Second, Rate: 4}})
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string { return s.run(t, d) })
 	})
@@ -148,7 +153,7 @@
 // all because their service sets no limit for cold endpoints.
 func TestColdWithoutLimit(t *testing.T) {
 	timers, _ := clock.NewDriven(time.Unix(1000, 0))
-	f := NewFleet(timers, Options{ColdShare: Fixed(0.1), Overcommit: 1})
+	f := NewFleet(timers, Options{Overcommit: 1})
 	f.SetWarmups(map[string]Warmup{"svc": {}})
 	f.Put(Entry{ID: "e1", Service: "svc", Slots: 4, Cold: time.Minute})
 	for i := range 4 {
@@ -158,10 +163,36 @@
 	}
 }
 
-// TestColdRateIsShared guards against processes that use a fixed share of a cold
-// endpoint's rate: with many processes the sum is a multiple of the rate, with
-// few the endpoint stays idle. Each process here has more requests than it may
-// send.
+// newSharedFleets returns the fleets of several processes whose limiters can call each
+// other, on the clock of a synctest bubble.
+func newSharedFleets(timers *clock.Service, processes int) []*Fleet {
+	limiters := map[string]*ratelimit.Limiter{}
+	var all []member.Instance
+	for i := range processes {
+		all = append(all, member.Instance{ID: fmt.Sprint("p", i)})
+	}
+	seams := ratelimit.Seams{
+		Members: func() []member.Instance { return all },
+		Refused: func(error) bool { return false },
+		Ask: func(ctx context.Context, to member.Instance, in *ratelimit.AskRequest) (*ratelimit.AskReply, error) {
+			return limiters[to.ID].HandleAsk(ctx, in), nil
+		},
+		Claim: func(_ context.Context, to member.Instance, in *ratelimit.ClaimRequest) (*ratelimit.ClaimReply, error) {
+			return limiters[to.ID].HandleClaim(in), nil
+		},
+	}
+	var fleets []*Fleet
+	for _, m := range all {
+		limiters[m.ID] = ratelimit.New(ratelimit.Options{Self: m.ID}, seams, timers, logs.Discard())
+		fleets = append(fleets, NewFleet(timers, Options{Overcommit: 1, Limiter: limiters[m.ID]}))
+	}
+	return fleets
+}
+
+// TestColdRateIsShared guards against processes that each take a part of a cold
+// endpoint's rate for themselves: with many processes the sum is a multiple of the
+// rate, with few the endpoint stays idle. Each process here has more requests than it
+// may send.
 func TestColdRateIsShared(t *testing.T) {
 	const (
 		rate    = 12.0 // requests a second
@@ -170,39 +201,41 @@
 	)
 	for _, processes := range []int{1, 2, 10, 80} {
 		t.Run(fmt.Sprint(processes, " processes"), func(t *testing.T) {
-			timers, driver := clock.NewDriven(time.Unix(1000, 0))
-			var fleets []*Fleet
-			for range processes {
-				f := NewFleet(timers, Options{ColdShare: Fixed(1 / float64(processes)), Overcommit: 1})
-				f.SetWarmups(map[string]Warmup{"svc": {Duration: coldFor, Rate: rate}})
-				fleets = append(fleets, f)
-			}
-			entry := Entry{ID: "e1", Service: "svc", Slots: 100, Cold: coldFor}
-			var sent []time.Time
-			for elapsed := time.Duration(0); elapsed < coldFor; elapsed += step {
+			synctest.Test(t, func(t *testing.T) {
+				start := time.Now()
+				timers := clock.NewSystem().WithUptime(func() time.Duration { return time.Since(start) })
+				fleets := newSharedFleets(timers, processes)
 				for _, f := range fleets {
-					f.Put(entry) // entries are also updated for other reasons
-					if slot, found := f.Pick(Requirements{Service: "svc"}); found {
-						slot.Done(Answered)
-						sent = append(sent, timers.Now())
+					f.SetWarmups(map[string]Warmup{"svc": {Duration: coldFor, Rate: rate}})
+				}
+				entry := Entry{ID: "e1", Service: "svc", Slots: 100}
+				var sent []time.Time
+				for elapsed := time.Duration(0); elapsed < coldFor; elapsed += step {
+					entry.Cold = coldFor - elapsed
+					for _, f := range fleets {
+						f.Put(entry) // entries are also updated for other reasons
+						if slot, found := f.Pick(Requirements{Service: "svc"}); found {
+							slot.Done(Answered)
+							sent = append(sent, timers.Now())
+						}
 					}
+					time.Sleep(step)
 				}
-				driver.Advance(step)
-			}
-			for i := range sent {
-				count := 0
-				for _, at := range sent[i:] {
-					if at.Sub(sent[i]) < time.Second {
-						count++
+				for i := range sent {
+					count := 0
+					for _, at := range sent[i:] {
+						if at.Sub(sent[i]) < time.Second {
+							count++
+						}
+					}
+					if most := int(1.5*rate + 5); count > most {
+						t.Fatalf("%d requests within a second, want at most %d", count, most)
 					}
 				}
-				if most := int(1.5*rate + 5); count > most {
-					t.Fatalf("%d requests within a second, want at most %d", count, most)
+				if least := int(rate * coldFor.Seconds() / 2); len(sent) < least {
+					t.Errorf("%d requests in %v, want at least %d", len(sent), coldFor, least)
 				}
-			}
-			if least := int(rate * coldFor.Seconds() / 2); len(sent) < least {
-				t.Errorf("%d requests in %v, want at least %d", len(sent), coldFor, least)
-			}
+			})
 		})
 	}
 }
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -41,12 +41,6 @@
 )
 
 const (
-	// coldShare is the share of the request rate of a cold endpoint that all
-	// entry processes may use together. The worker has a share of its own.
-	coldShare = 0.4
-	// assumedEntries is the number of entry processes that is assumed while
-	// their list is not known.
-	assumedEntries = 100
 	// overcommit is the limit of requests in flight from one process to an
 	// endpoint, as a multiple of the endpoint's slots.
 	overcommit = 1.5
@@ -91,10 +85,7 @@
 	API     front.API
 	Meters  *meter.Set
 	Workers func() []string // addresses of the workers
-	// EntryCount returns the number of entry processes, this one included, or 0
-	// while it is not known.
-	EntryCount func() int
-	// Limiter keeps the request rates that endpoints take from all processes.
+	// Limiter shares the request rates of limited and cold endpoints.
 	Limiter *ratelimit.Limiter
 	// Isolated reports whether neither the store nor another availability zone
 	// can be reached. The process is then not ready, since other zones serve
@@ -129,7 +120,7 @@
 	pool := exchange.New(exchange.Options{
 		EchoHeader: deps.Names.Request, OnConnect: func(address string) { connections.Add(address, 1) },
 	})
-	fleet := replica.NewFleet(timers, replica.Options{Zone: p.Zone, ColdShare: coldSharePerEntry(deps.EntryCount), Overcommit: overcommit, Shared: true, Limiter: deps.Limiter})
+	fleet := replica.NewFleet(timers, replica.Options{Zone: p.Zone, Overcommit: overcommit, Shared: true, Limiter: deps.Limiter})
 	v := view.New(store, deps.Formats, p, fleet, timers, log)
 	counter := window.NewCounter(store, p.Name, p.Window, timers, log)
 	plan := stop.New(timers, deps.Meters)
@@ -155,12 +146,6 @@
 	return &Entry{profile: p, front: f, callers: server, view: v, counter: counter, plan: plan, timers: timers, log: log}
 }
 
-// coldSharePerEntry returns a function that divides coldShare by the current
-// number of entry processes.
-func coldSharePerEntry(entries func() int) func() float64 {
-	return func() float64 { return coldShare / float64(cmp.Or(entries(), assumedEntries)) }
-}
-
 // maxConnections returns the maximum number of connections of callers that the
 // memory and descriptor limits allow, or 0 when neither limit is known.
 func maxConnections(p profile.Profile) int {
--- a/internal/node/worker/worker.go
+++ b/internal/node/worker/worker.go
@@ -40,9 +40,6 @@
 )
 
 const (
-	// coldShare is the share of the request rate of a cold engine that the
-	// worker may use. The entry processes have a share of their own.
-	coldShare = 0.7
 	// watchTimeout is how long one watch for batches or versions waits, and
 	// retirementWatchTimeout one for retirement requests of machines.
 	watchTimeout           = 2 * time.Second
@@ -88,7 +85,7 @@
 	IsRetired      func(records.Record) bool                                     // whether such a request is answered
 	MarkRetired    func(records.Record) records.Record                           // returns the request with the answer in its status
 	Meters         *meter.Set
-	Limiter        *ratelimit.Limiter // keeps the request rates that endpoints take from all processes
+	Limiter        *ratelimit.Limiter // shares the request rates of limited and cold endpoints
 }
 
 // Worker is a worker process. It follows batches, versions and endpoints also
@@ -113,7 +110,7 @@
 // New returns a worker that Run starts.
 func New(p profile.Profile, deps Dependencies, timers *clock.Service, log *logrus.Entry) *Worker {
 	w := &Worker{profile: p, deps: deps, timers: timers, log: log, store: deps.Store, duties: deps.Duties}
-	fleet := replica.NewFleet(timers, replica.Options{ColdShare: replica.Fixed(coldShare), Overcommit: 1, Limiter: deps.Limiter})
+	fleet := replica.NewFleet(timers, replica.Options{Overcommit: 1, Limiter: deps.Limiter})
 	pool := exchange.New(exchange.Options{EchoHeader: deps.Names.Request})
 	w.view = view.New(w.store, deps.Formats, p, fleet, timers, log)
 	demand := weights.NewDemand(timers)
--- a/internal/peer/engine/stream.go
+++ b/internal/peer/engine/stream.go
@@ -50,6 +50,8 @@
 	Seed         int64  `json:"seed"`
 	Resume       string `json:"resume,omitempty"`
 	ResumeTokens int    `json:"resume_tokens,omitempty"`
+	// OnHeader is called with the header of the answer; it may be nil.
+	OnHeader func(http.Header) `json:"-"`
 }
 
 // Chunk is a piece of generated text. Version is the weight version that
@@ -90,6 +92,9 @@
 		return Result{}, cause(ctx, err)
 	}
 	defer resp.Body.Close()
+	if request.OnHeader != nil {
+		request.OnHeader(resp.Header)
+	}
 	reader := &lineReader{request: request, receive: receive, onLine: timer.reset}
 	done, err := reader.read(resp)
 	return done, cause(ctx, err)
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -104,6 +104,7 @@
 	adapters     []string
 
 	crossed host.Countdown
+	limit   host.Limit
 }
 
 // New returns an engine that is turned on. It is cold if the options set ColdTime.
@@ -177,6 +178,7 @@
 	post := func(name string, handle http.HandlerFunc) {
 		r.HandleFunc("/fake/"+name, handle).Methods(http.MethodPost)
 	}
+	post("limit", func(w http.ResponseWriter, r *http.Request) { host.Switch(w, r, host.LimitBody{}, e.limit.Set) })
 	post("power", func(w http.ResponseWriter, r *http.Request) {
 		host.Switch(w, r, powerBody{On: true}, func(b powerBody) (any, error) { e.Power(b.On, ms(b.ColdMS)); return b, nil })
 	})
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -98,6 +98,7 @@
 }
 
 func (e *Engine) generate(w http.ResponseWriter, r *http.Request) {
+	e.limit.Name(w)
 	b, err := codec.Read[generateBody](r, 16*host.BodyLimit)
 	if err == nil && (b.Request == "" || b.MaxTokens <= 0) {
 		err = code.New(code.BadRequest, "a request needs request and max_tokens")
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -68,6 +68,7 @@
 	status     int
 
 	crossed host.Countdown
+	limit   host.Limit
 }
 
 // New returns a service that is turned on.
@@ -122,6 +123,9 @@
 	r.HandleFunc("/fake/crossed", func(w http.ResponseWriter, r *http.Request) {
 		host.Switch(w, r, host.CountdownBody{Count: 1}, func(b host.CountdownBody) (any, error) { s.crossed.Set(b.Count); return b, nil })
 	}).Methods(http.MethodPost)
+	r.HandleFunc("/fake/limit", func(w http.ResponseWriter, r *http.Request) {
+		host.Switch(w, r, host.LimitBody{}, s.limit.Set)
+	}).Methods(http.MethodPost)
 	r.HandleFunc("/fake/runs", func(w http.ResponseWriter, _ *http.Request) {
 		runs, paths := s.Runs()
 		codec.Write(w, http.StatusOK, map[string]any{"runs": runs, "paths": paths})
@@ -220,6 +224,7 @@
 		return
 	}
 	s.crashAt(r, afterRead)
+	s.limit.Name(w)
 	select {
 	case s.slots <- struct{}{}:
 	case <-r.Context().Done():
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -27,6 +27,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/base/setting"
 	"github.com/wigeonpin/wigeonpin/internal/control/roster"
 	"github.com/wigeonpin/wigeonpin/internal/control/table"
+	"github.com/wigeonpin/wigeonpin/internal/fleet/ratelimit"
 	"github.com/wigeonpin/wigeonpin/internal/peer/engine"
 	"github.com/wigeonpin/wigeonpin/internal/peer/service"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/breaker"
@@ -130,6 +131,9 @@
 	Enter     func(endpoint, digest string) (leave func(), err error)
 	Crashed   func(endpoint string, digests []string)
 	Completed func(digest string)
+	// Limiter shares the request rates that endpoints name; nil means a limiter of this
+	// instance alone.
+	Limiter *ratelimit.Limiter
 	// Breaker holds back contents of service calls that crash services.
 	Breaker *breaker.Breaker
 	// Record stores the usage. It returns once the usage is durable, or with an
@@ -149,6 +153,7 @@
 	prefixes *prefixes
 	active   *activeAttempts
 	inflight *inflight
+	waiting  ratelimit.Waiting
 	counts   counts
 	// background counts cancellations and other calls that outlive their requests.
 	background sync.WaitGroup
@@ -163,6 +168,9 @@
 func New(settings setting.Settings, timers *clock.Service, meters *meter.Set, log *logrus.Entry,
 	engines *engine.Client, services *service.Client, seams Seams,
 ) *Dispatcher {
+	if seams.Limiter == nil {
+		seams.Limiter = ratelimit.NewLocal(timers)
+	}
 	return &Dispatcher{
 		settings: settings, timers: timers, log: log, engines: engines, services: services, seams: seams,
 		budgets: newBudgets(settings.RetryPercent), prefixes: newPrefixes(), active: newActiveAttempts(), inflight: newInflight(),
--- a/internal/traffic/dispatch/forward.go
+++ b/internal/traffic/dispatch/forward.go
@@ -119,7 +119,9 @@
 func (f *forwarding) acquire(ctx context.Context) (*queue.Turn, pickResult, error) {
 	var chosen pickResult
 	account, _ := f.d.seams.Table().Account(f.call.Account)
-	n := requirements{account: f.call.Account, model: f.call.Model, allowCheap: f.call.Repeatable, failed: f.failed}
+	n := requirements{account: f.call.Account, model: f.call.Model, allowCheap: f.call.Repeatable, failed: f.failed, deadline: f.call.Deadline}
+	f.d.waiting.Add(n.model, 1)
+	defer f.d.waiting.Add(n.model, -1)
 	turn, err := f.d.seams.Wait(ctx, queue.Item{
 		Account: f.call.Account, Model: f.call.Model, Weight: account.Weight,
 		MaxWaiting: account.MaxWaiting, MaxRunning: account.MaxRunning,
@@ -170,9 +172,19 @@
 		ID: f.call.Request, Method: f.call.Method, Path: f.call.Path, RawQuery: f.call.RawQuery,
 		Header: header, Body: f.call.Body,
 	}
+	sentAt := f.d.timers.Uptime()
+	send := f.sendOnce
 	if f.call.Repeatable {
-		return f.hedged(ctx, chosen, request)
+		send = f.hedged
 	}
+	answer, err := send(ctx, chosen, request)
+	if err == nil {
+		f.d.observeLimit(chosen.endpoint, answer.Header, sentAt)
+	}
+	return answer, err
+}
+
+func (f *forwarding) sendOnce(ctx context.Context, chosen pickResult, request service.Request) (*Answer, error) {
 	return f.d.services.SendOnce(ctx, chosen.endpoint.Address, request)
 }
 
--- a/internal/traffic/dispatch/generate.go
+++ b/internal/traffic/dispatch/generate.go
@@ -183,6 +183,8 @@
 	var chosen pickResult
 	account, _ := g.d.seams.Table().Account(g.job.Account)
 	n := g.requirements()
+	g.d.waiting.Add(n.model, 1)
+	defer g.d.waiting.Add(n.model, -1)
 	turn, err := g.d.seams.Wait(ctx, queue.Item{
 		Account: g.job.Account, Model: g.job.Model, Weight: account.Weight,
 		MaxWaiting: account.MaxWaiting, MaxRunning: account.MaxRunning,
@@ -216,7 +218,8 @@
 		account: g.job.Account, model: g.job.Model, allowCheap: true, minVersion: g.job.MinVersion,
 		excluded: slices.Concat(g.job.Avoid, []string{g.occupiedEndpoint}), failed: g.failed, suspect: g.d.seams.Suspect(g.digest),
 		prompt: g.job.Prompt, prefixes: hashPrefixes(g.job.Prompt),
-		prefill: float64(PromptTokens(g.job.Prompt)) / promptDivisor / float64(generationCost(g.job.Prompt, g.job.MaxTokens)),
+		prefill:  float64(PromptTokens(g.job.Prompt)) / promptDivisor / float64(generationCost(g.job.Prompt, g.job.MaxTokens)),
+		deadline: g.job.Deadline,
 	}
 }
 
@@ -227,7 +230,8 @@
 	before := g.result.Tokens
 	g.firstToken = 0
 	err := g.attempt(ctx, chosen)
-	if errors.Is(err, engine.ErrSilent) && ctx.Err() == nil && g.d.budgets.spend(g.job.Account, chosen.endpoint.ID) {
+	if errors.Is(err, engine.ErrSilent) && ctx.Err() == nil && g.d.budgets.spend(g.job.Account, chosen.endpoint.ID) &&
+		g.d.takeAgain(chosen.endpoint) {
 		g.d.counts.retried.Add(g.job.Account, 1)
 		err = g.attempt(ctx, chosen)
 	}
@@ -273,9 +277,11 @@
 		g.d.counts.resumed.Add(g.job.Account, 1)
 	}
 	g.started, g.endpoint = g.d.timers.Now(), e.ID
+	sentAt := g.d.timers.Uptime()
 	done, err := g.d.engines.Generate(ctx, e.Address, engine.Request{
 		Request: id, Model: g.job.Model, Prompt: g.job.Prompt, MaxTokens: g.job.MaxTokens,
 		Priority: g.job.Priority, Seed: g.job.Seed, Resume: g.text.String(), ResumeTokens: g.result.Tokens,
+		OnHeader: func(h http.Header) { g.d.observeLimit(e, h, sentAt) },
 	}, g.receive)
 	if err == nil {
 		g.result.Reason = done.Reason
--- a/internal/traffic/dispatch/hedge.go
+++ b/internal/traffic/dispatch/hedge.go
@@ -39,7 +39,7 @@
 	for finished := 0; finished < len(cancels); {
 		select {
 		case <-timer.C:
-			if f.d.budgets.spend(f.call.Account, chosen.endpoint.ID) {
+			if f.d.budgets.spend(f.call.Account, chosen.endpoint.ID) && f.d.takeAgain(chosen.endpoint) {
 				f.d.counts.retried.Add(f.call.Account, 1)
 				start(f.d.services.SendOnce)
 			}
--- a/internal/traffic/dispatch/pick.go
+++ b/internal/traffic/dispatch/pick.go
@@ -40,6 +40,8 @@
 	suspect  bool
 	prompt   string
 	prefixes []prefixHash
+	// deadline is when the request has to start at the latest.
+	deadline time.Time
 	// prefill is the prompt's fraction of the request's cost.
 	prefill float64
 }
@@ -57,12 +59,11 @@
 		return pickResult{}, false, code.New(code.NoEndpoint, "no endpoint of %q is available", n.model).
 			WithRun(code.NotRun).WithRetryAfter(endpointRetryAfter)
 	}
-	for _, e := range d.ranked(n, eligible) {
-		if slot, ok := d.seams.Acquire(e.ID, n.account); ok {
-			return pickResult{e, d.inflight.track(e.ID, slot)}, true, nil
-		}
+	chosen, found := d.acquireFirst(n, d.ranked(n, eligible))
+	if found {
+		return chosen, true, nil
 	}
-	return pickResult{}, false, nil
+	return pickResult{}, false, d.checkLimits(n, eligible)
 }
 
 // eligible returns the endpoints that may run the request, whether or not they
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -31,6 +31,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/base/logs"
 	"github.com/wigeonpin/wigeonpin/internal/base/meter"
 	"github.com/wigeonpin/wigeonpin/internal/control/manifest"
+	"github.com/wigeonpin/wigeonpin/internal/fleet/ratelimit"
 	"github.com/wigeonpin/wigeonpin/internal/fleet/replica"
 	"github.com/wigeonpin/wigeonpin/internal/peer/exchange"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/breaker"
@@ -130,6 +131,7 @@
 	timers     *clock.Service
 	log        *logrus.Entry
 	queue      *queue.Queue
+	waiting    ratelimit.Waiting
 	rechecking atomic.Bool // whether the goroutine of startRechecks runs
 	breaks     *meter.Counter
 	refusals   *meter.Counter
@@ -159,6 +161,7 @@
 		queue: queue.New(timers, seams.Meters, queue.Seams{RemoteCost: func(string) int64 { return 0 }}),
 	}
 	seams.Fleet.OnUnexpectedEnd(f.attributeEnd)
+	seams.Fleet.OnRoom(func() { f.queue.Recheck() })
 	return f
 }
 
@@ -452,6 +455,9 @@
 	if p.runs == 0 && p.holdTime > 0 {
 		return code.New(code.ContentHeld, "requests with this content ended endpoints").WithRun(code.NotRun).WithRetryAfter(p.holdTime)
 	}
+	if wait := f.limitedFor(call.Service); p.runs == 0 && wait > 0 {
+		return code.New(code.EndpointLimited, "%s", errLimited).WithRun(code.NotRun).WithRetryAfter(wait)
+	}
 	if p.runs == 0 {
 		return code.New(code.NoEndpoint, "no endpoint can take the request").WithRun(code.NotRun).WithRetryAfter(f.retryAfter(call.Service))
 	}
--- a/internal/traffic/forward/reservation.go
+++ b/internal/traffic/forward/reservation.go
@@ -32,6 +32,7 @@
 	errTooManyRejections = errors.New("too many endpoints rejected the request")
 	errAllTried          = errors.New("all endpoints were tried")
 	errLate              = errors.New("the request could not end within the planned stop")
+	errLimited           = errors.New("the limits of all endpoints are used up")
 )
 
 // reservation is a slot at an endpoint, together with the queue turn in which it
@@ -62,6 +63,8 @@
 	if p.runs > 0 {
 		until = call.Deadline // it may have run already, so an early refusal does not help the caller
 	}
+	f.waiting.Add(call.Service, 1)
+	defer f.waiting.Add(call.Service, -1)
 	var slot *replica.Slot
 	item := queue.Item{
 		Account: call.Account, Model: call.Service, Weight: 1, Cost: 1,
@@ -72,12 +75,15 @@
 				return false, stop.Refusal()
 			}
 			var found bool
-			slot, found = f.seams.Fleet.Pick(replica.Requirements{Service: call.Service, Avoid: p.tried})
+			slot, found = f.seams.Fleet.Pick(replica.Requirements{
+				Service: call.Service, Avoid: p.tried,
+				Account: call.Account, Waiting: f.waiting.Count(call.Service), Patience: until.Sub(f.timers.Now()),
+			})
 			if found {
 				return true, nil
 			}
 			f.startRechecks()
-			return false, f.checkWait(call, p)
+			return false, f.checkWait(call, p, until)
 		},
 	}
 	turn, err := f.queue.Wait(ctx, item)
@@ -88,11 +94,16 @@
 	return &reservation{Slot: slot, turn: turn}, nil
 }
 
-// checkWait returns an error when waiting is useless: the service has no
-// endpoint, or the request may have run and was sent to every endpoint. A
-// request that was only rejected by full endpoints may try all of them again.
-func (f *Forwarder) checkWait(call Call, p *progress) error {
+// checkWait returns an error when waiting until the given time is useless: the service
+// has no endpoint, the limits of all endpoints are used up for longer, or the request
+// may have run and was sent to every endpoint. A request that was only rejected by full
+// endpoints may try all of them again.
+func (f *Forwarder) checkWait(call Call, p *progress, until time.Time) error {
 	fleet := f.seams.Fleet
+	wait, _, limited := fleet.Limited(replica.Requirements{Service: call.Service, Avoid: p.tried})
+	if limited && f.timers.Now().Add(wait).After(until) {
+		return code.New(code.EndpointLimited, "%s", errLimited)
+	}
 	if !fleet.Serves(replica.Requirements{Service: call.Service}) {
 		return code.New(code.NoEndpoint, "%s", errNoEndpoint)
 	}
@@ -142,15 +153,29 @@
 	}()
 }
 
+// limitedFor returns the Retry-After delay for a caller if all endpoints of the service
+// are limited and have no permits for this process now, or 0.
+func (f *Forwarder) limitedFor(service string) time.Duration {
+	wait, rate, limited := f.seams.Fleet.Limited(replica.Requirements{Service: service})
+	if !limited {
+		return 0
+	}
+	return max(wait, f.schedule(service).Next(f.timers.Now(), rate))
+}
+
 // retryAfter returns the Retry-After delay for a refused caller. The delays of
 // one service are spread over time.
 func (f *Forwarder) retryAfter(service string) time.Duration {
+	return f.schedule(service).Next(f.timers.Now(), f.queue.Rate(service))
+}
+
+func (f *Forwarder) schedule(service string) *retryafter.Schedule {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	schedule, known := f.schedules[service]
 	if !known {
 		schedule = retryafter.New()
 		f.schedules[service] = schedule
 	}
-	f.mu.Unlock()
-	return schedule.Next(f.timers.Now(), f.queue.Rate(service))
+	return schedule
 }
--- a/internal/traffic/headers/headers.go
+++ b/internal/traffic/headers/headers.go
@@ -124,7 +124,7 @@
 	}
 	for _, value := range h.Values(n.Limit) {
 		parsed, err := strconv.ParseFloat(textproto.TrimString(value), 64)
-		if err != nil || math.IsNaN(parsed) || parsed < 0 {
+		if err != nil || math.IsNaN(parsed) || math.IsInf(parsed, 0) || parsed < 0 {
 			return 0, true, fmt.Errorf("%w: %q", ErrInvalidRate, value)
 		}
 		if !found || parsed < rate {
--- a/internal/training/runner/runner.go
+++ b/internal/training/runner/runner.go
@@ -83,6 +83,8 @@
 
 	// The fields below are used only by the goroutine of Run.
 	active bool
+	// waiting is the number of items of the batch being scheduled that may start now.
+	waiting int
 	// recalling is true while texts are fetched after the runner became active. No
 	// run starts meanwhile, since a text that runs takes no copy.
 	recalling bool
--- a/internal/training/runner/schedule.go
+++ b/internal/training/runner/schedule.go
@@ -21,6 +21,7 @@
 		if !j.loaded {
 			continue
 		}
+		r.waiting = j.countPending(now)
 		for _, t := range j.tasks {
 			if t.state != statePending || now.Before(t.notBefore) {
 				continue
@@ -36,6 +37,21 @@
 	}
 }
 
+// permitPatience is how long an item may wait for a permit of a limited engine before
+// others are asked.
+const permitPatience = 250 * time.Millisecond
+
+// countPending returns the number of items that may start now.
+func (j *job) countPending(now time.Time) int {
+	pending := 0
+	for _, t := range j.tasks {
+		if t.state == statePending && !now.Before(t.notBefore) {
+			pending++
+		}
+	}
+	return pending
+}
+
 // tryStart starts a run of the item and reports whether there was a free slot.
 func (r *Runner) tryStart(t *task) bool {
 	route, found := r.batchRoute(t.job.batch, t.item.Path)
@@ -48,6 +64,7 @@
 	want := replica.Requirements{
 		Service: route.SelectService(rand.Float64()), Model: t.job.batch.Model, Version: t.job.batch.MinVersion,
 		Preferred: t.job.preferred[t.item.Group],
+		Account:   t.job.batch.Account, Waiting: r.waiting, Patience: permitPatience,
 	}
 	slot, found := r.pickSlot(t, want)
 	if !found {
