Bound what a faulty engine or service makes the stand-alone instance keep

What operators of other systems saw: a faulty replica sent bytes without end, and the process that had called it ran out of memory. On the platform's path this is covered (peer/exchange, traffic/sse). On the stand-alone instance it was not: a generation kept the text of an engine that goes on past max_tokens, or sends lines with text and no tokens, 3.8 GB allocated in 20 s; load reports, scores and lists of endpoints were read up to 64 MB each (250 MB allocated), and the clients of scorer, capacity and weights accepted heads of 10 MB.

Change: a stream ends with an error past the tokens of its request, or past 256 bytes for each of them; codec.Exchange reads 8 MB at most and says so; the three clients use the transport with bounded heads.

--- a/internal/base/codec/codec.go
+++ b/internal/base/codec/codec.go
@@ -157,7 +157,9 @@
 	return 0
 }
 
-const maxResponseBytes = 64 << 20
+// maxResponseBytes is the largest response body that is read. A faulty server may send
+// bytes without end, to many calls at a time.
+const maxResponseBytes = 8 << 20
 
 // Call sends one JSON request and decodes the JSON response. A nil request sends
 // no body. A status other than 2xx gives a StatusError. After any other error,
@@ -198,10 +200,13 @@
 		return nil, eris.Wrapf(err, "%s %s", method, url)
 	}
 	defer resp.Body.Close()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
 		return nil, eris.Wrapf(err, "answer of %s %s", method, url)
 	}
+	if len(raw) > maxResponseBytes {
+		return nil, eris.Errorf("answer of %s %s exceeds %d bytes", method, url, maxResponseBytes)
+	}
 	if resp.StatusCode/100 != 2 {
 		return nil, &StatusError{Status: resp.StatusCode, Body: raw, RetryAfter: retryAfter(resp)}
 	}
--- a/internal/control/serve/build.go
+++ b/internal/control/serve/build.go
@@ -21,6 +21,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/fleet/ratelimit"
 	"github.com/wigeonpin/wigeonpin/internal/fleet/rollout"
 	"github.com/wigeonpin/wigeonpin/internal/peer/capacity"
+	"github.com/wigeonpin/wigeonpin/internal/peer/conn"
 	"github.com/wigeonpin/wigeonpin/internal/peer/engine"
 	"github.com/wigeonpin/wigeonpin/internal/peer/fleet"
 	"github.com/wigeonpin/wigeonpin/internal/peer/objects"
@@ -88,9 +89,9 @@
 		store:    objects.New(settings.Platform, timers),
 		engines:  engine.New(settings, timers),
 		services: service.New(settings),
-		capacity: capacity.New(settings.Capacity, &http.Client{}),
-		weights:  weights.New(settings.Weights, &http.Client{}),
-		scorer:   scorer.New(settings.Scorer, &http.Client{}),
+		capacity: capacity.New(settings.Capacity, &http.Client{Transport: conn.Transport(settings)}),
+		weights:  weights.New(settings.Weights, &http.Client{Transport: conn.Transport(settings)}),
+		scorer:   scorer.New(settings.Scorer, &http.Client{Transport: conn.Transport(settings)}),
 	}
 	i.buildControl()
 	i.buildFleet()
--- a/internal/peer/engine/stream.go
+++ b/internal/peer/engine/stream.go
@@ -31,6 +31,9 @@
 	// ErrCrossed means that the stream carried lines of another request, or
 	// chunks out of order.
 	ErrCrossed = errors.New("the stream belongs to another request")
+	// ErrTooLong means that the stream has more tokens, or more text, than the request
+	// allows.
+	ErrTooLong = errors.New("the stream exceeds the limit of the request")
 	// ErrUnsent means that no connection was established, so nothing was sent.
 	ErrUnsent = errors.New("no connection to the engine")
 )
@@ -39,6 +42,13 @@
 // so a longer line is a fault.
 const maxLineBytes = 1 << 20
 
+// maxTokenBytes bounds the text of a stream together with the limit of tokens, since
+// lines without tokens may have text as well. minTextBytes is always allowed.
+const (
+	maxTokenBytes = 256
+	minTextBytes  = 64 << 10
+)
+
 // Request is a generation request. Resume is the text that earlier attempts have
 // generated, and ResumeTokens its number of tokens; the engine continues it.
 type Request struct {
@@ -137,6 +147,7 @@
 	receive func(Chunk) error
 	onLine  func()
 	tokens  int
+	bytes   int
 	index   int
 }
 
@@ -182,6 +193,10 @@
 		l.index = *next.Index
 	}
 	l.tokens += next.Tokens
+	l.bytes += len(next.Text)
+	if l.tokens > l.request.MaxTokens || l.bytes > minTextBytes+maxTokenBytes*l.request.MaxTokens {
+		return nil, ErrTooLong
+	}
 	return nil, l.receive(Chunk{Text: next.Text, Tokens: next.Tokens, Version: next.Version})
 }
 
--- a/internal/traffic/dispatch/generate.go
+++ b/internal/traffic/dispatch/generate.go
@@ -251,7 +251,7 @@
 // endpointFault reports whether err is a failure of the endpoint.
 func endpointFault(err error) bool {
 	return errors.Is(err, engine.ErrSilent) || errors.Is(err, engine.ErrIncomplete) ||
-		errors.Is(err, engine.ErrUnsent) || errors.Is(err, engine.ErrCrossed) || codec.StatusOf(err) >= 500
+		errors.Is(err, engine.ErrUnsent) || errors.Is(err, engine.ErrCrossed) || errors.Is(err, engine.ErrTooLong) || codec.StatusOf(err) >= 500
 }
 
 // attempt runs one stream.
