Let a limited endpoint have a second's requests at once

A step asks for a hundred items at once and then for none; a bucket of half a second forgot what had not been used meanwhile.

Change: the bucket of a limit holds a second, that of a cold start half a second as before, since its bound counts single seconds. In 4 s at most five times the limit are granted, six times and five more are allowed.

--- a/internal/fleet/ratelimit/bucket.go
+++ b/internal/fleet/ratelimit/bucket.go
@@ -6,9 +6,11 @@
 )
 
 const (
-	// burstTime is the time whose permits a token bucket may hold at most. It bounds
-	// what an endpoint gets at once after a pause.
-	burstTime = 500 * time.Millisecond
+	// burstTime is the time whose permits a token bucket may hold at most, and
+	// coldBurstTime that while the endpoint is cold. They bound what an endpoint gets at
+	// once after a pause.
+	burstTime     = time.Second
+	coldBurstTime = 500 * time.Millisecond
 	// batchTime is the time whose permits one ask may get at once.
 	batchTime = 50 * time.Millisecond
 	// tokenSlack is more than sums of parts of a token lose by rounding.
@@ -20,6 +22,7 @@
 type bucket struct {
 	tokens     float64
 	rate       float64 // permits per second that this process grants
+	burst      time.Duration
 	share      float64 // part of the endpoint's rate that this process grants
 	refilledAt time.Duration
 	usedAt     time.Duration // latest ask
@@ -38,16 +41,17 @@
 	granted chan struct{}
 }
 
-// refill adds the tokens since the last refill, and sets the rate from now on.
-func (b *bucket) refill(now time.Duration, share, rate float64) {
+// refill adds the tokens since the last refill, and sets the rate and the burst time
+// from now on.
+func (b *bucket) refill(now time.Duration, share, rate float64, burst time.Duration) {
 	b.tokens = min(b.capacity(), b.tokens+b.rate*(now-b.refilledAt).Seconds())
-	b.share, b.rate, b.refilledAt = share, share*rate, now
+	b.share, b.rate, b.burst, b.refilledAt = share, share*rate, burst, now
 }
 
 // whole returns the number of tokens that can be given out.
 func (b *bucket) whole() int { return int(b.tokens + tokenSlack) }
 
-func (b *bucket) capacity() float64 { return max(1, b.rate*burstTime.Seconds()) }
+func (b *bucket) capacity() float64 { return max(1, b.rate*b.burst.Seconds()) }
 
 // take removes up to count tokens, if no ask waits for one, and returns their number.
 func (b *bucket) take(count int) int {
--- a/internal/fleet/ratelimit/grant.go
+++ b/internal/fleet/ratelimit/grant.go
@@ -67,7 +67,7 @@
 		}
 		r.bucket.usedAt = now
 	}
-	r.bucket.refill(now, share, r.rate(now))
+	r.bucket.refill(now, share, r.rate(now), r.burst(now))
 	if share > 0 && share != r.loggedShare && now-r.shareLogAt > shareLogInterval {
 		r.loggedShare, r.shareLogAt = share, now
 		l.logLimit(r).WithField("rate", r.rate(now)).Info("granting permits of an endpoint")
--- a/internal/fleet/ratelimit/limiter.go
+++ b/internal/fleet/ratelimit/limiter.go
@@ -282,6 +282,14 @@
 	return min(r.limit.rate, r.coldRate)
 }
 
+// burst returns the time whose permits may be granted at once.
+func (r *record) burst(now time.Duration) time.Duration {
+	if now < r.coldEnd {
+		return coldBurstTime
+	}
+	return burstTime
+}
+
 // setCold records that the endpoint is cold.
 func (r *record) setCold(c Cold, now time.Duration) {
 	if c.Left <= 0 {
