--- a/internal/traffic/headers/limit_test.go
+++ b/internal/traffic/headers/limit_test.go
@@ -8,7 +8,7 @@
 
 // Guards against bad values of a rate limit that stop an endpoint for good, or free it.
 func TestReadLimit(t *testing.T) {
-	names := Names{Limit: "Server-Limit"}
+	names := Names{Limit: "X-Limit"}
 	cases := []struct {
 		values []string
 		rate   float64
@@ -31,7 +31,7 @@
 		{[]string{"2, 3"}, 0, true, true},
 	}
 	for _, c := range cases {
-		rate, found, err := names.ReadLimit(http.Header{"Server-Limit": c.values})
+		rate, found, err := names.ReadLimit(http.Header{"X-Limit": c.values})
 		if rate != c.rate || found != c.found || (err != nil) != c.fails || c.fails && !errors.Is(err, ErrInvalidRate) {
 			t.Errorf("%q: %v, %v, %v; want %v, %v, failure %v", c.values, rate, found, err, c.rate, c.found, c.fails)
 		}
