--- a/internal/fleet/ratelimit/claim.go
+++ b/internal/fleet/ratelimit/claim.go
@@ -69,7 +69,7 @@
 	}
 }
 
-// claims of one process: the endpoints whose permits it must not grant.
+// dueClaim is a claim to be sent: the endpoints whose permits a process must not grant.
 type dueClaim struct {
 	to      member.Instance
 	records []*record
@@ -77,8 +77,8 @@
 
 // claimAll sends one claim to each process that has to confirm some endpoints.
 func (l *Limiter) claimAll(ctx context.Context) {
-	due, news := l.dueClaims()
-	for _, n := range news {
+	due, posts := l.dueClaims()
+	for _, n := range posts {
 		l.post(n)
 	}
 	var calls sync.WaitGroup
--- a/internal/fleet/ratelimit/grant.go
+++ b/internal/fleet/ratelimit/grant.go
@@ -5,19 +5,21 @@
 	"time"
 )
 
-// shares are the parts of an endpoint's rate that a process grants: the first one of
-// the order if the next ones have confirmed that they grant nothing, and if not; then
-// the next ones while those before them are silent, by their number. A silent process
-// may still grant to others, as the first one that is not confirmed: at worst
-// 0.5 + 0.5 + 0.25 of the rate are granted at a time.
-const confirmedShare, unconfirmedShare = 1.0, 0.5
+const (
+	// confirmedShare is the part of an endpoint's rate that the first process of the
+	// order grants once the next ones have confirmed that they grant nothing, and
+	// unconfirmedShare the part until then.
+	confirmedShare   = 1.0
+	unconfirmedShare = 0.5
+	// confirmations is the number of processes that have to confirm it.
+	confirmations = 3
+)
 
+// takeoverShares are the parts that a process further down the order grants, by the
+// number of silent processes before it. They may still grant to others, but the first one
+// is not confirmed then: at worst 0.5 + 0.5 + 0.25 of the rate are granted at a time.
 var takeoverShares = []float64{1: 0.5, 2: 0.25}
 
-// confirmations is the number of processes after the granting one that have to confirm
-// that they grant nothing.
-const confirmations = 3
-
 // shareLogInterval is the time between two log lines about this process's share.
 const shareLogInterval = time.Second
 
--- a/internal/fleet/ratelimit/limiter.go
+++ b/internal/fleet/ratelimit/limiter.go
@@ -139,22 +139,22 @@
 	onRoom      func()
 
 	mu      sync.Mutex
-	records map[string]*record // by endpoint ID
-	claims  map[string]claim   // processes that grant the permits of endpoints, by endpoint ID
-	peers   map[string]peer    // unreachable processes, by ID
-	met     map[string]metMember
+	records map[string]*record   // by endpoint ID
+	claims  map[string]claim     // processes that grant the permits of endpoints, by endpoint ID
+	peers   map[string]peer      // unreachable processes, by ID
+	met     map[string]metMember // processes that only others have in their lists, by ID
 }
 
 // record is what this process knows of one run of an endpoint.
 type record struct {
 	endpoint Endpoint
 	limit    limit
-	coldRate float64       // rate until coldEnd
-	coldEnd  time.Duration // end of the cold start
-	usedAt   time.Duration // latest use of the record
-	permits  []time.Duration
-	ask      pendingAsk
-	bucket   bucket
+	coldRate float64         // rate until coldEnd
+	coldEnd  time.Duration   // end of the cold start
+	usedAt   time.Duration   // latest use of the record
+	permits  []time.Duration // ends of the unused permits of this process, earliest first
+	ask      pendingAsk      // this process's ask for permits
+	bucket   bucket          // from which this process grants permits
 	// confirmed tells when a process last confirmed that it grants none of the
 	// endpoint's permits, by the time of the call.
 	confirmed map[string]time.Duration
