--- a/internal/fleet/ratelimit/limiter_test.go
+++ b/internal/fleet/ratelimit/limiter_test.go
@@ -182,6 +182,28 @@
 	})
 }
 
+// Guards against a limit that nothing can end since nothing is sent: after any time
+// without requests the next one gets a permit at once, and its answer ends the limit.
+func TestLimitEndsAfterATimeWithoutRequests(t *testing.T) {
+	for _, idle := range []time.Duration{0, time.Minute, 2 * retention} {
+		l, driver := newLocalOnDrivenClock()
+		l.Observe(testEndpoint, limited(0.5, 0))
+		driver.Advance(idle)
+		l.forgetUnused()
+		if l.State(testEndpoint, Cold{}) == Withheld && l.Request([]Endpoint{testEndpoint}, Need{Waiting: 1}) != Again {
+			t.Errorf("after %v without requests there is no permit", idle)
+		}
+		if !l.Take(testEndpoint) {
+			t.Errorf("after %v without requests the permit cannot be used", idle)
+		}
+		driver.Advance(time.Millisecond)
+		l.Observe(testEndpoint, Observation{SentAt: l.timers.Uptime()})
+		if got := l.State(testEndpoint, Cold{}); got != Free {
+			t.Errorf("after %v without requests an answer does not end the limit: state %v", idle, got)
+		}
+	}
+}
+
 // Guards against limits that cannot be followed in logs and metrics: each line names the
 // value, its age, this process's share and the number of processes.
 func TestLimitsAreLogged(t *testing.T) {
