Ask for a limited endpoint that is as good as a free one

Cause: a limited endpoint was asked for only if its score was strictly better. With all endpoints idle the scores are equal, so that it got nothing, and no answer could end its limit.

--- a/internal/fleet/replica/pick.go
+++ b/internal/fleet/replica/pick.go
@@ -90,7 +90,8 @@
 }
 
 // choose returns the best endpoint with room that can be sent to now, or nil, and the
-// limited ones without a permit that are preferred to it, best first.
+// limited ones without a permit to which it is not preferred, best first. Those with the
+// same score are among them: else an idle process would never learn that a limit ended.
 func (f *Fleet) choose(want Requirements, now time.Time) (best *endpointState, limited []ratelimit.Endpoint) {
 	fastest := f.fastest(want.Service, now)
 	var first candidate
@@ -116,7 +117,7 @@
 		return 1
 	})
 	for _, c := range withheld {
-		if c.before(first) {
+		if first.state == nil || !first.before(c) {
 			limited = append(limited, c.state.run())
 		}
 	}
