Let a rejected request try an endpoint again while the others are limited

Cause: a request that the only free endpoint had rejected once saw nothing but limited endpoints, and waited for a permit for 4 s or was refused, although rejected requests may try all endpoints again. TestRejectedRequestsTryAnEndpointAgain failed before.

--- a/internal/traffic/forward/limit_test.go
+++ b/internal/traffic/forward/limit_test.go
@@ -24,11 +24,18 @@
 	limit    string
 	status   int
 	received atomic.Int64
+	// rejections is the number of requests that are rejected as not run.
+	rejections atomic.Int64
 }
 
 func (l *limitedEndpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	n := l.received.Add(1)
 	w.Header().Set(names.Request, r.Header.Get(names.Request))
+	if l.rejections.Add(-1) >= 0 {
+		w.Header().Set(names.Rejected, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	w.Header().Set(names.Stamp, "proof")
 	if l.limit != "" {
 		w.Header().Set("X-Limit", l.limit)
@@ -130,6 +137,41 @@
 	}
 }
 
+// useFirstPermit sends requests until the endpoint has had one before its limit was known
+// and one for the first permit.
+func useFirstPermit(t *testing.T, f *Forwarder, e *limitedEndpoint, route manifest.Route) {
+	t.Helper()
+	for range 1000 {
+		if e.received.Load() >= 2 {
+			return
+		}
+		if failed := sendAll(f, 1, route); len(failed) > 0 {
+			t.Fatal(failed[0])
+		}
+	}
+	t.Fatalf("the limited endpoint got %d of 1000 requests, want 2", e.received.Load())
+}
+
+// Guards against an idle limited endpoint that gets nothing while another one is idle
+// too, so that the end of its limit stays unknown.
+func TestIdleLimitedEndpointIsUsed(t *testing.T) {
+	limited, free := &limitedEndpoint{limit: "0.01", status: http.StatusOK}, &limitedEndpoint{status: http.StatusOK}
+	useFirstPermit(t, newLimitedForwarder(t, limited, free), limited, manifest.Route{Kind: manifest.AtMostOnce, Attempts: 3, TargetLatency: time.Minute})
+}
+
+// Guards against a request that is refused since the only endpoint without a limit was
+// full for a moment, while the limit of the other one is used up.
+func TestRejectedRequestsTryAnEndpointAgain(t *testing.T) {
+	limited, free := &limitedEndpoint{limit: "0.01", status: http.StatusOK}, &limitedEndpoint{status: http.StatusOK}
+	f := newLimitedForwarder(t, limited, free)
+	route := manifest.Route{Kind: manifest.AtMostOnce, Attempts: 3, TargetLatency: time.Minute}
+	useFirstPermit(t, f, limited, route)
+	free.rejections.Store(1)
+	if failed := sendAll(f, 1, route); len(failed) > 0 {
+		t.Errorf("a request that was rejected once: %v", failed[0])
+	}
+}
+
 // Guards against values of the limit that stop an endpoint, or that end a limit.
 func TestInvalidLimitsAreIgnored(t *testing.T) {
 	for _, value := range []string{"-1", "NaN", "many", "1e308"} {
--- a/internal/traffic/forward/reservation.go
+++ b/internal/traffic/forward/reservation.go
@@ -101,6 +101,10 @@
 func (f *Forwarder) checkWait(call Call, p *progress, until time.Time) error {
 	fleet := f.seams.Fleet
 	wait, _, limited := fleet.Limited(replica.Requirements{Service: call.Service, Avoid: p.tried})
+	if limited && wait > 0 && p.runs == 0 && len(p.tried) > 0 {
+		clear(p.tried)
+		return nil
+	}
 	if limited && f.timers.Now().Add(wait).After(until) {
 		return code.New(code.EndpointLimited, "%s", errLimited)
 	}
