Encode accepted batches once

Cause: on its way to the store a batch was encoded item by item, and then checked and copied by encoding/json with each value that holds it, and decoded once more to check the answer. Strings are searched for their end and not read character by character.

--- a/internal/base/codec/split.go
+++ b/internal/base/codec/split.go
@@ -1,6 +1,7 @@
 package codec
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 
@@ -134,17 +135,27 @@
 	return json.RawMessage(s.text[start:s.at:s.at]), nil
 }
 
-// quoted skips a string and reports whether it ends.
+// quoted skips a string and reports whether it ends. Strings are most of a batch, so
+// they are searched for a quote and not read character by character. The quote that was
+// found is kept while escaped characters precede it, so that the time stays linear.
 func (s *splitter) quoted() bool {
-	for s.at++; s.at < len(s.text); s.at++ {
-		switch s.text[s.at] {
-		case '\\':
-			s.at++
-		case '"':
-			s.at++
+	s.at++
+	for quote := -1; s.at <= len(s.text); {
+		if quote < s.at {
+			found := bytes.IndexByte(s.text[s.at:], '"')
+			if found < 0 {
+				break
+			}
+			quote = s.at + found
+		}
+		escape := bytes.IndexByte(s.text[s.at:quote], '\\')
+		if escape < 0 {
+			s.at = quote + 1
 			return true
 		}
+		s.at += escape + 2
 	}
+	s.at = len(s.text)
 	return false
 }
 
--- a/internal/training/batch/batch.go
+++ b/internal/training/batch/batch.go
@@ -35,6 +35,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/wigeonpin/wigeonpin/internal/base/codec"
 	"github.com/wigeonpin/wigeonpin/internal/peer/records"
 )
 
@@ -148,10 +149,11 @@
 			return fmt.Errorf("%w: %w", records.ErrRefused, err)
 		}
 	}
-	body, err := json.Marshal(storedBatch{batchFields: batchFields(*b), Items: parts[0], Parts: len(parts) - 1})
+	body, err := json.Marshal(storedBatch{batchFields: batchFields(*b), Parts: len(parts) - 1})
 	if err != nil {
 		return eris.Wrap(err, "batch")
 	}
+	body = codec.AppendMember(body, "items", parts[0])
 	_, err = s.store.Create(ctx, records.Record{Kind: KindBatches, Name: b.ID, Body: body})
 	if err == nil || errors.Is(err, records.ErrRefused) {
 		return err
@@ -169,11 +171,11 @@
 // batchFields has the fields of Batch, for embedding.
 type batchFields Batch
 
-// storedBatch is the record of a batch. Its Items and Parts shadow those of the
-// embedded fields.
+// storedBatch is the record of a batch without its items, which are joined to it. Its
+// Items and Parts shadow those of the embedded fields.
 type storedBatch struct {
 	batchFields
-	Items json.RawMessage `json:"items"`
+	Items json.RawMessage `json:"items,omitempty"`
 	Parts int             `json:"parts,omitempty"`
 }
 
@@ -183,27 +185,19 @@
 	var lists []json.RawMessage
 	var list []json.RawMessage
 	size := 0
-	flush := func() error {
-		encoded, err := json.Marshal(list)
-		lists, list, size = append(lists, encoded), []json.RawMessage{}, 0
-		return err
-	}
+	flush := func() { lists, list, size = append(lists, codec.JoinArray(list)), nil, 0 }
 	for _, item := range items {
 		encoded, err := json.Marshal(item)
 		if err != nil {
 			return nil, eris.Wrap(err, "item")
 		}
 		if size > 0 && size+len(encoded) > limit {
-			if err := flush(); err != nil {
-				return nil, eris.Wrap(err, "items")
-			}
+			flush()
 		}
 		list = append(list, encoded)
 		size += len(encoded)
 	}
-	if err := flush(); err != nil {
-		return nil, eris.Wrap(err, "items")
-	}
+	flush()
 	return lists, nil
 }
 
