List ready results when the batch is due, not shortly before

Cause: results that were ready were listed 0.3 s before the batch was due. Change: the results are listed when the batch is due, which trainers wait for longer than their pause.

--- a/internal/training/listing/listing.go
+++ b/internal/training/listing/listing.go
@@ -9,8 +9,10 @@
 // pauses when the last wanted group is complete, and learns of it only with its
 // next read. Results are therefore held until they complete what the trainer
 // waits for, so that it is in a long poll then. They are listed earlier when a
-// page is nearly full, when the batch is nearly due, or when the oldest of them
-// has waited for half of the time until the batch is due.
+// page is nearly full, when the batch is due, or when the oldest of them has waited
+// for half of the time until the batch is due. They are not listed shortly before it
+// is due: the longest texts often end then, and a trainer takes results for longer
+// than its pause.
 //
 // # Usage
 //
@@ -27,8 +29,6 @@
 const (
 	// Interval is the minimum time between two pages of a batch.
 	Interval = 350 * time.Millisecond
-	// dueLead is how long before a batch is due its ready results are listed.
-	dueLead = 300 * time.Millisecond
 	// holdFraction is the fraction of the time until a batch is due for which a
 	// result may be held.
 	holdFraction = 0.5
@@ -76,8 +76,8 @@
 		return later(earliest, ready.Since.Add(defaultHold))
 	}
 	held := ready.Since.Add(time.Duration(holdFraction * float64(s.Due)))
-	if nearlyDue := s.Accepted.Add(s.Due - dueLead); nearlyDue.Before(held) {
-		held = nearlyDue
+	if due := s.Accepted.Add(s.Due); due.Before(held) {
+		held = due
 	}
 	return later(earliest, held)
 }
