Reject responses whose status is none

Cause: any status below 200 was taken for that of an interim response, so that after 000, 099 or 101 the body was read as the next response and reached the caller as a complete 200; 600 and 999 were passed on (TestInvalidStatusIsNoAnswer and TestFaults failed before: body "hidden", status 200). Change: one reader of response heads for both clients, and a check of the status before the transports of net/http. The connection is closed, the endpoint counts as failed, and the request is retried only where its route allows it. The test of the lease's client looks at its transport, which is wrapped now. Measured: tests of peer, lease and serve pass with the race detector.

--- a/internal/control/lease/guard.go
+++ b/internal/control/lease/guard.go
@@ -17,15 +17,18 @@
 // take twice as long.
 const answerTimeout = 10 * time.Second
 
-// newClient returns a client whose connections belong to the lease. Each
-// request has its own connection, so that no request is sent on a connection
-// that was opened under an earlier token.
+// newClient returns a client whose connections belong to the lease.
 func (l *Lease) newClient() *http.Client {
-	transport := &http.Transport{
+	return &http.Client{Transport: conn.CheckStatus(l.newTransport()), Timeout: 2 * answerTimeout}
+}
+
+// newTransport returns a transport that opens a connection for each request, so that
+// none is sent on a connection that was opened under an earlier token.
+func (l *Lease) newTransport() *http.Transport {
+	return &http.Transport{
 		DialContext: l.dial, DisableKeepAlives: true, DisableCompression: true,
 		ResponseHeaderTimeout: answerTimeout, MaxResponseHeaderBytes: conn.HeaderLimit,
 	}
-	return &http.Client{Transport: transport, Timeout: 2 * answerTimeout}
 }
 
 func (l *Lease) dial(ctx context.Context, network, address string) (net.Conn, error) {
--- a/internal/control/lease/lease_test.go
+++ b/internal/control/lease/lease_test.go
@@ -337,7 +337,7 @@
 	if got := userTimeout(t, conn.(*guardedConn).Conn.(*net.TCPConn)); got != 2000 {
 		t.Errorf("TCP_USER_TIMEOUT is %d ms, want the drain bound of 2000 ms", got)
 	}
-	if !l.client.Transport.(*http.Transport).DisableKeepAlives {
+	if !l.newTransport().DisableKeepAlives {
 		t.Error("connections are reused")
 	}
 }
--- a/internal/peer/conn/limited.go
+++ b/internal/peer/conn/limited.go
@@ -53,14 +53,14 @@
 
 // LimitResponses limits the responses of a transport: headers to HeaderLimit
 // bytes and bodies to limit bytes, past which reads fail with
-// ErrLimitExceeded.
+// ErrLimitExceeded. Their statuses are checked as with CheckStatus.
 func LimitResponses(transport *http.Transport, limit int64) http.RoundTripper {
 	transport.MaxResponseHeaderBytes = HeaderLimit
-	return &limitedTransport{next: transport, limit: limit}
+	return &limitedTransport{next: newStatusTransport(transport), limit: limit}
 }
 
 type limitedTransport struct {
-	next  *http.Transport
+	next  *statusTransport
 	limit int64
 }
 
--- a/internal/peer/engine/engine.go
+++ b/internal/peer/engine/engine.go
@@ -46,8 +46,8 @@
 	streams.DisableKeepAlives = true
 	return &Client{
 		settings: settings, timers: timers,
-		streams: &http.Client{Transport: streams},
-		control: &http.Client{Transport: conn.Transport(settings)},
+		streams: &http.Client{Transport: conn.CheckStatus(streams)},
+		control: &http.Client{Transport: conn.CheckStatus(conn.Transport(settings))},
 	}
 }
 
--- a/internal/peer/exchange/exchange.go
+++ b/internal/peer/exchange/exchange.go
@@ -299,18 +299,10 @@
 	}
 }
 
-// readHead reads the head of the next answer, skipping interim (1xx) ones.
+// readHead reads the head of the next answer.
 func (c *connection) readHead(method string) (*http.Response, error) {
 	c.limited.Allow(conn.HeaderLimit)
-	for {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil {
-			return nil, err
-		}
-		if response.StatusCode >= 200 {
-			return response, nil
-		}
-	}
+	return conn.ReadResponse(c.reader, &http.Request{Method: method})
 }
 
 // id returns the header value that the answer must echo, or "" if none is
--- a/internal/peer/service/once.go
+++ b/internal/peer/service/once.go
@@ -44,8 +44,7 @@
 	return code.New(code.MayHaveRun, "the request was sent and no answer came: %s", reason(err)).WithRun(code.MaybeRun)
 }
 
-// roundTrip writes the request and reads the head of the answer, skipping
-// interim (1xx) answers.
+// roundTrip writes the request and reads the head of the answer.
 func roundTrip(counted *conn.CountingConn, req *http.Request) (*http.Response, error) {
 	// The service may answer before it has read the whole request. A write that
 	// failed after some bytes is therefore ignored if an answer follows.
@@ -56,17 +55,10 @@
 	limited := conn.NewLimitedReader(counted)
 	limited.Allow(conn.HeaderLimit)
 	reader := bufio.NewReader(limited)
-	for {
-		resp, err := http.ReadResponse(reader, req)
-		if err != nil {
-			return nil, errors.Join(err, writeErr)
-		}
-		if resp.StatusCode >= 200 {
-			limited.AllowAll()
-			return resp, nil
-		}
-		if resp.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errors.New("the service switched protocols")
-		}
+	resp, err := conn.ReadResponse(reader, req)
+	if err != nil {
+		return nil, errors.Join(err, writeErr)
 	}
+	limited.AllowAll()
+	return resp, nil
 }
--- a/internal/peer/service/service.go
+++ b/internal/peer/service/service.go
@@ -76,7 +76,7 @@
 // New returns a client.
 func New(settings setting.Settings) *Client {
 	return &Client{settings: settings, pooled: &http.Client{
-		Transport: conn.Transport(settings),
+		Transport: conn.CheckStatus(conn.Transport(settings)),
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
--- a/internal/peer/service/service_test.go
+++ b/internal/peer/service/service_test.go
@@ -125,6 +125,10 @@
 	case "interim":
 		_, _ = io.WriteString(c, "HTTP/1.1 103 Early Hints\r\n\r\n"+whole)
 		return false
+	case "status-000", "status-099", "status-101", "status-600", "status-999":
+		status := strings.TrimPrefix(f.fault, "status-")
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 %s Odd\r\nWigeonpin-Request: %s\r\nContent-Length: %d\r\n\r\n%s", status, id, len(whole), whole)
+		return false
 	case "extra":
 		_, _ = io.WriteString(c, whole+strings.Replace(whole, id, "another", 1))
 		return false
