Write and read an end marker only while it is not known to be stored

Cause: trainers end a batch several times, at several processes. Change: a conflict counts as stored, and a process remembers a stored marker for a minute, which is shorter than the five minutes that markers outlast a batch's retention. An unknown outcome is still read back.

--- a/internal/training/batch/batch.go
+++ b/internal/training/batch/batch.go
@@ -33,8 +33,10 @@
 	"strings"
 	"time"
 
+	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/rotisserie/eris"
 
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
 	"github.com/wigeonpin/wigeonpin/internal/peer/records"
 )
 
@@ -121,8 +123,19 @@
 type Store struct {
 	store records.Store
 	limit int // largest number of bytes of items in one record
+	// ended holds the uptime at which the end marker of a batch was known to be stored.
+	ended *lru.Cache[string, time.Duration]
 }
 
+const (
+	// maxKnownEnds is the number of end markers that are remembered.
+	maxKnownEnds = 256
+	// endKnownFor is how long an end marker is known to be stored. A batch and its
+	// marker are removed, so that the id can name another batch, more than five minutes
+	// after its acceptance.
+	endKnownFor = time.Minute
+)
+
 // maxItemFraction is the fraction of the largest record that items may take.
 // The rest is reserved for the encoding and the other fields.
 const maxItemFraction = 0.8
@@ -130,7 +143,11 @@
 // NewStore returns a Store on a record store whose records hold at most
 // valueBytes.
 func NewStore(store records.Store, valueBytes int) *Store {
-	return &Store{store: store, limit: int(maxItemFraction * float64(valueBytes))}
+	ended, err := lru.New[string, time.Duration](maxKnownEnds)
+	if err != nil {
+		panic(err) // the size is a positive constant
+	}
+	return &Store{store: store, limit: int(maxItemFraction * float64(valueBytes)), ended: ended}
 }
 
 // Accept stores the batch durably. It is idempotent: a batch that was accepted
@@ -272,16 +289,24 @@
 	return fmt.Errorf("%w: %v", records.ErrUnknownOutcome, readErr)
 }
 
-// End writes the end marker of a batch. When the answer of the store is lost, it
-// reads the marker back to learn whether it was written.
+// End writes the end marker of a batch, unless it is known to be stored. A conflict
+// shows that it is. When the answer of the store is lost, End reads the marker back to
+// learn whether it was written.
 func (s *Store) End(ctx context.Context, id string) error {
+	if since, known := s.ended.Get(id); known && clock.Uptime()-since < endKnownFor {
+		return nil
+	}
+	began := clock.Uptime()
 	_, err := s.store.Create(ctx, records.Record{Kind: KindEndings, Name: id, Body: []byte("{}")})
-	if err == nil || errors.Is(err, records.ErrRefused) {
+	if errors.Is(err, records.ErrRefused) {
 		return err
 	}
-	if _, readErr := s.store.Get(ctx, KindEndings, id); readErr != nil {
-		return unknownOutcome(readErr)
+	if err != nil && !errors.Is(err, records.ErrConflict) {
+		if _, readErr := s.store.Get(ctx, KindEndings, id); readErr != nil {
+			return unknownOutcome(readErr)
+		}
 	}
+	s.ended.Add(id, began)
 	return nil
 }
 
