Make shared watches go through the hosts again right after an outage

Cause: a host that did not reach the store counted as failed for 2 to 30 s, so that after each outage every process made its watches itself. Each watch that met the outage probed the direct path, and 24 processes probed it in 0.7 s. Change: the answer of a host that it does not reach the store counts only until the process's own path works, and watches that waited for that go to a host first. Watches that fail together share one probe, 8 processes (24 in an isolated zone) probe in 0.7 s, and one that finds that a peer reaches the store probes at once. TestSingleProcessCutOff: the first host, the second and an entry process, each cut off alone, go on through others.

--- a/internal/peer/relay/host.go
+++ b/internal/peer/relay/host.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 )
 
@@ -20,10 +21,12 @@
 )
 
 // hostBackoff is the state of a host that failed: it is not asked before until.
-// delay is the length of the current backoff.
+// delay is the length of the current backoff. noStore reports that the host answered,
+// but did not reach the store.
 type hostBackoff struct {
-	until time.Time
-	delay time.Duration
+	until   time.Time
+	delay   time.Duration
+	noStore bool
 }
 
 // callHost lets a host make a watch, so that equal watches of many processes
@@ -48,22 +51,59 @@
 		return reply, true, false
 	}
 	delay := min(maxHostBackoff, max(minHostBackoff, 2*r.hostBackoffs[address].delay))
-	r.hostBackoffs[address] = hostBackoff{until: r.timers.Now().Add(delay), delay: delay}
+	r.hostBackoffs[address] = hostBackoff{
+		until: r.timers.Now().Add(delay), delay: delay, noStore: err == nil || errors.Is(err, errPeerNoStore),
+	}
 	return Reply{}, false, true
 }
 
+// resumeHosts ends the backoffs of hosts that did not reach the store. Without it, all
+// processes made their watches themselves for up to maxHostBackoff after an outage. It
+// must be called with mu locked.
+func (r *Route) resumeHosts() {
+	for address, backoff := range r.hostBackoffs {
+		if backoff.noStore {
+			delete(r.hostBackoffs, address)
+		}
+	}
+}
+
+// directCheck is a probe of the direct path in progress.
+type directCheck struct{ finished chan struct{} }
+
 // checkDirect probes the direct path once, so that a watch does not wait on a
-// path that is down.
+// path that is down. Watches that fail at the same time share one probe.
 func (r *Route) checkDirect(ctx context.Context) {
-	if _, lost := r.directState(); lost {
+	r.mu.Lock()
+	if !r.lostSince.IsZero() {
+		r.mu.Unlock()
 		return
 	}
-	limited, cancel := context.WithTimeout(ctx, probeTimeout)
+	check := r.check
+	if check == nil {
+		check = &directCheck{finished: make(chan struct{})}
+		r.check = check
+		go r.runCheck(check)
+	}
+	r.mu.Unlock()
+	select {
+	case <-check.finished:
+	case <-ctx.Done():
+	}
+}
+
+// runCheck makes the probe of checkDirect.
+func (r *Route) runCheck(check *directCheck) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	reply, err := r.seams.Direct(limited, r.seams.Probe)
-	if ctx.Err() == nil && (err != nil || reply.refused()) {
+	reply, err := r.seams.Direct(ctx, r.seams.Probe)
+	if err != nil || reply.refused() {
 		r.markDirectLost(reply, err)
 	}
+	r.mu.Lock()
+	r.check = nil
+	r.mu.Unlock()
+	close(check.finished)
 }
 
 // availableHost returns the first of the hosts that is not in backoff, or "".
--- a/internal/peer/relay/peers.go
+++ b/internal/peer/relay/peers.go
@@ -99,6 +99,9 @@
 	defer r.mu.Unlock()
 	if !r.peerUsed {
 		r.peerUsed = true
+		if !r.lostSince.IsZero() {
+			r.ProbeNow() // the store answers others
+		}
 		r.log.WithField(logs.Peer, address).Info("store reached through a peer")
 	}
 	r.lastPeer, r.peersTried, r.peerCooldownUntil = address, true, time.Time{}
--- a/internal/peer/relay/route.go
+++ b/internal/peer/relay/route.go
@@ -45,9 +45,18 @@
 	minProbeInterval = 700 * time.Millisecond
 	probeTimeout     = 350 * time.Millisecond
 	// probersPerInterval is the number of processes that together probe once each
-	// in minProbeInterval. In a larger fleet each probes less often, so that the
-	// calls of an outage do not grow with the fleet.
-	probersPerInterval = 24
+	// in minProbeInterval. In a larger fleet each probes less often, at least once in
+	// maxProbeInterval, so that the calls of an outage do not grow with the fleet. The
+	// first process that finds the path restored tells the others.
+	probersPerInterval = 8
+	// isolatedProbers replaces it for a process that is cut off from other availability
+	// zones too, since only processes of its own zone could tell it.
+	isolatedProbers  = 24
+	maxProbeInterval = 10 * time.Second
+	// resumeLimit is how long a watch may have taken until the direct path is restored
+	// to ask a host again. Later a silent host would delay it beyond the time that
+	// package mirror expects.
+	resumeLimit = 600 * time.Millisecond
 	// minForcedInterval is the shortest time between two probes that others cause.
 	minForcedInterval = 200 * time.Millisecond
 )
@@ -132,6 +141,7 @@
 	isolated          bool          // neither the store nor another zone could be reached
 	isolation         chan struct{} // closed while isolated is true
 	hostBackoffs      map[string]hostBackoff
+	check             *directCheck // the check of the direct path in progress, or nil
 }
 
 // NewRoute returns a route.
@@ -142,6 +152,7 @@
 // Call makes a call directly, or through peers while the direct path is lost. A
 // watch goes to a host first.
 func (r *Route) Call(ctx context.Context, call Call) (Reply, error) {
+	began := r.timers.Uptime()
 	if call.Wait > 0 {
 		reply, served, failed := r.callHost(ctx, call)
 		if served {
@@ -164,6 +175,12 @@
 		if directLost == nil {
 			return Reply{}, errDirectLost
 		}
+		// All processes resume at the same time, so that equal watches are worth sharing.
+		if r.timers.Uptime()-began < resumeLimit {
+			if reply, served, _ := r.callHost(ctx, call); served {
+				return reply, nil
+			}
+		}
 	}
 	reply, err := r.callDirect(ctx, call, directLost)
 	if err == nil && !reply.refused() {
@@ -289,6 +306,7 @@
 	r.lostSince, r.directLost = time.Time{}, make(chan struct{})
 	close(r.restored)
 	r.setIsolated(false)
+	r.resumeHosts()
 	if r.seams.OnDirectRestored != nil {
 		go r.seams.OnDirectRestored()
 	}
@@ -356,9 +374,13 @@
 // probeInterval returns the time between probes of the direct path: the shortest
 // one in a small fleet, and in proportion to the number of processes in a larger
 // one.
-func (r *Route) probeInterval() time.Duration {
+func (r *Route) probeInterval(isolated bool) time.Duration {
+	probers := probersPerInterval
+	if isolated {
+		probers = isolatedProbers
+	}
 	processes := 1 + len(r.seams.Peers())
-	interval := minProbeInterval * time.Duration(max(probersPerInterval, processes)) / probersPerInterval
+	interval := min(maxProbeInterval, minProbeInterval*time.Duration(max(probers, processes))/time.Duration(probers))
 	return interval*3/4 + rand.N(interval/2)
 }
 
@@ -378,13 +400,7 @@
 	default:
 	}
 	for {
-		timer := r.timers.After(r.probeInterval())
-		select {
-		case <-timer.C:
-		case <-r.probe:
-			_ = r.timers.Sleep(context.Background(), minForcedInterval/2+rand.N(minForcedInterval/2))
-		}
-		timer.Stop()
+		r.awaitProbe()
 		if _, lost := r.directState(); !lost {
 			return
 		}
@@ -397,3 +413,34 @@
 		}
 	}
 }
+
+// awaitProbe waits until the direct path is to be probed.
+func (r *Route) awaitProbe() {
+	isolation, isolated := r.isolationState()
+	timer := r.timers.After(r.probeInterval(isolated))
+	defer func() { timer.Stop() }()
+	for {
+		select {
+		case <-timer.C:
+			return
+		case <-r.probe:
+			_ = r.timers.Sleep(context.Background(), minForcedInterval/2+rand.N(minForcedInterval/2))
+			return
+		case <-isolation:
+			isolation = nil
+			timer.Stop()
+			timer = r.timers.After(r.probeInterval(true))
+		}
+	}
+}
+
+// isolationState returns a channel that is closed once the process is isolated, or nil
+// if it is so already.
+func (r *Route) isolationState() (isolation <-chan struct{}, isolated bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.isolated {
+		return nil, true
+	}
+	return r.isolation, false
+}
