Let scoring calls wait for headroom at plain endpoints

Cause: scoring calls of items, which are due in seconds, took the slots for which interactive requests with an objective of 150 ms waited. Change: scoring calls are background calls. One goes to an endpoint only while the latest report and the calls of this process leave a quarter of its slots free and nothing waits there, or from its limit on. The limit is half of the time until the batch is due less three usual times of a call, at most 25 usual times, spread so that held calls do not go together. Endpoints without a recent report take background calls up to half of their slots. A batch without a due time is scored as before. The queue starts the background calls of an account in the order of their limits and does not refuse one before.

--- a/cmd/wigeonpin/node.go
+++ b/cmd/wigeonpin/node.go
@@ -25,6 +25,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/peer/exchange"
 	"github.com/wigeonpin/wigeonpin/internal/peer/records"
 	"github.com/wigeonpin/wigeonpin/internal/peer/relay"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/forward"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/front"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/stop"
 	"github.com/wigeonpin/wigeonpin/internal/training/batch"
@@ -72,7 +73,7 @@
 var summaryCounters = []string{
 	storeCalls, storeStrays, "requests_served", "requests_failed", "connections_opened", "endpoint_breaks", "endpoint_refusals", "requests_held", stop.CountName,
 	batch.CountEmpty, batch.CountMissed, batch.CountMisplaced,
-	ratelimit.CountSends, ratelimit.CountAsks, runner.CountRuns, runner.CountRejections, runner.CountBreaks, runner.CountScoreFailures,
+	forward.CountBackground, ratelimit.CountSends, ratelimit.CountAsks, runner.CountRuns, runner.CountRejections, runner.CountBreaks, runner.CountScoreFailures,
 }
 
 // node holds what entry and worker processes have in common: settings, log,
--- a/internal/fleet/replica/pick.go
+++ b/internal/fleet/replica/pick.go
@@ -23,6 +23,8 @@
 	Account   string
 	Waiting   int
 	Patience  time.Duration
+	// Background limits the choice to endpoints with headroom for interactive requests.
+	Background bool
 }
 
 // preferredBonus is the load, as a share of the slots, by which an endpoint with
@@ -70,6 +72,7 @@
 			continue // the permit has just expired
 		}
 		best.inFlight++
+		best.sentSinceReport++
 		return &Slot{Entry: best.Entry, fleet: f, began: now, sentAt: f.timers.Uptime()}, true
 	}
 }
@@ -100,6 +103,9 @@
 		if !f.matches(s, want) || !f.hasRoom(s, now) {
 			continue
 		}
+		if want.Background && !s.headroom(now) {
+			continue
+		}
 		c := candidate{state: s, avoided: now.Before(s.backoffUntil)}
 		c.score = f.score(s, want, now) + slownessWeight*(f.slowness(s, fastest, now)-1)
 		switch cold, known := f.cold(s, now); {
@@ -267,7 +273,8 @@
 	s.fleet.mu.Lock()
 	defer s.fleet.mu.Unlock()
 	if st, known := s.fleet.states[s.Entry.ID]; known {
-		st.load, st.loadAt = load, s.fleet.timers.Now()
+		st.load, st.loadAt, st.sentSinceReport = load, s.fleet.timers.Now(), 0
+		st.observeScarcity(load)
 		st.limiter.observeLoad(load, max(1, float64(st.Slots)*s.fleet.options.Overcommit), st.loadAt)
 	}
 }
--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -102,19 +102,22 @@
 
 type endpointState struct {
 	Entry
-	inFlight     int // requests of this process in flight
-	load         Load
-	loadAt       time.Time
-	failures     int
-	backoffUntil time.Time
-	absentUntil  time.Time // gets no requests until then: not found at its address
-	coldUntil    time.Time
-	eventTime    time.Duration // moving average of the time for one event; 0 while unknown
-	eventTimeAt  time.Time
-	limiter      concurrencyLimiter
-	pausedUntil  time.Time // end of the pause due to a limit below one
-	loading      string    // model whose weights are being changed
-	expiresAt    time.Time // when to drop an endpoint that is kept without an entry; zero if it has one
+	inFlight int // requests of this process in flight
+	load     Load
+	loadAt   time.Time
+	// sentSinceReport counts the requests of this process sent since the load report.
+	sentSinceReport int
+	scarceReports   int // reports in a row without headroom
+	failures        int
+	backoffUntil    time.Time
+	absentUntil     time.Time // gets no requests until then: not found at its address
+	coldUntil       time.Time
+	eventTime       time.Duration // moving average of the time for one event; 0 while unknown
+	eventTimeAt     time.Time
+	limiter         concurrencyLimiter
+	pausedUntil     time.Time // end of the pause due to a limit below one
+	loading         string    // model whose weights are being changed
+	expiresAt       time.Time // when to drop an endpoint that is kept without an entry; zero if it has one
 }
 
 // departure records that an endpoint announced that it is leaving, for the run
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -56,6 +56,11 @@
 	answerReserve = 15 * time.Millisecond
 )
 
+// CountBackground names the counter of the attempts of background calls by what let
+// them go: headroom at once, headroom after a wait, or the end of the time that they may
+// wait.
+const CountBackground = "background_calls"
+
 // Call is one request of a caller. Request is the message for the endpoint,
 // without the header fields that are set for each attempt.
 type Call struct {
@@ -65,6 +70,10 @@
 	Request     exchange.Request
 	Deadline    time.Time
 	Open        bool // the caller has a part of the answer
+	// Urgent is set for background calls: until then the call is sent only to an
+	// endpoint with headroom for interactive calls. An attempt gets at most the time
+	// from Urgent to Deadline, however early it begins.
+	Urgent time.Time
 
 	digest func() string // the result of ContentDigest, computed once
 }
@@ -84,8 +93,9 @@
 	Body         []byte
 	Rest         io.Reader
 	Endpoint     replica.Entry
-	ServerErrors int // answers with status 500 that the call got, including this one
-	Attempts     int // endpoints that may have run the request
+	ServerErrors int           // answers with status 500 that the call got, including this one
+	Attempts     int           // endpoints that may have run the request
+	Took         time.Duration // time of the attempt that gave the answer, until Body was read
 	close        func()
 	cancel       context.CancelCauseFunc
 }
@@ -136,6 +146,7 @@
 	breaks     *meter.Counter
 	refusals   *meter.Counter
 	held       *meter.Counter
+	background *meter.Counter
 
 	mu         sync.Mutex
 	schedules  map[string]*retryafter.Schedule // by service
@@ -157,8 +168,9 @@
 	f := &Forwarder{
 		seams: seams, timers: timers, log: log, schedules: map[string]*retryafter.Schedule{},
 		breaks: seams.Meters.Counter("endpoint_breaks"), refusals: seams.Meters.Counter("endpoint_refusals"),
-		held:  seams.Meters.Counter("requests_held"),
-		queue: queue.New(timers, seams.Meters, queue.Seams{RemoteCost: func(string) int64 { return 0 }}),
+		held:       seams.Meters.Counter("requests_held"),
+		background: seams.Meters.Counter(CountBackground),
+		queue:      queue.New(timers, seams.Meters, queue.Seams{RemoteCost: func(string) int64 { return 0 }}),
 	}
 	seams.Fleet.OnUnexpectedEnd(f.attributeEnd)
 	seams.Fleet.OnRoom(func() { f.queue.Recheck() })
@@ -267,7 +279,11 @@
 func (f *Forwarder) attempt(ctx context.Context, call Call, slot *reservation, p *progress) (*Answer, verdict) {
 	deadline, _ := ctx.Deadline()
 	left := time.Until(deadline)
+	if !call.Urgent.IsZero() {
+		left = min(left, call.Deadline.Sub(call.Urgent))
+	}
 	limit := left
+	began := f.timers.Now()
 	if call.Route.Repeatable() && call.Route.Kind == manifest.Idempotent && p.runs+1 < call.Route.Attempts {
 		limit = min(left, max(minAttemptTime, time.Duration(attemptShare*float64(left))))
 	}
@@ -284,7 +300,11 @@
 		attempt.release()
 		return nil, f.handleError(ctx, call, slot, p, err, timedOut)
 	}
-	return f.handleAnswer(ctx, call, slot, p, answer, attempt)
+	result, verdict := f.handleAnswer(ctx, call, slot, p, answer, attempt)
+	if result != nil {
+		result.Took = f.timers.Since(began)
+	}
+	return result, verdict
 }
 
 // handleError handles an attempt without an answer. timedOut reports whether the
--- a/internal/traffic/forward/reservation.go
+++ b/internal/traffic/forward/reservation.go
@@ -66,9 +66,10 @@
 	f.waiting.Add(call.Service, 1)
 	defer f.waiting.Add(call.Service, -1)
 	var slot *replica.Slot
+	held := false
 	item := queue.Item{
 		Account: call.Account, Model: call.Service, Weight: 1, Cost: 1,
-		Deadline: until, Front: p.runs > 0 || p.rejections > 0,
+		Deadline: until, Front: p.runs > 0 || p.rejections > 0, Urgent: call.Urgent,
 		Start: func() (bool, error) {
 			if !f.seams.Stop.CanEnd(p.work) {
 				giveUp(errLate)
@@ -78,10 +79,12 @@
 			slot, found = f.seams.Fleet.Pick(replica.Requirements{
 				Service: call.Service, Avoid: p.tried,
 				Account: call.Account, Waiting: f.waiting.Count(call.Service), Patience: until.Sub(f.timers.Now()),
+				Background: f.timers.Now().Before(call.Urgent),
 			})
 			if found {
 				return true, nil
 			}
+			held = true
 			f.startRechecks()
 			return false, f.checkWait(call, p, until)
 		},
@@ -91,9 +94,24 @@
 		p.late = context.Cause(ctx) == errLate
 		return nil, err
 	}
+	f.countBackground(call, held)
 	return &reservation{Slot: slot, turn: turn}, nil
 }
 
+// countBackground counts an attempt of a background call that goes out now. Held reports
+// whether it had to wait.
+func (f *Forwarder) countBackground(call Call, held bool) {
+	switch {
+	case call.Urgent.IsZero():
+	case !f.timers.Now().Before(call.Urgent):
+		f.background.Add("limit", 1)
+	case held:
+		f.background.Add("waited", 1)
+	default:
+		f.background.Add("at once", 1)
+	}
+}
+
 // checkWait returns an error when waiting until the given time is useless: the service
 // has no endpoint, the limits of all endpoints are used up for longer, or the request
 // may have run and was sent to every endpoint. A request that was only rejected by full
@@ -123,6 +141,9 @@
 
 // queueDeadline returns the time until which a request may wait for an endpoint.
 func queueDeadline(call Call, now time.Time) time.Time {
+	if call.Urgent.After(now) {
+		now = call.Urgent
+	}
 	wait := defaultWait
 	if call.Route.TargetLatency > 0 {
 		wait = time.Duration(waitShare * float64(call.Route.TargetLatency))
--- a/internal/traffic/queue/queue.go
+++ b/internal/traffic/queue/queue.go
@@ -17,6 +17,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -66,6 +67,10 @@
 	// Front queues the request before the others of its account. It is meant for
 	// requests that have already run in part.
 	Front bool
+	// Urgent is set for background requests: until then the request may wait for
+	// headroom, and is not refused for its expected wait. The background requests of
+	// an account start in the order of it.
+	Urgent time.Time
 	// Check is called right before the request is started. If it returns an
 	// error, the request is refused with it.
 	Check func() error
@@ -259,13 +264,22 @@
 	}
 	f.weight = w.item.Weight
 	if w.item.Front {
-		f.waiting = append([]*waiter{w}, f.waiting...)
+		f.waiting = slices.Insert(f.waiting, 0, w)
 	} else {
-		f.waiting = append(f.waiting, w)
+		f.waiting = slices.Insert(f.waiting, f.position(w), w)
 	}
 	f.cost += w.item.Cost
 }
 
+// position returns where a request is queued that does not go first.
+func (f *flow) position(w *waiter) int {
+	at := len(f.waiting)
+	for !w.item.Urgent.IsZero() && at > 0 && f.waiting[at-1].item.Urgent.After(w.item.Urgent) && !f.waiting[at-1].item.Front {
+		at--
+	}
+	return at
+}
+
 func (m *model) remove(w *waiter) {
 	f := m.flows[w.item.Account]
 	for i, other := range f.waiting {
@@ -295,8 +309,11 @@
 }
 
 func (q *Queue) refuseIfLate(m *model, f *flow, w *waiter, ahead int64) bool {
-	wait := m.estimateWait(f, ahead)
 	now := q.timers.Now()
+	if now.Before(w.item.Urgent) {
+		return false
+	}
+	wait := m.estimateWait(f, ahead)
 	remaining := w.item.Deadline.Sub(now)
 	if q.stalled(m, w, now) {
 		wait, remaining = maxRetryAfter, 0
@@ -313,7 +330,7 @@
 // stalled reports whether nothing of the model has run here for so long that
 // the wait cannot be estimated.
 func (q *Queue) stalled(m *model, w *waiter, now time.Time) bool {
-	return m.running == 0 && now.Sub(w.since) > stallLimit && now.Sub(m.lastEnded) > stallLimit
+	return m.running == 0 && now.Sub(w.since) > stallLimit && now.Sub(w.item.Urgent) > stallLimit && now.Sub(m.lastEnded) > stallLimit
 }
 
 // estimateWait estimates how long a request waits behind the given cost of its
--- a/internal/traffic/queue/queue_test.go
+++ b/internal/traffic/queue/queue_test.go
@@ -191,3 +191,28 @@
 	}
 	return strings.Join(out, "\n")
 }
+
+// Guards against a background request that misses its limit behind one of its account
+// with more time, and against the refusal of one that may still wait.
+func TestBackgroundRequestsInTheOrderOfTheirLimits(t *testing.T) {
+	s := newSimulation(1)
+	item := Item{Account: "a", Weight: 1, Cost: 100, Deadline: time.Time{}.Add(time.Minute)}
+	s.send(item)
+	s.finish() // the time per unit of cost is known
+	s.send(item)
+	for _, limit := range []int{5, 1, 3, 2, 4} {
+		urgent := s.timers.Now().Add(time.Duration(limit) * time.Second)
+		s.send(Item{Account: "a", Weight: 1, Cost: 100, Urgent: urgent, MaxRunning: limit, Deadline: time.Time{}.Add(time.Millisecond)})
+	}
+	s.queue.Recheck()
+	s.settle()
+	var order []int
+	for range 6 {
+		if turn := s.finish(); turn.item.MaxRunning > 0 {
+			order = append(order, turn.item.MaxRunning)
+		}
+	}
+	if want := []int{1, 2, 3, 4, 5}; !slices.Equal(order, want) || len(s.refused) > 0 {
+		t.Errorf("started in the order %v with %d refused, want %v", order, len(s.refused), want)
+	}
+}
--- a/internal/training/runner/runner.go
+++ b/internal/training/runner/runner.go
@@ -75,11 +75,12 @@
 // Runner executes batches while it is active. It keeps track of them at all
 // times, so that it can start at once when it becomes active.
 type Runner struct {
-	seams    Seams
-	timers   *clock.Service
-	log      *logrus.Entry
-	calls    chan func(ctx context.Context) // executed by the goroutine of Run
-	counters counters
+	seams       Seams
+	timers      *clock.Service
+	log         *logrus.Entry
+	calls       chan func(ctx context.Context) // executed by the goroutine of Run
+	counters    counters
+	scoringTime scoringTime // used by all goroutines
 
 	// The fields below are used only by the goroutine of Run.
 	active bool
--- a/internal/training/runner/scoring.go
+++ b/internal/training/runner/scoring.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -14,10 +15,12 @@
 	"github.com/wigeonpin/wigeonpin/internal/control/manifest"
 	"github.com/wigeonpin/wigeonpin/internal/peer/exchange"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/forward"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/share"
 	"github.com/wigeonpin/wigeonpin/internal/training/batch"
 )
 
-// scoringTimeout bounds one scoring call including all its attempts.
+// scoringTimeout bounds one scoring call including all its attempts, from the time on
+// from which it may no longer wait for headroom.
 const scoringTimeout = 4 * time.Second
 
 // startScoring starts the scoring call for a complete text. A text that mixes
@@ -36,9 +39,9 @@
 		r.completeItem(t, result)
 		return
 	}
-	jobCtx := t.job.ctx
+	jobCtx, due := t.job.ctx, t.job.dueAt()
 	go func() {
-		answer, err := r.callScorer(jobCtx, t.job.batch, t.item.Reward)
+		answer, err := r.callScorer(jobCtx, t.job.batch, t.item.Reward, due)
 		r.post(jobCtx, func(context.Context) {
 			if jobCtx.Err() == nil {
 				r.scoringFinished(t, result, answer, err)
@@ -47,17 +50,28 @@
 	}()
 }
 
-// callScorer makes the scoring call and returns its answer.
-func (r *Runner) callScorer(ctx context.Context, b *batch.Batch, reward *batch.Reward) (*forward.Answer, error) {
+// dueAt returns when the results of the batch are due, or the zero time.
+func (j *job) dueAt() time.Time {
+	if j.schedule.Due <= 0 {
+		return time.Time{}
+	}
+	return j.schedule.Accepted.Add(j.schedule.Due)
+}
+
+// callScorer makes the scoring call of an item of a batch that is due at the given time,
+// and returns its answer. The call is not urgent: it waits for headroom as long as that
+// does not make the item late.
+func (r *Runner) callScorer(ctx context.Context, b *batch.Batch, reward *batch.Reward, due time.Time) (*forward.Answer, error) {
 	path, query, _ := strings.Cut(reward.Path, "?")
 	route, found := r.scoringRoute(b, reward)
 	if !found {
 		return nil, errors.New("no route for the scoring call")
 	}
-	names := r.seams.Names
+	names, now := r.seams.Names, r.timers.Now()
+	urgent := share.Limit(now, due, r.scoringTime.usual(route.TargetLatency), rand.Float64())
 	answer, err := r.seams.Forwarder.Send(ctx, forward.Call{
 		ID: reward.ID, Route: asIdempotent(route), Service: route.SelectService(rand.Float64()),
-		Deadline: r.timers.Now().Add(scoringTimeout),
+		Urgent: urgent, Deadline: urgent.Add(scoringTimeout),
 		Request: exchange.Request{
 			Method: http.MethodPost, Path: path, Query: query, Host: reward.Host, Body: reward.Body,
 			Header: http.Header{http.CanonicalHeaderKey(names.Request): {reward.ID}},
@@ -67,6 +81,7 @@
 		return nil, err
 	}
 	defer answer.Close()
+	r.scoringTime.observe(answer.Took)
 	if answer.Rest != nil {
 		answer.Abort()
 		return nil, errLongScoringAnswer
@@ -74,6 +89,30 @@
 	return answer, nil
 }
 
+// scoringTimeWeight is the weight of a new measurement in the moving average.
+const scoringTimeWeight = 0.1
+
+// scoringTime is the moving average of how long scoring calls take at their endpoints.
+type scoringTime struct{ nanoseconds atomic.Int64 }
+
+// usual returns the average, or unknown while nothing was measured.
+func (s *scoringTime) usual(unknown time.Duration) time.Duration {
+	if average := s.nanoseconds.Load(); average > 0 {
+		return time.Duration(average)
+	}
+	return unknown
+}
+
+// observe records a measurement. It is dropped if another one is recorded meanwhile.
+func (s *scoringTime) observe(took time.Duration) {
+	known := s.nanoseconds.Load()
+	next := int64(took)
+	if known > 0 {
+		next = known + int64(scoringTimeWeight*float64(int64(took)-known))
+	}
+	s.nanoseconds.CompareAndSwap(known, next)
+}
+
 // errLongScoringAnswer is returned for a scoring answer that was not read to its
 // end. Its stamp alone does not prove that the scoring was completed.
 var errLongScoringAnswer = errors.New("the answer to the scoring call is too long")
