Order waiting requests by the work that accounts receive

Cause: entry processes gave each request the cost 1, so that with few slots in use an account with long requests received more work than one with short ones, and the expected wait ignored what waits. Change: the cost of a request is the expected work in microseconds, a moving average by service and route until the cost model replaces it. The share of an account is its running requests here and on other instances, plus the work received lately beyond the account that received least; that work is charged when a request ends. The rate for Retry-After is in requests of mean cost. One look at the queue computes each account's share once. The former cases of the queue give the same output.

--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -141,6 +141,7 @@
 	timers     *clock.Service
 	log        *logrus.Entry
 	queue      *queue.Queue
+	work       *workModel
 	waiting    ratelimit.Waiting
 	rechecking atomic.Bool // whether the goroutine of startRechecks runs
 	breaks     *meter.Counter
@@ -166,11 +167,11 @@
 		seams.Stop = stop.New(timers, seams.Meters)
 	}
 	f := &Forwarder{
-		seams: seams, timers: timers, log: log, schedules: map[string]*retryafter.Schedule{},
+		seams: seams, timers: timers, log: log, schedules: map[string]*retryafter.Schedule{}, work: newWorkModel(),
 		breaks: seams.Meters.Counter("endpoint_breaks"), refusals: seams.Meters.Counter("endpoint_refusals"),
 		held:       seams.Meters.Counter("requests_held"),
 		background: seams.Meters.Counter(CountBackground),
-		queue:      queue.New(timers, seams.Meters, queue.Seams{RemoteCost: func(string) int64 { return 0 }}),
+		queue:      queue.New(timers, seams.Meters, queue.Seams{}),
 	}
 	seams.Fleet.OnUnexpectedEnd(f.attributeEnd)
 	seams.Fleet.OnRoom(func() { f.queue.Recheck() })
--- a/internal/traffic/queue/queue.go
+++ b/internal/traffic/queue/queue.go
@@ -1,6 +1,6 @@
 // Package queue implements weighted fair queueing of requests. There is one
-// queue per client account and model; the account with the lowest share of the
-// running requests relative to its weight goes first. A request that is not
+// queue per client account and model; the account that receives the least work
+// relative to its weight goes first. A request that is not
 // expected to start before its deadline is refused at once.
 //
 // # Usage
@@ -16,7 +16,6 @@
 
 import (
 	"context"
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -47,17 +46,22 @@
 // Seams are the functions that the queue needs.
 type Seams struct {
 	// RemoteCost returns the cost of the account's requests that run on other
-	// instances.
+	// instances; nil means none.
 	RemoteCost func(account string) int64
+	// RemoteSlots returns the work that the account receives from other instances, in
+	// slots that it occupies there all the time; nil means none.
+	RemoteSlots func(account string) float64
 	// Changed returns a channel that is closed when slots may have become free.
 	Changed func() <-chan struct{}
 }
 
 // Item is a request to be queued.
 type Item struct {
-	Account  string
-	Model    string
-	Weight   float64
+	Account string
+	Model   string
+	Weight  float64
+	// Cost is the expected work of the request. The unit is the same for all requests
+	// of a model.
 	Cost     int64
 	Deadline time.Time
 	// MaxWaiting limits the waiting requests of the account, MaxRunning its requests
@@ -89,13 +93,9 @@
 	mu       sync.Mutex
 	models   map[string]*model
 	accounts map[string]*account
-}
-
-// account counts the running requests of one client account over all models, and
-// their cost.
-type account struct {
-	cost    int64
-	running int
+	// forgetAt is the number of accounts from which on idle ones are forgotten.
+	forgetAt   int
+	candidates []candidate // used by dispatch, kept to save memory allocations
 }
 
 // model holds the queues and the statistics of one model.
@@ -107,7 +107,10 @@
 	// secondsPerCost is the moving average of the time for which one unit of cost
 	// occupies a slot.
 	secondsPerCost float64
-	// virtualTime is the virtual start time of the last started request.
+	// meanCost is the moving average of the cost of a request.
+	meanCost float64
+	// virtualTime is the highest received cost of an account whose request was started,
+	// when it was started. Accounts that wait have received about as much.
 	virtualTime float64
 }
 
@@ -117,9 +120,11 @@
 	weight  float64
 	waiting []*waiter
 	cost    int64
-	// virtualFinish is the virtual finish time of the account's last started
-	// request. It breaks ties between accounts with equal running shares.
-	virtualFinish float64
+	running int
+	// received is the cost of the ended requests, relative to the weight. It is at least
+	// the virtual time of the model when the account begins to wait: an account gains no
+	// credit for the time in which it had nothing queued.
+	received float64
 }
 
 type waiter struct {
@@ -134,6 +139,7 @@
 // has ended.
 type Turn struct {
 	queue *Queue
+	flow  *flow
 	item  Item
 	start time.Time
 	// Waited is the time that the request spent in the queue.
@@ -143,6 +149,12 @@
 
 // New returns an empty queue.
 func New(timers *clock.Service, meters *meter.Set, seams Seams) *Queue {
+	if seams.RemoteCost == nil {
+		seams.RemoteCost = func(string) int64 { return 0 }
+	}
+	if seams.RemoteSlots == nil {
+		seams.RemoteSlots = func(string) float64 { return 0 }
+	}
 	q := &Queue{
 		timers: timers, seams: seams,
 		waitTime: meters.Histogram("queue_wait_us"), refused: meters.Counter("queue_refused"),
@@ -246,6 +258,7 @@
 func (q *Queue) account(name string) *account {
 	a, ok := q.accounts[name]
 	if !ok {
+		q.forgetIdle()
 		a = &account{}
 		q.accounts[name] = a
 	}
@@ -259,8 +272,7 @@
 		m.flows[w.item.Account] = f
 	}
 	if len(f.waiting) == 0 {
-		// An account gains no credit for the time in which it had nothing queued.
-		f.virtualFinish = max(f.virtualFinish, m.virtualTime)
+		f.received = max(f.received, m.virtualTime)
 	}
 	f.weight = w.item.Weight
 	if w.item.Front {
@@ -356,8 +368,8 @@
 	return min(max(wait, minRetryAfter), maxRetryAfter)
 }
 
-// Rate estimates how many requests of unit cost this instance serves per second
-// for a model, with as many running as now. It returns 0 when that is unknown.
+// Rate estimates how many requests of mean cost this instance serves per second for
+// a model, with as many running as now. It returns 0 when that is unknown.
 func (q *Queue) Rate(name string) float64 {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -365,7 +377,7 @@
 	if !known || m.secondsPerCost == 0 {
 		return 0
 	}
-	return float64(m.running) / m.secondsPerCost
+	return float64(m.running) / (m.secondsPerCost * max(1, m.meanCost))
 }
 
 // Recheck starts the requests that can start and refuses those that are no
@@ -393,59 +405,70 @@
 				ahead += w.item.Cost
 			}
 		}
-		if len(f.waiting) == 0 && f.virtualFinish <= m.virtualTime {
+		if len(f.waiting) == 0 && f.running == 0 && f.received <= m.virtualTime {
 			delete(m.flows, name)
 		}
 	}
 }
 
+// candidate is a flow whose first request may start.
+type candidate struct {
+	flow  *flow
+	share float64
+}
+
 // dispatch starts waiting requests in fair order until none can start.
 func (q *Queue) dispatch(m *model) {
-	blocked := map[string]bool{}
-	for {
-		f := q.next(m, blocked)
-		if f == nil {
-			return
+	candidates := q.candidates[:0]
+	for _, f := range m.flows {
+		if len(f.waiting) > 0 {
+			candidates = append(candidates, candidate{f, q.share(m, f)})
 		}
-		if !q.startHead(m, f) {
-			blocked[f.account] = true
+	}
+	for len(candidates) > 0 {
+		at := first(candidates)
+		f := candidates[at].flow
+		if q.startHead(m, f) && len(f.waiting) > 0 {
+			candidates[at].share = q.share(m, f)
+			continue
 		}
+		candidates[at] = candidates[len(candidates)-1]
+		candidates = candidates[:len(candidates)-1]
 	}
+	q.candidates = candidates
 }
 
-// next returns the flow with the lowest running share relative to its weight.
-func (q *Queue) next(m *model, blocked map[string]bool) *flow {
-	var best *flow
-	bestShare := math.Inf(1)
-	for _, f := range m.flows {
-		if len(f.waiting) == 0 || blocked[f.account] {
-			continue
-		}
-		share := q.share(f)
-		if best == nil || share < bestShare || (share == bestShare && earlier(f, best)) {
-			best, bestShare = f, share
+// first returns the position of the flow with the lowest share.
+func first(candidates []candidate) int {
+	best := 0
+	for i, c := range candidates {
+		if b := candidates[best]; c.share < b.share || (c.share == b.share && earlier(c.flow, b.flow)) {
+			best = i
 		}
 	}
 	return best
 }
 
-// share returns the number of slots that the account occupies here and on other
-// instances, relative to its weight. It compares slots instead of the cost in
-// flight: each unit of cost occupies a slot for about the same time, so equal
-// slots give equal cost per second, whereas equal cost in flight would give an
-// account with large requests fewer slots. Peers report cost, which is converted
-// to slots by the account's mean cost per request.
-func (q *Queue) share(f *flow) float64 {
-	a := q.account(f.account)
-	mean := float64(max(f.waiting[0].item.Cost, 1))
-	if a.running > 0 {
+// share returns the work that the account receives, relative to its weight and in slots
+// that it occupies all the time: its running requests here, those on other instances, and
+// what it received lately beyond the account that received least. It compares slots
+// instead of the cost in flight: each unit of cost occupies a slot for about the same time,
+// so equal slots give equal cost per second, whereas equal cost in flight would give an
+// account with large requests fewer slots. Peers that report running cost are converted to
+// slots by the account's mean cost per request.
+func (q *Queue) share(m *model, f *flow) float64 {
+	slots, mean := q.seams.RemoteSlots(f.account), float64(max(f.waiting[0].item.Cost, 1))
+	if a, known := q.accounts[f.account]; known && a.running > 0 {
+		slots += float64(a.running)
 		mean = float64(max(a.cost, 1)) / float64(a.running)
 	}
-	return (float64(a.running) + float64(q.seams.RemoteCost(f.account))/mean) / f.weight
+	slots += float64(q.seams.RemoteCost(f.account)) / mean
+	ahead := max(0, f.received-m.virtualTime) * m.secondsPerCost / memory.Seconds()
+	return slots/f.weight + ahead
 }
 
 func earlier(a, b *flow) bool {
-	return a.virtualFinish < b.virtualFinish || (a.virtualFinish == b.virtualFinish && a.account < b.account)
+	return a.received < b.received || (a.received == b.received && a.account < b.account)
 }
 
 // startHead starts or refuses the first request of a flow. It returns false when
@@ -473,13 +496,14 @@
 		return false
 	}
 	m.remove(w)
+	now := q.timers.Now()
+	a.advance(now)
 	a.cost += w.item.Cost
 	a.running++
 	m.running++
-	m.virtualTime = max(m.virtualTime, f.virtualFinish)
-	f.virtualFinish += float64(w.item.Cost) / f.weight
-	now := q.timers.Now()
-	w.resolve(&Turn{queue: q, item: w.item, start: now, Waited: now.Sub(w.since)}, nil)
+	f.running++
+	m.virtualTime = max(m.virtualTime, f.received)
+	w.resolve(&Turn{queue: q, flow: f, item: w.item, start: now, Waited: now.Sub(w.since)}, nil)
 	return true
 }
 
@@ -491,24 +515,34 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	m, a := q.model(t.item.Model), q.account(t.item.Account)
+	now := q.timers.Now()
+	held := now.Sub(t.start)
+	a.advance(now)
 	a.cost -= t.item.Cost
 	a.running--
 	m.running--
-	m.lastEnded = q.timers.Now()
-	if a.running == 0 {
-		delete(q.accounts, t.item.Account)
-	}
-	m.observe(q.timers.Since(t.start), t.item.Cost)
+	m.lastEnded = now
+	t.flow.running--
+	t.flow.received += float64(t.item.Cost) / t.flow.weight
+	a.correct(held, m.expected(t.item.Cost))
+	m.observe(held, t.item.Cost)
 	q.dispatch(m)
 }
 
 func (m *model) observe(held time.Duration, cost int64) {
 	perCost := held.Seconds() / float64(max(cost, 1))
 	if m.secondsPerCost == 0 {
-		m.secondsPerCost = perCost
+		m.secondsPerCost, m.meanCost = perCost, float64(cost)
 		return
 	}
 	m.secondsPerCost += smoothing * (perCost - m.secondsPerCost)
+	m.meanCost += smoothing * (float64(cost) - m.meanCost)
+}
+
+// expected returns the time for which a request of this cost usually occupies a slot, or
+// 0 when it is unknown.
+func (m *model) expected(cost int64) time.Duration {
+	return time.Duration(float64(cost) * m.secondsPerCost * float64(time.Second))
 }
 
 // Waiting returns the number of queued requests by account.
--- a/internal/traffic/queue/queue_test.go
+++ b/internal/traffic/queue/queue_test.go
@@ -216,3 +216,32 @@
 		t.Errorf("started in the order %v with %d refused, want %v", order, len(s.refused), want)
 	}
 }
+
+// Guards against a rate in units of cost: with costs in microseconds, refused callers
+// would all be told to come back at once.
+func TestRateIsInRequests(t *testing.T) {
+	s := newSimulation(2)
+	item := Item{Account: "a", Weight: 1, Cost: 100, Deadline: time.Time{}.Add(time.Hour)}
+	for range 3 {
+		s.send(item)
+	}
+	s.finish()
+	if got := s.queue.Rate("m"); got < 19.9 || got > 20.1 {
+		t.Errorf("%.2f requests a second, want 20 with two slots and 100 ms each", got)
+	}
+}
+
+// Guards against accounts that are remembered forever, and against ones that are forgotten
+// while their requests run.
+func TestIdleAccountsAreForgotten(t *testing.T) {
+	s := newSimulation(1000)
+	for i := range 10 * minForgetAt {
+		s.send(Item{Account: "busy", Weight: 1, Cost: 1_000_000, Deadline: time.Time{}.Add(time.Hour)})
+		s.send(Item{Account: "idle-" + strings.Repeat("x", i), Weight: 1, Cost: 100, Deadline: time.Time{}.Add(time.Hour)})
+		s.finish()
+		s.driver.Advance(time.Second)
+	}
+	if n := len(s.queue.accounts); n > 3*minForgetAt || s.queue.accounts["busy"].running < minForgetAt {
+		t.Errorf("%d accounts known, %d requests of the busy one run", n, s.queue.accounts["busy"].running)
+	}
+}
