--- a/internal/traffic/forward/reservation.go
+++ b/internal/traffic/forward/reservation.go
@@ -39,12 +39,14 @@
 // was taken.
 type reservation struct {
 	*replica.Slot
-	turn *queue.Turn
+	turn  *queue.Turn
+	ended func(outcome replica.Outcome) // called once
 }
 
 // Done releases the slot and lets the next waiting request run.
 func (r *reservation) Done(outcome replica.Outcome) {
 	r.Slot.Done(outcome)
+	r.ended(outcome)
 	r.turn.Done()
 }
 
@@ -66,9 +68,10 @@
 	f.waiting.Add(call.Service, 1)
 	defer f.waiting.Add(call.Service, -1)
 	var slot *replica.Slot
+	held := false
 	item := queue.Item{
-		Account: call.Account, Model: call.Service, Weight: 1, Cost: 1,
-		Deadline: until, Front: p.runs > 0 || p.rejections > 0,
+		Account: call.Account, Model: call.Service, Weight: 1, Cost: f.work.expected(call.Route, call.Service),
+		Deadline: until, Front: p.runs > 0 || p.rejections > 0, Urgent: call.Urgent,
 		Start: func() (bool, error) {
 			if !f.seams.Stop.CanEnd(p.work) {
 				giveUp(errLate)
@@ -78,10 +81,12 @@
 			slot, found = f.seams.Fleet.Pick(replica.Requirements{
 				Service: call.Service, Avoid: p.tried,
 				Account: call.Account, Waiting: f.waiting.Count(call.Service), Patience: until.Sub(f.timers.Now()),
+				Background: f.timers.Now().Before(call.Urgent),
 			})
 			if found {
 				return true, nil
 			}
+			held = true
 			f.startRechecks()
 			return false, f.checkWait(call, p, until)
 		},
@@ -91,7 +96,27 @@
 		p.late = context.Cause(ctx) == errLate
 		return nil, err
 	}
-	return &reservation{Slot: slot, turn: turn}, nil
+	f.countBackground(call, held)
+	began := f.timers.Now()
+	return &reservation{Slot: slot, turn: turn, ended: func(outcome replica.Outcome) {
+		if outcome == replica.Answered {
+			f.work.observe(call.Route, call.Service, f.timers.Since(began))
+		}
+	}}, nil
+}
+
+// countBackground counts an attempt of a background call that goes out now. Held reports
+// whether it had to wait.
+func (f *Forwarder) countBackground(call Call, held bool) {
+	switch {
+	case call.Urgent.IsZero():
+	case !f.timers.Now().Before(call.Urgent):
+		f.background.Add("limit", 1)
+	case held:
+		f.background.Add("waited", 1)
+	default:
+		f.background.Add("at once", 1)
+	}
 }
 
 // checkWait returns an error when waiting until the given time is useless: the service
@@ -123,6 +148,9 @@
 
 // queueDeadline returns the time until which a request may wait for an endpoint.
 func queueDeadline(call Call, now time.Time) time.Time {
+	if call.Urgent.After(now) {
+		now = call.Urgent
+	}
 	wait := defaultWait
 	if call.Route.TargetLatency > 0 {
 		wait = time.Duration(waitShare * float64(call.Route.TargetLatency))
