Start the items of all batches in the order of what their steps need

Cause: items started batch by batch, longest hint first. A slot went to the longest group, which the trainer does not wait for, or to a step that was late already, while a fresh step could still be in time. Change: the runner starts items in the order of priority.Order over all open batches. Texts that end teach Lengths. A complete text whose scoring call failed no longer waits behind an item without a slot. The worker counts items_held and steps.

--- /dev/null
+++ b/internal/fleet/replica/pace.go
@@ -0,0 +1,49 @@
+package replica
+
+import (
+	"slices"
+	"time"
+)
+
+// UsualEventTime returns the median of the event times that were measured lately at the
+// endpoints of a service, or 0 when there are none.
+func (f *Fleet) UsualEventTime(service string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.timers.Now()
+	var times []time.Duration
+	for _, s := range f.states {
+		if s.Service == service && f.paceKnown(s, now) && f.usable(s) {
+			times = append(times, s.eventTime)
+		}
+	}
+	if len(times) == 0 {
+		return 0
+	}
+	slices.Sort(times)
+	return times[len(times)/2]
+}
+
+func (f *Fleet) paceKnown(s *endpointState, now time.Time) bool {
+	return s.eventTime > 0 && now.Sub(s.eventTimeAt) <= eventTimeMaxAge
+}
+
+// Occupancy returns the requests at the endpoints that match the request, those of
+// other processes included where a fresh load report tells of them, and their slots.
+func (f *Fleet) Occupancy(want Requirements) (busy, slots int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.timers.Now()
+	for _, s := range f.states {
+		if !f.matches(s, want) {
+			continue
+		}
+		used := s.inFlight
+		if now.Sub(s.loadAt) < loadMaxAge {
+			used = max(used, s.load.Running+s.load.Waiting)
+		}
+		busy += min(used, s.Slots)
+		slots += s.Slots
+	}
+	return busy, slots
+}
--- a/internal/training/runner/runner.go
+++ b/internal/training/runner/runner.go
@@ -28,6 +28,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/traffic/forward"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/headers"
 	"github.com/wigeonpin/wigeonpin/internal/training/batch"
+	"github.com/wigeonpin/wigeonpin/internal/training/priority"
 )
 
 const (
@@ -43,6 +44,9 @@
 	// maxDoneJobs bounds the number of completed batches whose results callers
 	// may still read here.
 	maxDoneJobs = 20
+	// maxLengths bounds the number of models and paths whose lengths are known. Accounts
+	// choose them.
+	maxLengths = 64
 )
 
 // Seams holds the dependencies and settings of a runner.
@@ -83,8 +87,11 @@
 
 	// The fields below are used only by the goroutine of Run.
 	active bool
-	// waiting is the number of items of the batch being scheduled that may start now.
-	waiting int
+	// order holds the unfinished items in the order in which they start, as of orderedAt;
+	// nil when a batch was added or removed since.
+	order     []*task
+	orderedAt time.Duration // uptime
+	lengths   *lru.Cache[lengthKey, *priority.Lengths]
 	// recalling is true while texts are fetched after the runner became active. No
 	// run starts meanwhile, since a text that runs takes no copy.
 	recalling bool
@@ -101,9 +108,10 @@
 }
 
 // counters counts the runs of items and the broken runs by service, the rejected
-// runs by reason, and the failed scoring calls by host.
+// runs by reason, the failed scoring calls by host, the items that waited since their
+// step did not need them by service, and the steps by whether they were in time.
 type counters struct {
-	runs, rejections, breaks, scoringFailures *meter.Counter
+	runs, rejections, breaks, scoringFailures, held, steps *meter.Counter
 }
 
 // The names of the counters, as they appear in the metrics of a worker.
@@ -112,12 +120,15 @@
 	CountRejections    = "item_rejections"
 	CountBreaks        = "item_breaks"
 	CountScoreFailures = "score_failures"
+	CountHeld          = "items_held"
+	CountSteps         = "steps"
 )
 
 func newCounters(meters *meter.Set) counters {
 	return counters{
 		runs: meters.Counter(CountRuns), rejections: meters.Counter(CountRejections),
 		breaks: meters.Counter(CountBreaks), scoringFailures: meters.Counter(CountScoreFailures),
+		held: meters.Counter(CountHeld), steps: meters.Counter(CountSteps),
 	}
 }
 
@@ -131,6 +142,10 @@
 	if err != nil {
 		panic(err) // the size is a positive constant
 	}
+	lengths, err := lru.New[lengthKey, *priority.Lengths](maxLengths)
+	if err != nil {
+		panic(err) // the size is a positive constant
+	}
 	if seams.Meters == nil {
 		seams.Meters = meter.NewSet()
 	}
@@ -138,7 +153,7 @@
 		seams.Role = func() Role { return Role{Held: true} }
 	}
 	return &Runner{
-		counters: newCounters(seams.Meters),
+		counters: newCounters(seams.Meters), lengths: lengths,
 		doneJobs: doneJobs, incompleteGroups: incompleteGroups, seams: seams, timers: timers, log: log, calls: make(chan func(context.Context), 64),
 		ended: map[string]bool{}, reach: reach.NewDetector(), texts: newTextCache(maxCachedTexts), copied: map[string]copyState{},
 	}
--- a/internal/training/runner/schedule.go
+++ b/internal/training/runner/schedule.go
@@ -10,30 +10,65 @@
 	"github.com/wigeonpin/wigeonpin/internal/base/logs"
 	"github.com/wigeonpin/wigeonpin/internal/fleet/replica"
 	"github.com/wigeonpin/wigeonpin/internal/training/batch"
+	"github.com/wigeonpin/wigeonpin/internal/training/priority"
 )
 
-// schedule starts pending items on engines, the oldest batch first. An item that
-// gets no slot holds back the later items of its own batch only. A suspected
-// item holds back none.
+// schedule starts pending items on engines, in the order of what the steps of all
+// batches need. An item that gets no slot holds back the later items of its own batch
+// only. A suspected item holds back none.
 func (r *Runner) schedule() {
 	now := r.timers.Now()
+	waiting := 0
 	for _, j := range r.jobs {
-		if !j.loaded {
+		if j.loaded {
+			j.waiting = j.countPending(now)
+			waiting += j.waiting
+		}
+	}
+	if waiting == 0 {
+		return
+	}
+	r.refreshOrder()
+	full := map[*job]bool{}
+	spare := map[*job]int{} // items that the step does not need and that may still start
+	for _, t := range r.order {
+		if t.state != statePending || now.Before(t.notBefore) {
 			continue
 		}
-		r.waiting = j.countPending(now)
-		for _, t := range j.tasks {
-			if t.state != statePending || now.Before(t.notBefore) {
-				continue
+		if t.text.complete {
+			r.startScoring(t)
+			continue
+		}
+		if full[t.job] {
+			continue
+		}
+		if t.class == priority.Spare {
+			if _, known := spare[t.job]; !known {
+				spare[t.job] = r.spareRoom(t.job)
 			}
-			if t.text.complete {
-				r.startScoring(t)
+			if spare[t.job] <= 0 {
+				r.hold(t)
 				continue
 			}
-			if !r.tryStart(t) && !t.suspected() {
-				break
-			}
 		}
+		switch started := r.tryStart(t); {
+		case started && t.class == priority.Spare:
+			clear(spare) // its slot is one of those of other batches as well
+		case !started && !t.suspected():
+			full[t.job] = true
+		}
+	}
+}
+
+// hold counts an item that waits since its step does not need its group.
+func (r *Runner) hold(t *task) {
+	if t.held {
+		return
+	}
+	t.held = true
+	t.job.held++
+	if route, found := r.batchRoute(t.job.batch, t.item.Path); found {
+		r.counters.held.Add(route.SelectService(0), 1)
 	}
 }
 
@@ -64,7 +99,7 @@
 	want := replica.Requirements{
 		Service: route.SelectService(rand.Float64()), Model: t.job.batch.Model, Version: t.job.batch.MinVersion,
 		Preferred: t.job.preferred[t.item.Group],
-		Account:   t.job.batch.Account, Waiting: r.waiting, Patience: permitPatience,
+		Account:   t.job.batch.Account, Waiting: t.job.waiting, Patience: permitPatience,
 	}
 	slot, found := r.pickSlot(t, want)
 	if !found {
--- a/internal/training/runner/task.go
+++ b/internal/training/runner/task.go
@@ -19,6 +19,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/peer/exchange"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/headers"
 	"github.com/wigeonpin/wigeonpin/internal/training/batch"
+	"github.com/wigeonpin/wigeonpin/internal/training/priority"
 )
 
 type taskState int
@@ -37,6 +38,10 @@
 type task struct {
 	item            *batch.Item
 	job             *job
+	group           int            // index in the groups of the job
+	class           priority.Class // class and slack are as of the latest order
+	slack           time.Duration
+	held            bool   // waited since the step did not need its group
 	textKey         string // under which the text is kept beyond a run
 	state           taskState
 	text            text // without the events of the present run
@@ -212,11 +217,14 @@
 	return exchange.Request{Method: http.MethodPost, Path: path, Query: query, Host: host, Header: header, Body: t.item.Body}
 }
 
+// defaultPatience is the time limit of items whose route has none.
+const defaultPatience = 30 * time.Second
+
 // timeLeft returns the time until the item is given up. It counts from when this process
 // learned of the batch: the time of day of the acceptance, or that of this process, may
 // be wrong, and an item that is given up stays so.
 func (r *Runner) timeLeft(t *task) time.Duration {
-	patience := 30 * time.Second
+	patience := defaultPatience
 	if route, found := r.batchRoute(t.job.batch, t.item.Path); found && route.ItemTimeout > 0 {
 		patience = route.ItemTimeout
 	}
@@ -237,6 +245,7 @@
 		r.seams.Fleet.RecordVersion(e.ID, t.job.batch.Model, version)
 	}
 	if err == nil {
+		r.lengthsOf(t.job.batch).Observe(t.item.ExpectedTokens, len(t.text.pieces))
 		r.startScoring(t)
 		return
 	}
