Move the running items that would be late, and no others

Cause: a text on a silent engine waited 2.2 s for the stall timeout, a third of its step, while any text on an engine 1.2 or 1.8 times slower than another one moved, also when its step had time or did not need it. Each move costs a connection and a prefill. Change: with a due time, priority.Move decides by the slack of the item. A needed text moves from a slow engine if it would be late there and gains 0.45 s, and from an engine that is silent for 0.6 s (12 usual event times; 1.2 s before the first event) while most others stream, unless that engine changes weights or the text has 3 s of slack. No more texts move than there are free slots, the most urgent first. Batches without a due time keep the former rules. The counter item_moves tells the reasons.

--- a/cmd/wigeonpin/node.go
+++ b/cmd/wigeonpin/node.go
@@ -73,7 +73,7 @@
 	storeCalls, storeStrays, "requests_served", "requests_failed", "connections_opened", "endpoint_breaks", "endpoint_refusals", "requests_held", stop.CountName,
 	batch.CountEmpty, batch.CountMissed, batch.CountMisplaced,
 	ratelimit.CountSends, ratelimit.CountAsks, runner.CountRuns, runner.CountRejections, runner.CountBreaks, runner.CountScoreFailures,
-	runner.CountHeld, runner.CountSteps,
+	runner.CountHeld, runner.CountSteps, runner.CountMoves,
 }
 
 // node holds what entry and worker processes have in common: settings, log,
--- a/internal/fleet/replica/pace.go
+++ b/internal/fleet/replica/pace.go
@@ -47,3 +47,41 @@
 	}
 	return busy, slots
 }
+
+// Comparison tells what a request at an endpoint would gain elsewhere. Here is the event
+// time of the endpoint, 0 when it was not measured lately. There is that of the fastest
+// other endpoint with room: the usual one when none of them was measured, and 0 when none
+// has room. Loading means that the endpoint changes weights.
+type Comparison struct {
+	Here, There time.Duration
+	Loading     bool
+}
+
+// Compare compares the named endpoint with the others that the request could go to now.
+// usual is the event time of endpoints that were not measured.
+func (f *Fleet) Compare(id string, want Requirements, usual time.Duration) Comparison {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.timers.Now()
+	var c Comparison
+	if s, known := f.states[id]; known {
+		c.Loading = s.loading != ""
+		if f.paceKnown(s, now) {
+			c.Here = s.eventTime
+		}
+	}
+	room := false
+	for _, s := range f.states {
+		if s.ID == id || now.Before(s.backoffUntil) || !f.matches(s, want) || !f.takesNow(s, now) {
+			continue
+		}
+		room = true
+		if f.paceKnown(s, now) && (c.There == 0 || s.eventTime < c.There) {
+			c.There = s.eventTime
+		}
+	}
+	if room && c.There == 0 {
+		c.There = usual
+	}
+	return c
+}
--- a/internal/fleet/replica/pace_test.go
+++ b/internal/fleet/replica/pace_test.go
@@ -56,3 +56,29 @@
 		t.Errorf("%d of %d slots busy with an old report and an engine that loads, want 2 of 8", busy, total)
 	}
 }
+
+// Guards against moves to endpoints that are slow, full or failing, and against an
+// engine that counts as silent while it loads weights.
+func TestCompare(t *testing.T) {
+	const usual = 60 * time.Millisecond
+	want := Requirements{Service: "llm", Model: "m", Version: 5}
+	f, _, slots := newPaceFleet(t)
+	if c := f.Compare("e1", want, usual); c != (Comparison{There: usual}) {
+		t.Errorf("%+v without measurements, want the usual time elsewhere", c)
+	}
+	slots["e1"].RecordEventTime(175 * time.Millisecond)
+	slots["e2"].RecordEventTime(50 * time.Millisecond)
+	slots["e3"].RecordEventTime(90 * time.Millisecond)
+	if c := f.Compare("e1", want, usual); c.Here != 175*time.Millisecond || c.There != 50*time.Millisecond || c.Loading {
+		t.Errorf("%+v, want 175ms here and 50ms there", c)
+	}
+	slots["e2"].Done(Failed)
+	f.SetLoading("e1", "m")
+	if c := f.Compare("e1", want, usual); c.There != 90*time.Millisecond || !c.Loading {
+		t.Errorf("%+v after a failure, want 90ms there and loading", c)
+	}
+	f.SetLoading("e3", "m")
+	if c := f.Compare("e1", want, usual); c.There != 0 {
+		t.Errorf("%+v, want no other endpoint", c)
+	}
+}
--- a/internal/training/runner/runner.go
+++ b/internal/training/runner/runner.go
@@ -109,9 +109,10 @@
 
 // counters counts the runs of items and the broken runs by service, the rejected
 // runs by reason, the failed scoring calls by host, the items that waited since their
-// step did not need them by service, and the steps by whether they were in time.
+// step did not need them by service, the steps by whether they were in time, and the
+// moved runs by reason.
 type counters struct {
-	runs, rejections, breaks, scoringFailures, held, steps *meter.Counter
+	runs, rejections, breaks, scoringFailures, held, steps, moves *meter.Counter
 }
 
 // The names of the counters, as they appear in the metrics of a worker.
@@ -122,13 +123,14 @@
 	CountScoreFailures = "score_failures"
 	CountHeld          = "items_held"
 	CountSteps         = "steps"
+	CountMoves         = "item_moves"
 )
 
 func newCounters(meters *meter.Set) counters {
 	return counters{
 		runs: meters.Counter(CountRuns), rejections: meters.Counter(CountRejections),
 		breaks: meters.Counter(CountBreaks), scoringFailures: meters.Counter(CountScoreFailures),
-		held: meters.Counter(CountHeld), steps: meters.Counter(CountSteps),
+		held: meters.Counter(CountHeld), steps: meters.Counter(CountSteps), moves: meters.Counter(CountMoves),
 	}
 }
 
--- a/internal/training/runner/schedule.go
+++ b/internal/training/runner/schedule.go
@@ -154,6 +154,8 @@
 func (r *Runner) checkTasks() {
 	now, uptime := r.timers.Now(), r.timers.Uptime()
 	r.leaveSilentZones(now)
+	r.refreshOrder()
+	r.moveRuns(now)
 	for _, j := range r.jobs {
 		if !j.loaded {
 			continue
@@ -162,9 +164,6 @@
 			if t.state == stateRunning && uptime-time.Duration(t.lastActivity.Load()) > stallTimeout {
 				t.cancel(errStalled)
 			}
-			if t.state == stateRunning && r.shouldMove(t, now) {
-				t.cancel(errFasterEngine)
-			}
 			if (t.state == statePending || t.state == stateRunning) && r.timeLeft(t) <= 0 {
 				if t.cancel != nil {
 					t.cancel(nil)
--- a/internal/training/runner/task.go
+++ b/internal/training/runner/task.go
@@ -54,7 +54,7 @@
 	scoringFailures int                  // failed scoring calls
 	activation      int                  // the runner's activation in which the text got its origin
 	listedLate      bool                 // listed after the trainer had all that it waits for
-	moves           int                  // runs that were moved to a faster engine
+	moves           int                  // runs that were moved from a slow or silent engine
 	cancel          context.CancelCauseFunc
 	endpoint, zone  string // of the engine of the present run
 	runStart        time.Time
@@ -127,6 +127,7 @@
 	errNoEvent       = errors.New("the engine's answer ended before the first event")
 	errStalled       = errors.New("the engine sent no event in time")
 	errFasterEngine  = errors.New("another engine is faster")
+	errSilentEngine  = errors.New("the engine is silent while others send events")
 	errZoneSilent    = errors.New("all engines of the availability zone are silent")
 	errTooLong       = errors.New("the text is longer than the item allows")
 	errStatus        = errors.New("unexpected status")
@@ -176,7 +177,7 @@
 	switch {
 	case err == nil, errors.Is(err, errEngineError), errors.Is(err, errUnprocessable), errors.Is(err, errOldWeights):
 		return replica.Answered
-	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStalled):
+	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStalled) && !errors.Is(context.Cause(ctx), errSilentEngine):
 		return replica.Abandoned
 	case errors.Is(err, errRejected):
 		return replica.Rejected
@@ -252,9 +253,16 @@
 	switch {
 	case errors.Is(err, errFasterEngine):
 		t.moves++
+		r.counters.moves.Add("slow", 1)
 		r.logMove(t, e, len(generated.pieces), "run moved to a faster engine")
 		return
+	case errors.Is(err, errSilentEngine):
+		t.moves++
+		r.counters.moves.Add("silent", 1)
+		r.logMove(t, e, len(generated.pieces), "run moved from a silent engine")
+		return
 	case errors.Is(err, errZoneSilent):
+		r.counters.moves.Add("zone", 1)
 		r.logMove(t, e, len(generated.pieces), "run moved out of a silent zone")
 		return
 	case errors.Is(err, errRejected), errors.Is(err, errMisplaced), exchange.NotSent(err):
@@ -274,6 +282,9 @@
 			r.giveUp(t, "status 500")
 		}
 	default:
+		if errors.Is(err, errStalled) {
+			r.counters.moves.Add("stalled", 1)
+		}
 		r.counters.breaks.Add(e.Service, 1)
 		if t.job.preferred[t.item.Group] == e.ID {
 			delete(t.job.preferred, t.item.Group) // the engine's prefix cache is lost
@@ -290,7 +301,7 @@
 func (r *Runner) logMove(t *task, from replica.Entry, events int, message string) {
 	r.log.WithFields(logrus.Fields{
 		logs.Request: t.item.ID, "batch": t.job.batch.ID, logs.Endpoint: from.ID, "events": events,
-		"ran_ms": r.timers.Since(t.runStart).Milliseconds(),
+		"ran_ms": r.timers.Since(t.runStart).Milliseconds(), "slack_ms": t.slack.Milliseconds(),
 	}).Info(message)
 }
 
