Accept load reports with four and more figures

Cause: ReadLoad required exactly three figures. An endpoint that also reports how long its work takes had its whole report dropped, without a log line or a count. It accepted negative figures and sums that overflow.

Change: the fourth figure becomes replica.Load.Pace (1 = as usual), and further figures are ignored. An invalid fourth figure leaves the first three in force. Negative figures and figures above 1,000,000 are invalid, 0 slots mean those of the endpoint's entry, and of repeated fields the one with the most work counts. Invalid reports are counted by endpoint (load_reports_invalid) and logged at most once a second.

Measured: a report "2,1,6,100" was dropped before the change.

--- a/cmd/wigeonpin/node.go
+++ b/cmd/wigeonpin/node.go
@@ -26,6 +26,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/peer/records"
 	"github.com/wigeonpin/wigeonpin/internal/peer/relay"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/front"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/headers"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/stop"
 	"github.com/wigeonpin/wigeonpin/internal/training/batch"
 	"github.com/wigeonpin/wigeonpin/internal/training/runner"
@@ -72,7 +73,7 @@
 var summaryCounters = []string{
 	storeCalls, storeStrays, "requests_served", "requests_failed", "connections_opened", "endpoint_breaks", "endpoint_refusals", "requests_held", stop.CountName,
 	batch.CountEmpty, batch.CountMissed, batch.CountMisplaced,
-	ratelimit.CountSends, ratelimit.CountAsks, runner.CountRuns, runner.CountRejections, runner.CountBreaks, runner.CountScoreFailures,
+	headers.CountInvalidLoads, ratelimit.CountSends, ratelimit.CountAsks, runner.CountRuns, runner.CountRejections, runner.CountBreaks, runner.CountScoreFailures,
 }
 
 // node holds what entry and worker processes have in common: settings, log,
--- a/internal/fleet/replica/pick.go
+++ b/internal/fleet/replica/pick.go
@@ -267,6 +267,9 @@
 	s.fleet.mu.Lock()
 	defer s.fleet.mu.Unlock()
 	if st, known := s.fleet.states[s.Entry.ID]; known {
+		if load.Slots == 0 {
+			load.Slots = st.Slots
+		}
 		st.load, st.loadAt = load, s.fleet.timers.Now()
 		st.limiter.observeLoad(load, max(1, float64(st.Slots)*s.fleet.options.Overcommit), st.loadAt)
 	}
--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -30,10 +30,12 @@
 	Models                     map[string]int64
 }
 
-// Load is the load that an endpoint reports: its running and waiting requests
-// and its number of slots.
+// Load is the load that an endpoint reports: its running and waiting requests, its
+// number of slots (0 if it names none), and how long its work takes at the moment: 1
+// means as long as usual, 2 twice as long, and 0 that it reports none.
 type Load struct {
 	Running, Waiting, Slots int
+	Pace                    float64
 }
 
 // run identifies the run of the endpoint that the entry belongs to.
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -136,6 +136,8 @@
 	breaks     *meter.Counter
 	refusals   *meter.Counter
 	held       *meter.Counter
+	// invalidLoads records load reports that cannot be parsed.
+	invalidLoads *headers.InvalidLoads
 
 	mu         sync.Mutex
 	schedules  map[string]*retryafter.Schedule // by service
@@ -157,8 +159,9 @@
 	f := &Forwarder{
 		seams: seams, timers: timers, log: log, schedules: map[string]*retryafter.Schedule{},
 		breaks: seams.Meters.Counter("endpoint_breaks"), refusals: seams.Meters.Counter("endpoint_refusals"),
-		held:  seams.Meters.Counter("requests_held"),
-		queue: queue.New(timers, seams.Meters, queue.Seams{RemoteCost: func(string) int64 { return 0 }}),
+		held:         seams.Meters.Counter("requests_held"),
+		invalidLoads: headers.NewInvalidLoads(seams.Meters, timers, log),
+		queue:        queue.New(timers, seams.Meters, queue.Seams{RemoteCost: func(string) int64 { return 0 }}),
 	}
 	seams.Fleet.OnUnexpectedEnd(f.attributeEnd)
 	seams.Fleet.OnRoom(func() { f.queue.Recheck() })
@@ -386,7 +389,11 @@
 	if f.seams.Names.IsLeaving(h) && slot.MarkLeaving() {
 		f.log.WithField(logs.Endpoint, slot.Entry.ID).Info("endpoint leaves")
 	}
-	if load, found := f.seams.Names.ReadLoad(h); found {
+	load, found, err := f.seams.Names.ReadLoad(h)
+	if err != nil {
+		f.invalidLoads.Record(slot.Entry.ID, err)
+	}
+	if found {
 		slot.Report(load)
 	}
 	if left, found := headers.Millis(h, f.seams.Names.Cold); found && left > 0 {
--- a/internal/traffic/headers/headers.go
+++ b/internal/traffic/headers/headers.go
@@ -16,8 +16,6 @@
 	"strconv"
 	"strings"
 	"time"
-
-	"github.com/wigeonpin/wigeonpin/internal/fleet/replica"
 )
 
 // Names are the names of the header fields.
@@ -93,24 +91,6 @@
 	h.Set(name, strconv.FormatInt(max(0, value.Milliseconds()), 10))
 }
 
-// ReadLoad parses an endpoint's load report, which has the form "running,
-// waiting, slots".
-func (n Names) ReadLoad(h http.Header) (replica.Load, bool) {
-	parts := strings.Split(h.Get(n.Load), ",")
-	if len(parts) != 3 {
-		return replica.Load{}, false
-	}
-	var numbers [3]int
-	for i, part := range parts {
-		number, err := strconv.Atoi(strings.TrimSpace(part))
-		if err != nil {
-			return replica.Load{}, false
-		}
-		numbers[i] = number
-	}
-	return replica.Load{Running: numbers[0], Waiting: numbers[1], Slots: numbers[2]}, true
-}
-
 // IsLeaving reports whether an endpoint announces that it is shutting down, so
 // that it must get no new work.
 func (n Names) IsLeaving(h http.Header) bool { return n.Leaving != "" && h.Get(n.Leaving) == "1" }
