Place requests by expected time of completion

Cause: Pick ranked endpoints by requests over slots. Fast and slow endpoints got as many requests, a slow phase was noticed by its queue only, and processes with the same report all chose the same endpoint.

Change: Pick ranks by cost.Finish with the work outstanding at each endpoint, by class (service and route in the forwarder), and its pace (fourth figure, or times of answered requests). Answers with status 400 and above, streamed ones, and requests that may have waited at the endpoint do not count as times. While an endpoint reports a pace or most differ in speed, processes that share endpoints draw two by speed and take the better. In that case another zone has to be better by 0.7 of the mean work instead of 0.3, since its bytes are billed. The event time of an engine goes before its pace. The worker passes load reports of engines on. Paces and learned works are metrics. States are indexed by service, to pay for the additional work of a decision.

Measured: with equal endpoints, no fourth figure and nothing learned, 5000 random steps pick an endpoint with the previous best score.

--- a/internal/fleet/cost/cost.go
+++ b/internal/fleet/cost/cost.go
@@ -113,13 +113,17 @@
 }
 
 // Relative returns the expected work of a request of the class relative to the mean work
-// of the service; 1 when it is unknown.
+// of the service; 1 when it is unknown or deviates as little as that of equal requests.
 func (m *Model) Relative(name string) float64 {
 	average := m.average(name)
 	if average.count < settledSamples {
 		return 1
 	}
-	return min(max(average.value/m.all.value, minWork), maxWork)
+	relative := average.value / m.all.value
+	if !deviates(relative) {
+		return 1
+	}
+	return min(max(relative, minWork), maxWork)
 }
 
 func (m *Model) average(name string) Average {
--- a/internal/fleet/cost/speed.go
+++ b/internal/fleet/cost/speed.go
@@ -20,7 +20,8 @@
 	// minMeasured is the number of measured times from which on they are used.
 	minMeasured = 3
 	// minSlower and maxFaster are the deviations from the usual time up to which an
-	// endpoint counts as equally fast: times vary by as much between equal endpoints.
+	// endpoint counts as equally fast, and a class as equally much work: averages of
+	// equal endpoints differ by as much.
 	minSlower, maxFaster = 1.25, 0.8
 )
 
@@ -80,12 +81,14 @@
 // usual, or unknown, 2 twice as long.
 func (s Speed) Pace(now time.Time) float64 {
 	pace := s.Reported(now)
-	if s.ratios.count >= minMeasured && (s.ratios.value > minSlower || s.ratios.value < maxFaster) {
+	if s.ratios.count >= minMeasured && deviates(s.ratios.value) {
 		pace *= fade(s.ratios.value, now.Sub(s.measuredAt))
 	}
 	return clampPace(pace)
 }
 
+func deviates(ratio float64) bool { return ratio > minSlower || ratio < maxFaster }
+
 // fade returns a pace that approaches 1 with its age.
 func fade(pace float64, age time.Duration) float64 {
 	if age >= speedMaxAge {
--- a/internal/fleet/replica/pick.go
+++ b/internal/fleet/replica/pick.go
@@ -2,16 +2,19 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/wigeonpin/wigeonpin/internal/fleet/cost"
 	"github.com/wigeonpin/wigeonpin/internal/fleet/ratelimit"
 )
 
 // Requirements describes the endpoint that a request needs. Version is the lowest
 // acceptable weight version of Model. Avoid holds the IDs of endpoints that must
 // not be used. Preferred is the ID of an endpoint that is picked unless it is much
-// busier than others. Account, Waiting and Patience describe the requests that wait for
+// busier than others. Class names the requests of the service whose work is alike; empty
+// if it says nothing about the time that a request takes. Account, Waiting and Patience describe the requests that wait for
 // the service in this process: the client account of this one, their number, and how
 // long this one may wait for a limited endpoint.
 type Requirements struct {
@@ -20,6 +23,7 @@
 	Version   int64
 	Avoid     map[string]bool
 	Preferred string
+	Class     string
 	Account   string
 	Waiting   int
 	Patience  time.Duration
@@ -37,11 +41,15 @@
 	began time.Time
 	// sentAt is the uptime at which the slot was reserved, right before the request
 	// is sent.
-	sentAt time.Duration
-	done   bool
+	sentAt  time.Duration
+	class   string
+	work    float64 // relative to the mean work of the service
+	untimed bool    // its time says nothing about the endpoint
+	done    bool
 }
 
-// Pick reserves a slot at the endpoint with the lowest score. Endpoints that
+// Pick reserves a slot at the endpoint with the lowest score, or at one that is about as
+// good while endpoints differ in speed. Endpoints that
 // failed recently are picked only when no other is left. Endpoints that were not
 // found at their address are not picked at all, since a request there is certain
 // to be wasted.
@@ -69,16 +77,23 @@
 		if !f.options.Limiter.Take(best.run()) {
 			continue // the permit has just expired
 		}
+		slot := &Slot{
+			Entry: best.Entry, fleet: f, began: now, sentAt: f.timers.Uptime(),
+			class: want.Class, work: f.model(want.Service).Relative(want.Class),
+		}
 		best.inFlight++
-		return &Slot{Entry: best.Entry, fleet: f, began: now, sentAt: f.timers.Uptime()}, true
+		best.work += slot.work
+		return slot, true
 	}
 }
 
 // candidate is an endpoint that may be picked.
 type candidate struct {
 	state   *endpointState
+	pace    float64
 	score   float64
 	avoided bool // it failed recently
+	free    bool // it needs no permit that this process does not have
 }
 
 // before reports whether the candidate is preferred to another one.
@@ -89,25 +104,70 @@
 	return c.score < other.score
 }
 
-// choose returns the best endpoint with room that can be sent to now, or nil, and the
-// limited ones without a permit to which it is not preferred, best first. Those with the
+// choose returns an endpoint with room that can be sent to now, or nil, and the limited
+// ones without a permit to which the best one is not preferred, best first. Those with the
 // same score are among them: else an idle process would never learn that a limit ended.
-func (f *Fleet) choose(want Requirements, now time.Time) (best *endpointState, limited []ratelimit.Endpoint) {
-	fastest := f.fastest(want.Service, now)
+func (f *Fleet) choose(want Requirements, now time.Time) (chosen *endpointState, limited []ratelimit.Endpoint) {
+	f.rank(want, now)
 	var first candidate
-	var withheld []candidate
-	for _, s := range f.states {
+	withheld := 0
+	for _, c := range f.candidates {
+		switch {
+		case !c.free:
+			withheld++
+		case c.before(first):
+			first = c
+		}
+	}
+	if withheld > 0 {
+		limited = f.limited(first)
+	}
+	if first.state == nil || !f.options.Shared {
+		return first.state, limited
+	}
+	return f.spread(first, now), limited
+}
+
+// rank sets the candidates for a request and their scores.
+func (f *Fleet) rank(want Requirements, now time.Time) {
+	f.candidates = f.candidates[:0]
+	uneven := false
+	for _, s := range f.services[want.Service] {
 		if !f.matches(s, want) || !f.hasRoom(s, now) {
 			continue
 		}
-		c := candidate{state: s, avoided: now.Before(s.backoffUntil)}
-		c.score = f.score(s, want, now) + slownessWeight*(f.slowness(s, fastest, now)-1)
-		switch cold, known := f.cold(s, now); {
-		case !known:
-		case f.options.Limiter.State(s.run(), cold) == ratelimit.Withheld:
+		cold, known := f.cold(s, now)
+		if !known {
+			continue
+		}
+		c := candidate{state: s, pace: s.speed.Pace(now), avoided: now.Before(s.backoffUntil)}
+		c.free = f.options.Limiter.State(s.run(), cold) != ratelimit.Withheld
+		uneven = uneven || c.pace != 1
+		f.candidates = append(f.candidates, c)
+	}
+	work, fastest := f.model(want.Service).Relative(want.Class), f.fastest(want.Service, now)
+	for i := range f.candidates {
+		c := &f.candidates[i]
+		c.score = f.score(c, work, fastest, now)
+		if f.remote(c.state) {
+			c.score += zonePenalty
+			if uneven {
+				c.score += unevenZonePenalty - zonePenalty
+			}
+		}
+		if want.Preferred != "" && c.state.ID == want.Preferred {
+			c.score -= preferredBonus
+		}
+	}
+}
+
+// limited returns the candidates without a permit to which the first one is not
+// preferred, best first.
+func (f *Fleet) limited(first candidate) []ratelimit.Endpoint {
+	var withheld []candidate
+	for _, c := range f.candidates {
+		if !c.free && (first.state == nil || !first.before(c)) {
 			withheld = append(withheld, c)
-		case c.before(first):
-			first = c
 		}
 	}
 	slices.SortFunc(withheld, func(a, b candidate) int {
@@ -116,12 +176,33 @@
 		}
 		return 1
 	})
+	limited := make([]ratelimit.Endpoint, 0, len(withheld))
 	for _, c := range withheld {
-		if first.state == nil || !first.before(c) {
-			limited = append(limited, c.state.run())
+		limited = append(limited, c.state.run())
+	}
+	return limited
+}
+
+// spread chooses among the candidates that may be sent to as the first one may, so that
+// many processes with the same reports do not choose the same endpoint.
+func (f *Fleet) spread(first candidate, now time.Time) *endpointState {
+	f.costs = f.costs[:0]
+	eligible := f.candidates[:0]
+	for _, c := range f.candidates {
+		if !c.free || c.avoided != first.avoided {
+			continue
 		}
+		eligible = append(eligible, c)
+		f.costs = append(f.costs, cost.Candidate{
+			Finish: c.score, Pace: c.pace, Remote: f.remote(c.state), Reports: c.state.speed.Reports(now),
+		})
 	}
-	return first.state, limited
+	return eligible[f.chooser.Choose(f.costs, rand.Float64)].state
+}
+
+// remote reports whether the endpoint is in another availability zone than this process.
+func (f *Fleet) remote(s *endpointState) bool {
+	return f.options.Zone != "" && s.Zone != f.options.Zone
 }
 
 func (f *Fleet) requestPermits(limited []ratelimit.Endpoint, need ratelimit.Need) ratelimit.Verdict {
@@ -138,7 +219,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.timers.Now()
-	for _, s := range f.states {
+	for _, s := range f.services[want.Service] {
 		if !f.matches(s, want) {
 			continue
 		}
@@ -181,29 +262,29 @@
 	return known && f.hasRoom(s, now) && f.options.Limiter.State(s.run(), cold) != ratelimit.Withheld
 }
 
-// score returns the endpoint's load as a share of its slots, adjusted by the
-// preferences of the request. Lower is better.
-func (f *Fleet) score(s *endpointState, want Requirements, now time.Time) float64 {
-	busy := s.inFlight
+// score returns the expected time until a request of the work ends at the candidate, in
+// units of the mean work of the service. Lower is better. The event times of an engine
+// tell its speed better than its pace, which counts only where it is slower.
+func (f *Fleet) score(c *candidate, work float64, fastest time.Duration, now time.Time) float64 {
+	s := c.state
+	ahead := s.work
 	if now.Sub(s.loadAt) < loadMaxAge {
-		busy = max(busy, s.load.Running+s.load.Waiting)
+		ahead = max(ahead, float64(s.load.Running+s.load.Waiting))
 	}
-	score := float64(busy) / float64(max(1, s.Slots))
-	if f.options.Zone != "" && s.Zone != f.options.Zone {
-		score += zonePenalty
-	}
-	if want.Preferred != "" && s.ID == want.Preferred {
-		score -= preferredBonus
+	queue := cost.Queue{Ahead: ahead, Slots: s.Slots}
+	if fastest == 0 || s.eventTime == 0 || now.Sub(s.eventTimeAt) > eventTimeMaxAge {
+		return cost.Finish(queue, work, c.pace)
 	}
-	return score
+	slowness := max(f.slowness(s, fastest, now), c.pace)
+	return cost.Finish(queue, work, 1) + slownessWeight*(slowness-1)
 }
 
 // fastest returns the shortest event time of the service's endpoints, or 0 when
 // none was measured within eventTimeMaxAge.
 func (f *Fleet) fastest(service string, now time.Time) time.Duration {
 	var best time.Duration
-	for _, s := range f.states {
-		if s.Service != service || s.eventTime == 0 || now.Sub(s.eventTimeAt) > eventTimeMaxAge || !f.usable(s) {
+	for _, s := range f.services[service] {
+		if s.eventTime == 0 || now.Sub(s.eventTimeAt) > eventTimeMaxAge || !f.usable(s) {
 			continue
 		}
 		if best == 0 || s.eventTime < best {
@@ -233,7 +314,7 @@
 		return 1
 	}
 	worst := 1.0
-	for _, s := range f.states {
+	for _, s := range f.services[want.Service] {
 		if s == current || s.eventTime == 0 || now.Sub(s.eventTimeAt) > eventTimeMaxAge || now.Before(s.backoffUntil) {
 			continue
 		}
@@ -271,6 +352,7 @@
 			load.Slots = st.Slots
 		}
 		st.load, st.loadAt = load, s.fleet.timers.Now()
+		st.speed = st.speed.WithReport(load.Pace, st.loadAt)
 		st.limiter.observeLoad(load, max(1, float64(st.Slots)*s.fleet.options.Overcommit), st.loadAt)
 	}
 }
@@ -328,8 +410,14 @@
 	if !known || st.Born != s.Entry.Born {
 		return
 	}
-	st.inFlight = max(0, st.inFlight-1)
 	now := f.timers.Now()
+	if outcome == Answered {
+		f.learn(s, st, now)
+	}
+	st.inFlight, st.work = max(0, st.inFlight-1), max(0, st.work-s.work)
+	if st.inFlight == 0 {
+		st.work = 0 // without rounding errors
+	}
 	switch outcome {
 	case Answered:
 		st.failures, st.backoffUntil = 0, time.Time{}
--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/wigeonpin/wigeonpin/internal/base/clock"
+	"github.com/wigeonpin/wigeonpin/internal/fleet/cost"
 	"github.com/wigeonpin/wigeonpin/internal/fleet/ratelimit"
 )
 
@@ -71,6 +72,11 @@
 	// zonePenalty is the extra load, as a share of the slots, that the endpoints
 	// of this availability zone may have before a request goes to another zone.
 	zonePenalty = 0.3
+	// unevenZonePenalty takes its place while endpoints of the service differ in speed:
+	// a request that ends a little sooner at a faster endpoint is not worth the way to
+	// another zone and the bytes that are billed there. It exceeds the time that a
+	// request loses at an endpoint that takes 1.6 times as long as usual.
+	unevenZonePenalty = 0.7
 	// slownessWeight is the load, as a share of the slots, that is added to the
 	// score of an endpoint of half the best speed.
 	slownessWeight = 1.0
@@ -104,7 +110,9 @@
 
 type endpointState struct {
 	Entry
-	inFlight     int // requests of this process in flight
+	inFlight     int     // requests of this process in flight
+	work         float64 // the work of inFlight relative to the mean work of the service
+	speed        cost.Speed
 	load         Load
 	loadAt       time.Time
 	failures     int
@@ -134,10 +142,15 @@
 
 	mu         sync.Mutex
 	states     map[string]*endpointState
-	departures map[string]departure // announced departures by endpoint ID
-	zonesOut   map[string]bool      // availability zones out of service
-	silent     map[string]time.Time // availability zones that have gone silent, and until when they are avoided
+	services   map[string]map[string]*endpointState // states by service and ID
+	departures map[string]departure                 // announced departures by endpoint ID
+	zonesOut   map[string]bool                      // availability zones out of service
+	silent     map[string]time.Time                 // availability zones that have gone silent, and until when they are avoided
 	warmups    map[string]Warmup
+	models     map[string]*cost.Model // by service
+	chooser    cost.Chooser
+	candidates []candidate      // memory for choose
+	costs      []cost.Candidate // memory for choose
 	changed    chan struct{}
 	onEnd      func(Entry)
 	onRoom     func()
@@ -157,8 +170,9 @@
 		options.Limiter = ratelimit.NewLocal(timers)
 	}
 	f := &Fleet{
-		timers: timers, options: options, states: map[string]*endpointState{}, departures: map[string]departure{},
-		zonesOut: map[string]bool{}, silent: map[string]time.Time{}, warmups: map[string]Warmup{}, changed: make(chan struct{}, 1),
+		timers: timers, options: options, states: map[string]*endpointState{}, services: map[string]map[string]*endpointState{}, departures: map[string]departure{},
+		zonesOut: map[string]bool{}, silent: map[string]time.Time{}, warmups: map[string]Warmup{},
+		models: map[string]*cost.Model{}, changed: make(chan struct{}, 1),
 		onEnd: func(Entry) {}, onRoom: func() {},
 	}
 	options.Limiter.OnRoom(func() {
@@ -243,6 +257,9 @@
 	if known && s.Born != e.Born && f.active(s) {
 		previous, ended = s.Entry, true
 	}
+	if known {
+		delete(f.services[s.Service], e.ID)
+	}
 	if !known || s.Born != e.Born || s.Address != e.Address {
 		s = &endpointState{}
 		if f.options.Shared {
@@ -255,6 +272,10 @@
 	s.Entry = e
 	s.Models = models
 	s.expiresAt = time.Time{}
+	if f.services[e.Service] == nil {
+		f.services[e.Service] = map[string]*endpointState{}
+	}
+	f.services[e.Service][e.ID] = s
 	if e.Cold > 0 {
 		f.markCold(s, e.Cold)
 	}
@@ -322,14 +343,19 @@
 	now := f.timers.Now()
 	// Drop endpoints that were kept after an outage of the store and did not
 	// register again.
-	maps.DeleteFunc(f.states, func(_ string, other *endpointState) bool {
+	expired := func(_ string, other *endpointState) bool {
 		return !other.expiresAt.IsZero() && now.After(other.expiresAt)
-	})
+	}
+	maps.DeleteFunc(f.states, expired)
+	for _, states := range f.services {
+		maps.DeleteFunc(states, expired)
+	}
 	if now.Sub(regained) < reregistrationGrace {
 		s.expiresAt = regained.Add(reregistrationGrace)
 		return Entry{}, false
 	}
 	delete(f.states, id)
+	delete(f.services[s.Service], id)
 	return s.Entry, f.active(s)
 }
 
@@ -369,7 +395,7 @@
 func (f *Fleet) Serves(want Requirements) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, s := range f.states {
+	for _, s := range f.services[want.Service] {
 		if f.matches(s, want) {
 			return true
 		}
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -69,10 +69,14 @@
 	digest func() string // the result of ContentDigest, computed once
 }
 
+// Class returns the class of the calls whose work is alike: those of the same service
+// and route.
+func (c Call) Class() string { return c.Service + " " + c.Route.Host + c.Route.Prefix }
+
 // Work returns what decides whether the call can still end in a planned stop.
 func (c Call) Work() stop.Work {
 	return stop.Work{
-		Class: c.Service + " " + c.Route.Host + c.Route.Prefix, Deadline: c.Deadline, Repeatable: c.Route.Repeatable(), Open: c.Open,
+		Class: c.Class(), Deadline: c.Deadline, Repeatable: c.Route.Repeatable(), Open: c.Open,
 	}
 }
 
@@ -163,6 +167,8 @@
 		invalidLoads: headers.NewInvalidLoads(seams.Meters, timers, log),
 		queue:        queue.New(timers, seams.Meters, queue.Seams{RemoteCost: func(string) int64 { return 0 }}),
 	}
+	seams.Meters.Gauge("endpoint_paces", func() any { return seams.Fleet.Paces() })
+	seams.Meters.Gauge("request_work_us", func() any { return seams.Fleet.Works() })
 	seams.Fleet.OnUnexpectedEnd(f.attributeEnd)
 	seams.Fleet.OnRoom(func() { f.queue.Recheck() })
 	return f
@@ -411,6 +417,9 @@
 func (f *Forwarder) receive(ctx context.Context, call Call, slot *reservation, answer *exchange.Answer, attempt *attempt) (*Answer, error) {
 	result := &Answer{Status: answer.Status, Header: answer.Header, Endpoint: slot.Entry, cancel: attempt.cancel}
 	share := f.seams.Memory.Share()
+	if answer.Status >= http.StatusBadRequest {
+		slot.IgnoreTime() // an endpoint that fails fast must not count as fast
+	}
 	if call.Route.Kind != manifest.Stream || answer.Status >= http.StatusMultipleChoices {
 		body, err := share.ReadAll(answer, -1, MaxBufferedAnswer)
 		result.Body = body
@@ -429,6 +438,7 @@
 		}
 	}
 	attempt.clearLimit()
+	slot.IgnoreTime() // the caller decides how fast the answer is read
 	result.Rest = answer
 	result.close = func() {
 		answer.Close()
--- a/internal/traffic/forward/reservation.go
+++ b/internal/traffic/forward/reservation.go
@@ -76,7 +76,7 @@
 			}
 			var found bool
 			slot, found = f.seams.Fleet.Pick(replica.Requirements{
-				Service: call.Service, Avoid: p.tried,
+				Service: call.Service, Avoid: p.tried, Class: call.Class(),
 				Account: call.Account, Waiting: f.waiting.Count(call.Service), Patience: until.Sub(f.timers.Now()),
 			})
 			if found {
--- a/internal/training/runner/runner.go
+++ b/internal/training/runner/runner.go
@@ -80,6 +80,8 @@
 	log      *logrus.Entry
 	calls    chan func(ctx context.Context) // executed by the goroutine of Run
 	counters counters
+	// invalidLoads records load reports that cannot be parsed.
+	invalidLoads *headers.InvalidLoads
 
 	// The fields below are used only by the goroutine of Run.
 	active bool
@@ -138,7 +140,7 @@
 		seams.Role = func() Role { return Role{Held: true} }
 	}
 	return &Runner{
-		counters: newCounters(seams.Meters),
+		counters: newCounters(seams.Meters), invalidLoads: headers.NewInvalidLoads(seams.Meters, timers, log),
 		doneJobs: doneJobs, incompleteGroups: incompleteGroups, seams: seams, timers: timers, log: log, calls: make(chan func(context.Context), 64),
 		ended: map[string]bool{}, reach: reach.NewDetector(), texts: newTextCache(maxCachedTexts), copied: map[string]copyState{},
 	}
--- a/internal/training/runner/stream.go
+++ b/internal/training/runner/stream.go
@@ -81,6 +81,13 @@
 	if r.seams.Names.IsLeaving(header) && slot.MarkLeaving() {
 		r.log.WithField(logs.Endpoint, slot.Entry.ID).Info("engine leaves")
 	}
+	load, found, err := r.seams.Names.ReadLoad(header)
+	if err != nil {
+		r.invalidLoads.Record(slot.Entry.ID, err)
+	}
+	if found {
+		slot.Report(load)
+	}
 	rate, limited, err := r.seams.Names.ReadLimit(header)
 	if err != nil {
 		r.log.WithFields(logrus.Fields{logs.Endpoint: slot.Entry.ID, logs.Cause: err.Error()}).Warn("rate limit of an engine ignored")
