Let a stand-alone instance learn the speed of plain services

Cause: a stand-alone instance gets no load reports from plain services and ranks their endpoints by zone and price only, so that slow ones get as many calls as fast ones.

Change: the times of answered calls teach it the work by service and method and the pace of each endpoint. The score is cost.Finish with the previous load and the pace. While endpoints differ in speed, the load of one without reports is this instance's part of its slots in use, so that the fastest does not get all calls. An endpoint in another zone is not preferred for being faster.

--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -153,6 +153,7 @@
 	prefixes *prefixes
 	active   *activeAttempts
 	inflight *inflight
+	speeds   *speeds
 	waiting  ratelimit.Waiting
 	counts   counts
 	// background counts cancellations and other calls that outlive their requests.
@@ -171,15 +172,19 @@
 	if seams.Limiter == nil {
 		seams.Limiter = ratelimit.NewLocal(timers)
 	}
-	return &Dispatcher{
+	d := &Dispatcher{
 		settings: settings, timers: timers, log: log, engines: engines, services: services, seams: seams,
 		budgets: newBudgets(settings.RetryPercent), prefixes: newPrefixes(), active: newActiveAttempts(), inflight: newInflight(),
+		speeds: newSpeeds(settings.Zone),
 		counts: counts{
 			resumed: meters.Counter("streams_resumed"), retried: meters.Counter("attempts_repeated"),
 			failed: meters.Counter("attempts_failed"), served: meters.Counter("requests_served"),
 			firstToken: meters.Histogram("first_token_us"),
 		},
 	}
+	meters.Gauge("endpoint_paces", func() any { return d.speeds.paces(timers.Now()) })
+	meters.Gauge("request_work_us", func() any { return d.speeds.works() })
+	return d
 }
 
 // Close waits for background calls, each of which has a deadline.
@@ -194,6 +199,7 @@
 func (d *Dispatcher) Forget(endpoint string) {
 	d.budgets.forget(endpoint)
 	d.inflight.forget(endpoint)
+	d.speeds.forget(endpoint)
 }
 
 // backgroundTimeout is the timeout of calls that no request waits for.
--- a/internal/traffic/dispatch/forward.go
+++ b/internal/traffic/dispatch/forward.go
@@ -154,6 +154,8 @@
 		f.d.seams.Breaker.RecordAnswer(f.content())
 	}
 	f.d.counts.served.Add(f.call.Account, 1)
+	now := f.d.timers.Now()
+	f.d.speeds.observe(chosen.endpoint, f.call, answer, now.Sub(began), now)
 	if answer.Rest == nil {
 		f.record(ctx, end(false))
 		return answer, nil
--- a/internal/traffic/dispatch/inflight.go
+++ b/internal/traffic/dispatch/inflight.go
@@ -60,6 +60,13 @@
 	delete(f.endpoints, endpoint)
 }
 
+// running returns the number of this instance's running requests on the endpoint.
+func (f *inflight) running(endpoint string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.get(endpoint).running
+}
+
 // load estimates the endpoint's current load relative to its limit, when the
 // given number of instances share the endpoint.
 func (f *inflight) load(endpoint string, report roster.Load, instances int) float64 {
--- a/internal/traffic/dispatch/pick.go
+++ b/internal/traffic/dispatch/pick.go
@@ -8,6 +8,7 @@
 
 	"github.com/wigeonpin/wigeonpin/internal/base/code"
 	"github.com/wigeonpin/wigeonpin/internal/control/roster"
+	"github.com/wigeonpin/wigeonpin/internal/fleet/cost"
 )
 
 // The weights of the endpoint score, of which the lowest wins. A full engine
@@ -87,6 +88,8 @@
 
 type candidate struct {
 	endpoint roster.Endpoint
+	load     float64 // relative to its limit
+	pace     float64
 	score    float64
 }
 
@@ -96,6 +99,7 @@
 	for _, e := range endpoints {
 		maxPrice = max(maxPrice, e.PricePerHour)
 	}
+	now, uneven := d.timers.Now(), false
 	all := make([]candidate, 0, len(endpoints))
 	for _, e := range endpoints {
 		if d.seams.FreeSlots(e.ID) <= 0 {
@@ -106,7 +110,15 @@
 			(n.suspect && d.active.suspects(e.ID) > 0) {
 			continue
 		}
-		all = append(all, candidate{e, d.score(n, e, load, known, maxPrice)})
+		c := candidate{endpoint: e, load: unknownLoad, pace: d.speeds.pace(e.ID, now)}
+		if known && load.Limit > 0 {
+			c.load = d.inflight.load(e.ID, load, d.seams.Instances(e.Zone))
+		}
+		uneven = uneven || c.pace != 1
+		all = append(all, c)
+	}
+	for i := range all {
+		all[i].score = d.score(n, all[i], uneven, maxPrice)
 	}
 	slices.SortFunc(all, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
 	out := make([]roster.Endpoint, 0, len(all))
@@ -116,11 +128,21 @@
 	return out
 }
 
-func (d *Dispatcher) score(n requirements, e roster.Endpoint, load roster.Load, known bool, maxPrice float64) float64 {
-	score := unknownLoad
-	if known && load.Limit > 0 {
-		score = d.inflight.load(e.ID, load, d.seams.Instances(e.Zone))
+// score rates an endpoint by the expected time until the request ends there, relative to
+// that on an idle endpoint of usual speed, and by the preferences. uneven says that some
+// endpoints differ in speed. A faster endpoint in another zone is not preferred for its
+// speed, since the request would end only a little sooner.
+func (d *Dispatcher) score(n requirements, c candidate, uneven bool, maxPrice float64) float64 {
+	e, load, pace := c.endpoint, c.load, c.pace
+	if _, known := d.seams.Load(e.ID); uneven && !known {
+		// Without a load the fastest endpoint would get all requests.
+		running := d.inflight.running(e.ID)
+		load = float64(running) / float64(max(1, running+d.seams.FreeSlots(e.ID)))
+	}
+	if e.Zone != d.settings.Zone {
+		pace = max(1, pace)
 	}
+	score := cost.Finish(cost.Queue{Ahead: load, Slots: 1}, 1, pace) - 1
 	if e.Zone != d.settings.Zone {
 		score += zoneWeight
 	}
