--- a/cmd/wigeonpin/node.go
+++ b/cmd/wigeonpin/node.go
@@ -27,6 +27,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/peer/relay"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/forward"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/front"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/headers"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/stop"
 	"github.com/wigeonpin/wigeonpin/internal/training/batch"
 	"github.com/wigeonpin/wigeonpin/internal/training/runner"
@@ -74,7 +75,7 @@
 	storeCalls, storeStrays, "requests_served", "requests_failed", "connections_opened", "endpoint_breaks", "endpoint_refusals", "requests_held", stop.CountName,
 	batch.CountEmpty, batch.CountMissed, batch.CountMisplaced,
 	forward.CountBackground, ratelimit.CountSends, ratelimit.CountAsks, runner.CountRuns, runner.CountRejections, runner.CountBreaks,
-	runner.CountScoreFailures, runner.CountHeld, runner.CountSteps, runner.CountMoves,
+	runner.CountScoreFailures, runner.CountHeld, runner.CountSteps, runner.CountMoves, headers.CountInvalidLoads,
 }
 
 // node holds what entry and worker processes have in common: settings, log,
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -78,10 +78,14 @@
 	digest func() string // the result of ContentDigest, computed once
 }
 
+// Class returns the class of the calls whose work is alike: those of the same service
+// and route.
+func (c Call) Class() string { return c.Service + " " + c.Route.Host + c.Route.Prefix }
+
 // Work returns what decides whether the call can still end in a planned stop.
 func (c Call) Work() stop.Work {
 	return stop.Work{
-		Class: c.Service + " " + c.Route.Host + c.Route.Prefix, Deadline: c.Deadline, Repeatable: c.Route.Repeatable(), Open: c.Open,
+		Class: c.Class(), Deadline: c.Deadline, Repeatable: c.Route.Repeatable(), Open: c.Open,
 	}
 }
 
@@ -148,6 +152,8 @@
 	refusals   *meter.Counter
 	held       *meter.Counter
 	background *meter.Counter
+	// invalidLoads records load reports that cannot be parsed.
+	invalidLoads *headers.InvalidLoads
 
 	mu         sync.Mutex
 	schedules  map[string]*retryafter.Schedule // by service
@@ -169,10 +175,13 @@
 	f := &Forwarder{
 		seams: seams, timers: timers, log: log, schedules: map[string]*retryafter.Schedule{}, work: newWorkModel(),
 		breaks: seams.Meters.Counter("endpoint_breaks"), refusals: seams.Meters.Counter("endpoint_refusals"),
-		held:       seams.Meters.Counter("requests_held"),
-		background: seams.Meters.Counter(CountBackground),
-		queue:      queue.New(timers, seams.Meters, queue.Seams{}),
+		held:         seams.Meters.Counter("requests_held"),
+		background:   seams.Meters.Counter(CountBackground),
+		invalidLoads: headers.NewInvalidLoads(seams.Meters, timers, log),
+		queue:        queue.New(timers, seams.Meters, queue.Seams{}),
 	}
+	seams.Meters.Gauge("endpoint_paces", func() any { return seams.Fleet.Paces() })
+	seams.Meters.Gauge("request_work_us", func() any { return seams.Fleet.Works() })
 	seams.Fleet.OnUnexpectedEnd(f.attributeEnd)
 	seams.Fleet.OnRoom(func() { f.queue.Recheck() })
 	return f
@@ -407,7 +416,11 @@
 	if f.seams.Names.IsLeaving(h) && slot.MarkLeaving() {
 		f.log.WithField(logs.Endpoint, slot.Entry.ID).Info("endpoint leaves")
 	}
-	if load, found := f.seams.Names.ReadLoad(h); found {
+	load, found, err := f.seams.Names.ReadLoad(h)
+	if err != nil {
+		f.invalidLoads.Record(slot.Entry.ID, err)
+	}
+	if found {
 		slot.Report(load)
 	}
 	if left, found := headers.Millis(h, f.seams.Names.Cold); found && left > 0 {
@@ -425,6 +438,9 @@
 func (f *Forwarder) receive(ctx context.Context, call Call, slot *reservation, answer *exchange.Answer, attempt *attempt) (*Answer, error) {
 	result := &Answer{Status: answer.Status, Header: answer.Header, Endpoint: slot.Entry, cancel: attempt.cancel}
 	share := f.seams.Memory.Share()
+	if answer.Status >= http.StatusBadRequest {
+		slot.IgnoreTime() // an endpoint that fails fast must not count as fast
+	}
 	if call.Route.Kind != manifest.Stream || answer.Status >= http.StatusMultipleChoices {
 		body, err := share.ReadAll(answer, -1, MaxBufferedAnswer)
 		result.Body = body
@@ -443,6 +459,7 @@
 		}
 	}
 	attempt.clearLimit()
+	slot.IgnoreTime() // the caller decides how fast the answer is read
 	result.Rest = answer
 	result.close = func() {
 		answer.Close()
--- a/internal/training/runner/runner.go
+++ b/internal/training/runner/runner.go
@@ -85,6 +85,8 @@
 	calls       chan func(ctx context.Context) // executed by the goroutine of Run
 	counters    counters
 	scoringTime scoringTime // used by all goroutines
+	// invalidLoads records load reports that cannot be parsed.
+	invalidLoads *headers.InvalidLoads
 
 	// The fields below are used only by the goroutine of Run.
 	active bool
@@ -156,7 +158,7 @@
 		seams.Role = func() Role { return Role{Held: true} }
 	}
 	return &Runner{
-		counters: newCounters(seams.Meters), lengths: lengths,
+		counters: newCounters(seams.Meters), lengths: lengths, invalidLoads: headers.NewInvalidLoads(seams.Meters, timers, log),
 		doneJobs: doneJobs, incompleteGroups: incompleteGroups, seams: seams, timers: timers, log: log, calls: make(chan func(context.Context), 64),
 		ended: map[string]bool{}, reach: reach.NewDetector(), texts: newTextCache(maxCachedTexts), copied: map[string]copyState{},
 	}
