--- a/internal/training/runner/moves.go
+++ b/internal/training/runner/moves.go
@@ -18,21 +18,23 @@
 
 // moveRules define when a run of a batch without due time is moved to a faster engine:
 // after the given time on an engine that is slower by at least the given ratio.
-var moveRules = []struct {
-	after time.Duration
-	ratio float64
-}{
+var moveRules = []moveRule{
 	{300 * time.Millisecond, 1.8},
 	{1500 * time.Millisecond, 1.2},
 }
 
+type moveRule struct {
+	after time.Duration
+	ratio float64
+}
+
 // streamLiveness is how recently an engine must have sent an event to count as streaming.
 const streamLiveness = 300 * time.Millisecond
 
 // moveRuns cancels the runs that should be moved, those with the least slack first. No
 // more of them are moved than there are free slots.
 func (r *Runner) moveRuns(now time.Time) {
-	othersStream := r.mostEnginesStream(now)
+	pass := movePass{now: now, othersStream: r.mostEnginesStream(now), compared: map[comparedEngine]replica.Comparison{}}
 	room := map[*job]int{}
 	for _, t := range r.order {
 		if t.state != stateRunning || t.moves >= maxMoves {
@@ -43,7 +45,7 @@
 			continue // the text would start over
 		}
 		want := replica.Requirements{Service: route.SelectService(0), Model: t.job.batch.Model, Version: t.job.batch.MinVersion}
-		reason := r.moveReason(t, want, now, othersStream)
+		reason := r.moveReason(t, want, pass)
 		if reason == priority.Stay {
 			continue
 		}
@@ -63,28 +65,59 @@
 	}
 }
 
+// movePass is what the decisions of one check have in common.
+type movePass struct {
+	now          time.Time
+	othersStream bool
+	compared     map[comparedEngine]replica.Comparison
+}
+
+// comparedEngine identifies a comparison: the items of one model on one engine share it.
+type comparedEngine struct {
+	endpoint, service, model string
+	version                  int64
+}
+
+// compare compares the engine with the others.
+func (r *Runner) compare(endpoint string, want replica.Requirements, pass movePass) replica.Comparison {
+	key := comparedEngine{endpoint, want.Service, want.Model, want.Version}
+	c, known := pass.compared[key]
+	if !known {
+		c = r.seams.Fleet.Compare(endpoint, want, usualEventTime)
+		pass.compared[key] = c
+	}
+	return c
+}
+
 // moveReason returns why the run should be moved to another engine, if it should.
-func (r *Runner) moveReason(t *task, want replica.Requirements, now time.Time, othersStream bool) priority.Reason {
-	ran := now.Sub(t.runStart)
+func (r *Runner) moveReason(t *task, want replica.Requirements, pass movePass) priority.Reason {
+	ran := pass.now.Sub(t.runStart)
 	if t.job.schedule.Due <= 0 {
-		for _, rule := range moveRules {
-			if ran >= rule.after && r.seams.Fleet.Slowness(t.endpoint, want) >= rule.ratio {
-				return priority.Slow
-			}
+		if r.onSlowEngine(t, want, ran) {
+			return priority.Slow
 		}
 		return priority.Stay
 	}
 	if t.class == priority.Spare {
 		return priority.Stay
 	}
-	c := r.seams.Fleet.Compare(t.endpoint, want, usualEventTime)
+	c := r.compare(t.endpoint, want, pass)
 	return priority.Move(priority.Run{
 		Class: t.class, Slack: t.slack, Ran: ran, Silent: t.silence(r.timers.Uptime()), Started: t.lastEvent.Load() != 0,
 		Left: r.lengthsOf(t.job.batch).Remaining(t.item.ExpectedTokens, len(t.snapshot().pieces)),
-		Here: c.Here, There: c.There, Loading: c.Loading, OthersStream: othersStream,
+		Here: c.Here, There: c.There, Loading: c.Loading, OthersStream: pass.othersStream,
 	})
 }
 
+// onSlowEngine reports whether the moveRules apply to a run.
+func (r *Runner) onSlowEngine(t *task, want replica.Requirements, ran time.Duration) bool {
+	if ran < moveRules[0].after {
+		return false
+	}
+	slowness := r.seams.Fleet.Slowness(t.endpoint, want)
+	return slices.ContainsFunc(moveRules, func(rule moveRule) bool { return ran >= rule.after && slowness >= rule.ratio })
+}
+
 // silence returns the time since the latest event of the run, or since its start.
 func (t *task) silence(uptime time.Duration) time.Duration {
 	silent := uptime - time.Duration(t.lastActivity.Load())
--- a/internal/training/runner/moves_test.go
+++ b/internal/training/runner/moves_test.go
@@ -120,3 +120,31 @@
 		t.Errorf("cancelled with %v and %v, want only the text with the least slack moved", w.causes["a"], w.causes["b"])
 	}
 }
+
+// BenchmarkMoves decides about the moves of 360 running items, with a due time and with
+// the former rules, which hold for batches without one.
+func BenchmarkMoves(b *testing.B) {
+	for name, due := range map[string]time.Duration{"due": 7500 * time.Millisecond, "no due time": 0} {
+		b.Run(name, func(b *testing.B) {
+			w := newLoadedWorld(b, 2, 180)
+			n := 0
+			for _, j := range w.jobs {
+				j.schedule.Due = due
+				for _, tk := range j.tasks {
+					begin(w.Runner, tk, func(error) {})
+					slot, _ := w.seams.Fleet.Pick(replica.Requirements{Service: "llm", Preferred: tk.endpoint})
+					tk.endpoint = slot.Entry.ID
+					if n++; n%4 == 0 {
+						slot.RecordEventTime(usual)
+					}
+				}
+			}
+			w.driver.Advance(time.Second)
+			w.order = nil
+			w.refreshOrder()
+			for b.Loop() {
+				w.moveRuns(w.timers.Now())
+			}
+		})
+	}
+}
--- a/internal/training/runner/order_test.go
+++ b/internal/training/runner/order_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -22,7 +23,7 @@
 	route  manifest.Route
 }
 
-func newStepWorld(t *testing.T, slots ...int) *stepWorld {
+func newStepWorld(t testing.TB, slots ...int) *stepWorld {
 	t.Helper()
 	r, _, driver := newDrivenRunner()
 	w := &stepWorld{Runner: r, driver: driver, route: manifest.Route{
@@ -38,13 +39,13 @@
 	}
 	t.Cleanup(func() { _ = engines.Close() })
 	for i, n := range slots {
-		r.seams.Fleet.Put(replica.Entry{ID: endpoints[i], Service: "llm", Slots: n, Address: engines.Addr().String(), Models: map[string]int64{"m": 5}})
+		r.seams.Fleet.Put(replica.Entry{ID: "e" + strconv.Itoa(i+1), Service: "llm", Slots: n, Address: engines.Addr().String(), Models: map[string]int64{"m": 5}})
 	}
 	return w
 }
 
 // submit adds a batch whose items, one in each group, have the given estimates in events.
-func (w *stepWorld) submit(t *testing.T, id string, wanted int, estimates map[string]int) *job {
+func (w *stepWorld) submit(t testing.TB, id string, wanted int, estimates map[string]int) *job {
 	t.Helper()
 	b := newBatch()
 	b.ID, b.WantedGroups, b.Time = id, wanted, w.timers.Now()
@@ -149,3 +150,25 @@
 		}
 	}
 }
+
+// newLoadedWorld returns a world of 45 engines with the given batches.
+func newLoadedWorld(t testing.TB, batches, items int) *stepWorld {
+	w := newStepWorld(t, slices.Repeat([]int{8}, 45)...)
+	for n := range batches {
+		estimates := map[string]int{}
+		for i := range items {
+			estimates[strconv.Itoa(n*items+i)] = 5 + i%140
+		}
+		w.submit(t, "b"+strconv.Itoa(n), items*9/10, estimates)
+	}
+	return w
+}
+
+// BenchmarkOrderOfAllBatches orders 4 batches of 232 items.
+func BenchmarkOrderOfAllBatches(b *testing.B) {
+	w := newLoadedWorld(b, 4, 232)
+	for b.Loop() {
+		w.order = nil
+		w.refreshOrder()
+	}
+}
