Start the items of a step that has been late for 4 s before all others

Cause: with far too few slots a late step had an eighth of them only. In the model of 4 trainers on 120 slots with weak hints one step took 35 s; items are given up after 30 s, and a late step holds one of the two batches of its trainer. Change: class Overdue of priority.Order, from 4 s after the due time on, when a step earns nothing any more.

--- a/internal/training/priority/priority.go
+++ b/internal/training/priority/priority.go
@@ -65,6 +65,8 @@
 	Late
 	// InTime items are needed by a step that can be in time.
 	InTime
+	// Overdue items are needed by a step that has been late for overdueAfter.
+	Overdue
 )
 
 // Place is an item in the order of starts. Slack is how long the item may wait and
@@ -80,6 +82,11 @@
 // next one of its trainer.
 const lateShare = 0.125
 
+// overdueAfter is the time after the due time from which on a step comes first. It earns
+// nothing any more, but delays the next ones of its trainer, and its items are given up
+// at their time limit.
+const overdueAfter = 4 * time.Second
+
 // Order returns the waiting and the running items in the order in which they start. The
 // running ones keep their place in case that they have to start again.
 func Order(steps []Step) []Place {
@@ -92,7 +99,10 @@
 	for number, s := range steps {
 		needed, longest := s.needed()
 		class := InTime
-		if longest > s.Due {
+		switch {
+		case s.Due < -overdueAfter:
+			class = Overdue
+		case longest > s.Due:
 			class = Late
 		}
 		for i, item := range s.Items {
--- a/internal/training/priority/priority_test.go
+++ b/internal/training/priority/priority_test.go
@@ -44,6 +44,17 @@
 	}
 }
 
+// Guards against late steps that wait until their items are given up, after 30 s, as
+// there are too few slots for the steps that can be in time.
+func TestNoStepWaitsForItsTimeLimit(t *testing.T) {
+	const limit = 25 * time.Second
+	if r := playScenario(scenario{4, 9, 16, always(120), "weak"}, false); r.longest > limit {
+		t.Errorf("a step took %v, want at most %v", r.longest, limit)
+	} else {
+		t.Logf("in time: %.3f of %d steps, the longest took %v", r.share, r.steps, r.longest)
+	}
+}
+
 // stepOf returns a step whose groups have one item each, with the given seconds left.
 func stepOf(due float64, wanted int, awaited []bool, left ...float64) Step {
 	s := Step{Due: seconds(due), Wanted: wanted, Awaited: make([]bool, len(left))}
@@ -73,6 +84,7 @@
 		{"another group replaces a lost one", []Step{lost}, [][2]int{{0, 1}}},
 		{"less slack in a later step", []Step{stepOf(6, 0, nil, 1), stepOf(8, 0, nil, 7)}, [][2]int{{1, 0}, {0, 0}}},
 		{"a late step after one in time", []Step{stepOf(1, 0, nil, 5), stepOf(8, 0, nil, 2)}, [][2]int{{1, 0}, {0, 0}}},
+		{"a step that is overdue for long", []Step{stepOf(-5, 1, nil, 3, 4), stepOf(8, 0, nil, 2)}, [][2]int{{0, 0}, {1, 0}, {0, 1}}},
 		{"a late step before groups not needed", []Step{stepOf(-1, 0, nil, 5), stepOf(8, 1, nil, 2, 3)}, [][2]int{{1, 0}, {0, 0}, {1, 1}}},
 	} {
 		places := Order(c.steps)
--- a/internal/training/priority/world_test.go
+++ b/internal/training/priority/world_test.go
@@ -50,6 +50,7 @@
 	carried       [][][]*worldItem // groups by trainer
 	last          []int            // tick of the latest batch by trainer
 	steps, inTime int
+	longest       time.Duration // of the steps
 	order         []*worldItem
 }
 
@@ -218,6 +219,7 @@
 			continue
 		}
 		w.steps++
+		w.longest = max(w.longest, time.Duration(tick-b.begun)*eventTime)
 		if tick-b.begun <= dueEvents {
 			w.inTime++
 		}
@@ -239,15 +241,17 @@
 	w.carried[trainer] = append(w.carried[trainer], group)
 }
 
-// result is the share of the steps in time, and the number of steps.
+// result is the share of the steps in time, the number of steps and the longest step.
 type result struct {
-	share float64
-	steps int
+	share   float64
+	steps   int
+	longest time.Duration
 }
 
 // playScenario plays a scenario with some seeds.
 func playScenario(s scenario, present bool) result {
-	steps, inTime := 0, 0
+	var r result
+	inTime := 0
 	for seed := range uint64(4) {
 		w := &world{
 			scenario: s, present: present, random: rand.New(rand.NewPCG(seed, 1)), lengths: NewLengths(),
@@ -257,7 +261,8 @@
 			w.last[t] = -periodTicks
 		}
 		w.play()
-		steps, inTime = steps+w.steps, inTime+w.inTime
+		r.steps, inTime, r.longest = r.steps+w.steps, inTime+w.inTime, max(r.longest, w.longest)
 	}
-	return result{float64(inTime) / float64(steps), steps}
+	r.share = float64(inTime) / float64(r.steps)
+	return r
 }
