--- a/internal/fleet/replica/overload_test.go
+++ b/internal/fleet/replica/overload_test.go
@@ -41,14 +41,29 @@
 }
 
 // simEndpoint runs simSlots requests at a time and queues up to simQueue more.
+// Its pace at a time is multiplied with its slowness; nil means 1.
 type simEndpoint struct {
 	slowness         time.Duration
+	pace             func(now time.Duration) float64
+	reports          bool // it reports its pace
 	running, waiting int
 	queue            []func()
 }
 
-func (e *simEndpoint) load() Load {
-	return Load{Running: e.running, Waiting: e.waiting, Slots: simSlots}
+func (e *simEndpoint) load(now time.Duration) Load {
+	load := Load{Running: e.running, Waiting: e.waiting, Slots: simSlots}
+	if e.reports {
+		load.Pace = e.pace(now)
+	}
+	return load
+}
+
+// workTime returns the time of a request at the endpoint.
+func (e *simEndpoint) workTime(now time.Duration, factor float64) time.Duration {
+	if e.pace != nil {
+		factor *= e.pace(now)
+	}
+	return e.slowness * time.Duration(float64(simServiceTime)*factor)
 }
 
 // overloadSim simulates processes that send more requests than their endpoints
@@ -61,6 +76,9 @@
 	pending   events
 	fleets    []*Fleet
 	endpoints map[string]*simEndpoint
+	class     string // of the requests; empty means that their times teach nothing
+
+	times []time.Duration // of answered requests
 
 	sent, rejected, inTime int
 	byProcess              []int
@@ -80,7 +98,7 @@
 // arrive simulates the arrival of one request at a process, which sends it to an
 // endpoint or drops it.
 func (o *overloadSim) arrive(process int) {
-	slot, found := o.fleets[process].Pick(Requirements{Service: "svc"})
+	slot, found := o.fleets[process].Pick(Requirements{Service: "svc", Class: o.class})
 	if !found {
 		return
 	}
@@ -89,10 +107,13 @@
 		o.sent++
 	}
 	finish := func(outcome Outcome) {
-		load := e.load()
+		load := e.load(o.now)
 		o.after(simLatency, func() {
 			slot.Report(load)
 			slot.Done(outcome)
+			if measured && outcome == Answered {
+				o.times = append(o.times, o.now-began)
+			}
 			if measured && outcome == Answered && o.now-began <= simDeadline {
 				o.inTime++
 				o.byProcess[process]++
@@ -104,7 +125,7 @@
 	}
 	run := func() {
 		e.running++
-		o.after(e.slowness*time.Duration(float64(simServiceTime)*(0.5+o.rng.Float64())), func() {
+		o.after(e.workTime(o.now, 0.5+o.rng.Float64()), func() {
 			e.running--
 			finish(Answered)
 			if e.waiting > 0 {
