Keep requests in their zone while endpoints are uneven

Change: while endpoints differ in speed, another zone costs the mean work of a request (1.0), in the stand-alone instance too.

--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -72,11 +72,11 @@
 	// zonePenalty is the extra load, as a share of the slots, that the endpoints
 	// of this availability zone may have before a request goes to another zone.
 	zonePenalty = 0.3
-	// unevenZonePenalty takes its place while endpoints of the service differ in speed:
-	// a request that ends a little sooner at a faster endpoint is not worth the way to
-	// another zone and the bytes that are billed there. It exceeds the time that a
-	// request loses at an endpoint that takes 1.6 times as long as usual.
-	unevenZonePenalty = 0.7
+	// unevenZonePenalty takes its place while endpoints of the service differ in speed: a
+	// request goes to another zone only if it ends sooner there by the mean work of the
+	// service, since the way there takes time and its bytes are billed. With zonePenalty
+	// half of the requests of uneven endpoints crossed, and they ended later.
+	unevenZonePenalty = 1.0
 	// slownessWeight is the load, as a share of the slots, that is added to the
 	// score of an endpoint of half the best speed.
 	slownessWeight = 1.0
--- a/internal/traffic/dispatch/pick.go
+++ b/internal/traffic/dispatch/pick.go
@@ -21,6 +21,10 @@
 	priceWeight  = 0.2
 	randomWeight = 0.05
 	unknownLoad  = 0.5
+	// unevenZoneWeight takes the place of zoneWeight while endpoints differ in speed, so
+	// that a call goes to another zone, where its bytes are billed, only if it ends sooner
+	// there by the usual time of a call.
+	unevenZoneWeight = 1.0
 )
 
 // endpointRetryAfter is the retry-after time when no endpoint is available or the
@@ -143,7 +147,11 @@
 		pace = max(1, pace)
 	}
 	score := cost.Finish(cost.Queue{Ahead: load, Slots: 1}, 1, pace) - 1
-	if e.Zone != d.settings.Zone {
+	switch {
+	case e.Zone == d.settings.Zone:
+	case uneven:
+		score += unevenZoneWeight
+	default:
 		score += zoneWeight
 	}
 	if maxPrice > 0 {
