--- a/internal/fleet/replica/background_test.go
+++ b/internal/fleet/replica/background_test.go
@@ -47,7 +47,7 @@
 func (m *mixSim) serve(slot *Slot, work time.Duration, done func(answered bool)) {
 	e := m.endpoints[slot.Entry.ID]
 	finish := func(outcome Outcome) {
-		load := e.load()
+		load := e.load(m.now)
 		m.after(simLatency, func() {
 			slot.Report(load)
 			slot.Done(outcome)
