Judge headroom by the latest report for two seconds

Cause: an endpoint whose report was older than 0.4 s got background calls up to half of its slots, and times without any that grew to 1.6 s made more calls reach their limit. Change: a report counts for 2 s together with what was sent since. An endpoint without headroom in a report older than 0.4 s gets one background call at a time.

--- a/internal/fleet/replica/background.go
+++ b/internal/fleet/replica/background.go
@@ -13,52 +13,33 @@
 	// process may use at an endpoint without a recent report, for example after a
 	// restart.
 	unreportedShare = 0.5
-	// maxScarceDoublings bounds how long an endpoint gets no background request after
-	// reports without headroom: loadMaxAge after the first one, doubled with each
-	// further one in a row. Then one background request at a time finds out whether there
-	// is headroom again. A fixed time of loadMaxAge let 18 of 60 requests a second pass
-	// to 10 endpoints without headroom.
-	maxScarceDoublings = 2
+	// scarceMaxAge is how long an endpoint whose latest report showed no headroom gets only
+	// one background request at a time, once that report is older than loadMaxAge. The
+	// answer to it has a new report. Times that grow with each such report let fewer
+	// interactive requests be in time in bursts that are longer than a background request
+	// may wait.
+	scarceMaxAge = 2 * time.Second
 )
 
 // occupancy is what this process knows of the use of an endpoint's slots. Sent is the
-// number of its requests that were sent since the latest report, age the report's age,
-// and scarce the number of reports in a row without headroom.
+// number of its requests that were sent since the latest report, and age the report's age.
 type occupancy struct {
-	slots, inFlight, sent, scarce int
-	reported                      bool
-	load                          Load
-	age                           time.Duration
+	slots, inFlight, sent int
+	reported              bool
+	load                  Load
+	age                   time.Duration
 }
 
 // headroom reports whether the endpoint can take one more background request without
 // delaying interactive ones.
 func (o occupancy) headroom() bool {
-	switch {
-	case o.scarce > 0 && o.age < loadMaxAge<<min(o.scarce-1, maxScarceDoublings):
-		return false
-	case o.scarce > 0:
-		return o.inFlight == 0
-	case o.reported && o.age < loadMaxAge:
-		return !o.load.scarce(o.slots, max(o.inFlight, o.load.Running+o.load.Waiting+o.sent))
-	}
-	return o.inFlight < max(1, int(unreportedShare*float64(o.slots)))
-}
-
-// scarce reports whether an endpoint with this load and this many requests has no
-// headroom.
-func (l Load) scarce(slots, requests int) bool {
-	reserved := min(slots-1, int(math.Ceil(reservedShare*float64(slots))))
-	return l.Waiting > 0 || requests >= max(1, slots-reserved)
-}
-
-// observeScarcity counts the reports in a row with waiting requests.
-func (s *endpointState) observeScarcity(load Load) {
-	if load.Waiting == 0 {
-		s.scarceReports = 0
-		return
+	if !o.reported || o.age >= scarceMaxAge {
+		return o.inFlight < max(1, int(unreportedShare*float64(o.slots)))
 	}
-	s.scarceReports++
+	reserved := min(o.slots-1, int(math.Ceil(reservedShare*float64(o.slots))))
+	busy := max(o.inFlight, o.load.Running+o.sent)
+	free := o.load.Waiting == 0 && busy < max(1, o.slots-reserved)
+	return free || (o.age >= loadMaxAge && o.inFlight == 0)
 }
 
 // headroom reports whether the endpoint takes a background request now. Endpoints that
@@ -68,7 +49,7 @@
 		return false
 	}
 	return occupancy{
-		slots: s.Slots, inFlight: s.inFlight, sent: s.sentSinceReport, scarce: s.scarceReports,
+		slots: s.Slots, inFlight: s.inFlight, sent: s.sentSinceReport,
 		reported: !s.loadAt.IsZero(), load: s.load, age: now.Sub(s.loadAt),
 	}.headroom()
 }
--- a/internal/fleet/replica/pick.go
+++ b/internal/fleet/replica/pick.go
@@ -274,7 +274,6 @@
 	defer s.fleet.mu.Unlock()
 	if st, known := s.fleet.states[s.Entry.ID]; known {
 		st.load, st.loadAt, st.sentSinceReport = load, s.fleet.timers.Now(), 0
-		st.observeScarcity(load)
 		st.limiter.observeLoad(load, max(1, float64(st.Slots)*s.fleet.options.Overcommit), st.loadAt)
 	}
 }
--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -107,7 +107,6 @@
 	loadAt   time.Time
 	// sentSinceReport counts the requests of this process sent since the load report.
 	sentSinceReport int
-	scarceReports   int // reports in a row without headroom
 	failures        int
 	backoffUntil    time.Time
 	absentUntil     time.Time // gets no requests until then: not found at its address
