Count the work that accounts receive from other entry processes

Cause: each entry process ordered its queue by its own requests alone, so that a flood through many processes got the same part of each as an account that uses one of them. Change: a process in which requests had to wait tells the others once a second what its 16 largest accounts receive, in slots. A digest counts for 3 s; later ones replace earlier ones, other formats are ignored and counted, and a process that was paused drops what it heard. About 12 digests a second are sent by all processes together; with more senders each sends by chance and its digest stands for others.

--- a/cmd/wigeonpin/entry.go
+++ b/cmd/wigeonpin/entry.go
@@ -18,7 +18,7 @@
 	e := entry.New(n.source.Current(), entry.Dependencies{
 		Store: n.store, Formats: formats(), Names: platform.Headers(), API: platform.BatchAPI(), Meters: n.meters,
 		Isolated: n.isolated, Outage: n.outage, StoreDisconnected: n.directLost,
-		Workers: func() []string { return n.peers.Addresses(roleWorker) }, Limiter: n.limiter,
+		Workers: func() []string { return n.peers.Addresses(roleWorker) }, Limiter: n.limiter, Shares: n.newShares(ctx),
 		Breaker: breaker.New(breaker.Seams{Post: n.broadcaster.Publish, Subscribe: n.broadcaster.Subscribe}, n.timers, n.log),
 	}, n.timers, n.log)
 	err = e.Run(ctx)
--- a/cmd/wigeonpin/node.go
+++ b/cmd/wigeonpin/node.go
@@ -27,6 +27,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/peer/relay"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/forward"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/front"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/share"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/stop"
 	"github.com/wigeonpin/wigeonpin/internal/training/batch"
 	"github.com/wigeonpin/wigeonpin/internal/training/runner"
@@ -73,7 +74,7 @@
 var summaryCounters = []string{
 	storeCalls, storeStrays, "requests_served", "requests_failed", "connections_opened", "endpoint_breaks", "endpoint_refusals", "requests_held", stop.CountName,
 	batch.CountEmpty, batch.CountMissed, batch.CountMisplaced,
-	forward.CountBackground, ratelimit.CountSends, ratelimit.CountAsks, runner.CountRuns, runner.CountRejections, runner.CountBreaks, runner.CountScoreFailures,
+	forward.CountBackground, share.CountDigests, ratelimit.CountSends, ratelimit.CountAsks, runner.CountRuns, runner.CountRejections, runner.CountBreaks, runner.CountScoreFailures,
 }
 
 // node holds what entry and worker processes have in common: settings, log,
@@ -184,6 +185,16 @@
 	return nil
 }
 
+// newShares starts the exchange of what client accounts receive from each process.
+func (n *node) newShares(ctx context.Context) *share.Exchange {
+	shares := share.NewExchange(n.source.Current().Name, share.Seams{
+		Members: func() int { return 1 + len(n.peers.Others()) },
+		Post:    n.broadcaster.Publish, Subscribe: n.broadcaster.Subscribe, Meters: n.meters,
+	}, n.timers)
+	go shares.Run(ctx)
+	return shares
+}
+
 // notify sends to a channel with a buffer of one, unless it is full.
 func notify(c chan<- struct{}) {
 	select {
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -35,6 +35,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/traffic/front"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/headers"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/memory"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/share"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/stop"
 	"github.com/wigeonpin/wigeonpin/internal/training/batch"
 	"github.com/wigeonpin/wigeonpin/internal/training/runner"
@@ -96,6 +97,8 @@
 	// StoreDisconnected reports whether the direct connection to the store is
 	// known to be down.
 	StoreDisconnected func() bool
+	// Shares tells what client accounts receive from other entry processes.
+	Shares *share.Exchange
 	// Breaker holds back requests whose content crashes endpoints. Its state is
 	// shared by all entry processes.
 	Breaker *breaker.Breaker
@@ -128,7 +131,7 @@
 	memoryLimit := float64(cmp.Or(p.MemoryBytes, defaultMemory))
 	forwarder := forward.New(forward.Seams{
 		Fleet: fleet, Pool: pool, Names: deps.Names, OnStart: counter.Add,
-		Memory: memory.NewBudget(int64(responseShare * memoryLimit)), Meters: deps.Meters, Breaker: deps.Breaker, Stop: plan,
+		Memory: memory.NewBudget(int64(responseShare * memoryLimit)), Meters: deps.Meters, Breaker: deps.Breaker, Shares: deps.Shares, Stop: plan,
 	}, timers, log)
 	workers := runner.NewWorkers(deps.Workers)
 	reader := batch.NewReader(batch.ReaderSeams{
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -39,6 +39,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/traffic/memory"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/queue"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/retryafter"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/share"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/stop"
 )
 
@@ -131,6 +132,9 @@
 	// Breaker holds back requests whose content crashes endpoints; nil disables
 	// the check.
 	Breaker *breaker.Breaker
+	// Shares tells what client accounts receive from other processes; nil if there are
+	// none.
+	Shares *share.Exchange
 	// Stop is the planned stop of the process; nil if there is none.
 	Stop *stop.Plan
 }
@@ -171,8 +175,9 @@
 		breaks: seams.Meters.Counter("endpoint_breaks"), refusals: seams.Meters.Counter("endpoint_refusals"),
 		held:       seams.Meters.Counter("requests_held"),
 		background: seams.Meters.Counter(CountBackground),
-		queue:      queue.New(timers, seams.Meters, queue.Seams{}),
+		queue:      queue.New(timers, seams.Meters, queue.Seams{RemoteSlots: seams.Shares.RemoteSlots}),
 	}
+	seams.Shares.SetSource(f.queue.Received)
 	seams.Fleet.OnUnexpectedEnd(f.attributeEnd)
 	seams.Fleet.OnRoom(func() { f.queue.Recheck() })
 	return f
--- a/internal/traffic/queue/account.go
+++ b/internal/traffic/queue/account.go
@@ -70,3 +70,21 @@
 	}
 	q.forgetAt = 2 * len(q.accounts)
 }
+
+// Received returns the work that each account receives here, in slots that it occupies all
+// the time, and whether a request had to wait since the last call.
+func (q *Queue) Received() (slots map[string]float64, waited bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	waited, q.waited = q.waited, false
+	if !waited {
+		return nil, false
+	}
+	now := q.timers.Now()
+	slots = make(map[string]float64, len(q.accounts))
+	for name, a := range q.accounts {
+		a.advance(now)
+		slots[name] = a.slots()
+	}
+	return slots, true
+}
--- a/internal/traffic/queue/queue.go
+++ b/internal/traffic/queue/queue.go
@@ -95,6 +95,7 @@
 	accounts map[string]*account
 	// forgetAt is the number of accounts from which on idle ones are forgotten.
 	forgetAt   int
+	waited     bool        // a request had to wait since the last call of Received
 	candidates []candidate // used by dispatch, kept to save memory allocations
 }
 
@@ -193,6 +194,7 @@
 	q.push(m, w)
 	q.dispatch(m)
 	if !w.resolved() {
+		q.waited = true
 		q.admit(m, w)
 	}
 	q.mu.Unlock()
