--- a/internal/fleet/replica/pick.go
+++ b/internal/fleet/replica/pick.go
@@ -358,7 +358,6 @@
 			load.Slots = st.Slots
 		}
 		st.load, st.loadAt, st.sentSinceReport = load, s.fleet.timers.Now(), 0
-		st.observeScarcity(load)
 		st.speed = st.speed.WithReport(load.Pace, st.loadAt)
 		st.limiter.observeLoad(load, max(1, float64(st.Slots)*s.fleet.options.Overcommit), st.loadAt)
 	}
