--- a/internal/fleet/cost/cost_test.go
+++ b/internal/fleet/cost/cost_test.go
@@ -121,6 +121,34 @@
 	}
 }
 
+// Guards against equal endpoints that count as uneven because the work of the requests of
+// one class varies, and against a slow endpoint that goes unnoticed because of it.
+func TestVaryingWork(t *testing.T) {
+	for _, variation := range []float64{0.1, 0.3, 0.6, 1} {
+		random := rand.New(rand.NewPCG(1, 2))
+		var equal, slow Speed
+		uneven, noticed := 0, 0
+		const samples = 20_000
+		for range samples {
+			ratio := math.Exp(variation * random.NormFloat64())
+			equal, slow = equal.WithTime(ratio, start), slow.WithTime(4*ratio, start)
+			if equal.Pace(start) != 1 {
+				uneven++
+			}
+			if slow.Pace(start) > 1.5 {
+				noticed++
+			}
+		}
+		t.Logf("variation %v: uneven in %.3f of the samples, slow in %.3f", variation, float64(uneven)/samples, float64(noticed)/samples)
+		if float64(uneven)/samples > 0.05 {
+			t.Errorf("variation %v: an equal endpoint counts as uneven in %d of %d samples", variation, uneven, samples)
+		}
+		if float64(noticed)/samples < 0.7 {
+			t.Errorf("variation %v: a slow endpoint is noticed in %d of %d samples", variation, noticed, samples)
+		}
+	}
+}
+
 // Guards against processes with the same favourable report that all choose the same
 // endpoint: its part of the requests is bounded by twice its part of the speed.
 func TestNoHerd(t *testing.T) {
--- a/internal/fleet/cost/speed.go
+++ b/internal/fleet/cost/speed.go
@@ -1,6 +1,9 @@
 package cost
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// minPace and maxPace bound the pace of an endpoint. Endpoints are expected between
@@ -23,6 +26,12 @@
 	// endpoint counts as equally fast, and a class as equally much work: averages of
 	// equal endpoints differ by as much.
 	minSlower, maxFaster = 1.25, 0.8
+	// noiseWeight is the weight of a new sample in the variation of an endpoint's times,
+	// and noiseFactor the multiple of it up to which their average is no sign of another
+	// speed: the average varies by 0.47 of the mean variation, so that this is 2.5 times
+	// its standard deviation.
+	noiseWeight = 0.1
+	noiseFactor = 1.2
 )
 
 // Speed is what is known about the speed of one endpoint: the paces that it reported,
@@ -35,6 +44,8 @@
 	reportedAt time.Time
 	usual      Average
 	ratios     Average
+	noise      float64 // mean absolute deviation of the logarithms of the ratios
+	band       float64 // ratio up to which the endpoint counts as equally fast
 	measuredAt time.Time
 }
 
@@ -52,7 +63,16 @@
 // WithTime returns the speed with the time of an answered request relative to the usual
 // time of its class.
 func (s Speed) WithTime(ratio float64, now time.Time) Speed {
-	s.ratios = s.ratios.With(ratio/s.Reported(now), measuredWeight)
+	if !(ratio > 0) || math.IsInf(ratio, 0) {
+		return s
+	}
+	ratio /= s.Reported(now)
+	if s.ratios.count > 0 {
+		deviation := min(math.Abs(math.Log(ratio/s.ratios.value)), math.Log(maxPace))
+		s.noise += max(noiseWeight, 1/float64(s.ratios.count)) * (deviation - s.noise)
+	}
+	s.band = max(minSlower, math.Exp(noiseFactor*s.noise))
+	s.ratios = s.ratios.With(ratio, measuredWeight)
 	s.measuredAt = now
 	return s
 }
@@ -81,7 +101,7 @@
 // usual, or unknown, 2 twice as long.
 func (s Speed) Pace(now time.Time) float64 {
 	pace := s.Reported(now)
-	if s.ratios.count >= minMeasured && deviates(s.ratios.value) {
+	if s.ratios.count >= minMeasured && (s.ratios.value > s.band || s.ratios.value*s.band < 1) {
 		pace *= fade(s.ratios.value, now.Sub(s.measuredAt))
 	}
 	return clampPace(pace)
