--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -145,11 +145,13 @@
 
 // Forwarder sends requests to endpoints.
 type Forwarder struct {
-	seams      Seams
-	timers     *clock.Service
-	log        *logrus.Entry
-	queue      *queue.Queue
-	work       *workModel
+	seams  Seams
+	timers *clock.Service
+	log    *logrus.Entry
+	queue  *queue.Queue
+	// work returns the expected time of a request on an endpoint of usual speed, or 0
+	// when it is unknown.
+	work       func(service, class string) time.Duration
 	waiting    ratelimit.Waiting
 	rechecking atomic.Bool // whether the goroutine of startRechecks runs
 	breaks     *meter.Counter
@@ -177,7 +179,7 @@
 		seams.Stop = stop.New(timers, seams.Meters)
 	}
 	f := &Forwarder{
-		seams: seams, timers: timers, log: log, schedules: map[string]*retryafter.Schedule{}, work: newWorkModel(),
+		seams: seams, timers: timers, log: log, schedules: map[string]*retryafter.Schedule{}, work: seams.Fleet.Work,
 		breaks: seams.Meters.Counter("endpoint_breaks"), refusals: seams.Meters.Counter("endpoint_refusals"),
 		held:         seams.Meters.Counter("requests_held"),
 		background:   seams.Meters.Counter(CountBackground),
--- a/internal/traffic/forward/reservation.go
+++ b/internal/traffic/forward/reservation.go
@@ -39,14 +39,12 @@
 // was taken.
 type reservation struct {
 	*replica.Slot
-	turn  *queue.Turn
-	ended func(outcome replica.Outcome) // called once
+	turn *queue.Turn
 }
 
 // Done releases the slot and lets the next waiting request run.
 func (r *reservation) Done(outcome replica.Outcome) {
 	r.Slot.Done(outcome)
-	r.ended(outcome)
 	r.turn.Done()
 }
 
@@ -70,7 +68,7 @@
 	var slot *replica.Slot
 	held := false
 	item := queue.Item{
-		Account: call.Account, Model: call.Service, Weight: 1, Cost: f.work.expected(call.Route, call.Service),
+		Account: call.Account, Model: call.Service, Weight: 1, Cost: f.expectedWork(call),
 		Deadline: until, Front: p.runs > 0 || p.rejections > 0, Urgent: call.Urgent,
 		Start: func() (bool, error) {
 			if !f.seams.Stop.CanEnd(p.work) {
@@ -97,12 +95,7 @@
 		return nil, err
 	}
 	f.countBackground(call, held)
-	began := f.timers.Now()
-	return &reservation{Slot: slot, turn: turn, ended: func(outcome replica.Outcome) {
-		if outcome == replica.Answered {
-			f.work.observe(call.Route, call.Service, f.timers.Since(began))
-		}
-	}}, nil
+	return &reservation{Slot: slot, turn: turn}, nil
 }
 
 // countBackground counts an attempt of a background call that goes out now. Held reports
