Share the lists of processes that start or lost the history

A process that started again wrote its record twice, the first time in vain. Change: a process reads the list of processes first, before it registers, and the first lists and watches of other kinds wait for it for at most 0.3 s. Workers answer lists with one that was begun at most 0.4 s before, and watches with an earlier reply of that age if it tells of a later revision. A mirror reads a list again directly if it is older than what it knows, has an older second page, or its history is gone at once. A record that is stored already is not written, one that differs is replaced. Watches of processes begin each 0.25 s, so that a start of many processes is told of together. TestRemovedProcessRegistersAgain waits for the registration instead of the list, which now comes first.

--- a/cmd/wigeonpin/node.go
+++ b/cmd/wigeonpin/node.go
@@ -60,6 +60,10 @@
 	// permits of an endpoint, and permitIdleConns the idle connections to each.
 	permitDialTimeout = 150 * time.Millisecond
 	permitIdleConns   = 2
+	// startWait bounds how long the first lists and watches of a process wait until the
+	// hosts of shared calls are known, and startPoll is the pause between two looks.
+	startWait = 300 * time.Millisecond
+	startPoll = 2 * time.Millisecond
 	// restorationTopic is the topic of events that tell that the store answers
 	// again. restorationTTL is how long such an event is passed on, and the shortest
 	// time between two of them.
@@ -134,12 +138,12 @@
 	}
 	calls, strays := n.meters.Counter(storeCalls), n.meters.Counter(storeStrays)
 	pool := exchange.New(exchange.Options{})
-	direct := relay.NewSharedWatches(
+	direct := relay.NewSharedCalls(
 		platform.Direct(
 			n.source.StoreAddress, pool,
 			func(call string) { calls.Add(call, 1) }, func(call string) { strays.Add(call, 1) },
 		),
-		relay.DirectTimeout,
+		relay.DirectTimeout, nil,
 	)
 	slack := relay.FollowerSlack
 	if role == roleWorker {
@@ -157,10 +161,10 @@
 	}, n.timers, n.log)
 	n.isolated, n.directLost = route.Isolated, route.DirectLost
 	n.outage = front.Outage{Isolation: route.Isolation, Restored: route.Restored, LostFor: route.LostFor}
-	routed := relay.NewSharedWatches(route.Call, slack+relay.DirectTimeout)
-	n.store = platform.NewStore(routed.Call)
+	routed := relay.NewSharedCalls(route.Call, slack+relay.DirectTimeout, platform.Reuse)
+	n.store = platform.NewStore(n.awaitHosts(n.watchHosts(role), routed.Call))
 	self := members.Member{Name: p.Name, Address: listener.Addr().String(), Zone: p.Zone, Role: role}
-	n.peers = members.New(n.store, self, n.timers, n.log)
+	n.peers = members.New(platform.NewStore(routed.Call), self, n.timers, n.log)
 	go n.peers.Run(ctx)
 	circle := members.NewRing(n.peers, n.timers)
 	n.broadcaster = broadcast.New(broadcast.Options{Self: p.Name, Period: broadcastPeriod}, n.timers, broadcast.Seams{
@@ -177,7 +181,7 @@
 	n.mux = http.NewServeMux()
 	n.mux.Handle(ratelimit.RatesPathPrefix, n.limiter.Server())
 	n.mux.Handle(broadcast.NoticesPathPrefix, n.broadcaster.Server())
-	n.mux.Handle(relay.RelayPathPrefix, relay.NewServer(route.CallForPeer, n.peerWatches(role, direct, routed)))
+	n.mux.Handle(relay.RelayPathPrefix, relay.NewServer(route.CallForPeer, sharedCalls(role, route, direct, routed)))
 	server := &http.Server{Handler: http.MaxBytesHandler(n.mux, conn.PeerBodyLimit), ReadHeaderTimeout: readHeaderTimeout}
 	go func() { n.log.WithField(logs.Cause, server.Serve(listener).Error()).Error("server for peers stopped") }()
 	return nil
@@ -215,14 +219,39 @@
 	}
 }
 
-// peerWatches returns the function that makes shared watches for peers. A worker
-// may forward them to another process; an entry process makes them only on its
-// own connection to the store.
-func (n *node) peerWatches(role string, direct, routed *relay.SharedWatches) relay.CallFunc {
+// sharedCalls returns the function that makes watches and shared calls for peers. A
+// worker may forward watches to another process; an entry process makes them only on
+// its own connection to the store. Shared calls are not forwarded, so that the ages of
+// their replies do not add up.
+func sharedCalls(role string, route *relay.Route, direct, routed *relay.SharedCalls) relay.CallFunc {
+	watches := direct.Call
 	if role == roleWorker {
-		return routed.Call
+		watches = routed.Call
+	}
+	reads := relay.NewSharedCalls(route.CallForPeer, relay.DirectTimeout, platform.Reuse)
+	return func(ctx context.Context, call relay.Call) (relay.Reply, error) {
+		if call.Wait > 0 {
+			return watches(ctx, call)
+		}
+		return reads.Call(ctx, call)
+	}
+}
+
+// awaitHosts returns a function that makes calls, and lets the first lists wait until
+// the other processes are known, and the first watches until one of them is a host, but
+// no longer than startWait after the start. Otherwise each process that starts makes them
+// itself, while the list of processes is on its way.
+func (n *node) awaitHosts(hosts func() []string, call relay.CallFunc) relay.CallFunc {
+	deadline := n.timers.Uptime() + startWait
+	return func(ctx context.Context, c relay.Call) (relay.Reply, error) {
+		for c.Wait > 0 || c.Shared {
+			known := n.peers.Synced() && (c.Shared || len(hosts()) > 0)
+			if known || n.timers.Uptime() >= deadline || n.timers.Sleep(ctx, startPoll) != nil {
+				break
+			}
+		}
+		return call(ctx, c)
 	}
-	return direct.Call
 }
 
 // watchHosts returns the function that lists the processes that make shared
--- a/internal/control/mirror/mirror.go
+++ b/internal/control/mirror/mirror.go
@@ -73,6 +73,7 @@
 	timers  *clock.Service
 	log     *logrus.Entry
 
+	exactList   bool              // the next list must not be shared; used by Run only
 	revisions   map[string]uint64 // latest revision by name; used by Run only
 	horizon     uint64            // revision up to which changes are known; used by Run only
 	synced      atomic.Bool
@@ -110,6 +111,7 @@
 func (m *Mirror) Run(ctx context.Context) {
 	backoff := initialBackoff
 	var revision uint64
+	listed := false // the latest answer was that to a list
 	for ctx.Err() == nil {
 		began := m.timers.Uptime()
 		next, err := m.fetch(ctx, revision)
@@ -119,7 +121,11 @@
 				m.recoveredAt.Store(m.timers.Now().UnixNano())
 				m.log.WithField("revision", next).Info("store regained")
 			}
-			revision, backoff = next, initialBackoff
+			listed = revision == 0
+			if !listed {
+				backoff = initialBackoff
+			}
+			revision = next
 			if rest := m.options.WatchInterval; rest > 0 {
 				_ = m.timers.Sleep(ctx, rest-time.Duration(m.timers.Now().UnixNano())%rest)
 			}
@@ -129,6 +135,13 @@
 			return
 		}
 		if errors.Is(err, records.ErrCompacted) {
+			// A shared list may be older than the history. A second loss in a row comes
+			// from the list, so that the next one is exact.
+			if listed {
+				m.exactList = true
+				_ = m.timers.Sleep(ctx, backoff/2+rand.N(backoff/2+1))
+				backoff = min(2*backoff, maxBackoff)
+			}
 			revision = 0
 			continue
 		}
@@ -145,7 +158,7 @@
 // the answer long after that.
 func (m *Mirror) answerTime(began time.Duration, revision uint64) time.Duration {
 	if revision == 0 {
-		return began
+		return began - records.MaxSharedAge
 	}
 	return min(m.timers.Uptime(), began+m.options.Wait)
 }
@@ -174,7 +187,14 @@
 // list applies all records of the kind. Records that are not listed any more
 // are applied as removed, unless their revision is later than that of the list.
 func (m *Mirror) list(ctx context.Context) (uint64, error) {
-	page, err := m.store.ListAll(ctx, m.kind)
+	read := m.store.ListAllShared
+	if m.exactList {
+		read, m.exactList = m.store.ListAll, false
+	}
+	page, err := read(ctx, m.kind)
+	if err == nil && page.Revision < m.horizon {
+		page, err = m.store.ListAll(ctx, m.kind)
+	}
 	if err != nil {
 		return 0, err
 	}
--- a/internal/node/members/expiry_test.go
+++ b/internal/node/members/expiry_test.go
@@ -79,7 +79,10 @@
 	defer cancel()
 	m := New(store, Member{Name: "p", Address: "1", Role: "entry"}, clock.NewSystem(), logs.Discard())
 	go m.Run(ctx)
-	await(t, "the list is known", m.Synced)
+	await(t, "the process is registered", func() bool {
+		_, err := store.Get(ctx, kind, "p")
+		return err == nil
+	})
 	if err := store.Delete(ctx, kind, "p"); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/members/members.go
+++ b/internal/node/members/members.go
@@ -32,6 +32,13 @@
 	// watchTimeout is how long one watch for other processes waits. It can be
 	// long since a list that is some seconds old does no harm.
 	watchTimeout = 20 * time.Second
+	// watchInterval is the period at which watches begin, so that processes that start
+	// or end at about the same time are told of in one answer.
+	watchInterval = 250 * time.Millisecond
+	// listTimeout is how long a process waits for the list before it registers without
+	// knowing its present record, and listPoll the pause between two looks.
+	listTimeout = time.Second
+	listPoll    = 5 * time.Millisecond
 	// writeRetryDelay is the delay before another attempt to write the record.
 	writeRetryDelay = time.Second
 )
@@ -54,6 +61,7 @@
 	mirror *mirror.Mirror
 	mu     sync.RWMutex
 	others map[string]Member
+	stored Member // this process's record as last read; the zero Member if there is none
 	// removed receives a value when the record of this process was removed.
 	removed chan struct{}
 }
@@ -61,7 +69,7 @@
 // New returns an empty list that Run fills and keeps up to date.
 func New(store records.Store, self Member, timers *clock.Service, log *logrus.Entry) *Members {
 	m := &Members{store: store, self: self, timers: timers, log: log, others: map[string]Member{}, removed: make(chan struct{}, 1)}
-	m.mirror = mirror.New(store, kind, mirror.Options{Wait: watchTimeout, Apply: m.apply}, timers, log)
+	m.mirror = mirror.New(store, kind, mirror.Options{Wait: watchTimeout, WatchInterval: watchInterval, Apply: m.apply}, timers, log)
 	return m
 }
 
@@ -70,10 +78,17 @@
 func (m *Members) Synced() bool { return m.mirror.Synced() }
 
 // Run registers this process and follows the records of the others until ctx
-// ends.
+// ends. The list comes first: it tells of the processes that share their reads of the
+// store, and whether the record of this process needs to be written.
 func (m *Members) Run(ctx context.Context) {
-	m.keepRegistering(ctx)
+	timers := m.timers
 	go func() {
+		for start := timers.Uptime(); !m.Synced() && timers.Uptime()-start < listTimeout; {
+			if timers.Sleep(ctx, listPoll) != nil {
+				return
+			}
+		}
+		m.keepRegistering(ctx)
 		for {
 			select {
 			case <-ctx.Done():
@@ -99,12 +114,25 @@
 	}
 }
 
+// register writes the record of this process, unless it is stored already. A process
+// that starts again finds its former record, which has another address as a rule.
 func (m *Members) register(ctx context.Context) error {
+	m.mu.RLock()
+	stored := m.stored
+	m.mu.RUnlock()
+	if stored == m.self {
+		return nil
+	}
 	body, err := json.Marshal(m.self)
 	if err != nil {
 		return err
 	}
 	record := records.Record{Kind: kind, Name: m.self.Name, Body: body}
+	if stored.Name != "" {
+		if _, err = m.store.Put(ctx, record); !errors.Is(err, records.ErrMissing) {
+			return err
+		}
+	}
 	_, err = m.store.Create(ctx, record)
 	if errors.Is(err, records.ErrConflict) {
 		_, err = m.store.Put(ctx, record)
@@ -114,12 +142,7 @@
 
 func (m *Members) apply(r records.Record) {
 	if r.Name == m.self.Name {
-		if r.Deleted {
-			select {
-			case m.removed <- struct{}{}:
-			default:
-			}
-		}
+		m.noteStored(r)
 		return
 	}
 	var other Member
@@ -136,6 +159,26 @@
 	m.others[r.Name] = other
 }
 
+// noteStored takes note of the record of this process, or of its removal.
+func (m *Members) noteStored(r records.Record) {
+	var stored Member
+	if !r.Deleted {
+		// A record that cannot be decoded is replaced like one that differs.
+		if json.Unmarshal(r.Body, &stored) != nil {
+			stored = Member{Name: r.Name}
+		}
+	}
+	m.mu.Lock()
+	m.stored = stored
+	m.mu.Unlock()
+	if r.Deleted {
+		select {
+		case m.removed <- struct{}{}:
+		default:
+		}
+	}
+}
+
 // Others returns the other processes.
 func (m *Members) Others() []Member {
 	m.mu.RLock()
--- a/internal/peer/records/records.go
+++ b/internal/peer/records/records.go
@@ -73,14 +73,43 @@
 // unconditionally if that revision is 0. Create fails with ErrConflict when a
 // record with the name exists.
 type Store struct {
-	Get       func(ctx context.Context, kind, name string) (Record, error)
-	GetStale  func(ctx context.Context, kind, name string) (Record, error) // cheap, but the record may be seconds out of date
-	List      func(ctx context.Context, kind, after string) (Page, error)
-	Watch     func(ctx context.Context, kind string, after uint64, wait time.Duration) (Changes, error)
-	Create    func(ctx context.Context, record Record) (Record, error)
-	Put       func(ctx context.Context, record Record) (Record, error)
-	PutStatus func(ctx context.Context, record Record) (Record, error)
-	Delete    func(ctx context.Context, kind, name string) error
+	Get      func(ctx context.Context, kind, name string) (Record, error)
+	GetStale func(ctx context.Context, kind, name string) (Record, error) // cheap, but the record may be seconds out of date
+	List     func(ctx context.Context, kind, after string) (Page, error)
+	// ListShared is like List, but the page may be that of another process's list, up
+	// to MaxSharedAge old. It may be nil.
+	ListShared func(ctx context.Context, kind, after string) (Page, error)
+	Watch      func(ctx context.Context, kind string, after uint64, wait time.Duration) (Changes, error)
+	Create     func(ctx context.Context, record Record) (Record, error)
+	Put        func(ctx context.Context, record Record) (Record, error)
+	PutStatus  func(ctx context.Context, record Record) (Record, error)
+	Delete     func(ctx context.Context, kind, name string) error
+}
+
+// MaxSharedAge bounds the age of a shared page. It is far below the shortest bound of
+// freshness (2 s), and those who use the page watch the kind from its revision on.
+const MaxSharedAge = 400 * time.Millisecond
+
+// ListAllShared is like ListAll, but may use pages of other processes' lists. A page
+// that is older than the first one lacks changes that a watch from the revision of the
+// first one does not tell of; it is read again.
+func (s Store) ListAllShared(ctx context.Context, kind string) (Page, error) {
+	if s.ListShared == nil {
+		return s.ListAll(ctx, kind)
+	}
+	var first uint64
+	shared := s
+	shared.List = func(ctx context.Context, kind, after string) (Page, error) {
+		page, err := s.ListShared(ctx, kind, after)
+		if err == nil && page.Revision < first {
+			return s.List(ctx, kind, after)
+		}
+		if first == 0 {
+			first = page.Revision
+		}
+		return page, err
+	}
+	return shared.ListAll(ctx, kind)
 }
 
 // ListAll returns all records of a kind, with the revision of the first page.
--- a/internal/peer/relay/fleet_test.go
+++ b/internal/peer/relay/fleet_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -121,12 +122,12 @@
 
 // connect gives a process its paths, as the program does.
 func (f *testFleet) connect(i int, p *testProcess, mux *http.ServeMux) {
-	direct := NewSharedWatches(func(ctx context.Context, call Call) (Reply, error) {
+	direct := NewSharedCalls(func(ctx context.Context, call Call) (Reply, error) {
 		if p.cut.Load() {
 			return Reply{}, NewError(false, errors.New("cut off"))
 		}
 		return f.store.call(ctx, call)
-	}, DirectTimeout)
+	}, DirectTimeout, nil)
 	slack := FollowerSlack
 	if p.worker {
 		slack = ChainSlack
@@ -146,13 +147,27 @@
 		},
 		Hosts: func() []string { return f.hosts(i) },
 	}, clock.NewSystem(), logs.Discard())
-	routed := NewSharedWatches(p.route.Call, slack+DirectTimeout)
+	routed := NewSharedCalls(p.route.Call, slack+DirectTimeout, reuseChanges)
 	p.watch = routed.Call
 	shared := direct.Call
 	if p.worker {
 		shared = routed.Call
 	}
-	mux.Handle(RelayPathPrefix, NewServer(p.route.CallForPeer, shared))
+	reads := NewSharedCalls(p.route.CallForPeer, DirectTimeout, reuseChanges)
+	mux.Handle(RelayPathPrefix, NewServer(p.route.CallForPeer, func(ctx context.Context, call Call) (Reply, error) {
+		if call.Wait > 0 {
+			return shared(ctx, call)
+		}
+		return reads.Call(ctx, call)
+	}))
+}
+
+// reuseChanges is a ReuseFunc: a reply may be reused if it tells of another revision.
+func reuseChanges(call Call, reply Reply) time.Duration {
+	if reply.Status != http.StatusOK || call.Wait > 0 && string(reply.Body) == call.Query {
+		return 0
+	}
+	return 400 * time.Millisecond
 }
 
 // hosts returns the hosts of a process: for a worker those before it, for an entry
@@ -271,7 +286,7 @@
 			if n := during["probe"]; n > 170 {
 				t.Errorf("%d probes in the outage", n)
 			}
-			if n := total(after); n > 250 {
+			if n := total(after); n > 150 {
 				t.Errorf("%d calls but probes after the outage", n)
 			}
 			var latest time.Duration
@@ -318,3 +333,121 @@
 		waitFor(t, "the path is restored", func() bool { return !p.route.DirectLost() })
 	}
 }
+
+// Guards against lists that each process makes itself: at a start, after the loss of the
+// history and while processes are replaced. A host that is gone or silent must delay a
+// list by a bounded time only, and an old answer must not be reused.
+func TestSharedLists(t *testing.T) {
+	f := newTestFleet(t, 53)
+	list := func() (longest time.Duration) {
+		var took [56]time.Duration
+		var listing sync.WaitGroup
+		for i, p := range f.processes {
+			listing.Go(func() {
+				time.Sleep(rand.N(300 * time.Millisecond))
+				began := time.Now()
+				if _, err := p.watch(t.Context(), Call{Method: "GET", Path: "servers", Shared: true}); err != nil {
+					t.Errorf("process %d: %v", i, err)
+				}
+				took[i] = time.Since(began)
+			})
+		}
+		listing.Wait()
+		return slices.Max(took[:])
+	}
+	longest := list()
+	calls := f.store.take()
+	t.Logf("56 lists in 0.3 s: %v, the longest %v", calls, longest)
+	if n := calls["servers"]; n > 6 {
+		t.Errorf("%d lists at the store for 56 processes", n)
+	}
+	time.Sleep(450 * time.Millisecond)
+	f.store.change()
+	reply, err := f.processes[10].watch(t.Context(), Call{Method: "GET", Path: "servers", Shared: true})
+	if err != nil || string(reply.Body) != "1" {
+		t.Errorf("revision %q, error %v after 450 ms, want that of a new list", reply.Body, err)
+	}
+	time.Sleep(450 * time.Millisecond)
+	f.processes[0].stop()
+	f.store.take()
+	longest = list()
+	calls = f.store.take()
+	t.Logf("with a host gone: %v, the longest %v", calls, longest)
+	if n := calls["servers"]; n > 8 {
+		t.Errorf("%d lists at the store for 56 processes without the first host", n)
+	}
+	released := make(chan struct{})
+	silent := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-released }))
+	defer silent.Close()
+	defer close(released)
+	own := newFakeStore("ok")
+	route := NewRoute(Seams{
+		Direct: own.call, Ask: NewAsk(), Peers: func() []Peer { return nil }, HostSlack: FollowerSlack,
+		Hosts: func() []string { return []string{strings.TrimPrefix(silent.URL, "http://")} },
+	}, clock.NewSystem(), logs.Discard())
+	began := time.Now()
+	if _, err := route.Call(t.Context(), Call{Method: "GET", Path: "servers", Shared: true}); err != nil || own.calls.Load() != 1 || time.Since(began) > 2*time.Second {
+		t.Errorf("silent host: %v, %d own calls after %v", err, own.calls.Load(), time.Since(began))
+	}
+}
+
+// Guards against a list that fails at a host of the previous release. It makes each call
+// that does not wait on its own connection, since its server knows no shared ones.
+func TestSharedListAtAnOlderHost(t *testing.T) {
+	store, own := newFakeStore("ok"), newFakeStore("ok")
+	old := servePeer(t, store, false)
+	route := NewRoute(Seams{
+		Direct: own.call, Ask: NewAsk(), Peers: func() []Peer { return nil }, HostSlack: FollowerSlack,
+		Hosts: func() []string { return []string{old.Address} },
+	}, clock.NewSystem(), logs.Discard())
+	for range 2 {
+		if reply, err := route.Call(t.Context(), Call{Method: "GET", Path: "servers", Shared: true}); err != nil || reply.Status != http.StatusOK {
+			t.Errorf("reply %d, error %v", reply.Status, err)
+		}
+	}
+	if own.calls.Load() != 0 || store.calls.Load() != 2 {
+		t.Errorf("%d own calls and %d of the host, want 0 and 2", own.calls.Load(), store.calls.Load())
+	}
+}
+
+// Guards against the reuse of replies that must not be: failures, those of a watch
+// without a change, and those of calls that are not shared.
+func TestReuse(t *testing.T) {
+	store := newFleetStore()
+	now := time.Duration(0)
+	shared := NewSharedCalls(store.call, DirectTimeout, reuseChanges)
+	shared.uptime = func() time.Duration { return now }
+	for _, step := range []struct {
+		name  string
+		call  Call
+		after time.Duration
+		calls int
+	}{
+		{"a list", Call{Path: "k", Shared: true}, 0, 1},
+		{"an equal one", Call{Path: "k", Shared: true}, 399 * time.Millisecond, 0},
+		{"when it is old", Call{Path: "k", Shared: true}, time.Millisecond, 1},
+		{"another kind", Call{Path: "other", Shared: true}, 0, 1},
+		{"an exact one", Call{Path: "k"}, 0, 1},
+		{"a watch with a change", Call{Path: "k", Query: "9", Wait: time.Millisecond}, 0, 1},
+		{"an equal watch", Call{Path: "k", Query: "9", Wait: time.Millisecond}, 0, 0},
+		{"a watch without a change", Call{Path: "k", Query: "0", Wait: time.Millisecond}, 0, 1},
+		{"an equal watch again", Call{Path: "k", Query: "0", Wait: time.Millisecond}, 0, 1},
+	} {
+		now += step.after
+		store.take()
+		if _, err := shared.Call(t.Context(), step.call); err != nil {
+			t.Fatal(err)
+		}
+		if n := total(store.take()); n != step.calls {
+			t.Errorf("%s: %d calls, want %d", step.name, n, step.calls)
+		}
+	}
+	now += time.Second
+	store.setDown(true)
+	for range 2 {
+		_, _ = shared.Call(t.Context(), Call{Path: "k", Shared: true})
+	}
+	if n := total(store.take()); n != 2 {
+		t.Errorf("%d calls for two refused lists, want 2", n)
+	}
+}
--- a/internal/peer/relay/host.go
+++ b/internal/peer/relay/host.go
@@ -29,8 +29,8 @@
 	noStore bool
 }
 
-// callHost lets a host make a watch, so that equal watches of many processes
-// cost one call to the store. It reports whether the host answered or failed;
+// callHost lets a host make a watch or shared call, so that equal ones of many
+// processes cost one call to the store. It reports whether the host answered or failed;
 // both are false if there is no host to ask or ctx has ended.
 func (r *Route) callHost(ctx context.Context, call Call) (reply Reply, served, failed bool) {
 	address := r.availableHost()
@@ -38,6 +38,9 @@
 		return Reply{}, false, false
 	}
 	limit := call.Wait + r.seams.HostSlack
+	if call.Wait == 0 {
+		limit = FollowerSlack // a slow store answers within 250 ms
+	}
 	limited, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	reply, err := r.seams.Ask(limited, address, call, limit)
--- a/internal/peer/relay/relay_test.go
+++ b/internal/peer/relay/relay_test.go
@@ -357,14 +357,14 @@
 	store := &fakeStore{}
 	store.mode.Store("ok")
 	release := make(chan struct{})
-	shared := NewSharedWatches(func(ctx context.Context, call Call) (Reply, error) {
+	shared := NewSharedCalls(func(ctx context.Context, call Call) (Reply, error) {
 		reply, err := store.call(ctx, call)
 		select {
 		case <-release:
 		case <-ctx.Done():
 		}
 		return reply, err
-	}, DirectTimeout)
+	}, DirectTimeout, nil)
 	mux := http.NewServeMux()
 	mux.Handle(RelayPathPrefix, NewServer(shared.Call, shared.Call))
 	host := httptest.NewServer(mux)
@@ -428,7 +428,7 @@
 // and a follower whose direct path is lost too must then count as isolated.
 func TestPartitionedZoneIsDetectedAtOnce(t *testing.T) {
 	silent := newFakeStore("silent")
-	shared := NewSharedWatches(silent.call, DirectTimeout)
+	shared := NewSharedCalls(silent.call, DirectTimeout, nil)
 	mux := http.NewServeMux()
 	mux.Handle(RelayPathPrefix, NewServer(shared.Call, shared.Call))
 	host := httptest.NewServer(mux)
@@ -463,12 +463,12 @@
 type testHost struct {
 	own     *fakeStore
 	server  *httptest.Server
-	watches *SharedWatches
+	watches *SharedCalls
 }
 
 func newTestHost(t *testing.T, own *fakeStore, earlier ...*testHost) *testHost {
 	h := &testHost{own: own}
-	shared := NewSharedWatches(own.call, DirectTimeout)
+	shared := NewSharedCalls(own.call, DirectTimeout, nil)
 	var hosts []string
 	for _, other := range earlier {
 		hosts = append(hosts, strings.TrimPrefix(other.server.URL, "http://"))
@@ -477,7 +477,7 @@
 		Direct: shared.Call, Ask: NewAsk(), Peers: func() []Peer { return nil },
 		Hosts: func() []string { return hosts }, HostSlack: ChainSlack,
 	}, clock.NewSystem(), logs.Discard())
-	h.watches = NewSharedWatches(route.Call, ChainSlack+DirectTimeout)
+	h.watches = NewSharedCalls(route.Call, ChainSlack+DirectTimeout, nil)
 	mux := http.NewServeMux()
 	mux.Handle(RelayPathPrefix, NewServer(shared.Call, h.watches.Call))
 	h.server = httptest.NewServer(mux)
--- a/internal/peer/relay/route.go
+++ b/internal/peer/relay/route.go
@@ -3,13 +3,14 @@
 // its calls. A relay neither changes a call nor stores anything of it.
 //
 // A watch is a call on which the store waits for a change (Call.Wait is set). A
-// host is a process that makes watches for others, equal ones only once.
+// host is a process that makes watches and shared calls for others, equal ones only
+// once.
 //
 // # Usage
 //
 //	route := relay.NewRoute(relay.Seams{Direct: direct, Ask: relay.NewAsk(), Peers: peers}, timers, log)
 //	reply, err := route.Call(ctx, relay.Call{Method: "GET", Path: "/v1/things"})
-//	mux.Handle(relay.RelayPathPrefix, relay.NewServer(direct, relay.NewSharedWatches(direct, relay.DirectTimeout).Call))
+//	mux.Handle(relay.RelayPathPrefix, relay.NewServer(direct, relay.NewSharedCalls(direct, relay.DirectTimeout, nil).Call))
 //
 // # Paths
 //
@@ -63,12 +64,13 @@
 
 // Call is one call to the store. Wait is how long the store may wait for a
 // change before it answers. DirectOnly prevents a peer from asking others in
-// turn.
+// turn. Shared allows the reply to an equal call that others have made recently.
 type Call struct {
 	Method, Path, Query string
 	Body                []byte
 	Wait                time.Duration
 	DirectOnly          bool
+	Shared              bool
 }
 
 // Reply is the store's answer.
@@ -150,15 +152,19 @@
 }
 
 // Call makes a call directly, or through peers while the direct path is lost. A
-// watch goes to a host first.
+// watch or shared call goes to a host first.
 func (r *Route) Call(ctx context.Context, call Call) (Reply, error) {
 	began := r.timers.Uptime()
-	if call.Wait > 0 {
+	if call.Wait > 0 || call.Shared {
 		reply, served, failed := r.callHost(ctx, call)
+		if failed && call.Wait == 0 {
+			// All processes that start while a host is gone meet it first.
+			reply, served, failed = r.callHost(ctx, call)
+		}
 		if served {
 			return reply, nil
 		}
-		if failed {
+		if failed && call.Wait > 0 {
 			r.checkDirect(ctx)
 		}
 	}
--- a/internal/peer/relay/server.go
+++ b/internal/peer/relay/server.go
@@ -20,13 +20,13 @@
 	maxIdleConns = 4
 )
 
-type server struct{ direct, watch CallFunc }
+type server struct{ direct, shared CallFunc }
 
-// NewServer returns the handler that makes calls for peers. Watches that may be
-// shared use watch. All other calls use direct, this process's own connection,
-// so that they are not passed on from peer to peer.
-func NewServer(direct, watch CallFunc) http.Handler {
-	return NewRelayServer(&server{direct: direct, watch: watch})
+// NewServer returns the handler that makes calls for peers. Watches and other calls
+// that may be shared use shared. All other calls use direct, this process's own
+// connection, so that they are not passed on from peer to peer.
+func NewServer(direct, shared CallFunc) http.Handler {
+	return NewRelayServer(&server{direct: direct, shared: shared})
 }
 
 // Call makes one call to the store for a peer.
@@ -38,12 +38,12 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	call := s.direct
-	if request.GetWait() > 0 && !request.GetOwn() {
-		call = s.watch
+	if !request.GetOwn() {
+		call = s.shared
 	}
 	reply, err := call(ctx, Call{
 		Method: request.GetMethod(), Path: request.GetPath(), Query: request.GetQuery(), Body: request.GetBody(),
-		Wait: time.Duration(request.GetWait()) * time.Millisecond,
+		Wait: time.Duration(request.GetWait()) * time.Millisecond, Shared: !request.GetOwn() && request.GetWait() == 0,
 	})
 	if err != nil {
 		return &CallReply{Sent: mayHaveSent(err)}, nil
--- a/internal/peer/relay/shared.go
+++ b/internal/peer/relay/shared.go
@@ -5,19 +5,34 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/clock"
 )
 
-// SharedWatches merges concurrent equal watches into one call to the store,
-// whose reply all their callers get. Other calls are made separately.
-type SharedWatches struct {
+// maxKept is the number of replies that a SharedCalls keeps for reuse.
+const maxKept = 64
+
+// ReuseFunc returns for how long the reply to a shared call may also be the reply to
+// further equal calls, from the beginning of the call on; 0 if it may not.
+type ReuseFunc func(call Call, reply Reply) time.Duration
+
+// SharedCalls merges concurrent equal watches and equal calls with Call.Shared into
+// one call to the store, whose reply all their callers get. Other calls are made
+// separately.
+type SharedCalls struct {
 	direct CallFunc
 	slack  time.Duration
+	reuse  ReuseFunc
+	uptime func() time.Duration
 
 	mu      sync.Mutex
 	flights map[string]*flight
+	kept    *simplelru.LRU[string, keptReply]
 }
 
-// flight is a watch in progress.
+// flight is a call in progress.
 type flight struct {
 	cancel   context.CancelFunc
 	finished chan struct{}
@@ -25,19 +40,32 @@
 	err      error
 }
 
-// NewSharedWatches returns a SharedWatches that makes its calls with direct. The
-// timeout of a watch is its Wait and slack.
-func NewSharedWatches(direct CallFunc, slack time.Duration) *SharedWatches {
-	return &SharedWatches{direct: direct, slack: slack, flights: map[string]*flight{}}
+// keptReply is a reply that may be reused until an uptime.
+type keptReply struct {
+	reply Reply
+	until time.Duration
+}
+
+// NewSharedCalls returns a SharedCalls that makes its calls with direct. The timeout
+// of a call is its Wait and slack. reuse may be nil.
+func NewSharedCalls(direct CallFunc, slack time.Duration, reuse ReuseFunc) *SharedCalls {
+	kept, err := simplelru.NewLRU[string, keptReply](maxKept, nil)
+	if err != nil {
+		panic(err) // the size is a positive constant
+	}
+	return &SharedCalls{direct: direct, slack: slack, reuse: reuse, uptime: clock.Uptime, flights: map[string]*flight{}, kept: kept}
 }
 
-// Call makes the call or joins an equal watch in progress. A caller that joins
-// late gets the reply after less than its own Wait.
-func (s *SharedWatches) Call(ctx context.Context, call Call) (Reply, error) {
-	if call.Wait <= 0 {
+// Call makes the call, joins an equal one in progress or reuses its reply. A caller
+// that joins a watch late gets the reply after less than its own Wait.
+func (s *SharedCalls) Call(ctx context.Context, call Call) (Reply, error) {
+	if call.Wait <= 0 && !call.Shared {
 		return s.direct(ctx, call)
 	}
-	f := s.join(ctx, call)
+	f, reply := s.join(ctx, call)
+	if f == nil {
+		return reply, nil
+	}
 	select {
 	case <-f.finished:
 		return f.reply, f.err
@@ -46,14 +74,21 @@
 	}
 }
 
-// join returns the flight of an equal watch, or starts one. A flight continues
-// after the caller that started it has gone.
-func (s *SharedWatches) join(ctx context.Context, call Call) *flight {
+// join returns the flight of an equal call, or starts one. It returns no flight if a
+// reply is reused. A flight continues after the caller that started it has gone.
+func (s *SharedCalls) join(ctx context.Context, call Call) (*flight, Reply) {
 	key := call.Path + "?" + call.Query + "#" + strconv.FormatInt(int64(call.Wait/time.Millisecond), 10)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.uptime()
+	if kept, found := s.kept.Get(key); found {
+		if now < kept.until {
+			return nil, kept.reply
+		}
+		s.kept.Remove(key)
+	}
 	if f, found := s.flights[key]; found {
-		return f
+		return f, Reply{}
 	}
 	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), call.Wait+s.slack)
 	f := &flight{cancel: cancel, finished: make(chan struct{})}
@@ -61,17 +96,30 @@
 	go func() {
 		defer cancel()
 		f.reply, f.err = s.direct(limited, call)
-		s.mu.Lock()
-		delete(s.flights, key)
-		s.mu.Unlock()
-		close(f.finished)
+		s.finish(key, f, call, now)
 	}()
-	return f
+	return f, Reply{}
+}
+
+// finish ends a flight, and keeps its reply if that may be reused. A watch has waited
+// for what it replies, so that its reply counts from now on.
+func (s *SharedCalls) finish(key string, f *flight, call Call, began time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.flights, key)
+	if f.err == nil && s.reuse != nil {
+		if call.Wait > 0 {
+			began = s.uptime()
+		}
+		if d := s.reuse(call, f.reply); d > 0 {
+			s.kept.Add(key, keptReply{reply: f.reply, until: began + d})
+		}
+	}
+	close(f.finished)
 }
 
-// Cancel ends the watches in progress, so that their callers fall back to
-// another path.
-func (s *SharedWatches) Cancel() {
+// Cancel ends the calls in progress, so that their callers fall back to another path.
+func (s *SharedCalls) Cancel() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, f := range s.flights {
