Recall texts in pieces, the longest first, and keep what has arrived

Cause: a worker that took the role asked for all texts in one answer, and dropped all of it when the body did not arrive within 400 ms. Answers above 10 MiB (350 texts of 75 events of 400 bytes) failed at any speed, since bodies of calls between workers are limited to that size.

Change: a worker sends the texts of unfinished items as a sequence of length-delimited RecallReply messages of about 64 KiB. The caller names the events that it has and gets only what it lacks. It waits 400 ms for the first and for the next piece, 100 ms once one worker has sent all, for at most a fifth of the time to generate the longest of the outstanding texts again, and never beyond 1.5 s. Later pieces are still merged for items that have not started. A worker of the previous release answers 404 and is asked with Recall, which is also still served. The messages are unchanged. Saved texts that have been read when a recall ends incomplete are used where they are longer; they are no longer waited for when another worker had texts. Counter texts_recalled by source; log lines with number, source, age and duration.

--- a/internal/training/runner/runner.go
+++ b/internal/training/runner/runner.go
@@ -80,6 +80,8 @@
 	log      *logrus.Entry
 	calls    chan func(ctx context.Context) // executed by the goroutine of Run
 	counters counters
+	// copyCounters count copied and recalled texts.
+	copyCounters copyCounters
 
 	// The fields below are used only by the goroutine of Run.
 	active bool
@@ -92,6 +94,7 @@
 	ended     map[string]bool
 	texts     *textCache
 	copied    map[string]copyState // what the standby has of each text, by text key
+	copies    copyStatus           // of the copies that this worker received
 	reach     *reach.Detector
 	// activations counts how often the runner became active.
 	activations int
@@ -138,7 +141,7 @@
 		seams.Role = func() Role { return Role{Held: true} }
 	}
 	return &Runner{
-		counters: newCounters(seams.Meters),
+		counters: newCounters(seams.Meters), copyCounters: newCopyCounters(seams.Meters),
 		doneJobs: doneJobs, incompleteGroups: incompleteGroups, seams: seams, timers: timers, log: log, calls: make(chan func(context.Context), 64),
 		ended: map[string]bool{}, reach: reach.NewDetector(), texts: newTextCache(maxCachedTexts), copied: map[string]copyState{},
 	}
--- a/internal/training/runner/saved.go
+++ b/internal/training/runner/saved.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/wigeonpin/wigeonpin/internal/base/logs"
@@ -95,19 +96,19 @@
 	return nil
 }
 
-// recallSaved merges the saved texts with the known ones, unless the text of any
-// unfinished item is known: the copies of the other workers are newer.
+// recallSaved merges the saved texts that are longer than the known ones.
 func (r *Runner) recallSaved(ctx context.Context, bodies [][]byte) {
+	texts := joinParts(bodies)
+	if len(texts) == 0 {
+		return
+	}
 	r.post(ctx, func(context.Context) {
-		if !r.lacksTexts() {
-			return
-		}
-		texts := joinParts(bodies)
 		for _, whole := range texts {
 			r.mergeIfLonger(whole)
 		}
-		r.log.WithField("texts", len(texts)).Info("saved texts recalled")
 	})
+	r.copyCounters.recalled.Add(sourceStore, int64(len(texts)))
+	r.log.WithFields(logrus.Fields{"texts": len(texts), "source": sourceStore}).Info("saved texts recalled")
 }
 
 // readSaved reads the saved texts. It returns none if no item is unfinished.
--- a/internal/training/runner/standby.go
+++ b/internal/training/runner/standby.go
@@ -6,7 +6,6 @@
 	"math"
 	"net/http"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -22,17 +21,16 @@
 	// minCopyEvents is the number of events from which on a text is copied.
 	// Generating a shorter text again takes little time.
 	minCopyEvents = 20
-	// copyTimeout bounds one call to the standby. recallTimeout bounds the calls
-	// of a worker that becomes active.
-	copyTimeout   = 600 * time.Millisecond
-	recallTimeout = 400 * time.Millisecond
-	dialTimeout   = 250 * time.Millisecond
+	// copyTimeout bounds one call to the standby.
+	copyTimeout = 600 * time.Millisecond
+	dialTimeout = 250 * time.Millisecond
 )
 
 // Mount registers the handlers for calls of other processes.
 func (r *Runner) Mount(ctx context.Context, mux *http.ServeMux) {
 	h := &peerHandler{runner: r, ctx: ctx}
 	mux.Handle(StandbyPathPrefix, NewStandbyServer(h))
+	mux.HandleFunc(recallPath, h.sendTexts)
 	mux.Handle(ProgressPathPrefix, NewProgressServer(h))
 }
 
@@ -51,6 +49,7 @@
 		if h.runner.active && !h.runner.recalling {
 			return
 		}
+		h.runner.copies.noteCopy(h.runner.timers.Uptime())
 		for _, part := range request.GetTexts() {
 			if !h.runner.mergeText(part) {
 				reply.Missing = append(reply.Missing, part.GetItem())
@@ -60,7 +59,8 @@
 	return reply, err
 }
 
-// Recall returns the texts of unfinished items.
+// Recall returns the texts of unfinished items to a worker of a release that does not
+// call recallPath.
 func (h *peerHandler) Recall(ctx context.Context, _ *RecallRequest) (*RecallReply, error) {
 	reply := &RecallReply{}
 	err := h.do(ctx, func() {
@@ -126,6 +126,26 @@
 	events int
 }
 
+// copyStatus is what a standby knows of the copies that it received.
+type copyStatus struct {
+	received bool
+	latest   time.Duration // uptime of the latest copy
+}
+
+func (s *copyStatus) noteCopy(now time.Duration) { s.received, s.latest = true, now }
+
+// copyAge returns the time since the latest copy was received, 0 in the worker that
+// executes the batches, or a negative value if there was none.
+func (r *Runner) copyAge() time.Duration {
+	switch {
+	case r.active:
+		return 0
+	case !r.copies.received:
+		return -1
+	}
+	return r.timers.Uptime() - r.copies.latest
+}
+
 // mergeText appends a part to the text of an item that does not run here. It
 // reports false if the text key is unknown or the part does not continue the text. The
 // next run gets a new origin, since the worker that sent the part may go on as well.
@@ -149,11 +169,11 @@
 	return true
 }
 
-// mergeIfLonger replaces the text of an item by another worker's copy of the
-// whole text if the copy has more events.
+// mergeIfLonger continues or replaces the text of an item by another worker's copy if
+// the copy has more events.
 func (r *Runner) mergeIfLonger(p *Text) {
 	t := r.findTask(p.GetItem())
-	if t == nil || t.state != statePending || len(p.GetPieces()) <= len(t.text.pieces) {
+	if t == nil || t.state != statePending || int(p.GetFrom())+len(p.GetPieces()) <= len(t.text.pieces) {
 		return
 	}
 	r.mergeText(p)
@@ -266,31 +286,3 @@
 	}
 	return texts
 }
-
-// recall fetches the texts that the other workers have stored, and merges them
-// with the known ones. If none of them has any, it takes those saved in the store.
-func (r *Runner) recall(ctx context.Context, peers []string) {
-	limited, cancel := context.WithTimeout(ctx, recallTimeout)
-	defer cancel()
-	client := conn.NewPeerClient(dialTimeout, http.DefaultMaxIdleConnsPerHost)
-	var calls sync.WaitGroup
-	var saved [][]byte
-	calls.Go(func() { saved = r.readSaved(ctx) })
-	for _, address := range peers {
-		calls.Go(func() {
-			reply, err := NewStandbyProtobufClient("http://"+address, client).Recall(limited, &RecallRequest{})
-			if err != nil {
-				r.log.WithFields(logrus.Fields{logs.Peer: address, logs.Cause: err.Error()}).Info("texts not recalled")
-				return
-			}
-			r.post(ctx, func(context.Context) {
-				for _, part := range reply.GetTexts() {
-					r.mergeIfLonger(part)
-				}
-			})
-			r.log.WithFields(logrus.Fields{logs.Peer: address, "texts": len(reply.GetTexts())}).Info("texts recalled")
-		})
-	}
-	calls.Wait()
-	r.recallSaved(ctx, saved)
-}
