--- a/internal/training/runner/copies_test.go
+++ b/internal/training/runner/copies_test.go
@@ -152,3 +152,35 @@
 	}
 	awaitTexts(t, func() int { return origins(former, "b") }, len(fresh))
 }
+
+// Guards against texts that are generated again when both standbys are lost: the saved
+// texts of the store must be used, also when one standby was lost while it answered.
+func TestSavedTextsAreUsedWithoutStandbys(t *testing.T) {
+	const items, saved = 200, 100
+	b, texts := newTexts("a", items)
+	silent := serve(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-t.Context().Done() }), nil)
+	for name, link := range map[string]struct{ sent, want int }{"both lost": {1, saved}, "one lost within its answer": {1 << 20, saved}} {
+		t.Run(name, func(t *testing.T) {
+			successor := startRunner(t, b, nil)
+			for slot := range 4 {
+				part := texts[slot*saved/4 : (slot+1)*saved/4]
+				body, err := encodeParts(part)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if err := successor.seams.Store.SaveTexts(t.Context(), slot, body); err != nil {
+					t.Fatal(err)
+				}
+			}
+			peer := serveRunner(t, startRunner(t, b, texts), newLink(0, link.sent))
+			timeRecall(t, successor, silent, peer)
+			lengths := textLengths(t, successor, b)
+			if got := countTexts(lengths[:saved]); got != link.want {
+				t.Errorf("%d of the saved texts, want %d", got, link.want)
+			}
+			if got := countTexts(lengths[saved:]) > 0; got != (link.sent > 1) {
+				t.Errorf("texts of the lost standby: %v, want %v", got, link.sent > 1)
+			}
+		})
+	}
+}
