Take back the order of starts by slack

Conclusion: the model that the order was built on lacks that a late step delays the next steps of its trainer.

--- a/cmd/wigeonpin/node.go
+++ b/cmd/wigeonpin/node.go
@@ -80,7 +80,7 @@
 	storeCalls, storeStrays, "requests_served", "requests_failed", "connections_opened", "endpoint_breaks", "endpoint_refusals", "requests_held", stop.CountName,
 	batch.CountEmpty, batch.CountMissed, batch.CountMisplaced,
 	forward.CountBackground, headers.CountInvalidLoads, share.CountDigests, ratelimit.CountSends, ratelimit.CountAsks,
-	runner.CountRuns, runner.CountRejections, runner.CountBreaks, runner.CountScoreFailures, runner.CountHeld, runner.CountSteps, runner.CountMoves,
+	runner.CountRuns, runner.CountRejections, runner.CountBreaks, runner.CountScoreFailures,
 }
 
 // node holds what entry and worker processes have in common: settings, log,
--- a/internal/training/chain/chain.go
+++ b/internal/training/chain/chain.go
@@ -30,7 +30,7 @@
 // Batch is the history of one batch. Started is when a worker first started it, and
 // Restarts how often one did again, at another worker or after a change of the role.
 // Broken, Slow and Silent count its runs that broke, that moved to a faster engine
-// and that left a silent availability zone or engine. Late counts its results that came late,
+// and that left a silent availability zone. Late counts its results that came late,
 // and Waited is the longest time that one of these had waited for its first run.
 // Ended is zero while neither end nor completion is known.
 type Batch struct {
@@ -132,7 +132,7 @@
 		b.Causes[l.Cause]++
 	case "run moved to a faster engine":
 		b.Slow++
-	case "run moved out of a silent zone", "run moved from a silent engine":
+	case "run moved out of a silent zone":
 		b.Silent++
 	case "late result":
 		b.Late++
--- a/internal/training/listing/progress.go
+++ b/internal/training/listing/progress.go
@@ -34,10 +34,3 @@
 func (p *Progress) Complete() bool {
 	return p.complete >= p.wanted && len(p.awaited) == 0
 }
-
-// Wanted returns the number of complete groups that the trainer waits for.
-func (p *Progress) Wanted() int { return p.wanted }
-
-// Awaits reports whether the trainer waits for the group in any case and it is not
-// complete.
-func (p *Progress) Awaits(group string) bool { return p.awaited[group] }
--- a/internal/training/runner/job.go
+++ b/internal/training/runner/job.go
@@ -25,7 +25,6 @@
 	tasks        []*task // longest estimate first
 	byID         map[string]*task
 	byTextKey    map[string]*task
-	groups       []string          // in the order of their first items
 	pages        int               // number of known pages
 	listed       int               // number of results in these pages
 	ready        []batch.Result    // waiting for the next page
@@ -38,9 +37,6 @@
 	preferred    map[string]string // endpoint of the latest run, by group
 	pageAdded    chan struct{}     // closed when another page is known, then replaced
 	encodedPages [][]byte          // the pages as JSON
-	waiting      int               // items that may start now
-	counted      bool              // as a step in time or late
-	held         int               // items that waited since the step did not need their group
 }
 
 func (r *Runner) add(ctx context.Context, b *batch.Batch, fresh bool) {
@@ -52,16 +48,8 @@
 		preferred: map[string]string{}, pageAdded: make(chan struct{}),
 	}
 	expected := int64(0)
-	groups := map[string]int{}
 	for i := range b.Items {
 		t := &task{item: &b.Items[i], job: j, textKey: b.TextKey(&b.Items[i])}
-		number, known := groups[t.item.Group]
-		if !known {
-			number = len(j.groups)
-			groups[t.item.Group] = number
-			j.groups = append(j.groups, t.item.Group)
-		}
-		t.group = number
 		expected += max(1, t.item.ExpectedTokens)
 		t.text = r.texts.take(t.textKey, b.MinVersion)
 		j.tasks = append(j.tasks, t)
@@ -71,7 +59,8 @@
 	if r.seams.OnBatch != nil {
 		r.seams.OnBatch(b.Model, expected)
 	}
-	// Items with the same slack start in this order.
+	// The longest items decide when a batch is complete, so they are started
+	// first. If there are more items than slots, the short ones fill the gaps.
 	sort.SliceStable(j.tasks, func(a, b int) bool { return j.tasks[a].remaining() > j.tasks[b].remaining() })
 	at := len(r.jobs)
 	for at > 0 && r.jobs[at-1].batch.Time.After(b.Time) {
@@ -163,7 +152,7 @@
 
 // pagesLoaded starts the execution of a batch whose pages have been read.
 func (r *Runner) pagesLoaded(j *job, pages []batch.Page) {
-	j.loaded, r.order = true, nil
+	j.loaded = true
 	for number, page := range pages {
 		j.merge(number, page)
 	}
@@ -197,7 +186,6 @@
 
 // suspend stops the execution of a batch and keeps its texts.
 func (r *Runner) suspend(j *job) {
-	r.order = nil
 	for _, t := range j.tasks {
 		t.text = t.snapshot()
 		t.state, t.cancel, t.notBefore = statePending, nil, time.Time{}
@@ -254,7 +242,7 @@
 	}
 	if r.active {
 		r.log.WithFields(logrus.Fields{
-			"batch": id, "listed": j.listed, "items": len(j.tasks), "held": j.held,
+			"batch": id, "listed": j.listed, "items": len(j.tasks),
 			"age_ms": r.timers.Since(j.batch.Time).Milliseconds(),
 		}).Info("batch ended")
 	}
@@ -265,7 +253,6 @@
 // drop stops the execution of a batch and removes it from the open ones. Its
 // pages stay readable for a while unless another one is being written.
 func (r *Runner) drop(j *job) {
-	r.order = nil
 	close(j.pageAdded)
 	j.pageAdded = make(chan struct{})
 	if j.cancel != nil {
--- a/internal/training/runner/pages.go
+++ b/internal/training/runner/pages.go
@@ -91,7 +91,6 @@
 	j.merge(number, page)
 	now := r.timers.Now()
 	j.readySince = now
-	r.countStep(j)
 	j.schedule = j.schedule.WithPage(now, j.progress.Complete() && len(j.ready) == 0)
 	r.dropIfComplete(j)
 }
--- a/internal/training/runner/runner.go
+++ b/internal/training/runner/runner.go
@@ -28,7 +28,6 @@
 	"github.com/wigeonpin/wigeonpin/internal/traffic/forward"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/headers"
 	"github.com/wigeonpin/wigeonpin/internal/training/batch"
-	"github.com/wigeonpin/wigeonpin/internal/training/priority"
 )
 
 const (
@@ -44,9 +43,6 @@
 	// maxDoneJobs bounds the number of completed batches whose results callers
 	// may still read here.
 	maxDoneJobs = 20
-	// maxLengths bounds the number of models and paths whose lengths are known. Accounts
-	// choose them.
-	maxLengths = 64
 )
 
 // Seams holds the dependencies and settings of a runner.
@@ -92,11 +88,8 @@
 
 	// The fields below are used only by the goroutine of Run.
 	active bool
-	// order holds the unfinished items in the order in which they start, as of orderedAt;
-	// nil when a batch was added or removed since.
-	order     []*task
-	orderedAt time.Duration // uptime
-	lengths   *lru.Cache[lengthKey, *priority.Lengths]
+	// waiting is the number of items of the batch being scheduled that may start now.
+	waiting int
 	// recalling is true while texts are fetched after the runner became active. No
 	// run starts meanwhile, since a text that runs takes no copy.
 	recalling bool
@@ -114,11 +107,9 @@
 }
 
 // counters counts the runs of items and the broken runs by service, the rejected
-// runs by reason, the failed scoring calls by host, the items that waited since their
-// step did not need them by service, the steps by whether they were in time, and the
-// moved runs by reason.
+// runs by reason, and the failed scoring calls by host.
 type counters struct {
-	runs, rejections, breaks, scoringFailures, held, steps, moves *meter.Counter
+	runs, rejections, breaks, scoringFailures *meter.Counter
 }
 
 // The names of the counters, as they appear in the metrics of a worker.
@@ -127,16 +118,12 @@
 	CountRejections    = "item_rejections"
 	CountBreaks        = "item_breaks"
 	CountScoreFailures = "score_failures"
-	CountHeld          = "items_held"
-	CountSteps         = "steps"
-	CountMoves         = "item_moves"
 )
 
 func newCounters(meters *meter.Set) counters {
 	return counters{
 		runs: meters.Counter(CountRuns), rejections: meters.Counter(CountRejections),
 		breaks: meters.Counter(CountBreaks), scoringFailures: meters.Counter(CountScoreFailures),
-		held: meters.Counter(CountHeld), steps: meters.Counter(CountSteps), moves: meters.Counter(CountMoves),
 	}
 }
 
@@ -150,10 +137,6 @@
 	if err != nil {
 		panic(err) // the size is a positive constant
 	}
-	lengths, err := lru.New[lengthKey, *priority.Lengths](maxLengths)
-	if err != nil {
-		panic(err) // the size is a positive constant
-	}
 	if seams.Meters == nil {
 		seams.Meters = meter.NewSet()
 	}
@@ -161,7 +144,7 @@
 		seams.Role = func() Role { return Role{Held: true} }
 	}
 	return &Runner{
-		counters: newCounters(seams.Meters), copyCounters: newCopyCounters(seams.Meters), lengths: lengths, invalidLoads: headers.NewInvalidLoads(seams.Meters, timers, log),
+		counters: newCounters(seams.Meters), copyCounters: newCopyCounters(seams.Meters), invalidLoads: headers.NewInvalidLoads(seams.Meters, timers, log),
 		doneJobs: doneJobs, incompleteGroups: incompleteGroups, seams: seams, timers: timers, log: log, calls: make(chan func(context.Context), 64),
 		ended: map[string]bool{}, reach: reach.NewDetector(), texts: newTextCache(maxCachedTexts), copied: map[string]standbyStates{},
 	}
--- a/internal/training/runner/schedule.go
+++ b/internal/training/runner/schedule.go
@@ -10,65 +10,30 @@
 	"github.com/wigeonpin/wigeonpin/internal/base/logs"
 	"github.com/wigeonpin/wigeonpin/internal/fleet/replica"
 	"github.com/wigeonpin/wigeonpin/internal/training/batch"
-	"github.com/wigeonpin/wigeonpin/internal/training/priority"
 )
 
-// schedule starts pending items on engines, in the order of what the steps of all
-// batches need. An item that gets no slot holds back the later items of its own batch
-// only. A suspected item holds back none.
+// schedule starts pending items on engines, the oldest batch first. An item that
+// gets no slot holds back the later items of its own batch only. A suspected
+// item holds back none.
 func (r *Runner) schedule() {
 	now := r.timers.Now()
-	waiting := 0
 	for _, j := range r.jobs {
-		if j.loaded {
-			j.waiting = j.countPending(now)
-			waiting += j.waiting
-		}
-	}
-	if waiting == 0 {
-		return
-	}
-	r.refreshOrder()
-	full := map[*job]bool{}
-	spare := map[*job]int{} // items that the step does not need and that may still start
-	for _, t := range r.order {
-		if t.state != statePending || now.Before(t.notBefore) {
-			continue
-		}
-		if t.text.complete {
-			r.startScoring(t)
-			continue
-		}
-		if full[t.job] {
+		if !j.loaded {
 			continue
 		}
-		if t.class == priority.Spare {
-			if _, known := spare[t.job]; !known {
-				spare[t.job] = r.spareRoom(t.job)
+		r.waiting = j.countPending(now)
+		for _, t := range j.tasks {
+			if t.state != statePending || now.Before(t.notBefore) {
+				continue
 			}
-			if spare[t.job] <= 0 {
-				r.hold(t)
+			if t.text.complete {
+				r.startScoring(t)
 				continue
 			}
+			if !r.tryStart(t) && !t.suspected() {
+				break
+			}
 		}
-		switch started := r.tryStart(t); {
-		case started && t.class == priority.Spare:
-			clear(spare) // its slot is one of those of other batches as well
-		case !started && !t.suspected():
-			full[t.job] = true
-		}
-	}
-}
-
-// hold counts an item that waits since its step does not need its group.
-func (r *Runner) hold(t *task) {
-	if t.held {
-		return
-	}
-	t.held = true
-	t.job.held++
-	if route, found := r.batchRoute(t.job.batch, t.item.Path); found {
-		r.counters.held.Add(route.SelectService(0), 1)
 	}
 }
 
@@ -99,7 +64,7 @@
 	want := replica.Requirements{
 		Service: route.SelectService(rand.Float64()), Model: t.job.batch.Model, Version: t.job.batch.MinVersion,
 		Preferred: t.job.preferred[t.item.Group],
-		Account:   t.job.batch.Account, Waiting: t.job.waiting, Patience: permitPatience,
+		Account:   t.job.batch.Account, Waiting: r.waiting, Patience: permitPatience,
 	}
 	slot, found := r.pickSlot(t, want)
 	if !found {
@@ -154,8 +119,6 @@
 func (r *Runner) checkTasks() {
 	now, uptime := r.timers.Now(), r.timers.Uptime()
 	r.leaveSilentZones(now)
-	r.refreshOrder()
-	r.moveRuns(now)
 	for _, j := range r.jobs {
 		if !j.loaded {
 			continue
@@ -164,6 +127,9 @@
 			if t.state == stateRunning && uptime-time.Duration(t.lastActivity.Load()) > stallTimeout {
 				t.cancel(errStalled)
 			}
+			if t.state == stateRunning && r.shouldMove(t, now) {
+				t.cancel(errFasterEngine)
+			}
 			if (t.state == statePending || t.state == stateRunning) && r.timeLeft(t) <= 0 {
 				if t.cancel != nil {
 					t.cancel(nil)
--- a/internal/training/runner/task.go
+++ b/internal/training/runner/task.go
@@ -19,7 +19,6 @@
 	"github.com/wigeonpin/wigeonpin/internal/peer/exchange"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/headers"
 	"github.com/wigeonpin/wigeonpin/internal/training/batch"
-	"github.com/wigeonpin/wigeonpin/internal/training/priority"
 )
 
 type taskState int
@@ -38,10 +37,6 @@
 type task struct {
 	item            *batch.Item
 	job             *job
-	group           int            // index in the groups of the job
-	class           priority.Class // class and slack are as of the latest order
-	slack           time.Duration
-	held            bool   // waited since the step did not need its group
 	textKey         string // under which the text is kept beyond a run
 	state           taskState
 	text            text // without the events of the present run
@@ -54,7 +49,7 @@
 	scoringFailures int                  // failed scoring calls
 	activation      int                  // the runner's activation in which the text got its origin
 	listedLate      bool                 // listed after the trainer had all that it waits for
-	moves           int                  // runs that were moved from a slow or silent engine
+	moves           int                  // runs that were moved to a faster engine
 	cancel          context.CancelCauseFunc
 	endpoint, zone  string // of the engine of the present run
 	runStart        time.Time
@@ -127,7 +122,6 @@
 	errNoEvent       = errors.New("the engine's answer ended before the first event")
 	errStalled       = errors.New("the engine sent no event in time")
 	errFasterEngine  = errors.New("another engine is faster")
-	errSilentEngine  = errors.New("the engine is silent while others send events")
 	errZoneSilent    = errors.New("all engines of the availability zone are silent")
 	errTooLong       = errors.New("the text is longer than the item allows")
 	errStatus        = errors.New("unexpected status")
@@ -177,7 +171,7 @@
 	switch {
 	case err == nil, errors.Is(err, errEngineError), errors.Is(err, errUnprocessable), errors.Is(err, errOldWeights):
 		return replica.Answered
-	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStalled) && !errors.Is(context.Cause(ctx), errSilentEngine):
+	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStalled):
 		return replica.Abandoned
 	case errors.Is(err, errRejected):
 		return replica.Rejected
@@ -218,14 +212,11 @@
 	return exchange.Request{Method: http.MethodPost, Path: path, Query: query, Host: host, Header: header, Body: t.item.Body}
 }
 
-// defaultPatience is the time limit of items whose route has none.
-const defaultPatience = 30 * time.Second
-
 // timeLeft returns the time until the item is given up. It counts from when this process
 // learned of the batch: the time of day of the acceptance, or that of this process, may
 // be wrong, and an item that is given up stays so.
 func (r *Runner) timeLeft(t *task) time.Duration {
-	patience := defaultPatience
+	patience := 30 * time.Second
 	if route, found := r.batchRoute(t.job.batch, t.item.Path); found && route.ItemTimeout > 0 {
 		patience = route.ItemTimeout
 	}
@@ -246,23 +237,15 @@
 		r.seams.Fleet.RecordVersion(e.ID, t.job.batch.Model, version)
 	}
 	if err == nil {
-		r.lengthsOf(t.job.batch).Observe(t.item.ExpectedTokens, len(t.text.pieces))
 		r.startScoring(t)
 		return
 	}
 	switch {
 	case errors.Is(err, errFasterEngine):
 		t.moves++
-		r.counters.moves.Add("slow", 1)
 		r.logMove(t, e, len(generated.pieces), "run moved to a faster engine")
 		return
-	case errors.Is(err, errSilentEngine):
-		t.moves++
-		r.counters.moves.Add("silent", 1)
-		r.logMove(t, e, len(generated.pieces), "run moved from a silent engine")
-		return
 	case errors.Is(err, errZoneSilent):
-		r.counters.moves.Add("zone", 1)
 		r.logMove(t, e, len(generated.pieces), "run moved out of a silent zone")
 		return
 	case errors.Is(err, errRejected), errors.Is(err, errMisplaced), exchange.NotSent(err):
@@ -282,9 +265,6 @@
 			r.giveUp(t, "status 500")
 		}
 	default:
-		if errors.Is(err, errStalled) {
-			r.counters.moves.Add("stalled", 1)
-		}
 		r.counters.breaks.Add(e.Service, 1)
 		if t.job.preferred[t.item.Group] == e.ID {
 			delete(t.job.preferred, t.item.Group) // the engine's prefix cache is lost
@@ -301,7 +281,7 @@
 func (r *Runner) logMove(t *task, from replica.Entry, events int, message string) {
 	r.log.WithFields(logrus.Fields{
 		logs.Request: t.item.ID, "batch": t.job.batch.ID, logs.Endpoint: from.ID, "events": events,
-		"ran_ms": r.timers.Since(t.runStart).Milliseconds(), "slack_ms": t.slack.Milliseconds(),
+		"ran_ms": r.timers.Since(t.runStart).Milliseconds(),
 	}).Info(message)
 }
 
