Mend what a reading of the whole change found

Cause, each found by reading: one failed call moved a standby, which costs a copy of all texts; a standby that had started again counted as failed; kept replies of shared calls were never dropped before 64 later ones came, and a write without a mark could have been merged with a read; an exact list that failed was followed by a shared one; the time of failed scoring answers counted as usual time. Change: three failed calls replace a standby; shared calls are reads only, by method, and drop expired replies; the exact list stays due until it succeeds; failed answers are not measured. Names and comments that a newcomer stumbled on. Measured: share, relay, mirror, headers, replica and the copy, recall and scoring tests of the runner pass with the race detector beside other load.

--- a/internal/control/mirror/mirror.go
+++ b/internal/control/mirror/mirror.go
@@ -189,7 +189,7 @@
 func (m *Mirror) list(ctx context.Context) (uint64, error) {
 	read := m.store.ListAllShared
 	if m.exactList {
-		read, m.exactList = m.store.ListAll, false
+		read = m.store.ListAll
 	}
 	page, err := read(ctx, m.kind)
 	if err == nil && page.Revision < m.horizon {
@@ -198,6 +198,7 @@
 	if err != nil {
 		return 0, err
 	}
+	m.exactList = false
 	if page.Revision < m.horizon {
 		return 0, errLateList
 	}
--- a/internal/fleet/replica/background.go
+++ b/internal/fleet/replica/background.go
@@ -13,11 +13,10 @@
 	// process may use at an endpoint without a recent report, for example after a
 	// restart.
 	unreportedShare = 0.5
-	// scarceMaxAge is how long an endpoint whose latest report showed no headroom gets only
-	// one background request at a time, once that report is older than loadMaxAge. The
-	// answer to it has a new report. Times that grow with each such report let fewer
-	// interactive requests be in time in bursts that are longer than a background request
-	// may wait.
+	// scarceMaxAge is the age up to which a report without headroom restricts background
+	// requests. From loadMaxAge on one of them at a time is sent, whose answer brings a new
+	// report. A pause that grows with each such report was worse in bursts that are longer
+	// than a background request may wait.
 	scarceMaxAge = 2 * time.Second
 )
 
--- a/internal/peer/relay/server.go
+++ b/internal/peer/relay/server.go
@@ -43,7 +43,7 @@
 	}
 	reply, err := call(ctx, Call{
 		Method: request.GetMethod(), Path: request.GetPath(), Query: request.GetQuery(), Body: request.GetBody(),
-		Wait: time.Duration(request.GetWait()) * time.Millisecond, Shared: !request.GetOwn() && request.GetWait() == 0,
+		Wait: time.Duration(request.GetWait()) * time.Millisecond, Shared: !request.GetOwn() && request.GetWait() == 0 && request.GetMethod() == http.MethodGet,
 	})
 	if err != nil {
 		return &CallReply{Sent: mayHaveSent(err)}, nil
--- a/internal/peer/relay/shared.go
+++ b/internal/peer/relay/shared.go
@@ -11,7 +11,9 @@
 	"github.com/wigeonpin/wigeonpin/internal/base/clock"
 )
 
-// maxKept is the number of replies that a SharedCalls keeps for reuse.
+// maxKept is the number of replies that a SharedCalls keeps for reuse. A reply is at most
+// as large as a page of the store, and is dropped once a later one is kept and it is too
+// old.
 const maxKept = 64
 
 // ReuseFunc returns for how long the reply to a shared call may also be the reply to
@@ -77,7 +79,7 @@
 // join returns the flight of an equal call, or starts one. It returns no flight if a
 // reply is reused. A flight continues after the caller that started it has gone.
 func (s *SharedCalls) join(ctx context.Context, call Call) (*flight, Reply) {
-	key := call.Path + "?" + call.Query + "#" + strconv.FormatInt(int64(call.Wait/time.Millisecond), 10)
+	key := call.Method + " " + call.Path + "?" + call.Query + "#" + strconv.FormatInt(int64(call.Wait/time.Millisecond), 10)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.uptime()
@@ -104,20 +106,34 @@
 // finish ends a flight, and keeps its reply if that may be reused. A watch has waited
 // for what it replies, so that its reply counts from now on.
 func (s *SharedCalls) finish(key string, f *flight, call Call, began time.Duration) {
+	reusable := time.Duration(0)
+	if f.err == nil && s.reuse != nil {
+		reusable = s.reuse(call, f.reply)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.flights, key)
-	if f.err == nil && s.reuse != nil {
-		if call.Wait > 0 {
-			began = s.uptime()
-		}
-		if d := s.reuse(call, f.reply); d > 0 {
-			s.kept.Add(key, keptReply{reply: f.reply, until: began + d})
-		}
+	now := s.uptime()
+	if call.Wait > 0 {
+		began = now
+	}
+	if reusable > 0 {
+		s.dropExpired(now)
+		s.kept.Add(key, keptReply{reply: f.reply, until: began + reusable})
 	}
 	close(f.finished)
 }
 
+// dropExpired drops the replies that may not be reused any more: each watch has a key of
+// its own, so that nobody asks for them again. It must be called with mu locked.
+func (s *SharedCalls) dropExpired(now time.Duration) {
+	for _, key := range s.kept.Keys() {
+		if kept, found := s.kept.Peek(key); found && now >= kept.until {
+			s.kept.Remove(key)
+		}
+	}
+}
+
 // Cancel ends the calls in progress, so that their callers fall back to another path.
 func (s *SharedCalls) Cancel() {
 	s.mu.Lock()
--- a/internal/traffic/headers/load.go
+++ b/internal/traffic/headers/load.go
@@ -124,6 +124,6 @@
 		return
 	}
 	i.log.WithFields(logrus.Fields{logs.Endpoint: endpoint, logs.Cause: err.Error(), "count": i.unlogged}).
-		Warn("load report of an endpoint ignored")
+		Warn("invalid load report of an endpoint")
 	i.loggedAt, i.unlogged = now, 0
 }
--- a/internal/traffic/headers/load_test.go
+++ b/internal/traffic/headers/load_test.go
@@ -119,12 +119,12 @@
 		invalid.Record("e1", ErrInvalidLoad)
 	}
 	invalid.Record("e2", ErrInvalidLoad)
-	if lines := strings.Count(out.String(), "load report of an endpoint ignored"); lines != 1 {
+	if lines := strings.Count(out.String(), "invalid load report of an endpoint"); lines != 1 {
 		t.Errorf("%d lines within a second, want 1", lines)
 	}
 	driver.Advance(2 * time.Second)
 	invalid.Record("e1", ErrInvalidLoad)
-	if lines := strings.Count(out.String(), "load report of an endpoint ignored"); lines != 2 || !strings.Contains(out.String(), `"count":501`) {
+	if lines := strings.Count(out.String(), "invalid load report of an endpoint"); lines != 2 || !strings.Contains(out.String(), `"count":501`) {
 		t.Errorf("%d lines, want 2, the second with 501 reports: %s", lines, out.String())
 	}
 	counted := meters.Counter(CountInvalidLoads)
--- a/internal/traffic/share/background.go
+++ b/internal/traffic/share/background.go
@@ -1,7 +1,7 @@
-// Package share decides how scarce capacity is divided: how long a call that is not
-// urgent may wait for calls that are, and how much each client account receives from
-// all processes together. Its decisions take and return values; it uses no network and
-// no clock.
+// Package share divides scarce capacity: it bounds how long a call that is not urgent may
+// wait for calls that are, and exchanges between processes the work that each client
+// account receives. Limit and the rules of the digests are functions of values; Exchange
+// does the sending.
 //
 // # Usage
 //
--- a/internal/traffic/share/digest.go
+++ b/internal/traffic/share/digest.go
@@ -89,45 +89,45 @@
 	return kept
 }
 
-// heard is the latest digest of another process, and when it came.
-type heard struct {
+// receivedDigest is the latest digest of another process, and when it came.
+type receivedDigest struct {
 	digest Digest
 	at     time.Duration
 }
 
-// ledger holds the digests of other processes. Times are uptimes, which include
+// digestTable holds the digests of other processes. Times are uptimes, which include
 // suspensions.
-type ledger struct {
-	digests map[string]heard
+type digestTable struct {
+	digests map[string]receivedDigest
 	number  int64
 	// active tells whether requests waited in the period before.
 	active bool
 }
 
-func newLedger() *ledger { return &ledger{digests: map[string]heard{}} }
+func newDigestTable() *digestTable { return &digestTable{digests: map[string]receivedDigest{}} }
 
 // observe records the digest of another process. It is ignored if a later one of the same
 // run is known.
-func (l *ledger) observe(sender string, d Digest, now time.Duration) {
-	known, found := l.digests[sender]
+func (t *digestTable) observe(sender string, d Digest, now time.Duration) {
+	known, found := t.digests[sender]
 	if found && known.digest.Run == d.Run && known.digest.Number >= d.Number {
 		return
 	}
-	if !found && len(l.digests) >= maxSenders {
+	if !found && len(t.digests) >= maxSenders {
 		return
 	}
-	l.digests[sender] = heard{digest: d, at: now}
+	t.digests[sender] = receivedDigest{digest: d, at: now}
 }
 
 // expire drops digests that do not count any more.
-func (l *ledger) expire(now time.Duration) {
-	maps.DeleteFunc(l.digests, func(_ string, h heard) bool { return now-h.at >= validity })
+func (t *digestTable) expire(now time.Duration) {
+	maps.DeleteFunc(t.digests, func(_ string, h receivedDigest) bool { return now-h.at >= validity })
 }
 
 // sums returns the work that each account receives from other processes.
-func (l *ledger) sums() map[string]float64 {
+func (t *digestTable) sums() map[string]float64 {
 	sums := map[string]float64{}
-	for _, h := range l.digests {
+	for _, h := range t.digests {
 		for account, slots := range h.digest.Slots {
 			sums[account] += slots * h.digest.Factor
 		}
@@ -139,26 +139,26 @@
 // waited here since the last call, members is the number of processes, and draw a random
 // number from 0 to 1. A process whose requests have just begun to wait does not know how
 // many others have waiting requests, and assumes that all have.
-func (l *ledger) next(received map[string]float64, waited bool, members int, draw float64) (Digest, bool) {
-	first := waited && !l.active
-	l.active = waited
+func (t *digestTable) next(received map[string]float64, waited bool, members int, draw float64) (Digest, bool) {
+	first := waited && !t.active
+	t.active = waited
 	if !waited {
 		return Digest{}, false
 	}
 	senders := 1.0
-	for _, h := range l.digests {
+	for _, h := range t.digests {
 		senders += h.digest.Factor
 	}
-	if first && len(l.digests) == 0 {
+	if first && len(t.digests) == 0 {
 		senders = max(senders, float64(members))
 	}
 	chance := min(1, maxDigests/senders)
 	if draw >= chance {
 		return Digest{}, false
 	}
-	l.number++
+	t.number++
 	// A receiver keeps a digest for validPeriods, so that it has one of this process with
 	// the chance to have been sent in any of them.
 	factor := 1 / (1 - math.Pow(1-chance, validPeriods))
-	return Digest{Version: digestVersion, Number: l.number, Factor: min(factor, maxFactor), Slots: largest(received)}, true
+	return Digest{Version: digestVersion, Number: t.number, Factor: min(factor, maxFactor), Slots: largest(received)}, true
 }
--- a/internal/traffic/share/exchange.go
+++ b/internal/traffic/share/exchange.go
@@ -47,11 +47,11 @@
 	sums    atomic.Pointer[sums]
 
 	mu     sync.Mutex
-	ledger *ledger
+	table  *digestTable
 	tickAt time.Duration // uptime of the latest tick
-	// deafUntil is the uptime until which digests are ignored after a pause: those that
+	// ignoreUntil is the uptime until which digests are ignored after a pause: those that
 	// waited for this process are as old as the pause.
-	deafUntil time.Duration
+	ignoreUntil time.Duration
 }
 
 // sums is the work that accounts receive from other processes, as known at an uptime.
@@ -66,7 +66,7 @@
 		seams.Meters = meter.NewSet()
 	}
 	e := &Exchange{
-		self: self, seams: seams, timers: timers, run: rand.Int64(), ledger: newLedger(),
+		self: self, seams: seams, timers: timers, run: rand.Int64(), table: newDigestTable(),
 		digests: seams.Meters.Counter(CountDigests), tickAt: timers.Uptime(),
 	}
 	e.sums.Store(&sums{})
@@ -119,13 +119,13 @@
 	e.mu.Lock()
 	now := e.timers.Uptime()
 	if now-e.tickAt >= validity {
-		clear(e.ledger.digests)
-		e.deafUntil = now + Period
+		clear(e.table.digests)
+		e.ignoreUntil = now + Period
 	}
 	e.tickAt = now
-	e.ledger.expire(now)
+	e.table.expire(now)
 	e.publishSums(now)
-	digest, due := e.ledger.next(received, waited, members, rand.Float64())
+	digest, due := e.table.next(received, waited, members, rand.Float64())
 	e.mu.Unlock()
 	if !due {
 		return
@@ -141,10 +141,10 @@
 
 // publishSums makes the sums known to RemoteSlots. The caller holds mu.
 func (e *Exchange) publishSums(now time.Duration) {
-	if len(e.ledger.digests) == 0 && len(e.sums.Load().slots) == 0 {
+	if len(e.table.digests) == 0 && len(e.sums.Load().slots) == 0 {
 		return
 	}
-	e.sums.Store(&sums{slots: e.ledger.sums(), at: now})
+	e.sums.Store(&sums{slots: e.table.sums(), at: now})
 }
 
 func (e *Exchange) receive(sender string, payload []byte) {
@@ -160,9 +160,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.timers.Uptime()
-	if now < e.deafUntil || now-e.tickAt >= validity {
+	if now < e.ignoreUntil || now-e.tickAt >= validity {
 		return // this process was paused, and may not have noticed yet
 	}
-	e.ledger.observe(sender, digest, now)
+	e.table.observe(sender, digest, now)
 	e.publishSums(now)
 }
--- a/internal/training/batch/batch.go
+++ b/internal/training/batch/batch.go
@@ -131,9 +131,9 @@
 const (
 	// maxKnownEnds is the number of end markers that are remembered.
 	maxKnownEnds = 256
-	// endKnownFor is how long an end marker is known to be stored. A batch and its
-	// marker are removed, so that the id can name another batch, more than five minutes
-	// after its acceptance.
+	// endKnownFor is how long End skips the write of a marker that is known to be stored.
+	// It is far below the time after which a batch and its marker are removed, so that the
+	// id may name another batch.
 	endKnownFor = time.Minute
 )
 
--- a/internal/training/runner/copies.go
+++ b/internal/training/runner/copies.go
@@ -37,6 +37,11 @@
 	missingInterval = 4 * time.Second
 )
 
+// replaceAfterFailures is the number of failed calls in a row after which another worker
+// takes the place of a standby. One call times out on a busy machine, and a new standby
+// costs a copy of all texts.
+const replaceAfterFailures = 3
+
 // standbyStates is what each standby has of a text, by address.
 type standbyStates map[string]copyState
 
@@ -74,7 +79,7 @@
 	}
 	rank := func(t *standbyTarget) int {
 		switch {
-		case t.failures == 0 && t.chosen:
+		case t.chosen && t.failures < replaceAfterFailures:
 			return 0
 		case t.failures == 0:
 			return 1
@@ -170,7 +175,7 @@
 
 // errNoneKept is the error of a worker that took no text of a call: it executes the batches
 // itself, or does not know them yet.
-var errNoneKept = errors.New("the worker kept none of the texts")
+var errNoneKept = errors.New("the worker took none of the texts: it is active or does not know their batches")
 
 // copyTo sends the events that the standby does not have, the longest texts first, and a
 // request without texts at the end.
@@ -196,7 +201,7 @@
 		}
 		r.copyCounters.copied.Add(address, int64(len(texts)))
 		r.post(ctx, func(context.Context) { r.noteCopied(address, texts, reply.GetMissing()) })
-		if len(texts) > 0 && len(reply.GetMissing()) >= len(texts) {
+		if fromStart := slices.ContainsFunc(texts, func(p *Text) bool { return p.GetFrom() == 0 }); fromStart && len(reply.GetMissing()) >= len(texts) {
 			return errNoneKept
 		}
 	}
--- a/internal/training/runner/recall.go
+++ b/internal/training/runner/recall.go
@@ -45,10 +45,10 @@
 	// recallLimit bounds the wait and the calls. Generating the longest texts seen, of
 	// 147 events, again takes five times as long.
 	recallLimit = 1500 * time.Millisecond
-	// eventTime is the usual time to generate an event, and recallFraction the part of
-	// the time to generate a text again that may be spent on waiting for it.
-	eventTime      = 50 * time.Millisecond
-	recallFraction = 5
+	// eventTime is the usual time to generate an event, and recallDivisor the
+	// divisor of the time to generate a text again that gives the longest wait for it.
+	eventTime     = 50 * time.Millisecond
+	recallDivisor = 5
 )
 
 // The sources of recalled texts, as they appear in counters and log lines.
@@ -188,7 +188,7 @@
 	for _, n := range w.shortest {
 		longest = max(longest, n)
 	}
-	limit := min(max(time.Duration(longest)*eventTime/recallFraction, recallTimeout), recallLimit)
+	limit := min(max(time.Duration(longest)*eventTime/recallDivisor, recallTimeout), recallLimit)
 	pause := recallTimeout
 	if w.complete {
 		pause = recallGrace
@@ -196,21 +196,21 @@
 	return min(w.latest+pause, limit)
 }
 
-// recallNews is a piece that arrived from a worker, or the end of its answer.
-type recallNews struct {
+// recallEvent is a piece that arrived from a worker, or the end of its answer.
+type recallEvent struct {
 	peer            string
 	shortest        int
 	ended, complete bool
 }
 
-// apply notes news that arrive at a time.
-func (w *recallWait) apply(news recallNews, at time.Duration) {
-	if news.ended {
-		delete(w.shortest, news.peer)
-		w.complete = w.complete || news.complete
+// apply records an event at a time since the beginning of the recall.
+func (w *recallWait) apply(e recallEvent, at time.Duration) {
+	if e.ended {
+		delete(w.shortest, e.peer)
+		w.complete = w.complete || e.complete
 		return
 	}
-	w.shortest[news.peer], w.latest = news.shortest, at
+	w.shortest[e.peer], w.latest = e.shortest, at
 }
 
 // recall fetches the texts that the other workers have stored, and merges them with the
@@ -232,35 +232,35 @@
 	saved := make(chan [][]byte, 1)
 	go func() { saved <- r.readSaved(savedCtx) }()
 
-	news := make(chan recallNews)
+	events := make(chan recallEvent)
 	wait := recallWait{complete: current, shortest: map[string]int{}}
 	var running sync.WaitGroup
 	for _, address := range peers {
 		wait.shortest[address] = 0
-		running.Go(func() { r.recallFrom(calls, address, known, news) })
+		running.Go(func() { r.recallFrom(calls, address, known, events) })
 	}
 	go func() { running.Wait(); stopCalls() }()
 	waiting := true
 	for waiting && len(wait.shortest) > 0 {
 		select {
-		case n := <-news:
-			wait.apply(n, time.Since(began))
+		case e := <-events:
+			wait.apply(e, time.Since(began))
 		case <-time.After(wait.deadline() - time.Since(began)):
 			waiting = false
 		case <-ctx.Done():
 			waiting = false
 		}
 	}
-	go discard(calls, news)
+	go discard(calls, events)
 	r.recallSaved(ctx, r.awaitSaved(ctx, saved, wait.complete))
 	r.log.WithFields(logrus.Fields{"took_ms": time.Since(began).Milliseconds(), "current": current, "complete": wait.complete, "known": len(known)}).Info("recall ended")
 }
 
-// discard takes news until the calls end, so that none of them waits for a reader.
-func discard(calls context.Context, news <-chan recallNews) {
+// discard takes events until the calls end, so that none of them waits for a reader.
+func discard(calls context.Context, events <-chan recallEvent) {
 	for {
 		select {
-		case <-news:
+		case <-events:
 		case <-calls.Done():
 			return
 		}
@@ -289,7 +289,7 @@
 }
 
 // recallFrom fetches the texts of one worker and reports each piece.
-func (r *Runner) recallFrom(ctx context.Context, address string, known []*Text, news chan<- recallNews) {
+func (r *Runner) recallFrom(ctx context.Context, address string, known []*Text, events chan<- recallEvent) {
 	began := time.Now()
 	source := sourcePeer
 	count := 0
@@ -301,14 +301,14 @@
 			}
 		})
 		last := texts[len(texts)-1]
-		tell(ctx, news, recallNews{peer: address, shortest: int(last.GetFrom()) + len(last.GetPieces())})
+		sendEvent(ctx, events, recallEvent{peer: address, shortest: int(last.GetFrom()) + len(last.GetPieces())})
 	}
 	age, err := r.recallPieces(ctx, address, known, received)
 	if errors.Is(err, errNoPieces) {
 		source = sourceFormer
 		err = r.recallAtOnce(ctx, address, received)
 	}
-	tell(ctx, news, recallNews{peer: address, ended: true, complete: err == nil && count > 0})
+	sendEvent(ctx, events, recallEvent{peer: address, ended: true, complete: err == nil && count > 0})
 	r.copyCounters.recalled.Add(source, int64(count))
 	fields := logrus.Fields{logs.Peer: address, "source": source, "texts": count, "took_ms": time.Since(began).Milliseconds()}
 	if age != "" {
@@ -321,9 +321,9 @@
 	r.log.WithFields(fields).Info("texts recalled")
 }
 
-func tell(ctx context.Context, news chan<- recallNews, n recallNews) {
+func sendEvent(ctx context.Context, events chan<- recallEvent, e recallEvent) {
 	select {
-	case news <- n:
+	case events <- e:
 	case <-ctx.Done():
 	}
 }
--- a/internal/training/runner/scoring.go
+++ b/internal/training/runner/scoring.go
@@ -19,8 +19,8 @@
 	"github.com/wigeonpin/wigeonpin/internal/training/batch"
 )
 
-// scoringTimeout bounds one scoring call including all its attempts, from the time on
-// from which it may no longer wait for headroom.
+// scoringTimeout bounds the attempts of a scoring call, counted from the end of the time
+// that it may wait for headroom.
 const scoringTimeout = 4 * time.Second
 
 // startScoring starts the scoring call for a complete text. A text that mixes
@@ -81,7 +81,9 @@
 		return nil, err
 	}
 	defer answer.Close()
-	r.scoringTime.observe(answer.Took)
+	if answer.Status < http.StatusBadRequest {
+		r.scoringTime.observe(answer.Took) // a scorer that fails fast is not a fast one
+	}
 	if answer.Rest != nil {
 		answer.Abort()
 		return nil, errLongScoringAnswer
