--- a/internal/fleet/replica/overload_test.go
+++ b/internal/fleet/replica/overload_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -19,6 +20,7 @@
 	simLength      = 12 * time.Second
 	simWarmup      = 2 * time.Second // time for the limits to converge; not measured
 	simZone        = "a"
+	simZoneLatency = 2 * time.Millisecond // added on the way to another zone
 )
 
 // event is a scheduled action of the simulation.
@@ -41,14 +43,29 @@
 }
 
 // simEndpoint runs simSlots requests at a time and queues up to simQueue more.
+// Its pace at a time is multiplied with its slowness; nil means 1.
 type simEndpoint struct {
 	slowness         time.Duration
+	pace             func(now time.Duration) float64
+	reports          bool // it reports its pace
 	running, waiting int
 	queue            []func()
 }
 
-func (e *simEndpoint) load() Load {
-	return Load{Running: e.running, Waiting: e.waiting, Slots: simSlots}
+func (e *simEndpoint) load(now time.Duration) Load {
+	load := Load{Running: e.running, Waiting: e.waiting, Slots: simSlots}
+	if e.reports {
+		load.Pace = e.pace(now)
+	}
+	return load
+}
+
+// workTime returns the time of a request at the endpoint.
+func (e *simEndpoint) workTime(now time.Duration, factor float64) time.Duration {
+	if e.pace != nil {
+		factor *= e.pace(now)
+	}
+	return e.slowness * time.Duration(float64(simServiceTime)*factor)
 }
 
 // overloadSim simulates processes that send more requests than their endpoints
@@ -61,8 +78,14 @@
 	pending   events
 	fleets    []*Fleet
 	endpoints map[string]*simEndpoint
+	zones     map[string]string // of endpoints that are not in simZone
+	spread    bool              // processes are in three zones
+	class     string            // of the requests; empty means that their times teach nothing
+
+	times []time.Duration // of answered requests
 
 	sent, rejected, inTime int
+	crossed                int // requests to another zone
 	byProcess              []int
 }
 
@@ -70,9 +93,13 @@
 
 // start starts or restarts a process, without any state of a previous run.
 func (o *overloadSim) start(process int) {
-	f := NewFleet(o.timers, Options{Zone: simZone, Overcommit: 1.5, Shared: true})
+	zone := simZone
+	if o.spread {
+		zone = string("abc"[process%3])
+	}
+	f := NewFleet(o.timers, Options{Zone: zone, Overcommit: 1.5, Shared: true})
 	for id := range o.endpoints {
-		f.Put(Entry{ID: id, Service: "svc", Zone: simZone, Slots: simSlots, Address: id})
+		f.Put(Entry{ID: id, Service: "svc", Zone: cmp.Or(o.zones[id], simZone), Slots: simSlots, Address: id})
 	}
 	o.fleets[process] = f
 }
@@ -80,19 +107,29 @@
 // arrive simulates the arrival of one request at a process, which sends it to an
 // endpoint or drops it.
 func (o *overloadSim) arrive(process int) {
-	slot, found := o.fleets[process].Pick(Requirements{Service: "svc"})
+	slot, found := o.fleets[process].Pick(Requirements{Service: "svc", Class: o.class})
 	if !found {
 		return
 	}
 	e, began, measured := o.endpoints[slot.Entry.ID], o.now, o.now > simWarmup
+	latency := simLatency
+	if slot.Entry.Zone != o.fleets[process].options.Zone {
+		latency += simZoneLatency
+	}
 	if measured {
 		o.sent++
+		if latency > simLatency {
+			o.crossed++
+		}
 	}
 	finish := func(outcome Outcome) {
-		load := e.load()
-		o.after(simLatency, func() {
+		load := e.load(o.now)
+		o.after(latency, func() {
 			slot.Report(load)
 			slot.Done(outcome)
+			if measured && outcome == Answered {
+				o.times = append(o.times, o.now-began)
+			}
 			if measured && outcome == Answered && o.now-began <= simDeadline {
 				o.inTime++
 				o.byProcess[process]++
@@ -104,7 +141,7 @@
 	}
 	run := func() {
 		e.running++
-		o.after(e.slowness*time.Duration(float64(simServiceTime)*(0.5+o.rng.Float64())), func() {
+		o.after(e.workTime(o.now, 0.5+o.rng.Float64()), func() {
 			e.running--
 			finish(Answered)
 			if e.waiting > 0 {
@@ -115,7 +152,7 @@
 			}
 		})
 	}
-	o.after(simLatency, func() {
+	o.after(latency, func() {
 		switch {
 		case e.running < simSlots:
 			run()
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -39,6 +39,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/traffic/memory"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/queue"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/retryafter"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/share"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/stop"
 )
 
@@ -56,6 +57,11 @@
 	answerReserve = 15 * time.Millisecond
 )
 
+// CountBackground names the counter of the attempts of background calls by what let
+// them go: headroom at once, headroom after a wait, or the end of the time that they may
+// wait.
+const CountBackground = "background_calls"
+
 // Call is one request of a caller. Request is the message for the endpoint,
 // without the header fields that are set for each attempt.
 type Call struct {
@@ -65,14 +71,22 @@
 	Request     exchange.Request
 	Deadline    time.Time
 	Open        bool // the caller has a part of the answer
+	// Urgent is set for background calls: until then the call is sent only to an
+	// endpoint with headroom for interactive calls. An attempt gets at most the time
+	// from Urgent to Deadline, however early it begins.
+	Urgent time.Time
 
 	digest func() string // the result of ContentDigest, computed once
 }
 
+// Class returns the class of the calls whose work is alike: those of the same service
+// and route.
+func (c Call) Class() string { return c.Service + " " + c.Route.Host + c.Route.Prefix }
+
 // Work returns what decides whether the call can still end in a planned stop.
 func (c Call) Work() stop.Work {
 	return stop.Work{
-		Class: c.Service + " " + c.Route.Host + c.Route.Prefix, Deadline: c.Deadline, Repeatable: c.Route.Repeatable(), Open: c.Open,
+		Class: c.Class(), Deadline: c.Deadline, Repeatable: c.Route.Repeatable(), Open: c.Open,
 	}
 }
 
@@ -84,8 +98,9 @@
 	Body         []byte
 	Rest         io.Reader
 	Endpoint     replica.Entry
-	ServerErrors int // answers with status 500 that the call got, including this one
-	Attempts     int // endpoints that may have run the request
+	ServerErrors int           // answers with status 500 that the call got, including this one
+	Attempts     int           // endpoints that may have run the request
+	Took         time.Duration // time of the attempt that gave the answer, until Body was read
 	close        func()
 	cancel       context.CancelCauseFunc
 }
@@ -121,21 +136,30 @@
 	// Breaker holds back requests whose content crashes endpoints; nil disables
 	// the check.
 	Breaker *breaker.Breaker
+	// Shares tells what client accounts receive from other processes; nil if there are
+	// none.
+	Shares *share.Exchange
 	// Stop is the planned stop of the process; nil if there is none.
 	Stop *stop.Plan
 }
 
 // Forwarder sends requests to endpoints.
 type Forwarder struct {
-	seams      Seams
-	timers     *clock.Service
-	log        *logrus.Entry
-	queue      *queue.Queue
+	seams  Seams
+	timers *clock.Service
+	log    *logrus.Entry
+	queue  *queue.Queue
+	// work returns the expected time of a request on an endpoint of usual speed, or 0
+	// when it is unknown.
+	work       func(service, class string) time.Duration
 	waiting    ratelimit.Waiting
 	rechecking atomic.Bool // whether the goroutine of startRechecks runs
 	breaks     *meter.Counter
 	refusals   *meter.Counter
 	held       *meter.Counter
+	background *meter.Counter
+	// invalidLoads records load reports that cannot be parsed.
+	invalidLoads *headers.InvalidLoads
 
 	mu         sync.Mutex
 	schedules  map[string]*retryafter.Schedule // by service
@@ -155,11 +179,16 @@
 		seams.Stop = stop.New(timers, seams.Meters)
 	}
 	f := &Forwarder{
-		seams: seams, timers: timers, log: log, schedules: map[string]*retryafter.Schedule{},
+		seams: seams, timers: timers, log: log, schedules: map[string]*retryafter.Schedule{}, work: seams.Fleet.Work,
 		breaks: seams.Meters.Counter("endpoint_breaks"), refusals: seams.Meters.Counter("endpoint_refusals"),
-		held:  seams.Meters.Counter("requests_held"),
-		queue: queue.New(timers, seams.Meters, queue.Seams{RemoteCost: func(string) int64 { return 0 }}),
-	}
+		held:         seams.Meters.Counter("requests_held"),
+		background:   seams.Meters.Counter(CountBackground),
+		invalidLoads: headers.NewInvalidLoads(seams.Meters, timers, log),
+		queue:        queue.New(timers, seams.Meters, queue.Seams{RemoteSlots: seams.Shares.RemoteSlots}),
+	}
+	seams.Shares.SetSource(f.queue.Received)
+	seams.Meters.Gauge("endpoint_paces", func() any { return seams.Fleet.Paces() })
+	seams.Meters.Gauge("request_work_us", func() any { return seams.Fleet.Works() })
 	seams.Fleet.OnUnexpectedEnd(f.attributeEnd)
 	seams.Fleet.OnRoom(func() { f.queue.Recheck() })
 	return f
@@ -267,7 +296,11 @@
 func (f *Forwarder) attempt(ctx context.Context, call Call, slot *reservation, p *progress) (*Answer, verdict) {
 	deadline, _ := ctx.Deadline()
 	left := time.Until(deadline)
+	if !call.Urgent.IsZero() {
+		left = min(left, call.Deadline.Sub(call.Urgent))
+	}
 	limit := left
+	began := f.timers.Now()
 	if call.Route.Repeatable() && call.Route.Kind == manifest.Idempotent && p.runs+1 < call.Route.Attempts {
 		limit = min(left, max(minAttemptTime, time.Duration(attemptShare*float64(left))))
 	}
@@ -284,7 +317,11 @@
 		attempt.release()
 		return nil, f.handleError(ctx, call, slot, p, err, timedOut)
 	}
-	return f.handleAnswer(ctx, call, slot, p, answer, attempt)
+	result, verdict := f.handleAnswer(ctx, call, slot, p, answer, attempt)
+	if result != nil {
+		result.Took = f.timers.Since(began)
+	}
+	return result, verdict
 }
 
 // handleError handles an attempt without an answer. timedOut reports whether the
@@ -386,7 +423,11 @@
 	if f.seams.Names.IsLeaving(h) && slot.MarkLeaving() {
 		f.log.WithField(logs.Endpoint, slot.Entry.ID).Info("endpoint leaves")
 	}
-	if load, found := f.seams.Names.ReadLoad(h); found {
+	load, found, err := f.seams.Names.ReadLoad(h)
+	if err != nil {
+		f.invalidLoads.Record(slot.Entry.ID, err)
+	}
+	if found {
 		slot.Report(load)
 	}
 	if left, found := headers.Millis(h, f.seams.Names.Cold); found && left > 0 {
@@ -404,6 +445,9 @@
 func (f *Forwarder) receive(ctx context.Context, call Call, slot *reservation, answer *exchange.Answer, attempt *attempt) (*Answer, error) {
 	result := &Answer{Status: answer.Status, Header: answer.Header, Endpoint: slot.Entry, cancel: attempt.cancel}
 	share := f.seams.Memory.Share()
+	if answer.Status >= http.StatusBadRequest {
+		slot.IgnoreTime() // an endpoint that fails fast must not count as fast
+	}
 	if call.Route.Kind != manifest.Stream || answer.Status >= http.StatusMultipleChoices {
 		body, err := share.ReadAll(answer, -1, MaxBufferedAnswer)
 		result.Body = body
@@ -422,6 +466,7 @@
 		}
 	}
 	attempt.clearLimit()
+	slot.IgnoreTime() // the caller decides how fast the answer is read
 	result.Rest = answer
 	result.close = func() {
 		answer.Close()
--- a/internal/training/runner/runner.go
+++ b/internal/training/runner/runner.go
@@ -75,11 +75,16 @@
 // Runner executes batches while it is active. It keeps track of them at all
 // times, so that it can start at once when it becomes active.
 type Runner struct {
-	seams    Seams
-	timers   *clock.Service
-	log      *logrus.Entry
-	calls    chan func(ctx context.Context) // executed by the goroutine of Run
-	counters counters
+	seams       Seams
+	timers      *clock.Service
+	log         *logrus.Entry
+	calls       chan func(ctx context.Context) // executed by the goroutine of Run
+	counters    counters
+	scoringTime scoringTime // used by all goroutines
+	// copyCounters count copied and recalled texts.
+	copyCounters copyCounters
+	// invalidLoads records load reports that cannot be parsed.
+	invalidLoads *headers.InvalidLoads
 
 	// The fields below are used only by the goroutine of Run.
 	active bool
@@ -91,7 +96,8 @@
 	jobs      []*job // in the order of acceptance
 	ended     map[string]bool
 	texts     *textCache
-	copied    map[string]copyState // what the standby has of each text, by text key
+	copied    map[string]standbyStates // what the standbys have of each text, by text key
+	copies    copyStatus               // of the copies that this worker received
 	reach     *reach.Detector
 	// activations counts how often the runner became active.
 	activations int
@@ -138,9 +144,9 @@
 		seams.Role = func() Role { return Role{Held: true} }
 	}
 	return &Runner{
-		counters: newCounters(seams.Meters),
+		counters: newCounters(seams.Meters), copyCounters: newCopyCounters(seams.Meters), invalidLoads: headers.NewInvalidLoads(seams.Meters, timers, log),
 		doneJobs: doneJobs, incompleteGroups: incompleteGroups, seams: seams, timers: timers, log: log, calls: make(chan func(context.Context), 64),
-		ended: map[string]bool{}, reach: reach.NewDetector(), texts: newTextCache(maxCachedTexts), copied: map[string]copyState{},
+		ended: map[string]bool{}, reach: reach.NewDetector(), texts: newTextCache(maxCachedTexts), copied: map[string]standbyStates{},
 	}
 }
 
