--- a/internal/peer/conn/status.go
+++ b/internal/peer/conn/status.go
@@ -48,7 +48,8 @@
 func invalidStatus(r *http.Response) error { return fmt.Errorf("%w: %q", ErrInvalidStatus, r.Status) }
 
 // CheckStatus returns a transport whose responses have a final status. Another one fails
-// with ErrInvalidStatus, and its body is closed unread, which closes the connection.
+// with ErrInvalidStatus, and its body is closed unread, which closes the connection. A
+// response without a body leaves it open; net/http closes it once unexpected bytes arrive.
 func CheckStatus(next *http.Transport) http.RoundTripper { return newStatusTransport(next) }
 
 func newStatusTransport(next *http.Transport) *statusTransport { return &statusTransport{next: next} }
