--- a/internal/peer/relay/route.go
+++ b/internal/peer/relay/route.go
@@ -48,12 +48,11 @@
 	// probersPerInterval is the number of processes that together probe once each
 	// in minProbeInterval. In a larger fleet each probes less often, at least once in
 	// maxProbeInterval, so that the calls of an outage do not grow with the fleet. The
-	// first process that finds the path restored tells the others.
-	probersPerInterval = 8
-	// isolatedProbers replaces it for a process that is cut off from other availability
-	// zones too, since only processes of its own zone could tell it.
-	isolatedProbers  = 24
-	maxProbeInterval = 10 * time.Second
+	// first process that finds the path restored tells the others. With 8 of them, a change
+	// of the manifest reached 58 processes up to 2 s later after an outage, beyond the time
+	// within which it must apply.
+	probersPerInterval = 24
+	maxProbeInterval   = 10 * time.Second
 	// resumeLimit is how long a watch may have taken until the direct path is restored
 	// to ask a host again. Later a silent host would delay it beyond the time that
 	// package mirror expects.
@@ -380,13 +379,9 @@
 // probeInterval returns the time between probes of the direct path: the shortest
 // one in a small fleet, and in proportion to the number of processes in a larger
 // one.
-func (r *Route) probeInterval(isolated bool) time.Duration {
-	probers := probersPerInterval
-	if isolated {
-		probers = isolatedProbers
-	}
+func (r *Route) probeInterval() time.Duration {
 	processes := 1 + len(r.seams.Peers())
-	interval := min(maxProbeInterval, minProbeInterval*time.Duration(max(probers, processes))/time.Duration(probers))
+	interval := min(maxProbeInterval, minProbeInterval*time.Duration(max(probersPerInterval, processes))/probersPerInterval)
 	return interval*3/4 + rand.N(interval/2)
 }
 
@@ -422,31 +417,11 @@
 
 // awaitProbe waits until the direct path is to be probed.
 func (r *Route) awaitProbe() {
-	isolation, isolated := r.isolationState()
-	timer := r.timers.After(r.probeInterval(isolated))
-	defer func() { timer.Stop() }()
-	for {
-		select {
-		case <-timer.C:
-			return
-		case <-r.probe:
-			_ = r.timers.Sleep(context.Background(), minForcedInterval/2+rand.N(minForcedInterval/2))
-			return
-		case <-isolation:
-			isolation = nil
-			timer.Stop()
-			timer = r.timers.After(r.probeInterval(true))
-		}
-	}
-}
-
-// isolationState returns a channel that is closed once the process is isolated, or nil
-// if it is so already.
-func (r *Route) isolationState() (isolation <-chan struct{}, isolated bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.isolated {
-		return nil, true
+	timer := r.timers.After(r.probeInterval())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-r.probe:
+		_ = r.timers.Sleep(context.Background(), minForcedInterval/2+rand.N(minForcedInterval/2))
 	}
-	return r.isolation, false
 }
