Prove that a host lives before it gets a watch after an outage

Cause: hosts that had answered that they do not reach the store were asked again as soon as it was back. TestHostLostDuringAnOutage failed before. Ruled out: the second call of a host while a watch waits for the direct path. Change: such a host is asked first for a call that does not wait; at most two of them, then the direct way.

--- a/internal/peer/relay/host.go
+++ b/internal/peer/relay/host.go
@@ -18,22 +18,32 @@
 	// asked. The time doubles with each consecutive failure.
 	minHostBackoff = 2 * time.Second
 	maxHostBackoff = 30 * time.Second
+	// maxFailedProofs is how many more hosts one call tries of those that are asked again
+	// after an outage. Each that was lost costs FollowerSlack.
+	maxFailedProofs = 1
 )
 
 // hostBackoff is the state of a host that failed: it is not asked before until.
 // delay is the length of the current backoff. noStore reports that the host answered,
-// but did not reach the store.
+// but did not reach the store; resumed, that the backoff ended for that reason and the
+// host has not answered since.
 type hostBackoff struct {
-	until   time.Time
-	delay   time.Duration
-	noStore bool
+	until            time.Time
+	delay            time.Duration
+	noStore, resumed bool
 }
 
 // callHost lets a host make a watch or shared call, so that equal ones of many
 // processes cost one call to the store. It reports whether the host answered or failed;
 // both are false if there is no host to ask or ctx has ended.
 func (r *Route) callHost(ctx context.Context, call Call) (reply Reply, served, failed bool) {
-	address := r.availableHost()
+	address, resumed := r.availableHost()
+	for proofs := 0; resumed && !r.proveHost(ctx, address); proofs++ {
+		if ctx.Err() != nil || proofs == maxFailedProofs {
+			return Reply{}, false, ctx.Err() == nil
+		}
+		address, resumed = r.availableHost()
+	}
 	if address == "" {
 		return Reply{}, false, false
 	}
@@ -47,17 +57,41 @@
 	if ctx.Err() != nil {
 		return Reply{}, false, false
 	}
+	if r.noteHost(address, reply, err) {
+		return reply, true, false
+	}
+	return Reply{}, false, true
+}
+
+// noteHost notes the reply or error of a host, and reports whether it served the call.
+func (r *Route) noteHost(address string, reply Reply, err error) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err == nil && !reply.refused() {
 		delete(r.hostBackoffs, address)
-		return reply, true, false
+		return true
 	}
 	delay := min(maxHostBackoff, max(minHostBackoff, 2*r.hostBackoffs[address].delay))
 	r.hostBackoffs[address] = hostBackoff{
 		until: r.timers.Now().Add(delay), delay: delay, noStore: err == nil || errors.Is(err, errPeerNoStore),
 	}
-	return Reply{}, false, true
+	return false
+}
+
+// proveHost reports whether a host that answered during an outage still answers a call
+// that does not wait, also if it does not reach the store yet. The host may have been lost
+// meanwhile, and a watch would wait for it until its time is up while the changes of the
+// outage are not known.
+func (r *Route) proveHost(ctx context.Context, address string) bool {
+	limited, cancel := context.WithTimeout(ctx, FollowerSlack)
+	defer cancel()
+	probe := r.seams.Probe
+	probe.Shared = true
+	reply, err := r.seams.Ask(limited, address, probe, FollowerSlack)
+	if errors.Is(err, errPeerNoStore) || err == nil && reply.refused() {
+		return true
+	}
+	return ctx.Err() == nil && r.noteHost(address, reply, err)
 }
 
 // resumeHosts ends the backoffs of hosts that did not reach the store. Without it, all
@@ -66,7 +100,7 @@
 func (r *Route) resumeHosts() {
 	for address, backoff := range r.hostBackoffs {
 		if backoff.noStore {
-			delete(r.hostBackoffs, address)
+			r.hostBackoffs[address] = hostBackoff{resumed: true}
 		}
 	}
 }
@@ -109,17 +143,18 @@
 	close(check.finished)
 }
 
-// availableHost returns the first of the hosts that is not in backoff, or "".
-func (r *Route) availableHost() string {
+// availableHost returns the first of the hosts that is not in backoff, or "", and whether
+// it has not answered since an outage.
+func (r *Route) availableHost() (address string, resumed bool) {
 	if r.seams.Hosts == nil {
-		return ""
+		return "", false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, address := range r.seams.Hosts() {
-		if !r.timers.Now().Before(r.hostBackoffs[address].until) {
-			return address
+		if backoff := r.hostBackoffs[address]; !r.timers.Now().Before(backoff.until) {
+			return address, backoff.resumed
 		}
 	}
-	return ""
+	return "", false
 }
