Release a slot with the queue locked

Cause: a request that ended released its slot and then told the queue. While the queue was still looking for a request to start, it had found no slot for the account that is first, and then found the released one for another account. Ruled out: the clock of the test (it stands still), retries. Change: the slot is released by the queue; shares follow the virtual time.

--- a/internal/traffic/forward/reservation.go
+++ b/internal/traffic/forward/reservation.go
@@ -44,8 +44,7 @@
 
 // Done releases the slot and lets the next waiting request run.
 func (r *reservation) Done(outcome replica.Outcome) {
-	r.Slot.Done(outcome)
-	r.turn.Done()
+	r.turn.DoneAfter(func() { r.Slot.Done(outcome) })
 }
 
 // reserve waits for a slot at an endpoint that the request was not sent to yet.
@@ -108,7 +107,7 @@
 	case held:
 		f.background.Add("waited", 1)
 	default:
-		f.background.Add("at once", 1)
+		f.background.Add("immediate", 1)
 	}
 }
 
--- a/internal/traffic/queue/queue.go
+++ b/internal/traffic/queue/queue.go
@@ -71,8 +71,9 @@
 	// Front queues the request before the others of its account. It is meant for
 	// requests that have already run in part.
 	Front bool
-	// Urgent is set for background requests: until then the request may wait for
-	// headroom, and is not refused for its expected wait. The background requests of
+	// Urgent is set for background requests, which must not share an account and model
+	// with others: one that waits at the head of its flow delays those behind it. Until
+	// then the request may wait for headroom, and is not refused for its expected wait. The background requests of
 	// an account start in the order of it.
 	Urgent time.Time
 	// Check is called right before the request is started. If it returns an
@@ -413,10 +414,11 @@
 	}
 }
 
-// candidate is a flow whose first request may start.
+// candidate is a flow whose first request may start. Slots is what its account occupies
+// relative to its weight.
 type candidate struct {
 	flow  *flow
-	share float64
+	slots float64
 }
 
 // dispatch starts waiting requests in fair order until none can start.
@@ -424,14 +426,14 @@
 	candidates := q.candidates[:0]
 	for _, f := range m.flows {
 		if len(f.waiting) > 0 {
-			candidates = append(candidates, candidate{f, q.share(m, f)})
+			candidates = append(candidates, candidate{f, q.slots(f)})
 		}
 	}
 	for len(candidates) > 0 {
-		at := first(candidates)
+		at := m.first(candidates)
 		f := candidates[at].flow
 		if q.startHead(m, f) && len(f.waiting) > 0 {
-			candidates[at].share = q.share(m, f)
+			candidates[at].slots = q.slots(f)
 			continue
 		}
 		candidates[at] = candidates[len(candidates)-1]
@@ -441,32 +443,38 @@
 }
 
 // first returns the position of the flow with the lowest share.
-func first(candidates []candidate) int {
-	best := 0
-	for i, c := range candidates {
-		if b := candidates[best]; c.share < b.share || (c.share == b.share && earlier(c.flow, b.flow)) {
-			best = i
+func (m *model) first(candidates []candidate) int {
+	best, lowest := 0, m.share(candidates[0])
+	for i, c := range candidates[1:] {
+		share := m.share(c)
+		if share < lowest || (share == lowest && earlier(c.flow, candidates[best].flow)) {
+			best, lowest = i+1, share
 		}
 	}
 	return best
 }
 
-// share returns the work that the account receives, relative to its weight and in slots
-// that it occupies all the time: its running requests here, those on other instances, and
-// what it received lately beyond the account that received least. It compares slots
-// instead of the cost in flight: each unit of cost occupies a slot for about the same time,
-// so equal slots give equal cost per second, whereas equal cost in flight would give an
-// account with large requests fewer slots. Peers that report running cost are converted to
-// slots by the account's mean cost per request.
-func (q *Queue) share(m *model, f *flow) float64 {
+// share returns the work that an account receives, relative to its weight and in slots
+// that it occupies all the time: the slots in use, and what it received lately beyond the
+// account that received least. It changes with each start, which raises virtualTime.
+func (m *model) share(c candidate) float64 {
+	ahead := max(0, c.flow.received-m.virtualTime) * m.secondsPerCost / memory.Seconds()
+	return c.slots + ahead
+}
+
+// slots returns the slots that the account's requests occupy here and on other instances,
+// relative to its weight. It compares slots instead of the cost in flight: each unit of
+// cost occupies a slot for about the same time, so equal slots give equal cost per second,
+// whereas equal cost in flight would give an account with large requests fewer slots. Peers
+// that report running cost are converted to slots by the account's mean cost per request.
+func (q *Queue) slots(f *flow) float64 {
 	slots, mean := q.seams.RemoteSlots(f.account), float64(max(f.waiting[0].item.Cost, 1))
 	if a, known := q.accounts[f.account]; known && a.running > 0 {
 		slots += float64(a.running)
 		mean = float64(max(a.cost, 1)) / float64(a.running)
 	}
 	slots += float64(q.seams.RemoteCost(f.account)) / mean
-	ahead := max(0, f.received-m.virtualTime) * m.secondsPerCost / memory.Seconds()
-	return slots/f.weight + ahead
+	return slots / f.weight
 }
 
 func earlier(a, b *flow) bool {
@@ -511,11 +519,17 @@
 
 // Done ends the turn and starts the next requests. The slot must have been
 // released before.
-func (t *Turn) Done() { t.once.Do(func() { t.queue.done(t) }) }
+func (t *Turn) Done() { t.DoneAfter(func() {}) }
+
+// DoneAfter is Done after a function that releases the slot, which must not block or call
+// the queue. It is called with the queue locked: a slot that is released while the queue
+// looks for the next request would go to an account that is not the first in order.
+func (t *Turn) DoneAfter(release func()) { t.once.Do(func() { t.queue.done(t, release) }) }
 
-func (q *Queue) done(t *Turn) {
+func (q *Queue) done(t *Turn, release func()) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	release()
 	m, a := q.model(t.item.Model), q.account(t.item.Account)
 	now := q.timers.Now()
 	held := now.Sub(t.start)
