--- a/internal/fleet/replica/pick.go
+++ b/internal/fleet/replica/pick.go
@@ -151,15 +151,16 @@
 		uneven = uneven || c.pace != 1
 		f.candidates = append(f.candidates, c)
 	}
+	penalty := zonePenalty
+	if uneven {
+		penalty = unevenZonePenalty
+	}
 	work, fastest := f.model(want.Service).Relative(want.Class), f.fastest(want.Service, now)
 	for i := range f.candidates {
 		c := &f.candidates[i]
 		c.score = f.score(c, work, fastest, now)
 		if f.remote(c.state) {
-			c.score += zonePenalty
-			if uneven {
-				c.score += unevenZonePenalty - zonePenalty
-			}
+			c.score += penalty
 		}
 		if want.Preferred != "" && c.state.ID == want.Preferred {
 			c.score -= preferredBonus
--- a/internal/traffic/dispatch/inflight.go
+++ b/internal/traffic/dispatch/inflight.go
@@ -64,7 +64,10 @@
 func (f *inflight) running(endpoint string) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.get(endpoint).running
+	if s, known := f.endpoints[endpoint]; known {
+		return s.running
+	}
+	return 0
 }
 
 // load estimates the endpoint's current load relative to its limit, when the
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -98,9 +98,8 @@
 	Body         []byte
 	Rest         io.Reader
 	Endpoint     replica.Entry
-	ServerErrors int           // answers with status 500 that the call got, including this one
-	Attempts     int           // endpoints that may have run the request
-	Took         time.Duration // time of the attempt that gave the answer, until Body was read
+	ServerErrors int // answers with status 500 that the call got, including this one
+	Attempts     int // endpoints that may have run the request
 	close        func()
 	cancel       context.CancelCauseFunc
 }
@@ -300,7 +299,6 @@
 		left = min(left, call.Deadline.Sub(call.Urgent))
 	}
 	limit := left
-	began := f.timers.Now()
 	if call.Route.Repeatable() && call.Route.Kind == manifest.Idempotent && p.runs+1 < call.Route.Attempts {
 		limit = min(left, max(minAttemptTime, time.Duration(attemptShare*float64(left))))
 	}
@@ -317,11 +315,7 @@
 		attempt.release()
 		return nil, f.handleError(ctx, call, slot, p, err, timedOut)
 	}
-	result, verdict := f.handleAnswer(ctx, call, slot, p, answer, attempt)
-	if result != nil {
-		result.Took = f.timers.Since(began)
-	}
-	return result, verdict
+	return f.handleAnswer(ctx, call, slot, p, answer, attempt)
 }
 
 // handleError handles an attempt without an answer. timedOut reports whether the
--- a/internal/training/runner/runner.go
+++ b/internal/training/runner/runner.go
@@ -75,12 +75,11 @@
 // Runner executes batches while it is active. It keeps track of them at all
 // times, so that it can start at once when it becomes active.
 type Runner struct {
-	seams       Seams
-	timers      *clock.Service
-	log         *logrus.Entry
-	calls       chan func(ctx context.Context) // executed by the goroutine of Run
-	counters    counters
-	scoringTime scoringTime // used by all goroutines
+	seams    Seams
+	timers   *clock.Service
+	log      *logrus.Entry
+	calls    chan func(ctx context.Context) // executed by the goroutine of Run
+	counters counters
 	// copyCounters count copied and recalled texts.
 	copyCounters copyCounters
 	// invalidLoads records load reports that cannot be parsed.
--- a/internal/training/runner/scoring.go
+++ b/internal/training/runner/scoring.go
@@ -1,12 +1,12 @@
 package runner
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -67,10 +67,11 @@
 	if !found {
 		return nil, errors.New("no route for the scoring call")
 	}
-	names, now := r.seams.Names, r.timers.Now()
-	urgent := share.Limit(now, due, r.scoringTime.usual(route.TargetLatency), rand.Float64())
+	names, service := r.seams.Names, route.SelectService(rand.Float64())
+	usual := cmp.Or(r.seams.Forwarder.Work(asIdempotent(route), service), route.TargetLatency)
+	urgent := share.Limit(r.timers.Now(), due, usual, rand.Float64())
 	answer, err := r.seams.Forwarder.Send(ctx, forward.Call{
-		ID: reward.ID, Route: asIdempotent(route), Service: route.SelectService(rand.Float64()),
+		ID: reward.ID, Route: asIdempotent(route), Service: service,
 		Urgent: urgent, Deadline: urgent.Add(scoringTimeout),
 		Request: exchange.Request{
 			Method: http.MethodPost, Path: path, Query: query, Host: reward.Host, Body: reward.Body,
@@ -81,9 +82,6 @@
 		return nil, err
 	}
 	defer answer.Close()
-	if answer.Status < http.StatusBadRequest {
-		r.scoringTime.observe(answer.Took) // a scorer that fails fast is not a fast one
-	}
 	if answer.Rest != nil {
 		answer.Abort()
 		return nil, errLongScoringAnswer
@@ -91,30 +89,6 @@
 	return answer, nil
 }
 
-// scoringTimeWeight is the weight of a new measurement in the moving average.
-const scoringTimeWeight = 0.1
-
-// scoringTime is the moving average of how long scoring calls take at their endpoints.
-type scoringTime struct{ nanoseconds atomic.Int64 }
-
-// usual returns the average, or unknown while nothing was measured.
-func (s *scoringTime) usual(unknown time.Duration) time.Duration {
-	if average := s.nanoseconds.Load(); average > 0 {
-		return time.Duration(average)
-	}
-	return unknown
-}
-
-// observe records a measurement. It is dropped if another one is recorded meanwhile.
-func (s *scoringTime) observe(took time.Duration) {
-	known := s.nanoseconds.Load()
-	next := int64(took)
-	if known > 0 {
-		next = known + int64(scoringTimeWeight*float64(int64(took)-known))
-	}
-	s.nanoseconds.CompareAndSwap(known, next)
-}
-
 // errLongScoringAnswer is returned for a scoring answer that was not read to its
 // end. Its stamp alone does not prove that the scoring was completed.
 var errLongScoringAnswer = errors.New("the answer to the scoring call is too long")
