Release slots with the queue locked in the stand-alone instance too

Change: both release within the turn. Measured: dispatch, entry and queue pass with the race detector.

--- a/internal/traffic/dispatch/forward.go
+++ b/internal/traffic/dispatch/forward.go
@@ -140,8 +140,9 @@
 	began := f.d.timers.Now()
 	end := func(failed bool) time.Duration {
 		took := f.d.timers.Since(began)
-		chosen.slot.Release(Outcome{FirstToken: took, Took: took, Failed: failed, Cost: max(took.Milliseconds(), 1)})
-		turn.Done()
+		turn.DoneAfter(func() {
+			chosen.slot.Release(Outcome{FirstToken: took, Took: took, Failed: failed, Cost: max(took.Milliseconds(), 1)})
+		})
 		return took
 	}
 	answer, err := f.send(ctx, chosen)
--- a/internal/traffic/dispatch/generate.go
+++ b/internal/traffic/dispatch/generate.go
@@ -156,7 +156,7 @@
 	}
 	defer leave()
 	g.occupiedEndpoint = ""
-	return chosen, g.runInSlot(ctx, chosen)
+	return chosen, g.runInSlot(ctx, turn, chosen)
 }
 
 // suspectPause is the minimum time between the crash of a request's engine and
@@ -225,7 +225,7 @@
 
 // runInSlot runs up to two attempts on one endpoint in one slot. The second one
 // uses a new connection and follows when the first connection went silent.
-func (g *generation) runInSlot(ctx context.Context, chosen pickResult) error {
+func (g *generation) runInSlot(ctx context.Context, turn *queue.Turn, chosen pickResult) error {
 	began := g.d.timers.Now()
 	before := g.result.Tokens
 	g.firstToken = 0
@@ -235,9 +235,11 @@
 		g.d.counts.retried.Add(g.job.Account, 1)
 		err = g.attempt(ctx, chosen)
 	}
-	chosen.slot.Release(Outcome{
-		FirstToken: g.firstToken, Took: g.d.timers.Since(began), Failed: endpointFault(err),
-		Cost: generationCost(g.job.Prompt, g.result.Tokens-before),
+	turn.DoneAfter(func() {
+		chosen.slot.Release(Outcome{
+			FirstToken: g.firstToken, Took: g.d.timers.Since(began), Failed: endpointFault(err),
+			Cost: generationCost(g.job.Prompt, g.result.Tokens-before),
+		})
 	})
 	if err == nil {
 		g.result.Endpoint = chosen.endpoint.ID
