Test the lease's client by its connections, and share a simulation

Cause: the test of the lease's client looked at a transport and not at what the client does; the simulation of an endpoint stood twice in the tests of fleet/replica. Measured: with connections kept, the test of the client fails (2 connections, want 3).

--- a/internal/control/lease/lease_test.go
+++ b/internal/control/lease/lease_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -327,7 +328,14 @@
 	c := newContest(t)
 	c.advance(time.Second, 0)
 	l := c.leases[0]
-	server := httptest.NewServer(&receiver{})
+	var connections atomic.Int64
+	server := httptest.NewUnstartedServer(&receiver{})
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			connections.Add(1)
+		}
+	}
+	server.Start()
 	defer server.Close()
 	conn, err := l.dial(context.Background(), "tcp", server.Listener.Addr().String())
 	if err != nil {
@@ -337,8 +345,16 @@
 	if got := userTimeout(t, conn.(*guardedConn).Conn.(*net.TCPConn)); got != 2000 {
 		t.Errorf("TCP_USER_TIMEOUT is %d ms, want the drain bound of 2000 ms", got)
 	}
-	if !l.newTransport().DisableKeepAlives {
-		t.Error("connections are reused")
+	for range 2 {
+		answer, err := l.client.Get(server.URL)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, answer.Body)
+		_ = answer.Body.Close()
+	}
+	if n := connections.Load(); n != 3 {
+		t.Errorf("%d connections for one dial and two orders, want 3: connections are reused", n)
 	}
 }
 
--- a/internal/fleet/replica/background_test.go
+++ b/internal/fleet/replica/background_test.go
@@ -54,30 +54,8 @@
 			done(outcome == Answered)
 		})
 	}
-	run := func() {
-		e.running++
-		m.after(time.Duration(float64(e.slowness*work)*(0.5+m.rng.Float64())), func() {
-			e.running--
-			finish(Answered)
-			if e.waiting > 0 {
-				next := e.queue[0]
-				e.queue = e.queue[1:]
-				e.waiting--
-				next()
-			}
-		})
-	}
-	m.after(simLatency, func() {
-		switch {
-		case e.running < simSlots:
-			run()
-		case e.waiting < simQueue:
-			e.waiting++
-			e.queue = append(e.queue, run)
-		default:
-			finish(Rejected)
-		}
-	})
+	running := func() time.Duration { return time.Duration(float64(e.slowness*work) * (0.5 + m.rng.Float64())) }
+	m.occupy(e, simLatency, running, finish)
 }
 
 // request simulates an interactive request that waits unsent for a short time at most.
--- a/internal/fleet/replica/overload_test.go
+++ b/internal/fleet/replica/overload_test.go
@@ -139,9 +139,16 @@
 			}
 		})
 	}
+	o.occupy(e, latency, func() time.Duration { return e.workTime(o.now, 0.5+o.rng.Float64()) }, finish)
+}
+
+// occupy simulates a request at an endpoint, where it arrives after latency. It waits while
+// all slots are in use, and is rejected if the queue is full. work returns the time that it
+// runs, when it starts.
+func (o *overloadSim) occupy(e *simEndpoint, latency time.Duration, work func() time.Duration, finish func(Outcome)) {
 	run := func() {
 		e.running++
-		o.after(e.workTime(o.now, 0.5+o.rng.Float64()), func() {
+		o.after(work(), func() {
 			e.running--
 			finish(Answered)
 			if e.waiting > 0 {
