--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -37,6 +37,7 @@
 	command              *exec.Cmd
 	done                 chan struct{}
 	expected             bool
+	peak                 int // largest memory seen, in MB
 }
 
 // world is one run of a case: the programs, the stand-ins and what was seen.
@@ -229,7 +230,7 @@
 		"nodeName": p.name, "role": p.role, "machineClass": class, "serves": []string{serves}, "ip": p.ip, "zone": p.zone, "region": "one",
 		"zones":  map[string]string{"zone-a": "one", "zone-b": "one", "zone-c": "one"},
 		"listen": listen, "portRange": []int{firstPort, lastPort}, "seeds": []string{}, "bootstrap": true, "lossCounts": p.role == "worker",
-		"limits":  map[string]any{"cpuShare": 0.4, "cores": 1, "memoryMb": 284, "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 0},
+		"limits":  map[string]any{"cpuShare": 0.4, "cores": 1, "memoryMb": memoryMb, "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 0},
 		"dataDir": nil, "discovery": "platform", "entry": "vip", "heartbeatMs": 1200,
 		"contracts":      []string{"base", "drain", "config", "cost", "recover", "samples", "stream", "engine", "batch", "tenants", "leader", "places", "platform"},
 		"faultTolerance": map[string]int{"machines": 1, "zones": 1, "regions": 0},
