--- a/review/standin-2/crowd.go
+++ b/review/standin-2/crowd.go
@@ -16,7 +16,10 @@
 func init() { cases["crowd"] = playCrowd }
 
 const (
-	memoryMb      = 284 // limits.memoryMb of the settings
+	// limits.memoryMb of the settings
+	entryMemoryMb  = 284
+	workerMemoryMb = 314
+
 	crowdSize     = 1600
 	crowdTargets  = 2
 	headBytes     = 16_000 // of a request; maxHeaderBytes is 16,384
@@ -58,6 +61,11 @@
 	time.Sleep(crowdFor)
 	close(stop)
 	all.Wait()
+	w.judgeEnds(ends)
+}
+
+// judgeEnds checks rule Fault: how often processes used more than their memory.
+func (w *world) judgeEnds(ends map[string]int) {
 	machines := 0
 	for _, p := range w.processes {
 		w.note("%s: ended %d times, peak %d MB", p.name, ends[p.name], p.peak)
@@ -66,7 +74,7 @@
 		}
 	}
 	if machines >= faultMachines {
-		w.broke("Fault: on %d machines a process used more than %d MB and was ended %d times or more: %v", machines, memoryMb, faultEnds, ends)
+		w.broke("Fault: on %d machines a process used more than its memory and was ended %d times or more: %v", machines, faultEnds, ends)
 	}
 }
 
@@ -82,11 +90,11 @@
 		}
 		used := residentMb(p.command.Process.Pid)
 		p.peak = max(p.peak, used)
-		if used <= memoryMb {
+		if used <= p.memory() {
 			continue
 		}
 		ends++
-		w.note("%s uses %d MB of %d and is ended", p.name, used, memoryMb)
+		w.note("%s uses %d MB of %d and is ended", p.name, used, p.memory())
 		p.restart(syscall.SIGKILL, restartPause)
 	}
 }
--- a/review/standin-2/replica.go
+++ b/review/standin-2/replica.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -38,6 +39,7 @@
 	address, registered string
 	events              int // of a complete output
 	pause               time.Duration
+	eventBytes          int // of the data of an event, at least
 
 	mu       sync.Mutex
 	id       string
@@ -207,6 +209,12 @@
 	return e.versions[model]
 }
 
+// data returns the data of an event, filled up to the size that the case asks for.
+func (e *replica) data(id string, n int) string {
+	text := eventData(id, n)
+	return text + strings.Repeat(".", max(0, e.eventBytes-len(text)))
+}
+
 // generate streams the events of an output after Last-Event-Id, and reports whether it came to the end.
 func (e *replica) generate(ctx context.Context, w http.ResponseWriter, r *http.Request) bool {
 	id, model := r.Header.Get("Request-Id"), r.Header.Get("Model")
@@ -228,7 +236,7 @@
 		if now := e.version(model); now != version {
 			version, change = now, fmt.Sprintf("weight-versions: %d\n", now)
 		}
-		if _, err := fmt.Fprintf(w, "%sid: %d\ndata: %s\n\n", change, n, eventData(id, n)); err != nil {
+		if _, err := fmt.Fprintf(w, "%sid: %d\ndata: %s\n\n", change, n, e.data(id, n)); err != nil {
 			return false
 		}
 		_ = control.Flush()
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -219,6 +219,14 @@
 	return p.writeSettings()
 }
 
+// memory returns the memory of the machine in MB, as on the site.
+func (p *process) memory() int {
+	if p.role == "worker" {
+		return workerMemoryMb
+	}
+	return entryMemoryMb
+}
+
 func (p *process) writeSettings() error {
 	class, serves, listen := "edge", "edge", map[string]any{
 		"front": fmt.Sprintf("%s:%d", p.ip, frontPort), "readiness": fmt.Sprintf("%s:%d", p.ip, readyPort), "control": fmt.Sprintf("%s:%d", p.ip, 8407),
@@ -230,7 +238,7 @@
 		"nodeName": p.name, "role": p.role, "machineClass": class, "serves": []string{serves}, "ip": p.ip, "zone": p.zone, "region": "one",
 		"zones":  map[string]string{"zone-a": "one", "zone-b": "one", "zone-c": "one"},
 		"listen": listen, "portRange": []int{firstPort, lastPort}, "seeds": []string{}, "bootstrap": true, "lossCounts": p.role == "worker",
-		"limits":  map[string]any{"cpuShare": 0.4, "cores": 1, "memoryMb": memoryMb, "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 0},
+		"limits":  map[string]any{"cpuShare": 0.4, "cores": 1, "memoryMb": p.memory(), "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 0},
 		"dataDir": nil, "discovery": "platform", "entry": "vip", "heartbeatMs": 1200,
 		"contracts":      []string{"base", "drain", "config", "cost", "recover", "samples", "stream", "engine", "batch", "tenants", "leader", "places", "platform"},
 		"faultTolerance": map[string]int{"machines": 1, "zones": 1, "regions": 0},
@@ -381,12 +389,13 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	out := strings.Join(w.lines, "\n") + "\n\nrequests at replicas\n"
+	var out strings.Builder
+	out.WriteString(strings.Join(w.lines, "\n") + "\n\nrequests at replicas\n")
 	sort.Slice(w.runs, func(i, j int) bool { return w.runs[i].at.Before(w.runs[j].at) })
 	for _, r := range w.runs {
-		out += fmt.Sprintf("%8.3f  %s %s%s at %s (%s) tenant %q after %q: %s\n", r.at.Sub(w.began).Seconds(), r.id, r.host, r.path, r.replica, r.zone, r.account, r.from, r.outcome)
+		fmt.Fprintf(&out, "%8.3f  %s %s%s at %s (%s) tenant %q after %q: %s\n", r.at.Sub(w.began).Seconds(), r.id, r.host, r.path, r.replica, r.zone, r.account, r.from, r.outcome)
 	}
-	if err := os.WriteFile(record, []byte(out), 0o644); err != nil {
+	if err := os.WriteFile(record, []byte(out.String()), 0o644); err != nil {
 		fmt.Println(err)
 	}
 	if os.Getenv("KEEP") == "" {
