--- a/internal/base/codec/split.go
+++ b/internal/base/codec/split.go
@@ -49,17 +49,28 @@
 // SplitArray returns the elements of a JSON array. They are not checked. Null has no
 // elements.
 func SplitArray(text []byte) ([]json.RawMessage, error) {
+	var elements []json.RawMessage
+	err := EachElement(text, func(value json.RawMessage) error {
+		elements = append(elements, value)
+		return nil
+	})
+	return elements, err
+}
+
+// EachElement calls onElement for each element of a JSON array, until it returns an
+// error. The elements are not checked. Null has no elements.
+func EachElement(text []byte, onElement func(value json.RawMessage) error) error {
 	if len(text) == 0 || string(text) == "null" {
-		return nil, nil
+		return nil
 	}
-	var elements []json.RawMessage
 	s := &splitter{text: text}
-	err := s.split('[', ']', func() error {
+	return s.split('[', ']', func() error {
 		value, err := s.value()
-		elements = append(elements, value)
-		return err
+		if err != nil {
+			return err
+		}
+		return onElement(value)
 	})
-	return elements, err
 }
 
 // split calls next for each of the parts between two brackets.
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -60,12 +60,14 @@
 	// unreadyTime is how long the process serves on while it is not ready, so
 	// that the load balancer can notice.
 	unreadyTime = 3 * time.Second
-	// requestShare, responseShare and connectionShare are the shares of the
-	// memory limit for request bodies, buffered responses and the connections
-	// of callers. The rest is for the process itself.
+	// requestShare, responseShare, connectionShare and batchShare are the shares of
+	// the memory limit for request bodies, buffered responses, the connections of
+	// callers, and batches and results that callers read. The rest is for the process
+	// itself.
 	requestShare    = 0.15
 	responseShare   = 0.15
 	connectionShare = 0.2
+	batchShare      = 0.2
 	// connectionBytes is the memory that one open connection takes: buffers and
 	// a goroutine.
 	connectionBytes = 24 << 10
@@ -136,7 +138,7 @@
 	workers := runner.NewWorkers(deps.Workers)
 	reader := batch.NewReader(batch.ReaderSeams{
 		Store: batches, Find: workers.Find, Follow: workers.Follow, Meters: deps.Meters,
-		Retention: p.ResultRetention, Settle: p.Settle,
+		Retention: p.ResultRetention, Settle: p.Settle, Memory: int64(batchShare * memoryLimit),
 	}, timers, log)
 	f := front.New(front.Seams{
 		Manifest: v.Manifest, Ready: func() bool { return v.Synced() && !deps.Isolated() }, Outage: deps.Outage,
--- a/internal/node/worker/worker.go
+++ b/internal/node/worker/worker.go
@@ -123,7 +123,7 @@
 		Store: w.batches, Fleet: fleet, Pool: pool, Names: deps.Names,
 		Forwarder: forward.New(forward.Seams{Fleet: fleet, Pool: pool, Names: deps.Names, Meters: deps.Meters}, timers, log),
 		Manifest:  w.view.Manifest, ValueBytes: p.MaxValueBytes, Meters: deps.Meters,
-		OnBatch: demand.Add, Role: w.role,
+		OnBatch: demand.Add, Role: w.role, Memory: p.MemoryBytes,
 	}, timers, log)
 	w.reporter = window.NewReporter(w.store, window.Options{
 		Length: p.Window, Due: p.MaxReportDelay, Encode: w.duties.EncodeUsage, Send: w.duties.SendUsage,
@@ -238,7 +238,7 @@
 	batches.Run(ctx)
 }
 
-// readBatch reads a batch with all its items. It retries while the store is
+// readBatch decodes a batch, without the items of its parts. It retries while the store is
 // unreachable, and returns nil for an invalid record or when ctx ends.
 func (w *Worker) readBatch(ctx context.Context, record records.Record) *batch.Batch {
 	for ctx.Err() == nil {
--- a/internal/traffic/front/batches.go
+++ b/internal/traffic/front/batches.go
@@ -149,7 +149,7 @@
 	case ReadResults:
 		return f.serveResults(ctx, w, q, b, wait)
 	case ReadItem:
-		f.serveItem(w, q, b)
+		return f.serveItem(ctx, w, q, b)
 	case EndBatch:
 		f.endBatch(ctx, w, q)
 	case NoBatch, Resubmit:
@@ -183,7 +183,7 @@
 		results = f.seams.Reader.Known(b, after) // another call may have read some meanwhile
 	}
 	results = limitResults(results)
-	body, err := f.seams.API.Encode(len(b.Items), after+len(results), results)
+	body, err := f.seams.API.Encode(b.Count, after+len(results), results)
 	if err != nil {
 		f.refuse(w, q, code.New(code.Internal, "%s", err).WithRun(code.NotRun))
 		return true
@@ -212,18 +212,33 @@
 	return results
 }
 
-func (f *Front) serveItem(w http.ResponseWriter, q *callerRequest, b *batch.Batch) {
+// serveItem answers with the body of an item. It reports false if the batch may have been
+// removed and the proof of that is too old.
+func (f *Front) serveItem(ctx context.Context, w http.ResponseWriter, q *callerRequest, b *batch.Batch) bool {
 	query, err := url.ParseQuery(q.query)
-	item, found := b.Item(query.Get("id"))
-	if err != nil || !found {
-		f.refuse(w, q, code.New(code.MissingObject, "no such item").WithRun(code.NotRun))
-		return
+	if err != nil {
+		f.refuse(w, q, errNoItem())
+		return true
+	}
+	item, found, err := f.seams.Reader.Item(ctx, b, query.Get("id"))
+	if err != nil {
+		return f.refuseBatch(ctx, w, q, err, readError(ctx, err))
+	}
+	if !found {
+		f.refuse(w, q, errNoItem())
+		return true
 	}
 	f.recordServed(q, http.StatusOK)
 	w.Header()["Content-Type"] = []string{"application/octet-stream"}
 	w.Header().Set("Content-Length", strconv.Itoa(len(item.Body)))
 	w.WriteHeader(http.StatusOK)
 	_, _ = w.Write(item.Body) // fails only if the caller is gone
+	return true
+}
+
+// errNoItem is the refusal of a read of an item that its batch does not have.
+func errNoItem() error {
+	return code.New(code.MissingObject, "no such item").WithRun(code.NotRun)
 }
 
 func (f *Front) endBatch(ctx context.Context, w http.ResponseWriter, q *callerRequest) {
--- a/internal/training/batch/batch.go
+++ b/internal/training/batch/batch.go
@@ -16,6 +16,12 @@
 // into the record of the batch are stored in kind "parts" under "ID.NUMBER".
 // Parts are written before the batch, so that a stored batch is complete.
 //
+// # Memory
+//
+// A batch may have more items than a process can hold. Its items are encoded one after the
+// other when it is accepted, and read in pieces (ReadItems). The head of a batch is the
+// batch without its items.
+//
 // # Results
 //
 // A position that one reader was told is there for all later reads. The pages in the
@@ -75,7 +81,8 @@
 // Batch is one submission of a trainer. MinVersion is the lowest weight version
 // that may generate its tokens. WantedGroups is the number of complete groups
 // that the trainer waits for. Routes are those of its acceptance; a batch that an
-// earlier release accepted has none.
+// earlier release accepted has none. Count is the number of all items, of which Items may
+// hold some or none.
 type Batch struct {
 	ID           string    `json:"id"`
 	Account      string    `json:"account"`
@@ -89,8 +96,19 @@
 	Routes       Routes    `json:"routes,omitempty"`
 	Items        []Item    `json:"items"`
 	Parts        int       `json:"parts,omitempty"` // number of records with further items
+	Count        int       `json:"count,omitempty"`
+}
+
+// Head returns a copy of the batch without its items.
+func (b *Batch) Head() *Batch {
+	head := *b
+	head.Items = nil
+	return &head
 }
 
+// Whole reports whether Items holds all items of the batch.
+func (b *Batch) Whole() bool { return len(b.Items) == b.Count }
+
 // Item returns the item with this id.
 func (b *Batch) Item(id string) (Item, bool) {
 	for _, item := range b.Items {
@@ -151,14 +169,20 @@
 	return &Store{store: store, limit: int(maxItemFraction * float64(valueBytes)), ended: ended}
 }
 
-// Accept stores the batch durably. It is idempotent: a batch that was accepted
-// before stays unchanged. It returns errors of the store, or ErrOtherAccount.
+// Accept stores the batch durably, with the items of Items. It is idempotent: a batch
+// that was accepted before stays unchanged. It returns errors of the store, or
+// ErrOtherAccount.
 func (s *Store) Accept(ctx context.Context, b *Batch) error {
-	parts, err := splitItems(b.Items, s.limit)
+	items, err := s.Encode(b.each(), 0)
 	if err != nil {
 		return err
 	}
-	for number, part := range parts[1:] {
+	return s.AcceptEncoded(ctx, b, items)
+}
+
+// AcceptEncoded is like Accept for encoded items.
+func (s *Store) AcceptEncoded(ctx context.Context, b *Batch, items EncodedItems) error {
+	for number, part := range items.lists[1:] {
 		record := records.Record{Kind: KindParts, Name: PageName(b.ID, number), Body: part}
 		if _, err := s.store.Create(ctx, record); err != nil && !errors.Is(err, records.ErrConflict) {
 			// Parts without the record of the batch are never read, so the batch
@@ -166,16 +190,16 @@
 			return fmt.Errorf("%w: %w", records.ErrRefused, err)
 		}
 	}
-	body, err := json.Marshal(storedBatch{batchFields: batchFields(*b), Parts: len(parts) - 1})
+	body, err := json.Marshal(storedBatch{batchFields: batchFields(*b), Parts: len(items.lists) - 1, Count: items.Count})
 	if err != nil {
 		return eris.Wrap(err, "batch")
 	}
-	body = codec.AppendMember(body, "items", parts[0])
+	body = codec.AppendMember(body, "items", items.lists[0])
 	_, err = s.store.Create(ctx, records.Record{Kind: KindBatches, Name: b.ID, Body: body})
 	if err == nil || errors.Is(err, records.ErrRefused) {
 		return err
 	}
-	stored, readErr := s.Read(ctx, b.ID)
+	stored, _, readErr := s.readHead(ctx, b.ID)
 	if readErr != nil {
 		return unknownOutcome(readErr)
 	}
@@ -185,97 +209,6 @@
 	return nil
 }
 
-// batchFields has the fields of Batch, for embedding.
-type batchFields Batch
-
-// storedBatch is the record of a batch without its items, which are joined to it. Its
-// Items and Parts shadow those of the embedded fields.
-type storedBatch struct {
-	batchFields
-	Items json.RawMessage `json:"items,omitempty"`
-	Parts int             `json:"parts,omitempty"`
-}
-
-// splitItems encodes the items as one or more JSON lists of at most limit bytes
-// each. A single item that is larger gets a list of its own.
-func splitItems(items []Item, limit int) ([]json.RawMessage, error) {
-	var lists []json.RawMessage
-	var list []json.RawMessage
-	size := 0
-	flush := func() { lists, list, size = append(lists, codec.JoinArray(list)), nil, 0 }
-	for _, item := range items {
-		encoded, err := json.Marshal(item)
-		if err != nil {
-			return nil, eris.Wrap(err, "item")
-		}
-		if size > 0 && size+len(encoded) > limit {
-			flush()
-		}
-		list = append(list, encoded)
-		size += len(encoded)
-	}
-	flush()
-	return lists, nil
-}
-
-// Read returns a batch with all its items.
-func (s *Store) Read(ctx context.Context, id string) (*Batch, error) {
-	r, err := s.store.Get(ctx, KindBatches, id)
-	if err != nil {
-		return nil, err
-	}
-	return s.FromRecord(ctx, r)
-}
-
-// ReadHead returns a batch with the items of its own record only, not those of its
-// parts.
-func (s *Store) ReadHead(ctx context.Context, id string) (*Batch, error) {
-	r, err := s.store.Get(ctx, KindBatches, id)
-	if err != nil {
-		return nil, err
-	}
-	return decode(r)
-}
-
-// FromRecord decodes the record of a batch and reads the items of its parts.
-func (s *Store) FromRecord(ctx context.Context, r records.Record) (*Batch, error) {
-	b, err := decode(r)
-	if err != nil {
-		return nil, err
-	}
-	for number := range b.Parts {
-		part, err := s.store.Get(ctx, KindParts, PageName(b.ID, number))
-		if err != nil {
-			return nil, fmt.Errorf("part %d: %w", number, hideMissing(err))
-		}
-		var items []Item
-		if err := json.Unmarshal(part.Body, &items); err != nil {
-			return nil, eris.Wrapf(err, "part %d of batch %s", number, r.Name)
-		}
-		b.Items = append(b.Items, items...)
-	}
-	b.Parts = 0
-	return b, nil
-}
-
-// hideMissing replaces ErrMissing, so that a missing part is not reported as a
-// missing batch.
-func hideMissing(err error) error {
-	if errors.Is(err, records.ErrMissing) {
-		return records.ErrUnknownOutcome
-	}
-	return err
-}
-
-// decode decodes the record of a batch, without the items of its parts.
-func decode(r records.Record) (*Batch, error) {
-	var b Batch
-	if err := json.Unmarshal(r.Body, &b); err != nil {
-		return nil, eris.Wrapf(err, "batch %s", r.Name)
-	}
-	return &b, nil
-}
-
 // unknownOutcome returns the error of a write that may or may not have been
 // carried out, since the record could not be read back. It does not wrap the
 // error of the read: a refused read says nothing about the write.
@@ -334,27 +267,55 @@
 	listed, err := s.store.ListFrom(ctx, kind, prefix, func(r records.Record) bool {
 		return strings.HasPrefix(r.Name, prefix)
 	})
-	return slices.DeleteFunc(listed.Records, func(r records.Record) bool {
-		number, err := strconv.Atoi(strings.TrimPrefix(r.Name, prefix))
-		return err != nil || r.Name != PageName(id, number)
-	}), err
+	return slices.DeleteFunc(listed.Records, func(r records.Record) bool { return !isNumbered(r.Name, id) }), err
+}
+
+// isNumbered reports whether a name is that of a page or part of the batch.
+func isNumbered(name, id string) bool {
+	number, err := strconv.Atoi(strings.TrimPrefix(name, id+"."))
+	return err == nil && name == PageName(id, number)
 }
 
 // Pages returns all pages of a batch.
 func (s *Store) Pages(ctx context.Context, id string) ([]Page, error) {
-	listed, err := s.listNumbered(ctx, KindPages, id)
+	all := []Page{}
+	for after, more := "", true; more; {
+		pages, next, err := s.PagesAfter(ctx, id, after)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, pages...)
+		after, more = next, next != ""
+	}
+	return all, nil
+}
+
+// PagesAfter returns the pages of a batch in one list of the store, and the value of after
+// for the next list, "" if there is none. All pages of a batch may be more than a process
+// can hold. For the first list, after is "".
+func (s *Store) PagesAfter(ctx context.Context, id, after string) (pages []Page, next string, err error) {
+	prefix := id + "."
+	if after == "" {
+		after = prefix
+	}
+	listed, err := s.store.List(ctx, KindPages, after)
 	if err != nil {
-		return nil, err
+		return nil, "", err
 	}
-	pages := make([]Page, 0, len(listed))
-	for _, r := range listed {
+	for _, r := range listed.Records {
+		if !strings.HasPrefix(r.Name, prefix) {
+			return pages, "", nil
+		}
+		if !isNumbered(r.Name, id) {
+			continue
+		}
 		page, err := decodePage(r)
 		if err != nil {
-			return nil, err
+			return nil, "", err
 		}
 		pages = append(pages, page)
 	}
-	return pages, nil
+	return pages, listed.Next, nil
 }
 
 // Append writes a page under its number. It returns records.ErrConflict if a
--- a/internal/training/batch/batch_test.go
+++ b/internal/training/batch/batch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"reflect"
 	"testing"
 	"time"
 
@@ -49,7 +50,7 @@
 				t.Errorf("error %v, want %v", err, c.want)
 			}
 			l.SetFault(ledger.None)
-			if _, err := store.Read(context.Background(), "b1"); (err == nil) != c.stored {
+			if _, err := store.ReadHead(context.Background(), "b1"); (err == nil) != c.stored {
 				t.Errorf("stored %v, want %v", err == nil, c.stored)
 			}
 		})
@@ -158,15 +159,17 @@
 	if err := store.Accept(ctx, large); !errors.Is(err, records.ErrRefused) {
 		t.Errorf("error %v for a lost part, want records.ErrRefused", err)
 	}
-	if _, err := store.Read(ctx, "b1"); !errors.Is(err, records.ErrMissing) {
+	if _, err := store.ReadHead(ctx, "b1"); !errors.Is(err, records.ErrMissing) {
 		t.Errorf("error %v after a lost part, want records.ErrMissing", err)
 	}
 	if err := store.Accept(ctx, large); err != nil {
 		t.Fatal(err)
 	}
-	read, err := store.Read(ctx, "b1")
-	if err != nil || len(read.Items) != len(large.Items) || read.Items[49].ID != "49" {
-		t.Fatalf("read %d items, error %v", len(read.Items), err)
+	for _, limit := range []int64{1, 1000, 1 << 20} {
+		items := readInPieces(t, store, "b1", limit)
+		if !reflect.DeepEqual(items, large.Items) {
+			t.Fatalf("read %d items in pieces of %d bytes, want those that were accepted", len(items), limit)
+		}
 	}
 	page, err := l.Store().List(ctx, KindParts, "")
 	if err != nil || len(page.Records) < 3 {
@@ -179,6 +182,34 @@
 	}
 }
 
+// readInPieces returns all items of a batch, read in pieces of at most limit bytes.
+func readInPieces(t *testing.T, store *Store, id string, limit int64) []Item {
+	t.Helper()
+	b, err := store.Read(t.Context(), id, limit)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var all []Item
+	for at := (Cursor{}); !b.AtEnd(at); {
+		items, next, err := store.ReadItems(t.Context(), b, at, limit, (*Item).MemorySize)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var size int64
+		for i := range items {
+			size += items[i].MemorySize()
+		}
+		if size > limit && len(items) > 1 {
+			t.Fatalf("a piece of %d items takes %d bytes, want at most %d", len(items), size, limit)
+		}
+		all, at = append(all, items...), next
+	}
+	if len(all) != b.Count {
+		t.Errorf("%d items, want %d", len(all), b.Count)
+	}
+	return all
+}
+
 // Guards against pages of another batch whose id begins with this id and a dot:
 // their names have the same prefix in the store.
 func TestPagesOfSimilarIDs(t *testing.T) {
--- a/internal/training/batch/reader.go
+++ b/internal/training/batch/reader.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync"
@@ -16,8 +17,13 @@
 )
 
 const (
-	// maxCachedBatches bounds the memory for batches whose results callers read.
+	// maxCachedBatches bounds the number of batches whose results callers read.
 	maxCachedBatches = 24
+	// defaultMemory is the memory for items and results if none is given, in bytes.
+	defaultMemory = 64 << 20
+	// itemsShare is the share of the memory for the items of all cached batches. The
+	// items of a batch that takes more than its part are read from the store.
+	itemsShare = 0.4
 	// pollInterval is the pause between two reads of the store for a page that a
 	// caller waits for.
 	pollInterval = 330 * time.Millisecond
@@ -66,6 +72,7 @@
 	Meters    *meter.Set
 	Retention time.Duration
 	Settle    time.Duration
+	Memory    int64
 }
 
 // Reader serves batches and results from the workers or the store, and caches
@@ -79,12 +86,14 @@
 	missed *meter.Counter
 	// misplaced counts errPageOrder by source.
 	misplaced *meter.Counter
+	itemLimit int64 // memory for the items of one batch, in bytes
+	results   *pageMemory
 	mu        sync.Mutex
 	cache     *lru.Cache[string, *cachedBatch]
 }
 
-// FindFunc asks a worker for a batch. It reports false when the worker does not
-// know the batch, which does not mean that it does not exist.
+// FindFunc asks a worker for a batch, which may lack its items. It reports false when the
+// worker does not know the batch, which does not mean that it does not exist.
 type FindFunc func(ctx context.Context, id string) (*Batch, bool)
 
 // FollowFunc asks the worker that executes a batch for the pages after the known
@@ -101,7 +110,10 @@
 
 // NewReader returns a Reader that asks workers first and falls back to the store.
 func NewReader(seams ReaderSeams, timers *clock.Service, log *logrus.Entry) *Reader {
-	cache, err := lru.New[string, *cachedBatch](maxCachedBatches)
+	seams.Memory = cmp.Or(seams.Memory, defaultMemory)
+	itemMemory := itemsShare * float64(seams.Memory)
+	results := &pageMemory{limit: seams.Memory - int64(itemMemory)}
+	cache, err := lru.NewWithEvict(maxCachedBatches, func(_ string, c *cachedBatch) { results.forget(c) })
 	if err != nil {
 		panic(err) // the size is a positive constant
 	}
@@ -113,6 +125,7 @@
 	}
 	return &Reader{
 		seams: seams, timers: timers, log: log, cache: cache,
+		itemLimit: int64(itemMemory / maxCachedBatches), results: results,
 		pages: seams.Meters.Counter(CountPages), empty: seams.Meters.Counter(CountEmpty),
 		missed: seams.Meters.Counter(CountMissed), misplaced: seams.Meters.Counter(CountMisplaced),
 	}
@@ -132,14 +145,14 @@
 			return c, nil // what is known here holds also while the store cannot be read
 		}
 	}
-	b, known := r.seams.Find(ctx, id)
+	b, known := r.find(ctx, id)
 	learned := r.timers.Uptime()
 	if known && r.mayBeRemoved(b, learned) {
 		known = false
 	}
 	if !known {
 		proof, err := r.prove(ctx, func(ctx context.Context) (err error) {
-			b, err = r.seams.Store.Read(ctx, id)
+			b, err = r.seams.Store.Read(ctx, id, r.itemLimit)
 			return err
 		})
 		if errors.Is(err, records.ErrMissing) {
@@ -154,11 +167,24 @@
 	if c, found := r.cache.Get(id); found {
 		return c, nil
 	}
-	c = &cachedBatch{batch: b, knownSince: learned}
+	c = &cachedBatch{batch: b, knownSince: learned, memory: r.results}
 	r.cache.Add(id, c)
 	return c, nil
 }
 
+// find asks a worker for a batch. A batch that is too large to be kept with its items is
+// read from the store, since a worker of an earlier release does not tell its parts.
+func (r *Reader) find(ctx context.Context, id string) (*Batch, bool) {
+	b, known := r.seams.Find(ctx, id)
+	if !known {
+		return nil, false
+	}
+	if b.Count == 0 && b.Parts == 0 {
+		b.Count = len(b.Items)
+	}
+	return b, b.MemorySize() <= r.itemLimit
+}
+
 // errReplaced is the error of a batch that was removed, and whose id another batch has.
 var errReplaced = errors.New("batch: another batch has the id")
 
@@ -203,7 +229,7 @@
 	}
 }
 
-// Batch returns a batch, or a MissingError if it does not exist.
+// Batch returns a batch, or a MissingError if it does not exist. It may lack its items.
 func (r *Reader) Batch(ctx context.Context, id string) (*Batch, error) {
 	c, err := r.load(ctx, id)
 	if err != nil {
@@ -212,6 +238,24 @@
 	return c.batch, nil
 }
 
+// Item returns an item of a batch that Batch has returned, and whether the batch has it.
+func (r *Reader) Item(ctx context.Context, b *Batch, id string) (Item, bool, error) {
+	if b.Whole() {
+		item, found := b.Item(id)
+		return item, found, nil
+	}
+	var item Item
+	var found bool
+	proof, err := r.prove(ctx, func(ctx context.Context) (err error) {
+		item, found, err = r.seams.Store.Item(ctx, b, id)
+		return err
+	})
+	if errors.Is(err, records.ErrMissing) {
+		err = &MissingError{Proof: proof}
+	}
+	return item, found, err
+}
+
 // Results returns the results from position after on. It waits up to wait for
 // the first of them. Workers make the answer fast, but only the store shows that
 // there is no result: a worker may not know a page that a former holder of the role
@@ -224,6 +268,10 @@
 	if err != nil {
 		return nil, Proof{}, err
 	}
+	if number, dropped := c.dropped(after); dropped {
+		results, err := r.readAgain(ctx, c, number, after)
+		return results, Proof{}, err
+	}
 	results, proof, err := r.follow(ctx, c, after, deadline)
 	if _, known := c.resultsFrom(after); known == 0 || !errors.Is(err, errPageOrder) {
 		return results, proof, err
@@ -234,6 +282,25 @@
 	return r.poll(ctx, c, after, deadline)
 }
 
+// readAgain returns the results from a position on of the page with the given number, which
+// were dropped from memory. A page never changes, so that a copy of the store that may be
+// old will do if it has the page.
+func (r *Reader) readAgain(ctx context.Context, c *cachedBatch, number, position int) ([]Result, error) {
+	page, err := r.seams.Store.PageStale(ctx, c.batch.ID, number)
+	if err != nil {
+		page, err = r.seams.Store.Page(ctx, c.batch.ID, number)
+	}
+	if err != nil {
+		return nil, hideMissing(err)
+	}
+	r.pages.Add(PagesOfStore, 1)
+	return c.restore(number, page, position)
+}
+
+// errDropped is the error of a call whose results were read and dropped from memory before
+// it could answer with them. An answer without results would be wrong.
+var errDropped = errors.New("batch: the results were dropped from memory")
+
 // follow returns the results of a batch from position after on, from the worker or the
 // store.
 func (r *Reader) follow(ctx context.Context, c *cachedBatch, after int, deadline time.Time) ([]Result, Proof, error) {
@@ -242,7 +309,7 @@
 		if len(results) > 0 {
 			return results, Proof{}, nil
 		}
-		if after >= len(c.batch.Items) {
+		if after >= c.batch.Count {
 			return nil, Proof{Source: ProofOfItems, Known: c.resultCount()}, nil
 		}
 		update := r.askWorker(ctx, c.batch.ID, pages, deadline)
@@ -295,16 +362,19 @@
 		return results, Proof{}, nil
 	}
 	proof = proof.WithSource(worker, c.resultCount())
-	return nil, proof, r.endEmpty(ctx, c, worker, err)
+	return nil, proof, r.endEmpty(ctx, c, after, worker, err)
 }
 
 // endEmpty returns the error of a call that found no results: that of the last read of
 // the store, or of a batch whose pages are missing because it was removed. A batch that
 // has taken the place of a removed one is there for a later call.
-func (r *Reader) endEmpty(ctx context.Context, c *cachedBatch, source string, readErr error) error {
+func (r *Reader) endEmpty(ctx context.Context, c *cachedBatch, after int, source string, readErr error) error {
 	if readErr != nil {
 		return readErr
 	}
+	if _, dropped := c.dropped(after); dropped {
+		return errDropped
+	}
 	if err := r.checkStored(ctx, c); err != nil {
 		return err
 	}
@@ -327,7 +397,7 @@
 		}
 		if err != nil || left <= 0 {
 			proof = proof.WithSource(PagesOfStore, c.resultCount())
-			return nil, proof, r.endEmpty(ctx, c, PagesOfStore, err)
+			return nil, proof, r.endEmpty(ctx, c, after, PagesOfStore, err)
 		}
 		if err := r.timers.Sleep(ctx, min(left, pollInterval)); err != nil {
 			return nil, Proof{}, err
--- a/internal/training/batch/routes.go
+++ b/internal/training/batch/routes.go
@@ -14,22 +14,29 @@
 
 // RoutesOf returns the routes of the manifest that the batch uses.
 func RoutesOf(m *manifest.Manifest, b *Batch) Routes {
-	var used Routes
-	add := func(route manifest.Route, found bool) {
-		if found && !used.has(route) {
-			used = append(used, route)
-		}
+	used := Routes(nil).with(m.BatchRoute(b.Host, b.Path))
+	for i := range b.Items {
+		used = used.WithItem(m, b.Host, &b.Items[i])
 	}
-	add(m.BatchRoute(b.Host, b.Path))
-	for _, item := range b.Items {
-		add(m.BatchRoute(b.Host, item.Path))
-		if item.Reward != nil {
-			add(m.Route(item.Reward.Host, item.Reward.Path))
-		}
+	return used
+}
+
+// WithItem returns the routes and those that an item of a batch on the host uses.
+func (l Routes) WithItem(m *manifest.Manifest, host string, item *Item) Routes {
+	used := l.with(m.BatchRoute(host, item.Path))
+	if item.Reward != nil {
+		used = used.with(m.Route(item.Reward.Host, item.Reward.Path))
 	}
 	return used
 }
 
+func (l Routes) with(route manifest.Route, found bool) Routes {
+	if !found || l.has(route) {
+		return l
+	}
+	return append(l, route)
+}
+
 func (l Routes) has(route manifest.Route) bool {
 	for _, r := range l {
 		if r.Host == route.Host && r.Prefix == route.Prefix {
--- a/internal/training/runner/job.go
+++ b/internal/training/runner/job.go
@@ -4,7 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"sort"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -15,14 +15,20 @@
 	"github.com/wigeonpin/wigeonpin/internal/training/listing"
 )
 
-// job is the execution of a batch.
+// job is the execution of a batch. Its items get tasks as far as there is room in memory;
+// the others wait in the store.
 type job struct {
-	batch        *batch.Batch
-	knownSince   time.Duration   // uptime at which this process learned of the batch
-	ctx          context.Context // of its runs; nil while the runner is inactive
+	batch        *batch.Batch        // without items
+	next         batch.Cursor        // the first item that has not got a task
+	reading      bool                // items are being read
+	readAt       time.Time           // earliest time of the next read of items
+	cost         int64               // room that the job takes, in bytes
+	listedBefore map[uint64]struct{} // hashes of the ids of listed items that have not got a task
+	knownSince   time.Duration       // uptime at which this process learned of the batch
+	ctx          context.Context     // of its runs; nil while the runner is inactive
 	cancel       context.CancelFunc
 	loaded       bool    // the pages in the store have been read, or none are expected
-	tasks        []*task // longest estimate first
+	tasks        []*task // longest estimate first; those of listed items may be gone
 	byID         map[string]*task
 	byTextKey    map[string]*task
 	pages        int               // number of known pages
@@ -36,37 +42,31 @@
 	retryAt      time.Time         // earliest time of the next write after a failed one
 	preferred    map[string]string // endpoint of the latest run, by group
 	pageAdded    chan struct{}     // closed when another page is known, then replaced
-	encodedPages [][]byte          // the pages as JSON
+	encodedPages []*encodedPage    // the pages as JSON
 }
 
 func (r *Runner) add(ctx context.Context, b *batch.Batch, fresh bool) {
 	if r.ended[b.ID] || r.findJob(b.ID) != nil {
 		return
 	}
+	head := b.Head()
+	head.Count = max(b.Count, len(b.Items))
 	j := &job{
-		batch: b, knownSince: r.timers.Uptime(), byID: map[string]*task{}, byTextKey: map[string]*task{},
+		batch: head, knownSince: r.timers.Uptime(), byID: map[string]*task{}, byTextKey: map[string]*task{},
 		preferred: map[string]string{}, pageAdded: make(chan struct{}),
 	}
-	expected := int64(0)
-	for i := range b.Items {
-		t := &task{item: &b.Items[i], job: j, textKey: b.TextKey(&b.Items[i])}
-		expected += max(1, t.item.ExpectedTokens)
-		t.text = r.texts.take(t.textKey, b.MinVersion)
-		j.tasks = append(j.tasks, t)
-		j.byID[t.item.ID] = t
-		j.byTextKey[t.textKey] = t
-	}
-	if r.seams.OnBatch != nil {
-		r.seams.OnBatch(b.Model, expected)
-	}
-	// The longest items decide when a batch is complete, so they are started
-	// first. If there are more items than slots, the short ones fill the gaps.
-	sort.SliceStable(j.tasks, func(a, b int) bool { return j.tasks[a].remaining() > j.tasks[b].remaining() })
 	at := len(r.jobs)
 	for at > 0 && r.jobs[at-1].batch.Time.After(b.Time) {
 		at--
 	}
-	r.jobs = append(r.jobs[:at], append([]*job{j}, r.jobs[at:]...)...)
+	r.jobs = slices.Insert(r.jobs, at, j)
+	j.next = batch.Cursor{Record: 1}
+	if taken := r.takeItems(j, b.Items); taken < len(b.Items) {
+		j.next = batch.Cursor{Index: taken}
+		r.log.WithFields(logrus.Fields{
+			"batch": b.ID, logs.Account: b.Account, "items": b.Count, "loaded": taken, "room": r.room.used,
+		}).Info("items of a batch wait for room in memory")
+	}
 	if r.active {
 		r.load(ctx, j, fresh)
 	}
@@ -82,8 +82,9 @@
 	return groupKey{owner: b.Owner(), model: b.Model, group: group}
 }
 
-// newProgress returns the progress of a batch with no results. The trainer waits
-// for the groups that were incomplete in an earlier batch in any case.
+// newProgress returns the progress of a batch with no results, of the items that the batch
+// holds. The trainer waits for the groups that were incomplete in an earlier batch in any
+// case.
 func (r *Runner) newProgress(b *batch.Batch) *listing.Progress {
 	items, awaited := map[string]int{}, map[string]bool{}
 	for _, item := range b.Items {
@@ -100,81 +101,92 @@
 func (r *Runner) load(ctx context.Context, j *job, fresh bool) {
 	j.ctx, j.cancel = context.WithCancel(ctx)
 	j.progress, j.schedule = r.newProgress(j.batch), listing.Schedule{Accepted: j.batch.Time}
+	for _, t := range j.tasks {
+		j.progress.Expect(t.item.Group, r.incompleteGroups.Contains(newGroupKey(j.batch, t.item.Group)))
+	}
 	if route, found := r.batchRoute(j.batch, j.batch.Path); found {
 		j.schedule.Due = route.BatchDeadline
 	}
 	if fresh {
-		r.pagesLoaded(j, nil)
+		r.pagesLoaded(j)
 	}
 	jobCtx := j.ctx
 	go func() {
-		pages := r.readPages(jobCtx, j.batch.ID, fresh)
+		if fresh && !r.hasPages(jobCtx, j.batch.ID) {
+			return
+		}
+		count := r.readPages(jobCtx, j)
 		r.post(jobCtx, func(context.Context) {
 			switch {
 			case jobCtx.Err() != nil:
 			case !fresh:
-				r.pagesLoaded(j, pages)
-			case len(pages) > 0:
-				r.log.WithFields(logrus.Fields{"batch": j.batch.ID, "pages": len(pages)}).Info("batch had result pages when it became known")
-				r.adopt(j, 0, pages)
+				r.pagesLoaded(j)
+			default:
+				r.log.WithFields(logrus.Fields{"batch": j.batch.ID, "pages": count}).Info("batch had result pages when it became known")
+				r.dropIfComplete(j)
 			}
 		})
 	}()
 }
 
-// readPages returns the pages of a batch. It retries until the store answers or ctx
-// ends.
-func (r *Runner) readPages(ctx context.Context, id string, fresh bool) []batch.Page {
+// hasPages reports whether the store has pages of a batch. It looks for the first page
+// alone, since a list also takes pages of other batches.
+func (r *Runner) hasPages(ctx context.Context, id string) bool {
 	for {
-		pages, err := r.tryReadPages(ctx, id, fresh)
-		if err == nil || ctx.Err() != nil {
-			return pages
+		_, err := r.seams.Store.Page(ctx, id, 0)
+		if err == nil || errors.Is(err, records.ErrMissing) || ctx.Err() != nil {
+			return err == nil
 		}
-		r.log.WithFields(logrus.Fields{"batch": id, logs.Cause: err.Error()}).Warn("result pages not read, retrying")
-		_ = r.timers.Sleep(ctx, pageRetryDelay)
+		r.pagesNotRead(ctx, id, err)
 	}
 }
 
-// tryReadPages reads the pages of a batch once. For a fresh batch it looks for the
-// first page before it lists any, since a list also takes pages of other batches.
-func (r *Runner) tryReadPages(ctx context.Context, id string, fresh bool) ([]batch.Page, error) {
-	if fresh {
-		_, err := r.seams.Store.Page(ctx, id, 0)
-		if errors.Is(err, records.ErrMissing) {
-			return nil, nil
-		}
+// pagesNotRead logs that pages could not be read, and waits for the next attempt.
+func (r *Runner) pagesNotRead(ctx context.Context, id string, cause error) {
+	r.log.WithFields(logrus.Fields{"batch": id, logs.Cause: cause.Error()}).Warn("result pages not read, retrying")
+	_ = r.timers.Sleep(ctx, pageRetryDelay)
+}
+
+// readPages reads the pages of a batch and merges them, as many at a time as one list of
+// the store holds, and returns their number. It retries until the store answers or ctx
+// ends.
+func (r *Runner) readPages(ctx context.Context, j *job) (count int) {
+	for after, more := "", true; more && ctx.Err() == nil; {
+		pages, next, err := r.seams.Store.PagesAfter(ctx, j.batch.ID, after)
 		if err != nil {
-			return nil, err
+			if ctx.Err() == nil {
+				r.pagesNotRead(ctx, j.batch.ID, err)
+			}
+			continue
 		}
+		r.do(ctx, func(context.Context) {
+			if ctx.Err() != nil {
+				return
+			}
+			for i, page := range pages {
+				r.merge(j, count+i, page)
+			}
+		})
+		count += len(pages)
+		after, more = next, next != ""
 	}
-	return r.seams.Store.Pages(ctx, id)
+	return count
 }
 
 // pagesLoaded starts the execution of a batch whose pages have been read.
-func (r *Runner) pagesLoaded(j *job, pages []batch.Page) {
+func (r *Runner) pagesLoaded(j *job) {
 	j.loaded = true
-	for number, page := range pages {
-		j.merge(number, page)
-	}
 	b := j.batch
 	r.log.WithFields(logrus.Fields{
-		"batch": b.ID, "items": len(b.Items), "pages": j.pages, "listed": j.listed, logs.Step: b.Step, logs.Fence: r.seams.Role().Epoch,
+		"batch": b.ID, "items": b.Count, "pages": j.pages, "listed": j.listed, logs.Step: b.Step, logs.Fence: r.seams.Role().Epoch,
 		logs.Model: b.Model, "oldest": b.MinVersion, "age_ms": r.timers.Since(b.Time).Milliseconds(),
 	}).Info("batch started")
 	r.dropIfComplete(j)
 }
 
-// adopt adds pages that are in the store, the first of which has the given number.
-func (r *Runner) adopt(j *job, first int, pages []batch.Page) {
-	for i, page := range pages {
-		j.merge(first+i, page)
-	}
-	r.dropIfComplete(j)
-}
-
 // dropIfComplete ends the execution of a batch whose results are all listed.
 func (r *Runner) dropIfComplete(j *job) {
-	if j.listed < len(j.tasks) {
+	if j.listed < j.batch.Count {
 		return
 	}
 	r.log.WithFields(logrus.Fields{
@@ -189,9 +201,12 @@
 	for _, t := range j.tasks {
 		t.text = t.snapshot()
 		t.state, t.cancel, t.notBefore = statePending, nil, time.Time{}
+		r.keepText(t)
 	}
 	j.cancel()
-	j.ctx, j.loaded, j.writing = nil, false, false
+	r.pages.dropAll(j)
+	r.forgetListed(j)
+	j.ctx, j.loaded, j.writing, j.progress = nil, false, false, nil
 	j.pages, j.listed, j.encodedPages = 0, 0, nil
 	j.ready, j.readyBytes = nil, 0
 }
@@ -242,7 +257,7 @@
 	}
 	if r.active {
 		r.log.WithFields(logrus.Fields{
-			"batch": id, "listed": j.listed, "items": len(j.tasks),
+			"batch": id, "listed": j.listed, "items": j.batch.Count,
 			"age_ms": r.timers.Since(j.batch.Time).Milliseconds(),
 		}).Info("batch ended")
 	}
@@ -259,17 +274,17 @@
 		j.cancel()
 	}
 	for _, t := range j.tasks {
-		delete(r.copied, t.textKey)
+		r.removeTask(t)
 	}
+	r.forgetListed(j)
+	j.tasks = nil
 	if j.loaded && !j.writing {
-		j.tasks, j.byID, j.byTextKey = nil, nil, nil
 		r.doneJobs.Add(j.batch.ID, j)
+	} else {
+		r.pages.dropAll(j)
 	}
-	for i, other := range r.jobs {
-		if other == j {
-			r.jobs = append(r.jobs[:i], r.jobs[i+1:]...)
-			return
-		}
+	if i := slices.Index(r.jobs, j); i >= 0 {
+		r.jobs = slices.Delete(r.jobs, i, i+1)
 	}
 }
 
@@ -300,37 +315,57 @@
 
 // merge adds a page that is in the store under the given number, unless it is known:
 // its items are listed, and their results are no longer ready.
-func (j *job) merge(number int, page batch.Page) {
+func (r *Runner) merge(j *job, number int, page batch.Page) {
 	if number != j.pages {
 		return
 	}
 	for _, result := range page.Results {
 		t, known := j.byID[result.ID]
-		if !known || t.state == stateListed {
+		if !known {
+			r.noteListed(j, result.ID)
 			continue
 		}
-		if t.state != stateReady && result.Done {
-			j.progress.Finish(t.item.Group)
-		}
-		t.state, t.listedLate = stateListed, j.schedule.Complete
-		if t.cancel != nil {
-			t.cancel(nil)
+		if t.state != stateListed {
+			r.markListed(t, result)
 		}
 	}
 	j.listed = page.Start + len(page.Results)
 	j.pages++
-	if encoded, err := json.Marshal(page); err == nil {
-		j.encodedPages = append(j.encodedPages, encoded)
+	encoded, err := json.Marshal(page)
+	if err != nil {
+		encoded = nil // callers read it in the store
 	}
+	j.encodedPages = append(j.encodedPages, r.pages.add(encoded))
 	close(j.pageAdded)
 	j.pageAdded = make(chan struct{})
 	kept := j.ready[:0]
 	j.readyBytes = 0
 	for _, result := range j.ready {
-		if j.byID[result.ID].state != stateListed {
+		if t, known := j.byID[result.ID]; known && t.state != stateListed {
 			kept = append(kept, result)
 			j.readyBytes += resultSize(result)
 		}
 	}
+	clear(j.ready[len(kept):])
 	j.ready = kept
 }
+
+// markListed records that the result of an item is in a page.
+func (r *Runner) markListed(t *task, result batch.Result) {
+	j := t.job
+	if t.state != stateReady && result.Done {
+		j.progress.Finish(t.item.Group)
+	}
+	t.state, t.listedLate = stateListed, j.schedule.Complete
+	if t.cancel != nil {
+		t.cancel(nil)
+	}
+	r.keepText(t)
+}
+
+// keepText counts the text of an item as one that is kept in case that it is needed again.
+func (r *Runner) keepText(t *task) {
+	if len(t.text.pieces) > 0 {
+		r.keptTexts.keep(t)
+	}
+}
--- a/internal/training/runner/listing_test.go
+++ b/internal/training/runner/listing_test.go
@@ -60,7 +60,7 @@
 	j.progress = r.newProgress(b)
 	for _, id := range []string{"early-1", "late-1"} {
 		j.byID[id].text = text{origin: "a", pieces: []string{"x"}, last: 1, versions: []int64{5}, complete: true}
-		j.merge(j.pages, batch.Page{Start: j.listed, Results: []batch.Result{{ID: id, Done: true}}})
+		r.merge(j, j.pages, batch.Page{Start: j.listed, Results: []batch.Result{{ID: id, Done: true}}})
 		j.schedule = j.schedule.WithPage(time.Now(), j.progress.Complete())
 	}
 	r.cacheTexts(j)
--- a/internal/training/runner/pages.go
+++ b/internal/training/runner/pages.go
@@ -24,7 +24,7 @@
 	}
 	ready := listing.Ready{
 		Since:    j.readySince,
-		Complete: j.progress.Complete() || j.listed+len(j.ready) >= len(j.tasks),
+		Complete: j.progress.Complete() || j.listed+len(j.ready) >= j.batch.Count,
 		Full:     float64(j.readyBytes) > fullPageFraction*float64(limit),
 	}
 	return !now.Before(j.schedule.Next(ready))
@@ -88,7 +88,7 @@
 		r.log.WithFields(logrus.Fields{"batch": j.batch.ID, "page": number, logs.Cause: err.Error()}).Warn("result page not written, retrying")
 		return
 	}
-	j.merge(number, page)
+	r.merge(j, number, page)
 	now := r.timers.Now()
 	j.readySince = now
 	j.schedule = j.schedule.WithPage(now, j.progress.Complete() && len(j.ready) == 0)
--- a/internal/training/runner/progress.go
+++ b/internal/training/runner/progress.go
@@ -28,10 +28,8 @@
 			if j == nil {
 				return
 			}
-			reply.Active, pageAdded = true, j.pageAdded
-			if known := int(request.GetKnown()); known < len(j.encodedPages) {
-				reply.Pages = j.encodedPages[max(0, known):]
-			}
+			reply.Pages, reply.Active = j.pagesFrom(max(0, int(request.GetKnown())))
+			pageAdded = j.pageAdded
 		})
 		if err != nil {
 			return nil, err
@@ -56,21 +54,58 @@
 	}
 }
 
-// Batch returns a batch that is being executed here or was completed recently.
-// The reply is empty for any other batch.
+// maxReplyPages is the size of the pages from which on a reply holds no further one.
+const maxReplyPages = 1 << 20
+
+// pagesFrom returns the encoded pages from a number on. It reports false if the first of
+// them is not in memory any more.
+func (j *job) pagesFrom(number int) (pages [][]byte, known bool) {
+	size := 0
+	for ; number < len(j.encodedPages) && size < maxReplyPages; number++ {
+		body := j.encodedPages[number].body
+		if body == nil {
+			return pages, len(pages) > 0
+		}
+		pages = append(pages, body)
+		size += len(body)
+	}
+	return pages, true
+}
+
+// Batch returns a batch that is being executed here or was completed recently, without
+// its items unless all of them are in memory and small. The reply is empty for any other
+// batch.
 func (h *peerHandler) Batch(ctx context.Context, request *BatchRequest) (*BatchReply, error) {
-	reply := &BatchReply{}
 	var known *batch.Batch
 	err := h.do(ctx, func() {
 		if j := h.runner.findJob(request.GetBatch()); j != nil {
-			known = j.batch
+			known = j.withItems(maxReplyItems)
 		} else if j, found := h.runner.doneJobs.Get(request.GetBatch()); found {
 			known = j.batch
 		}
 	})
 	if err != nil || known == nil {
-		return reply, err
+		return &BatchReply{}, err
+	}
+	encoded, err := json.Marshal(known)
+	if err == nil && known.Whole() {
+		return &BatchReply{Body: encoded}, nil
+	}
+	return &BatchReply{Head: encoded}, err
+}
+
+// maxReplyItems bounds the cost of the items in a reply.
+const maxReplyItems = 1 << 20
+
+// withItems returns the batch with its items, or without them if some are not in memory
+// or if they cost more than limit.
+func (j *job) withItems(limit int64) *batch.Batch {
+	if len(j.tasks) != j.batch.Count || j.cost > limit {
+		return j.batch
+	}
+	whole := j.batch.Head()
+	for _, t := range j.tasks {
+		whole.Items = append(whole.Items, *t.item)
 	}
-	reply.Body, err = json.Marshal(known)
-	return reply, err
+	return whole
 }
--- a/internal/training/runner/routes_test.go
+++ b/internal/training/runner/routes_test.go
@@ -23,7 +23,7 @@
 	if err := h.store.Accept(context.Background(), b); err != nil {
 		t.Fatal(err)
 	}
-	stored, err := h.store.Read(context.Background(), b.ID)
+	stored, err := h.store.Read(context.Background(), b.ID, 1<<20)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/training/runner/runner.go
+++ b/internal/training/runner/runner.go
@@ -13,7 +13,9 @@
 package runner
 
 import (
+	"cmp"
 	"context"
+	"hash/maphash"
 	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2"
@@ -54,6 +56,9 @@
 	Names      headers.Names
 	Manifest   func() *manifest.Manifest
 	ValueBytes int
+	// Memory is the limit at which the process is killed, in bytes; 0 if it is not known.
+	// The memory for batches is a part of it.
+	Memory int64
 	// Role returns what is known of the worker role; without it, the runner counts as
 	// its holder.
 	Role func() Role
@@ -101,6 +106,11 @@
 	// activations counts how often the runner became active.
 	activations int
 	doneJobs    *lru.Cache[string, *job]
+	room        *room
+	itemReads   int // reads of items in progress
+	seed        maphash.Seed
+	keptTexts   *keptTexts
+	pages       *pageMemory
 	// incompleteGroups holds groups that were incomplete at the end of their batch.
 	incompleteGroups *lru.Cache[groupKey, struct{}]
 }
@@ -128,7 +138,9 @@
 
 // New returns an inactive runner.
 func New(seams Seams, timers *clock.Service, log *logrus.Entry) *Runner {
-	doneJobs, err := lru.New[string, *job](maxDoneJobs)
+	memory := float64(cmp.Or(seams.Memory, defaultMemory))
+	pages := &pageMemory{limit: int64(pagesShare * memory)}
+	doneJobs, err := lru.NewWithEvict(maxDoneJobs, func(_ string, j *job) { pages.dropAll(j) })
 	if err != nil {
 		panic(err) // the size is a positive constant
 	}
@@ -145,7 +157,8 @@
 	return &Runner{
 		counters: newCounters(seams.Meters), copyCounters: newCopyCounters(seams.Meters), invalidLoads: headers.NewInvalidLoads(seams.Meters, timers, log),
 		doneJobs: doneJobs, incompleteGroups: incompleteGroups, seams: seams, timers: timers, log: log, calls: make(chan func(context.Context), 64),
-		ended: map[string]bool{}, reach: reach.NewDetector(), texts: newTextCache(maxCachedTexts), copied: map[string]standbyStates{},
+		ended: map[string]bool{}, reach: reach.NewDetector(), texts: newTextCache(maxCachedTexts, int64(endedShare*memory)), copied: map[string]standbyStates{},
+		room: newRoom(int64(itemsShare * memory)), seed: maphash.MakeSeed(), keptTexts: newKeptTexts(int64(textsShare * memory)), pages: pages,
 	}
 }
 
@@ -172,6 +185,7 @@
 		if r.active {
 			r.writePages(ctx)
 		}
+		r.loadItems(ctx)
 	}
 }
 
@@ -196,10 +210,24 @@
 	}
 }
 
-// Add adds a batch, unless it is known or ended. A fresh batch was accepted lately, so
-// that it is expected to have no pages in the store.
+// do executes f in the goroutine of Run and waits for its end.
+func (r *Runner) do(ctx context.Context, f func(ctx context.Context)) {
+	finished := make(chan struct{})
+	r.post(ctx, func(ctx context.Context) {
+		f(ctx)
+		close(finished)
+	})
+	select {
+	case <-finished:
+	case <-ctx.Done():
+	}
+}
+
+// Add adds a batch, unless it is known or ended. The batch may lack the items of its parts.
+// A fresh batch was accepted lately, so that it is expected to have no pages in the store.
+// Add returns once the items that have no room are dropped.
 func (r *Runner) Add(ctx context.Context, b *batch.Batch, fresh bool) {
-	r.post(ctx, func(ctx context.Context) { r.add(ctx, b, fresh) })
+	r.do(ctx, func(ctx context.Context) { r.add(ctx, b, fresh) })
 }
 
 // End stops the execution of a batch and keeps it from being added again.
@@ -240,6 +268,7 @@
 	r.active = active
 	if active {
 		r.activations++
+		r.keptTexts.forgetAll() // the texts of pending items are not to be dropped
 	}
 	r.log.WithFields(logrus.Fields{"active": active, "batches": len(r.jobs)}).Info("runner switched")
 	for _, j := range r.jobs {
--- a/internal/training/runner/schedule.go
+++ b/internal/training/runner/schedule.go
@@ -17,13 +17,17 @@
 // item holds back none.
 func (r *Runner) schedule() {
 	now := r.timers.Now()
+	if r.crowded() {
+		r.scheduleInTurn(now)
+		return
+	}
 	for _, j := range r.jobs {
 		if !j.loaded {
 			continue
 		}
 		r.waiting = j.countPending(now)
 		for _, t := range j.tasks {
-			if t.state != statePending || now.Before(t.notBefore) {
+			if !t.startable(now) {
 				continue
 			}
 			if t.text.complete {
@@ -45,7 +49,7 @@
 func (j *job) countPending(now time.Time) int {
 	pending := 0
 	for _, t := range j.tasks {
-		if t.state == statePending && !now.Before(t.notBefore) {
+		if t.startable(now) {
 			pending++
 		}
 	}
--- a/internal/training/runner/standby.go
+++ b/internal/training/runner/standby.go
@@ -150,11 +150,15 @@
 	return s.complete && now-s.ended <= currentCopyAge
 }
 
+// maxTextless bounds the text keys in one reply. The oldest batches, which run first, come
+// first.
+const maxTextless = 8192
+
 // textlessKeys returns the text keys of the items that have no text and do not run.
 func (r *Runner) textlessKeys() []string {
 	var keys []string
 	for _, t := range r.unfinishedTasks() {
-		if t.state == statePending && len(t.text.pieces) == 0 {
+		if t.state == statePending && len(t.text.pieces) == 0 && len(keys) < maxTextless {
 			keys = append(keys, t.textKey)
 		}
 	}
@@ -178,25 +182,40 @@
 // next run gets a new origin, since the worker that sent the part may go on as well.
 func (r *Runner) mergeText(p *Text) bool {
 	t := r.findTask(p.GetItem())
-	if t == nil || t.state != statePending {
-		return t != nil
+	if t == nil {
+		return r.crowded() && r.texts.merge(p) // the item may wait in the store
 	}
-	from := int(p.GetFrom())
-	if p.GetOrigin() == t.text.origin && from+len(p.GetPieces()) <= len(t.text.pieces) {
-		return true // a call that was delayed; the text of one origin only grows
+	if t.state != statePending {
+		return true
 	}
-	if from > 0 && (p.GetOrigin() != t.text.origin || from > len(t.text.pieces)) {
-		return false
+	joined, ok := t.text.join(p)
+	if joined.origin == t.text.origin && len(joined.pieces) == len(t.text.pieces) {
+		return ok
 	}
-	pieces := append([]string(nil), t.text.pieces[:from]...)
-	joined := text{
-		origin: p.GetOrigin(), pieces: append(pieces, p.GetPieces()...), last: p.GetLast(),
-		versions: p.GetVersions(), complete: p.GetComplete(),
-	}.withSize()
 	if joined.meetsVersion(t.job.batch.MinVersion) {
 		t.text, t.activation = joined, 0
+		if !r.active {
+			r.keepText(t)
+		}
 	}
-	return true
+	return ok
+}
+
+// join returns the text with a part that continues or replaces it. It reports false if the
+// part does not.
+func (t text) join(p *Text) (text, bool) {
+	from := int(p.GetFrom())
+	if p.GetOrigin() == t.origin && from+len(p.GetPieces()) <= len(t.pieces) {
+		return t, true // a call that was delayed; the text of one origin only grows
+	}
+	if from > 0 && (p.GetOrigin() != t.origin || from > len(t.pieces)) {
+		return t, false
+	}
+	pieces := append([]string(nil), t.pieces[:from]...)
+	return text{
+		origin: p.GetOrigin(), pieces: append(pieces, p.GetPieces()...), last: p.GetLast(),
+		versions: p.GetVersions(), complete: p.GetComplete(),
+	}.withSize(), true
 }
 
 // mergeIfLonger continues or replaces the text of an item by another worker's copy if
--- a/internal/training/runner/text.go
+++ b/internal/training/runner/text.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	lru "github.com/hashicorp/golang-lru/v2"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
 // text is what engines have generated for an item so far. It is immutable.
@@ -51,21 +51,44 @@
 	return len(t.versions) == 0 || t.versions[0] >= minVersion
 }
 
-// textCache caches unfinished texts by text key.
-type textCache struct{ cache *lru.Cache[string, text] }
+// textCache caches unfinished texts by text key. limit is the memory that they may take,
+// in bytes.
+type textCache struct {
+	limit, used int64
+	cache       *simplelru.LRU[string, text]
+}
 
-func newTextCache(size int) *textCache {
-	cache, err := lru.New[string, text](size)
+func newTextCache(size int, limit int64) *textCache {
+	c := &textCache{limit: limit}
+	cache, err := simplelru.NewLRU(size, func(_ string, t text) { c.used -= t.memorySize() })
 	if err != nil {
 		panic(err) // the size is a positive constant
 	}
-	return &textCache{cache: cache}
+	c.cache = cache
+	return c
 }
 
 func (c *textCache) put(key string, t text) {
-	if len(t.pieces) > 0 {
-		c.cache.Add(key, t)
+	if len(t.pieces) == 0 {
+		return
+	}
+	c.cache.Remove(key) // its size does not count any more
+	c.cache.Add(key, t)
+	c.used += t.memorySize()
+	for c.used > c.limit && c.cache.Len() > 1 {
+		c.cache.RemoveOldest()
+	}
+}
+
+// merge continues or replaces the text with the key of a part, or begins it. It reports
+// false if the part does not continue the text.
+func (c *textCache) merge(p *Text) bool {
+	known, _ := c.cache.Get(p.GetItem())
+	joined, ok := known.join(p)
+	if ok {
+		c.put(p.GetItem(), joined)
 	}
+	return ok
 }
 
 // take removes the text with this key and returns it if it meets the version.
--- a/internal/training/runner/workers.go
+++ b/internal/training/runner/workers.go
@@ -50,8 +50,8 @@
 	}
 }
 
-// Find asks the nearest worker that answers for a batch. It reports false when that
-// worker does not know the batch.
+// Find asks the nearest worker that answers for a batch, which may lack its items. It
+// reports false when that worker does not know the batch.
 func (w *Workers) Find(ctx context.Context, id string) (*batch.Batch, bool) {
 	address := w.nearest()
 	if address == "" {
@@ -63,11 +63,15 @@
 	if err != nil && ctx.Err() == nil {
 		w.silent(address)
 	}
-	if err != nil || len(reply.GetBody()) == 0 {
+	body := reply.GetBody()
+	if len(body) == 0 {
+		body = reply.GetHead()
+	}
+	if err != nil || len(body) == 0 {
 		return nil, false
 	}
 	var b batch.Batch
-	if err := json.Unmarshal(reply.GetBody(), &b); err != nil {
+	if err := json.Unmarshal(body, &b); err != nil {
 		return nil, false
 	}
 	return &b, true
