front: hold no decoded items of a submitted batch

Callers saw: one batch of legal size with very many short items took an entry process of the smallest machine over its memory.

Cause: all items were decoded twice, as they come and as they are stored, and then encoded one by one, at ten times the memory of the body. The budget for bodies charges three times.

Change: the API decodes one item after the other, and each is encoded at once into the record that will hold it. The encoded items are charged to the budget of bodies; without room the answer is 503 memory_full before anything is stored.

--- a/internal/traffic/front/body.go
+++ b/internal/traffic/front/body.go
@@ -16,7 +16,7 @@
 	// bodyTimeout bounds the time that a body may take to arrive.
 	bodyTimeout = 15 * time.Second
 	// batchCopies is the number of copies of a batch's body in memory while it is
-	// accepted: as received, decoded, and as records for the store.
+	// accepted: as received, encoded for the store, and as the record that is written.
 	batchCopies = 3
 	// memoryRetryAfter is the Retry-After delay when the bodies of other requests
 	// use up the memory budget.
@@ -107,13 +107,18 @@
 	return body, nil
 }
 
+// errMemoryFull is the refusal of a request while others use up the memory for bodies.
+func errMemoryFull() error {
+	return code.New(code.MemoryFull, "no memory is left for the body").WithRun(code.NotRun).WithRetryAfter(memoryRetryAfter)
+}
+
 func bodyError(err error, limit int64) error {
 	var timeout net.Error
 	switch {
 	case errors.Is(err, memory.ErrTooLarge):
 		return code.New(code.BodyTooLarge, "the body exceeds %d bytes", limit).WithRun(code.NotRun)
 	case errors.Is(err, memory.ErrFull):
-		return code.New(code.MemoryFull, "no memory is left for the body").WithRun(code.NotRun).WithRetryAfter(memoryRetryAfter)
+		return errMemoryFull()
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return code.New(code.SlowCaller, "the body did not arrive in time").WithRun(code.NotRun)
 	}
--- a/internal/traffic/front/front.go
+++ b/internal/traffic/front/front.go
@@ -13,6 +13,7 @@
 import (
 	"context"
 	"io"
+	"iter"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -63,8 +64,9 @@
 // the readiness check.
 type API struct {
 	// Parse returns the operation and the ID of its batch.
-	Parse     func(method, path string) (Operation, string)
-	Decode    func(body []byte) (*batch.Batch, error)
+	Parse func(method, path string) (Operation, string)
+	// Decode decodes a batch without its items, and returns these one after the other.
+	Decode    func(body []byte) (*batch.Batch, iter.Seq2[batch.Item, error], error)
 	Encode    func(total, next int, results []batch.Result) ([]byte, error)
 	ReadyPath string // path of the readiness check
 }
--- a/internal/traffic/front/front_test.go
+++ b/internal/traffic/front/front_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"iter"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -154,11 +155,13 @@
 	return NoBatch, ""
 }
 
-func decode(body []byte) (*batch.Batch, error) {
+func decode(body []byte) (*batch.Batch, iter.Seq2[batch.Item, error], error) {
 	if string(body) == "bad" {
-		return nil, errors.New("no batch")
+		return nil, nil, errors.New("no batch")
 	}
-	return &batch.Batch{Items: []batch.Item{{ID: string(body), Body: []byte("item")}}}, nil
+	return &batch.Batch{}, func(yield func(batch.Item, error) bool) {
+		yield(batch.Item{ID: string(body), Body: []byte("item")}, nil)
+	}, nil
 }
 
 func (fx *fixture) encode(total, next int, _ []batch.Result) ([]byte, error) {
--- a/internal/traffic/front/submit.go
+++ b/internal/traffic/front/submit.go
@@ -30,20 +30,23 @@
 	if !ok {
 		return
 	}
-	b, err := f.seams.API.Decode(body)
+	b, items, err := f.decodeBatch(body, q)
+	body = nil // the encoded items take its place
 	if err != nil {
 		f.refuse(w, q, code.New(code.BadRequest, "%s", err).WithRun(code.NotRun))
 		return
 	}
-	b.ID, b.Account, b.Host, b.Path, b.Time = q.id, q.account.Name, q.host, q.path, f.timers.Now()
-	b.Routes = batch.RoutesOf(q.manifest, b)
+	if !share.Grow(items.Size()) {
+		f.refuse(w, q, errMemoryFull())
+		return
+	}
 	ctx, cancel := f.withStoreTimeout(context.WithoutCancel(r.Context()))
 	defer cancel()
-	err = f.accept(ctx, b)
+	err = f.accept(ctx, b, items)
 	switch {
 	case err == nil:
 		f.log.WithFields(logrus.Fields{
-			"batch": b.ID, logs.Account: b.Account, logs.Step: b.Step, "items": len(b.Items),
+			"batch": b.ID, logs.Account: b.Account, logs.Step: b.Step, "items": items.Count,
 			"took_ms": f.timers.Since(q.began).Milliseconds(),
 		}).Info("batch accepted")
 		f.confirm(w, q)
@@ -56,6 +59,27 @@
 	}
 }
 
+// decodeBatch decodes a submitted batch, and encodes its items for the store.
+func (f *Front) decodeBatch(body []byte, q *callerRequest) (*batch.Batch, batch.EncodedItems, error) {
+	b, items, err := f.seams.API.Decode(body)
+	if err != nil {
+		return nil, batch.EncodedItems{}, err
+	}
+	b.ID, b.Account, b.Host, b.Path, b.Time = q.id, q.account.Name, q.host, q.path, f.timers.Now()
+	b.Routes = batch.RoutesOf(q.manifest, b)
+	encoded, err := f.seams.Shelf.Encode(func(yield func(batch.Item, error) bool) {
+		for item, err := range items {
+			if err == nil {
+				b.Routes = b.Routes.WithItem(q.manifest, b.Host, &item)
+			}
+			if !yield(item, err) {
+				return
+			}
+		}
+	}, len(body))
+	return b, encoded, err
+}
+
 // confirm answers that the batch is stored.
 func (f *Front) confirm(w http.ResponseWriter, q *callerRequest) {
 	f.recordServed(q, http.StatusAccepted)
@@ -85,7 +109,7 @@
 		return
 	}
 	// Only a body that submits items is worth a call to the store.
-	if b, err := f.seams.API.Decode(body); err != nil || len(b.Items) == 0 {
+	if !f.submitsItems(body) {
 		f.refuse(w, q, errNoRoute(q))
 		return
 	}
@@ -95,6 +119,22 @@
 	f.serveProved(ctx, w, q, unknown, func() bool { return f.confirmStored(ctx, w, q) })
 }
 
+// submitsItems reports whether the body is that of a batch with items.
+func (f *Front) submitsItems(body []byte) bool {
+	_, items, err := f.seams.API.Decode(body)
+	if err != nil {
+		return false
+	}
+	some := false
+	for _, err := range items {
+		if err != nil {
+			return false
+		}
+		some = true
+	}
+	return some
+}
+
 // confirmStored answers a submission that may be a repeated one. It reports false if the
 // proof that the batch is not stored is too old.
 func (f *Front) confirmStored(ctx context.Context, w http.ResponseWriter, q *callerRequest) bool {
@@ -112,9 +152,9 @@
 
 // accept stores a batch. While the store is out of reach, it waits for its return:
 // the caller's next attempt would meet the same outage, and its attempts are few.
-func (f *Front) accept(ctx context.Context, b *batch.Batch) error {
+func (f *Front) accept(ctx context.Context, b *batch.Batch, items batch.EncodedItems) error {
 	for {
-		err := f.seams.Shelf.Accept(ctx, b)
+		err := f.seams.Shelf.AcceptEncoded(ctx, b, items)
 		if !errors.Is(err, records.ErrRefused) || !f.awaitStore(ctx) {
 			return err
 		}
--- a/internal/training/runner/searchcallers_test.go
+++ b/internal/training/runner/searchcallers_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"iter"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -61,10 +62,16 @@
 	return front.NoBatch, ""
 }
 
-func decodeSearch(body []byte) (*batch.Batch, error) {
-	b := &batch.Batch{Model: "m", WantedGroups: 1}
-	err := json.Unmarshal(body, &b.Items)
-	return b, err
+func decodeSearch(body []byte) (*batch.Batch, iter.Seq2[batch.Item, error], error) {
+	var items []batch.Item
+	err := json.Unmarshal(body, &items)
+	return &batch.Batch{Model: "m", WantedGroups: 1}, func(yield func(batch.Item, error) bool) {
+		for _, item := range items {
+			if !yield(item, nil) {
+				return
+			}
+		}
+	}, err
 }
 
 // submit sends the batch to an entry process.
