mirror: apply lists page by page

Cause: a process that starts, or whose history is gone, read all records of a kind into memory before it applied the first one.

Change: each page is applied when it is read, and only names are kept for the removals at the end. A list that is older than what is known is still refused before anything of it is applied.

--- a/internal/control/mirror/mirror.go
+++ b/internal/control/mirror/mirror.go
@@ -184,37 +184,50 @@
 	return m.horizon, nil
 }
 
-// list applies all records of the kind. Records that are not listed any more
+// list applies all records of the kind, page by page. Records that are not listed any more
 // are applied as removed, unless their revision is later than that of the list.
 func (m *Mirror) list(ctx context.Context) (uint64, error) {
-	read := m.store.ListAllShared
+	store := m.store.Shared()
 	if m.exactList {
-		read = m.store.ListAll
+		store = m.store
 	}
-	page, err := read(ctx, m.kind)
-	if err == nil && page.Revision < m.horizon {
-		page, err = m.store.ListAll(ctx, m.kind)
+	revision, listed, err := m.applyList(ctx, store)
+	if errors.Is(err, errLateList) {
+		revision, listed, err = m.applyList(ctx, m.store)
 	}
 	if err != nil {
 		return 0, err
 	}
 	m.exactList = false
-	if page.Revision < m.horizon {
-		return 0, errLateList
-	}
-	m.horizon = page.Revision
-	listed := make(map[string]bool, len(page.Records))
-	for _, r := range page.Records {
-		listed[r.Name] = true
-		m.apply(r)
-	}
-	for name, revision := range m.revisions {
-		if !listed[name] && revision <= page.Revision {
-			m.apply(records.Record{Kind: m.kind, Name: name, Revision: page.Revision, Deleted: true})
+	m.horizon = revision
+	for name, known := range m.revisions {
+		if !listed[name] && known <= revision {
+			m.apply(records.Record{Kind: m.kind, Name: name, Revision: revision, Deleted: true})
 		}
 	}
 	m.synced.Store(true)
-	return page.Revision, nil
+	return revision, nil
+}
+
+// applyList applies the records of a list and returns its revision and the names of the
+// records. It returns errLateList, and applies none, if the list is older than what is known.
+func (m *Mirror) applyList(ctx context.Context, store records.Store) (revision uint64, listed map[string]bool, err error) {
+	listed = map[string]bool{}
+	first := true
+	err = store.EachPage(ctx, m.kind, func(page records.Page) error {
+		if first && page.Revision < m.horizon {
+			return errLateList
+		}
+		if first {
+			revision, first = page.Revision, false
+		}
+		for _, r := range page.Records {
+			listed[r.Name] = true
+			m.apply(r)
+		}
+		return nil
+	})
+	return revision, listed, err
 }
 
 // apply calls Options.Apply unless the same or a newer version of the record
--- a/internal/control/mirror/shared_test.go
+++ b/internal/control/mirror/shared_test.go
@@ -80,7 +80,7 @@
 		},
 		ListShared: func(_ context.Context, _, after string) (records.Page, error) { return pages[after], nil },
 	}
-	page, err := two.ListAllShared(t.Context(), "things")
+	page, err := two.Shared().ListAll(t.Context(), "things")
 	if err != nil || exact != 1 || page.Revision != 20 || len(page.Records) != 2 || page.Records[1].Name != "c" {
 		t.Errorf("two pages: %+v, error %v, %d exact reads; want the second page read again", page, err, exact)
 	}
--- a/internal/peer/records/records.go
+++ b/internal/peer/records/records.go
@@ -90,12 +90,12 @@
 // freshness (2 s), and those who use the page watch the kind from its revision on.
 const MaxSharedAge = 400 * time.Millisecond
 
-// ListAllShared is like ListAll, but may use pages of other processes' lists. A page
-// that is older than the first one lacks changes that a watch from the revision of the
-// first one does not tell of; it is read again.
-func (s Store) ListAllShared(ctx context.Context, kind string) (Page, error) {
+// Shared returns a store whose List may return pages of other processes' lists. A page that
+// is older than the first one lacks changes that a watch from the revision of the first one
+// does not tell of; it is read again. The store is for one list.
+func (s Store) Shared() Store {
 	if s.ListShared == nil {
-		return s.ListAll(ctx, kind)
+		return s
 	}
 	var first uint64
 	shared := s
@@ -109,7 +109,7 @@
 		}
 		return page, err
 	}
-	return shared.ListAll(ctx, kind)
+	return shared
 }
 
 // ListAll returns all records of a kind, with the revision of the first page.
@@ -117,6 +117,22 @@
 	return s.ListFrom(ctx, kind, "", func(Record) bool { return true })
 }
 
+// EachPage calls onPage for each page of a kind's records, until it returns an error. All
+// pages at once may be more than a process can hold.
+func (s Store) EachPage(ctx context.Context, kind string, onPage func(Page) error) error {
+	for after, more := "", true; more; {
+		page, err := s.List(ctx, kind, after)
+		if err != nil {
+			return err
+		}
+		if err := onPage(page); err != nil {
+			return err
+		}
+		after, more = page.Next, page.Next != ""
+	}
+	return nil
+}
+
 // ListFrom returns the records of a kind whose names come after the given one, up
 // to the first record for which more returns false. Their revision is that of the
 // first page.
