relay: bound the size of replies that are kept for others

Cause: a process keeps the replies to shared calls for 400 ms, up to 64 of them, each as large as a page of the store. While another process lists a full store through it, that is up to 64 MB in its memory.

Change: the kept replies have at most 8 MB together; the oldest are dropped first.

--- a/internal/peer/relay/shared.go
+++ b/internal/peer/relay/shared.go
@@ -11,10 +11,14 @@
 	"github.com/wigeonpin/wigeonpin/internal/base/clock"
 )
 
-// maxKept is the number of replies that a SharedCalls keeps for reuse. A reply is at most
-// as large as a page of the store, and is dropped once a later one is kept and it is too
-// old.
-const maxKept = 64
+const (
+	// maxKept is the number of replies that a SharedCalls keeps for reuse. A reply is
+	// dropped once a later one is kept and it is too old.
+	maxKept = 64
+	// maxKeptBytes bounds the size of these replies together. A process that starts lists
+	// all pages of a kind within the time for which they may be reused.
+	maxKeptBytes = 8 << 20
+)
 
 // ReuseFunc returns for how long the reply to a shared call may also be the reply to
 // further equal calls, from the beginning of the call on; 0 if it may not.
@@ -32,6 +36,7 @@
 	mu      sync.Mutex
 	flights map[string]*flight
 	kept    *simplelru.LRU[string, keptReply]
+	size    int // of the kept replies, in bytes
 }
 
 // flight is a call in progress.
@@ -51,11 +56,13 @@
 // NewSharedCalls returns a SharedCalls that makes its calls with direct. The timeout
 // of a call is its Wait and slack. reuse may be nil.
 func NewSharedCalls(direct CallFunc, slack time.Duration, reuse ReuseFunc) *SharedCalls {
-	kept, err := simplelru.NewLRU[string, keptReply](maxKept, nil)
+	s := &SharedCalls{direct: direct, slack: slack, reuse: reuse, uptime: clock.Uptime, flights: map[string]*flight{}}
+	kept, err := simplelru.NewLRU(maxKept, func(_ string, dropped keptReply) { s.size -= len(dropped.reply.Body) })
 	if err != nil {
 		panic(err) // the size is a positive constant
 	}
-	return &SharedCalls{direct: direct, slack: slack, reuse: reuse, uptime: clock.Uptime, flights: map[string]*flight{}, kept: kept}
+	s.kept = kept
+	return s
 }
 
 // Call makes the call, joins an equal one in progress or reuses its reply. A caller
@@ -119,11 +126,22 @@
 	}
 	if reusable > 0 {
 		s.dropExpired(now)
-		s.kept.Add(key, keptReply{reply: f.reply, until: began + reusable})
+		s.keep(key, keptReply{reply: f.reply, until: began + reusable})
 	}
 	close(f.finished)
 }
 
+// keep keeps a reply, and drops the oldest ones that are too many. It must be called with
+// mu locked.
+func (s *SharedCalls) keep(key string, reply keptReply) {
+	s.kept.Remove(key)
+	s.kept.Add(key, reply)
+	s.size += len(reply.reply.Body)
+	for s.size > maxKeptBytes {
+		s.kept.RemoveOldest()
+	}
+}
+
 // dropExpired drops the replies that may not be reused any more: each watch has a key of
 // its own, so that nobody asks for them again. It must be called with mu locked.
 func (s *SharedCalls) dropExpired(now time.Duration) {
