step: count the samples that wait for memory

Cause: the memory of a group at its home instance was counted by its prompt and its complete samples. A group of 1,024 samples that wait, each in goroutines of its own, counted as 512 bytes, so that one pull of legal size (8,192 groups) ended a stand-alone instance.

Change: each sample that is not complete counts 8 KB. Groups beyond the 64 MB wait until others are finished, as before; 8,192 samples of an instance have room, above the 2,048 that may run.

--- a/internal/training/step/group.go
+++ b/internal/training/step/group.go
@@ -60,9 +60,11 @@
 func (g *group) size() int64 {
 	size := groupOverhead + len(g.prompt)
 	for _, s := range g.samples {
-		if s != nil {
-			size += groupOverhead + len(s.Text)
+		if s == nil {
+			size += missingOverhead
+			continue
 		}
+		size += groupOverhead + len(s.Text)
 	}
 	return int64(size)
 }
--- a/internal/training/step/home.go
+++ b/internal/training/step/home.go
@@ -32,6 +32,9 @@
 	// groupOverhead is the size in bytes that is accounted for a group and for each
 	// sample in addition to its text.
 	groupOverhead = 512
+	// missingOverhead is the size in bytes that is accounted for a sample that is not
+	// complete: its generation waits or runs in a goroutine.
+	missingOverhead = 8 << 10
 )
 
 // groupPosition is the place of a group among those of a trainer's steps.
