runner: do not hold batches back for one that cannot be read

The oldest batch with items in the store was the only one of its account that could be read next, also while it was being read or its last read had failed. One damaged record would have held back all later batches of the account.

--- a/internal/training/runner/items.go
+++ b/internal/training/runner/items.go
@@ -106,7 +106,7 @@
 
 // loadItems starts to read items that wait in the store, as far as there is room.
 func (r *Runner) loadItems(ctx context.Context) {
-	for r.itemReads < maxItemReads {
+	for r.crowded() && r.itemReads < maxItemReads {
 		j, size := r.nextToLoad()
 		if j == nil {
 			return
@@ -123,13 +123,11 @@
 	var waiting []string // accounts
 	for _, j := range r.jobs {
 		account := j.batch.Account
-		if j.allTaken() || oldest[account] != nil {
+		if j.allTaken() || j.reading || now.Before(j.readAt) || oldest[account] != nil {
 			continue
 		}
 		oldest[account] = j
-		if !j.reading && !now.Before(j.readAt) {
-			waiting = append(waiting, account)
-		}
+		waiting = append(waiting, account)
 	}
 	if len(waiting) == 0 {
 		return nil, 0
