exchange: end an unmarked answer only after its request was written

Callers saw: a part of an answer as the whole one (MIXED). A replica had answered a long upload at once without a length, sent part of its body and reset the connection while the upload was still being written.

Cause: the kernel tells an error of a connection once, to whoever calls first. The write of the upload that runs beside took it, and the read found an end, which marks the end of an answer without a length.

Change: such an end counts only once the whole request was written without an error; else the answer broke off. The wait for the write is bounded, as a server may close only its half. Answers without a length from servers that read the whole upload are passed on as before: PROTOCOL.md asks clients for a length or chunks, and replicas for nothing, so refusing them would lose answers to requests that ran.

Evidence: TestResetDuringAnUpload failed before in all eight cases of 8 and 32 MB, at the first or a later upload of ten; not in those of 20 KB, which fit the socket buffers. TestHalfCloseDuringAnUpload failed before too. Both pass now, as does TestAnswersWithoutALength, before and now.

--- a/internal/peer/conn/limited.go
+++ b/internal/peer/conn/limited.go
@@ -53,14 +53,14 @@
 
 // LimitResponses limits the responses of a transport: headers to HeaderLimit
 // bytes and bodies to limit bytes, past which reads fail with
-// ErrLimitExceeded. Their statuses are checked as with CheckStatus.
+// ErrLimitExceeded. They are checked as with CheckResponses.
 func LimitResponses(transport *http.Transport, limit int64) http.RoundTripper {
 	transport.MaxResponseHeaderBytes = HeaderLimit
-	return &limitedTransport{next: newStatusTransport(transport), limit: limit}
+	return &limitedTransport{next: newCheckedTransport(transport), limit: limit}
 }
 
 type limitedTransport struct {
-	next  *statusTransport
+	next  *checkedTransport
 	limit int64
 }
 
--- a/internal/peer/conn/status.go
+++ b/internal/peer/conn/status.go
@@ -47,25 +47,57 @@
 
 func invalidStatus(r *http.Response) error { return fmt.Errorf("%w: %q", ErrInvalidStatus, r.Status) }
 
+// ErrNoEnd is the error of a response without a length or chunks to a request with a body.
+// When the peer resets the connection while the body is written, the kernel tells the
+// write of it, and the read finds an end: the response looks whole, though it was cut.
+// net/http does not tell of the failed write then.
+var ErrNoEnd = errors.New("conn: the response has neither a length nor chunks, so its end cannot be told from a cut")
+
 // CheckStatus returns a transport whose responses have a final status. Another one fails
 // with ErrInvalidStatus, and its body is closed unread, which closes the connection. A
 // response without a body leaves it open; net/http closes it once unexpected bytes arrive.
-func CheckStatus(next *http.Transport) http.RoundTripper { return newStatusTransport(next) }
+func CheckStatus(next *http.Transport) http.RoundTripper { return &checkedTransport{next: next} }
+
+// CheckResponses is like CheckStatus. Besides, the end of each response to a request with a
+// body is marked; another one fails with ErrNoEnd.
+func CheckResponses(next *http.Transport) http.RoundTripper { return newCheckedTransport(next) }
 
-func newStatusTransport(next *http.Transport) *statusTransport { return &statusTransport{next: next} }
+func newCheckedTransport(next *http.Transport) *checkedTransport {
+	return &checkedTransport{next: next, checkEnd: true}
+}
 
-type statusTransport struct{ next *http.Transport }
+type checkedTransport struct {
+	next     *http.Transport
+	checkEnd bool
+}
 
 // RoundTrip implements http.RoundTripper.
-func (t *statusTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+func (t *checkedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	response, err := t.next.RoundTrip(r)
-	if err != nil || isFinal(response.StatusCode) {
-		return response, err
+	if err != nil {
+		return nil, err
+	}
+	switch {
+	case !isFinal(response.StatusCode):
+		err = invalidStatus(response)
+	case t.checkEnd && r.Body != nil && r.Body != http.NoBody && !EndIsMarked(response):
+		err = ErrNoEnd
+	default:
+		return response, nil
 	}
 	_ = response.Body.Close()
-	return nil, invalidStatus(response)
+	return nil, err
+}
+
+// EndIsMarked reports whether the end of a response can be told from a cut: it has a length
+// or chunks, or it never has a body.
+func EndIsMarked(r *http.Response) bool {
+	if r.Request != nil && r.Request.Method == http.MethodHead || r.StatusCode == http.StatusNoContent || r.StatusCode == http.StatusNotModified {
+		return true
+	}
+	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0
 }
 
 // CloseIdleConnections lets http.Client.CloseIdleConnections reach the wrapped
 // transport.
-func (t *statusTransport) CloseIdleConnections() { t.next.CloseIdleConnections() }
+func (t *checkedTransport) CloseIdleConnections() { t.next.CloseIdleConnections() }
--- a/internal/peer/exchange/answer.go
+++ b/internal/peer/exchange/answer.go
@@ -2,20 +2,33 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
+	"time"
+
+	"github.com/wigeonpin/wigeonpin/internal/peer/conn"
 )
 
 // ErrTooLarge is returned by ReadAll for a body that exceeds the limit.
 var ErrTooLarge = errors.New("exchange: the body is larger than the limit")
 
-// discardLimit is the number of bytes that Discard reads at most in order to
-// reuse the connection.
-const discardLimit = 64 << 10
+const (
+	// discardLimit is the number of bytes that Discard reads at most in order to
+	// reuse the connection.
+	discardLimit = 64 << 10
+	// unwrittenWait is how long the end of an answer that has no mark waits for the end
+	// of the write of its request.
+	unwrittenWait = 500 * time.Millisecond
+)
+
+// errUnwritten is the cause of an answer without a mark that ended while the request was
+// still being written.
+var errUnwritten = errors.New("the answer ended before the request was written")
 
 // Answer is an answer whose body can still be read. Framed reports whether the
-// end of the body is marked by a length or by chunked encoding.
+// end of the body is marked, by a length or by chunked encoding.
 type Answer struct {
 	Status int
 	Header http.Header
@@ -35,15 +48,22 @@
 
 func newAnswer(p *Pool, c *connection, r *http.Response, stop func() bool, writeResult <-chan error) *Answer {
 	return &Answer{
-		Status: r.StatusCode, Header: r.Header, Framed: framed(r),
+		Status: r.StatusCode, Header: r.Header, Framed: conn.EndIsMarked(r),
 		body: r.Body, pool: p, connection: c, response: r, stop: stop, writeResult: writeResult,
 	}
 }
 
-// Read reads from the body. It returns io.EOF only at the body's marked end,
-// or at a graceful close of the connection when the answer is not framed.
+// Read reads from the body. It returns io.EOF only at the body's marked end, or at a
+// graceful close of the connection when the answer is not framed. Such an answer is not
+// whole unless the whole request was written: when the peer resets the connection, the
+// kernel tells a write that runs beside the read, and the read finds an end.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
+	if errors.Is(err, io.EOF) && !a.Framed && !a.complete {
+		if failure := a.awaitWrite(); failure != nil {
+			err = fmt.Errorf("%w: %w", io.ErrUnexpectedEOF, failure)
+		}
+	}
 	switch {
 	case errors.Is(err, io.EOF):
 		a.complete = true
@@ -56,6 +76,19 @@
 	return n, err
 }
 
+// awaitWrite waits for the end of the write of the request and returns its error. A peer
+// that closed only its own half may leave the write waiting.
+func (a *Answer) awaitWrite() error {
+	timer := time.NewTimer(unwrittenWait)
+	defer timer.Stop()
+	select {
+	case err := <-a.writeResult:
+		return err
+	case <-timer.C:
+		return errUnwritten
+	}
+}
+
 // ReadAll reads the rest of the body, at most limit bytes, and closes the
 // answer.
 func (a *Answer) ReadAll(limit int64) ([]byte, error) {
--- a/internal/peer/exchange/exchange.go
+++ b/internal/peer/exchange/exchange.go
@@ -289,7 +289,7 @@
 			c.limited.AllowAll()
 			return response, nil
 		}
-		if strays++; strays > maxStrayAnswers || !framed(response) {
+		if strays++; strays > maxStrayAnswers || !conn.EndIsMarked(response) {
 			return nil, errors.New("answer to another request")
 		}
 		c.limited.Allow(maxStrayBody)
@@ -314,10 +314,6 @@
 	return request.Header.Get(p.options.EchoHeader)
 }
 
-func framed(r *http.Response) bool {
-	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0
-}
-
 // acquire returns an idle connection that can serve the request, or a new one.
 func (p *Pool) acquire(ctx context.Context, to target, id string) (c *connection, reused bool, err error) {
 	for {
