conn: refuse answers without a marked end to requests with a body

An empty 200 to an order or a write of the store then counts as success.

The streams of engines have a last line of their own. The client of services has refused such answers before; its check is now the shared one.

--- a/cmd/wigeonpin/client.go
+++ b/cmd/wigeonpin/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/wigeonpin/wigeonpin/internal/base/codec"
 	"github.com/wigeonpin/wigeonpin/internal/control/table"
+	"github.com/wigeonpin/wigeonpin/internal/peer/conn"
 )
 
 const (
@@ -64,7 +65,7 @@
 		return zero, eris.New("set --operator (or WIGEONPIN_OPERATOR) and the variable WIGEONPIN_OPERATOR_KEY")
 	}
 	header := http.Header{"Authorization": {"Bearer " + key}}
-	client := &http.Client{Timeout: callTimeout}
+	client := &http.Client{Timeout: callTimeout, Transport: conn.CheckResponses(&http.Transport{})}
 	return codec.Call[Answer](ctx, client, method, "http://"+c.Operator+path, header, body)
 }
 
--- a/internal/control/lease/guard.go
+++ b/internal/control/lease/guard.go
@@ -19,7 +19,7 @@
 
 // newClient returns a client whose connections belong to the lease.
 func (l *Lease) newClient() *http.Client {
-	return &http.Client{Transport: conn.CheckStatus(l.newTransport()), Timeout: 2 * answerTimeout}
+	return &http.Client{Transport: conn.CheckResponses(l.newTransport()), Timeout: 2 * answerTimeout}
 }
 
 // newTransport returns a transport that opens a connection for each request, so that
--- a/internal/control/serve/build.go
+++ b/internal/control/serve/build.go
@@ -89,9 +89,9 @@
 		store:    objects.New(settings.Platform, timers),
 		engines:  engine.New(settings, timers),
 		services: service.New(settings),
-		capacity: capacity.New(settings.Capacity, &http.Client{Transport: conn.CheckStatus(conn.Transport(settings))}),
-		weights:  weights.New(settings.Weights, &http.Client{Transport: conn.CheckStatus(conn.Transport(settings))}),
-		scorer:   scorer.New(settings.Scorer, &http.Client{Transport: conn.CheckStatus(conn.Transport(settings))}),
+		capacity: capacity.New(settings.Capacity, &http.Client{Transport: conn.CheckResponses(conn.Transport(settings))}),
+		weights:  weights.New(settings.Weights, &http.Client{Transport: conn.CheckResponses(conn.Transport(settings))}),
+		scorer:   scorer.New(settings.Scorer, &http.Client{Transport: conn.CheckResponses(conn.Transport(settings))}),
 	}
 	i.buildControl()
 	i.buildFleet()
--- a/internal/peer/conn/conn.go
+++ b/internal/peer/conn/conn.go
@@ -5,7 +5,7 @@
 //
 // # Usage
 //
-//	client := &http.Client{Transport: conn.CheckStatus(conn.Transport(settings))}
+//	client := &http.Client{Transport: conn.CheckResponses(conn.Transport(settings))}
 //	counted, err := conn.Dial(ctx, settings, "10.0.0.7:8000")
 //	if counted.Written() == 0 { /* the peer cannot have received anything */ }
 package conn
--- a/internal/peer/engine/engine.go
+++ b/internal/peer/engine/engine.go
@@ -46,8 +46,9 @@
 	streams.DisableKeepAlives = true
 	return &Client{
 		settings: settings, timers: timers,
+		// A stream has a last line of its own, so that its end needs no other mark.
 		streams: &http.Client{Transport: conn.CheckStatus(streams)},
-		control: &http.Client{Transport: conn.CheckStatus(conn.Transport(settings))},
+		control: &http.Client{Transport: conn.CheckResponses(conn.Transport(settings))},
 	}
 }
 
--- a/internal/peer/service/service.go
+++ b/internal/peer/service/service.go
@@ -145,7 +145,7 @@
 		stop()
 		return nil, code.New(code.AnswerCrossed, "the endpoint answered another request").WithRun(code.MaybeRun)
 	}
-	if !delimited(request, resp) {
+	if !conn.EndIsMarked(resp) {
 		stop()
 		return nil, code.New(code.AnswerIncomplete, "the answer has neither a length nor chunks, so its end cannot be told from a cut").
 			WithRun(code.MaybeRun)
@@ -165,15 +165,6 @@
 	return answer, nil
 }
 
-// delimited reports whether the end of the body can be recognised. The end of a
-// connection is no proof, since it looks the same if the service crashed.
-func delimited(request Request, resp *http.Response) bool {
-	if request.Method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified {
-		return true
-	}
-	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-}
-
 func dialFailed(err error) bool {
 	var failed *net.OpError
 	return errors.As(err, &failed) && failed.Op == "dial"
