--- a/internal/control/mirror/pages_test.go
+++ b/internal/control/mirror/pages_test.go
@@ -16,7 +16,7 @@
 	const pages = 5
 	read := 0
 	f := &follower{state: map[string]string{}}
-	store := records.Store{List: func(_ context.Context, _, after string) (records.Page, error) {
+	store := records.Store{List: func(context.Context, string, string) (records.Page, error) {
 		if len(f.state) != read {
 			t.Errorf("page %d is read while %d records are applied, want %d", read, len(f.state), read)
 		}
--- a/internal/training/runner/items.go
+++ b/internal/training/runner/items.go
@@ -33,7 +33,7 @@
 
 // addTasks gives items tasks, except those whose results are in known pages.
 func (r *Runner) addTasks(j *job, items []batch.Item) {
-	expected, before := int64(0), j.cost
+	expected, cost := int64(0), int64(0)
 	for _, item := range items { // each task has a copy, so that it alone can be dropped
 		if r.takeListed(j, item.ID) {
 			continue
@@ -41,7 +41,7 @@
 		t := &task{item: &item, job: j, textKey: j.batch.TextKey(&item)}
 		t.text = r.texts.take(t.textKey, j.batch.MinVersion)
 		expected += max(1, item.ExpectedTokens)
-		j.cost += itemCost(t.item)
+		cost += itemCost(t.item)
 		j.tasks = append(j.tasks, t)
 		j.byID[item.ID] = t
 		j.byTextKey[t.textKey] = t
@@ -49,7 +49,8 @@
 			j.progress.Expect(item.Group, r.incompleteGroups.Contains(newGroupKey(j.batch, item.Group)))
 		}
 	}
-	r.room.take(j.batch.Account, j.cost-before)
+	j.cost += cost
+	r.room.take(j.batch.Account, cost)
 	if r.seams.OnBatch != nil {
 		r.seams.OnBatch(j.batch.Model, expected)
 	}
--- a/internal/training/runner/stream.go
+++ b/internal/training/runner/stream.go
@@ -17,10 +17,10 @@
 	"github.com/wigeonpin/wigeonpin/internal/training/batch"
 )
 
-// generate reads the events of the item from one engine. It returns the text
-// including these events, and the weight version that the engine reported last.
-func (r *Runner) generate(ctx context.Context, t *task, slot *replica.Slot, request exchange.Request) (text, int64, error) {
-	generated, minVersion := t.text, t.job.batch.MinVersion
+// generate reads the events of the item from one engine that continue a text. It returns
+// the text including these events, and the weight version that the engine reported last.
+func (r *Runner) generate(ctx context.Context, t *task, generated text, slot *replica.Slot, request exchange.Request) (text, int64, error) {
+	minVersion := t.job.batch.MinVersion
 	answer, err := r.seams.Pool.Do(ctx, slot.Entry.Address, request)
 	if err != nil {
 		return generated, 0, err
--- a/internal/training/runner/task.go
+++ b/internal/training/runner/task.go
@@ -143,11 +143,11 @@
 	if t.text.origin == "" || t.activation != r.activations {
 		t.text.origin, t.activation = rand.Text(), r.activations
 	}
-	live := t.text
+	live := t.text // the goroutine of the run must not read the field
 	t.liveText.Store(&live)
 	request := r.newRequest(t, slot, host)
 	go func() {
-		generated, version, err := r.generate(ctx, t, slot, request)
+		generated, version, err := r.generate(ctx, t, live, slot, request)
 		if cause := context.Cause(ctx); err != nil && cause != nil {
 			err = cause
 		}
