front: refuse items that cannot be sent as requests

Cause: the client of replicas dropped the error of writing the request to its buffer and waited for an answer to nothing until the items stalled.

Change: exchange returns the error, with nothing sent and no connection made, and an item that an earlier release accepted is given up at once. The door refuses a batch with an item whose id, path or scoring call has a space or a control character, or with a header field that is none, with 400 and the item's number.

--- a/internal/peer/exchange/exchange.go
+++ b/internal/peer/exchange/exchange.go
@@ -24,6 +24,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -79,6 +80,10 @@
 	Body                      []byte
 }
 
+// ErrUnwritable is the cause of a failed exchange whose request cannot be written: it has a
+// control character in its path. No endpoint is at fault.
+var ErrUnwritable = errors.New("the request cannot be written")
+
 // Error is a failed exchange. Sent reports that bytes of the request may have
 // left this process. Dialed is false if no connection was made. Reused reports
 // that the connection had served an earlier request.
@@ -219,6 +224,10 @@
 
 // send sends the request once.
 func (p *Pool) send(ctx context.Context, address string, request Request) (*Answer, error) {
+	message, err := encode(request)
+	if err != nil {
+		return nil, &Error{cause: err}
+	}
 	id := p.id(request)
 	c, reused, err := p.acquire(ctx, target{address, request.Group}, id)
 	if err != nil {
@@ -233,7 +242,6 @@
 		return nil, &Error{Sent: sent, Dialed: true, Reused: reused, cause: err}
 	}
 	stop := context.AfterFunc(ctx, c.abort)
-	message := encode(request)
 	writeResult := make(chan error, 1)
 	if len(message) <= maxInlineWrite {
 		if n, err := c.Write(message); err != nil {
@@ -252,8 +260,8 @@
 	return newAnswer(p, c, response, stop, writeResult), nil
 }
 
-// encode returns the bytes of the request.
-func encode(request Request) []byte {
+// encode returns the bytes of the request, or ErrUnwritable.
+func encode(request Request) ([]byte, error) {
 	header := request.Header
 	if header == nil {
 		header = http.Header{}
@@ -272,8 +280,10 @@
 		r.Body = http.NoBody
 	}
 	var out bytes.Buffer
-	_ = r.Write(&out) // writes to a bytes.Buffer do not fail
-	return out.Bytes()
+	if err := r.Write(&out); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnwritable, err)
+	}
+	return out.Bytes(), nil
 }
 
 // readHead reads the head of the answer to the request and skips late answers
--- a/internal/traffic/front/front_test.go
+++ b/internal/traffic/front/front_test.go
@@ -354,6 +354,7 @@
 		{"store away", http.MethodPost, "/batch/x", "k1", "i3", ledger.Refuse, 503},
 		{"not known whether stored", http.MethodPost, "/batch/x", "k1", "i4", ledger.DropWrite, 504},
 		{"no batch", http.MethodPost, "/batch/x", "k1", "bad", ledger.None, 400},
+		{"item that cannot be sent", http.MethodPost, "/batch/x", "k1", "a b", ledger.None, 400},
 		{"no results yet", http.MethodGet, "/results/id-i1", "k1", "", ledger.None, 200},
 		{"of another account", http.MethodGet, "/results/id-i1", "k2", "", ledger.None, 404},
 		{"unknown", http.MethodGet, "/results/id-i9", "k1", "", ledger.None, 404},
--- a/internal/traffic/front/submit.go
+++ b/internal/traffic/front/submit.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 
+	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
 	"github.com/wigeonpin/wigeonpin/internal/base/code"
@@ -59,7 +60,8 @@
 	}
 }
 
-// decodeBatch decodes a submitted batch, and encodes its items for the store.
+// decodeBatch decodes a submitted batch, and encodes its items for the store. Its error
+// names the number of an item that cannot be sent, counted from 1.
 func (f *Front) decodeBatch(body []byte, q *callerRequest) (*batch.Batch, batch.EncodedItems, error) {
 	b, items, err := f.seams.API.Decode(body)
 	if err != nil {
@@ -68,7 +70,11 @@
 	b.ID, b.Account, b.Host, b.Path, b.Time = q.id, q.account.Name, q.host, q.path, f.timers.Now()
 	b.Routes = batch.RoutesOf(q.manifest, b)
 	encoded, err := f.seams.Shelf.Encode(func(yield func(batch.Item, error) bool) {
+		number := 0
 		for item, err := range items {
+			if number++; err == nil {
+				err = eris.Wrapf(item.Check(), "item %d", number)
+			}
 			if err == nil {
 				b.Routes = b.Routes.WithItem(q.manifest, b.Host, &item)
 			}
--- a/internal/training/batch/batch_test.go
+++ b/internal/training/batch/batch_test.go
@@ -249,3 +249,26 @@
 		}
 	}
 }
+
+// Guards against accepted items that can never be sent as requests: a line feed in a path
+// held the slots of all engines (second review), and a header field or an id that differs
+// from what was submitted makes each answer one to another request.
+func TestItemsThatCannotBeSent(t *testing.T) {
+	for name, item := range map[string]Item{
+		"line feed in the path":    {ID: "i", Path: "/a\n"},
+		"space in the path":        {ID: "i", Path: "/a b"},
+		"control character in id":  {ID: "i\x00", Path: "/a"},
+		"name of a header field":   {ID: "i", Path: "/a", Header: map[string]string{"a b": "c"}},
+		"value of a header field":  {ID: "i", Path: "/a", Header: map[string]string{"a": "b\r\nc: d"}},
+		"path of the scoring call": {ID: "i", Path: "/a", Reward: &Reward{ID: "r", Host: "h", Path: "/\x7f"}},
+		"host of the scoring call": {ID: "i", Path: "/a", Reward: &Reward{ID: "r", Host: "h\n", Path: "/"}},
+	} {
+		if err := item.Check(); err == nil {
+			t.Errorf("%s: no error", name)
+		}
+	}
+	sound := Item{ID: "i-1", Path: "/ä/1?x=%20", Header: map[string]string{"Model": "m 1", "Token-Count": "1,2"}, Reward: &Reward{ID: "r", Host: "h:80", Path: "/s"}}
+	if err := sound.Check(); err != nil {
+		t.Errorf("a sound item: %v", err)
+	}
+}
--- a/internal/training/batch/items.go
+++ b/internal/training/batch/items.go
@@ -7,8 +7,10 @@
 	"errors"
 	"fmt"
 	"iter"
+	"strings"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/net/http/httpguts"
 
 	"github.com/wigeonpin/wigeonpin/internal/base/codec"
 	"github.com/wigeonpin/wigeonpin/internal/peer/records"
@@ -37,6 +39,29 @@
 	return int64(size)
 }
 
+// Check returns an error that names the field if the item, or its scoring call, cannot be
+// sent as a request: an id, path or host with a space or a control character, or a header
+// field that is none.
+func (i *Item) Check() error {
+	fields := [][2]string{{"id", i.ID}, {"path", i.Path}}
+	if r := i.Reward; r != nil {
+		fields = append(fields, [][2]string{{"id of the scoring call", r.ID}, {"path of the scoring call", r.Path}, {"host of the scoring call", r.Host}}...)
+	}
+	for _, field := range fields {
+		if strings.ContainsFunc(field[1], isSpaceOrControl) {
+			return eris.Errorf("the %s %.100q has a space or a control character", field[0], field[1])
+		}
+	}
+	for name, value := range i.Header {
+		if !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(value) {
+			return eris.Errorf("the header field %.100q is none, or its value %.100q", name, value)
+		}
+	}
+	return nil
+}
+
+func isSpaceOrControl(c rune) bool { return c <= ' ' || c == 0x7f }
+
 // each yields the items that the batch holds.
 func (b *Batch) each() iter.Seq2[Item, error] {
 	return func(yield func(Item, error) bool) {
--- a/internal/training/runner/items_test.go
+++ b/internal/training/runner/items_test.go
@@ -220,3 +220,25 @@
 		t.Fatalf("%d bytes of a batch, %d of a head, error %v; want the head alone", len(reply.GetBody()), len(reply.GetHead()), err)
 	}
 }
+
+// Guards against items of an earlier release that cannot be written as requests: they held
+// all slots, and each attempt counted as one that failed at the engine.
+func TestUnwritableItemIsGivenUp(t *testing.T) {
+	h := newHarness(t)
+	b := manyItems("step", "acme", 40)
+	for i := range 30 {
+		b.Items[i].Path = "/gen/x\n"
+	}
+	ctx := t.Context()
+	h.runner.SetActive(ctx, true)
+	h.runner.Add(ctx, b, true)
+	for id, result := range h.results(t, b) {
+		unwritable := false
+		for _, item := range b.Items[:30] {
+			unwritable = unwritable || item.ID == id
+		}
+		if result.Done == unwritable {
+			t.Errorf("%s: done %v, unwritable %v", id, result.Done, unwritable)
+		}
+	}
+}
--- a/internal/training/runner/task.go
+++ b/internal/training/runner/task.go
@@ -171,7 +171,7 @@
 	switch {
 	case err == nil, errors.Is(err, errEngineError), errors.Is(err, errUnprocessable), errors.Is(err, errOldWeights):
 		return replica.Answered
-	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStalled):
+	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStalled), errors.Is(err, exchange.ErrUnwritable):
 		return replica.Abandoned
 	case errors.Is(err, errRejected):
 		return replica.Rejected
@@ -248,6 +248,8 @@
 	case errors.Is(err, errZoneSilent):
 		r.logMove(t, e, len(generated.pieces), "run moved out of a silent zone")
 		return
+	case errors.Is(err, exchange.ErrUnwritable):
+		r.giveUp(t, err.Error()) // every attempt would fail
 	case errors.Is(err, errRejected), errors.Is(err, errMisplaced), exchange.NotSent(err):
 		r.counters.rejections.Add(rejectionReason(err), 1)
 		t.notBefore = now.Add(rejectionRetryDelay)
