runner: let each account go on, and bound the reads of a takeover

Reading the change again showed two faults. What is kept of listed items without a task counted as items of its account, so that an account with enough of them never had room for another piece, and its batches stayed open. It now counts for the whole worker only.

TestItemsWaitForRoom now gives the successor less room than what is kept of listed items takes.

--- a/internal/training/runner/items.go
+++ b/internal/training/runner/items.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"cmp"
 	"context"
 	"hash/maphash"
 	"slices"
@@ -56,7 +57,7 @@
 	}
 	// The longest items decide when a batch is complete, so they are started
 	// first. If there are more items than slots, the short ones fill the gaps.
-	slices.SortStableFunc(j.tasks, func(a, b *task) int { return int(b.remaining() - a.remaining()) })
+	slices.SortStableFunc(j.tasks, func(a, b *task) int { return cmp.Compare(b.remaining(), a.remaining()) })
 }
 
 // noteListed records that the result of an item without a task is in a page.
@@ -69,8 +70,7 @@
 		j.listedBefore = map[uint64]struct{}{}
 	}
 	j.listedBefore[key] = struct{}{}
-	j.cost += listedOverhead
-	r.room.take(j.batch.Account, listedOverhead)
+	r.room.used += listedOverhead
 }
 
 // takeListed reports whether the result of an item that gets a task now is in a page.
@@ -80,17 +80,14 @@
 		return false
 	}
 	delete(j.listedBefore, key)
-	j.cost -= listedOverhead
-	r.room.release(j.batch.Account, listedOverhead)
+	r.room.used -= listedOverhead
 	return true
 }
 
 // forgetListed drops what noteListed has recorded.
 func (r *Runner) forgetListed(j *job) {
-	size := listedOverhead * int64(len(j.listedBefore))
+	r.room.used -= listedOverhead * int64(len(j.listedBefore))
 	j.listedBefore = nil
-	j.cost -= size
-	r.room.release(j.batch.Account, size)
 }
 
 // allTaken reports whether all items of the batch have got tasks.
--- a/internal/training/runner/items_test.go
+++ b/internal/training/runner/items_test.go
@@ -11,8 +11,12 @@
 	"github.com/wigeonpin/wigeonpin/internal/training/batch"
 )
 
-// smallRoom has room for about 200 of the items of manyItems at a time.
-const smallRoom = 256 << 10
+const (
+	// smallRoom has room for about 200 of the items of manyItems at a time.
+	smallRoom = 256 << 10
+	// noRoom is less than what is kept of listed items without a task takes.
+	noRoom = 8 << 10
+)
 
 // manyItems returns a batch with a number of items.
 func manyItems(id, account string, items int) *batch.Batch {
@@ -80,8 +84,9 @@
 }
 
 // Guards against items of a batch larger than the memory that never run, run after they
-// were listed, or are listed twice, while they wait in the store for room. Half of them
-// are listed by a worker that is lost; its successor knows only what the store has.
+// were listed, or are listed twice, while they wait in the store for room. Some of them
+// are listed by a worker that is lost; its successor knows only what the store has, and has
+// no room but for the piece that each account may always take.
 func TestItemsWaitForRoom(t *testing.T) {
 	h := newHarness(t)
 	setRoom(h.runner, smallRoom)
@@ -99,7 +104,7 @@
 	server := httptest.NewServer(h.engine)
 	defer server.Close()
 	successor := h.newRunner(t, strings.TrimPrefix(server.URL, "http://"))
-	setRoom(successor, smallRoom)
+	setRoom(successor, noRoom)
 	end = checkRoom(t, successor, 1)
 	defer end()
 	successor.Add(ctx, stored, false)
--- a/internal/training/runner/job.go
+++ b/internal/training/runner/job.go
@@ -143,6 +143,9 @@
 
 // pagesNotRead logs that pages could not be read, and waits for the next attempt.
 func (r *Runner) pagesNotRead(ctx context.Context, id string, cause error) {
+	if ctx.Err() != nil {
+		return
+	}
 	r.log.WithFields(logrus.Fields{"batch": id, logs.Cause: cause.Error()}).Warn("result pages not read, retrying")
 	_ = r.timers.Sleep(ctx, pageRetryDelay)
 }
@@ -152,27 +155,39 @@
 // ends.
 func (r *Runner) readPages(ctx context.Context, j *job) (count int) {
 	for after, more := "", true; more && ctx.Err() == nil; {
-		pages, next, err := r.seams.Store.PagesAfter(ctx, j.batch.ID, after)
+		read, next, err := r.mergePages(ctx, j, after, count)
 		if err != nil {
-			if ctx.Err() == nil {
-				r.pagesNotRead(ctx, j.batch.ID, err)
-			}
+			r.pagesNotRead(ctx, j.batch.ID, err)
 			continue
 		}
-		r.do(ctx, func(context.Context) {
-			if ctx.Err() != nil {
-				return
-			}
-			for i, page := range pages {
-				r.merge(j, count+i, page)
-			}
-		})
-		count += len(pages)
+		count += read
 		after, more = next, next != ""
 	}
 	return count
 }
 
+// mergePages reads one list of pages and merges them, the first under the given number. It
+// returns their number and the value of after for the next list.
+func (r *Runner) mergePages(ctx context.Context, j *job, after string, first int) (count int, next string, err error) {
+	if err := r.pageReads.Acquire(ctx, 1); err != nil {
+		return 0, "", err
+	}
+	defer r.pageReads.Release(1)
+	pages, next, err := r.seams.Store.PagesAfter(ctx, j.batch.ID, after)
+	if err != nil {
+		return 0, "", err
+	}
+	r.do(ctx, func(context.Context) {
+		if ctx.Err() != nil {
+			return
+		}
+		for i, page := range pages {
+			r.merge(j, first+i, page)
+		}
+	})
+	return len(pages), next, nil
+}
+
 // pagesLoaded starts the execution of a batch whose pages have been read.
 func (r *Runner) pagesLoaded(j *job) {
 	j.loaded = true
--- a/internal/training/runner/room.go
+++ b/internal/training/runner/room.go
@@ -32,9 +32,11 @@
 // itemCost returns the room that an item takes, in bytes.
 func itemCost(item *batch.Item) int64 { return taskOverhead + item.MemorySize() }
 
-// room counts the memory that the items of open batches take, by client account. Batches
-// that have no room wait in the store: an account with many items delays its own batches,
-// not those of others. It is not safe for concurrent use.
+// room counts the memory that open batches take: that of the items by client account, and
+// in used also that of job.listedBefore. Items that have no room wait in the store: an
+// account with many items delays its own batches, not those of others. An account without
+// items here always has room for a piece, so that each batch goes on. It is not safe for
+// concurrent use.
 type room struct {
 	limit, used int64
 	accounts    map[string]int64
--- a/internal/training/runner/runner.go
+++ b/internal/training/runner/runner.go
@@ -20,6 +20,7 @@
 
 	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/wigeonpin/wigeonpin/internal/base/clock"
 	"github.com/wigeonpin/wigeonpin/internal/base/meter"
@@ -42,6 +43,9 @@
 	// maxIncompleteGroups bounds the number of groups that are remembered because
 	// they were incomplete at the end of their batch.
 	maxIncompleteGroups = 4096
+	// maxPageReads bounds the lists of pages that are read at a time. Each holds a page
+	// of the store.
+	maxPageReads = 8
 	// maxDoneJobs bounds the number of completed batches whose results callers
 	// may still read here.
 	maxDoneJobs = 20
@@ -90,6 +94,9 @@
 	// invalidLoads records load reports that cannot be parsed.
 	invalidLoads *headers.InvalidLoads
 
+	// pageReads limits the lists of pages that are read at a time.
+	pageReads *semaphore.Weighted
+
 	// The fields below are used only by the goroutine of Run.
 	active bool
 	// waiting is the number of items of the batch being scheduled that may start now.
@@ -158,7 +165,8 @@
 		counters: newCounters(seams.Meters), copyCounters: newCopyCounters(seams.Meters), invalidLoads: headers.NewInvalidLoads(seams.Meters, timers, log),
 		doneJobs: doneJobs, incompleteGroups: incompleteGroups, seams: seams, timers: timers, log: log, calls: make(chan func(context.Context), 64),
 		ended: map[string]bool{}, reach: reach.NewDetector(), texts: newTextCache(maxCachedTexts, int64(endedShare*memory)), copied: map[string]standbyStates{},
-		room: newRoom(int64(itemsShare * memory)), seed: maphash.MakeSeed(), keptTexts: newKeptTexts(int64(textsShare * memory)), pages: pages,
+		pageReads: semaphore.NewWeighted(maxPageReads),
+		room:      newRoom(int64(itemsShare * memory)), seed: maphash.MakeSeed(), keptTexts: newKeptTexts(int64(textsShare * memory)), pages: pages,
 	}
 }
 
