runner: bound the number of items that are looked at

Cause: room in bytes allows 45,000 short items on a machine of 314 MB, and each pass that starts items looked at all of them, with look-ups in maps for each.

Change: an account has at most 16,384 items with tasks, and a pass looks at each item's state alone.

--- a/internal/training/runner/items.go
+++ b/internal/training/runner/items.go
@@ -21,9 +21,10 @@
 // number.
 func (r *Runner) takeItems(j *job, items []batch.Item) int {
 	free := r.room.free(j.batch.Account, r.accountsWithBatches())
+	window := max(0, maxWindow-r.room.accounts[j.batch.Account].items)
 	taken := 0
-	for i := range items {
-		if free -= itemCost(&items[i]); free < 0 {
+	for taken < min(len(items), window) {
+		if free -= itemCost(&items[taken]); free < 0 {
 			break
 		}
 		taken++
@@ -34,7 +35,7 @@
 
 // addTasks gives items tasks, except those whose results are in known pages.
 func (r *Runner) addTasks(j *job, items []batch.Item) {
-	expected, cost := int64(0), int64(0)
+	expected, cost, before := int64(0), int64(0), len(j.tasks)
 	for _, item := range items { // each task has a copy, so that it alone can be dropped
 		if r.takeListed(j, item.ID) {
 			continue
@@ -51,7 +52,7 @@
 		}
 	}
 	j.cost += cost
-	r.room.take(j.batch.Account, cost)
+	r.room.take(j.batch.Account, len(j.tasks)-before, cost)
 	if r.seams.OnBatch != nil {
 		r.seams.OnBatch(j.batch.Model, expected)
 	}
@@ -130,30 +131,41 @@
 	if len(waiting) == 0 {
 		return nil, 0
 	}
-	slices.SortStableFunc(waiting, func(a, b string) int { return int(r.room.accounts[a] - r.room.accounts[b]) })
+	slices.SortStableFunc(waiting, func(a, b string) int {
+		return cmp.Compare(r.room.accounts[a].size, r.room.accounts[b].size)
+	})
 	accounts := r.accountsWithBatches()
 	for _, account := range waiting {
-		free := r.room.free(account, accounts)
-		if free < minPiece && r.dropListed(account) {
-			free = r.room.free(account, accounts)
+		size := r.pieceFor(account, accounts)
+		if size == 0 && r.dropListed(account) {
+			size = r.pieceFor(account, accounts)
 		}
-		if free >= minPiece {
-			return oldest[account], min(free, maxPiece)
+		if size > 0 {
+			return oldest[account], size
 		}
 	}
 	return nil, 0
 }
 
+// pieceFor returns the room for items of an account that may be read now, or 0.
+func (r *Runner) pieceFor(account string, accounts int) int64 {
+	free := r.room.free(account, accounts)
+	if free < minPiece || r.room.accounts[account].items >= maxWindow {
+		return 0
+	}
+	return min(free, maxPiece)
+}
+
 // readItems reads the next items of a batch, which may take size bytes of room.
 func (r *Runner) readItems(ctx context.Context, j *job, size int64) {
 	j.reading = true
 	r.itemReads++
 	account, at := j.batch.Account, j.next
-	r.room.take(account, size) // until the items are there
+	r.room.take(account, 0, size) // until the items are there
 	go func() {
 		items, next, err := r.seams.Store.ReadItems(ctx, j.batch, at, size, itemCost)
 		r.post(ctx, func(context.Context) {
-			r.room.release(account, size)
+			r.room.release(account, 0, size)
 			j.reading = false
 			r.itemReads--
 			if r.findJob(j.batch.ID) != j {
@@ -204,7 +216,7 @@
 	r.keptTexts.forget(t)
 	cost := itemCost(t.item)
 	j.cost -= cost
-	r.room.release(j.batch.Account, cost)
+	r.room.release(j.batch.Account, 1, cost)
 }
 
 // crowded reports whether items of open batches wait in the store for room.
@@ -215,43 +227,55 @@
 // maxTurns bounds the items of one account that scheduleInTurn looks at in one pass.
 const maxTurns = 256
 
+// turns are the items of an account that scheduleInTurn looks at.
+type turns struct {
+	running int
+	pending []*task
+}
+
 // scheduleInTurn starts pending items while items wait for room. The account with the
 // fewest running items is next, so that an account with very many items does not hold all
 // slots.
 func (r *Runner) scheduleInTurn(now time.Time) {
-	running, pending := map[string]int{}, map[string][]*task{}
-	var accounts []string
+	byAccount := map[string]*turns{}
+	var waiting []*turns
 	for _, j := range r.jobs {
-		account := j.batch.Account
-		if _, known := running[account]; !known {
-			running[account] = 0
-			accounts = append(accounts, account)
-		}
-		for _, t := range j.tasks {
-			switch {
-			case t.state == stateRunning:
-				running[account]++
-			case j.loaded && t.startable(now) && len(pending[account]) < maxTurns:
-				pending[account] = append(pending[account], t)
-			}
+		account, known := byAccount[j.batch.Account]
+		if !known {
+			account = &turns{}
+			byAccount[j.batch.Account] = account
+			waiting = append(waiting, account)
 		}
+		account.add(j, now)
 	}
 	for {
-		accounts = slices.DeleteFunc(accounts, func(account string) bool { return len(pending[account]) == 0 })
-		if len(accounts) == 0 {
+		waiting = slices.DeleteFunc(waiting, func(account *turns) bool { return len(account.pending) == 0 })
+		if len(waiting) == 0 {
 			return
 		}
-		next := slices.MinFunc(accounts, func(a, b string) int { return running[a] - running[b] })
-		t := pending[next][0]
-		pending[next] = pending[next][1:]
-		r.waiting = len(pending[next]) + 1
+		next := slices.MinFunc(waiting, func(a, b *turns) int { return cmp.Compare(a.running, b.running) })
+		r.waiting = len(next.pending)
+		t := next.pending[0]
+		next.pending = next.pending[1:]
 		switch {
 		case t.text.complete:
 			r.startScoring(t)
 		case r.tryStart(t):
-			running[next]++
+			next.running++
 		case !t.suspected():
-			pending[next] = nil // as in schedule, it holds back the later items
+			next.pending = nil // as in schedule, it holds back the later items
+		}
+	}
+}
+
+// add counts the running items of a batch, and adds those that may start now.
+func (a *turns) add(j *job, now time.Time) {
+	for _, t := range j.tasks {
+		switch {
+		case t.state == stateRunning:
+			a.running++
+		case j.loaded && len(a.pending) < maxTurns && t.startable(now):
+			a.pending = append(a.pending, t)
 		}
 	}
 }
--- a/internal/training/runner/room.go
+++ b/internal/training/runner/room.go
@@ -27,6 +27,10 @@
 	// in bytes. An account always has room for one piece of minPiece.
 	minPiece = 128 << 10
 	maxPiece = 2 << 20
+	// maxWindow is the number of items of an account that may have tasks. Each pass over
+	// them costs time. It is four
+	// times the samples of the largest step.
+	maxWindow = 16384
 )
 
 // itemCost returns the room that an item takes, in bytes.
@@ -39,31 +43,39 @@
 // concurrent use.
 type room struct {
 	limit, used int64
-	accounts    map[string]int64
+	accounts    map[string]usage
 }
 
-func newRoom(limit int64) *room { return &room{limit: limit, accounts: map[string]int64{}} }
+// usage is what the items of an account take: their number, and their room in bytes.
+type usage struct {
+	items int
+	size  int64
+}
+
+func newRoom(limit int64) *room { return &room{limit: limit, accounts: map[string]usage{}} }
 
 // free returns the room that an account may still take when a number of accounts have open
 // batches.
 func (m *room) free(account string, accounts int) int64 {
 	free := int64(openShare*float64(m.limit)) - m.used
-	equal := m.limit/int64(max(accounts, 1)) - m.accounts[account]
+	equal := m.limit/int64(max(accounts, 1)) - m.accounts[account].size
 	free = max(free, min(equal, m.limit-m.used))
-	if m.accounts[account] == 0 {
+	if m.accounts[account].size == 0 {
 		free = max(free, minPiece)
 	}
 	return max(free, 0)
 }
 
-func (m *room) take(account string, size int64) {
+// take counts a number of items with their room. release takes it back.
+func (m *room) take(account string, items int, size int64) {
+	u := m.accounts[account]
+	u.items += items
+	u.size += size
 	m.used += size
-	m.accounts[account] += size
-}
-
-func (m *room) release(account string, size int64) {
-	m.used -= size
-	if m.accounts[account] -= size; m.accounts[account] <= 0 {
+	m.accounts[account] = u
+	if u.size <= 0 {
 		delete(m.accounts, account)
 	}
 }
+
+func (m *room) release(account string, items int, size int64) { m.take(account, -items, -size) }
