ratelimit: compare whole requests with the bound of the test

The test compared fractions, and in floating point 11.0/30 is less than 0.4 - 1.0/30. It now compares the number of requests with the same bound, less 1e-9 for the rounding; a request fewer still fails.

--- a/internal/fleet/ratelimit/cluster_test.go
+++ b/internal/fleet/ratelimit/cluster_test.go
@@ -35,6 +35,9 @@
 	factor = 1.5
 	slack  = 5
 	grace  = 3 * time.Second
+	// rounding is more than the error of a bound in floating point: 0.4 of 30 requests less
+	// 1 are 11, but 11.0/30 is less than 0.4 - 1.0/30.
+	rounding = 1e-9
 	// retireTime is longer than any ask, so that no goroutine is left at the end.
 	retireTime = 5 * time.Second
 )
@@ -437,13 +440,13 @@
 						c.stopAll()
 						time.Sleep(retireTime)
 						allowed := int(factor*rate*window.Seconds()) + slack
-						used := float64(c.sentSince(from)) / (rate * took.Seconds())
-						t.Logf("%d in %v at most, %d allowed; %.2f of the limit used", c.most(), window, allowed, used)
+						sent, all := c.sentSince(from), rate*took.Seconds()
+						t.Logf("%d in %v at most, %d allowed; %.2f of the limit used", c.most(), window, allowed, float64(sent)/all)
 						if c.most() > allowed {
 							t.Errorf("%d requests in %v, want at most %d", c.most(), window, allowed)
 						}
-						if least := s.least - 1/(rate*took.Seconds()); used < least {
-							t.Errorf("%.2f of the limit used, want at least %.2f", used, least)
+						if least := s.least*all - 1; float64(sent) < least-rounding {
+							t.Errorf("%d of %.1f requests were sent, want at least %g", sent, all, least)
 						}
 					})
 				})
