front: give a batch of many records more time

Cause: all calls to the store for one submission have 2.5 s together, whatever their number.

Change: each record but the first has 250 ms more, as far as the caller waits.

--- a/internal/traffic/front/batches.go
+++ b/internal/traffic/front/batches.go
@@ -24,8 +24,10 @@
 	maxResultBytes = 900 << 10
 	// maxResultWait bounds how long a long poll waits for a result.
 	maxResultWait = time.Second
-	// storeTimeout bounds all calls to the store for one request.
-	storeTimeout = 2500 * time.Millisecond
+	// storeTimeout bounds all calls to the store for one request. Each record of a
+	// batch but the first has recordTimeout more, as a slow store answers within 250 ms.
+	storeTimeout  = 2500 * time.Millisecond
+	recordTimeout = 250 * time.Millisecond
 	// storeRetryAfter is the Retry-After delay while the store is unavailable, and
 	// maxOutageRetryAfter the longest one in an outage.
 	storeRetryAfter     = 400 * time.Millisecond
@@ -59,8 +61,20 @@
 // It also ends when it turns out that such calls cannot succeed, so that only what
 // is cached here is still served, and at the end of a planned stop.
 func (f *Front) withStoreTimeout(parent context.Context) (context.Context, context.CancelFunc) {
+	return f.withTimeout(parent, storeTimeout)
+}
+
+// acceptTimeout returns the time for the calls to the store that accept a batch of a number
+// of records. It exceeds storeTimeout only as far as the caller waits.
+func (f *Front) acceptTimeout(q *callerRequest, records int) time.Duration {
+	limit := max(storeTimeout, q.deadline.Sub(f.timers.Now()))
+	return min(limit, storeTimeout+time.Duration(records-1)*recordTimeout)
+}
+
+// withTimeout is withStoreTimeout with another timeout.
+func (f *Front) withTimeout(parent context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
 	ctx, release := f.seams.Stop.Context(parent)
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	isolation := f.seams.Outage.Isolation()
 	go func() {
 		select {
--- a/internal/traffic/front/submit.go
+++ b/internal/traffic/front/submit.go
@@ -41,7 +41,7 @@
 		f.refuse(w, q, errMemoryFull())
 		return
 	}
-	ctx, cancel := f.withStoreTimeout(context.WithoutCancel(r.Context()))
+	ctx, cancel := f.withTimeout(context.WithoutCancel(r.Context()), f.acceptTimeout(q, items.Records()))
 	defer cancel()
 	err = f.accept(ctx, b, items)
 	switch {
--- a/internal/training/batch/items.go
+++ b/internal/training/batch/items.go
@@ -89,6 +89,9 @@
 	return int64(size)
 }
 
+// Records returns the number of records that hold the items.
+func (e EncodedItems) Records() int { return len(e.lists) }
+
 // Encode encodes items for AcceptEncoded. It holds none of them decoded. size is their
 // expected size in bytes, 0 if it is not known. It returns the error that items yields.
 func (s *Store) Encode(items iter.Seq2[Item, error], size int) (EncodedItems, error) {
--- a/internal/training/runner/room.go
+++ b/internal/training/runner/room.go
@@ -28,8 +28,7 @@
 	minPiece = 128 << 10
 	maxPiece = 2 << 20
 	// maxWindow is the number of items of an account that may have tasks. Each pass over
-	// them costs time. It is four
-	// times the samples of the largest step.
+	// them costs time. It is four times the samples of the largest step.
 	maxWindow = 16384
 )
 
