batch: accept no parts of another submission

Cause: a part that exists was taken for one that an earlier attempt of the same submission had written. A submission that was refused midway leaves its parts, and another one with the same id, with other items or divided into records in another way, was then accepted with them.

Change: a part that exists is read and compared; with other items the submission is refused as not run.

TestPartsOfAnotherSubmission fails without the comparison: the second submission is accepted.

--- a/internal/training/batch/batch.go
+++ b/internal/training/batch/batch.go
@@ -30,6 +30,7 @@
 package batch
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -183,8 +184,7 @@
 // AcceptEncoded is like Accept for encoded items.
 func (s *Store) AcceptEncoded(ctx context.Context, b *Batch, items EncodedItems) error {
 	for number, part := range items.lists[1:] {
-		record := records.Record{Kind: KindParts, Name: PageName(b.ID, number), Body: part}
-		if _, err := s.store.Create(ctx, record); err != nil && !errors.Is(err, records.ErrConflict) {
+		if err := s.createPart(ctx, b.ID, number, part); err != nil {
 			// Parts without the record of the batch are never read, so the batch
 			// was not accepted, whatever happened to this write.
 			return fmt.Errorf("%w: %w", records.ErrRefused, err)
@@ -209,6 +209,24 @@
 	return nil
 }
 
+// errOtherItems is the error of a batch whose id has parts of another submission, which was
+// not accepted or had other items.
+var errOtherItems = errors.New("batch: the id has parts with other items")
+
+// createPart creates a part, unless an earlier attempt of the same submission has. Another
+// submission with the id may have left a part with other items.
+func (s *Store) createPart(ctx context.Context, id string, number int, items json.RawMessage) error {
+	_, err := s.store.Create(ctx, records.Record{Kind: KindParts, Name: PageName(id, number), Body: items})
+	if !errors.Is(err, records.ErrConflict) {
+		return err
+	}
+	stored, err := s.readPart(ctx, id, number)
+	if err == nil && !bytes.Equal(stored, items) {
+		err = errOtherItems
+	}
+	return err
+}
+
 // unknownOutcome returns the error of a write that may or may not have been
 // carried out, since the record could not be read back. It does not wrap the
 // error of the read: a refused read says nothing about the write.
--- a/internal/training/batch/batch_test.go
+++ b/internal/training/batch/batch_test.go
@@ -272,3 +272,37 @@
 		t.Errorf("a sound item: %v", err)
 	}
 }
+
+// Guards against a batch that is accepted with items of another submission: its id has a
+// part that was left when that submission was refused.
+func TestPartsOfAnotherSubmission(t *testing.T) {
+	large := func(first string) *Batch {
+		b := &Batch{ID: "b1", Account: "acme"}
+		for i := range 50 {
+			b.Items = append(b.Items, Item{ID: fmt.Sprint(first, i), Body: make([]byte, 300)})
+		}
+		return b
+	}
+	l := ledger.New()
+	recordStore := l.Store()
+	create, writes := recordStore.Create, 0
+	recordStore.Create = func(ctx context.Context, r records.Record) (records.Record, error) {
+		if writes++; writes == 3 {
+			return r, records.ErrRefused
+		}
+		return create(ctx, r)
+	}
+	store := NewStore(recordStore, 4096)
+	if err := store.Accept(t.Context(), large("a")); !errors.Is(err, records.ErrRefused) {
+		t.Fatalf("error %v, want records.ErrRefused", err)
+	}
+	if err := store.Accept(t.Context(), large("b")); !errors.Is(err, records.ErrRefused) {
+		t.Errorf("error %v for other items, want records.ErrRefused", err)
+	}
+	if err := store.Accept(t.Context(), large("a")); err != nil {
+		t.Fatal(err)
+	}
+	if items := readInPieces(t, store, "b1", 1000); !reflect.DeepEqual(items, large("a").Items) {
+		t.Errorf("%d items are stored, want those that were accepted", len(items))
+	}
+}
--- a/internal/training/batch/items.go
+++ b/internal/training/batch/items.go
@@ -98,12 +98,13 @@
 	var encoded EncodedItems
 	var item, list bytes.Buffer
 	list.Grow(min(size, s.limit))
+	held := 0 // bytes of the items in the list, without separators
 	encoder := json.NewEncoder(&item)
 	encoder.SetEscapeHTML(false) // it would make some items six times as large
 	flush := func() {
 		list.WriteByte(']')
 		encoded.lists = append(encoded.lists, list.Bytes())
-		list = bytes.Buffer{}
+		list, held = bytes.Buffer{}, 0
 	}
 	for next, err := range items {
 		if err != nil {
@@ -114,7 +115,9 @@
 			return EncodedItems{}, eris.Wrap(err, "item")
 		}
 		text := bytes.TrimSuffix(item.Bytes(), []byte("\n"))
-		if list.Len() > 0 && list.Len()+len(text) > s.limit {
+		// A release that divides the items in another way must not continue a submission
+		// of this one: parts that exist are not written again.
+		if held > 0 && held+len(text) > s.limit {
 			flush()
 			list.Grow(s.limit)
 		}
@@ -124,6 +127,7 @@
 		}
 		list.WriteByte(separator)
 		list.Write(text)
+		held += len(text)
 		encoded.Count++
 	}
 	if list.Len() == 0 {
