--- a/review/standin-3/fleet.go
+++ b/review/standin-3/fleet.go
@@ -32,7 +32,7 @@
 	store     *store
 	processes []*process
 	began     time.Time
-	memoryMb  int
+	memoryMb  map[string]int // by role
 
 	mu     sync.Mutex
 	record io.Writer
@@ -59,7 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &fleet{folder: folder, program: program, store: s, began: time.Now(), memoryMb: 284, record: record}, nil
+	return &fleet{folder: folder, program: program, store: s, began: time.Now(), memoryMb: map[string]int{"entry": 284, "worker": 284}, record: record}, nil
 }
 
 // note writes a line to the record.
@@ -113,7 +113,7 @@
 	text, err := json.Marshal(map[string]any{
 		"nodeName": name, "role": role, "ip": ip, "zone": zone, "region": "loop", "zones": map[string]string{"a": "loop", "b": "loop", "c": "loop"},
 		"listen": map[string]string{"front": p.front, "readiness": p.ready}, "portRange": []int{first, first + peerPorts - 1},
-		"limits":      map[string]any{"cpuShare": 0.4, "cores": 1, "memoryMb": f.memoryMb, "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 0},
+		"limits":      map[string]any{"cpuShare": 0.4, "cores": 1, "memoryMb": f.memoryMb[role], "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 0},
 		"heartbeatMs": 1200,
 		"bounds": map[string]any{
 			"drainMs": 2000, "graceS": 8, "configApplyMs": 2000, "leaseMs": 3000, "usageWindowS": 5, "usageLateS": 10,
