front: tell the account of a batch by its key on public routes too

Cause: a submission on a public route was admitted before its key was looked at, so that the batch was stored without an account. A repeated submission and one on a removed route had rules of their own.

Ruled out: late manifests (all six entry processes answered alike for 8 s) and the store (the record was there).

Change: the key counts for all calls about batches. Whether a caller may use a stored batch is decided in one place from its record: its account may, and everybody if it has none. A batch that was submitted without a known key on a public route is read without one there.

--- a/internal/control/manifest/manifest.go
+++ b/internal/control/manifest/manifest.go
@@ -10,6 +10,7 @@
 
 import (
 	"crypto/sha256"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -170,12 +171,12 @@
 
 // HasBatchRoute reports whether the host has a route for batches.
 func (m *Manifest) HasBatchRoute(host string) bool {
-	for _, r := range m.routes[host] {
-		if r.Kind == Rollout {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(m.routes[host], func(r Route) bool { return r.Kind == Rollout })
+}
+
+// HasPublicBatchRoute reports whether the host has a route for batches that needs no key.
+func (m *Manifest) HasPublicBatchRoute(host string) bool {
+	return slices.ContainsFunc(m.routes[host], func(r Route) bool { return r.Kind == Rollout && r.Public })
 }
 
 // Service returns the service with this name.
--- a/internal/traffic/front/accepted_test.go
+++ b/internal/traffic/front/accepted_test.go
@@ -35,7 +35,7 @@
 
 // parseManifest reads a manifest with one route in each line: host, prefix, kind and
 // "public" if it needs no key. The argument accounts lists the client accounts; the
-// key of each is its name.
+// key of each is its name. The argument keys=none stands for no list of accounts.
 func parseManifest(t *testing.T, version int64, d *datadriven.TestData) *manifest.Manifest {
 	t.Helper()
 	kinds := map[string]manifest.Kind{"plain": manifest.Idempotent, "batches": manifest.Rollout}
@@ -53,7 +53,10 @@
 	}
 	accounts := []manifest.Account{}
 	for _, arg := range d.CmdArgs {
-		if arg.Key == "accounts" {
+		switch arg.Key {
+		case "keys":
+			accounts = nil
+		case "accounts":
 			for _, name := range arg.Vals {
 				accounts = append(accounts, manifest.Account{Name: name, Keys: []string{name}})
 			}
--- a/internal/traffic/front/admit.go
+++ b/internal/traffic/front/admit.go
@@ -8,6 +8,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/base/code"
 	"github.com/wigeonpin/wigeonpin/internal/control/manifest"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/headers"
+	"github.com/wigeonpin/wigeonpin/internal/training/batch"
 )
 
 // callerRequest is what is known of a caller's request. parseRequest fills the
@@ -19,6 +20,7 @@
 	route                 manifest.Route
 	routed                bool // route is set; for a call about a batch, it is the plain route of the same path
 	account               manifest.Account
+	keyError              error // why a caller on a public route has no account; nil if it has one, or needs none
 	operation             Operation
 	batch                 string
 	deadline              time.Time // the earlier of the caller's and the route's time limit
@@ -57,22 +59,45 @@
 	if q.operation == NoBatch && !q.routed {
 		return f.refuseRoute(q)
 	}
-	if !q.manifest.Keyed || (q.operation == NoBatch && q.route.Public) {
+	if !q.manifest.Keyed || (!q.aboutBatch() && q.route.Public) {
 		return nil
 	}
 	err := f.authenticate(r, q)
 	if err == nil || code.Of(err).Code == code.KeysStale {
 		return err
 	}
-	// A caller without a client account has no batches.
+	return q.admitWithoutAccount(err)
+}
+
+// aboutBatch reports whether the request submits a batch or is about an accepted one.
+// The key of such a request tells its client account also on a public route, where the
+// key of a plain request is not looked at: the account that submits a batch reads it
+// and ends it.
+func (q *callerRequest) aboutBatch() bool {
+	return q.operation != NoBatch || q.route.Kind == manifest.Rollout
+}
+
+// admitWithoutAccount admits a request whose key belongs to no client account where a
+// public route allows it, and returns its refusal otherwise.
+func (q *callerRequest) admitWithoutAccount(keyError error) error {
+	submitsPublic := q.operation == NoBatch && q.route.Public
 	switch {
+	case submitsPublic || q.operation != NoBatch && q.manifest.HasPublicBatchRoute(q.host):
+		q.keyError = keyError
+		return nil
 	case q.operation == Resubmit:
 		return errNoRoute(q)
 	case q.routed && q.route.Public:
 		q.operation, q.batch = NoBatch, ""
 		return nil
 	}
-	return err
+	return keyError
+}
+
+// mayUse reports whether the caller may read, end and submit again a stored batch. A
+// manifest without client accounts asks for no keys, so that every caller may.
+func (q *callerRequest) mayUse(b *batch.Batch) bool {
+	return !q.manifest.Keyed || b.OpenTo(q.account.Name)
 }
 
 // classify finds out what the request is about. Accepted batches stay with their
--- a/internal/traffic/front/batches.go
+++ b/internal/traffic/front/batches.go
@@ -128,7 +128,7 @@
 }
 
 // batchCall serves an operation on an accepted batch. A batch of another client
-// account looks like a missing one. If the caller has no such batch, the plain route
+// account looks like a missing one; a caller without an account is asked for a key. If the caller has no such batch, the plain route
 // of the path serves the request, if it has one.
 func (f *Front) batchCall(w http.ResponseWriter, r *http.Request, q *callerRequest) {
 	if !f.seams.Stop.CanEnd(f.batchWork(q)) {
@@ -150,9 +150,13 @@
 // rest on a proof that is too old.
 func (f *Front) serveBatch(ctx context.Context, w http.ResponseWriter, r *http.Request, q *callerRequest, wait time.Duration) bool {
 	b, err := f.seams.Reader.Batch(ctx, q.batch)
-	if err == nil && b.Account != q.account.Name {
+	if err == nil && !q.mayUse(b) {
 		err = &batch.MissingError{Proof: batch.Proof{Source: batch.ProofOfAccount}}
 	}
+	if errors.Is(err, records.ErrMissing) && q.keyError != nil {
+		f.refuse(w, q, q.keyError) // a key may lead to the batch
+		return true
+	}
 	if errors.Is(err, records.ErrMissing) && q.routed {
 		return f.forwardWithoutBatch(w, r, q, err)
 	}
--- a/internal/traffic/front/submit.go
+++ b/internal/traffic/front/submit.go
@@ -44,6 +44,7 @@
 	ctx, cancel := f.withTimeout(context.WithoutCancel(r.Context()), f.acceptTimeout(q, items.Records()))
 	defer cancel()
 	err = f.accept(ctx, b, items)
+	var other *batch.OtherAccountError
 	switch {
 	case err == nil:
 		f.log.WithFields(logrus.Fields{
@@ -51,9 +52,13 @@
 			"took_ms": f.timers.Since(q.began).Milliseconds(),
 		}).Info("batch accepted")
 		f.confirm(w, q)
-	case errors.Is(err, batch.ErrOtherAccount) && f.ownsBatch(ctx, r, q):
+	case errors.As(err, &other) && q.mayUse(other.Stored):
 		f.confirm(w, q)
-	case errors.Is(err, batch.ErrOtherAccount):
+	case other != nil && q.keyError != nil:
+		// The key may be so new that this process does not know it yet. The batch that its
+		// account submitted before runs then.
+		f.refuse(w, q, code.Of(q.keyError).WithRun(code.MaybeRun))
+	case other != nil:
 		f.refuse(w, q, code.New(code.KeyForbidden, "the id belongs to another account").WithRun(code.NotRun))
 	default:
 		f.refuse(w, q, f.storeError(err))
@@ -92,18 +97,6 @@
 	writeBytes(w, http.StatusAccepted, nil)
 }
 
-// ownsBatch reports whether the key of a submission belongs to the client account
-// whose batch has the same id. On a route that became public, a batch that was
-// accepted before is submitted again without looking at the key.
-func (f *Front) ownsBatch(ctx context.Context, r *http.Request, q *callerRequest) bool {
-	caller := *q
-	if f.authenticate(r, &caller) != nil {
-		return false
-	}
-	stored, err := f.seams.Reader.Batch(ctx, q.id)
-	return err == nil && stored.Account == caller.account.Name
-}
-
 // resubmit answers a request on a path without a route. A batch that was accepted
 // while the path had one may be submitted again, and gets the same answer as then. A
 // refusal would state that it never runs.
@@ -146,7 +139,7 @@
 func (f *Front) confirmStored(ctx context.Context, w http.ResponseWriter, q *callerRequest) bool {
 	stored, err := f.seams.Reader.Batch(ctx, q.batch)
 	switch {
-	case err == nil && stored.Account == q.account.Name:
+	case err == nil && q.mayUse(stored):
 		f.confirm(w, q)
 	case err == nil || errors.Is(err, records.ErrMissing):
 		return f.refuseBatch(ctx, w, q, err, errNoRoute(q))
--- a/internal/training/batch/batch.go
+++ b/internal/training/batch/batch.go
@@ -136,8 +136,17 @@
 	Results []Result `json:"results"`
 }
 
-// ErrOtherAccount is returned when the id belongs to a batch of another account.
-var ErrOtherAccount = errors.New("batch: the id belongs to another account")
+// OpenTo reports whether a client account may read, end and submit again the batch: the
+// account that submitted it and, if nobody's account did, all callers, with an account
+// or without ("").
+func (b *Batch) OpenTo(account string) bool { return b.Account == "" || b.Account == account }
+
+// OtherAccountError is the error of a submission whose id belongs to a stored batch of
+// another account, or of none. Stored is that batch without its items.
+type OtherAccountError struct{ Stored *Batch }
+
+// Error implements the error interface.
+func (*OtherAccountError) Error() string { return "batch: the id belongs to another account" }
 
 // Store reads and writes the records of batches.
 type Store struct {
@@ -171,8 +180,8 @@
 }
 
 // Accept stores the batch durably, with the items of Items. It is idempotent: a batch
-// that was accepted before stays unchanged. It returns errors of the store, or
-// ErrOtherAccount.
+// that was accepted before stays unchanged. It returns errors of the store, or an
+// OtherAccountError.
 func (s *Store) Accept(ctx context.Context, b *Batch) error {
 	items, err := s.Encode(b.each(), 0)
 	if err != nil {
@@ -204,7 +213,7 @@
 		return unknownOutcome(readErr)
 	}
 	if stored.Account != b.Account {
-		return ErrOtherAccount
+		return &OtherAccountError{Stored: stored}
 	}
 	return nil
 }
--- a/internal/training/batch/batch_test.go
+++ b/internal/training/batch/batch_test.go
@@ -21,6 +21,7 @@
 // Guards against a batch that is accepted twice when an answer of the store is
 // lost, and against a refusal of a batch that was stored.
 func TestAccept(t *testing.T) {
+	errOther := errors.New("a batch of another account")
 	cases := []struct {
 		name   string
 		fault  ledger.Fault
@@ -30,7 +31,8 @@
 	}{
 		{"new", ledger.None, nil, nil, true},
 		{"again", ledger.None, newBatch("acme"), nil, true},
-		{"of another account", ledger.None, newBatch("other"), ErrOtherAccount, true},
+		{"of another account", ledger.None, newBatch("other"), errOther, true},
+		{"of no account", ledger.None, newBatch(""), errOther, true},
 		{"answer lost", ledger.LoseResponse, nil, nil, true},
 		{"swallowed", ledger.DropWrite, nil, records.ErrUnknownOutcome, false},
 		{"refused", ledger.Refuse, nil, records.ErrRefused, false},
@@ -46,6 +48,13 @@
 			}
 			l.SetFault(c.fault)
 			err := store.Accept(context.Background(), newBatch("acme"))
+			var other *OtherAccountError
+			if errors.As(err, &other) {
+				err = errOther
+				if other.Stored.Account != c.before.Account {
+					t.Errorf("the error has a batch of %q, want %q", other.Stored.Account, c.before.Account)
+				}
+			}
 			if !errors.Is(err, c.want) || (c.want == nil && err != nil) {
 				t.Errorf("error %v, want %v", err, c.want)
 			}
@@ -57,6 +66,26 @@
 	}
 }
 
+// Guards against a batch that its own account cannot read, and against one that another
+// account can.
+func TestOpenTo(t *testing.T) {
+	cases := []struct {
+		owner, caller string
+		want          bool
+	}{
+		{"acme", "acme", true},
+		{"acme", "blue", false},
+		{"acme", "", false},
+		{"", "acme", true},
+		{"", "", true},
+	}
+	for _, c := range cases {
+		if got := newBatch(c.owner).OpenTo(c.caller); got != c.want {
+			t.Errorf("batch of %q, caller %q: open %v, want %v", c.owner, c.caller, got, c.want)
+		}
+	}
+}
+
 // Guards against an error when the end marker of a batch is written again.
 func TestEndTwice(t *testing.T) {
 	store := NewStore(ledger.New().Store(), 1<<20)
