breaker: keep held contents in the store

Cause: what is known of contents that crash endpoints lay in the memory of the processes and in their news.

Ruled out: late news after the restart (there were none) and another digest (it has no id).

Change: an archive keeps the contents with two confirmed crashes or more in one record of the store. Processes read it once at their start, by a shared list; the process that sees a change merges and writes it. Nothing waits for it.

--- a/cmd/wigeonpin/entry.go
+++ b/cmd/wigeonpin/entry.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"github.com/wigeonpin/wigeonpin/internal/node/entry"
-	"github.com/wigeonpin/wigeonpin/internal/traffic/breaker"
 	"github.com/wigeonpin/wigeonpin/platform"
 )
 
@@ -19,7 +18,7 @@
 		Store: n.store, Formats: formats(), Names: platform.Headers(), API: platform.BatchAPI(), Meters: n.meters,
 		Isolated: n.isolated, Outage: n.outage, StoreDisconnected: n.directLost,
 		Workers: func() []string { return n.peers.Addresses(roleWorker) }, Limiter: n.limiter, Shares: n.newShares(ctx),
-		Breaker: breaker.New(breaker.Seams{Post: n.broadcaster.Publish, Subscribe: n.broadcaster.Subscribe}, n.timers, n.log),
+		Breaker: n.breaker,
 	}, n.timers, n.log)
 	err = e.Run(ctx)
 	n.logStopped()
--- a/cmd/wigeonpin/node.go
+++ b/cmd/wigeonpin/node.go
@@ -25,6 +25,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/peer/exchange"
 	"github.com/wigeonpin/wigeonpin/internal/peer/records"
 	"github.com/wigeonpin/wigeonpin/internal/peer/relay"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/breaker"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/forward"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/front"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/headers"
@@ -93,6 +94,7 @@
 	store       records.Store
 	peers       *members.Members
 	broadcaster *broadcast.Broadcaster
+	breaker     *breaker.Breaker
 	limiter     *ratelimit.Limiter
 	mux         *http.ServeMux // serves calls from peers
 	// isolated reports whether neither the store nor a process in another
@@ -175,6 +177,8 @@
 		Neighbours: circle.Neighbours, Report: circle.Report, Peers: conn.NewPeerClient(broadcastDialTimeout, broadcastIdleConns),
 	}, n.log)
 	go func() { _ = n.broadcaster.Run(ctx) }() // runs until the process ends
+	n.breaker = breaker.New(breaker.Seams{Post: n.broadcaster.Publish, Subscribe: n.broadcaster.Subscribe}, n.timers, n.log)
+	go breaker.NewArchive(n.breaker, n.store, n.timers, n.log).Run(ctx)
 	permitAsk, claim := ratelimit.Calls(conn.NewPeerClient(permitDialTimeout, permitIdleConns))
 	n.limiter = ratelimit.New(ratelimit.Options{Self: p.Name}, ratelimit.Seams{
 		Members: n.instances, Ask: permitAsk, Claim: claim, Refused: ratelimit.GrantsNone,
--- a/internal/traffic/breaker/breaker.go
+++ b/internal/traffic/breaker/breaker.go
@@ -100,6 +100,7 @@
 
 	mu      sync.Mutex
 	records *lru.Cache[string, *record]
+	changed func(content string) // set by onChange; may be nil
 }
 
 // record holds the crashes of one content.
@@ -110,13 +111,18 @@
 	expires     time.Time                 // the record expires then
 }
 
-func (r *record) count(now time.Time) int {
+func (r *record) confirmedCount() int {
 	count := 0
 	for _, counts := range r.confirmed {
 		if counts {
 			count++
 		}
 	}
+	return count
+}
+
+func (r *record) count(now time.Time) int {
+	count := r.confirmedCount()
 	for incarnation, until := range r.unconfirmed {
 		if _, counted := r.confirmed[incarnation]; !counted && now.Before(until) {
 			count++
@@ -154,6 +160,17 @@
 	return b
 }
 
+// onChange calls changed after the confirmed crashes or the hold of a content with
+// several crashes have changed on this instance. It is called before the first event.
+func (b *Breaker) onChange(changed func(content string)) { b.changed = changed }
+
+// noteChange reports a change of a content with a number of confirmed crashes.
+func (b *Breaker) noteChange(content string, crashes int) {
+	if b.changed != nil && crashes > 1 {
+		b.changed(content)
+	}
+}
+
 // Empty reports whether the breaker has no records, so that callers need not
 // compute a digest.
 func (b *Breaker) Empty() bool { return b.records.Len() == 0 }
@@ -173,9 +190,11 @@
 	}
 	held := holdTime(r.count(now))
 	r.heldUntil = now.Add(held)
+	crashes := r.confirmedCount()
 	b.mu.Unlock()
 	b.log.WithField(logs.Content, content).Info("held content is tried")
 	b.post(content, event{Trial: true}, held)
+	b.noteChange(content, crashes)
 	return 0
 }
 
@@ -195,10 +214,15 @@
 func (b *Breaker) RecordCrash(content string, incarnation Incarnation) {
 	e := event{Crashed: &incarnation}
 	b.mu.Lock()
+	before := b.record(content).confirmedCount()
 	b.apply(content, e)
-	count := b.lookup(content).count(b.timers.Now())
+	r := b.lookup(content)
+	count, crashes := r.count(b.timers.Now()), r.confirmedCount()
 	b.mu.Unlock()
 	b.post(content, e, recordTTL(count))
+	if crashes > before {
+		b.noteChange(content, crashes)
+	}
 }
 
 // RecordAnswer records that an endpoint answered the content, so that the content
@@ -224,6 +248,7 @@
 		return
 	}
 	b.post(content, e, ttl)
+	b.noteChange(content, len(e.Cleared))
 }
 
 func (b *Breaker) post(content string, e event, ttl time.Duration) {
