breaker: let other processes look at suspected crashes

Cause: a process counts an endpoint that broke a request off and refuses connections for itself alone, since the endpoint may live. Until the list of endpoints tells of the crash, three heartbeats later, a content could crash two endpoints at each process that it was sent to, so that the number of crashes grew with the number of processes.

Ruled out: counting the word of one process, which had sound requests held back by all when that process was cut off.

Change: a process that holds a content back for unconfirmed crashes posts them. The others try to connect to these endpoints and count those that refuse them too, for 10 s.

Tests: TestSuspectedCrashesAreVerified and TestBreaker/suspected fail without the look at the endpoints. TestCrashingContentEndsTwoEndpoints counted every post before the list told; it counts posts of crashes now, as suspected ones are posted. The new test checks what that guarded: a process that reaches the endpoints holds nothing back.

--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -405,6 +405,17 @@
 	return false
 }
 
+// Entry returns the entry of an endpoint.
+func (f *Fleet) Entry(id string) (Entry, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, found := f.states[id]
+	if !found {
+		return Entry{}, false
+	}
+	return s.Entry, true
+}
+
 // Entries returns the endpoints of a service that are in service, or of all
 // services when it is empty.
 func (f *Fleet) Entries(service string) []Entry {
--- a/internal/traffic/breaker/breaker.go
+++ b/internal/traffic/breaker/breaker.go
@@ -10,8 +10,9 @@
 //
 // An endpoint that only this instance cannot reach may still be up: from one
 // side, a network partition looks the same as a crash. It counts only on this
-// instance and for a short time; other instances are informed once the crash is
-// confirmed.
+// instance and for a short time. Once several such crashes hold a content back,
+// the other instances look at the endpoints themselves and count those that they
+// cannot reach either. All instances count a crash that is confirmed.
 //
 // # Usage
 //
@@ -23,6 +24,7 @@
 //	b.RecordUnreachable(content, incarnation) // the endpoint dropped the request and refuses connections
 //	b.RecordCrash(content, incarnation)       // the list of endpoints confirms the crash
 //	b.RecordAnswer(content)
+//	b.VerifyBy(refusesConnections)            // for crashes that other instances suspect
 package breaker
 
 import (
@@ -31,6 +33,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -100,7 +103,10 @@
 
 	mu      sync.Mutex
 	records *lru.Cache[string, *record]
-	changed func(content string) // set by onChange; may be nil
+	changed func(content string)               // set by onChange; may be nil
+	verify  func(incarnation Incarnation) bool // set by VerifyBy; may be nil
+
+	verifying sync.WaitGroup // checks of crashes that other instances suspect
 }
 
 // record holds the crashes of one content.
@@ -145,6 +151,9 @@
 	Crashed *Incarnation  `json:"ended,omitempty"`
 	Trial   bool          `json:"trial,omitempty"`
 	Cleared []Incarnation `json:"cleared,omitempty"`
+	// Suspected are unconfirmed crashes, for which the posting instance holds the
+	// content back.
+	Suspected []Incarnation `json:"suspected,omitempty"`
 }
 
 // New returns a breaker that exchanges events by broadcast.
@@ -198,15 +207,60 @@
 	return 0
 }
 
+// VerifyBy sets the function that reports whether an endpoint refuses connections from
+// this instance, for crashes that other instances suspect.
+func (b *Breaker) VerifyBy(verify func(incarnation Incarnation) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.verify = verify
+}
+
 // RecordUnreachable records an unconfirmed crash: the endpoint dropped a request
-// with the content and refuses connections from this instance.
+// with the content and refuses connections from this instance. If the content is held
+// back for such crashes, the other instances are asked to look at the endpoints.
 func (b *Breaker) RecordUnreachable(content string, incarnation Incarnation) {
+	if suspected := b.addUnreachable(content, incarnation); len(suspected) > 0 {
+		b.post(content, event{Suspected: suspected}, unconfirmedTTL)
+	}
+}
+
+// addUnreachable counts an unconfirmed crash. It returns all of the content if it is held
+// back.
+func (b *Breaker) addUnreachable(content string, incarnation Incarnation) []Incarnation {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r, now := b.record(content), b.timers.Now()
 	maps.DeleteFunc(r.unconfirmed, func(_ Incarnation, until time.Time) bool { return !now.Before(until) })
 	r.unconfirmed[incarnation] = now.Add(unconfirmedTTL)
 	b.hold(content, r, incarnation)
+	if holdTime(r.count(now)) == 0 {
+		return nil
+	}
+	return slices.Collect(maps.Keys(r.unconfirmed))
+}
+
+// checkSuspected looks at the endpoints that another instance suspects to have crashed,
+// and counts those that refuse connections from this one.
+func (b *Breaker) checkSuspected(content string, suspected []Incarnation) {
+	for _, incarnation := range suspected {
+		b.mu.Lock()
+		verify, known := b.verify, b.counts(content, incarnation)
+		b.mu.Unlock()
+		if verify != nil && !known && verify(incarnation) {
+			b.addUnreachable(content, incarnation)
+		}
+	}
+}
+
+// counts reports whether the crash is known already. mu is held.
+func (b *Breaker) counts(content string, incarnation Incarnation) bool {
+	r := b.lookup(content)
+	if r == nil {
+		return false
+	}
+	_, confirmed := r.confirmed[incarnation]
+	until, unconfirmed := r.unconfirmed[incarnation]
+	return confirmed || unconfirmed && b.timers.Now().Before(until)
 }
 
 // RecordCrash records a confirmed crash of an endpoint while it ran the content,
@@ -269,6 +323,10 @@
 		b.log.WithField(logs.Cause, err.Error()).Warn("malformed breaker event ignored")
 		return
 	}
+	if len(e.Suspected) > 0 {
+		b.verifying.Go(func() { b.checkSuspected(content, e.Suspected) })
+		return
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.apply(content, e)
--- a/internal/traffic/forward/crash_attribution.go
+++ b/internal/traffic/forward/crash_attribution.go
@@ -50,6 +50,13 @@
 	}).Info("endpoint broke off a request")
 }
 
+// refusesConnections reports whether an endpoint that is in the list refuses connections
+// from this process.
+func (f *Forwarder) refusesConnections(incarnation breaker.Incarnation) bool {
+	e, found := f.seams.Fleet.Entry(incarnation.Endpoint)
+	return found && e.Born == incarnation.Born && f.seams.Pool.RefusesConnections(context.Background(), e.Address)
+}
+
 // unansweredRequest is a request that got no answer, possibly because its
 // endpoint crashed.
 type unansweredRequest struct {
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -189,6 +189,9 @@
 	seams.Meters.Gauge("endpoint_paces", func() any { return seams.Fleet.Paces() })
 	seams.Meters.Gauge("request_work_us", func() any { return seams.Fleet.Works() })
 	seams.Fleet.OnUnexpectedEnd(f.attributeEnd)
+	if seams.Breaker != nil {
+		seams.Breaker.VerifyBy(f.refusesConnections)
+	}
 	seams.Fleet.OnRoom(func() { f.queue.Recheck() })
 	return f
 }
