worker: hold back scoring calls whose content crashes endpoints

Cause: the forwarder of the worker had no circuit breaker. A scoring call that crashes each replica that begins it was repeated, at most 2 s apart, for as long as its batch was open.

Change: the breaker belongs to the process, whatever its role, and the worker's forwarder uses it. A held scoring call is tried again when the hold ends.

--- a/cmd/wigeonpin/worker.go
+++ b/cmd/wigeonpin/worker.go
@@ -28,7 +28,7 @@
 		Formats:     formats(), Names: platform.Headers(),
 		VersionKind: platform.KindVersions, DecodeVersion: platform.DecodeVersion,
 		RetirementKind: platform.KindRetirements, IsRetired: platform.IsRetired, MarkRetired: platform.MarkRetired,
-		Meters: n.meters, Limiter: n.limiter,
+		Meters: n.meters, Limiter: n.limiter, Breaker: n.breaker,
 	}, n.timers, n.log)
 	w.Mount(ctx, n.mux)
 	w.Run(ctx)
--- a/internal/node/worker/worker.go
+++ b/internal/node/worker/worker.go
@@ -32,6 +32,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/node/view"
 	"github.com/wigeonpin/wigeonpin/internal/peer/exchange"
 	"github.com/wigeonpin/wigeonpin/internal/peer/records"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/breaker"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/forward"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/headers"
 	"github.com/wigeonpin/wigeonpin/internal/training/batch"
@@ -86,6 +87,7 @@
 	MarkRetired    func(records.Record) records.Record                           // returns the request with the answer in its status
 	Meters         *meter.Set
 	Limiter        *ratelimit.Limiter // shares the request rates of limited and cold endpoints
+	Breaker        *breaker.Breaker   // holds back scoring calls whose content crashes endpoints
 }
 
 // Worker is a worker process. It follows batches, versions and endpoints also
@@ -121,8 +123,10 @@
 	w.expiry = expiry.New(w.batches, p.ResultRetention, timers, log)
 	w.runner = runner.New(runner.Seams{
 		Store: w.batches, Fleet: fleet, Pool: pool, Names: deps.Names,
-		Forwarder: forward.New(forward.Seams{Fleet: fleet, Pool: pool, Names: deps.Names, Meters: deps.Meters}, timers, log),
-		Manifest:  w.view.Manifest, ValueBytes: p.MaxValueBytes, Meters: deps.Meters,
+		Forwarder: forward.New(forward.Seams{
+			Fleet: fleet, Pool: pool, Names: deps.Names, Meters: deps.Meters, Breaker: deps.Breaker,
+		}, timers, log),
+		Manifest: w.view.Manifest, ValueBytes: p.MaxValueBytes, Meters: deps.Meters,
 		OnBatch: demand.Add, Role: w.role, Memory: p.MemoryBytes,
 	}, timers, log)
 	w.reporter = window.NewReporter(w.store, window.Options{
--- a/internal/training/runner/runner_test.go
+++ b/internal/training/runner/runner_test.go
@@ -10,10 +10,12 @@
 
 	"github.com/wigeonpin/wigeonpin/internal/base/clock"
 	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/base/meter"
 	"github.com/wigeonpin/wigeonpin/internal/control/manifest"
 	"github.com/wigeonpin/wigeonpin/internal/fleet/replica"
 	"github.com/wigeonpin/wigeonpin/internal/peer/exchange"
 	"github.com/wigeonpin/wigeonpin/internal/standin/ledger"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/breaker"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/forward"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/headers"
 	"github.com/wigeonpin/wigeonpin/internal/training/batch"
@@ -35,15 +37,20 @@
 
 // harness is a runner with a fake engine and a store in memory.
 type harness struct {
-	engine *engine
-	ledger *ledger.Ledger
-	store  *batch.Store
-	runner *Runner
+	engine  *engine
+	ledger  *ledger.Ledger
+	store   *batch.Store
+	breaker *breaker.Breaker
+	meters  *meter.Set
+	runner  *Runner
 }
 
 func newHarness(t *testing.T) *harness {
 	t.Helper()
-	h := &harness{engine: newEngine(), ledger: ledger.New()}
+	h := &harness{
+		engine: newEngine(), ledger: ledger.New(), meters: meter.NewSet(),
+		breaker: breaker.New(breaker.Seams{}, clock.NewSystem(), logs.Discard()),
+	}
 	server := httptest.NewServer(h.engine)
 	t.Cleanup(server.Close)
 	h.store = batch.NewStore(h.ledger.Store(), 1<<20)
@@ -66,7 +73,8 @@
 	r := New(Seams{
 		Store: h.store, Fleet: fleet, Pool: pool, Names: names, ValueBytes: 1 << 20,
 		Manifest:  func() *manifest.Manifest { return m },
-		Forwarder: forward.New(forward.Seams{Fleet: fleet, Pool: pool, Names: names}, timers, logs.Discard()),
+		Forwarder: forward.New(forward.Seams{Fleet: fleet, Pool: pool, Names: names, Breaker: h.breaker}, timers, logs.Discard()),
+		Meters:    h.meters,
 	}, timers, logs.Discard())
 	ctx, cancel := context.WithCancel(context.Background())
 	finished := make(chan struct{})
--- a/internal/training/runner/scoring.go
+++ b/internal/training/runner/scoring.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/wigeonpin/wigeonpin/internal/base/code"
 	"github.com/wigeonpin/wigeonpin/internal/base/logs"
 	"github.com/wigeonpin/wigeonpin/internal/control/manifest"
 	"github.com/wigeonpin/wigeonpin/internal/peer/exchange"
@@ -89,6 +90,15 @@
 	return answer, nil
 }
 
+// heldFor returns how long the content of a scoring call is held back since it crashed
+// endpoints, or 0.
+func heldFor(err error) time.Duration {
+	if err == nil || !code.Is(err, code.ContentHeld) {
+		return 0
+	}
+	return code.Of(err).RetryAfter
+}
+
 // errLongScoringAnswer is returned for a scoring answer that was not read to its
 // end. Its stamp alone does not prove that the scoring was completed.
 var errLongScoringAnswer = errors.New("the answer to the scoring call is too long")
@@ -114,7 +124,7 @@
 	}
 	t.state = statePending
 	t.scoringFailures++
-	t.notBefore = r.timers.Now().Add(retryDelay(t.scoringFailures))
+	t.notBefore = r.timers.Now().Add(max(retryDelay(t.scoringFailures), heldFor(err)))
 	r.counters.scoringFailures.Add(t.item.Reward.Host, 1)
 	cause := "unexpected status"
 	if err != nil {
--- a/internal/training/runner/scoring_test.go
+++ b/internal/training/runner/scoring_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/wigeonpin/wigeonpin/internal/fleet/replica"
+	"github.com/wigeonpin/wigeonpin/internal/peer/exchange"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/breaker"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/forward"
 )
 
 // Guards against results that come late because scoring calls wait for headroom that does
@@ -45,3 +49,32 @@
 		t.Errorf("results after %v, want after a wait and by %v", took, due)
 	}
 }
+
+// Guards against scoring calls that are tried again and again while their content is held
+// back since it crashed endpoints, and against ones that are not made after the hold.
+func TestHeldScoringCallWaits(t *testing.T) {
+	h := newHarness(t)
+	b := newBatch("plain-1")
+	ctx, reward := context.Background(), b.Items[0].Reward
+	content := forward.Call{Request: exchange.Request{Method: http.MethodPost, Host: reward.Host, Path: reward.Path}}.ContentDigest()
+	for _, id := range []string{"s8", "s9"} {
+		h.breaker.RecordCrash(content, breaker.Incarnation{Endpoint: id})
+	}
+	held := h.breaker.Admit(content)
+	if held == 0 {
+		t.Fatal("the scoring call is not held back")
+	}
+	began := time.Now()
+	h.runner.SetActive(ctx, true)
+	h.runner.Add(ctx, b, true)
+	if result := h.results(t, b)["plain-1"]; !result.Done {
+		t.Errorf("result %+v, want a completed item", result)
+	}
+	if took := time.Since(began); took < held-time.Second/10 {
+		t.Errorf("the item was scored after %v, want %v", took, held)
+	}
+	const most = 2
+	if failures := h.meters.Counter(CountScoreFailures).Values()[reward.Host]; failures < 1 || failures > most {
+		t.Errorf("%d scoring calls failed while the content was held back, want 1 to %d", failures, most)
+	}
+}
