runner: keep the engines that ended under a suspected item

Cause: which engines ended under an item was known to one worker. The next holder of the role began anew: four runs without delay before the item ran apart and each 2 s at most.

Change: from the fourth engine on, those that have ended are told to the breaker, which passes them on and keeps them in the store. An item that has not broken at a worker takes them over; progress clears them. Engines that are silent but live are not told.

--- a/internal/node/worker/worker.go
+++ b/internal/node/worker/worker.go
@@ -87,7 +87,7 @@
 	MarkRetired    func(records.Record) records.Record                           // returns the request with the answer in its status
 	Meters         *meter.Set
 	Limiter        *ratelimit.Limiter // shares the request rates of limited and cold endpoints
-	Breaker        *breaker.Breaker   // holds back scoring calls whose content crashes endpoints
+	Breaker        *breaker.Breaker   // knows the items and scoring calls whose content crashes endpoints
 }
 
 // Worker is a worker process. It follows batches, versions and endpoints also
@@ -127,7 +127,7 @@
 			Fleet: fleet, Pool: pool, Names: deps.Names, Meters: deps.Meters, Breaker: deps.Breaker,
 		}, timers, log),
 		Manifest: w.view.Manifest, ValueBytes: p.MaxValueBytes, Meters: deps.Meters,
-		OnBatch: demand.Add, Role: w.role, Memory: p.MemoryBytes,
+		OnBatch: demand.Add, Role: w.role, Memory: p.MemoryBytes, Breaker: deps.Breaker,
 	}, timers, log)
 	w.reporter = window.NewReporter(w.store, window.Options{
 		Length: p.Window, Due: p.MaxReportDelay, Encode: w.duties.EncodeUsage, Send: w.duties.SendUsage,
--- a/internal/traffic/breaker/breaker.go
+++ b/internal/traffic/breaker/breaker.go
@@ -264,19 +264,37 @@
 }
 
 // RecordCrash records a confirmed crash of an endpoint while it ran the content,
-// and informs all instances.
+// and informs all instances. A crash that is known has no effect.
 func (b *Breaker) RecordCrash(content string, incarnation Incarnation) {
 	e := event{Crashed: &incarnation}
 	b.mu.Lock()
-	before := b.record(content).confirmedCount()
+	r := b.record(content)
+	if _, known := r.confirmed[incarnation]; known {
+		b.mu.Unlock()
+		return
+	}
 	b.apply(content, e)
-	r := b.lookup(content)
 	count, crashes := r.count(b.timers.Now()), r.confirmedCount()
 	b.mu.Unlock()
 	b.post(content, e, recordTTL(count))
-	if crashes > before {
-		b.noteChange(content, crashes)
+	b.noteChange(content, crashes)
+}
+
+// Crashes returns the confirmed crashes of a content that no answer has followed.
+func (b *Breaker) Crashes(content string) []Incarnation {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.lookup(content)
+	if r == nil {
+		return nil
+	}
+	var crashes []Incarnation
+	for incarnation, counts := range r.confirmed {
+		if counts {
+			crashes = append(crashes, incarnation)
+		}
 	}
+	return crashes
 }
 
 // RecordAnswer records that an endpoint answered the content, so that the content
--- a/internal/training/runner/crash_test.go
+++ b/internal/training/runner/crash_test.go
@@ -2,8 +2,13 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"testing"
 	"time"
+
+	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/breaker"
 )
 
 // Guards against an item that is treated as one that crashes engines, and no
@@ -67,6 +72,56 @@
 	}
 }
 
+// Guards against an item that crashes engines without delay again, when another worker takes
+// the role or all workers were killed.
+func TestSuspicionOutlivesTheWorker(t *testing.T) {
+	endpoints = []string{"e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8"}
+	defer func() { endpoints = []string{"e1", "e2"} }()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	h := newHarness(t)
+	store := h.ledger.Store()
+	go breaker.NewArchive(h.breaker, store, h.runner.timers, logs.Discard()).Run(ctx)
+	b := newBatch("crashing-1")
+	h.runner.SetActive(ctx, true)
+	h.runner.Add(ctx, b, true)
+	stored := func() bool {
+		_, err := store.Get(ctx, breaker.KindContents, breaker.NameHeld)
+		return err == nil
+	}
+	for !stored() && ctx.Err() == nil {
+		h.engine.mu.Lock()
+		crashed := slices.Collect(maps.Keys(h.engine.crashes))
+		h.engine.mu.Unlock()
+		for _, id := range crashed {
+			h.runner.seams.Fleet.Remove(id, time.Time{})
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	h.runner.SetActive(ctx, false)
+	h.breaker = breaker.New(breaker.Seams{}, h.runner.timers, logs.Discard())
+	go breaker.NewArchive(h.breaker, store, h.runner.timers, logs.Discard()).Run(ctx)
+	for h.breaker.Empty() && ctx.Err() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	crashes := func() (runs int) {
+		h.engine.mu.Lock()
+		defer h.engine.mu.Unlock()
+		for _, n := range h.engine.crashes {
+			runs += n
+		}
+		return runs
+	}
+	before := crashes()
+	next := h.newRunner(t, h.address)
+	next.SetActive(ctx, true)
+	next.Add(ctx, b, true)
+	time.Sleep(maxRetryDelay + maxRetryDelay/2)
+	if runs := crashes() - before; runs < 1 || runs > 2 {
+		t.Errorf("%d runs at the next worker in one and a half retry delays, want 1 or 2", runs)
+	}
+}
+
 // Guards against scoring calls that are retried at a constant rate while the
 // service is down: such retries make up most of its load when it comes back.
 func TestScoringRetriesBackOff(t *testing.T) {
--- a/internal/training/runner/runner.go
+++ b/internal/training/runner/runner.go
@@ -28,6 +28,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/fleet/reach"
 	"github.com/wigeonpin/wigeonpin/internal/fleet/replica"
 	"github.com/wigeonpin/wigeonpin/internal/peer/exchange"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/breaker"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/forward"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/headers"
 	"github.com/wigeonpin/wigeonpin/internal/training/batch"
@@ -69,6 +70,9 @@
 	// OnBatch is called with the model and the expected tokens of each batch; it may
 	// be nil.
 	OnBatch func(model string, tokens int64)
+	// Breaker keeps which engines crashed under items that are suspected of it, beyond
+	// this process; nil if it is not kept.
+	Breaker *breaker.Breaker
 	// Meters counts the runs of items and how they end, by service. It may be nil.
 	Meters *meter.Set
 }
--- a/internal/training/runner/runner_test.go
+++ b/internal/training/runner/runner_test.go
@@ -42,6 +42,7 @@
 	store   *batch.Store
 	breaker *breaker.Breaker
 	meters  *meter.Set
+	address string // of the engine
 	runner  *Runner
 }
 
@@ -54,7 +55,8 @@
 	server := httptest.NewServer(h.engine)
 	t.Cleanup(server.Close)
 	h.store = batch.NewStore(h.ledger.Store(), 1<<20)
-	h.runner = h.newRunner(t, strings.TrimPrefix(server.URL, "http://"))
+	h.address = strings.TrimPrefix(server.URL, "http://")
+	h.runner = h.newRunner(t, h.address)
 	return h
 }
 
@@ -75,6 +77,7 @@
 		Manifest:  func() *manifest.Manifest { return m },
 		Forwarder: forward.New(forward.Seams{Fleet: fleet, Pool: pool, Names: names, Breaker: h.breaker}, timers, logs.Discard()),
 		Meters:    h.meters,
+		Breaker:   h.breaker,
 	}, timers, logs.Discard())
 	ctx, cancel := context.WithCancel(context.Background())
 	finished := make(chan struct{})
--- a/internal/training/runner/schedule.go
+++ b/internal/training/runner/schedule.go
@@ -82,6 +82,7 @@
 // only if no other has a free slot. A suspected item never gets an engine that
 // runs another suspect.
 func (r *Runner) pickSlot(t *task, want replica.Requirements) (*replica.Slot, bool) {
+	r.recallCrashes(t)
 	if len(t.brokenOn) == 0 {
 		return r.seams.Fleet.Pick(want)
 	}
--- a/internal/training/runner/task.go
+++ b/internal/training/runner/task.go
@@ -230,7 +230,7 @@
 	}
 	now := r.timers.Now()
 	if len(generated.pieces) > len(t.text.pieces) {
-		t.brokenRuns, t.brokenOn = 0, nil
+		r.clearCrashes(t)
 	}
 	t.text, t.state, t.cancel = generated, statePending, nil
 	if version > 0 {
@@ -272,6 +272,7 @@
 			delete(t.job.preferred, t.item.Group) // the engine's prefix cache is lost
 		}
 		t.recordBrokenRun(incarnation{e.ID, e.Born}, now)
+		r.shareCrashes(t)
 	}
 	r.log.WithFields(logrus.Fields{
 		logs.Request: t.item.ID, "batch": t.job.batch.ID, logs.Endpoint: e.ID, logs.Cause: err.Error(),
