serve: keep blocked generations and held calls in the store

Cause: the stand-alone instance kept suspects and held calls in memory. After a kill of all instances a blocked generation took down engines again.

Change: the archive is a package of its own, used by the breaker of both products and by the suspects. An instance reads the objects contents/held and contents/blocked at its start, and writes them after a further crash. A record of null counts as empty.

--- a/cmd/wigeonpin/node.go
+++ b/cmd/wigeonpin/node.go
@@ -178,7 +178,7 @@
 	}, n.log)
 	go func() { _ = n.broadcaster.Run(ctx) }() // runs until the process ends
 	n.breaker = breaker.New(breaker.Seams{Post: n.broadcaster.Publish, Subscribe: n.broadcaster.Subscribe}, n.timers, n.log)
-	go breaker.NewArchive(n.breaker, n.store, n.timers, n.log).Run(ctx)
+	go n.breaker.Archive(n.store).Run(ctx)
 	permitAsk, claim := ratelimit.Calls(conn.NewPeerClient(permitDialTimeout, permitIdleConns))
 	n.limiter = ratelimit.New(ratelimit.Options{Self: p.Name}, ratelimit.Seams{
 		Members: n.instances, Ask: permitAsk, Claim: claim, Refused: ratelimit.GrantsNone,
--- a/internal/control/serve/build.go
+++ b/internal/control/serve/build.go
@@ -28,6 +28,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/peer/scorer"
 	"github.com/wigeonpin/wigeonpin/internal/peer/service"
 	"github.com/wigeonpin/wigeonpin/internal/peer/weights"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/archive"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/breaker"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/dispatch"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/entry"
@@ -62,6 +63,8 @@
 	pool     *quota.Pool
 	limiter  *ratelimit.Limiter
 	suspects *suspect.Suspects
+	breaker  *breaker.Breaker
+	archives []*archive.Archive // of suspects and breaker
 	orders   *order.Scaler
 	rollout  *rollout.Rollout
 	counters *workCounters
@@ -124,6 +127,8 @@
 	i.suspects = suspect.New(i.settings, i.timers, suspect.Seams{
 		Post: i.broadcaster.Publish, Subscribe: i.broadcaster.Subscribe, View: i.directory.View, Enter: enter, Leave: leave,
 	}, i.log)
+	i.breaker = breaker.New(breaker.Seams{Post: i.broadcaster.Publish, Subscribe: i.broadcaster.Subscribe}, i.timers, i.log)
+	i.archives = []*archive.Archive{i.suspects.Archive(objectRecords(i.store)), i.breaker.Archive(objectRecords(i.store))}
 	i.pool = quota.New(i.settings, i.timers, quota.Seams{
 		Listed: i.directory.Listed, ListAge: i.listAge, Alive: i.directory.View, Dead: i.isDead, CallDone: i.reportOutcome,
 		Endpoints: i.roster.Endpoints, Learn: i.roster.MergeLoad, Probe: i.roster.RequestProbe, SlotLimit: i.slots, Queued: i.backlogs,
@@ -176,7 +181,7 @@
 		Table: i.config.Table, Admit: i.suspects.Admit, Suspect: i.suspects.IsSuspect, Enter: i.suspects.ReserveEndpoint, Crashed: i.suspects.Crashed,
 		Completed: i.suspects.Completed, Record: i.recordUsage,
 		Limiter: i.limiter,
-		Breaker: breaker.New(breaker.Seams{Post: i.broadcaster.Publish, Subscribe: i.broadcaster.Subscribe}, i.timers, i.log),
+		Breaker: i.breaker,
 	}
 	queues := queue.Seams{RemoteCost: i.pool.RemoteCost, Changed: i.pool.Changed}
 	if i.settings.Policy == setting.PolicyPlain {
@@ -206,6 +211,6 @@
 		"directory": i.directory.Run, "config": i.config.Run, "bulletin": i.broadcaster.Run, "roster": i.roster.Run,
 		"share": i.pool.Run, "limit": i.limiter.Run, "suspect": i.suspects.Run, "order": i.runOrders, "rollout": i.rollout.Run,
 		"queue": i.queue.Run, "once": i.idempotency.Run, "entry": i.entry.Run, "step": i.steps.Run,
-		"version": i.versions.Run, "usage": i.usage.Run, "report": i.runReports, "cache": i.runCache,
+		"version": i.versions.Run, "usage": i.usage.Run, "report": i.runReports, "cache": i.runCache, "archive": i.runArchives,
 	}
 }
--- a/internal/traffic/breaker/archive_test.go
+++ b/internal/traffic/breaker/archive_test.go
@@ -15,6 +15,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/base/logs"
 	"github.com/wigeonpin/wigeonpin/internal/peer/records"
 	"github.com/wigeonpin/wigeonpin/internal/standin/ledger"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/archive"
 )
 
 // archiveFleet is a set of breakers without broadcast, each with an archive in one store.
@@ -29,7 +30,7 @@
 // settle reads the record if that has not succeeded yet, and saves what is unsaved.
 type archiveMember struct {
 	breaker *Breaker
-	archive *Archive
+	archive *archive.Archive
 	loaded  bool
 }
 
@@ -44,19 +45,19 @@
 		return m
 	}
 	b := New(Seams{}, f.timers, logs.Discard())
-	f.members[id] = &archiveMember{breaker: b, archive: NewArchive(b, f.ledger.Store(), f.timers, logs.Discard())}
+	f.members[id] = &archiveMember{breaker: b, archive: b.Archive(f.ledger.Store())}
 	return f.members[id]
 }
 
 func (m *archiveMember) settle() string {
 	ctx := context.Background()
 	if !m.loaded {
-		if err := m.archive.load(ctx); err != nil {
+		if err := m.archive.Load(ctx); err != nil {
 			return err.Error()
 		}
 		m.loaded = true
 	}
-	if err := m.archive.save(ctx); err != nil {
+	if err := m.archive.Save(ctx); err != nil {
 		return err.Error()
 	}
 	return "ok"
@@ -99,6 +100,8 @@
 				f.ledger.SetFault(faults[fault])
 			case "malformed":
 				f.overwrite(t, "[")
+			case "null":
+				f.overwrite(t, "null")
 			case "calls":
 				return fmt.Sprintf("%d reads, %d writes", f.ledger.Calls("get"), f.ledger.Calls("write"))
 			case "wait":
@@ -114,7 +117,7 @@
 
 func (f *archiveFleet) overwrite(t *testing.T, body string) {
 	t.Helper()
-	if _, err := f.ledger.Store().Put(context.Background(), records.Record{Kind: KindContents, Name: NameHeld, Body: []byte(body)}); err != nil {
+	if _, err := f.ledger.Store().Put(context.Background(), records.Record{Kind: archive.Kind, Name: ArchiveName, Body: []byte(body)}); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -127,13 +130,13 @@
 	var wg sync.WaitGroup
 	for n := range processes {
 		b := New(Seams{}, f.timers, logs.Discard())
-		a := NewArchive(b, store, f.timers, logs.Discard())
+		a := b.Archive(store)
 		for _, endpoint := range []string{"e1", "e2"} {
 			b.RecordCrash(fmt.Sprint("c", n), Incarnation{Endpoint: endpoint})
 			b.RecordCrash("shared", Incarnation{Endpoint: fmt.Sprint(endpoint, n), Born: int64(n)})
 		}
 		wg.Go(func() {
-			for errors.Is(a.save(context.Background()), records.ErrConflict) {
+			for errors.Is(a.Save(context.Background()), records.ErrConflict) {
 			}
 		})
 	}
@@ -157,8 +160,8 @@
 func TestArchiveIsBounded(t *testing.T) {
 	f := newArchiveFleet()
 	m := f.member("a")
-	for n := range 3 * maxArchived {
-		for e := range 3 * maxArchivedCrashes {
+	for n := range 3 * archive.MaxContents {
+		for e := range 3 * archive.MaxCrashes {
 			m.breaker.RecordCrash(fmt.Sprint("c", n), Incarnation{Endpoint: fmt.Sprint("e", e), Born: int64(e)})
 		}
 		f.driver.Advance(time.Millisecond)
@@ -166,17 +169,17 @@
 			t.Fatal(got)
 		}
 	}
-	r, err := f.ledger.Store().Get(context.Background(), KindContents, NameHeld)
+	r, err := f.ledger.Store().Get(context.Background(), archive.Kind, ArchiveName)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if got := strings.Count(string(r.Body), `"held"`); got != maxArchived {
-		t.Errorf("%d contents are stored, want %d", got, maxArchived)
+	if got := strings.Count(string(r.Body), `"held"`); got != archive.MaxContents {
+		t.Errorf("%d contents are stored, want %d", got, archive.MaxContents)
 	}
-	if got := strings.Count(string(r.Body), `"endpoint"`); got != maxArchived*maxArchivedCrashes {
-		t.Errorf("%d crashes are stored, want %d", got, maxArchived*maxArchivedCrashes)
+	if got := strings.Count(string(r.Body), `"endpoint"`); got != archive.MaxContents*archive.MaxCrashes {
+		t.Errorf("%d crashes are stored, want %d", got, archive.MaxContents*archive.MaxCrashes)
 	}
-	if newest := fmt.Sprint("c", 3*maxArchived-1); !strings.Contains(string(r.Body), newest) {
+	if newest := fmt.Sprint("c", 3*archive.MaxContents-1); !strings.Contains(string(r.Body), newest) {
 		t.Errorf("the newest content %s is not stored", newest)
 	}
 }
@@ -191,10 +194,10 @@
 	l.SetFault(ledger.Refuse)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
-	go NewArchive(first, l.Store(), timers, logs.Discard()).Run(ctx)
+	go first.Archive(l.Store()).Run(ctx)
 	first.RecordCrash("c", Incarnation{Endpoint: "e1"})
 	first.RecordCrash("c", Incarnation{Endpoint: "e2"})
-	go NewArchive(second, l.Store(), timers, logs.Discard()).Run(ctx)
+	go second.Archive(l.Store()).Run(ctx)
 	for l.Calls("get") < 4 && ctx.Err() == nil {
 		_ = timers.Sleep(ctx, time.Millisecond)
 	}
@@ -206,7 +209,7 @@
 		_ = timers.Sleep(ctx, time.Millisecond)
 	}
 	third := New(Seams{}, timers, logs.Discard())
-	go NewArchive(third, l.Store(), timers, logs.Discard()).Run(ctx)
+	go third.Archive(l.Store()).Run(ctx)
 	for third.Empty() && ctx.Err() == nil {
 		_ = timers.Sleep(ctx, time.Millisecond)
 	}
--- a/internal/traffic/breaker/breaker.go
+++ b/internal/traffic/breaker/breaker.go
@@ -42,6 +42,7 @@
 
 	"github.com/wigeonpin/wigeonpin/internal/base/clock"
 	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/archive"
 )
 
 // Topic is the broadcast topic for contents that crash endpoints.
@@ -79,13 +80,8 @@
 	return hex.EncodeToString(h.Sum(nil)[:digestBytes])
 }
 
-// Incarnation identifies one run of an endpoint's process, from its start to its
-// end. Born is the time of the start in Unix milliseconds, or the revision of the
-// endpoint's entry where the entry has no start time.
-type Incarnation struct {
-	Endpoint string `json:"endpoint"`
-	Born     int64  `json:"born"`
-}
+// Incarnation identifies one run of an endpoint's process.
+type Incarnation = archive.Incarnation
 
 // Seams are the functions of package broadcast that a breaker uses. Without them
 // it neither sends nor receives events.
@@ -103,7 +99,7 @@
 
 	mu      sync.Mutex
 	records *lru.Cache[string, *record]
-	changed func(content string)               // set by onChange; may be nil
+	changed func(content string)               // of the archive; may be nil
 	verify  func(incarnation Incarnation) bool // set by VerifyBy; may be nil
 
 	verifying sync.WaitGroup // checks of crashes that other instances suspect
@@ -169,11 +165,7 @@
 	return b
 }
 
-// onChange calls changed after the confirmed crashes or the hold of a content with
-// several crashes have changed on this instance. It is called before the first event.
-func (b *Breaker) onChange(changed func(content string)) { b.changed = changed }
-
-// noteChange reports a change of a content with a number of confirmed crashes.
+// noteChange lets the archive write a content with several confirmed crashes.
 func (b *Breaker) noteChange(content string, crashes int) {
 	if b.changed != nil && crashes > 1 {
 		b.changed(content)
--- a/internal/traffic/suspect/suspect.go
+++ b/internal/traffic/suspect/suspect.go
@@ -77,6 +77,8 @@
 	// sequence makes the ids of events and lease owners unique.
 	sequence uint64
 	leases   leaseTable
+	// blocked is called after a crash of a blocked digest; nil if it is not kept.
+	blocked func(digest string)
 }
 
 // record holds the crashes of one digest.
@@ -209,6 +211,9 @@
 		s.mu.Unlock()
 		s.log.WithField(logs.Endpoint, endpoint).WithField("crashes", count).Warn("a request ran on an endpoint that died")
 		s.post(digest, e)
+		if s.blocked != nil && count >= s.settings.SuspectCrashes {
+			s.blocked(digest)
+		}
 	}
 }
 
--- a/internal/traffic/suspect/suspect_test.go
+++ b/internal/traffic/suspect/suspect_test.go
@@ -12,6 +12,7 @@
 	"github.com/wigeonpin/wigeonpin/internal/base/logs"
 	"github.com/wigeonpin/wigeonpin/internal/base/setting"
 	"github.com/wigeonpin/wigeonpin/internal/control/member"
+	"github.com/wigeonpin/wigeonpin/internal/standin/ledger"
 )
 
 // zone is a set of instances whose broadcasts are delivered to all of them at
@@ -226,3 +227,51 @@
 	}
 	releaseAgain()
 }
+
+// Guards against a blocked content that takes down endpoints again after all instances were
+// killed, and against one that stays blocked beyond the retention time, whatever the clock
+// of the instance that stored it.
+func TestBlockedContentOutlivesAllInstances(t *testing.T) {
+	ctx, l := context.Background(), ledger.New()
+	former := newZone("i1")
+	stored := former.suspects["i1"].Archive(l.Store())
+	crash := func(digest string) {
+		release, err := former.suspects["i1"].Admit(digest)
+		if err != nil {
+			t.Fatal(err)
+		}
+		former.suspects["i1"].Crashed("e1", []string{digest})
+		release()
+	}
+	crash("poison")
+	crash("poison")
+	crash("coincidence") // a single crash blocks nothing and is not stored
+	if err := stored.Save(ctx); err != nil {
+		t.Fatal(err)
+	}
+	next := newZone("i1")
+	suspects := next.suspects["i1"]
+	if err := suspects.Archive(l.Store()).Load(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := suspects.Admit("poison"); !code.Is(err, code.SuspectRequest) {
+		t.Errorf("the blocked content is admitted: %v", err)
+	}
+	if suspects.IsSuspect("coincidence") {
+		t.Error("a content with a single crash is a suspect")
+	}
+	retention := setting.Milliseconds(setting.Defaults().SuspectMS)
+	next.driver.Advance(retention)
+	if suspects.IsSuspect("poison") {
+		t.Errorf("the content is blocked after %v", retention)
+	}
+	late := newZone("i1") // its clock is an hour behind that of the instance that stored it
+	late.driver.SetBy(-time.Hour)
+	if err := late.suspects["i1"].Archive(l.Store()).Load(ctx); err != nil {
+		t.Fatal(err)
+	}
+	late.driver.Advance(retention)
+	if late.suspects["i1"].IsSuspect("poison") {
+		t.Errorf("the content is blocked after %v by a clock that is behind", retention)
+	}
+}
--- a/internal/training/runner/crash_test.go
+++ b/internal/training/runner/crash_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/wigeonpin/wigeonpin/internal/base/logs"
+	"github.com/wigeonpin/wigeonpin/internal/traffic/archive"
 	"github.com/wigeonpin/wigeonpin/internal/traffic/breaker"
 )
 
@@ -81,12 +82,12 @@
 	defer cancel()
 	h := newHarness(t)
 	store := h.ledger.Store()
-	go breaker.NewArchive(h.breaker, store, h.runner.timers, logs.Discard()).Run(ctx)
+	go h.breaker.Archive(store).Run(ctx)
 	b := newBatch("crashing-1")
 	h.runner.SetActive(ctx, true)
 	h.runner.Add(ctx, b, true)
 	stored := func() bool {
-		_, err := store.Get(ctx, breaker.KindContents, breaker.NameHeld)
+		_, err := store.Get(ctx, archive.Kind, breaker.ArchiveName)
 		return err == nil
 	}
 	for !stored() && ctx.Err() == nil {
@@ -100,7 +101,7 @@
 	}
 	h.runner.SetActive(ctx, false)
 	h.breaker = breaker.New(breaker.Seams{}, h.runner.timers, logs.Discard())
-	go breaker.NewArchive(h.breaker, store, h.runner.timers, logs.Discard()).Run(ctx)
+	go h.breaker.Archive(store).Run(ctx)
 	for h.breaker.Empty() && ctx.Err() == nil {
 		time.Sleep(time.Millisecond)
 	}
--- a/proof/fault_test.go
+++ b/proof/fault_test.go
@@ -76,6 +76,20 @@
 		}
 	}
 	wg.Wait()
+	falls := f.engineFalls()
+	if falls == 0 || falls > 2 {
+		t.Errorf("the request took down %d endpoints, want 1 or 2", falls)
+	}
+	for i, a := range bystanders {
+		if a.status != http.StatusOK {
+			t.Errorf("bystander request %d: status %d, error %v, %s", i, a.status, a.err, a.body)
+		}
+	}
+}
+
+// engineFalls returns how often engines ended.
+func (f *fleet) engineFalls() int {
+	f.t.Helper()
 	falls := 0
 	for _, p := range f.engines {
 		var s struct {
@@ -84,13 +98,54 @@
 		f.mustSend(p.control, http.MethodGet, "/fake/state", nil, nil, &s)
 		falls += s.Falls
 	}
-	if falls == 0 || falls > 2 {
-		t.Errorf("the request took down %d endpoints, want 1 or 2", falls)
+	return falls
+}
+
+// Guards against a request that takes down engines again after all instances were killed,
+// since none of those that start knows it.
+func TestBlockedRequestOutlivesAllInstances(t *testing.T) {
+	f := startFleet(t, fleetOptions{zones: 3, instancesPerZone: 1, engines: 2, engineArgs: []string{"--down-ms", "500", "--rate", "100"}})
+	key := f.createAccount("acme")
+	awaitAll := func() {
+		for _, p := range f.instances {
+			f.awaitGeneration(p, key)
+		}
 	}
-	for i, a := range bystanders {
-		if a.status != http.StatusOK {
-			t.Errorf("bystander request %d: status %d, error %v, %s", i, a.status, a.err, a.body)
+	awaitAll()
+	const poison = "crashes each engine that runs it"
+	for _, p := range f.engines {
+		f.setFault(p, "poison", map[string]any{"digest": engine.Tag(poison), "on": true})
+	}
+	repeat := func() {
+		for n := range 2 * len(f.instances) {
+			if a := f.generate(f.instances[n%len(f.instances)], key, poison, 5, 10*time.Second); a.status == http.StatusOK {
+				t.Errorf("the crashing request was answered: %s", a.body)
+			}
+		}
+	}
+	repeat()
+	before := f.engineFalls()
+	if before == 0 {
+		t.Fatal("the request took down no engine")
+	}
+	f.eventually("the blocked request is stored", func() bool {
+		answer, err := f.client.Get("http://" + f.platform.address + "/v1/objects/contents/blocked")
+		if err != nil {
+			return false
 		}
+		answer.Body.Close()
+		return answer.StatusCode == http.StatusOK
+	})
+	for _, p := range f.instances {
+		p.kill()
+	}
+	for _, p := range f.instances {
+		f.restart(p)
+	}
+	awaitAll()
+	repeat()
+	if after := f.engineFalls(); after != before {
+		t.Errorf("the request took down %d engines after the kill, want none; %d before", after-before, before)
 	}
 }
 
