exchange: send request targets as they were asked

An empty query was dropped.

Ruled out: the routing, which uses the path as it came.

Change: the exchange writes the target itself, refuses one that does not begin with a slash or has spaces or control characters, and compares method and host with what net/http has written. Callers' requests, items and scoring calls split their targets in one place.

--- a/internal/peer/exchange/exchange.go
+++ b/internal/peer/exchange/exchange.go
@@ -70,18 +70,36 @@
 	maxRecentIDs = 4
 )
 
-// Request is one call. Path is the escaped path, sent as it is. A connection serves
-// requests of one group only. A repeatable request may be sent twice.
+// Request is one call. Path is the escaped path, sent as it is. ForceQuery sends an empty
+// query too. A connection serves requests of one group only. A repeatable request may be
+// sent twice.
 type Request struct {
 	Method, Path, Query, Host string
+	ForceQuery                bool
 	Group                     string
 	Repeatable                bool
 	Header                    http.Header
 	Body                      []byte
 }
 
-// ErrUnwritable is the cause of a failed exchange whose request cannot be written: it has a
-// control character in its path. No endpoint is at fault.
+// WithTarget returns the request with the path and the query of a request target, the part
+// of the request line after the method.
+func (r Request) WithTarget(target string) Request {
+	path, query, found := strings.Cut(target, "?")
+	r.Path, r.Query, r.ForceQuery = path, query, found && query == ""
+	return r
+}
+
+func (r Request) target() string {
+	if r.Query != "" || r.ForceQuery {
+		return r.Path + "?" + r.Query
+	}
+	return r.Path
+}
+
+// ErrUnwritable is the cause of a failed exchange whose request cannot be written: its path
+// does not begin with a slash, or has a space or control character, or its host is none.
+// No endpoint is at fault.
 var ErrUnwritable = errors.New("the request cannot be written")
 
 // Error is a failed exchange. Sent reports that bytes of the request may have
@@ -262,6 +280,10 @@
 
 // encode returns the bytes of the request, or ErrUnwritable.
 func encode(request Request) ([]byte, error) {
+	target := request.target()
+	if !strings.HasPrefix(target, "/") || strings.ContainsFunc(request.Method+target, isSpaceOrControl) {
+		return nil, fmt.Errorf("%w: method %.100q, target %.100q", ErrUnwritable, request.Method, target)
+	}
 	header := request.Header
 	if header == nil {
 		header = http.Header{}
@@ -269,9 +291,12 @@
 	if header["User-Agent"] == nil {
 		header["User-Agent"] = []string{""}
 	}
+	// Package net/url rewrites some targets: one that begins with two slashes names another
+	// host for it. A placeholder of the same length is encoded in its place.
+	placeholder := "/" + strings.Repeat("x", len(target)-1)
 	r := &http.Request{
 		Method: request.Method, Host: request.Host, Header: header,
-		URL:           &url.URL{Scheme: "http", Opaque: request.Path, RawQuery: request.Query},
+		URL:           &url.URL{Path: placeholder},
 		ContentLength: int64(len(request.Body)),
 	}
 	if len(request.Body) > 0 {
@@ -283,9 +308,17 @@
 	if err := r.Write(&out); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnwritable, err)
 	}
-	return out.Bytes(), nil
+	message := out.Bytes()
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n", request.Method, placeholder, request.Host)
+	if !bytes.HasPrefix(message, []byte(head)) {
+		return nil, fmt.Errorf("%w: method %.100q, host %.100q", ErrUnwritable, request.Method, request.Host)
+	}
+	copy(message[len(request.Method)+1:], target)
+	return message, nil
 }
 
+func isSpaceOrControl(c rune) bool { return c <= ' ' || c == 0x7f }
+
 // readHead reads the head of the answer to the request and skips late answers
 // to earlier requests.
 func (p *Pool) readHead(c *connection, request Request) (*http.Response, error) {
--- a/internal/traffic/front/admit.go
+++ b/internal/traffic/front/admit.go
@@ -14,16 +14,17 @@
 // callerRequest is what is known of a caller's request. parseRequest fills the
 // first fields, admit the others.
 type callerRequest struct {
-	id, host, path, query string
-	began                 time.Time
-	manifest              *manifest.Manifest
-	route                 manifest.Route
-	routed                bool // route is set; for a call about a batch, it is the plain route of the same path
-	account               manifest.Account
-	keyError              error // why a caller on a public route has no account; nil if it has one, or needs none
-	operation             Operation
-	batch                 string
-	deadline              time.Time // the earlier of the caller's and the route's time limit
+	id, host            string
+	target, path, query string // the request target, and its parts
+	began               time.Time
+	manifest            *manifest.Manifest
+	route               manifest.Route
+	routed              bool // route is set; for a call about a batch, it is the plain route of the same path
+	account             manifest.Account
+	keyError            error // why a caller on a public route has no account; nil if it has one, or needs none
+	operation           Operation
+	batch               string
+	deadline            time.Time // the earlier of the caller's and the route's time limit
 }
 
 // withoutBatch returns the request as one that is not about a batch. On a public
@@ -38,12 +39,13 @@
 }
 
 func (f *Front) parseRequest(r *http.Request) *callerRequest {
-	path, query, _ := strings.Cut(r.RequestURI, "?")
-	if !strings.HasPrefix(path, "/") {
-		path = r.URL.EscapedPath()
+	target := r.RequestURI
+	if !strings.HasPrefix(target, "/") {
+		target = r.URL.RequestURI()
 	}
+	path, query, _ := strings.Cut(target, "?")
 	return &callerRequest{
-		id: r.Header.Get(f.seams.Names.Request), host: r.Host, path: path, query: query,
+		id: r.Header.Get(f.seams.Names.Request), host: r.Host, target: target, path: path, query: query,
 		began: f.timers.Now(), manifest: f.seams.Manifest(),
 	}
 }
--- a/internal/traffic/front/front.go
+++ b/internal/traffic/front/front.go
@@ -190,7 +190,7 @@
 	call := forward.Call{
 		ID: q.id, Account: q.account.Name, Route: q.route, Service: q.route.SelectService(rand.Float64()),
 		Deadline: q.deadline,
-		Request:  exchange.Request{Method: r.Method, Path: q.path, Query: q.query, Host: q.host, Header: header},
+		Request:  exchange.Request{Method: r.Method, Host: q.host, Header: header}.WithTarget(q.target),
 	}
 	share := f.seams.Memory.Share()
 	defer share.Release()
--- a/internal/training/runner/scoring.go
+++ b/internal/training/runner/scoring.go
@@ -63,7 +63,6 @@
 // and returns its answer. The call is not urgent: it waits for headroom as long as that
 // does not make the item late.
 func (r *Runner) callScorer(ctx context.Context, b *batch.Batch, reward *batch.Reward, due time.Time) (*forward.Answer, error) {
-	path, query, _ := strings.Cut(reward.Path, "?")
 	route, found := r.scoringRoute(b, reward)
 	if !found {
 		return nil, errors.New("no route for the scoring call")
@@ -75,9 +74,9 @@
 		ID: reward.ID, Route: asIdempotent(route), Service: service,
 		Urgent: urgent, Deadline: urgent.Add(scoringTimeout),
 		Request: exchange.Request{
-			Method: http.MethodPost, Path: path, Query: query, Host: reward.Host, Body: reward.Body,
+			Method: http.MethodPost, Host: reward.Host, Body: reward.Body,
 			Header: http.Header{http.CanonicalHeaderKey(names.Request): {reward.ID}},
-		},
+		}.WithTarget(reward.Path),
 	})
 	if err != nil {
 		return nil, err
--- a/internal/training/runner/task.go
+++ b/internal/training/runner/task.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -208,8 +207,7 @@
 	if t.text.last > 0 {
 		header.Set("Last-Event-Id", strconv.FormatInt(t.text.last, 10))
 	}
-	path, query, _ := strings.Cut(t.item.Path, "?")
-	return exchange.Request{Method: http.MethodPost, Path: path, Query: query, Host: host, Header: header, Body: t.item.Body}
+	return exchange.Request{Method: http.MethodPost, Host: host, Header: header, Body: t.item.Body}.WithTarget(t.item.Path)
 }
 
 // timeLeft returns the time until the item is given up. It counts from when this process
