forward: do not pass on promises of endpoints that have run a request

Cause: an endpoint's 503, 429 or 408 without the sign that it did not run the request was passed on, also where the request may run once.

Change: on such routes the answer counts as a run that failed: 502 may_have_run without the endpoint's stamp, since another status may not bear it.

Tests: TestAttempts/once: 503 after a run fails on.

--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -17,6 +17,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math"
 	"net/http"
@@ -380,6 +381,15 @@
 		p.reason = "answer without a stamp"
 		return nil, f.retryVerdict(call)
 	}
+	if promisesNotRun(answer.Status) && !call.Route.Repeatable() {
+		answer.Discard()
+		attempt.release()
+		slot.IgnoreTime()
+		slot.Done(replica.Answered)
+		f.recordAnswer(call)
+		p.reason = fmt.Sprintf("status %d without a sign that the request did not run", answer.Status)
+		return nil, noRetry
+	}
 	result, err := f.receive(ctx, call, slot, answer, attempt)
 	if err != nil {
 		if attempt.ctx.Err() == nil {
@@ -402,6 +412,13 @@
 	return result, final
 }
 
+// promisesNotRun reports whether a status promises the caller that its request has not run.
+// An endpoint that ran the request and failed may answer with it all the same; a caller
+// whose request may run once would send it again.
+func promisesNotRun(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || status == http.StatusRequestTimeout
+}
+
 func (f *Forwarder) retryVerdict(call Call) verdict {
 	if call.Route.Repeatable() {
 		return retry
--- a/internal/traffic/forward/forward_test.go
+++ b/internal/traffic/forward/forward_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -83,8 +84,8 @@
 	case "leaving":
 		w.Header().Set(names.Leaving, "1")
 	}
-	if e.mode == "500" {
-		w.WriteHeader(http.StatusInternalServerError)
+	if status, err := strconv.Atoi(e.mode); err == nil {
+		w.WriteHeader(status)
 	}
 	_, _ = fmt.Fprint(w, "whole")
 }
@@ -95,6 +96,7 @@
 func TestAttempts(t *testing.T) {
 	once := manifest.Route{Kind: manifest.AtMostOnce, Attempts: 3}
 	idempotent := manifest.Route{Kind: manifest.Idempotent, Attempts: 2}
+	stream := manifest.Route{Kind: manifest.Stream, Attempts: 3}
 	cases := []struct {
 		name   string
 		route  manifest.Route
@@ -111,6 +113,13 @@
 		{"once: broken", once, []string{"break", "break"}, 0, code.MayHaveRun, code.MaybeRun, 1},
 		{"once: cut", once, []string{"cut", "cut"}, 0, code.MayHaveRun, code.MaybeRun, 1},
 		{"once: 500 is its answer", once, []string{"500", "500"}, 500, 0, "", 1},
+		{"once: 503 after a run", once, []string{"503", "503"}, 0, code.MayHaveRun, code.MaybeRun, 1},
+		{"once: 429 after a run", once, []string{"429", "429"}, 0, code.MayHaveRun, code.MaybeRun, 1},
+		{"once: 408 after a run", once, []string{"408", "408"}, 0, code.MayHaveRun, code.MaybeRun, 1},
+		{"stream: 503 after a run", stream, []string{"503", "503"}, 0, code.MayHaveRun, code.MaybeRun, 1},
+		{"once: rejected, then 503 after a run", once, []string{"reject", "503"}, 0, code.MayHaveRun, code.MaybeRun, 1},
+		{"idempotent: 503 after a run, then served", idempotent, []string{"503", "ok"}, 200, 0, "", -1},
+		{"idempotent: 429 is its answer", idempotent, []string{"429", "429"}, 429, 0, "", 1},
 		{"idempotent: broken, then served", idempotent, []string{"break", "ok"}, 200, 0, "", -1},
 		{"idempotent: no stamp twice", idempotent, []string{"unstamped", "unstamped", "unstamped"}, 0, code.EndpointFailed, code.MaybeRun, 2},
 		{"idempotent: 500 twice", idempotent, []string{"500", "500", "500"}, 500, 0, "", 2},
