--- a/internal/traffic/front/batches.go
+++ b/internal/traffic/front/batches.go
@@ -128,8 +128,9 @@
 }
 
 // batchCall serves an operation on an accepted batch. A batch of another client
-// account looks like a missing one; a caller without an account is asked for a key. If the caller has no such batch, the plain route
-// of the path serves the request, if it has one.
+// account looks like a missing one; a caller without an account is asked for a key. If
+// the caller has no such batch, the plain route of the path serves the request, if it
+// has one.
 func (f *Front) batchCall(w http.ResponseWriter, r *http.Request, q *callerRequest) {
 	if !f.seams.Stop.CanEnd(f.batchWork(q)) {
 		f.refuse(w, q, stop.Refusal())
