runner: try held scoring calls after 6 s at the latest

Cause: scoring calls have been held back like callers' requests since: 30 s after the third crash. A sound call is repeated at once, so that it runs on several replicas while another request crashes them; its item was then not listed in time.

Change: the limit between two trials is an argument of the breaker's Admit, 6 s for scoring calls.

Tests: TestHeldScoringCallIsTriedInTime; the item would wait 5 minutes without the limit.

--- a/internal/traffic/breaker/archive_test.go
+++ b/internal/traffic/breaker/archive_test.go
@@ -82,7 +82,7 @@
 			m := f.member(at)
 			switch d.Cmd {
 			case "admit":
-				if wait := m.breaker.Admit(content); wait > 0 {
+				if wait := m.breaker.Admit(content, NoLimit); wait > 0 {
 					return "held for " + wait.String()
 				}
 				return "runs"
@@ -146,11 +146,11 @@
 		t.Fatal(got)
 	}
 	for n := range processes {
-		if late.breaker.Admit(fmt.Sprint("c", n)) == 0 {
+		if late.breaker.Admit(fmt.Sprint("c", n), NoLimit) == 0 {
 			t.Errorf("the content of process %d is not held back", n)
 		}
 	}
-	if late.breaker.Admit("shared") == 0 {
+	if late.breaker.Admit("shared", NoLimit) == 0 {
 		t.Error("the content that all processes wrote is not held back")
 	}
 }
@@ -213,7 +213,7 @@
 	for third.Empty() && ctx.Err() == nil {
 		_ = timers.Sleep(ctx, time.Millisecond)
 	}
-	if third.Admit("c") == 0 {
+	if third.Admit("c", NoLimit) == 0 {
 		t.Error("a process that started after the outage does not hold the content back")
 	}
 }
--- a/internal/traffic/breaker/breaker.go
+++ b/internal/traffic/breaker/breaker.go
@@ -18,7 +18,7 @@
 //
 //	b := breaker.New(breaker.Seams{Post: broadcaster.Publish, Subscribe: broadcaster.Subscribe}, timers, log)
 //	content := breaker.Digest(body, account, method, path)
-//	if wait := b.Admit(content); wait > 0 {
+//	if wait := b.Admit(content, breaker.NoLimit); wait > 0 {
 //		return refusal(wait) // the content must not run until then
 //	}
 //	b.RecordUnreachable(content, incarnation) // the endpoint dropped the request and refuses connections
@@ -65,6 +65,9 @@
 // of crashes. The last one applies to all higher numbers.
 var holdTimes = []time.Duration{0, 0, 2 * time.Second, 30 * time.Second, 5 * time.Minute, 30 * time.Minute, repeatedCrashTTL}
 
+// NoLimit is the limit of Admit for contents that are held back for the full time.
+const NoLimit = repeatedCrashTTL
+
 // digestBytes is the length in bytes to which the SHA-256 digest is truncated.
 const digestBytes = 16
 
@@ -177,19 +180,21 @@
 func (b *Breaker) Empty() bool { return b.records.Len() == 0 }
 
 // Admit returns how long the content is still held back, or 0 when it may run
-// now. The first run after a hold is its trial; further runs are held back.
-func (b *Breaker) Admit(content string) time.Duration {
+// now. The first run after a hold is its trial; further runs are held back. The limit
+// bounds the time between two trials.
+func (b *Breaker) Admit(content string, limit time.Duration) time.Duration {
 	b.mu.Lock()
 	r, now := b.lookup(content), b.timers.Now()
 	if r == nil || holdTime(r.count(now)) == 0 {
 		b.mu.Unlock()
 		return 0
 	}
-	if wait := r.heldUntil.Sub(now); wait > 0 {
+	held := holdTime(r.count(now))
+	until := r.heldUntil.Add(min(0, limit-held))
+	if wait := until.Sub(now); wait > 0 {
 		b.mu.Unlock()
 		return wait
 	}
-	held := holdTime(r.count(now))
 	r.heldUntil = now.Add(held)
 	crashes := r.confirmedCount()
 	b.mu.Unlock()
--- a/internal/traffic/breaker/breaker_test.go
+++ b/internal/traffic/breaker/breaker_test.go
@@ -83,7 +83,7 @@
 	}
 	switch d.Cmd {
 	case "admit":
-		if wait := f.member(at).Admit("c"); wait > 0 {
+		if wait := f.member(at).Admit("c", NoLimit); wait > 0 {
 			return "held for " + wait.String()
 		}
 		return "runs"
--- a/internal/traffic/dispatch/forward.go
+++ b/internal/traffic/dispatch/forward.go
@@ -88,7 +88,7 @@
 		return nil
 	}
 	f.askedAfter = f.interruptions + 1
-	wait := f.d.seams.Breaker.Admit(f.content())
+	wait := f.d.seams.Breaker.Admit(f.content(), breaker.NoLimit)
 	if wait == 0 {
 		return nil
 	}
--- a/internal/traffic/forward/crash_attribution.go
+++ b/internal/traffic/forward/crash_attribution.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -112,7 +113,7 @@
 		return true
 	}
 	p.breakerChecks = p.breaks + 1
-	p.holdTime = b.Admit(call.digest())
+	p.holdTime = b.Admit(call.digest(), cmp.Or(call.MaxHold, breaker.NoLimit))
 	if p.holdTime > 0 {
 		p.reason = "held back"
 		f.held.Add(call.Service, 1)
--- a/internal/traffic/forward/crash_attribution_test.go
+++ b/internal/traffic/forward/crash_attribution_test.go
@@ -211,7 +211,7 @@
 		t.Fatalf("first process: %v", err)
 	}
 	held := func(f *Forwarder) bool {
-		return !f.seams.Breaker.Empty() && f.seams.Breaker.Admit(c.ContentDigest()) > 0
+		return !f.seams.Breaker.Empty() && f.seams.Breaker.Admit(c.ContentDigest(), breaker.NoLimit) > 0
 	}
 	for end := time.Now().Add(10 * time.Second); !held(second) && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -77,6 +77,10 @@
 	// from Urgent to Deadline, however early it begins.
 	Urgent time.Time
 
+	// MaxHold bounds the time between two trials of a content that is held back since it
+	// crashed endpoints; 0 means no bound.
+	MaxHold time.Duration
+
 	digest func() string // the result of ContentDigest, computed once
 }
 
--- a/internal/training/runner/scoring.go
+++ b/internal/training/runner/scoring.go
@@ -24,6 +24,11 @@
 // that it may wait for headroom.
 const scoringTimeout = 4 * time.Second
 
+// maxScoringHold bounds how long a scoring call whose content crashed endpoints waits for its
+// next trial. A sound call is repeated at once after each crash of an endpoint, and so meets
+// several of them more easily than a caller's request; its result is owed.
+const maxScoringHold = 6 * time.Second
+
 // startScoring starts the scoring call for a complete text. A text that mixes
 // weight versions is discarded instead if the route wants a single one.
 func (r *Runner) startScoring(t *task) {
@@ -72,7 +77,7 @@
 	urgent := share.Limit(r.timers.Now(), due, usual, rand.Float64())
 	answer, err := r.seams.Forwarder.Send(ctx, forward.Call{
 		ID: reward.ID, Route: asIdempotent(route), Service: service,
-		Urgent: urgent, Deadline: urgent.Add(scoringTimeout),
+		Urgent: urgent, Deadline: urgent.Add(scoringTimeout), MaxHold: maxScoringHold,
 		Request: exchange.Request{
 			Method: http.MethodPost, Host: reward.Host, Body: reward.Body,
 			Header: http.Header{http.CanonicalHeaderKey(names.Request): {reward.ID}},
--- a/internal/training/runner/scoring_test.go
+++ b/internal/training/runner/scoring_test.go
@@ -60,7 +60,7 @@
 	for _, id := range []string{"s8", "s9"} {
 		h.breaker.RecordCrash(content, breaker.Incarnation{Endpoint: id})
 	}
-	held := h.breaker.Admit(content)
+	held := h.breaker.Admit(content, breaker.NoLimit)
 	if held == 0 {
 		t.Fatal("the scoring call is not held back")
 	}
@@ -78,3 +78,27 @@
 		t.Errorf("%d scoring calls failed while the content was held back, want 1 to %d", failures, most)
 	}
 }
+
+// Guards against a sound item that is not listed in time, since its scoring call ran on
+// several replicas that others crashed and is held back for as long as a caller's request.
+func TestHeldScoringCallIsTriedInTime(t *testing.T) {
+	h := newHarness(t)
+	b := newBatch("plain-1")
+	ctx, reward := context.Background(), b.Items[0].Reward
+	content := forward.Call{Request: exchange.Request{Method: http.MethodPost, Host: reward.Host, Path: reward.Path}}.ContentDigest()
+	for _, id := range []string{"s6", "s7", "s8", "s9"} {
+		h.breaker.RecordCrash(content, breaker.Incarnation{Endpoint: id})
+	}
+	if held := h.breaker.Admit(content, breaker.NoLimit); held <= maxScoringHold {
+		t.Fatalf("a caller's request is held back for %v, want more than %v", held, maxScoringHold)
+	}
+	began := time.Now()
+	h.runner.SetActive(ctx, true)
+	h.runner.Add(ctx, b, true)
+	if result := h.results(t, b)["plain-1"]; !result.Done {
+		t.Errorf("result %+v, want a completed item", result)
+	}
+	if took := time.Since(began); took < maxScoringHold-time.Second/10 {
+		t.Errorf("the item was scored after %v, want %v", took, maxScoringHold)
+	}
+}
