front: refuse unknown keys for calls about batches on public routes

Cause: since a submission with a key that no account holds was accepted on a public route as nobody's, and open to all callers: other accounts could read and end it.

Change: only a call without any key is admitted without an account there.

Tests: the script accepted/public expected 202; it expects 401 now, and has a key that is withdrawn and comes back, and a restart.

--- a/internal/traffic/front/accepted_test.go
+++ b/internal/traffic/front/accepted_test.go
@@ -24,6 +24,9 @@
 			case "manifest":
 				fx.manifest.Store(parseManifest(t, fx.manifest.Load().Version+1, d))
 				return ""
+			case "restart":
+				fx = newFixtureOn(t, fx.ledger, echo)
+				return ""
 			case "call":
 				return fx.scriptedCall(t, d)
 			}
--- a/internal/traffic/front/admit.go
+++ b/internal/traffic/front/admit.go
@@ -21,7 +21,7 @@
 	route               manifest.Route
 	routed              bool // route is set; for a call about a batch, it is the plain route of the same path
 	account             manifest.Account
-	keyError            error // why a caller on a public route has no account; nil if it has one, or needs none
+	keyError            error // the refusal of a call without a key, if a public route admits it all the same
 	operation           Operation
 	batch               string
 	deadline            time.Time // the earlier of the caller's and the route's time limit
@@ -79,17 +79,19 @@
 	return q.operation != NoBatch || q.route.Kind == manifest.Rollout
 }
 
-// admitWithoutAccount admits a request whose key belongs to no client account where a
-// public route allows it, and returns its refusal otherwise.
+// admitWithoutAccount admits a call about batches without a key where a public route allows
+// it, and returns its refusal otherwise. A key that no account holds is refused on all
+// routes for batches: it may be withdrawn, or so new that this process does not know its
+// account yet.
 func (q *callerRequest) admitWithoutAccount(keyError error) error {
-	submitsPublic := q.operation == NoBatch && q.route.Public
+	open := q.operation == NoBatch && q.route.Public || q.operation != NoBatch && q.manifest.HasPublicBatchRoute(q.host)
 	switch {
-	case submitsPublic || q.operation != NoBatch && q.manifest.HasPublicBatchRoute(q.host):
+	case open && code.Is(keyError, code.KeyMissing):
 		q.keyError = keyError
 		return nil
 	case q.operation == Resubmit:
 		return errNoRoute(q)
-	case q.routed && q.route.Public:
+	case q.operation != NoBatch && q.routed && q.route.Public:
 		q.operation, q.batch = NoBatch, ""
 		return nil
 	}
--- a/internal/traffic/front/front_test.go
+++ b/internal/traffic/front/front_test.go
@@ -86,6 +86,12 @@
 }
 
 func newFixture(t *testing.T, endpoint http.HandlerFunc) *fixture {
+	t.Helper()
+	return newFixtureOn(t, ledger.New(), endpoint)
+}
+
+// newFixtureOn returns a fixture whose store has the records of a ledger.
+func newFixtureOn(t *testing.T, l *ledger.Ledger, endpoint http.HandlerFunc) *fixture {
 	t.Helper()
 	backend := httptest.NewServer(endpoint)
 	t.Cleanup(backend.Close)
@@ -103,7 +109,7 @@
 		{Host: "h", Prefix: "/once/", Kind: manifest.AtMostOnce, Attempts: 2, Public: true, Targets: target},
 		{Host: "h", Prefix: "/batch/", Kind: manifest.Rollout, Attempts: 2, Targets: target},
 	}, nil, []manifest.Account{{Name: "acme", Keys: []string{"k1"}}, {Name: "blue", Keys: []string{"k2"}}}, manifest.Limits{MaxBodyBytes: 1000})
-	fx := &fixture{ledger: ledger.New(), isolation: make(chan struct{}), limits: make(chan time.Duration, 100)}
+	fx := &fixture{ledger: l, isolation: make(chan struct{}), limits: make(chan time.Duration, 100)}
 	fx.manifest.Store(m)
 	fx.configured.Store(true)
 	shelf := batch.NewStore(fx.store(), 1<<20)
--- a/internal/traffic/front/submit.go
+++ b/internal/traffic/front/submit.go
@@ -55,9 +55,7 @@
 	case errors.As(err, &other) && q.mayUse(other.Stored):
 		f.confirm(w, q)
 	case other != nil && q.keyError != nil:
-		// The key may be so new that this process does not know it yet. The batch that its
-		// account submitted before runs then.
-		f.refuse(w, q, code.Of(q.keyError).WithRun(code.MaybeRun))
+		f.refuse(w, q, q.keyError)
 	case other != nil:
 		f.refuse(w, q, code.New(code.KeyForbidden, "the id belongs to another account").WithRun(code.NotRun))
 	default:
