dispatch: let no other test take the port of a refusing endpoint

Cause: TestDispatch failed once (line 144 of its script: endpoint_failed where retry_budget is wanted), beside the tests of other packages, and passed in 60 runs alone and six at a time. An endpoint that refuses connections was a closed server, whose port the system may give to a server of another test; its answer explains the code that was seen. Read, not shown: which server had the port is not known.

Change: the endpoint is a socket that is bound and does not listen. The checks are the same.

--- a/internal/traffic/dispatch/dispatch_test.go
+++ b/internal/traffic/dispatch/dispatch_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+	"golang.org/x/sys/unix"
 
 	"github.com/wigeonpin/wigeonpin/internal/base/clock"
 	"github.com/wigeonpin/wigeonpin/internal/base/code"
@@ -106,7 +107,7 @@
 	t.Cleanup(e.server.Close)
 	e.Address = strings.TrimPrefix(e.server.URL, "http://")
 	if e.fault == "refuse" {
-		e.server.Close()
+		e.Address = refusingAddress(t)
 	} else if _, err := f.runner.engines.LoadReport(context.Background(), e.Address); err != nil {
 		// Fetching the load report leaves a pooled connection, as in operation.
 		t.Fatal(err)
@@ -114,6 +115,25 @@
 	f.backends = append(f.backends, e)
 }
 
+// refusingAddress returns an address that refuses connections until the test ends. The port
+// of a closed server would not do: the system may give it to a server of another test.
+func refusingAddress(t *testing.T) string {
+	t.Helper()
+	socket, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = unix.Close(socket) })
+	if err := unix.Bind(socket, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := unix.Getsockname(socket)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprint("127.0.0.1:", bound.(*unix.SockaddrInet4).Port)
+}
+
 func (f *fixture) serve(w http.ResponseWriter, r *http.Request, e *backend) {
 	var in engine.Request
 	raw, _ := io.ReadAll(r.Body)
