breaker: let an answer clear suspected crashes on all instances

Cause: since other instances verify the crashes that one of them suspects, but an answer cleared these on the instance that got it alone: the others went on to hold a sound content back for up to 10 s. The end of a hold was not reset either, so that two later crashes met the hold of the earlier series.

Change: an answer to a held content clears the suspected crashes with the confirmed ones, on all instances; a content without counted crashes has no hold.

--- a/internal/traffic/breaker/breaker.go
+++ b/internal/traffic/breaker/breaker.go
@@ -33,7 +33,6 @@
 	"encoding/json"
 	"fmt"
 	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -126,14 +125,19 @@
 	return count
 }
 
-func (r *record) count(now time.Time) int {
-	count := r.confirmedCount()
+// unconfirmedAt returns the unconfirmed crashes that count at a time.
+func (r *record) unconfirmedAt(now time.Time) []Incarnation {
+	var list []Incarnation
 	for incarnation, until := range r.unconfirmed {
 		if _, counted := r.confirmed[incarnation]; !counted && now.Before(until) {
-			count++
+			list = append(list, incarnation)
 		}
 	}
-	return count
+	return list
+}
+
+func (r *record) count(now time.Time) int {
+	return r.confirmedCount() + len(r.unconfirmedAt(now))
 }
 
 func holdTime(count int) time.Duration { return holdTimes[min(count, len(holdTimes)-1)] }
@@ -216,9 +220,11 @@
 // with the content and refuses connections from this instance. If the content is held
 // back for such crashes, the other instances are asked to look at the endpoints.
 func (b *Breaker) RecordUnreachable(content string, incarnation Incarnation) {
-	if suspected := b.addUnreachable(content, incarnation); len(suspected) > 0 {
-		b.post(content, event{Suspected: suspected}, unconfirmedTTL)
+	suspected := b.addUnreachable(content, incarnation)
+	if len(suspected) == 0 {
+		return
 	}
+	b.post(content, event{Suspected: suspected}, unconfirmedTTL)
 }
 
 // addUnreachable counts an unconfirmed crash. It returns all of the content if it is held
@@ -233,7 +239,7 @@
 	if holdTime(r.count(now)) == 0 {
 		return nil
 	}
-	return slices.Collect(maps.Keys(r.unconfirmed))
+	return r.unconfirmedAt(now)
 }
 
 // checkSuspected looks at the endpoints that another instance suspects to have crashed,
@@ -303,8 +309,11 @@
 		b.mu.Unlock()
 		return
 	}
-	clear(r.unconfirmed)
 	e := event{}
+	if now := b.timers.Now(); holdTime(r.count(now)) > 0 {
+		e.Cleared = r.unconfirmedAt(now) // the other instances were asked to look at them
+	}
+	clear(r.unconfirmed)
 	for incarnation, counts := range r.confirmed {
 		if counts {
 			e.Cleared = append(e.Cleared, incarnation)
@@ -379,6 +388,9 @@
 	for _, incarnation := range e.Cleared {
 		r.confirmed[incarnation] = false
 	}
+	if r.count(b.timers.Now()) == 0 {
+		r.heldUntil = time.Time{} // later crashes begin with the shortest hold again
+	}
 	if e.Crashed != nil {
 		b.addCrash(content, r, *e.Crashed)
 	}
