breaker: keep suspected crashes in the store

Cause: only confirmed crashes were stored. The list of endpoints confirms some 4 s after a crash; a kill of all processes before that lost them, and each process let the content crash two endpoints again.

Change: a process stores what it suspects as soon as it holds a content back, apart from the confirmed crashes. Processes that start count it; those that run leave it out and look at the endpoints themselves. An answer clears it in the record too.

The former TestArchive/calm expected that such crashes are lost; soon expects that they are kept. TestHeldScoringCallWaits has the cases of two tests, with all checks of both.

--- a/internal/traffic/archive/archive.go
+++ b/internal/traffic/archive/archive.go
@@ -123,7 +123,8 @@
 }
 
 // Load reads the record at the start. Processes that start together share the call, if
-// the store can share lists.
+// the store can share lists. Suspected crashes count from then on: the processes that
+// could confirm them may have ended too, and an answer to the content clears them.
 func (a *Archive) Load(ctx context.Context) error {
 	var page records.Page
 	var err error
@@ -134,7 +135,7 @@
 	}
 	for _, r := range page.Records {
 		if r.Name == a.name {
-			a.seams.Restore(a.decode(r))
+			a.seams.Restore(a.decode(r).withSuspected())
 		}
 	}
 	return err
--- a/internal/traffic/archive/contents.go
+++ b/internal/traffic/archive/contents.go
@@ -15,13 +15,15 @@
 )
 
 // Content is what the store keeps of a content. Crashes are the endpoints that crashed under
-// it and Cleared those before an answer, which do not count. The content is held back until
+// it, Suspected those that one process could not reach any more and that are not confirmed,
+// and Cleared those before an answer, which do not count. The content is held back until
 // Held, and forgotten at Expires; both are Unix times in milliseconds.
 type Content struct {
-	Crashes []Incarnation `json:"ends,omitempty"`
-	Cleared []Incarnation `json:"cleared,omitempty"`
-	Held    int64         `json:"held"`
-	Expires int64         `json:"expires"`
+	Crashes   []Incarnation `json:"ends,omitempty"`
+	Suspected []Incarnation `json:"suspected,omitempty"`
+	Cleared   []Incarnation `json:"cleared,omitempty"`
+	Held      int64         `json:"held"`
+	Expires   int64         `json:"expires"`
 }
 
 // Contents is the body of the record, by content.
@@ -52,20 +54,29 @@
 // merge returns the crashes of both. A crash that one of them has cleared is cleared.
 func (c Content) merge(other Content) Content {
 	cleared := sortedUnion(c.Cleared, other.Cleared)
-	crashes := slices.DeleteFunc(sortedUnion(c.Crashes, other.Crashes), func(i Incarnation) bool {
-		return slices.Contains(cleared, i)
-	})
+	crashes := without(sortedUnion(c.Crashes, other.Crashes), cleared)
+	suspected := without(without(sortedUnion(c.Suspected, other.Suspected), cleared), crashes)
 	return Content{
-		Crashes: latest(crashes), Cleared: latest(cleared),
+		Crashes: latest(crashes), Suspected: latest(suspected), Cleared: latest(cleared),
 		Held: max(c.Held, other.Held), Expires: max(c.Expires, other.Expires),
 	}
 }
 
+// withSuspected returns the contents with their suspected crashes among the others.
+func (c Contents) withSuspected() Contents {
+	all := make(Contents, len(c))
+	for content, kept := range c {
+		kept.Crashes, kept.Suspected = sortedUnion(kept.Crashes, kept.Suspected), nil
+		all[content] = kept
+	}
+	return all
+}
+
 // equal reports whether both hold the same contents.
 func (c Contents) equal(other Contents) bool {
 	return maps.EqualFunc(c, other, func(a, b Content) bool {
 		return a.Held == b.Held && a.Expires == b.Expires &&
-			slices.Equal(a.Crashes, b.Crashes) && slices.Equal(a.Cleared, b.Cleared)
+			slices.Equal(a.Crashes, b.Crashes) && slices.Equal(a.Suspected, b.Suspected) && slices.Equal(a.Cleared, b.Cleared)
 	})
 }
 
@@ -76,6 +87,11 @@
 	return slices.Compact(all)
 }
 
+// without returns the incarnations of a list that are not in the other one.
+func without(list, other []Incarnation) []Incarnation {
+	return slices.DeleteFunc(list, func(i Incarnation) bool { return slices.Contains(other, i) })
+}
+
 // latest returns the last MaxCrashes of a list.
 func latest(list []Incarnation) []Incarnation {
 	return list[max(0, len(list)-MaxCrashes):]
@@ -100,11 +116,10 @@
 
 // compare orders contents by whether crashes count, then by the end of the record.
 func (c Content) compare(other Content) int {
-	if (len(c.Crashes) == 0) != (len(other.Crashes) == 0) {
-		if len(c.Crashes) == 0 {
-			return -1
-		}
-		return 1
-	}
-	return cmp.Compare(c.Expires, other.Expires)
+	return cmp.Or(cmp.Compare(c.counts(), other.counts()), cmp.Compare(c.Expires, other.Expires))
+}
+
+// counts returns 1 if crashes count, else 0.
+func (c Content) counts() int {
+	return min(1, len(c.Crashes)+len(c.Suspected))
 }
--- a/internal/traffic/breaker/breaker.go
+++ b/internal/traffic/breaker/breaker.go
@@ -225,6 +225,9 @@
 		return
 	}
 	b.post(content, event{Suspected: suspected}, unconfirmedTTL)
+	if b.changed != nil {
+		b.changed(content)
+	}
 }
 
 // addUnreachable counts an unconfirmed crash. It returns all of the content if it is held
--- a/internal/traffic/breaker/restore.go
+++ b/internal/traffic/breaker/restore.go
@@ -14,16 +14,15 @@
 // back without a trial. The endpoints may have been replaced by sound ones since.
 const maxRestoredHold = 5 * time.Minute
 
-// Archive returns the archive of the contents with several confirmed crashes. It is called
-// before the first event.
+// Archive returns the archive of the contents with several crashes. It is called before the
+// first event.
 func (b *Breaker) Archive(store records.Store) *archive.Archive {
 	a := archive.New(ArchiveName, archive.Seams{Store: store, Collect: b.collect, Restore: b.restore}, b.timers, b.log)
 	b.changed = a.NoteChange
 	return a
 }
 
-// collect returns what is known of contents, for the store. Unconfirmed crashes are left
-// out.
+// collect returns what is known of contents, for the store.
 func (b *Breaker) collect(contents map[string]bool) archive.Contents {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -33,7 +32,10 @@
 		if r == nil {
 			continue
 		}
-		kept := archive.Content{Held: r.heldUntil.UnixMilli(), Expires: r.expires.UnixMilli()}
+		kept := archive.Content{
+			Suspected: r.unconfirmedAt(b.timers.Now()),
+			Held:      max(0, r.heldUntil.UnixMilli()), Expires: r.expires.UnixMilli(),
+		}
 		for incarnation, counts := range r.confirmed {
 			if counts {
 				kept.Crashes = append(kept.Crashes, incarnation)
